--- /dev/null
+++ b/jaspershelf/adapter.py
@@ -0,0 +1,327 @@
+"""Adapter between the simulator's wire (JSON lines) and the decision module; it decides nothing."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+from typing import Any, BinaryIO
+
+import orjson
+
+from jaspershelf.decide import Balancer
+from jaspershelf.model import (
+    Action,
+    Cancel,
+    Discovery,
+    Fail,
+    Group,
+    Limits,
+    ListKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Rules,
+    Send,
+    ServerRow,
+    Settings,
+    State,
+    Subscribe,
+    Tenant,
+    Timer,
+    pick_known,
+)
+
+STATES = {"U": State.UP, "L": State.DRAINING, "D": State.GONE}
+REPEATS = {"retryable": Repeat.SAFE, "dedup": Repeat.KEYED, "fragile": Repeat.UNSAFE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+DISCOVERY = {"pushed": Discovery.PUSHED, "on_request": Discovery.ON_REQUEST}
+KINDS = {
+    "stale_copy": ListKind.STALE,
+    "whole": ListKind.WHOLE,
+    "patch": ListKind.PATCH,
+    "broken": ListKind.BROKEN,
+}
+OUTCOMES = {
+    "success": Outcome.OK,
+    "failure": Outcome.ERROR,
+    "overloaded": Outcome.FULL,
+    "timed_out": Outcome.TIMEOUT,
+    "unreachable": Outcome.UNREACHABLE,
+    "broken": Outcome.BROKEN,
+    "withdrawn": Outcome.CANCELLED,
+    "void": Outcome.VOID,
+}
+RULES = {
+    "drain_grace": "DrainGrace",
+    "answer_slack": "GraceToAnswer",
+    "ask_within": "AskEvery",
+    "cold_from": "ColdFrom",
+    "cold_for": "Cold",
+    "fall_multiple": "FallMultiple",
+    "fall_after": "TipAfter",
+    "extra_free": "ExtraFree",
+    "extra_share": "ExtraPerRequest",
+    "extra_span": "RatioSpan",
+}
+LIMITS = {
+    "cancel": "Cancel",
+    "second_copies": "SecondCopies",
+    "max_attempts": "MaxAttempts",
+}
+
+
+class WireFault(Exception):
+    """A line that the wire does not allow."""
+
+
+def _named(kind: Any, names: dict[str, str], values: dict[str, Any]) -> Any:
+    return kind(**pick_known(kind, {ours: values.get(theirs) for ours, theirs in names.items()}))
+
+
+def _places(bound: list[int] | None) -> tuple[int, ...] | None:
+    return None if bound is None else tuple(bound)
+
+
+def read_settings(wire: dict[str, Any]) -> Settings:
+    """Settings of the wire in the module's own terms; unknown keys are ignored, absent ones defaulted."""
+    classes = tuple(
+        RequestClass(
+            **pick_known(
+                RequestClass,
+                {
+                    "name": row.get("Name"),
+                    "aim": row.get("Aim"),
+                    "deadline": row.get("HardLimit"),
+                    "repeat": REPEATS.get(row.get("Repeat"), Repeat.UNSAFE),
+                    "group": GROUPS.get(row.get("Group"), Group.CELL),
+                    "window": row.get("Window"),
+                    "worth": row.get("Credit"),
+                    "late_worth": row.get("LateWorth"),
+                    "streaming": row.get("Streaming"),
+                    "only_kinds": _places(row.get("BoundTo")),
+                    "only_zones": _places(row.get("AllowedIn")),
+                },
+            )
+        )
+        for row in wire.get("Services") or ()
+    )
+    tenants = tuple(
+        _named(Tenant, {"name": "Name", "share": "Share", "quota": "AllowancePerS"}, row)
+        for row in wire.get("Orgs") or ()
+    )
+    values = {
+        "classes": classes or None,
+        "tenants": tenants,
+        "balancers": wire.get("Instances"),
+        "me": wire.get("Ordinal"),
+        "tier": wire.get("Tier"),
+        "tiers": len(wire.get("Tiers") or ()) or None,
+        "zone": wire.get("Zone"),
+        "zones": len(wire.get("Zones") or ()) or None,
+        "discovery": DISCOVERY.get(wire.get("RegistryMode", "pushed"), Discovery.PUSHED),
+        "over_share_worth": wire.get("OverShareWorth"),
+        "passes_deadline": (wire.get("FamilyInfo") or {}).get("PassesDeadline"),
+        "marks_retry": (wire.get("ClientHabits") or {}).get("MarksRetry"),
+        "limits": _named(Limits, LIMITS, wire.get("Bounds") or {}),
+        "rules": _named(Rules, RULES, wire.get("Rules") or {}),
+    }
+    return Settings(**pick_known(Settings, values))
+
+
+def read_row(row: dict[str, Any]) -> ServerRow:
+    """One entry of a `Register`."""
+    return ServerRow(
+        row["Backend"],
+        STATES[row.get("Readiness", "U")],
+        row.get("FailureDomain", 0),
+        row.get("Cluster", 0),
+        row.get("Units", 1.0),
+        row.get("StartTime", 0.0),
+        row.get("Hw", 0),
+    )
+
+
+def write_action(instance: int, action: Action) -> dict[str, Any]:
+    """One action as a message of the wire."""
+    if isinstance(action, Send):
+        return {
+            "m": "Relay",
+            "ProxyId": instance,
+            "Ref": action.request,
+            "Backend": action.server,
+            "Within": action.timeout,
+        }
+    if isinstance(action, Refuse):
+        return {
+            "m": "NotNow",
+            "ProxyId": instance,
+            "Ref": action.request,
+            "NotBeforeFor": action.retry_after,
+        }
+    if isinstance(action, Fail):
+        return {"m": "ReportFailure", "ProxyId": instance, "Ref": action.request}
+    if isinstance(action, Cancel):
+        return {"m": "UndoSend", "ProxyId": instance, "Ref": action.request, "RoundNo": action.attempt}
+    if isinstance(action, Timer):
+        return {"m": "Sleep", "ProxyId": instance, "When": action.at, "Tag": action.token}
+    assert isinstance(action, Subscribe)
+    return {"m": "Watch", "ProxyId": instance, "Want": True}
+
+
+class Link:
+    """All instances of one process, and the numbered lists that they share read-only."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Balancer] = {}
+        self.fresh: set[int] = set()
+        self.lists: dict[int, tuple[ServerRow, ...]] = {}
+
+    def _members(self, b: Balancer, now: float, e: dict[str, Any]) -> list[Action]:
+        kind = KINDS[e["Mode"]]
+        rows: tuple[ServerRow, ...] = ()
+        if kind is not ListKind.BROKEN:
+            if e["List"] not in self.lists:
+                raise WireFault(f"unknown list number {e['List']}")
+            rows = self.lists[e["List"]]
+        out = b.members(now, kind, rows)
+        if e["ProxyId"] in self.fresh:
+            self.fresh.discard(e["ProxyId"])
+            out += b.start(now)
+        return out
+
+    @staticmethod
+    def _call(b: Balancer, now: float, e: dict[str, Any]) -> list[Action]:
+        return b.request(
+            now, e["Ref"], e.get("Kind", 0), e.get("ClientGroup", 0), e.get("Deadline"), e.get("Effort", 0.0),
+            e.get("Retry", False),
+        )
+
+    @staticmethod
+    def _returned(b: Balancer, now: float, e: dict[str, Any]) -> list[Action]:
+        how = OUTCOMES[e["How"]]
+        return b.outcome(
+            now, e["Ref"], e.get("RoundNo", 0), how, e.get("CostTime", 0.0), e.get("Last", False)
+        )
+
+    def event(self, now: float, e: dict[str, Any]) -> list[Action]:
+        """Hand one event to its instance; returns the instance's actions."""
+        name = e["m"]
+        if name == "Register":
+            self.lists[e["List"]] = tuple(read_row(row) for row in e.get("Rows") or ())
+            return []
+        instance = e["ProxyId"]
+        if name == "OpenInstance":
+            self.instances[instance] = Balancer(read_settings(e.get("Settings") or {}), e.get("Entropy", 0))
+            self.fresh.add(instance)
+            return []
+        balancer = self.instances.get(instance)
+        if balancer is None:
+            raise WireFault(f"instance {instance} was never opened")
+        if name == "Teardown":
+            del self.instances[instance]
+            self.fresh.discard(instance)
+            return []
+        if name == "Members":
+            return self._members(balancer, now, e)
+        handler = HANDLERS.get(name)
+        if handler is None:
+            raise WireFault(f"unknown message {name!r}")
+        return handler(balancer, now, e)
+
+
+HANDLERS: dict[str, Callable[[Balancer, float, dict[str, Any]], list[Action]]] = {
+    "Call": Link._call,
+    "Returned": Link._returned,
+    "Wake": lambda b, now, e: b.timer(now, e["Tag"]),
+    "Aborted": lambda b, now, e: b.gone(now, e["Ref"]),
+    "Started": lambda b, now, e: b.begun(now, e["Ref"], e.get("RoundNo", 0)),
+    "PingResult": lambda b, now, e: [],
+    "NeighbourSays": lambda b, now, e: [],
+}
+
+
+def serve(source: BinaryIO, sink: BinaryIO, errors: Any) -> int:
+    """Answer batches until the input ends; returns the exit code."""
+    link = Link()
+    now: float | None = None
+    latest = float("-inf")
+    number = 0
+    replies: list[bytes] = []
+    event: Any
+    for number, line in enumerate(source, 1):
+        try:
+            event = orjson.loads(line)
+            if not isinstance(event, dict) or "m" not in event:
+                raise WireFault("not a message")
+            name = event["m"]
+            if name == "Tick":
+                if now is not None:
+                    raise WireFault("a Tick inside a batch")
+                now = float(event["Time"])
+                if not now >= latest:
+                    raise WireFault("the clock goes backwards")
+                latest = now
+                continue
+            if now is None:
+                raise WireFault(f"{name!r} outside a batch")
+            if name == "Flush":
+                replies.append(b'{"m":"Eor"}\n')
+                sink.write(b"\n".join(replies))
+                sink.flush()
+                replies.clear()
+                now = None
+                continue
+        except (WireFault, ValueError, KeyError, TypeError) as fault:
+            return _reject(errors, number, fault)
+        try:
+            actions = link.event(now, event)
+        except (WireFault, KeyError, TypeError) as fault:
+            if isinstance(fault, WireFault) or _in_adapter(fault):
+                return _reject(errors, number, fault)
+            replies.append(_bail(event, fault))
+            continue
+        except Exception as fault:
+            replies.append(_bail(event, fault))
+            continue
+        if actions:
+            instance = event["ProxyId"]
+            for action in actions:
+                replies.append(orjson.dumps(write_action(instance, action)))
+    if now is not None:
+        return _reject(errors, number, WireFault("the input ended inside a batch"))
+    return 0
+
+
+def _in_adapter(fault: BaseException) -> bool:
+    """Whether the fault arose in reading the message (a missing or odd field), not in a decision."""
+    trace = fault.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    return trace is not None and trace.tb_frame.f_code.co_filename == __file__
+
+
+def _bail(event: dict[str, Any], fault: BaseException) -> bytes:
+    text = f"{type(fault).__name__}: {fault}"
+    return orjson.dumps({"m": "BailOut", "ProxyId": event.get("ProxyId", 0), "NoteText": text})
+
+
+def _reject(errors: Any, number: int, fault: BaseException) -> int:
+    what = f"missing field {fault}" if isinstance(fault, KeyError) else str(fault)
+    print(f"adapter: line {number}: {what}".replace("\n", " "), file=errors)
+    return 2
+
+
+def main() -> int:
+    """Run on standard input and output."""
+    try:
+        return serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr)
+    except BrokenPipeError:
+        # The reader is gone: nothing is owed to it, and the flush at exit must not complain either.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,135 @@
+"""Input that makes no sense: refused by name, or answered by the rules, never a crash."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import fields
+from typing import Any
+
+import pytest
+
+from jaspershelf.decide import Balancer
+from jaspershelf.model import (
+    Fail,
+    Limits,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Rules,
+    Send,
+    ServerRow,
+    Settings,
+    State,
+    Tenant,
+)
+
+BAD_NUMBERS: list[Any] = [math.nan, math.inf, -math.inf, -1.0, "1", None]
+PARTS: dict[str, Any] = {"rules": Rules}
+
+
+@pytest.mark.parametrize("bad", BAD_NUMBERS)
+@pytest.mark.parametrize(
+    ("at", "part", "name"),
+    [(at, part, item.name) for at, part in PARTS.items() for item in fields(part)],
+)
+def test_numbers_in_settings(at: str, part: Any, name: str, bad: Any) -> None:
+    values: dict[str, Any] = {at: part(**{name: bad})}
+    with pytest.raises(ValueError, match=rf"{at}\.{name}"):
+        Balancer(Settings(**values), 1)
+
+
+@pytest.mark.parametrize("bad", BAD_NUMBERS)
+@pytest.mark.parametrize("name", ["aim", "deadline", "window", "worth", "late_worth"])
+def test_numbers_in_classes(name: str, bad: Any) -> None:
+    values: dict[str, Any] = {name: bad}
+    with pytest.raises(ValueError, match=rf"classes\[1\]\.{name}"):
+        Balancer(Settings(classes=(RequestClass(), RequestClass(**values))), 1)
+
+
+@pytest.mark.parametrize("bad", BAD_NUMBERS)
+@pytest.mark.parametrize("name", ["max_attempts"])
+def test_numbers_in_limits(name: str, bad: Any) -> None:
+    values: dict[str, Any] = {name: bad}
+    with pytest.raises(ValueError, match=rf"limits\.{name}"):
+        Balancer(Settings(limits=Limits(**values)), 1)
+
+
+@pytest.mark.parametrize("bad", [math.nan, 2.0, -1.0, "x"])
+def test_numbers_in_tenants(bad: Any) -> None:
+    with pytest.raises(ValueError, match=r"tenants\[0\]\.share"):
+        Balancer(Settings(tenants=(Tenant("t", bad),)), 1)
+
+
+@pytest.mark.parametrize("name", ["me", "tier", "zone"])
+@pytest.mark.parametrize("bad", [-1, 1, 0.5, True, "0"])
+def test_an_index_out_of_range(name: str, bad: Any) -> None:
+    values: dict[str, Any] = {name: bad}
+    with pytest.raises(ValueError, match=name):
+        Balancer(Settings(**values), 1)
+
+
+def test_no_classes() -> None:
+    with pytest.raises(ValueError, match="classes"):
+        Balancer(Settings(classes=()), 1)
+
+
+def ready() -> Balancer:
+    made = Balancer(Settings(), 1)
+    made.members(1.0, ListKind.STALE, [ServerRow(1), ServerRow(2)])
+    return made
+
+
+@pytest.mark.parametrize(
+    ("name", "values"),
+    [
+        ("kind", {"kind": 1}), ("kind", {"kind": -1}), ("kind", {"kind": "0"}),
+        ("tenant", {"tenant": 1}), ("tenant", {"tenant": -1}),
+        ("deadline", {"deadline": math.nan}), ("deadline", {"deadline": "soon"}),
+        ("cost", {"cost": -1.0}), ("cost", {"cost": math.inf}),
+        ("rid", {"rid": "open"}),
+    ],
+)
+def test_a_request_that_makes_no_sense_changes_nothing(name: str, values: dict[str, Any]) -> None:
+    b, twin = ready(), ready()
+    for one in (b, twin):
+        one.request(2.0, "open")
+    with pytest.raises(ValueError, match=name):
+        b.request(3.0, **{"rid": "new", **values})
+    assert list(b.requests) == ["open"] and b.pools[0].owed == twin.pools[0].owed
+    # the same random numbers follow: nothing was drawn either
+    assert b.request(4.0, "next") == twin.request(4.0, "next")
+
+
+def test_a_deadline_already_past_is_answered_at_once() -> None:
+    assert ready().request(5.0, "late", 0, 0, 4.0) == [Refuse("late")]
+
+
+def test_events_for_unknown_or_ended_requests_are_ignored() -> None:
+    b = ready()
+    assert isinstance(b.request(2.0, "r")[0], Send)
+    b.outcome(2.1, "r", 0, Outcome.OK, 0.1, True)
+    for rid in ("r", "never"):
+        assert b.outcome(3.0, rid, 0, Outcome.OK, 0.1) == []
+        assert b.outcome(3.0, rid, 7, Outcome.ERROR, 0.1) == []
+        assert b.gone(3.0, rid) == []
+        assert b.begun(3.0, rid, 0) == []
+    assert b.timer(3.0, 999) == []
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [[], [ServerRow(1, State.DRAINING), ServerRow(2, State.DRAINING)], [ServerRow(1, State.GONE)]],
+)
+def test_nowhere_to_send(rows: list[ServerRow]) -> None:
+    b = Balancer(Settings(), 1)
+    b.members(1.0, ListKind.STALE, rows)
+    assert b.request(2.0, "r") == [Refuse("r")]
+
+
+def test_all_cold_answers_every_request() -> None:
+    b = Balancer(Settings(), 1)
+    b.members(100.0, ListKind.STALE, [ServerRow(i, started=100.0) for i in range(4)])
+    for n in range(50):
+        [action] = b.request(100.0 + n / 100, f"r{n}")
+        assert isinstance(action, Send | Refuse | Fail)
--- /dev/null
+++ b/tests/test_found.py
@@ -0,0 +1,400 @@
+"""One small test for each failure found; each fails without its fix."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from harness import Checker
+
+from jaspershelf.decide import Balancer
+from jaspershelf.model import (
+    Fail,
+    Limits,
+    ListKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Rules,
+    Send,
+    ServerRow,
+    Settings,
+    State,
+    Tenant,
+)
+
+SAFE = RequestClass("a", aim=1.0, deadline=4.0, repeat=Repeat.SAFE, worth=1.0)
+DEAR = RequestClass("b", aim=1.0, deadline=4.0, repeat=Repeat.UNSAFE, worth=10.0)
+ROWS = [ServerRow(i) for i in range(1, 9)]
+
+
+def balancer(settings: Settings, rows: list[ServerRow] = ROWS) -> Balancer:
+    made = Balancer(settings, 1)
+    made.members(100.0, ListKind.STALE, rows)
+    made.start(100.0)
+    return made
+
+
+def test_attempts_end_at_the_aim_where_late_answers_are_worth_nothing() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    [send] = b.request(100.0, "r", 0, 0, 104.0)
+    assert isinstance(send, Send) and send.timeout == pytest.approx(0.98)
+    [answer] = b.outcome(100.98, "r", 0, Outcome.TIMEOUT, 0.98)
+    assert isinstance(answer, Refuse)
+
+
+@pytest.mark.parametrize(("late_worth", "timeout"), [(0.0, 0.98), (0.3, 0.98), (0.5, 0.98), (0.8, 0.0)])
+def test_attempts_run_to_the_deadline_where_late_answers_keep_most_worth(
+    late_worth: float, timeout: float
+) -> None:
+    late = RequestClass("a", aim=1.0, deadline=4.0, repeat=Repeat.SAFE, late_worth=late_worth)
+    [send] = balancer(Settings(classes=(late,))).request(100.0, "r", 0, 0, 104.0)
+    assert isinstance(send, Send) and send.timeout == pytest.approx(timeout)
+
+
+def tries(b: Balancer, lengths: list[float]) -> list[type]:
+    """The first action for tries that last so long, a second apart."""
+    out = []
+    for n, length in enumerate(lengths):
+        now = 200.0 + n
+        out.append(type(b.request(now, f"t{n}", 0, 0, now + length)[0]))
+        b.outcome(now + 0.01, f"t{n}", 0, Outcome.OK, 0.01, True)
+    return out
+
+
+def test_a_late_repeat_of_a_client_is_refused_at_once() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    # Only 2 s to go: its first try came 2 s ago, and its aim is past.
+    assert tries(b, [3.0] * 5 + [2.0]) == [Send] * 5 + [Refuse]
+
+
+@pytest.mark.parametrize(("marks", "repeats", "answer"), [(True, False, Send), (True, True, Refuse)])
+def test_a_short_try_is_a_repeat_only_where_no_mark_says_otherwise(
+    marks: bool, repeats: bool, answer: type
+) -> None:
+    b = balancer(Settings(classes=(SAFE,), marks_retry=marks))
+    tries(b, [3.0] * 5)
+    assert isinstance(b.request(300.0, "s", 0, 0, 301.5, 0.0, repeats)[0], answer)
+
+
+def test_a_long_last_try_does_not_make_first_tries_late() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    assert tries(b, [3.0] * 5 + [3.7, 3.0, 3.72, 3.0, 3.74, 3.0])[5:] == [Send] * 6
+
+
+def test_a_lower_tier_that_is_told_the_callers_time_keeps_to_it() -> None:
+    b = balancer(Settings(classes=(SAFE,), tier=1, tiers=2))
+    assert isinstance(b.request(100.0, "r", 0, 0, 103.0)[0], Send)
+    [send] = b.request(110.0, "s", 0, 0, 110.5)
+    assert isinstance(send, Send) and send.timeout == 0.0
+
+
+def slice_shares(balancers: int, servers: int) -> list[float]:
+    """How much each server gets when every instance sends one call after another."""
+    shares = dict.fromkeys(range(1, servers + 1), 0.0)
+    for me in range(balancers):
+        b = Balancer(Settings(classes=(SAFE,), balancers=balancers, me=me), me)
+        b.members(100.0, ListKind.STALE, [ServerRow(i) for i in shares])
+        begin, width = b.pools[0].begin, b.pools[0].width
+        for server, end in zip(b.pools[0].working, b.pools[0].ends, strict=True):
+            low = max(begin, end - 1.0)
+            shares[server.row.server] += max(0.0, min(begin + width, end) - low) / width
+    return list(shares.values())
+
+
+@pytest.mark.parametrize(("balancers", "servers"), [(12, 20), (20, 12), (7, 7), (60, 15), (1, 5)])
+def test_slices_cover_every_server_alike(balancers: int, servers: int) -> None:
+    shares = slice_shares(balancers, servers)
+    if balancers >= servers:
+        assert shares == pytest.approx([balancers / servers] * servers)
+    else:  # narrow slices leave gaps that load closes by widening them
+        assert sum(shares) == pytest.approx(balancers) and max(shares) <= 1.0 + 1e-9
+
+
+def test_slices_widen_with_the_calls_in_flight() -> None:
+    settings = Settings(classes=(SAFE,), balancers=40)
+    checker = Checker(settings, 1, [ServerRow(i) for i in range(40)])
+    assert len(checker.balancer.pools[0].working) == 1
+    steady(checker, 8.0, 100.0)
+    assert 3 < len(checker.balancer.pools[0].working) < 40
+
+
+def steady(checker: Checker, seconds: float, rate: float, kind: int = 0) -> None:
+    """Calls at an even pace, each answered after about a third of a second."""
+    rng = Random(7)
+    end = checker.now + seconds
+    while checker.now < end:
+        checker.request(kind, 4.0)
+        checker.advance(1.0 / rate)
+        for rid, number in checker.open_tries():
+            if rng.random() < 3.0 / rate:
+                checker.end(rid, number, Outcome.OK)
+
+
+def test_overload_refuses_the_cheapest_class_first() -> None:
+    b = balancer(Settings(classes=(SAFE, DEAR)))
+    now = 100.0
+    for n in range(400):  # 100 a second, each served at once
+        now += 0.01
+        b.request(now, f"w{n}", 1, 0, now + 4.0)
+        b.outcome(now, f"w{n}", 0, Outcome.OK, 0.1, True)
+    refused = {0: 0, 1: 0}
+    for n in range(120):  # then nothing comes back any more
+        now += 0.001
+        for kind in (0, 1):
+            if isinstance(b.request(now, f"x{kind}{n}", kind, 0, now + 4.0)[0], Refuse):
+                refused[kind] += 1
+        if n == 30:
+            assert refused[0] > 0 == refused[1]
+    assert refused[1] > 0
+
+
+def test_lower_tiers_never_refuse_for_overload() -> None:
+    b = balancer(Settings(classes=(SAFE, DEAR), tier=1, tiers=2))
+    answers = [b.request(100.0 + n / 1000, f"x{n}", 0, 0, 104.0)[0] for n in range(200)]
+    assert all(isinstance(a, Send) for a in answers)
+
+
+def test_nothing_served_yet_is_no_overload() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    answers = [b.request(100.0 + n / 100, f"x{n}", 0, 0, 110.0)[0] for n in range(30)]
+    assert sum(isinstance(a, Send) for a in answers) >= 27
+
+
+def test_sparse_proxies_shed_by_what_they_lost() -> None:
+    b = balancer(Settings(classes=(SAFE, DEAR)))
+    now = 100.0
+    for n in range(8):  # one call a second, all lost
+        now += 1.0
+        if isinstance(b.request(now, f"r{n}", 1, 0, now + 4.0)[0], Send):
+            b.outcome(now + 0.98, f"r{n}", 0, Outcome.TIMEOUT, 0.98)
+    answers = [b.request(now + 1.0, f"s{n}", 0, 0, now + 5.0)[0] for n in range(2)]
+    later = b.request(now + 60.0, "t", 0, 0, now + 64.0)[0]
+    assert any(isinstance(a, Refuse) for a in answers)
+    assert isinstance(later, Send), "a loss long ago still counts"
+
+
+def test_a_jam_of_a_bound_class_holds_no_room_of_the_others() -> None:
+    bound = RequestClass("bound", aim=1.0, deadline=4.0, repeat=Repeat.SAFE, only_kinds=(1,))
+    b = balancer(Settings(classes=(SAFE, bound)), [*ROWS, ServerRow(9, kind=1)])
+    now = 100.0
+    for n in range(100):  # the only server open to the bound class answers nothing
+        now += 0.02
+        b.request(now, f"b{n}", 1, 0, now + 4.0)
+        b.request(now, f"f{n}", 0, 0, now + 4.0)
+        b.outcome(now, f"f{n}", 0, Outcome.OK, 0.1, True)
+    assert isinstance(b.request(now, "bound", 1, 0, now + 4.0)[0], Refuse)
+    assert isinstance(b.request(now, "free", 0, 0, now + 4.0)[0], Send)
+
+
+def calls(b: Balancer, tenant: int, lost: bool) -> float:
+    """Eight seconds of 50 calls a second, of which one in five fails or none; returns the time after them."""
+    now = 100.0
+    for n in range(400):
+        now += 0.02
+        b.request(now, f"w{n}", 0, tenant, now + 4.0)
+        b.outcome(now, f"w{n}", 0, Outcome.ERROR if lost and n % 5 == 0 else Outcome.OK, 0.1)
+    return now
+
+
+@pytest.mark.parametrize(("lost", "answer"), [(False, Send), (True, Refuse)])
+def test_room_shrinks_where_requests_fail(lost: bool, answer: type) -> None:
+    b = balancer(Settings(classes=(DEAR,)))
+    now = calls(b, 0, lost)
+    for n in range(27):  # room for 0.7 x 50 in a second, or for 0.4 x 40
+        b.request(now, f"x{n}", 0, 0, now + 4.0)
+    assert isinstance(b.request(now, "y", 0, 0, now + 4.0)[0], answer)
+
+
+@pytest.mark.parametrize(("quota", "answer"), [(1.0, Refuse), (1000.0, Send), (0.0, Send)])
+def test_what_is_over_a_share_goes_first_where_requests_fail(quota: float, answer: type) -> None:
+    tenants = (Tenant("calm", 0.5, 1000.0), Tenant("burst", 0.5, quota))
+    b = balancer(Settings(classes=(DEAR,), tenants=tenants, over_share_worth=0.1))
+    now = calls(b, 1, True)
+    for n in range(10):
+        b.request(now, f"x{n}", 0, 0, now + 4.0)
+    assert isinstance(b.request(now, "over", 0, 1, now + 4.0)[0], answer)
+    assert isinstance(b.request(now, "within", 0, 0, now + 4.0)[0], Send)
+
+
+@pytest.mark.parametrize("protection", [1.0, 1000.0])
+def test_whole_requests_are_throttled_where_each_server_is_seldom_seen(
+    protection: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("jaspershelf.decide.POOL_PROTECTION", protection)
+    b = balancer(Settings(classes=(SAFE,), balancers=40), [ServerRow(i) for i in range(40)])
+    sent = 0
+    for n in range(20):  # four a second, each on another server, none answered
+        now = 100.0 + n / 4.0
+        actions = b.request(now, f"r{n}", 0, 0, now + 4.0)
+        if isinstance(actions[0], Send):
+            sent += 1
+            b.outcome(now + 0.2, f"r{n}", 0, Outcome.TIMEOUT, 0.2)
+            b.gone(now + 0.2, f"r{n}")
+        for server in b.servers.values():
+            server.breaker = None  # as if it had not been seen before
+    assert (sent < 14) is (protection == 1.0)
+
+
+def test_a_request_too_heavy_for_its_time_is_refused() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    now = 100.0
+    for n in range(50):
+        now += 1.0
+        b.request(now, f"r{n}", 0, 0, now + 4.0, 0.1)
+        b.outcome(now + 0.2, f"r{n}", 0, Outcome.OK, 0.2, True)
+    assert isinstance(b.request(now + 1.0, "heavy", 0, 0, now + 5.0, 5.0)[0], Refuse)
+    assert isinstance(b.request(now + 1.0, "light", 0, 0, now + 5.0, 0.1)[0], Send)
+
+
+def test_unfair_first_samples_do_not_refuse() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    for n in range(3):  # 90 times their cost: they stood in a queue
+        b.request(100.0 + n, f"r{n}", 0, 0, 104.0 + n, 0.01)
+        b.outcome(100.9 + n, f"r{n}", 0, Outcome.OK, 0.9, True)
+    assert isinstance(b.request(110.0, "s", 0, 0, 114.0, 0.1)[0], Send)
+
+
+def test_an_unfair_baseline_does_not_refuse_for_good() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    b.pace, b.paced = 90.0, 100
+    answers = [b.request(110.0 + n, f"s{n}", 0, 0, 114.0 + n, 0.1)[0] for n in range(60)]
+    assert isinstance(answers[0], Refuse)
+    assert any(isinstance(a, Send) for a in answers)
+
+
+def test_a_restart_draws_the_cold_phase_anew() -> None:
+    rules = Rules(cold_from=0.3, cold_for=9.0, fall_multiple=3.0, fall_after=2.0)
+    b = balancer(Settings(classes=(SAFE,), rules=rules), [ServerRow(1, started=99.0), ServerRow(2)])
+    server = b.servers[1]
+    for _ in range(200):
+        b._spares_cold(100.0, server, b.pools[0])
+    assert server.cold_seen > 0.0
+    b.members(500.0, ListKind.PATCH, [ServerRow(1, started=499.0)])
+    assert (server.cold_seen, server.cold_credit) == (0.0, 0.0)
+    while server.cold_seen <= 0.0:
+        b._spares_cold(500.0, server, b.pools[0])
+    assert server.cold_credit < 1.0, "credit from before the restart"
+
+
+def test_absence_from_a_list_keeps_start_and_size() -> None:
+    b = balancer(Settings(classes=(SAFE,)), [ServerRow(1, size=2.0, started=99.0), ServerRow(2)])
+    b.members(101.0, ListKind.WHOLE, [ServerRow(2)])
+    assert b.servers[1].row == ServerRow(1, State.GONE, size=2.0, started=99.0)
+
+
+def test_an_unsafe_request_that_may_have_run_fails_at_its_aim() -> None:
+    b = balancer(Settings(classes=(DEAR,), limits=Limits(max_attempts=4)))
+    b.request(100.0, "r", 0, 0, 104.0)
+    assert b.outcome(100.98, "r", 0, Outcome.TIMEOUT, 0.98) == [Fail("r")]
+
+
+def test_the_rest_of_the_list_stands_in_for_a_dead_slice() -> None:
+    rows = [ServerRow(i) for i in range(1, 21)]
+    b = balancer(Settings(classes=(SAFE,), balancers=20, limits=Limits(max_attempts=3)), rows)
+    [own] = b.pools[0].working
+    for n in range(40):  # the only server of the slice cannot be reached
+        now = 100.0 + n / 10
+        sends = b.request(now, f"r{n}", 0, 0, now + 4.0)
+        if isinstance(sends[0], Send) and sends[0].server == own.row.server:
+            [again] = b.outcome(now + 0.01, f"r{n}", 0, Outcome.UNREACHABLE, 0.01)
+            assert not isinstance(again, Send) or again.server != own.row.server
+            if isinstance(again, Send):
+                b.outcome(now + 0.02, f"r{n}", 1, Outcome.OK, 0.01, True)
+        elif isinstance(sends[0], Send):
+            b.outcome(now + 0.02, f"r{n}", 0, Outcome.OK, 0.01, True)
+    used = {s.row.server for s in b.servers.values() if s.breaker is not None}
+    assert len(used) > 8
+
+
+def test_requests_stuck_on_dead_servers_do_not_hold_all_the_room() -> None:
+    b = balancer(Settings(classes=(DEAR,)))
+    now = 100.0
+    for n in range(250):
+        now += 0.02
+        b.request(now, f"w{n}", 0, 0, now + 4.0)
+        b.outcome(now, f"w{n}", 0, Outcome.OK, 0.1, True)
+    sent = {}
+    for n in range(500):  # ten seconds in which every attempt ends by its time-out alone
+        now += 0.02
+        for rid, until in list(sent.items()):
+            if until <= now:
+                del sent[rid]
+                b.outcome(now, rid, 0, Outcome.TIMEOUT, 0.98)
+        if isinstance(b.request(now, f"x{n}", 0, 0, now + 4.0)[0], Send):
+            sent[f"x{n}"] = now + 0.98
+    b.loss = 0.0
+    tried = sum(isinstance(b.request(now, f"y{n}", 0, 0, now + 4.0)[0], Send) for n in range(2))
+    assert len(sent) + tried > 2, "only what is always let through was tried"
+
+
+def test_cold_servers_outside_the_slice_get_nothing_when_it_refuses() -> None:
+    rows = [ServerRow(i) for i in range(1, 21)]
+    b = balancer(Settings(classes=(SAFE,), balancers=20), rows)
+    [own] = b.pools[0].working
+    cold = [ServerRow(i, started=100.0) for i in range(1, 21) if i != own.row.server]
+    b.members(100.1, ListKind.PATCH, cold)
+    assert b.pools[0].working == [own]
+    for n in range(60):
+        now = 100.2 + n / 20
+        for action in b.request(now, f"r{n}", 0, 0, now + 4.0):
+            assert not isinstance(action, Send) or action.server == own.row.server
+            if isinstance(action, Send):
+                b.outcome(now + 0.01, f"r{n}", 0, Outcome.UNREACHABLE, 0.01)
+
+
+def test_refused_clients_that_come_back_do_not_fill_a_cold_budget() -> None:
+    """The budget goes by calls sent: four offered for each one sent must not give it four times as much."""
+    rules = Rules(cold_from=0.3, cold_for=20.0, fall_multiple=3.0, fall_after=2.0)
+
+    def credit(refused: int) -> float:
+        b = balancer(Settings(classes=(SAFE,), rules=rules))
+        now = 100.0
+        for n in range(400):
+            now += 0.01
+            if isinstance(b.request(now, f"w{n}", 0, 0, now + 4.0)[0], Send):
+                b.outcome(now, f"w{n}", 0, Outcome.OK, 0.1, True)
+            for k in range(refused):
+                b.request(now, f"p{n}_{k}", 0, 0, now)
+        b.members(now, ListKind.PATCH, [ServerRow(1, started=now)])
+        server = b.servers[1]
+        while server.cold_seen <= 0.0:
+            b._spares_cold(now, server, b.pools[0])
+        server.cold_credit = 0.0
+        for _ in range(300):
+            b._spares_cold(now + 0.05, server, b.pools[0])
+        return server.cold_credit
+
+    # one of eight is cold, and that part still goes by what is offered: 7/8 + 4/8
+    assert 0.0 < credit(3) <= 1.4 * credit(0)
+
+
+def test_a_silent_servers_average_fades_to_the_tiers() -> None:
+    server = balancer(Settings(classes=(SAFE,))).servers[1]
+    server.learn(100.0, 1.0)
+    assert server.score(100.0, 0.1) == pytest.approx(1.0)
+    assert server.score(105.0, 0.1) == pytest.approx(0.55)
+    assert server.score(1000.0, 0.1) < 0.11
+
+
+def test_the_age_of_the_oldest_call_out_is_a_sample() -> None:
+    b = balancer(Settings(classes=(SAFE,)), [ServerRow(1)])
+    b.request(100.0, "r", 0, 0, 104.0)
+    assert b.servers[1].score(100.9, 0.1) == pytest.approx(0.9 * 2.0)
+
+
+def test_a_failure_costs_a_time_out_in_the_pick() -> None:
+    b = balancer(Settings(classes=(SAFE,)), [ServerRow(1)])
+    b.request(100.0, "r", 0, 0, 104.0)
+    b.outcome(100.001, "r", 0, Outcome.ERROR, 0.001)
+    assert b.servers[1].latency == pytest.approx(1.0)
+
+
+def test_one_slow_first_answer_makes_no_baseline() -> None:
+    b = balancer(Settings(classes=(SAFE,)), [ServerRow(1)])
+    b.pooled = 0.1
+    b.request(100.0, "r", 0, 0, 104.0)
+    b.outcome(100.9, "r", 0, Outcome.OK, 0.9, True)
+    breaker = b.servers[1].breaker
+    assert breaker is not None and breaker.baseline < 0.11
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,35 @@
+"""The decision module stays small enough to read: the limits its users set."""
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+POLICY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+
+
+def faults(text: str) -> list[str]:
+    """What is over the limits: 710 lines that are not blank, 110 characters a line."""
+    lines = text.splitlines()
+    found = [f"line {n} has {len(line)} characters" for n, line in enumerate(lines, 1) if len(line) > 110]
+    count = sum(1 for line in lines if line.strip())
+    if count > 710:
+        found.append(f"{count} lines are not blank")
+    return found
+
+
+def test_policy_files_keep_the_limits() -> None:
+    assert POLICY == ["jaspershelf/decide.py"]
+    assert faults("\n".join((ROOT / name).read_text() for name in POLICY)) == []
+
+
+@pytest.mark.parametrize(("text", "count"), [("x\n\n" * 710, 0), ("x\n" * 711, 1), ("x" * 111, 1)])
+def test_the_check_itself_can_fail(text: str, count: int) -> None:
+    assert len(faults(text)) == count
+
+
+def test_the_module_names_its_interface_at_the_top() -> None:
+    head = (ROOT / POLICY[0]).read_text().splitlines()[:5]
+    assert re.search(r"jaspershelf/model\.py", "\n".join(head))
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,254 @@
+"""The six rules over random legal event sequences, and a check that the checker can fail."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from itertools import pairwise
+from random import Random
+
+import pytest
+from harness import Checker
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from jaspershelf import decide
+from jaspershelf.model import (
+    Discovery,
+    Group,
+    Limits,
+    ListKind,
+    Outcome,
+    Repeat,
+    RequestClass,
+    Rules,
+    Send,
+    ServerRow,
+    Settings,
+    State,
+    Tenant,
+)
+
+RULES = Rules(answer_slack=0.02, cold_from=0.14, cold_for=20.0, fall_multiple=3.0, fall_after=1.0)
+BUDGETED = replace(RULES, extra_free=1.0, extra_share=0.3, extra_span=1.5)
+KINDS = (
+    RequestClass("safe", 1.0, 3.0, Repeat.SAFE, Group.CELL, 1.5, 1.0, 0.3),
+    RequestClass("unsafe", 0.5, 3.0, Repeat.UNSAFE, Group.ALL, 1.5, 5.0),
+    RequestClass("keyed-all", 1.0, 3.0, Repeat.KEYED, Group.ALL, 1.5, 2.0),
+    RequestClass("keyed-zone", 1.0, 3.0, Repeat.KEYED, Group.ZONE, 1.5, 8.0, 0.5),
+    RequestClass("keyed-cell", 0.8, 3.0, Repeat.KEYED, Group.CELL, 1.5, 1.0),
+    RequestClass("bound-kind", 1.0, 3.0, Repeat.SAFE, only_kinds=(1,)),
+    RequestClass("bound-zone", 1.0, 3.0, Repeat.KEYED, Group.CELL, 1.5, only_kinds=(0, 1), only_zones=(0,)),
+)
+OUTCOMES = [o for o in Outcome if o is not Outcome.CANCELLED]
+step = st.tuples(st.integers(0, 9), st.integers(0, 10_000), st.integers(0, 10_000))
+
+
+def play(checker: Checker, steps: list[tuple[int, int, int]]) -> None:
+    for what, a, b in steps:
+        if what <= 3:
+            checker.request(a % len(KINDS), 0.05 + (b % 300) / 100.0, a % 2)
+        elif what <= 6:
+            tries = checker.open_tries()
+            if tries:
+                checker.end(*tries[a % len(tries)], OUTCOMES[b % len(OUTCOMES)])
+        elif what == 7:
+            rows = list(checker.rows.values())
+            if not rows:
+                continue
+            row = rows[a % len(rows)]
+            state = (State.UP, State.DRAINING, State.GONE)[b % 3]
+            started = checker.now - 0.5 if state is State.UP and b % 2 else row.started
+            kind = (ListKind.PATCH, ListKind.WHOLE, ListKind.BROKEN)[b // 3 % 3]
+            changed = replace(row, state=state, started=started)
+            if kind is ListKind.WHOLE:
+                rest = [r for r in rows if r.server != row.server and r.state is not State.GONE]
+                checker.members(kind, rest if state is State.GONE else [*rest, changed])
+            else:
+                checker.members(kind, [changed] if kind is ListKind.PATCH else [])
+        elif what == 8 and checker.owed:
+            rid = list(checker.owed)[a % len(checker.owed)]
+            numbers = [n for r, n in checker.open_tries() if r == rid]
+            if b % 3 == 0 and numbers and not checker.owed[rid].ended and not checker.owed[rid].begun:
+                checker.begin(rid, numbers[-1])
+            else:
+                checker.leave(rid)
+        else:
+            checker.advance((a % 1000) / 1000.0)
+    checker.advance(10.0)
+
+
+@settings(derandomize=True, max_examples=250, deadline=None, suppress_health_check=list(HealthCheck))
+@given(
+    steps=st.lists(step, min_size=20, max_size=120),
+    seed=st.integers(0, 2**32),
+    flags=st.tuples(st.booleans(), st.booleans(), st.booleans(), st.booleans()),
+    attempts=st.integers(1, 6),
+    servers=st.integers(0, 14),
+)
+def test_rules_hold(
+    steps: list[tuple[int, int, int]], seed: int, flags: tuple[bool, bool, bool, bool], attempts: int,
+    servers: int,
+) -> None:
+    second, cancel, asks, budget = flags
+    rules = BUDGETED if budget else RULES
+    config = Settings(
+        classes=KINDS, tenants=(Tenant("a", 0.6, 5.0), Tenant("b", 0.4, 3.0)), zones=2, rules=rules,
+        balancers=3, me=seed % 3, tier=seed % 2, tiers=2, over_share_worth=0.1,
+        discovery=Discovery.ON_REQUEST if asks else Discovery.PUSHED,
+        limits=Limits(cancel=cancel, second_copies=second, max_attempts=attempts),
+    )
+    rows = [ServerRow(1000 + i, State.UP, i % 2, i // 3, kind=i % 3) for i in range(servers)]
+    play(Checker(config, seed, rows), steps)
+
+
+def steady(checker: Checker, seconds: float, rate: float, rng: Random) -> None:
+    """Answer a steady stream of calls, each after about a tenth of a second."""
+    end = checker.now + seconds
+    while checker.now < end:
+        checker.request(0, 3.0)
+        checker.advance(1.0 / rate)
+        for rid, number in checker.open_tries():
+            if rng.random() < 0.3:
+                checker.end(rid, number, Outcome.OK)
+
+
+def cold_push(seed: int) -> None:
+    """A server restarts under a steady stream; asserts that it gets no more than it can do for certain."""
+    config = Settings(classes=KINDS, rules=RULES)
+    rows = [ServerRow(i) for i in range(10)]
+    checker = Checker(config, seed, rows)
+    rng = Random(seed)
+    steady(checker, 5.0, 100.0, rng)
+    checker.members(ListKind.PATCH, [ServerRow(3, started=checker.now)])
+    begin = checker.now
+    checker.sends.clear()
+    steady(checker, 4.0, 100.0, rng)
+    cold = [t for t in checker.sends.get(3, []) if t >= begin]
+    warm = sum(len(v) for k, v in checker.sends.items() if k != 3) / 9
+    # after 4 s it can do 0.14 + 0.86 * 4 / 20 = 0.31 for certain; three times that would push it over
+    assert len(cold) <= 0.31 * 2 * warm, "a cold server was pushed"
+    for first, later in pairwise(cold):
+        assert later > first, "two calls to a server that has just started, at the same moment"
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_cold_server_gets_at_most_its_part_of_a_warm_peers_share(seed: int) -> None:
+    cold_push(seed)
+
+
+def test_a_module_that_ignores_cold_starts_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(decide.Balancer, "_spares_cold", lambda self, now, server, pool: False)
+    with pytest.raises(AssertionError, match="pushed"):
+        cold_push(0)
+
+
+def test_a_module_that_ignores_drains_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def drained() -> None:
+        checker = Checker(Settings(classes=KINDS), 1, [ServerRow(1), ServerRow(2)])
+        checker.members(ListKind.PATCH, [ServerRow(1, State.DRAINING)])
+        for _ in range(20):
+            checker.request(0, 3.0)
+
+    drained()
+    arrange = decide.Balancer._arrange
+
+    def keep(self: decide.Balancer, now: float) -> None:
+        told = {server: server.row for server in self.servers.values()}
+        for server in told:
+            server.row = ServerRow(server.row.server)
+        arrange(self, now)
+        for server, row in told.items():
+            server.row = row
+
+    monkeypatch.setattr(decide.Balancer, "_arrange", keep)
+    with pytest.raises(AssertionError, match="drains or is gone"):
+        drained()
+
+
+def fail_unseen(checker: Checker, kind: int, tries: int) -> None:
+    """A request of which so many attempts in a row cannot be delivered."""
+    rid = checker.request(kind, 3.0)
+    for number in range(tries):
+        if (rid, number) in checker.open_tries():
+            checker.end(rid, number, Outcome.UNREACHABLE)
+
+
+def test_a_module_that_ignores_placement_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def bound() -> int:
+        rows = [ServerRow(i, zone=i % 2, kind=i % 3) for i in range(12)]
+        checker = Checker(Settings(classes=KINDS, zones=2, limits=Limits(max_attempts=4)), 1, rows)
+        for n in range(40):
+            fail_unseen(checker, 5 + n % 2, 4)
+            checker.advance(0.5)
+        none_open = [replace(row, state=State.GONE) for row in rows if row.kind == 1]
+        checker.members(ListKind.PATCH, none_open)
+        before = sum(len(v) for v in checker.sends.values())
+        checker.request(5, 3.0)
+        assert sum(len(v) for v in checker.sends.values()) == before
+        return before
+
+    assert bound() > 15
+    monkeypatch.setattr(decide.Pool, "opens", lambda self, row: True)
+    with pytest.raises(AssertionError, match="not open to its class"):
+        bound()
+
+
+def spend(stated: bool) -> int:
+    """Every attempt fails unseen; returns how many further attempts were sent in 20 s."""
+    rules = BUDGETED if stated else RULES
+    checker = Checker(Settings(classes=KINDS, rules=rules), 1, [ServerRow(i) for i in range(40)])
+    for _ in range(200):
+        fail_unseen(checker, 0, 3)
+        checker.advance(0.1)
+    return sum(max(0, len(owed.tries) - 1) for owed in checker.owed.values())
+
+
+@pytest.mark.parametrize(("stated", "low", "high"), [(True, 8, 77), (False, 8, 50)])
+def test_further_attempts_stay_within_the_budget(stated: bool, low: int, high: int) -> None:
+    assert low <= spend(stated) <= high
+
+
+def test_a_module_that_ignores_the_budget_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(decide.Budget, "allows", lambda self, now: True)
+    with pytest.raises(AssertionError, match="beyond the attempt budget"):
+        spend(True)
+
+
+def test_the_checker_covers_copies_and_streams() -> None:
+    checker = Checker(Settings(classes=KINDS), 1, [ServerRow(1), ServerRow(2)])
+    rid = checker.request(0, 3.0)
+    with pytest.raises(AssertionError, match="second copy"):
+        checker.apply([Send(rid, 2)])
+    checker.begin(rid, 0)
+    checker.advance(20.0)  # a begun stream knows no deadline...
+    with pytest.raises(AssertionError, match="after its stream began"):
+        checker.apply([Send(rid, 2)])
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_all_cold_at_once(seed: int) -> None:
+    rows = [ServerRow(i, started=100.0) for i in range(10)]
+    checker = Checker(Settings(classes=KINDS, rules=RULES), seed, rows)
+    steady(checker, 3.0, 200.0, Random(seed))
+    sent = sum(len(v) for v in checker.sends.values())
+    # with everything cold there is no warm peer to compare with: about the certain part of the calls goes out
+    assert 0 < sent <= 600 * (0.14 + 0.86 * 3 / 20) * 2
+
+
+def test_a_broken_module_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The checker fails for a module that ignores the repeat rules, and for one that never answers."""
+    steps = [(0, 1, 250), (4, 0, 1), (0, 4, 250), (4, 0, 1), (0, 3, 250), (4, 0, 1)] * 12
+    rows = [ServerRow(1000 + i, State.UP, i % 2, i // 3) for i in range(9)]
+    tenants = (Tenant("a"), Tenant("b"))
+    config = Settings(
+        classes=KINDS, zones=2, rules=RULES, limits=Limits(max_attempts=4), tenants=tenants
+    )
+    play(Checker(config, 1, rows), steps)
+    with monkeypatch.context() as patch:
+        patch.setattr(decide.Balancer, "_among", lambda self, now, request: self.pool_of[request.kind].ready)
+        with pytest.raises(AssertionError, match=r"sent twice|another"):
+            play(Checker(config, 1, rows), steps)
+    with monkeypatch.context() as patch:
+        patch.setattr(decide.Balancer, "_answer", lambda self, *rest: None)
+        with pytest.raises(AssertionError, match="final answers"):
+            play(Checker(config, 1, rows), steps)
