Test the proxy over loopback sockets

Checked: outcomes by bytes, time-outs, a silent or faulty module, dials that outlive their request, idle connections, callers that leave, odd requests, limits, the watch, the configuration, shutdown. No change to the proxy.

--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,406 @@
+"""The proxy on loopback sockets: what goes on, what comes back, and what a failure means."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import pytest
+from loopback import (
+    CLOSE,
+    HOST,
+    MAY_HAVE_RUN,
+    NEVER_RAN,
+    OK,
+    WIDE,
+    Backend,
+    backend,
+    book,
+    config,
+    entry,
+    read,
+    running,
+    soon,
+    status,
+    until,
+    watches,
+)
+
+from jaspershelf.model import Outcome, Refuse
+from lugspur.proxy import Proxy
+from lugspur.upstream import Backend as Known
+from lugspur.upstream import Exchange, Response, Upstream
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
+    body = bytes(range(256)) * 256  # 64 KiB
+
+    async def play() -> None:
+        answer = b"HTTP/1.1 200 OK\r\nX-Note: n\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        async with backend(lambda _: answer) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            got = await client.ask(book(body=body, timeout="25", X_Odd="kept"))
+            assert status(got) == 200 and got.endswith(b"\r\n\r\n" + body) and b"X-Note: n" in got
+            sent = await soon(one.got.get())
+            assert sent.startswith(b"POST /api/k HTTP/1.1\r\n") and sent.endswith(b"\r\n\r\n" + body)
+            assert b"X-Request-ID: id1\r\n" in sent and b"X-Odd: kept\r\n" in sent
+            [left] = [line for line in sent.split(b"\r\n") if line.startswith(b"X-Timeout: ")]
+            assert 5.0 < float(left.partition(b":")[2]) < 25.0
+            await client.ask(read(2, target="/api/k%20y?q=a+b&c"))
+            assert (await soon(one.got.get())).startswith(b"GET /api/k%20y?q=a+b&c HTTP/1.1\r\n")
+
+    asyncio.run(play())
+
+
+def first(answer: bytes | None) -> Any:
+    """A script for several backends: this for the first request, then OK."""
+    left = [answer]
+    return lambda _: left.pop() if left else OK
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected", "sent"),
+    [
+        (OK, 200, 1),
+        (NEVER_RAN, 200, 2),
+        (MAY_HAVE_RUN, 502, 1),
+        (b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", 502, 1),
+        (CLOSE, 502, 1),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", 502, 1),
+        (b"HTTP/1.1 200 OK\r\n\r\ncut", 502, 1),
+        (b"nonsense cut", 502, 1),
+    ],
+)
+def test_an_unsafe_request_is_sent_again_only_if_it_never_ran(
+    answer: bytes, expected: int, sent: int
+) -> None:
+    async def play() -> None:
+        script = first(answer)
+        async with backend(script) as one, backend(script) as two:
+            async with running([entry("a", one.address), entry("b", two.address)]) as up:
+                client = await up.client()
+                assert status(await client.ask(book())) == expected
+                assert one.got.qsize() + two.got.qsize() == sent
+
+    asyncio.run(play())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as gone:
+            pass
+        async with backend(lambda _: OK) as one:
+            async with running([entry("a", one.address), entry("b", gone.address)]) as up:
+                client = await up.client()
+                for number in range(6):
+                    assert status(await client.ask(book(number))) == 200
+        assert one.got.qsize() == 6
+
+    asyncio.run(play())
+
+
+def test_a_dead_kept_connection_is_no_reason_to_send_again() -> None:
+    async def play() -> None:
+        answers = [OK, CLOSE, OK]
+        async with backend(lambda _: answers.pop(0)) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            assert [status(await client.ask(book(n))) for n in range(3)] == [200, 502, 200]
+            assert one.got.qsize() == 3
+
+    asyncio.run(play())
+
+
+def test_the_time_is_kept_when_the_backend_is_silent() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            assert status(await client.ask(book(timeout="0.2"))) == 504
+            await soon(one.ended.get())  # the attempt was given up by closing its connection
+
+    asyncio.run(play())
+
+
+def test_the_time_is_kept_when_the_module_is_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            with monkeypatch.context() as patch:
+                patch.setattr(up.proxy._balancer, "request", lambda *_: [])
+                client = await up.client()
+                assert status(await client.ask(book(timeout="0.1"))) == 504
+            assert status(await client.ask(book(2))) == 200
+
+    asyncio.run(play())
+
+
+def test_an_exception_of_the_module_fails_one_request(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def fault(*_: object) -> None:
+        raise RuntimeError("odd")
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            for event in ("request", "outcome"):
+                with monkeypatch.context() as patch:
+                    patch.setattr(up.proxy._balancer, event, fault)
+                    # An answer that came before the fault stands.
+                    assert status(await client.ask(book())) == (500 if event == "request" else 200)
+            assert status(await client.ask(book(2))) == 200
+            assert not up.proxy._calls
+
+    asyncio.run(play())
+    assert capsys.readouterr().err.count("RuntimeError: odd") == 2
+
+
+def test_the_time_counts_from_the_first_byte(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        deadlines: list[float] = []
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            ask = up.proxy._balancer.request
+
+            def request(*args: Any) -> Any:
+                deadlines.append(args[4])
+                return ask(*args)
+
+            monkeypatch.setattr(up.proxy._balancer, "request", request)
+            client = await up.client()
+            client.writer.write(book()[:30])
+            await until(lambda: any(caller._input for caller in up.proxy.front.callers))
+            seen = time.time()
+            await asyncio.sleep(0.05)
+            assert status(await client.ask(book()[30:])) == 200
+            assert seen + 25.0 < deadlines[0] < seen + 30.0
+
+    asyncio.run(play())
+
+
+def test_the_modules_clock_is_the_lists_clock() -> None:
+    async def play() -> None:
+        async with running([]) as up:
+            assert abs(up.proxy._now() - time.time()) < 5.0
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("change", ["drained", "left", "late"])
+def test_nothing_is_sent_when_the_world_moved_on_while_dialling(
+    change: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            loop = asyncio.get_running_loop()
+            connect, dialled, gate = loop.create_connection, asyncio.Event(), asyncio.Event()
+
+            async def slow(*args: Any, **more: Any) -> Any:
+                dialled.set()
+                await gate.wait()
+                return await connect(*args, **more)
+
+            client = await up.client()
+            monkeypatch.setattr(loop, "create_connection", slow)
+            client.writer.write(book(timeout="0.3" if change == "late" else "30"))
+            await soon(dialled.wait())
+            if change == "drained":
+                up.tell([entry("a", one.address, "terminating")])
+            elif change == "left":
+                client.writer.close()
+                await until(lambda: not up.proxy._calls)
+            else:
+                assert status(await client.answer()) >= 500
+            gate.set()
+            if change == "drained":
+                assert status(await client.answer()) == 503
+            pool = up.proxy._upstream
+            await until(lambda: pool._dialling == pool._connected == 0)
+            assert one.got.empty()
+
+    asyncio.run(play())
+
+
+def test_a_caller_that_leaves_takes_its_attempt_along() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(book())
+            await soon(one.got.get())
+            client.writer.close()
+            await soon(one.ended.get())
+            await until(lambda: not up.proxy._calls and not up.proxy._balancer.requests)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        {"since_ms": 5_000},
+        {"status": "terminated"},
+        {"address": f"{HOST}:9"},
+    ],
+)
+def test_idle_connections_to_a_process_that_is_no_more_are_closed(told: dict[str, Any]) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            assert status(await client.ask(book())) == 200
+            assert one.ended.empty()
+            up.tell([entry("a", one.address) | told])
+            await soon(one.ended.get())
+
+    asyncio.run(play())
+
+
+def test_healthz_is_ready_only_with_the_list() -> None:
+    async def play() -> None:
+        async with watches() as registry, backend(lambda _: OK) as one:
+            async with running([], discovery=registry.port) as up:
+                client = await up.client()
+                probe = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+                assert status(await client.ask(probe)) == 503
+                assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=7"
+                registry.say(8, [entry("a", one.address)])
+                await until(lambda: up.proxy.front.ready)
+                assert status(await client.ask(probe)) == 200
+                assert status(await client.ask(book())) == 200
+
+    asyncio.run(play())
+
+
+def test_a_watch_that_ends_is_resumed_where_it_was() -> None:
+    async def play() -> None:
+        async with watches() as registry, running([], discovery=registry.port) as up:
+            await soon(registry.asked.get())
+            registry.say(12, [entry("a", f"{HOST}:1"), entry("b", f"{HOST}:2")], snapshot=True)
+            await until(lambda: len(up.proxy._backends) == 2)
+            assert registry.writer is not None
+            registry.writer.close()
+            assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=12"
+            registry.say(13, [entry("b", f"{HOST}:2")], snapshot=True)
+            await until(lambda: sum(b.in_service for b in up.proxy._backends.values()) == 1)
+            registry.say(14, [entry("a", "nowhere")])  # malformed: the list stays, the watch is renewed
+            assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=13"
+
+    asyncio.run(play())
+
+
+def test_a_refusal_says_when_to_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with running([]) as up:
+            client = await up.client()
+            assert b"Retry-After" not in await client.ask(book())
+            monkeypatch.setattr(up.proxy._balancer, "request", lambda now, rid, *_: [Refuse(rid, 0.25)])
+            answer = await client.ask(book(2))
+            assert status(answer) == 503 and b"Retry-After: 0.250\r\n" in answer
+
+    asyncio.run(play())
+
+
+class Exchanges:
+    """Exchanges of one pool, and how each ended."""
+
+    def __init__(self, one: Backend, most: int = 9, conn_idle: float = 60.0) -> None:
+        self.upstream = Upstream(most, conn_idle, WIDE)
+        host, _, port = one.address.rpartition(":")
+        self.known = Known((host, int(port)))
+        self.upstream.update(self.known, self.known.address, 0.0, True)
+        self.ended: asyncio.Queue[Outcome] = asyncio.Queue()
+
+    def start(self, data: bytes = b"") -> Exchange:
+        """Start one."""
+        def report(exchange: Exchange, outcome: Outcome, response: Response | None) -> None:
+            self.ended.put_nowait(outcome)
+
+        now = asyncio.get_running_loop().time()
+        exchange = Exchange(self.known, now, now + 3 * WIDE, lambda left: data or book(), report)
+        self.upstream.start(exchange)
+        return exchange
+
+
+def test_a_cancel_closes_the_connection_and_ends_it_once() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one:
+            exchanges = Exchanges(one)
+            exchange = exchanges.start()
+            await soon(one.got.get())
+            exchange.end(Outcome.CANCELLED)
+            exchange.end(Outcome.CANCELLED)
+            await soon(one.ended.get())
+            await until(lambda: exchanges.upstream._connected == 0)
+            assert [exchanges.ended.get_nowait(), exchanges.ended.empty()] == [Outcome.CANCELLED, True]
+
+    asyncio.run(play())
+
+
+def test_a_request_that_did_not_go_out_whole_never_ran() -> None:
+    async def play() -> None:
+        async def shut(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(shut, HOST, 0, limit=1)
+        one = Backend(lambda _: None)
+        one.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        exchanges = Exchanges(one)
+        exchanges.start(b"x" * (64 << 20))  # more than the sockets hold
+        assert await soon(exchanges.ended.get()) is Outcome.UNREACHABLE
+        server.close()
+
+    asyncio.run(play())
+
+
+def test_the_limit_on_connections() -> None:
+    async def play() -> None:
+        async with backend(lambda request: OK if b"id1" in request else None) as one:
+            exchanges = Exchanges(one, most=1)
+            exchanges.start(book(1))
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            other = Known(exchanges.known.address)
+            exchanges.upstream.update(other, other.address, 0.0, True)
+            exchanges.known = other
+            exchanges.start(book(2))  # the idle connection to the first makes room
+            await soon(one.ended.get())
+            exchanges.start(book(3))
+            assert await soon(exchanges.ended.get()) is Outcome.UNREACHABLE
+
+    asyncio.run(play())
+
+
+def test_the_most_recent_connection_is_used_and_old_ones_are_dropped() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            exchanges = Exchanges(one)
+            for _ in range(2):
+                exchanges.start()
+            for _ in range(2):
+                assert await soon(exchanges.ended.get()) is Outcome.OK
+            [older, newer] = exchanges.known.idle
+            exchanges.start()
+            assert exchanges.known.idle == [older]
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            assert exchanges.known.idle == [older, newer] and one.ended.empty()
+            older.idle_since -= 31.0
+            exchanges.upstream._sweep()
+            await soon(one.ended.get())
+            assert exchanges.known.idle == [newer]
+
+    asyncio.run(play())
+
+
+def test_an_answer_that_nobody_asked_for_serves_nobody() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK + OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            assert status(await client.ask(book())) == 200
+            await soon(one.ended.get())
+
+    asyncio.run(play())
+
+
+def test_a_proxy_with_no_list_at_all_starts() -> None:
+    async def play() -> None:
+        proxy = Proxy(config([]))
+        assert not proxy.front.healthy()
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,183 @@
+"""The callers' side on loopback sockets: odd requests, limits, start and shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from loopback import (
+    HOST,
+    OK,
+    WIDE,
+    WIRE,
+    Client,
+    backend,
+    book,
+    entry,
+    read,
+    running,
+    soon,
+    status,
+    until,
+    watches,
+)
+
+ROOT = Path(__file__).parent.parent
+CHUNKED = book(Content_Length="", Transfer_Encoding="chunked", body=b"2\r\nro\r\n2\r\nom\r\n0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("request_", "expected"),
+    [
+        (book(X_Priority_Class="odd"), 400),
+        (book(X_Priority_Class=""), 400),
+        (book(X_Tenant_Id="odd"), 400),
+        (book(X_Request_ID=""), 400),
+        (book().replace(b"POST", b"PUT"), 400),
+        (book().replace(b"POST", b"GET"), 400),
+        (book(Idempotency_Key="k"), 400),
+        *((book(timeout=time), 400) for time in ("", "soon", "nan", "inf", "-1", "1e9", "1_0")),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /api HTTP/1.1\r\nHost h\r\n\r\n", 400),
+        (book().replace(b"/api/k", b"/apis"), 404),
+        (b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 404),
+        (book(body=b"x" * (64 * 1024 + 1)), 413),
+        (book(body=b"x" * (1 << 20)), 413),
+        (book(timeout="0.000"), 503),
+        (read(target="/api"), 200),
+        (CHUNKED, 200),
+    ],
+)
+def test_odd_requests_get_one_answer_and_the_proxy_goes_on(request_: bytes, expected: int) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            answer = await client.ask(request_)
+            assert status(answer) == expected
+            assert answer.count(b"\n", answer.index(b"\r\n\r\n") + 4) <= 1, "more than one line of reason"
+            if expected == 413:
+                assert await soon(client.reader.read()) == b""  # half closed, not reset
+            assert one.got.qsize() == (expected == 200)
+            if request_ is CHUNKED:
+                assert one.got.get_nowait().endswith(b"Content-Length: 4\r\n\r\nroom")
+            assert status(await (await up.client()).ask(book(2))) == 200
+
+    asyncio.run(play())
+
+
+def test_split_kept_and_back_to_back_requests_are_answered_in_order() -> None:
+    async def play() -> None:
+        def script(request: bytes) -> bytes:
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + request[request.index(b"id") + 2:][:1]
+
+        async with backend(script) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            whole = book(1) + read(2) + CHUNKED.replace(b"id1", b"id3")
+            client.writer.write(whole)
+            assert [(await client.answer())[-1:] for _ in range(3)] == [b"1", b"2", b"3"]
+            for at in range(len(whole)):
+                client.writer.write(whole[at:at + 1])
+                await asyncio.sleep(0)
+            assert [(await client.answer())[-1:] for _ in range(3)] == [b"1", b"2", b"3"]
+            last = await client.ask(book(4, Connection="close"))
+            assert b"Connection: close\r\n" in last and await soon(client.reader.read()) == b""
+
+    asyncio.run(play())
+
+
+def test_the_limit_on_callers() -> None:
+    async def play() -> None:
+        async with backend(lambda request: OK if b"id1" in request else None) as one:
+            async with running([entry("a", one.address)], sockets=48 + 8) as up:  # 4 callers
+                idle = await up.client()
+                assert status(await idle.ask(book(1))) == 200
+                busy = [await up.client() for _ in range(4)]
+                for client in busy:
+                    client.writer.write(book(2))
+                    await soon(one.got.get())
+                assert await soon(idle.reader.read()) == b"", "the idle one made no room"
+                refused = await (await up.client()).ask(book(3))
+                assert status(refused) == 503 and b"Connection: close\r\n" in refused
+                busy[0].writer.close()
+                await until(lambda: len(up.proxy.front.callers) == 3)
+                assert status(await (await up.client()).ask(book(1))) == 200
+
+    asyncio.run(play())
+
+
+def environment(path: Path, listen: str, discovery: str, known: list[dict[str, object]]) -> dict[str, str]:
+    path.write_text(json.dumps({
+        "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 3, "snapshot": True, "endpoints": known}, "settings": WIRE,
+    }))
+    return {**os.environ, "RELAY_CONFIG": str(path), "RELAY_LISTEN": listen, "RELAY_DISCOVERY": discovery}
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
+async def connect(port: int) -> Client:
+    return Client(*await asyncio.open_connection(HOST, port))
+
+
+async def up_and_ready(port: int) -> None:
+    """Wait until a process answers that it is ready."""
+    async with asyncio.timeout(WIDE):
+        while True:
+            try:
+                client = await connect(port)
+                if status(await client.ask(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")) == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+
+
+def test_what_was_taken_is_finished_after_sigterm(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with watches() as registry, backend(lambda _: None) as one:
+            port = free_port()
+            env = environment(tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:{registry.port}",
+                              [entry("a", one.address)])
+            process = await asyncio.create_subprocess_exec(sys.executable, "-m", "lugspur", cwd=ROOT, env=env)
+            await up_and_ready(port)
+            idle, early = await connect(port), await connect(port)
+            early.writer.write(book(1, timeout="15"))
+            await soon(one.got.get())
+            process.send_signal(signal.SIGTERM)
+            late = await connect(port)  # new connections still come for a moment
+            late.writer.write(book(2, timeout="15"))
+            await soon(one.got.get())
+            assert await soon(idle.reader.read()) == b""
+            for writer in one.open:
+                writer.write(OK)
+            for client in (early, late):
+                answer = await client.answer()
+                assert status(answer) == 200 and b"Connection: close\r\n" in answer
+            assert await soon(process.wait()) == 0
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("text", ["", "{}", "[]", '{"settings":{}}'])
+def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "c.json"
+    path.write_text(text)
+    env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+    for more in ({"RELAY_CONFIG": str(path)}, {"RELAY_CONFIG": str(path / "none")}, {}):
+        done = subprocess.run([sys.executable, "-m", "lugspur"], cwd=ROOT, env=env | more, timeout=WIDE,
+                              capture_output=True, text=True, check=False)
+        assert done.returncode == 2 and done.stdout == ""
+        [line] = done.stderr.splitlines()
+        assert line.startswith("lugspur: ")
