Take a burst at a proxy alone in its zone for no overload until requests fail

A probe that printed the module's view at each refusal showed each to be the third request at once at a proxy with 1 to 3 calls a second, no failure in its window, breakers closed; the client came back four times within 10 ms to the same proxy, its zone's only one. Ruled out: breakers (chance 0), hopeless requests (0.06 s needed), late proxies (0.6 ms to the first attempt), dials and resets (none). At fault: decide.py _admits, room x served + ROOM_ALWAYS for proxies with few calls.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -67,7 +67,8 @@
 ROOM_LOST = 0.57  # ...each shrinks to this part of itself, at servers that lose what they are sent...
 ROOM_SLOPE = 8.0  # ...which it reaches where one request in so many fails
 ROOM_TRIED = 0.1  # part of the offered rate that counts as served: stuck requests must not hold all room
-ROOM_ALWAYS = 2.0  # requests that are taken whatever was served lately: a start, a proxy with few calls
+ROOM_ALWAYS = 2.0  # requests that are taken whatever was served lately: a start, a proxy with few calls...
+ROOM_ALONE = 2.0  # ...and so many more, while none fail, at a proxy that shares its zone with no other
 SHARE_SPAN = 5.0  # seconds of its share that a tenant may use at once: a burst, not a surplus
 
 POOL_PROTECTION = 1.0  # requests that never count against a pool: all of a proxy's calls fill its window...
@@ -366,6 +367,7 @@
         self.backoff = 1.0
         dearest = max(c.worth for c in settings.classes) or 1.0
         span = (ROOM - ROOM_LEAST) / dearest
+        self.alone = ROOM_ALONE if settings.balancers <= settings.zones else 0.0
         self.room = [c.aim * (ROOM_LEAST + span * c.worth) for c in settings.classes]
         self.pace = 0.0  # baseline of latency for each unit of cost...
         self.paced = 0  # ...and the answers behind it
@@ -554,7 +556,9 @@
         served a second, make a wait too long for the class, or by the design's throttle over whole requests.
         The wait shrinks with the part that fails: queues that lose requests must drain before they serve.
         The throttle guards against sparse windows: at many proxies each breaker of one server stays under its
-        protection while all of them fail. Could harm: a short burst at a proxy with few calls is refused.
+        protection while all of them fail. Could harm: a short burst at a proxy with few calls is refused; its
+        clients are dealt to the zone's other proxies, but where there are none they come straight back and are
+        refused again, so there a burst is taken for no overload until requests fail.
         """
         if self.settings.tier:
             return True
@@ -568,7 +572,7 @@
         served = pool.rate.read(now) * (1.0 if age < room else ROOM_TRIED)
         served = max(served, pool.served.read(now))
         served /= 1.0 - exp(-max(age, 0.2) / 2.0)
-        if pool.owed > room * served + ROOM_ALWAYS:
+        if pool.owed > room * served + ROOM_ALWAYS + self.alone * (1.0 - shrink):
             return False
         if self.rng.random() < pool.breaker.error_ratio(now, self.accept_worth[kind], POOL_PROTECTION):
             pool.breaker.refused(now)
