--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -557,8 +557,8 @@
         The wait shrinks with the part that fails: queues that lose requests must drain before they serve.
         The throttle guards against sparse windows: at many proxies each breaker of one server stays under its
         protection while all of them fail. Could harm: a short burst at a proxy with few calls is refused; its
-        clients are dealt to the zone's other proxies, but where there are none they come straight back and are
-        refused again, so there a burst is taken for no overload until requests fail.
+        clients are dealt to the zone's other proxies, but where there are none they come straight back, so
+        there a burst is no overload until requests fail.
         """
         if self.settings.tier:
             return True
