--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -9,6 +9,7 @@
 import sys
 
 from lugspur.config import Config, ConfigError, load
+from lugspur.discovery import Reader
 from lugspur.proxy import Proxy
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
@@ -44,6 +45,7 @@
     """Run with the configuration that the environment names."""
     try:
         config = load(os.environ)
+        Reader(config.zones, config.types).check(config.known)
     except ConfigError as fault:
         print(f"lugspur: {fault}", file=sys.stderr)
         return 2
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -13,7 +13,7 @@
 import orjson
 
 from jaspershelf.model import ListKind, ServerRow, State
-from lugspur.config import Address, read_address
+from lugspur.config import Address, ConfigError, read_address
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
 SILENT = 6.0  # seconds without a line after which a watch is taken for dead: one comes every 2 s
@@ -57,6 +57,14 @@
         """All entries of a message."""
         return [self.endpoint(entry) for entry in message["endpoints"]]
 
+    def check(self, known: Mapping[str, Any]) -> None:
+        """Raise ConfigError where the list known at the start can't be read."""
+        try:
+            int(known["index"])
+            self.endpoints(known)
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            raise ConfigError(f"the known list can't be read: {fault!r}") from fault
+
 
 class Discovery:
     """Keeps one watch open, whatever happens to it, and hands on what it tells."""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -170,7 +170,13 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize("text", ["", "{}", "[]", '{"settings":{}}'])
+ODD_LIST = {
+    "name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:9", "seed": "1", "limits": {"sockets": 64},
+    "known": {"index": 1, "endpoints": [{"name": "a"}]}, "settings": WIRE,
+}
+
+
+@pytest.mark.parametrize("text", ["", "{}", "[]", '{"settings":{}}', json.dumps(ODD_LIST)])
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, text: str) -> None:
     path = tmp_path / "c.json"
     path.write_text(text)
