Stop calling a draining proxy healthy; test the drain and the accept queue

Seen: with single guards taken out by hand, 16 of 19 such changes failed a loopback test; the accept queue, the time in which a stopping proxy still accepts, and the check that an exchange is open failed none. Now each does. The drain became a function of its own for that; /healthz answers 503 from SIGTERM on.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -6,11 +6,13 @@
 import gc
 import os
 import signal
+import socket
 import sys
 
 from lugspur.config import Config, ConfigError, load
 from lugspur.discovery import Reader
 from lugspur.proxy import Proxy
+from lugspur.server import Front
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
 LISTEN_QUIET = 0.1  # ...until none has come for so long
@@ -28,6 +30,13 @@
     gc.collect()
     gc.freeze()
     await told.wait()
+    await drain(front, listener)
+
+
+async def drain(front: Front, listener: socket.socket) -> None:
+    """Take what is still coming, answer all that was taken, and let go of the callers."""
+    loop = asyncio.get_running_loop()
+    front.serving = False
     # Guards what is on its way: the callers' front goes on sending connections for a moment.
     begun = loop.time()
     while (passed := loop.time() - begun) < LISTEN_MOST:
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -69,7 +69,7 @@
         self.handle = handle
         self.most = most
         self.ready = False  # the list is loaded
-        self.serving = False  # the listener accepts
+        self.serving = False  # the listener accepts, and is to go on
         self.closing = False
         self.callers: set[Caller] = set()
         self.waiting: dict[Caller, None] = {}  # those that owe no answer, the longest waiting first
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -388,6 +388,24 @@
     asyncio.run(play())
 
 
+def test_an_exchange_that_has_ended_writes_nothing() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            exchanges = Exchanges(one)
+            exchanges.start(book(1))
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            [idle] = exchanges.known.idle
+            ended = exchanges.start(book(2))
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            exchanges.known.idle.remove(idle)
+            exchanges.upstream._transmit(ended, idle)
+            exchanges.start(book(3))
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            assert [b"id%d" % n in one.got.get_nowait() for n in (1, 2, 3)] == [True] * 3
+
+    asyncio.run(play())
+
+
 def test_an_answer_that_nobody_asked_for_serves_nobody() -> None:
     async def play() -> None:
         async with backend(lambda _: OK + OK) as one, running([entry("a", one.address)]) as up:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -20,6 +20,7 @@
     Client,
     backend,
     book,
+    config,
     entry,
     read,
     running,
@@ -29,6 +30,9 @@
     watches,
 )
 
+from lugspur.__main__ import drain
+from lugspur.proxy import Proxy
+
 ROOT = Path(__file__).parent.parent
 CHUNKED = book(Content_Length="", Transfer_Encoding="chunked", body=b"2\r\nro\r\n2\r\nom\r\n0\r\n\r\n")
 
@@ -176,6 +180,39 @@
 }
 
 
+def test_a_drain_takes_what_is_queued_and_what_still_comes() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            front = Proxy(config([entry("a", one.address)])).front
+            listener = await front.listen()
+            port = listener.getsockname()[1]
+            ending = asyncio.create_task(drain(front, listener))
+            await asyncio.sleep(0)  # the drain has begun
+            client = await connect(port)
+            assert status(await client.ask(book(1))) == 200
+            assert status(await client.ask(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")) == 503
+            await soon(ending)
+            assert await soon(client.reader.read()) == b""
+            with pytest.raises(ConnectionRefusedError):
+                await connect(port)
+
+    asyncio.run(play())
+
+
+def test_closing_the_listener_loses_nothing_that_is_queued() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            front = Proxy(config([entry("a", one.address)])).front
+            listener = await front.listen()
+            queued = [socket.create_connection(listener.getsockname()) for _ in range(20)]
+            await front.stop_listening(listener)
+            for sock in queued:
+                client = Client(*await asyncio.open_connection(sock=sock))
+                assert status(await client.ask(book())) == 200
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("text", ["", "{}", "[]", '{"settings":{}}', json.dumps(ODD_LIST)])
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, text: str) -> None:
     path = tmp_path / "c.json"
