Accept few connections in one go, so that a lack of descriptors stays harmless

Seen with a probe (30 descriptors, 60 callers): the loop's accept goes on through its whole backlog when no descriptor is left and reports each failure, over 500 tracebacks at once with a backlog of 1024; with standard error on a pipe that nobody read, the proxy stood still and /healthz timed out. Ruled out: a crash (the process lived). At fault: server.py listen, one figure for the queue's depth and the accepts in one go.

--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -18,7 +18,8 @@
 
 INPUT_MOST = 512 << 10  # bytes that one request may take on the wire, chunk framing and headers included
 LINGER = 1.0  # seconds in which a rejected sender's bytes are read and dropped: a reset would eat the answer
-BACKLOG = 1024
+BACKLOG = 1024  # connections that may wait to be accepted
+ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
 TIME = re.compile(rb"\d{1,9}(\.\d+)?")
 METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
 NAMED = frozenset(
@@ -86,7 +87,8 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind(self.config.listen)
-        self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=BACKLOG)
+        self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
+        sock.listen(BACKLOG)
         self.serving = True
         return sock
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -175,6 +175,27 @@
     asyncio.run(play())
 
 
+def test_a_proxy_out_of_descriptors_complains_little_and_recovers(tmp_path: Path) -> None:
+    async def play() -> None:
+        port = free_port()
+        env = environment(tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:9", [entry("a", f"{HOST}:9")])
+        with open(tmp_path / "log", "wb") as log:
+            process = await asyncio.create_subprocess_shell(
+                f"ulimit -n 30; exec {sys.executable} -m lugspur", cwd=ROOT, env=env, stderr=log
+            )
+        await up_and_ready(port)
+        many = [socket.create_connection((HOST, port)) for _ in range(60)]
+        await until(lambda: b"out of system resource" in (tmp_path / "log").read_bytes())
+        for sock in many:
+            sock.close()
+        await up_and_ready(port)
+        process.send_signal(signal.SIGTERM)
+        assert await soon(process.wait()) == 0
+        assert (tmp_path / "log").read_bytes().count(b"out of system resource") < 500
+
+    asyncio.run(play())
+
+
 ODD_LIST = {
     "name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:9", "seed": "1", "limits": {"sockets": 64},
     "known": {"index": 1, "endpoints": [{"name": "a"}]}, "settings": WIRE,
