Reload on SIGHUP instead of ending

Cause: __main__.serve installs no handler for SIGHUP, so the default ends the program; discovery.Discovery had no way to change its address. Change: the file is read again, its discovery beats the environment's; the new watch opens at once from version 0, the old one counts until the new one has told a list. The loopback test failed before.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -25,7 +25,9 @@
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
-    front = Proxy(config).front
+    proxy = Proxy(config)
+    front = proxy.front
+    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     listener = await front.listen()
     gc.collect()
     gc.freeze()
@@ -33,6 +35,17 @@
     await drain(front, listener)
 
 
+def reload(proxy: Proxy) -> None:
+    """Read the configuration file again; one that can't be read changes nothing."""
+    try:
+        # The file alone: the environment still names the discovery of the start.
+        config = load({"RELAY_CONFIG": os.environ.get("RELAY_CONFIG", "")})
+    except ConfigError as fault:
+        print(f"lugspur: reload: {fault}", file=sys.stderr, flush=True)
+        return
+    proxy.reload(config)
+
+
 async def drain(front: Front, listener: socket.socket) -> None:
     """Take what is still coming, answer all that was taken, and let go of the callers."""
     loop = asyncio.get_running_loop()
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -77,49 +77,80 @@
         self._index = index
         self._told = told
         self._task: asyncio.Task[None] | None = None
+        self._former: asyncio.Task[None] | None = None  # the watch at the address before, until ours tells
         self.retry = RETRY_FIRST
 
     def open(self) -> None:
         """Start the watch; nothing happens where it runs already."""
         if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._run())
+            self._task = asyncio.get_running_loop().create_task(self._run(self._address, self._index))
 
-    async def _run(self) -> None:
+    def move(self, address: Address) -> None:
+        """Watch at another address from now on; what the old one tells still counts until that has told."""
+        if address == self._address:
+            return
+        self._address = address
+        if self._task is None:
+            return
+        if self._former is None:
+            self._former = self._task
+        else:  # Guards reloads in a row: the watch between the two has told nothing yet.
+            self._task.cancel()
+        self.retry = RETRY_FIRST
+        # Guards against a change that falls between two services: from version 0 the answer is everything.
+        self._task = asyncio.get_running_loop().create_task(self._run(address, 0))
+
+    async def _run(self, address: Address, index: int) -> None:
+        watched = index
         while True:
-            await self._follow()
+            watch = _Watch(self.line, b"GET /v1/servers?follow=1&since=%d HTTP/1.1\r\nHost: %b\r\n\r\n" % (
+                watched, address[0].encode()))
+            await self._follow(address, watch)
+            watched = self._index if watch.told else watched
             await asyncio.sleep(self.retry * (0.5 + random.random()))
             self.retry = min(RETRY_MOST, 2.0 * self.retry)
 
-    async def _follow(self) -> None:
+    async def _follow(self, address: Address, watch: _Watch) -> None:
         """One watch, until it ends."""
-        loop = asyncio.get_running_loop()
-        watch = _Watch(self, f"GET /v1/servers?follow=1&since={self._index} HTTP/1.1\r\n"
-                             f"Host: {self._address[0]}\r\n\r\n".encode())
         try:
             async with asyncio.timeout(SILENT):
-                await loop.create_connection(lambda: watch, *self._address)
+                await asyncio.get_running_loop().create_connection(lambda: watch, *address)
+            await watch.ended
         except OSError:
             return
-        await watch.ended
+        finally:
+            watch.close()
 
-    def line(self, text: bytes) -> None:
-        """One line of the watch; an empty one tells only that it lives."""
-        self.retry = RETRY_FIRST
+    def line(self, watch: _Watch, text: bytes) -> None:
+        """One line of a watch; an empty one tells only that it lives."""
+        if watch.task is not self._task and watch.task is not self._former:
+            return  # Guards the list against a watch that has been replaced and is not closed yet.
         if not text.strip():
+            self.retry = RETRY_FIRST
             self._told(ListKind.PATCH, [])
             return
         message = orjson.loads(text)
         endpoints = self._reader.endpoints(message)
-        self._index = message["index"]
+        index = int(message["index"])
+        self.retry = RETRY_FIRST
+        former = self._former
+        if former is not None and watch.task is not former:
+            former.cancel()
+            self._former = None
+        watch.told = True
+        self._index = index
         self._told(ListKind.WHOLE if message.get("snapshot") else ListKind.PATCH, endpoints)
 
 
 class _Watch(asyncio.Protocol):
     """The connection of one watch."""
 
-    def __init__(self, discovery: Discovery, request: bytes) -> None:
-        self._discovery = discovery
+    def __init__(self, line: Callable[[_Watch, bytes], None], request: bytes) -> None:
+        self._line = line
         self._request = request
+        self._transport: asyncio.Transport | None = None
+        self.task = asyncio.current_task()  # the one that keeps it
+        self.told = False  # whether it has told anything of the list
         self._parser = httptools.HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self._buffer = b""
@@ -129,40 +160,46 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._silence = self._loop.call_later(SILENT, transport.abort)
+        self._silence = self._loop.call_later(SILENT, self.close)
         transport.write(self._request)
 
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        self._transport.close()
+        self.close()
+
+    def close(self) -> None:
+        """Let go of the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         # Guards against a watch that hangs on a machine that vanished: nothing else would tell.
         self._silence.cancel()
-        self._silence = self._loop.call_later(SILENT, self._transport.abort)
+        self._silence = self._loop.call_later(SILENT, self.close)
         try:
             self._parser.feed_data(data)
             self._lines()
         except Exception as fault:  # Guards against a malformed list: the last one stays.
             print(f"lugspur: discovery: {fault!r}", file=sys.stderr, flush=True)
-            self._transport.abort()
+            self.close()
 
     def _lines(self) -> None:
         if not self._body:
             return
         if self._parser.get_status_code() != 200:
-            self._transport.abort()
+            self.close()
             return
         *lines, self._buffer = b"".join([self._buffer, *self._body]).split(b"\n")
         self._body.clear()
         if len(self._buffer) > LINE_MOST:  # Guards the memory limit against a line that never ends.
             raise ValueError("a line is too long")
         for text in lines:
-            self._discovery.line(text)
+            self._line(self, text)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._silence.cancel()
+        del self._parser  # Guards memory: the parser and this object hold each other.
         if not self.ended.done():
             self.ended.set_result(None)
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -84,6 +84,10 @@
             # Guards against a discovery that is down at the start: an old list serves better than none.
             self._loop.call_later(KNOWN_AFTER, self._loaded)
 
+    def reload(self, config: Config) -> None:
+        """Take over what a new configuration may change while the proxy runs: where discovery is."""
+        self._discovery.move(config.discovery)
+
     def _now(self) -> float:
         return self._loop.time() + self._epoch
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any, TypeVar
 
 from jaspershelf.adapter import read_settings
@@ -105,6 +105,7 @@
 
     def __init__(self) -> None:
         self.asked: asyncio.Queue[str] = asyncio.Queue()
+        self.ended: asyncio.Queue[None] = asyncio.Queue()  # one for each watch that the proxy has closed
         self.writer: asyncio.StreamWriter | None = None
         self.port = 0
 
@@ -114,6 +115,10 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.writer = writer
         self.asked.put_nowait(request.split()[1].decode())
+        with suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+        self.ended.put_nowait(None)
 
     def say(self, index: int, entries: list[dict[str, Any]], snapshot: bool = False) -> None:
         """One line of the watch that is open, cut in two chunks."""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -175,6 +175,41 @@
     asyncio.run(play())
 
 
+def test_sighup_moves_the_watch_and_loses_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with watches() as old, watches() as new, backend(lambda _: OK) as one:
+            port, path = free_port(), tmp_path / "c.json"
+            env = environment(path, f"{HOST}:{port}", f"{HOST}:{old.port}", [])
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lugspur", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+            assert process.stderr is not None
+            await soon(old.asked.get())
+            old.say(4, [entry("b", f"{HOST}:9", "terminating")])
+            await up_and_ready(port)
+            path.write_text("{")
+            process.send_signal(signal.SIGHUP)  # can't be read: one line, and all stays
+            assert (await soon(process.stderr.readline())).startswith(b"lugspur: reload: ")
+            environment(path, f"{HOST}:{port}", f"{HOST}:{new.port}", [])
+            for _ in range(3):
+                process.send_signal(signal.SIGHUP)
+            assert await soon(new.asked.get()) == "/v1/servers?follow=1&since=0"
+            assert old.ended.empty(), "the old watch went before the new one told anything"
+            old.say(5, [entry("a", one.address)])  # still counts
+            client = await connect(port)
+            number = 0
+            while status(await client.ask(read(number := number + 1))) != 200:
+                await asyncio.sleep(0.01)
+            new.say(6, [entry("a", one.address)], snapshot=True)
+            await soon(old.ended.get())
+            assert status(await client.ask(read(number + 1))) == 200
+            assert new.asked.empty() and old.asked.empty()
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            assert await soon(process.wait()) == 0
+
+    asyncio.run(play())
+
+
 def test_a_proxy_out_of_descriptors_complains_little_and_recovers(tmp_path: Path) -> None:
     async def play() -> None:
         port = free_port()
