Forget backends that are gone, break cycles at their end, bound half bodies and the log

Balancer.lengths had no bound but the callers' times; hundreds of half bodies of 64 KiB had none but the descriptors. Ruled out: connections, parsers and timers (none left after their end).

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -78,6 +78,8 @@
 PACED = 16  # answers before the baseline by cost refuses anything: the first may have stood in a queue
 HOPELESS = 0.6  # a request needs this part of that baseline at least: costs are hints, servers differ
 
+LENGTHS_MOST = 256  # lengths of tries that are told apart; rarer ones are forgotten first
+
 SUBSCRIBE = 1  # timer token
 
 
@@ -417,9 +419,20 @@
                 # every instance at once, and the first call of each would push the cold server over.
                 known.cold_credit = known.cold_seen = 0.0
             known.row = row
+        self._forget(now)
         self._arrange(now)
         return []
 
+    def _forget(self, now: float) -> None:
+        """Guards memory against servers that are replaced under new ids for as long as the program runs.
+
+        One that is gone stays while attempts are out, and while it would still be cold: it may come back as
+        the same process.
+        """
+        for key, server in tuple(self.servers.items()):
+            if server.row.state is State.GONE and not server.out and self._cold_until(server) <= now:
+                del self.servers[key]
+
     def _arrange(self, now: float) -> None:
         """Rebuild the lists of ready servers; drained and gone ones leave them at once."""
         # A ring in scattered order, the same at every instance.
@@ -594,6 +607,8 @@
         if self.settings.tier == 0:
             seen, length = self.lengths[kind], round(50.0 * log(max(deadline - now, 1e-6)))
             seen[length] = seen.get(length, 0) + 1
+            if len(seen) > LENGTHS_MOST:  # Guards memory against callers that never ask for the same time.
+                self.lengths[kind] = seen = {k: n // 2 for k, n in seen.items() if n > 1}
             if seen[length] > seen.get(self.usual[kind], 0):
                 self.usual[kind] = length
             may_repeat = retry or not self.settings.marks_retry
--- a/lugspur/config.py
+++ b/lugspur/config.py
@@ -12,6 +12,7 @@
 from jaspershelf.model import Settings
 
 Address = tuple[str, int]
+MEMORY_MB = 192  # where the configuration states no limit: the most that the platform gives
 
 
 class ConfigError(Exception):
@@ -27,6 +28,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int  # bytes
     known: dict[str, Any]
     settings: Settings
     classes: dict[str, int]
@@ -60,6 +62,7 @@
         discovery=read_address(environ.get("RELAY_DISCOVERY") or raw["discovery"]),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
+        memory=int(raw["limits"].get("memory_mb", MEMORY_MB)) << 20,
         known=raw.get("known") or {"index": 0, "endpoints": []},
         settings=settings,
         classes=_indices([row.name for row in settings.classes]),
--- a/lugspur/intake.py
+++ b/lugspur/intake.py
@@ -69,6 +69,10 @@
             elif self._wire > WIRE_MOST:  # Guards memory against chunk framing without end.
                 self._reject(413, "the request is too large")
 
+    def held(self) -> int:
+        """Bytes of the body of a request that is not whole."""
+        return min(self._size, BODY_MOST) if self.reading else 0
+
     def _reject(self, status: int, reason: str) -> None:
         if self.fault is None:
             self.fault = Rejected(status, reason)
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -31,6 +31,7 @@
 CALLERS_PART = 0.5  # of the other descriptors
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 RETRIABLE = (408, 429)  # 4xx that are not the request's fault
+COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
 
 
@@ -71,6 +72,7 @@
         self._calls: dict[str, Call] = {}
         self._open: set[bytes] = set()  # the callers' ids of the requests that an answer is owed for
         self._count = 0
+        self._complained = float("-inf")
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
         self._upstream = upstream.Upstream(sockets - callers, config.conn_idle, config.dial_timeout)
@@ -101,12 +103,19 @@
         try:
             return method(self._now(), *args)
         except Exception:
-            traceback.print_exc()
-            sys.stderr.flush()
+            self._complain()
             if call is not None:
                 self._abandon(call)
             return []
 
+    def _complain(self) -> None:
+        """Guards the loop against a log that nobody empties: writing to a full pipe would stop it."""
+        now = self._loop.time()
+        if now - self._complained >= COMPLAIN_EVERY:
+            self._complained = now
+            traceback.print_exc()
+            sys.stderr.flush()
+
     # ---- the list ----------------------------------------------------------------------------
 
     def _told(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
@@ -120,15 +129,23 @@
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
         listed = {endpoint.row.server for endpoint in endpoints}
         if kind is not ListKind.PATCH:
-            for server, backend in self._backends.items():
-                if server not in listed:
-                    self._upstream.update(backend, backend.address, backend.started, False)
+            for server in self._backends.keys() - listed:
+                self._remove(server)
         for endpoint in endpoints:
             row = endpoint.row
+            if row.state is State.GONE:
+                self._remove(row.server)
+                continue
             backend = self._backends.setdefault(row.server, upstream.Backend(endpoint.address))
             self._upstream.update(backend, endpoint.address, row.started, row.state is State.UP)
         self._perform(self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints]))
 
+    def _remove(self, server: int) -> None:
+        """Guards memory against backends that are gone for good; attempts that are out keep theirs."""
+        backend = self._backends.pop(server, None)
+        if backend is not None:
+            self._upstream.update(backend, backend.address, backend.started, False)
+
     # ---- requests ------------------------------------------------------------------------------
 
     def _request(self, request: Request, caller: Caller) -> None:
@@ -184,6 +201,7 @@
     def _forget(self, call: Call) -> None:
         if call.caller is None and not any(exchange.open for exchange in call.exchanges):
             self._calls.pop(call.rid, None)
+            call.exchanges.clear()  # Guards memory: a call and its exchanges hold each other.
 
     # ---- the module's actions ----------------------------------------------------------------
 
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -25,6 +25,7 @@
 LINGER = 2.0  # seconds that a closing connection may take; meanwhile what comes is read and dropped:
 DROP_MOST = 64 << 20  # bytes; closing with bytes unread would reset the connection, and the answer with it
 SWEEP = 0.25  # seconds between looks at those times
+HELD_PART = 0.25  # of the memory limit, for bodies that are not whole: hundreds of them could fill it
 PIPELINE_MOST = 8  # requests that may wait behind another: callers send one at a time
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
@@ -54,6 +55,8 @@
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
         self.closing = False
+        self.held = 0  # bytes of bodies that are not whole
+        self.held_most = int(HELD_PART * config.memory)
         self.buffer = memoryview(bytearray(READ))
         self.callers: set[Caller] = set()
         # Those that owe no answer, each with the loop's time at which it has to go.
@@ -166,6 +169,7 @@
         self._stuck = False  # does not read its answers
         self._faulty = False  # a rejection is queued or answered: nothing more is read
         self._dropped = 0
+        self._held = 0  # its part of what the front counts
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
 
     # ---- the connection ------------------------------------------------------------------
@@ -183,6 +187,7 @@
         self._move(None)
         self._front.callers.discard(self)
         self._queue.clear()
+        self._hold(0)
         self._intake.close()
         gone, self.gone = self.gone, None
         if gone is not None:
@@ -224,6 +229,9 @@
             return
         intake, front = self._intake, self._front
         intake.feed(front.buffer[:nbytes], self._loop.time())
+        self._hold(intake.held())
+        if self._held and front.held > front.held_most:  # Guards the memory limit against many half bodies.
+            intake.fault = Rejected(503, "too many bodies at once")
         if len(self._queue) > PIPELINE_MOST:  # Guards memory and backends against floods on one connection.
             self._queue.clear()
             intake.fault = Rejected(400, "too many requests at once")
@@ -236,6 +244,10 @@
             first = self._place[self] if self._place is front.fresh else intake.arrived + WHOLE_WITHIN
             self._move(front.reading, first)
 
+    def _hold(self, size: int) -> None:
+        self._front.held += size - self._held
+        self._held = size
+
     # ---- requests and answers --------------------------------------------------------------
 
     def _next(self) -> None:
@@ -279,6 +291,7 @@
         self.gone = None
         self._busy, self._faulty = False, True
         self._queue.clear()
+        self._hold(0)
         self._write(fault.status, b"", fault.reason.encode() + b"\n", False)
         self._move(self._front.leaving, self._loop.time() + LINGER)
         # Guards the answer against a reset: what still comes is read until the caller closes.
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -145,6 +145,22 @@
     asyncio.run(play())
 
 
+def test_half_bodies_may_not_fill_the_memory() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            async with running([entry("a", one.address)], memory=400 << 10) as up:  # 100 KiB for half bodies
+                whole = [book(number, body=b"x" * (60 << 10)) for number in range(2)]
+                first, second = await up.client(), await up.client()
+                first.writer.write(whole[0][:-1])
+                await until(lambda: up.proxy.front.held > 60_000)
+                assert status(await second.ask(whole[1][:-1])) == 503
+                assert status(await first.ask(whole[0][-1:])) == 200
+                await until(lambda: up.proxy.front.held == 0)
+                assert one.got.qsize() == 1
+
+    asyncio.run(play())
+
+
 def test_silent_callers_make_room_before_good_ones() -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one:
