Send what must not run twice on new connections; trust no kept ones after a dead one

Lines at fault: upstream.Upstream.start, which puts any request on a kept connection. Ruled out: descriptors (19 of 384), the poll before reuse (most were closed with nothing to see), the pool's own age limit (30 s). Change: an unsafe request always dials; a kept connection that breaks before any answer ends keeping for 10 s; at most two idle ones for each backend.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -17,6 +17,7 @@
     ListKind,
     Outcome,
     Refuse,
+    Repeat,
     Send,
     State,
     Subscribe,
@@ -71,6 +72,7 @@
         self._backends: dict[int, upstream.Backend] = {}
         self._calls: dict[str, Call] = {}
         self._open: set[bytes] = set()  # the callers' ids of the requests that an answer is owed for
+        self._repeatable = [row.repeat is not Repeat.UNSAFE for row in config.settings.classes]
         self._count = 0
         self._complained = float("-inf")
         sockets = max(8, config.sockets - SPARE_SOCKETS)
@@ -241,7 +243,9 @@
         ) -> None:
             self._outcome(call, number, exchange, outcome, response)
 
-        exchange = upstream.Exchange(self._backends[action.server], now, until, call.bytes_for, report)
+        repeatable = self._repeatable[call.facts.kind]
+        backend = self._backends[action.server]
+        exchange = upstream.Exchange(backend, now, until, call.bytes_for, report, repeatable)
         call.exchanges.append(exchange)
         self._upstream.start(exchange)
 
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -17,6 +17,8 @@
 INFORMED_MOST = 16  # 1xx answers ahead of one
 READ = 64 << 10  # bytes read in one go, into one buffer that all connections share
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
+IDLE_EACH = 2  # idle connections kept to one backend
+DISTRUST = 10.0  # seconds in which none is kept after one that was kept broke before any answer
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
      b"content-length", b"expect"}
@@ -47,12 +49,14 @@
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
 
-    __slots__ = ("backend", "connection", "dial", "open", "started", "timer", "until", "write", "_report")
+    __slots__ = ("backend", "connection", "dial", "open", "repeatable", "started", "timer", "until", "write",
+                 "_report")
 
     def __init__(
         self, backend: Backend, started: float, until: float, write: Callable[[float], bytes],
-        report: Callable[[Exchange, Outcome, Response | None], None],
+        report: Callable[[Exchange, Outcome, Response | None], None], repeatable: bool = True,
     ) -> None:
+        self.repeatable = repeatable  # whether it may be sent again when its connection breaks
         self.backend = backend
         self.started = started
         self.until = until  # the loop's time until which it is waited for
@@ -97,7 +101,8 @@
         self.backend = backend
         self.exchange: Exchange | None = None
         self.written = False  # whether the last byte of the request is out
-        self.idle_since = 0.0
+        self.idle_since = 0.0  # 0: it is new
+        self._heard = False  # whether a byte of an answer has come
         self._parser = httptools.HttpResponseParser(self)
         self._poll = select.poll()
         self._answer: Response | None = None  # the whole answer to the exchange
@@ -116,6 +121,7 @@
         self.exchange = exchange
         exchange.connection = self
         self.written = False
+        self._heard = False
         self._transport.write(data)
         # What the socket took at once is out, unless the write itself found the connection broken.
         self.written = not self._transport.get_write_buffer_size() and not self._transport.is_closing()
@@ -146,6 +152,7 @@
         if exchange is None:  # Guards against an answer that nobody asked for: it must serve no request.
             self.abandon()
             return
+        self._heard = True
         try:
             self._parser.feed_data(self._upstream.buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -244,6 +251,8 @@
         self._upstream.lost(self)
         del self._parser  # Guards memory: the parser and this object hold each other.
         if self.exchange is not None:
+            if self.idle_since and not self._heard:
+                self._upstream.distrust()
             self.exchange.broke()
 
 
@@ -256,6 +265,7 @@
         self._keep = IDLE_PART * conn_idle
         self._dial_timeout = dial_timeout
         self.buffer = memoryview(bytearray(READ))
+        self._distrust_until = 0.0
         self._dialling = 0
         self._connected = 0
         self._idle: dict[Connection, None] = {}  # the longest idle first
@@ -273,7 +283,8 @@
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
         exchange.timer = self._loop.call_at(exchange.until, exchange.expire)
         idle = exchange.backend.idle
-        while idle:
+        # Guards what must not run twice: a kept connection may be dead already, and nothing would tell.
+        while idle and exchange.repeatable:
             connection = idle.pop()
             del self._idle[connection]
             if connection.usable():
@@ -321,13 +332,21 @@
     def release(self, connection: Connection) -> None:
         """Keep a connection for the next exchange."""
         backend = connection.backend
-        if not backend.in_service or not connection.usable():
+        now = self._loop.time()
+        full = len(backend.idle) >= IDLE_EACH  # Guards backends: each connection takes of what they can do.
+        if not backend.in_service or full or now < self._distrust_until or not connection.usable():
             connection.abandon()
             return
-        connection.idle_since = self._loop.time()
+        connection.idle_since = now
         backend.idle.append(connection)
         self._idle[connection] = None
 
+    def distrust(self) -> None:
+        """Guards against backends, or what lies between, that forget kept connections without a word."""
+        self._distrust_until = self._loop.time() + DISTRUST
+        for connection in tuple(self._idle):
+            self._drop(connection)
+
     def made(self) -> None:
         """A connection has come up."""
         self._connected += 1
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -435,6 +435,34 @@
     asyncio.run(play())
 
 
+def test_what_must_not_run_twice_gets_a_new_connection() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            for number in range(3):
+                assert status(await client.ask(read(number))) == 200
+            assert len(one.open) == 1
+            for number in range(3, 6):
+                assert status(await client.ask(book(number))) == 200
+            assert len(one.open) == 4
+            await until(lambda: one.ended.qsize() == 2)  # no more than two are kept
+
+    asyncio.run(play())
+
+
+def test_after_a_dead_kept_connection_none_is_kept_for_a_while() -> None:
+    async def play() -> None:
+        answers = [OK, OK, CLOSE, OK, OK]
+        async with backend(lambda _: answers.pop(0)) as one:
+            exchanges = Exchanges(one)
+            for expected in (Outcome.OK, Outcome.OK, Outcome.BROKEN, Outcome.OK, Outcome.OK):
+                exchanges.start()
+                assert await soon(exchanges.ended.get()) is expected
+            assert len(one.open) == 3 and not exchanges.known.idle
+
+    asyncio.run(play())
+
+
 def test_a_connection_with_something_unread_is_not_used_again() -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one:
