Count only failures that speak of load against the room

At fault: _answer counted every failed request in pool.breaker, whose failed_part and error_ratio _admits reads. Ruled out: answers that never end (each spoilt one was found within 1 ms of its first byte), refusals in later tiers (none), breakers (0.00 at each refusal), sockets (none short). Now an attempt counts if it timed out, was full or unconnected, or took longer than the room.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -80,6 +80,9 @@
 
 LENGTHS_MOST = 256  # lengths of tries that are told apart; rarer ones are forgotten first
 
+#: Outcomes that speak of too much work for the servers there are.
+STRAIN = frozenset({Outcome.FULL, Outcome.TIMEOUT, Outcome.UNREACHABLE})
+
 SUBSCRIBE = 1  # timer token
 
 
@@ -273,13 +276,14 @@
 class Attempt:
     """One send of a request."""
 
-    __slots__ = ("maybe_ran", "open", "sent", "server")
+    __slots__ = ("maybe_ran", "open", "sent", "server", "strained")
 
     def __init__(self, server: Server, sent: float) -> None:
         self.server = server
         self.sent = sent
         self.open = True
         self.maybe_ran = True  # until its outcome proves otherwise
+        self.strained = False  # whether its end speaks of too much work for the servers there are
 
 
 class Request:
@@ -696,7 +700,10 @@
 
     def _answer(self, now: float, request: Request, out: list[Action]) -> None:
         """The final answer: refused where that promise holds, else failed."""
-        if request.attempts:
+        # Guards admission against failures that no load made, from spoilt answers to a server's own faults:
+        # refusing work does not cure them. Could harm: an overloaded tier that fails fast, as proxies that
+        # refuse make it, shows in what is owed alone.
+        if any(attempt.strained for attempt in request.attempts):
             self.pool_of[request.kind].breaker.failed(now)
         kind = self.settings.classes[request.kind]
         free = kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
@@ -728,6 +735,8 @@
             return []
         attempt.open = False
         attempt.maybe_ran = how not in NEVER_RAN
+        # An error that took longer than the room speaks of a time-out behind.
+        attempt.strained = how in STRAIN or latency > self.room[request.kind]
         request.open -= 1
         self._learn(now, attempt, how, latency, self.settings.classes[request.kind].aim)
         if how is Outcome.OK:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -15,6 +15,7 @@
     NEVER_RAN,
     OK,
     WIDE,
+    WIRE,
     Backend,
     backend,
     book,
@@ -28,6 +29,7 @@
     watches,
 )
 
+from jaspershelf.adapter import read_settings
 from jaspershelf.model import Outcome, Refuse
 from lugspur.intake import Intake
 from lugspur.proxy import Call, Proxy
@@ -537,3 +539,21 @@
         assert not proxy.front.healthy()
 
     asyncio.run(play())
+
+
+def settings(**changed: Any) -> Any:
+    """The usual settings with these changed."""
+    return read_settings(WIRE | changed)
+
+
+def test_spoilt_answers_are_no_reason_to_refuse() -> None:
+    async def play() -> None:
+        answers = [OK, OK, b"nonsense"] * 20
+        services = [row | {"Credit": 5.0 if row["Name"] == "read" else 1.0} for row in WIRE["Services"]]
+        async with backend(lambda _: answers.pop()) as one:
+            async with running([entry("a", one.address)], settings=settings(Services=services)) as up:
+                client = await up.client()
+                got = [status(await client.ask(book(number))) for number in range(60)]
+                assert got == [502, 200, 200] * 20
+
+    asyncio.run(play())
