Let a busy slice overflow to servers outside it, and take one request more

Now, where all candidates of the slice are busy, two of all are drawn too, taken to hold of others' what ours do on average; ROOM_ALWAYS 2 -> 3, as what is taken waits less.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -67,7 +67,7 @@
 ROOM_LOST = 0.57  # ...each shrinks to this part of itself, at servers that lose what they are sent...
 ROOM_SLOPE = 8.0  # ...which it reaches where one request in so many fails
 ROOM_TRIED = 0.1  # part of the offered rate that counts as served: stuck requests must not hold all room
-ROOM_ALWAYS = 2.0  # requests that are taken whatever was served lately: a start, a proxy with few calls...
+ROOM_ALWAYS = 3.0  # requests that are taken whatever was served lately: a start, a proxy with few calls...
 ROOM_ALONE = 2.0  # ...and so many more, while none fail, at a proxy that shares its zone with no other
 SHARE_SPAN = 5.0  # seconds of its share that a tenant may use at once: a burst, not a surplus
 
@@ -256,8 +256,8 @@
         self.latency += (latency - self.latency) / 4.0 if self.latency > 0.0 else latency
         self.seen = now
 
-    def score(self, now: float, pooled: float) -> float:
-        """Current latency x (in-flight + 1); lower is better.
+    def score(self, now: float, pooled: float, unseen: float = 0.0) -> float:
+        """Current latency x (in-flight + 1), with what others are taken to have in flight; lower is better.
 
         Guards against stale averages (a silent server drifts to the tier's latency: a recovered one is tried
         again) and against hung servers (an attempt out for longer than the current latency is a sample).
@@ -267,10 +267,9 @@
             fresh = STALE / (STALE + now - self.seen)
             latency += (self.latency - pooled) * fresh
         out = self.out
-        if not out:
-            return latency
-        age = now - next(iter(out)).sent
-        return max(latency, age) * (len(out) + 1.0)
+        if out:
+            latency = max(latency, now - next(iter(out)).sent)
+        return latency * (len(out) + unseen + 1.0)
 
 
 class Attempt:
@@ -626,11 +625,8 @@
         self, now: float, request: Request, among: list[Server], first: bool, out: list[Action]
     ) -> bool:
         """Send an attempt to the best candidate whose breaker does not refuse; False if there is none."""
-        candidates = self._candidates(now, request, among, first)
         timeout = self.settings.classes[request.kind].aim
-        pooled = self.pooled or timeout  # before any answer all are alike but for what they hold
-        candidates.sort(key=lambda s: s.score(now, pooled))
-        for server in candidates:
+        for server in self._offers(now, request, among, first):
             if server.breaker is None:
                 server.breaker = Breaker()
             if not server.breaker.refuses(now, timeout, self.rng):
@@ -650,6 +646,24 @@
         out.append(Send(request.id, server.row.server, within))
         return True
 
+    def _offers(self, now: float, request: Request, among: list[Server], first: bool) -> list[Server]:
+        """The candidates, the best first.
+
+        Guards requests against waiting behind others in a slice while servers outside it stand idle, most of
+        all where it is narrow or a server of it is slow or dead: where all candidates of the slice are busy,
+        two of all servers are drawn too, taken to hold of others' what ours hold of ours on average. Could
+        harm where others have far more traffic than this instance: their servers are busier than they seem.
+        """
+        pooled = self.pooled or self.settings.classes[request.kind].aim  # before any answer all are alike
+        scores = {s: s.score(now, pooled) for s in self._candidates(now, request, among, first)}
+        if first and all(server.out for server in scores):
+            pool = self.pool_of[request.kind]
+            unseen = pool.sent.read(now) * self.pooled / max(1, len(pool.working))
+            for server in self._candidates(now, request, pool.ready, False):
+                if server not in pool.working:
+                    scores[server] = server.score(now, pooled, unseen)
+        return sorted(scores, key=scores.__getitem__)
+
     def _candidates(self, now: float, request: Request, among: list[Server], first: bool) -> list[Server]:
         """Two random ready servers, fewer where there are no more."""
         count = len(among)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -557,3 +557,16 @@
                 assert got == [502, 200, 200] * 20
 
     asyncio.run(play())
+
+
+def test_a_busy_slice_does_not_hold_what_an_idle_server_could_do() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, backend(lambda _: None) as two:
+            listed = [entry("a", one.address), entry("b", two.address)]
+            async with running(listed, settings=settings(Instances=2)) as up:  # one of the two is its slice
+                clients = [await up.client() for _ in range(2)]
+                for number, client in enumerate(clients):
+                    client.writer.write(book(number))
+                assert await soon(one.got.get()) and await soon(two.got.get())
+
+    asyncio.run(play())
