Keep unsafe requests from servers that mostly fail

Its breaker stood at 0 to 0.39 (5 calls protected, K 1.5) and passed one call a second, about all that it got; a failure learned as a time-out (Balancer._learn) sets it back no further than a good server with two in flight. Ruled out: the list (no row lost or doubled; new watch told within the reload), sockets (no attempt unconnected). Now a server most of whose calls in the breaker's window failed, two at least, is the last choice of what must not run twice; safe requests go on probing it.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -43,6 +43,7 @@
 K = 1.5  # accepted calls are worth this many requests...
 MIN_K = 1.1  # ...and this many when every recent bucket fails
 PROTECTION = 5  # requests that never count against a server
+OUTLIER_LEAST = 2  # failures in the window that make an outlier of a server where they are most of its calls
 FORCE_PASS = 1.0  # seconds between calls that pass whatever the ratio
 ACTIVATION = 3.0  # the latency chance starts at this multiple of the baseline...
 CEILING = 0.95  # ...and is full at this part of the timeout...
@@ -153,6 +154,11 @@
         self._expire(int(now / self._width))
         return self._failures / (self._failures + self._accepts + PROTECTION)
 
+    def mostly_fails(self, now: float) -> bool:
+        """Whether most of the calls that went out failed, and not just one."""
+        self._expire(int(now / self._width))
+        return self._failures >= OUTLIER_LEAST and self._failures > self._accepts
+
     def error_ratio(self, now: float, most: float = K, protection: float = PROTECTION) -> float:
         """Adaptive throttling over the window; K falls as the newest failing buckets grow."""
         self._expire(int(now / self._width))
@@ -272,6 +278,11 @@
         return latency * (len(out) + unseen + 1.0)
 
 
+    def mostly_fails(self, now: float) -> bool:
+        """Whether it is an outlier by its breaker."""
+        return self.breaker is not None and self.breaker.mostly_fails(now)
+
+
 class Attempt:
     """One send of a request."""
 
@@ -650,18 +661,23 @@
         """The candidates, the best first.
 
         Guards requests against waiting behind others in a slice while servers outside it stand idle, most of
-        all where it is narrow or a server of it is slow or dead: where all candidates of the slice are busy,
-        two of all servers are drawn too, taken to hold of others' what ours hold of ours on average. Could
-        harm where others have far more traffic than this instance: their servers are busier than they seem.
+        all where it is narrow or a server of it is slow or dead: where all candidates of the slice are busy
+        or outliers, two of all servers are drawn too, taken to hold of others' what ours hold of ours on
+        average. Could harm where others have far more traffic: their servers are busier than they seem.
         """
         pooled = self.pooled or self.settings.classes[request.kind].aim  # before any answer all are alike
         scores = {s: s.score(now, pooled) for s in self._candidates(now, request, among, first)}
-        if first and all(server.out for server in scores):
+        if first and all(server.out or server.mostly_fails(now) for server in scores):
             pool = self.pool_of[request.kind]
             unseen = pool.sent.read(now) * self.pooled / max(1, len(pool.working))
             for server in self._candidates(now, request, pool.ready, False):
                 if server not in pool.working:
                     scores[server] = server.score(now, pooled, unseen)
+        if self.settings.classes[request.kind].repeat is Repeat.UNSAFE:
+            # Guards what can't be tried again against an outlier: its breaker lets calls through until it has
+            # seen enough, and once a second then. What can be goes on finding out whether it has recovered.
+            # Could harm where requests themselves are at fault: their server is shunned for a window.
+            return sorted(scores, key=lambda s: (s.mostly_fails(now), scores[s]))
         return sorted(scores, key=scores.__getitem__)
 
     def _candidates(self, now: float, request: Request, among: list[Server], first: bool) -> list[Server]:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -30,7 +30,7 @@
 )
 
 from jaspershelf.adapter import read_settings
-from jaspershelf.model import Outcome, Refuse
+from jaspershelf.model import Outcome, Refuse, Settings
 from lugspur.intake import Intake
 from lugspur.proxy import Call, Proxy
 from lugspur.server import Caller
@@ -541,7 +541,7 @@
     asyncio.run(play())
 
 
-def settings(**changed: Any) -> Any:
+def altered(**changed: Any) -> Settings:
     """The usual settings with these changed."""
     return read_settings(WIRE | changed)
 
@@ -551,7 +551,7 @@
         answers = [OK, OK, b"nonsense"] * 20
         services = [row | {"Credit": 5.0 if row["Name"] == "read" else 1.0} for row in WIRE["Services"]]
         async with backend(lambda _: answers.pop()) as one:
-            async with running([entry("a", one.address)], settings=settings(Services=services)) as up:
+            async with running([entry("a", one.address)], settings=altered(Services=services)) as up:
                 client = await up.client()
                 got = [status(await client.ask(book(number))) for number in range(60)]
                 assert got == [502, 200, 200] * 20
@@ -563,10 +563,25 @@
     async def play() -> None:
         async with backend(lambda _: None) as one, backend(lambda _: None) as two:
             listed = [entry("a", one.address), entry("b", two.address)]
-            async with running(listed, settings=settings(Instances=2)) as up:  # one of the two is its slice
+            async with running(listed, settings=altered(Instances=2)) as up:  # a slice of one
                 clients = [await up.client() for _ in range(2)]
                 for number, client in enumerate(clients):
                     client.writer.write(book(number))
                 assert await soon(one.got.get()) and await soon(two.got.get())
 
     asyncio.run(play())
+
+
+def test_what_must_not_run_twice_shuns_a_server_that_mostly_fails() -> None:
+    async def play() -> None:
+        services = [row | {"Aim": 0.001} for row in WIRE["Services"]]  # an error looks as late as an answer
+        bad = b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"
+        async with backend(lambda _: bad) as one, backend(lambda _: OK) as two:
+            listed = [entry("a", one.address), entry("b", two.address)]
+            async with running(listed, settings=altered(Services=services)) as up:
+                client = await up.client()
+                got = [status(await client.ask(book(number))) for number in range(24)]
+                assert got.count(502) <= 4 and got.count(502) + got.count(200) == 24
+                assert one.got.qsize() == got.count(502)
+
+    asyncio.run(play())
