Take answers of up to 1 MiB for good

The bytes: whole 200 answers with Content-Length 152978 to 353535. At fault: upstream.Connection.on_header and on_body, which took any body over the protocol's 64 KiB for spoilt; each of those requests failed, the unsafe ones at once. An answer may have 1 MiB now; what is not whole may hold an eighth of the memory limit in all.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -77,7 +77,9 @@
         self._complained = float("-inf")
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
-        self._upstream = upstream.Upstream(sockets - callers, config.conn_idle, config.dial_timeout)
+        self._upstream = upstream.Upstream(
+            sockets - callers, config.conn_idle, config.dial_timeout, config.memory
+        )
         self.front = Front(config, callers, self._request)
         reader = discovery.Reader(config.zones, config.types)
         self._discovery = discovery.Discovery(
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -12,7 +12,9 @@
 from jaspershelf.model import Outcome
 from lugspur.config import Address
 
-BODY_MOST = 64 << 10  # bytes of a body, by the protocol
+BODY_MOST = 64 << 10  # bytes of a request's body, by the protocol
+ANSWER_MOST = 1 << 20  # bytes of an answer: not all keep to the 64 KiB of the protocol, 350 KB were seen
+HELD_PART = 0.125  # of the memory limit, for answers that are not whole: many large ones could fill it
 HEAD_MOST = 16 << 10  # bytes of an answer's head, 1xx ones ahead of it included: what callers commonly read
 INFORMED_MOST = 16  # 1xx answers ahead of one
 READ = 64 << 10  # bytes read in one go, into one buffer that all connections share
@@ -103,6 +105,7 @@
         self.written = False  # whether the last byte of the request is out
         self.idle_since = 0.0  # 0: it is new
         self._heard = False  # whether a byte of an answer has come
+        self._held = 0  # its part of what the upstream counts
         self._parser = httptools.HttpResponseParser(self)
         self._poll = select.poll()
         self._answer: Response | None = None  # the whole answer to the exchange
@@ -175,6 +178,10 @@
             self._upstream.release(self)
         exchange.end(outcome, answer)
 
+    def _let_go(self) -> None:
+        self._upstream.held -= self._held
+        self._held = 0
+
     def _begin(self) -> None:
         self._head: list[bytes] = []
         self._body: list[bytes] = []
@@ -200,7 +207,7 @@
         elif lower == b"connection":
             self._named += b"," + value.lower()
         elif lower == b"content-length":
-            self._spoilt = int(value) > BODY_MOST  # Guards the memory limit against an answer without end.
+            self._spoilt = int(value) > ANSWER_MOST  # Guards the memory limit against an answer without end.
         elif lower == b"transfer-encoding":
             self._spoilt = value.lower() != b"chunked"
         # A load report is for the proxy, and what is no plain text may be more than a caller can read.
@@ -227,9 +234,11 @@
         if self._answer is not None or self._spoilt:
             return
         self._size += len(body)
-        if self._size <= BODY_MOST:
+        # Guards the memory limit against an answer without end, and against many large ones at once.
+        if self._size <= ANSWER_MOST and self._upstream.holds(len(body)):
+            self._held += len(body)
             self._body.append(body)
-        else:  # Guards the memory limit against an answer without end.
+        else:
             self._spoilt = True
 
     def on_message_complete(self) -> None:
@@ -241,6 +250,8 @@
             return
         self._clean = self._parser.should_keep_alive()
         self._answer = Response(self._parser.get_status_code(), b"".join(self._head), b"".join(self._body))
+        self._body.clear()
+        self._let_go()
 
     def _outcome(self, status: int) -> Outcome:
         if status == 200:
@@ -248,6 +259,7 @@
         return Outcome.FULL if status in (503, 504) and self._unseen else Outcome.ERROR
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._let_go()
         self._upstream.lost(self)
         del self._parser  # Guards memory: the parser and this object hold each other.
         if self.exchange is not None:
@@ -259,7 +271,7 @@
 class Upstream:
     """All connections to backends, within a limit on their number."""
 
-    def __init__(self, most: int, conn_idle: float, dial_timeout: float) -> None:
+    def __init__(self, most: int, conn_idle: float, dial_timeout: float, memory: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._most = most
         self._keep = IDLE_PART * conn_idle
@@ -268,6 +280,8 @@
         self._distrust_until = 0.0
         self._dialling = 0
         self._connected = 0
+        self.held = 0  # bytes of answers that are not whole
+        self._held_most = int(HELD_PART * memory)
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._loop.call_later(self._keep / 4.0, self._sweep)
 
@@ -347,6 +361,12 @@
         for connection in tuple(self._idle):
             self._drop(connection)
 
+    def holds(self, size: int) -> bool:
+        """Count so many more bytes of an answer, if there is room for them."""
+        fits = self.held + size <= self._held_most
+        self.held += size * fits
+        return fits
+
     def made(self) -> None:
         """A connection has come up."""
         self._connected += 1
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -323,7 +323,7 @@
     """Exchanges of one pool, and how each ended."""
 
     def __init__(self, one: Backend, most: int = 9, conn_idle: float = 60.0) -> None:
-        self.upstream = Upstream(most, conn_idle, WIDE)
+        self.upstream = Upstream(most, conn_idle, WIDE, 64 << 20)
         host, _, port = one.address.rpartition(":")
         self.known = Known((host, int(port)))
         self.upstream.update(self.known, self.known.address, 0.0, True)
@@ -585,3 +585,29 @@
                 assert one.got.qsize() == got.count(502)
 
     asyncio.run(play())
+
+
+def test_an_answer_larger_than_a_request_may_be_is_passed_on() -> None:
+    async def play() -> None:
+        body = bytes(range(256)) * 1400  # 350 KB
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        async with backend(lambda _: answer) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            for number in range(40):  # together more than is held at once: what has been passed on is let go
+                got = await client.ask(book(number))
+                assert status(got) == 200 and got.endswith(b"\r\n\r\n" + body)
+            assert up.proxy._upstream.held == 0
+
+    asyncio.run(play())
+
+
+def test_large_answers_can_not_fill_the_memory() -> None:
+    async def play() -> None:
+        part = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 900000
+        async with backend(lambda _: part) as one:
+            async with running([entry("a", one.address)], memory=2 << 20) as up:  # 256 KiB for answers
+                client = await up.client()
+                assert status(await client.ask(book())) == 502
+                await until(lambda: up.proxy._upstream.held == 0)
+
+    asyncio.run(play())
