End an attempt whose answer stalls, where the request may be sent again

Now 0.1 s between two pieces ends it as broken, for requests that may be sent again; 1xx answers do not start it, and unsafe requests wait on, since they could only lose by it.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -21,6 +21,7 @@
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
 IDLE_EACH = 2  # idle connections kept to one backend
 DISTRUST = 10.0  # seconds in which none is kept after one that was kept broke before any answer
+STALL = 0.1  # seconds between two pieces of an answer: it comes in one go, and a second try needs about 0.2
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
      b"content-length", b"expect"}
@@ -91,6 +92,19 @@
         """The connection is no good any more."""
         self.end(Outcome.BROKEN if self._may_have_run() else Outcome.UNREACHABLE)
 
+    def begun(self, now: float) -> None:
+        """A piece of the answer has come, and more is owed.
+
+        Guards what may be sent again against answers that begin and never end, whatever stops them: they
+        would hold it until its time is up. Could harm where backends send slowly but rightly.
+        """
+        if not self.repeatable or not self.open or self.timer is None:
+            return
+        self.timer.cancel()
+        late = now + STALL >= self.until
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_at(self.until, self.expire) if late else loop.call_at(now + STALL, self.broke)
+
     def _may_have_run(self) -> bool:
         return self.connection is not None and self.connection.written
 
@@ -168,6 +182,8 @@
         if answer is None or self._spoilt:
             if self._spoilt or not self._clean:
                 exchange.broke()
+            elif self._begun:
+                exchange.begun(self._upstream.now())
             return
         self._answer = None
         outcome = self._outcome(answer.status)
@@ -187,12 +203,13 @@
         self._body: list[bytes] = []
         self._named = b""
         self._size = self._fed = self._informed = 0
-        self._unseen = self._headed = self._spoilt = False
+        self._unseen = self._headed = self._spoilt = self._begun = False
         self._clean = True  # so far all that came can be read and belongs to the answer, and it may be kept
 
     # ---- the parser's calls ----------------------------------------------------------------
 
     def on_message_begin(self) -> None:
+        self._begun = True
         if self._answer is not None:  # a second answer: the first one stands
             self._clean = False
 
@@ -245,6 +262,7 @@
         if self._answer is not None or self._spoilt:
             return
         if not self._headed:  # 1xx: the answer is still to come, and its head starts anew
+            self._begun = False
             self._head.clear()
             self._named = b""
             return
@@ -367,6 +385,10 @@
         self.held += size * fits
         return fits
 
+    def now(self) -> float:
+        """The loop's time."""
+        return self._loop.time()
+
     def made(self) -> None:
         """A connection has come up."""
         self._connected += 1
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -34,8 +34,8 @@
 from lugspur.intake import Intake
 from lugspur.proxy import Call, Proxy
 from lugspur.server import Caller
+from lugspur.upstream import STALL, Connection, Exchange, Response, Upstream
 from lugspur.upstream import Backend as Known
-from lugspur.upstream import Connection, Exchange, Response, Upstream
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
@@ -611,3 +611,32 @@
                 await until(lambda: up.proxy._upstream.held == 0)
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("part", [OK[:12], OK[:-2]])
+def test_an_answer_that_never_ends_leaves_time_for_another_try(part: bytes) -> None:
+    async def play() -> None:
+        script = first(part)
+        async with backend(script) as one, backend(script) as two:
+            async with running([entry("a", one.address), entry("b", two.address)]) as up:
+                client = await up.client()
+                assert status(await client.ask(read())) == 200
+                assert one.got.qsize() + two.got.qsize() == 2
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "begins"), [(book(), OK[:-2]), (read(), b"HTTP/1.1 102 Processing\r\n\r\n")]
+)
+def test_a_slow_answer_is_waited_for(request_bytes: bytes, begins: bytes) -> None:
+    async def play() -> None:
+        async with backend(lambda _: begins) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(request_bytes)
+            await soon(one.got.get())
+            await asyncio.sleep(3.0 * STALL)
+            one.open[0].write(OK[-2:] if begins == OK[:-2] else OK)
+            assert (await client.answer()).endswith(b"\r\n\r\ndone")
+
+    asyncio.run(play())
