Lay the proxy out in packages by concern

Need: lugspur/ was flat, and routing, pools, configuration and a command line are to come; a reader should find the room by its name.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -1,83 +1,10 @@
-"""Start, signals and shutdown: `python -m lugspur`."""
+"""`python -m lugspur`: with no argument the platform's proxy, else the command line."""
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import os
-import signal
-import socket
 import sys
 
-from lugspur.config import Config, ConfigError, load
-from lugspur.discovery import Reader
-from lugspur.proxy import Proxy
-from lugspur.server import Front
-
-LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
-LISTEN_QUIET = 0.1  # ...until none has come for so long
-CLOSE_AFTER = 0.02  # seconds in which what has just been accepted can still be read
-
-
-async def serve(config: Config) -> None:
-    """Run until SIGTERM, then finish what was taken."""
-    loop = asyncio.get_running_loop()
-    told = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
-    proxy = Proxy(config)
-    front = proxy.front
-    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
-    listener = await front.listen()
-    gc.collect()
-    gc.freeze()
-    await told.wait()
-    await drain(front, listener)
-
-
-def reload(proxy: Proxy) -> None:
-    """Read the configuration file again; one that can't be read changes nothing."""
-    try:
-        # The file alone: the environment still names the discovery of the start.
-        config = load({"RELAY_CONFIG": os.environ.get("RELAY_CONFIG", "")})
-    except ConfigError as fault:
-        print(f"lugspur: reload: {fault}", file=sys.stderr, flush=True)
-        return
-    proxy.reload(config)
-
-
-async def drain(front: Front, listener: socket.socket) -> None:
-    """Take what is still coming, answer all that was taken, and let go of the callers."""
-    loop = asyncio.get_running_loop()
-    front.serving = False
-    # Guards what is on its way: the callers' front goes on sending connections for a moment.
-    begun = loop.time()
-    while (passed := loop.time() - begun) < LISTEN_MOST:
-        if passed >= LISTEN_LEAST and loop.time() - front.last_accept >= LISTEN_QUIET:
-            break
-        await asyncio.sleep(0.02)
-    await front.stop_listening(listener)
-    await asyncio.sleep(CLOSE_AFTER)
-    front.close()
-    while front.callers:
-        await asyncio.sleep(0.01)
-
-
-def main() -> int:
-    """Run with the configuration that the environment names."""
-    try:
-        config = load(os.environ)
-        Reader(config.zones, config.types).check(config.known)
-    except ConfigError as fault:
-        print(f"lugspur: {fault}", file=sys.stderr)
-        return 2
-    try:
-        asyncio.run(serve(config))
-    except OSError as fault:
-        print(f"lugspur: {config.listen[0]}:{config.listen[1]}: {fault}", file=sys.stderr)
-        return 1
-    return 0
-
+from lugspur.daemon.service import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/lugspur/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/lugspur/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The running program: the decision module between callers, backends and lists."""
--- a/lugspur/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -23,10 +23,11 @@
     Subscribe,
     Timer,
 )
-from lugspur import discovery, upstream
-from lugspur.config import Config
-from lugspur.intake import Rejected, Request
-from lugspur.server import Caller, Facts, Front
+from lugspur.config.platform import Config
+from lugspur.http1 import upstream
+from lugspur.http1.front import Caller, Facts, Front
+from lugspur.http1.intake import Rejected, Request
+from lugspur.membership import watch
 
 SPARE_SOCKETS = 48  # descriptors for the listener, discovery, the loop, and callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
@@ -81,8 +82,8 @@
             sockets - callers, config.conn_idle, config.dial_timeout, config.memory
         )
         self.front = Front(config, callers, self._request)
-        reader = discovery.Reader(config.zones, config.types)
-        self._discovery = discovery.Discovery(
+        reader = watch.Reader(config.zones, config.types)
+        self._discovery = watch.Discovery(
             config.discovery, reader, config.known["index"], self._told
         )
         self._members(ListKind.STALE, reader.endpoints(config.known))
@@ -122,7 +123,7 @@
 
     # ---- the list ----------------------------------------------------------------------------
 
-    def _told(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
+    def _told(self, kind: ListKind, endpoints: list[watch.Endpoint]) -> None:
         if endpoints or kind is not ListKind.PATCH:
             self._members(kind, endpoints)
         self._loaded()
@@ -130,7 +131,7 @@
     def _loaded(self) -> None:
         self.front.ready = True
 
-    def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
+    def _members(self, kind: ListKind, endpoints: list[watch.Endpoint]) -> None:
         listed = {endpoint.row.server for endpoint in endpoints}
         if kind is not ListKind.PATCH:
             for server in self._backends.keys() - listed:
--- a/lugspur/server.py
+++ b/lugspur/http1/front.py
@@ -12,8 +12,8 @@
 from http import HTTPStatus
 
 from jaspershelf.model import Repeat
-from lugspur.config import Config
-from lugspur.intake import Intake, Rejected, Request
+from lugspur.config.platform import Config
+from lugspur.http1.intake import Intake, Rejected, Request
 
 READ = 64 << 10  # bytes read in one go, into one buffer that all callers share
 FIRST_WITHIN = 2.0  # seconds from connecting in which the first request must be whole: 3 s are owed at most
--- a/lugspur/intake.py
+++ b/lugspur/http1/intake.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from lugspur.upstream import BODY_MOST, HOP_BY_HOP
+from lugspur.http1.upstream import BODY_MOST, HOP_BY_HOP
 
 HEAD_MOST = 16 << 10  # bytes of a request's head: what backends commonly read
 WIRE_MOST = 8 * BODY_MOST  # bytes of a request on the wire: the smallest chunks take six times the body
--- a/lugspur/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -10,7 +10,7 @@
 import httptools
 
 from jaspershelf.model import Outcome
-from lugspur.config import Address
+from lugspur.config.platform import Address
 
 BODY_MOST = 64 << 10  # bytes of a request's body, by the protocol
 ANSWER_MOST = 1 << 20  # bytes of an answer: not all keep to the 64 KiB of the protocol, 350 KB were seen
--- a/lugspur/discovery.py
+++ b/lugspur/membership/watch.py
@@ -13,7 +13,7 @@
 import orjson
 
 from jaspershelf.model import ListKind, ServerRow, State
-from lugspur.config import Address, ConfigError, read_address
+from lugspur.config.platform import Address, ConfigError, read_address
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
 SILENT = 6.0  # seconds without a line after which a watch is taken for dead: one comes every 2 s
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,9 +10,9 @@
 
 from jaspershelf.adapter import read_settings
 from jaspershelf.model import ListKind, Settings
-from lugspur.config import Config
-from lugspur.discovery import Reader
-from lugspur.proxy import Proxy
+from lugspur.config.platform import Config
+from lugspur.daemon.proxy import Proxy
+from lugspur.membership.watch import Reader
 
 WIDE = 20.0  # seconds that any wait may take on a loaded machine
 HOST = "127.0.0.1"
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -31,11 +31,11 @@
 
 from jaspershelf.adapter import read_settings
 from jaspershelf.model import Outcome, Refuse, Settings
-from lugspur.intake import Intake
-from lugspur.proxy import Call, Proxy
-from lugspur.server import Caller
-from lugspur.upstream import STALL, Connection, Exchange, Response, Upstream
-from lugspur.upstream import Backend as Known
+from lugspur.daemon.proxy import Call, Proxy
+from lugspur.http1.front import Caller
+from lugspur.http1.intake import Intake
+from lugspur.http1.upstream import STALL, Connection, Exchange, Response, Upstream
+from lugspur.http1.upstream import Backend as Known
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -30,8 +30,8 @@
     watches,
 )
 
-from lugspur.__main__ import drain
-from lugspur.proxy import Proxy
+from lugspur.daemon.proxy import Proxy
+from lugspur.daemon.service import drain
 
 ROOT = Path(__file__).parent.parent
 CHUNKED = book(Content_Length="", Transfer_Encoding="chunked", body=b"2\r\nro\r\n2\r\nom\r\n0\r\n\r\n")
@@ -128,7 +128,7 @@
             client.writer.close()
             await until(lambda: not up.proxy.front.callers and not up.proxy.front.leaving)
 
-    monkeypatch.setattr("lugspur.server.FIRST_WITHIN", 0.5)
+    monkeypatch.setattr("lugspur.http1.front.FIRST_WITHIN", 0.5)
     asyncio.run(play())
 
 
@@ -140,7 +140,7 @@
             assert await soon(client.reader.read()) == b""
             assert not up.proxy.front.callers
 
-    monkeypatch.setattr("lugspur.server.IDLE_MOST", 0.1)
+    monkeypatch.setattr("lugspur.http1.front.IDLE_MOST", 0.1)
     asyncio.run(play())
 
 
@@ -179,8 +179,8 @@
                 assert status(await half.ask(book(2)[-1:])) == 200
 
     for name in ("FIRST_WITHIN", "WHOLE_WITHIN", "IDLE_LEAST", "IDLE_MOST", "LINGER"):
-        monkeypatch.setattr(f"lugspur.server.{name}", 3 * WIDE)
-    monkeypatch.setattr("lugspur.server.SETTLE", 0.0)
+        monkeypatch.setattr(f"lugspur.http1.front.{name}", 3 * WIDE)
+    monkeypatch.setattr("lugspur.http1.front.SETTLE", 0.0)
     asyncio.run(play())
 
 
