Part the pool from the proxy, and share sockets between pools by parts that are sure

Need: several pools are to stand behind one daemon; Proxy held one instance of the module, the callers' front and discovery in one class. Change: daemon/pool.py drives one module instance and leaves the wording of final answers to its owner; Front and Intake take their limits as values, not the platform's configuration; Upstream draws its sockets from routing.shares.Shares, counted from the moment a dial is decided on (a burst in one turn of the loop could go past the limit before); HEAD answers end with their heads.

--- a/lugspur/config/platform.py
+++ b/lugspur/config/platform.py
@@ -10,8 +10,8 @@
 
 from jaspershelf.adapter import read_settings
 from jaspershelf.model import Settings
+from lugspur.membership.rows import Address, read_address
 
-Address = tuple[str, int]
 MEMORY_MB = 192  # where the configuration states no limit: the most that the platform gives
 
 
@@ -39,14 +39,6 @@
     dial_timeout: float
 
 
-def read_address(text: str) -> Address:
-    """`host:port` as a pair."""
-    host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isascii() and port.isdigit() and int(port) < 65536):
-        raise ConfigError(f"{text!r} is not an address of the form host:port")
-    return host, int(port)
-
-
 def _indices(names: list[str]) -> dict[str, int]:
     return {name: index for index, name in enumerate(names)}
 
--- /dev/null
+++ b/lugspur/daemon/pool.py
@@ -0,0 +1,296 @@
+"""One pool of backends: what happens on its sockets becomes the decision module's events, and back.
+
+This file alone calls the module, and decides nothing. What a final answer looks like is its owner's matter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import traceback
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from jaspershelf.decide import Balancer
+from jaspershelf.model import (
+    Action,
+    Cancel,
+    ListKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    Send,
+    Settings,
+    State,
+    Subscribe,
+    Timer,
+)
+from lugspur.http1 import upstream
+from lugspur.http1.front import Caller
+from lugspur.http1.intake import Request
+from lugspur.membership.rows import Endpoint
+
+COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
+
+
+@dataclass(slots=True)
+class Facts:
+    """What the decisions need of a request: class and tenant by their places in the settings, seconds."""
+
+    kind: int
+    tenant: int
+    timeout: float
+    cost: float
+    retry: bool
+
+
+class Call:
+    """A request that a final answer is owed for, or that still has attempts out."""
+
+    __slots__ = ("caller", "context", "deadline", "exchanges", "facts", "last", "request", "response", "rid",
+                 "timer")
+
+    def __init__(
+        self, rid: str, request: Request, facts: Facts, caller: Caller, deadline: float, context: object
+    ) -> None:
+        self.rid = rid
+        self.request = request
+        self.facts = facts
+        self.caller: Caller | None = caller  # None once nothing is owed
+        self.deadline = deadline  # in the loop's time
+        self.context = context  # the owner's
+        self.exchanges: list[upstream.Exchange] = []
+        self.last = Outcome.VOID  # how its latest attempt ended...
+        self.response: upstream.Response | None = None  # ...and with what answer
+        self.timer: asyncio.TimerHandle | None = None
+
+    def bytes_for(self, left: float) -> bytes:
+        """The request as it goes to a backend that is waited for so many seconds."""
+        request = self.request
+        framed = request.body or request.method not in (b"GET", b"HEAD")
+        length = b"Content-Length: %d\r\n" % len(request.body) if framed else b""
+        return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
+            request.method, request.target, b"".join(request.lines), max(left, 0.001), length, request.body
+        )
+
+
+class Owner(Protocol):
+    """Who words the final answers that the module has decided on."""
+
+    def at_fault(self, status: int) -> bool:
+        """Whether a backend's answer says that the request itself is wrong, and would be anywhere else."""
+
+    def refused(self, call: Call, retry_after: float) -> None:
+        """No attempt ran, or another does no harm: say so (0: no time to come back is known)."""
+
+    def failed(self, call: Call) -> None:
+        """It may have run; nothing is promised."""
+
+    def settled(self, call: Call) -> None:
+        """Nothing is owed for it any more."""
+
+
+class Complaints:
+    """Tracebacks in the log, few of them."""
+
+    def __init__(self) -> None:
+        self._last = float("-inf")
+
+    def add(self) -> None:
+        """Guards the loop against a log that nobody empties: writing to a full pipe would stop it."""
+        now = time.monotonic()
+        if now - self._last >= COMPLAIN_EVERY:
+            self._last = now
+            traceback.print_exc()
+            sys.stderr.flush()
+
+
+class Pool:
+    """One instance of the decision module, its backends, and the requests that it has in hand."""
+
+    def __init__(
+        self, settings: Settings, seed: int, connections: upstream.Upstream, owner: Owner, epoch: float,
+        subscribe: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._epoch = epoch  # seconds from the loop's time to the time that lists use
+        self.settings = settings
+        self.balancer = Balancer(settings, seed)
+        self.upstream = connections
+        self.backends: dict[int, upstream.Backend] = {}
+        self.calls: dict[str, Call] = {}
+        self._owner = owner
+        self._subscribe = subscribe
+        self._repeatable = [row.repeat is not Repeat.UNSAFE for row in settings.classes]
+        self._count = 0
+        self._complaints = Complaints()
+
+    def start(self) -> None:
+        """Call once, after the list known at the start was given."""
+        self._perform(self._decide(self.balancer.start))
+
+    def _now(self) -> float:
+        return self._loop.time() + self._epoch
+
+    def _decide(
+        self, method: Callable[..., list[Action]], *args: object, call: Call | None = None
+    ) -> list[Action]:
+        """Ask the module; an exception there fails the request that it was about, and nothing else."""
+        try:
+            return method(self._now(), *args)
+        except Exception:
+            self._complaints.add()
+            if call is not None:
+                self._abandon(call)
+            return []
+
+    # ---- the list ----------------------------------------------------------------------------
+
+    def members(self, kind: ListKind, endpoints: Sequence[Endpoint]) -> None:
+        """A whole list, or a change of it."""
+        listed = {endpoint.row.server for endpoint in endpoints}
+        if kind is not ListKind.PATCH:
+            for server in self.backends.keys() - listed:
+                self._remove(server)
+        for endpoint in endpoints:
+            row = endpoint.row
+            if row.state is State.GONE:
+                self._remove(row.server)
+                continue
+            backend = self.backends.setdefault(row.server, upstream.Backend(endpoint.address))
+            self.upstream.update(backend, endpoint.address, row.started, row.state is State.UP)
+        self._perform(self._decide(self.balancer.members, kind, [endpoint.row for endpoint in endpoints]))
+
+    def _remove(self, server: int) -> None:
+        """Guards memory against backends that are gone for good; attempts that are out keep theirs."""
+        backend = self.backends.pop(server, None)
+        if backend is not None:
+            self.upstream.update(backend, backend.address, backend.started, False)
+
+    # ---- requests ------------------------------------------------------------------------------
+
+    def submit(
+        self, request: Request, facts: Facts, caller: Caller, deadline: float, context: object = None
+    ) -> None:
+        """Take up a request; `deadline` is in the loop's time, and an answer is owed until then."""
+        self._count += 1
+        call = Call(str(self._count), request, facts, caller, deadline, context)
+        self.calls[call.rid] = call
+        caller.gone = lambda: self._gone(call)
+        call.timer = self._loop.call_at(deadline, self._overdue, call)
+        self._perform(self._decide(
+            self.balancer.request, call.rid, facts.kind, facts.tenant, deadline + self._epoch, facts.cost,
+            facts.retry, call=call,
+        ))
+
+    def _gone(self, call: Call) -> None:
+        self._settle(call)
+        self._perform(self._decide(self.balancer.gone, call.rid, call=call))
+
+    def _overdue(self, call: Call) -> None:
+        """The client's time is up: an answer is owed now, whatever the module says."""
+        for exchange in tuple(call.exchanges):
+            exchange.expire()
+        if call.caller is not None:
+            self._abandon(call)
+
+    def _abandon(self, call: Call) -> None:
+        """Fail a request that the module did not answer, and tell it so."""
+        self.answer(call, 504 if self._loop.time() >= call.deadline else 500, b"", b"")
+        self._perform(self._decide(self.balancer.gone, call.rid))
+        for exchange in tuple(call.exchanges):
+            exchange.end(Outcome.CANCELLED)
+
+    def answer(self, call: Call, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
+        """Write the one final answer of a request."""
+        caller = self.release(call)
+        if caller is not None:
+            caller.answer(status, head, body, length)
+
+    def release(self, call: Call) -> Caller | None:
+        """Let go of a request; who is given its caller owes the answer from then on."""
+        caller = call.caller
+        self._settle(call)
+        return caller
+
+    def _settle(self, call: Call) -> None:
+        """Nothing is owed any more."""
+        if call.caller is not None:
+            call.caller = None
+            self._owner.settled(call)
+        if call.timer is not None:
+            call.timer.cancel()
+        self._forget(call)
+
+    def _forget(self, call: Call) -> None:
+        if call.caller is None and not any(exchange.open for exchange in call.exchanges):
+            self.calls.pop(call.rid, None)
+            call.exchanges.clear()  # Guards memory: a call and its exchanges hold each other.
+
+    # ---- the module's actions ----------------------------------------------------------------
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Timer):
+                self._loop.call_at(action.at - self._epoch, self._timer, action.token)
+            elif isinstance(action, Subscribe):
+                self._subscribe()
+            else:
+                call = self.calls.get(action.request)
+                if call is not None:
+                    self._act(call, action)
+
+    def _timer(self, token: int) -> None:
+        self._perform(self._decide(self.balancer.timer, token))
+
+    def _act(self, call: Call, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(call, action)
+        elif isinstance(action, Cancel):
+            call.exchanges[action.attempt].end(Outcome.CANCELLED)
+        elif isinstance(action, Refuse):
+            self._owner.refused(call, action.retry_after)
+        else:
+            self._owner.failed(call)
+
+    def _send(self, call: Call, action: Send) -> None:
+        now = self._loop.time()
+        until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
+        number = len(call.exchanges)
+
+        def report(
+            exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
+        ) -> None:
+            self._outcome(call, number, exchange, outcome, response)
+
+        repeatable = self._repeatable[call.facts.kind]
+        backend = self.backends[action.server]
+        exchange = upstream.Exchange(
+            backend, now, until, call.bytes_for, report, repeatable, call.request.method == b"HEAD"
+        )
+        call.exchanges.append(exchange)
+        self.upstream.start(exchange)
+
+    def _outcome(
+        self, call: Call, number: int, exchange: upstream.Exchange, outcome: Outcome,
+        response: upstream.Response | None,
+    ) -> None:
+        now = self._loop.time()
+        call.last, call.response = outcome, response
+        if response is not None and self._owner.at_fault(response.status):
+            # Guards backends against callers: the request is at fault, and would be anywhere else.
+            self.answer(call, response.status, b"", b"rejected\n")
+            self._perform(self._decide(self.balancer.gone, call.rid, call=call))
+            outcome = Outcome.VOID
+        elif outcome is Outcome.OK and response is not None:
+            if now <= call.deadline:
+                self.answer(call, response.status, response.head, response.body, response.length)
+            else:  # Guards the client's deadline against a late timer.
+                outcome = Outcome.TIMEOUT
+        self._forget(call)
+        self._perform(self._decide(
+            self.balancer.outcome, call.rid, number, outcome, now - exchange.started, call.caller is None,
+            call=call,
+        ))
--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -12,7 +12,7 @@
 from lugspur.config.platform import Config, ConfigError, load
 from lugspur.daemon.proxy import Proxy
 from lugspur.http1.front import Front
-from lugspur.membership.watch import Reader
+from lugspur.membership.rows import Reader
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
 LISTEN_QUIET = 0.1  # ...until none has come for so long
@@ -68,7 +68,7 @@
     try:
         config = load(os.environ)
         Reader(config.zones, config.types).check(config.known)
-    except ConfigError as fault:
+    except (ConfigError, ValueError) as fault:
         print(f"lugspur: {fault}", file=sys.stderr)
         return 2
     try:
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -4,16 +4,13 @@
 
 import asyncio
 import itertools
-import re
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 
-from jaspershelf.model import Repeat
-from lugspur.config.platform import Config
-from lugspur.http1.intake import Intake, Rejected, Request
+from lugspur.http1.intake import PLATFORM, Intake, Rejected, Request, Sizes
+from lugspur.membership.rows import Address
 
 READ = 64 << 10  # bytes read in one go, into one buffer that all callers share
 FIRST_WITHIN = 2.0  # seconds from connecting in which the first request must be whole: 3 s are owed at most
@@ -29,35 +26,32 @@
 PIPELINE_MOST = 8  # requests that may wait behind another: callers send one at a time
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
-TIME = re.compile(rb"\d{1,9}(\.\d{1,9})?")
-ID = re.compile(rb"[0-9A-Za-z._-]{1,64}")
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}  # backends may send others
-METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
-
-
-@dataclass(slots=True)
-class Facts:
-    """What the decisions need of a request."""
-
-    kind: int
-    tenant: int
-    timeout: float
-    cost: float
-    retry: bool
 
 
 class Front:
-    """All connections of callers, within a limit on their number."""
+    """All connections of callers to one address, within a limit on their number.
 
-    def __init__(self, config: Config, most: int, handle: Callable[[Request, Caller], None]) -> None:
-        self.config = config
+    `handle` is given each whole request and answers it through its caller, now or later; it may raise
+    Rejected. `memory` is the process's limit in bytes, `within` the seconds that a request may take to come.
+    """
+
+    def __init__(
+        self, address: Address, most: int, memory: int, handle: Callable[[Request, Caller], None],
+        sizes: Sizes = PLATFORM, within: float | None = None, idle: float | None = None,
+    ) -> None:
+        self.address = address
         self.handle = handle
         self.most = most
+        self.sizes = sizes
+        self.first_within = FIRST_WITHIN if within is None else within
+        self.whole_within = WHOLE_WITHIN if within is None else within
+        self.idle_most = IDLE_MOST if idle is None else idle
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
         self.closing = False
         self.held = 0  # bytes of bodies that are not whole
-        self.held_most = int(HELD_PART * config.memory)
+        self.held_most = int(HELD_PART * memory)
         self.buffer = memoryview(bytearray(READ))
         self.callers: set[Caller] = set()
         # Those that owe no answer, each with the loop's time at which it has to go.
@@ -79,7 +73,7 @@
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
-        sock.bind(self.config.listen)
+        sock.bind(self.address)
         self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
         self.serving = True
@@ -109,7 +103,7 @@
         if len(self.callers) <= self.most:
             return False
         # Guards good callers: those that are of no use go first, one whose request is being read never.
-        settled = self._loop.time() + FIRST_WITHIN - SETTLE
+        settled = self._loop.time() + self.first_within - SETTLE
         silent = [caller for caller, limit in itertools.islice(self.fresh.items(), 1) if limit < settled]
         for place in (self.leaving, silent, self.idle, self.fresh):
             for caller in place:
@@ -122,38 +116,18 @@
         """Guards descriptors and memory against callers that never end what they began."""
         self._loop.call_later(SWEEP, self._sweep)
         now = self._loop.time()
-        early = IDLE_MOST - IDLE_LEAST if len(self.callers) > CROWDED * self.most else 0.0
+        early = self.idle_most - IDLE_LEAST if len(self.callers) > CROWDED * self.most else 0.0
         for place, before in ((self.leaving, 0.0), (self.fresh, 0.0), (self.idle, early)):
             for caller in [caller for caller, limit in place.items() if limit - before <= now]:
                 caller.drop()
         for caller in [caller for caller, limit in self.reading.items() if limit <= now]:
             caller.reject(Rejected(408, "the request took too long"))
 
-    def classify(self, request: Request) -> Facts:
-        """Read what the decisions need; raises Rejected where it is malformed or unknown."""
-        get = request.headers.get
-        if not ID.fullmatch(get(b"x-request-id", b"")):
-            raise Rejected(400, "no request id, or a malformed one")
-        name = get(b"x-priority-class", b"").decode("latin-1")
-        kind = self.config.classes.get(name)
-        if kind is None:
-            raise Rejected(400, "unknown class")
-        row = self.config.settings.classes[kind]
-        method, keyed = METHODS[row.repeat]
-        if request.method != method or (keyed and not get(b"idempotency-key")):
-            raise Rejected(400, "the method does not fit the class")
-        tenant: int | None = 0
-        if self.config.tenants:
-            tenant = self.config.tenants.get(get(b"x-tenant-id", b"").decode("latin-1"))
-        if tenant is None:
-            raise Rejected(400, "unknown tenant")
-        timeout = get(b"x-timeout", b"")
-        if not TIME.fullmatch(timeout):
-            raise Rejected(400, "the time is malformed")
-        cost = get(b"x-cost", b"")
-        guess = float(cost) / 1e6 if TIME.fullmatch(cost) else 0.0
-        # Guards timers and memory against absurd times: no client waits longer than its class's deadline.
-        return Facts(kind, tenant, min(float(timeout), row.deadline), guess, get(b"x-retried") == b"1")
+    def admit(self, caller: Caller) -> None:
+        """Take up a request that goes on; raises Rejected where there are too many connections."""
+        if self.full(caller):
+            raise Rejected(503, "too many connections")
+        caller.used = True
 
 
 class Caller(asyncio.BufferedProtocol):
@@ -163,11 +137,14 @@
         self._front = front
         self._loop = asyncio.get_running_loop()
         self._queue: deque[Request | Rejected] = deque()
-        self._intake = Intake(self._queue.append)
+        expected = self._continue if front.sizes.ordinary else None
+        self._intake = Intake(self._queue.append, front.sizes, expected)
         self._place: dict[Caller, float] | None = None  # where the front keeps it while no answer is owed
         self._busy = False
-        self._used = False  # has sent a request that went on
+        self.used = False  # has sent a request that went on
         self._stuck = False  # does not read its answers
+        self._keep_alive = True
+        self._bodyless = False  # its request is a HEAD
         self._faulty = False  # a rejection is queued or answered: nothing more is read
         self._dropped = 0
         self._held = 0  # its part of what the front counts
@@ -181,7 +158,7 @@
         front = self._front
         front.last_accept = self._loop.time()
         front.callers.add(self)
-        self._move(front.fresh, front.last_accept + FIRST_WITHIN)
+        self._move(front.fresh, front.last_accept + front.first_within)
         front.full(self)  # Guards the limit on descriptors: one that can go makes room.
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -242,7 +219,7 @@
         if self._queue:
             self._next()
         elif intake.reading and not self._busy and self._place is not front.reading:
-            first = self._place[self] if self._place is front.fresh else intake.arrived + WHOLE_WITHIN
+            first = self._place[self] if self._place is front.fresh else intake.arrived + front.whole_within
             self._move(front.reading, first)
 
     def _hold(self, size: int) -> None:
@@ -263,28 +240,24 @@
         self._busy = True
         self._move(None)
         self._keep_alive = request.keep_alive
+        self._bodyless = request.method == b"HEAD"
         try:
-            self._dispatch(request)
+            self._front.handle(request, self)
         except Rejected as fault:
             self.reject(fault)
 
-    def _dispatch(self, request: Request) -> None:
-        path = request.target.partition(b"?")[0]
-        if path == b"/healthz" and request.method == b"GET":
-            healthy = self._front.healthy()
-            self.answer(200 if healthy else 503, b"", b"ok\n" if healthy else b"not ready\n")
-        elif path == b"/api" or path.startswith(b"/api/"):  # a request without a key has no last part
-            if self._front.full(self):
-                raise Rejected(503, "too many connections")
-            self._used = True
-            self._front.handle(request, self)
-        else:
-            raise Rejected(404, "no such path")
-
-    def _write(self, status: int, head: bytes, body: bytes, keep: bool) -> None:
-        self._transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
-            status, PHRASES.get(status, b"Other"), head, len(body),
-            b"" if keep else b"Connection: close\r\n", body,
+    def _continue(self) -> None:
+        """Ask for the body that a caller holds back; behind other requests it comes without."""
+        if not self._busy and not self._queue:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _write(self, status: int, head: bytes, body: bytes, keep: bool, length: int | None = None) -> None:
+        size = len(body) if length is None else length
+        # RFC 9110 8.6: 204 has no length; 304 tells that of another answer, which is not known here.
+        told = b"" if status in (204, 304) else b"Content-Length: %d\r\n" % size
+        self._transport.write(b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b" % (
+            status, PHRASES.get(status, b"Other"), head, told,
+            b"" if keep else b"Connection: close\r\n", b"" if self._bodyless else body,
         ))
 
     def reject(self, fault: Rejected) -> None:
@@ -299,21 +272,24 @@
         self._transport.resume_reading()
         self._transport.write_eof()
 
-    def answer(self, status: int, head: bytes, body: bytes) -> None:
-        """Write the one final answer of the request that is being served."""
+    def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
+        """Write the one final answer of the request that is being served.
+
+        `head` holds whole header lines; `length` is that of a body that a HEAD request is spared.
+        """
         self.gone = None
         self._busy = False
         keep = self._keep_alive and not self._front.closing
-        self._write(status, head, body, keep)
+        self._write(status, head, body, keep, length)
         if not keep:
             self._queue.clear()
             self.close()
             return
         now, front = self._loop.time(), self._front
         if self._intake.reading:
-            self._move(front.reading, now + WHOLE_WITHIN)
+            self._move(front.reading, now + front.whole_within)
         else:
-            self._move(front.idle, now + (IDLE_MOST if self._used else IDLE_LEAST))
+            self._move(front.idle, now + (front.idle_most if self.used else IDLE_LEAST))
         if not self._stuck:
             self._transport.resume_reading()
             if self._queue:
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -7,10 +7,11 @@
 
 import httptools
 
-from lugspur.http1.upstream import BODY_MOST, HOP_BY_HOP
+from lugspur.http1.upstream import HOP_BY_HOP
 
+BODY_MOST = 64 << 10  # bytes of a request's body, by the platform's protocol
 HEAD_MOST = 16 << 10  # bytes of a request's head: what backends commonly read
-WIRE_MOST = 8 * BODY_MOST  # bytes of a request on the wire: the smallest chunks take six times the body
+WIRE_PART = 8  # times the limit on a body that a request may take on the wire: the smallest chunks take six
 VERSIONS = ("1.1", "1.0")
 NAMED = frozenset(
     {b"x-priority-class", b"x-tenant-id", b"x-timeout", b"x-request-id", b"x-retried", b"x-cost",
@@ -27,14 +28,26 @@
         self.reason = reason
 
 
+@dataclass(slots=True, frozen=True)
+class Sizes:
+    """What a caller may send, in bytes; `ordinary`: any HTTP client, whose every header may be asked for."""
+
+    head: int = HEAD_MOST
+    body: int = BODY_MOST
+    ordinary: bool = False
+
+
+PLATFORM = Sizes()
+
+
 @dataclass(slots=True)
 class Request:
     """A whole request as it came; `arrived` is the loop's time of its first byte."""
 
     method: bytes
     target: bytes
-    headers: dict[bytes, bytes]  # those that the proxy reads
-    lines: bytes  # the end-to-end headers, each with its line end, but for the time
+    headers: dict[bytes, bytes]  # those that the proxy reads, by their names in lower case
+    lines: list[bytes]  # the end-to-end headers, each with its line end, but for the time
     body: bytes
     arrived: float
     keep_alive: bool
@@ -43,8 +56,13 @@
 class Intake:
     """The parser of one connection: whole requests are delivered, the first fault is kept and ends it."""
 
-    def __init__(self, deliver: Callable[[Request], None]) -> None:
+    def __init__(
+        self, deliver: Callable[[Request], None], sizes: Sizes = PLATFORM,
+        expected: Callable[[], None] | None = None,
+    ) -> None:
         self._deliver = deliver
+        self._sizes = sizes
+        self._expected = expected  # told when a caller waits for a word before it sends its body
         self._parser = httptools.HttpRequestParser(self)
         self.fault: Rejected | None = None
         self.reading = False  # a request has begun and is not whole
@@ -53,7 +71,7 @@
 
     def close(self) -> None:
         """Let go of the parser: it and this object hold each other."""
-        del self._parser, self._deliver
+        del self._parser, self._deliver, self._expected
 
     def feed(self, data: memoryview, now: float) -> None:
         """Read what has come in."""
@@ -64,14 +82,15 @@
             self._reject(400, "the request is malformed")
         if begun and self.reading:
             self._wire += len(data)
-            if not self._headed and self._wire > HEAD_MOST:  # Guards memory against one header without end.
-                self._reject(431, "the head is too large")
-            elif self._wire > WIRE_MOST:  # Guards memory against chunk framing without end.
+            most = WIRE_PART * self._sizes.body + self._sizes.head
+            if not self._headed and self._wire > self._sizes.head:
+                self._reject(431, "the head is too large")  # Guards memory against one header without end.
+            elif self._wire > most:  # Guards memory against chunk framing without end.
                 self._reject(413, "the request is too large")
 
     def held(self) -> int:
         """Bytes of the body of a request that is not whole."""
-        return min(self._size, BODY_MOST) if self.reading else 0
+        return min(self._size, self._sizes.body) if self.reading else 0
 
     def _reject(self, status: int, reason: str) -> None:
         if self.fault is None:
@@ -100,7 +119,7 @@
         if self._headed or self.fault is not None:
             return
         self._head += len(name) + len(value) + 4
-        if self._head > HEAD_MOST:
+        if self._head > self._sizes.head:
             self._reject(431, "the head is too large")
         elif not value.isascii():  # Guards backends that close on what they can't read.
             self._reject(400, "a header is not plain text")
@@ -112,9 +131,11 @@
             if lower in self._headers:  # Guards against a backend that reads the other one.
                 self._reject(400, "a header comes twice")
             self._headers[lower] = value
-        elif lower == b"connection":
+        elif self._sizes.ordinary:
+            self._any(lower, value)
+        if lower == b"connection":
             self._connection += b"," + value.lower()
-        elif lower == b"content-length" and int(value) > BODY_MOST:
+        elif lower == b"content-length" and int(value) > self._sizes.body:
             self._reject(413, "the body is too large")
         elif lower == b"transfer-encoding" and value.lower() != b"chunked":
             # Guards against a body that others end elsewhere.
@@ -123,6 +144,11 @@
         if lower != b"x-timeout" and lower not in HOP_BY_HOP and b"_" not in lower:
             self._lines.append(b"%b: %b\r\n" % (name, value))
 
+    def _any(self, lower: bytes, value: bytes) -> None:
+        """A header that routes may ask for; one that comes in several lines is their list (RFC 9110 5.3)."""
+        before = self._headers.get(lower)
+        self._headers[lower] = value if before is None else before + b", " + value
+
     def on_headers_complete(self) -> None:
         self._headed = True
         version = self._parser.get_http_version()
@@ -134,6 +160,14 @@
             self._reject(400, "no host")
         elif self._connection:
             self._drop_named({token.strip() for token in self._connection.split(b",")})
+        if self._expected is not None and self.fault is None and b"expect" in self._headers:
+            self._expect(self._headers[b"expect"].lower(), self._expected)
+
+    def _expect(self, what: bytes, expected: Callable[[], None]) -> None:
+        if what != b"100-continue":
+            self._reject(417, "the expectation is unknown")
+        elif self._parser.get_http_version() == "1.1":  # RFC 9110 10.1.1: 1.0 has no such answer
+            expected()
 
     def _drop_named(self, named: set[bytes]) -> None:
         """Headers that `Connection` names end here."""
@@ -143,7 +177,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size <= BODY_MOST:
+        if self._size <= self._sizes.body:
             self._body.append(body)
         else:
             self._reject(413, "the body is too large")
@@ -156,6 +190,6 @@
         if self.fault is not None:
             return
         self._deliver(Request(
-            self._parser.get_method(), target, self._headers, b"".join(self._lines),
+            self._parser.get_method(), target, self._headers, self._lines,
             b"".join(self._body), self.arrived, self._parser.should_keep_alive(),
         ))
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -10,9 +10,9 @@
 import httptools
 
 from jaspershelf.model import Outcome
-from lugspur.config.platform import Address
+from lugspur.membership.rows import Address
+from lugspur.routing.shares import Shares
 
-BODY_MOST = 64 << 10  # bytes of a request's body, by the protocol
 ANSWER_MOST = 1 << 20  # bytes of an answer: not all keep to the 64 KiB of the protocol, 350 KB were seen
 HELD_PART = 0.125  # of the memory limit, for answers that are not whole: many large ones could fill it
 HEAD_MOST = 16 << 10  # bytes of an answer's head, 1xx ones ahead of it included: what callers commonly read
@@ -35,6 +35,14 @@
     status: int
     head: bytes  # its end-to-end headers, each with its line end
     body: bytes
+    length: int | None = None  # of the body that a HEAD request was spared
+
+
+def judge(status: int, unseen: bool) -> Outcome:
+    """What an answer by the platform's protocol says of its attempt; `unseen`: `X-Not-Processed: 1`."""
+    if status == 200:
+        return Outcome.OK
+    return Outcome.FULL if status in (503, 504) and unseen else Outcome.ERROR
 
 
 class Backend:
@@ -52,21 +60,23 @@
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
 
-    __slots__ = ("backend", "connection", "dial", "open", "repeatable", "started", "timer", "until", "write",
-                 "_report")
+    __slots__ = ("backend", "bodyless", "connection", "dial", "open", "repeatable", "started", "timer",
+                 "until", "write", "_report")
 
     def __init__(
         self, backend: Backend, started: float, until: float, write: Callable[[float], bytes],
         report: Callable[[Exchange, Outcome, Response | None], None], repeatable: bool = True,
+        bodyless: bool = False,
     ) -> None:
         self.repeatable = repeatable  # whether it may be sent again when its connection breaks
+        self.bodyless = bodyless  # HEAD: the answer ends with its head, whatever length that tells
         self.backend = backend
         self.started = started
         self.until = until  # the loop's time until which it is waited for
         self.write = write  # the request's bytes, given the seconds that are left
         self.open = True
         self.connection: Connection | None = None
-        self.dial: asyncio.Task[None] | None = None
+        self.dial: asyncio.Task[bool] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._report = report
 
@@ -118,6 +128,7 @@
         self.exchange: Exchange | None = None
         self.written = False  # whether the last byte of the request is out
         self.idle_since = 0.0  # 0: it is new
+        self.counted = self.over = False  # whether it holds a socket of the upstream's count; has ended
         self._heard = False  # whether a byte of an answer has come
         self._held = 0  # its part of what the upstream counts
         self._parser = httptools.HttpResponseParser(self)
@@ -131,7 +142,6 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=0)  # resume_writing then tells that all is out
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        self._upstream.made()
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         """Write a request, whole."""
@@ -174,6 +184,8 @@
             self._parser.feed_data(self._upstream.buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._clean = False
+        if self._answer is not None and exchange.bodyless:  # the old parser waits for the body it was told of
+            self._parser = httptools.HttpResponseParser(self)
         if not self._headed:
             self._fed += nbytes
             # Guards memory against one header without end.
@@ -186,7 +198,7 @@
                 exchange.begun(self._upstream.now())
             return
         self._answer = None
-        outcome = self._outcome(answer.status)
+        outcome = self._upstream.judge(answer.status, self._unseen)
         # Kept only if nothing came behind the answer: it might answer the next request.
         if self._clean and self.written and self.usable():
             self.exchange = exchange.connection = None
@@ -202,6 +214,7 @@
         self._head: list[bytes] = []
         self._body: list[bytes] = []
         self._named = b""
+        self._length: int | None = None
         self._size = self._fed = self._informed = 0
         self._unseen = self._headed = self._spoilt = self._begun = False
         self._clean = True  # so far all that came can be read and belongs to the answer, and it may be kept
@@ -224,7 +237,9 @@
         elif lower == b"connection":
             self._named += b"," + value.lower()
         elif lower == b"content-length":
-            self._spoilt = int(value) > ANSWER_MOST  # Guards the memory limit against an answer without end.
+            self._length = int(value)
+            # Guards the memory limit against an answer without end.
+            self._spoilt = self._length > self._upstream.answer_most and not self._bodyless()
         elif lower == b"transfer-encoding":
             self._spoilt = value.lower() != b"chunked"
         # A load report is for the proxy, and what is no plain text may be more than a caller can read.
@@ -246,13 +261,22 @@
         if self._named:
             named = {token.strip() for token in self._named.split(b",")}
             self._head = [line for line in self._head if line.partition(b":")[0].lower() not in named]
+        if self._bodyless() and not self._spoilt:
+            self._clean = self._parser.should_keep_alive()
+            self._answer = Response(status, b"".join(self._head), b"", self._length)
+
+    def _bodyless(self) -> bool:
+        return self.exchange is not None and self.exchange.bodyless
 
     def on_body(self, body: bytes) -> None:
-        if self._answer is not None or self._spoilt:
+        if self._answer is not None:  # Guards the next answer against a body that nobody was owed.
+            self._clean = False
+            return
+        if self._spoilt:
             return
         self._size += len(body)
         # Guards the memory limit against an answer without end, and against many large ones at once.
-        if self._size <= ANSWER_MOST and self._upstream.holds(len(body)):
+        if self._size <= self._upstream.answer_most and self._upstream.holds(len(body)):
             self._held += len(body)
             self._body.append(body)
         else:
@@ -265,19 +289,16 @@
             self._begun = False
             self._head.clear()
             self._named = b""
+            self._length = None
             return
         self._clean = self._parser.should_keep_alive()
         self._answer = Response(self._parser.get_status_code(), b"".join(self._head), b"".join(self._body))
         self._body.clear()
         self._let_go()
 
-    def _outcome(self, status: int) -> Outcome:
-        if status == 200:
-            return Outcome.OK
-        return Outcome.FULL if status in (503, 504) and self._unseen else Outcome.ERROR
-
     def connection_lost(self, exc: Exception | None) -> None:
         self._let_go()
+        self.over = True
         self._upstream.lost(self)
         del self._parser  # Guards memory: the parser and this object hold each other.
         if self.exchange is not None:
@@ -287,19 +308,25 @@
 
 
 class Upstream:
-    """All connections to backends, within a limit on their number."""
+    """All connections to one pool's backends, within that pool's share of the sockets.
 
-    def __init__(self, most: int, conn_idle: float, dial_timeout: float, memory: int) -> None:
+    `held_most` bounds the bytes of answers that are not whole, `answer_most` those of one answer's body.
+    """
+
+    def __init__(
+        self, sockets: Shares, name: str, conn_idle: float, dial_timeout: float, held_most: int,
+        answer_most: int = ANSWER_MOST, judge: Callable[[int, bool], Outcome] = judge,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
-        self._most = most
+        self._sockets, self._name = sockets, name
+        self.answer_most = answer_most
+        self.judge = judge
         self._keep = IDLE_PART * conn_idle
         self._dial_timeout = dial_timeout
         self.buffer = memoryview(bytearray(READ))
         self._distrust_until = 0.0
-        self._dialling = 0
-        self._connected = 0
         self.held = 0  # bytes of answers that are not whole
-        self._held_most = int(HELD_PART * memory)
+        self._held_most = held_most
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._loop.call_later(self._keep / 4.0, self._sweep)
 
@@ -323,17 +350,25 @@
                 self._transmit(exchange, connection)
                 return
             connection.abandon()
-        if self._dialling + self._connected >= self._most:
+        if not self._sockets.fits(self._name):
             # Guards the limit on sockets: idle ones make room, else it never ran and may go elsewhere.
             if not self._idle:
                 self._loop.call_soon(exchange.end, Outcome.UNREACHABLE)
                 return
             self._drop(next(iter(self._idle)))
+        self._sockets.take(self._name)
         exchange.dial = self._loop.create_task(self._dial(exchange))
+        exchange.dial.add_done_callback(self._dialled)
+
+    def _dialled(self, dial: asyncio.Task[bool]) -> None:
+        """Give back the socket of a dial that left no connection; one that never began to run, too."""
+        failed = dial.cancelled() or dial.exception() is not None
+        if failed or not dial.result():
+            self._sockets.give(self._name)
 
-    async def _dial(self, exchange: Exchange) -> None:
+    async def _dial(self, exchange: Exchange) -> bool:
+        """Whether a connection came up: the socket is counted as its own from then on."""
         backend = exchange.backend
-        self._dialling += 1
         try:
             async with asyncio.timeout(self._dial_timeout):
                 _, connection = await self._loop.create_connection(
@@ -342,11 +377,11 @@
         except OSError:  # refused, timed out, or no descriptor left
             exchange.dial = None
             exchange.end(Outcome.UNREACHABLE)
-            return
-        finally:
-            self._dialling -= 1
+            return False
         exchange.dial = None
+        connection.counted = kept = not connection.over
         self._transmit(exchange, connection)
+        return kept
 
     def _transmit(self, exchange: Exchange, connection: Connection) -> None:
         """Write the first byte, if the attempt still may go out."""
@@ -385,17 +420,19 @@
         self.held += size * fits
         return fits
 
+    def sockets(self) -> int:
+        """How many connections are up or being made."""
+        return self._sockets.used(self._name)
+
     def now(self) -> float:
         """The loop's time."""
         return self._loop.time()
 
-    def made(self) -> None:
-        """A connection has come up."""
-        self._connected += 1
-
     def lost(self, connection: Connection) -> None:
         """A connection has ended."""
-        self._connected -= 1
+        if connection.counted:
+            connection.counted = False
+            self._sockets.give(self._name)
         self._forget(connection)
 
     def _forget(self, connection: Connection) -> None:
--- /dev/null
+++ b/lugspur/membership/rows.py
@@ -0,0 +1,65 @@
+"""Entries of the platform's form, and what they become: rows of the decision module's list."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from jaspershelf.model import ServerRow, State
+
+Address = tuple[str, int]
+STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
+
+
+def read_address(text: str) -> Address:
+    """`host:port` as a pair; raises ValueError."""
+    host, colon, port = text.rpartition(":")
+    if not (host and colon and port.isascii() and port.isdigit() and int(port) < 65536):
+        raise ValueError(f"{text!r} is not an address of the form host:port")
+    return host, int(port)
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """One entry of the list: what the module sees of a backend, and where it listens."""
+
+    row: ServerRow
+    address: Address
+
+
+def server_id(name: str) -> int:
+    """The same whole number for a name at every proxy and after every restart."""
+    return int.from_bytes(name.encode(), "big")
+
+
+class Reader:
+    """Turns entries of discovery's form into endpoints; names become places in the settings' lists."""
+
+    def __init__(self, zones: Mapping[str, int], types: Mapping[str, int]) -> None:
+        self._zones, self._types = zones, types
+
+    def endpoint(self, entry: Mapping[str, Any]) -> Endpoint:
+        """One entry; a zone or type that the settings don't name is none of theirs (-1)."""
+        row = ServerRow(
+            server_id(entry["name"]),
+            STATES[entry["status"]],
+            self._zones.get(entry.get("zone", ""), -1),
+            entry.get("group", 0),
+            entry.get("weight", 1.0),
+            entry.get("since_ms", 0) / 1000.0,
+            self._types.get(entry.get("type", ""), -1),
+        )
+        return Endpoint(row, read_address(entry["address"]))
+
+    def endpoints(self, message: Mapping[str, Any]) -> list[Endpoint]:
+        """All entries of a message."""
+        return [self.endpoint(entry) for entry in message["endpoints"]]
+
+    def check(self, known: Mapping[str, Any]) -> None:
+        """Raise ValueError where the list known at the start can't be read."""
+        try:
+            int(known["index"])
+            self.endpoints(known)
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            raise ValueError(f"the known list can't be read: {fault!r}") from fault
--- a/lugspur/membership/watch.py
+++ b/lugspur/membership/watch.py
@@ -5,67 +5,19 @@
 import asyncio
 import random
 import sys
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Callable
 
 import httptools
 import orjson
 
-from jaspershelf.model import ListKind, ServerRow, State
-from lugspur.config.platform import Address, ConfigError, read_address
+from jaspershelf.model import ListKind
+from lugspur.membership.rows import Address, Endpoint, Reader
 
-STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
 SILENT = 6.0  # seconds without a line after which a watch is taken for dead: one comes every 2 s
 RETRY_FIRST, RETRY_MOST = 0.1, 2.0  # seconds before a reconnect, doubling
 LINE_MOST = 4 << 20  # bytes of one line
 
 
-@dataclass(slots=True, frozen=True)
-class Endpoint:
-    """One entry of the list: what the module sees of a backend, and where it listens."""
-
-    row: ServerRow
-    address: Address
-
-
-def server_id(name: str) -> int:
-    """The same whole number for a name at every proxy and after every restart."""
-    return int.from_bytes(name.encode(), "big")
-
-
-class Reader:
-    """Turns entries of discovery's form into endpoints; names become places in the settings' lists."""
-
-    def __init__(self, zones: Mapping[str, int], types: Mapping[str, int]) -> None:
-        self._zones, self._types = zones, types
-
-    def endpoint(self, entry: Mapping[str, Any]) -> Endpoint:
-        """One entry; a zone or type that the settings don't name is none of theirs (-1)."""
-        row = ServerRow(
-            server_id(entry["name"]),
-            STATES[entry["status"]],
-            self._zones.get(entry.get("zone", ""), -1),
-            entry.get("group", 0),
-            entry.get("weight", 1.0),
-            entry.get("since_ms", 0) / 1000.0,
-            self._types.get(entry.get("type", ""), -1),
-        )
-        return Endpoint(row, read_address(entry["address"]))
-
-    def endpoints(self, message: Mapping[str, Any]) -> list[Endpoint]:
-        """All entries of a message."""
-        return [self.endpoint(entry) for entry in message["endpoints"]]
-
-    def check(self, known: Mapping[str, Any]) -> None:
-        """Raise ConfigError where the list known at the start can't be read."""
-        try:
-            int(known["index"])
-            self.endpoints(known)
-        except (KeyError, TypeError, ValueError, AttributeError) as fault:
-            raise ConfigError(f"the known list can't be read: {fault!r}") from fault
-
-
 class Discovery:
     """Keeps one watch open, whatever happens to it, and hands on what it tells."""
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -31,11 +31,13 @@
 
 from jaspershelf.adapter import read_settings
 from jaspershelf.model import Outcome, Refuse, Settings
-from lugspur.daemon.proxy import Call, Proxy
+from lugspur.daemon.pool import Call
+from lugspur.daemon.proxy import Proxy
 from lugspur.http1.front import Caller
 from lugspur.http1.intake import Intake
 from lugspur.http1.upstream import STALL, Connection, Exchange, Response, Upstream
 from lugspur.http1.upstream import Backend as Known
+from lugspur.routing.shares import Shares
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
@@ -147,7 +149,7 @@
     async def play() -> None:
         async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
             with monkeypatch.context() as patch:
-                patch.setattr(up.proxy._balancer, "request", lambda *_: [])
+                patch.setattr(up.proxy.pool.balancer, "request", lambda *_: [])
                 client = await up.client()
                 assert status(await client.ask(book(timeout="0.1"))) == 504
             assert status(await client.ask(book(2))) == 200
@@ -166,11 +168,11 @@
             client = await up.client()
             for event in ("request", "outcome"):
                 with monkeypatch.context() as patch:
-                    patch.setattr(up.proxy._balancer, event, fault)
+                    patch.setattr(up.proxy.pool.balancer, event, fault)
                     # An answer that came before the fault stands.
                     assert status(await client.ask(book())) == (500 if event == "request" else 200)
             assert status(await client.ask(book(2))) == 200
-            assert not up.proxy._calls
+            assert not up.proxy.pool.calls
 
     asyncio.run(play())
     assert capsys.readouterr().err.count("RuntimeError: odd") == 1  # the log is no flood
@@ -180,13 +182,13 @@
     async def play() -> None:
         deadlines: list[float] = []
         async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
-            ask = up.proxy._balancer.request
+            ask = up.proxy.pool.balancer.request
 
             def request(*args: Any) -> Any:
                 deadlines.append(args[4])
                 return ask(*args)
 
-            monkeypatch.setattr(up.proxy._balancer, "request", request)
+            monkeypatch.setattr(up.proxy.pool.balancer, "request", request)
             client = await up.client()
             client.writer.write(book()[:30])
             await until(lambda: bool(up.proxy.front.reading))
@@ -201,7 +203,7 @@
 def test_the_modules_clock_is_the_lists_clock() -> None:
     async def play() -> None:
         async with running([]) as up:
-            assert abs(up.proxy._now() - time.time()) < 5.0
+            assert abs(up.proxy.pool._now() - time.time()) < 5.0
 
     asyncio.run(play())
 
@@ -228,14 +230,14 @@
                 up.tell([entry("a", one.address, "terminating")])
             elif change == "left":
                 client.writer.close()
-                await until(lambda: not up.proxy._calls)
+                await until(lambda: not up.proxy.pool.calls)
             else:
                 assert status(await client.answer()) >= 500
             gate.set()
             if change == "drained":
                 assert status(await client.answer()) == 503
-            pool = up.proxy._upstream
-            await until(lambda: pool._dialling == pool._connected == 0)
+            pool = up.proxy.pool.upstream
+            await until(lambda: pool.sockets() == 0)
             assert one.got.empty()
 
     asyncio.run(play())
@@ -249,7 +251,7 @@
             await soon(one.got.get())
             client.writer.close()
             await soon(one.ended.get())
-            await until(lambda: not up.proxy._calls and not up.proxy._balancer.requests)
+            await until(lambda: not up.proxy.pool.calls and not up.proxy.pool.balancer.requests)
 
     asyncio.run(play())
 
@@ -295,12 +297,12 @@
         async with watches() as registry, running([], discovery=registry.port) as up:
             await soon(registry.asked.get())
             registry.say(12, [entry("a", f"{HOST}:1"), entry("b", f"{HOST}:2")], snapshot=True)
-            await until(lambda: len(up.proxy._backends) == 2)
+            await until(lambda: len(up.proxy.pool.backends) == 2)
             assert registry.writer is not None
             registry.writer.close()
             assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=12"
             registry.say(13, [entry("b", f"{HOST}:2")], snapshot=True)
-            await until(lambda: sum(b.in_service for b in up.proxy._backends.values()) == 1)
+            await until(lambda: sum(b.in_service for b in up.proxy.pool.backends.values()) == 1)
             registry.say(14, [entry("a", "nowhere")])  # malformed: the list stays, the watch is renewed
             assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=13"
 
@@ -312,7 +314,7 @@
         async with running([]) as up:
             client = await up.client()
             assert b"Retry-After" not in await client.ask(book())
-            monkeypatch.setattr(up.proxy._balancer, "request", lambda now, rid, *_: [Refuse(rid, 0.25)])
+            monkeypatch.setattr(up.proxy.pool.balancer, "request", lambda now, rid, *_: [Refuse(rid, 0.25)])
             answer = await client.ask(book(2))
             assert status(answer) == 503 and b"Retry-After: 0.250\r\n" in answer
 
@@ -323,7 +325,7 @@
     """Exchanges of one pool, and how each ended."""
 
     def __init__(self, one: Backend, most: int = 9, conn_idle: float = 60.0) -> None:
-        self.upstream = Upstream(most, conn_idle, WIDE, 64 << 20)
+        self.upstream = Upstream(Shares(most, {}), "", conn_idle, WIDE, 8 << 20)
         host, _, port = one.address.rpartition(":")
         self.known = Known((host, int(port)))
         self.upstream.update(self.known, self.known.address, 0.0, True)
@@ -349,7 +351,7 @@
             exchange.end(Outcome.CANCELLED)
             exchange.end(Outcome.CANCELLED)
             await soon(one.ended.get())
-            await until(lambda: exchanges.upstream._connected == 0)
+            await until(lambda: exchanges.upstream.sockets() == 0)
             assert [exchanges.ended.get_nowait(), exchanges.ended.empty()] == [Outcome.CANCELLED, True]
 
     asyncio.run(play())
@@ -491,7 +493,7 @@
                 for number in range(30):
                     assert status(await client.ask(read(number))) == 400
                 assert one.got.qsize() == 30  # neither sent again nor refused by the breaker
-                assert not up.proxy._calls and not up.proxy._balancer.requests and not up.proxy._open
+                assert not up.proxy.pool.calls and not up.proxy.pool.balancer.requests and not up.proxy._open
 
     asyncio.run(play())
 
@@ -504,8 +506,8 @@
                 up.tell([entry(f"b{number}", one.address, since_ms=1000)])
                 assert status(await client.ask(read(number))) == 200
                 up.tell([entry(f"b{number}", one.address, "terminated", since_ms=1000)])
-            assert len(up.proxy._backends) == len(up.proxy._balancer.servers) == 1
-            await until(lambda: up.proxy._upstream._connected <= 1)
+            assert len(up.proxy.pool.backends) == len(up.proxy.pool.balancer.servers) == 1
+            await until(lambda: up.proxy.pool.upstream.sockets() <= 1)
 
     asyncio.run(play())
 
@@ -596,7 +598,7 @@
             for number in range(40):  # together more than is held at once: what has been passed on is let go
                 got = await client.ask(book(number))
                 assert status(got) == 200 and got.endswith(b"\r\n\r\n" + body)
-            assert up.proxy._upstream.held == 0
+            assert up.proxy.pool.upstream.held == 0
 
     asyncio.run(play())
 
@@ -608,7 +610,7 @@
             async with running([entry("a", one.address)], memory=2 << 20) as up:  # 256 KiB for answers
                 client = await up.client()
                 assert status(await client.ask(book())) == 502
-                await until(lambda: up.proxy._upstream.held == 0)
+                await until(lambda: up.proxy.pool.upstream.held == 0)
 
     asyncio.run(play())
 
