Test the daemon where it fails: fallbacks, shares, splits and reloads; broken files by line

Need: the hard cases of routes and pools each want a test that causes them. A listener keeps its queue of connections when only its name or terms change. A misspelt key is not missing, too.

--- a/lugspur/config/load.py
+++ b/lugspur/config/load.py
@@ -20,6 +20,7 @@
     ("Cannot overwrite", "this key stands above already; keep one of the two"),
     ("Cannot declare", "this table stands above already; keep one of the two"),
     ("Cannot mutate immutable", "this adds to a table that is closed already; write all of it in one place"),
+    ("Expected newline", "a value ends with its line; texts are written in quotes"),
     ("Invalid value", "texts are written in quotes"),
     ("Expected '='", 'a key is followed by = and a value, as in aim = "410ms"'),
     ("Invalid statement", 'write a key and a value, as in aim = "410ms", or a heading, as in [pools.name]'),
--- a/lugspur/config/schema.py
+++ b/lugspur/config/schema.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import difflib
 from collections.abc import Callable, Mapping
 from dataclasses import MISSING, Field, dataclass, field, fields
 from typing import Any, TypeVar
@@ -85,22 +86,25 @@
         return None
     known = {key_of(item): item for item in fields(kind)}  # type: ignore[arg-type]
     sound = True
+    meant: set[str] = set()  # keys that are misspelt, not missing
     values: dict[str, Any] = {}
     for key, value in raw.items():
         item = known.get(key)
         if item is None:
             place.at(key).wrong(f'key "{key}" is unknown here{nearest(key, known)}')
+            meant.update(difflib.get_close_matches(key, known, 1, 0.6))
             continue
         before = len(place.faults)
         found = _read(item, value, place.at(key))
         if found is not None:
             values[item.name] = found
         elif len(place.faults) > before:  # a part that can't be read counts as left out, where that can be
-            sound = sound and item.default_factory is not MISSING
+            sound = sound and "table" in item.metadata and item.default_factory is not MISSING
     for key, item in known.items():
         if key not in raw and item.default is MISSING and item.default_factory is MISSING:
-            place.wrong(f'key "{key}" is missing; write it: {item.metadata["doc"]}')
             sound = False
+            if key not in meant:
+                place.wrong(f'key "{key}" is missing; write it: {item.metadata["doc"]}')
     return kind(**values) if sound else None
 
 
@@ -127,9 +131,10 @@
     return {name: table for name, table in found.items() if table is not None}
 
 
-def _read_rows(kind: type[T], value: object, place: Place) -> list[T]:
+def _read_rows(kind: type[T], value: object, place: Place) -> list[T] | None:
     if not isinstance(value, list):
         place.wrong(f"{shown(value)} is no list; write tables in brackets, as in [{{ ... }}, {{ ... }}]")
-        return []
+        return None
     found = [read_table(kind, raw, place.at(at)) for at, raw in enumerate(value)]
-    return [row for row in found if row is not None]
+    kept = [row for row in found if row is not None]
+    return kept if len(kept) == len(found) else None
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -81,20 +81,20 @@
         """Take the new listeners' addresses first: what can fail comes before anything is changed."""
         rows = plan.file.listeners
         kept = {name for name, row in rows.items() if name in self.listeners and self._rows[name] == row}
+        taken = {sock.getsockname()[:2]: sock for _, sock in self.listeners.values()}
         bound: dict[str, socket.socket] = {}
         try:
             for name, row in rows.items():
-                moved = name in self.listeners and self._rows[name].address == row.address
-                if name not in kept and not moved:
-                    bound[name] = _bind(name, row)
+                if name not in kept:
+                    # The same address under other terms or another name: its queue of connections goes on.
+                    ours = taken.get(row.address)
+                    bound[name] = _bind(name, row) if ours is None else ours.dup()
         except OSError:
             for sock in bound.values():
                 sock.close()
             raise
         self.daemon.apply(plan, self.path)
         for name in self.listeners.keys() - kept:
-            if name in rows and name not in bound:  # the same address under other terms: the socket goes on
-                bound[name] = self.listeners[name][1].dup()
             self._leave(name)
         for name, sock in bound.items():
             front = self.daemon.front(rows[name])
--- /dev/null
+++ b/tests/config/test_load.py
@@ -0,0 +1,262 @@
+"""Files that are wrong: each has one message for each fault, with its line and what to write instead."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lugspur.config import load as loading
+from lugspur.config.lines import Lines
+from lugspur.config.load import FileFaults, load
+
+ROOT = Path(__file__).parent.parent.parent
+GOOD = """[listeners.main]
+address = "127.0.0.1:0"
+[classes.book]
+deadline = "5s"
+[pools.a]
+members = [
+  { address = "127.0.0.1:1" },
+  { address = "127.0.0.1:2" },
+]
+[routes.r]
+path = "/r/{id}"
+pool = "a"
+class = "book"
+"""  # a fault that is added behind it stands on line 14
+
+
+def faults(tmp_path: Path, text: str) -> list[str]:
+    """What is said of a text, without the file's name."""
+    file = tmp_path / "f.toml"
+    file.write_text(text)
+    try:
+        load(str(file))
+    except FileFaults as found:
+        assert all(line.startswith(f"{file}:") for line in found.lines)
+        return [line.removeprefix(f"{file}:") for line in found.lines]
+    return []
+
+
+def test_a_good_file_has_no_fault(tmp_path: Path) -> None:
+    assert faults(tmp_path, GOOD) == []
+
+
+def test_the_example_has_no_fault() -> None:
+    assert len(load(str(ROOT / "deploy" / "example.toml")).table.routes) == 6
+
+
+# ruff: noqa: E501
+AFTER = [  # what is added, the line of the fault, what is said of it
+    ("[routes.s]\npath = 7\npool = \"a\"", 15, 's.path: 7 is no text; write it in quotes'),
+    ("[routes.s]\npool = \"a\"", 14, 'key "path" is missing; write it: a path'),
+    ("[routes.s]\npath = \"s\"\npool = \"a\"", 15, 'does not begin with a slash; write "/s"'),
+    ("[routes.s]\npath = \"/a/*/b\"\npool = \"a\"", 15, '"*" may only stand alone at the end; write {name}'),
+    ("[routes.s]\npath = \"/{a}/{a}\"\npool = \"a\"", 15, "has {a} twice; write another name"),
+    ("[routes.s]\npath = \"/x/../y\"\npool = \"a\"", 15, "dot segment; write the path that it leads to"),
+    ("[routes.s]\npath = \"/x%2fy\"\npool = \"a\"", 15, "an encoded slash"),
+    ("[routes.s]\npath = \"/s\"\npool = \"b\"", 16, 'pool "b" is not in this file; known are a'),
+    ("[routes.s]\npath = \"/s\"\nsplit = { a = 1, aa = 2 }", 16, 'pool "aa" is not in this file'),
+    ("[routes.s]\npath = \"/s\"\nsplit = { a = 0 }", 16, "all weights are 0; give one pool a weight above 0"),
+    ("[routes.s]\npath = \"/s\"\nsplit = { a = -1 }", 16, "-1 is not from 0"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nfallback = [\"a\"]", 17, "no fallback for itself; leave it out"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nclass = \"boook\"", 17, 'did you mean "book"?'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nreply = { status = 200 }", 14, "pool and reply are both given"),
+    ("[routes.s]\npath = \"/s\"", 14, "it leads nowhere; write exactly one of pool, split, reply and redirect"),
+    ("[routes.s]\npath = \"/s\"\nreply = { status = 99 }", 16, "99 is not from 200 to 599"),
+    ("[routes.s]\npath = \"/s\"\nreply = { status = 200 }\nclass = \"book\"", 17, "no meaning beside reply"),
+    ("[routes.s]\npath = \"/s\"\nredirect = { to = \"//evil\" }", 16, 'leads nowhere; begin with "/" or'),
+    ("[routes.s]\npath = \"/s\"\nredirect = { to = \"/{x}\" }", 16, "takes {x} from a path that has none"),
+    ("[routes.s]\npath = \"/s\"\nredirect = { to = \"/t\", status = 304 }", 16, "304 is no redirect"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nrewrite = \"/t/*\"", 17, "takes * from a path that does not end in"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nmethods = [\"get\"]", 17, '"get" is not served; did you mean "GET"?'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nmethods = \"GET\"", 17, '"GET" is no list; write ["GET"]'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nhosts = [\"A.example\"]", 17, 'write "a.example"'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nhosts = [\"a:80\"]", 17, 'compared without ports; write "a"'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nhosts = [\"a.*\"]", 17, 'is no host; write "a.example"'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nheaders = { x = 1 }", 17, '1 is no text; write it in quotes, as in "1"'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nheaders = { x = { like = \"1\" } }", 17, "is no condition; write"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nheaders = { x = { present = false } }", 17, "write { absent = true }"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nquery = { x = { prefix = \"\" } }", 17, "an empty prefix asks nothing"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nkey = { path = \"id\" }", 17, 'the path has no variable "id"; it has none'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nkey = {}", 17, "write exactly one of header, path, query and value"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nrequest = { set = { Via = \"x\" } }", 17, '"Via" is set by the proxy'),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nresponse = { set = { X = \"\\n\" } }", 17, "is no header's value"),
+    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nfallbak = []", 17, 'key "fallbak" is unknown here; did you mean "fallback"?'),
+    ("[routes.s]\npath = \"/r/{k}\"\npool = \"a\"", 14, 'route "s" and route "r" take the same requests'),
+    ("[classes.x]\naim = 410", 15, '410 has no unit; write a text such as "410ms"'),
+    ("[classes.x]\naim = \"410\"", 15, '"410": it has no unit; write one of us, ms, s, m, h'),
+    ("[classes.x]\naim = \"410sec\"", 15, 'unit "sec" is unknown'),
+    ("[classes.x]\naim = \"soon\"", 15, '"soon" is no amount; write one such as'),
+    ("[classes.x]\naim = \"6s\"", 15, "the aim of 6s is after the deadline of 5s"),
+    ("[classes.x]\nrepeat = \"sometimes\"", 15, '"sometimes" is none of safe, keyed, unsafe'),
+    ("[classes.x]\nrepeat = \"keyed\"", 15, "a keyed class needs a window"),
+    ("[classes.x]\nwindow = \"5s\"", 15, 'a window belongs to repeat = "keyed" alone'),
+    ("[classes.x]\nworth = \"2\"", 15, '"2" is no number; write one without quotes'),
+    ("[limits]\nbody = 5", 15, '5 has no unit; write a text such as "64KiB"'),
+    ("[limits]\nsockets = 5", 15, "5 is not from 64"),
+    ("[limits]\nsockets = true", 15, "true is no whole number"),
+    ("[listeners.b]\naddress = \"8080\"", 15, 'write one such as "127.0.0.1:8080"'),
+    ("[listeners.b]\naddress = \"127.0.0.1:1\"\n[listeners.c]\naddress = \"127.0.0.1:1\"", 17, 'listener "b" has this'),
+    ("[pools.b]", 14, "no backends are given; write exactly one of members"),
+    ("[pools.b]\nfile = \"x\"\nwatch = \"127.0.0.1:1\"", 14, "file and watch are both given"),
+    ("[pools.b]\nmembers = [\n{ address = \"h:1\" },\n{ address = \"h:1\" },\n]", 17, 'there is a member "h:1" already'),
+    ("[pools.b]\nmembers = [\n{ address = \"h:1\" },\n{ adress = \"h:1\" },\n]", 17, 'did you mean "address"?'),
+    ("[pools.b]\nmembers = 3", 15, "3 is no list; write tables in brackets"),
+    ("[daemon]\ninstance = 1", 15, "1 is not below instances = 1"),
+    ("[deamon]", 14, 'key "deamon" is unknown here; did you mean "daemon"?'),
+    ("routes = 3", 14, "key \"routes\" is unknown here"),
+    ("[pools.a]\nfile = \"x\"", 14, "this table stands above already; keep one of the two"),
+    ("[classes.x]\nworth = 1\nworth = 2", 16, "this key stands above already; keep one of the two"),
+    ("[classes.x\nworth = 1", 14, "Expected ']'"),
+    ("[classes.x]\nworth 1", 15, 'a key is followed by = and a value'),
+    ("[classes.x]\naim = 410ms", 15, "texts are written in quotes"),
+    ("[classes.x]\naim = \"\\d\"", 15, "write \\\\ for a backslash"),
+    ("x = " + "[" * 5000 + "]" * 5000, 1, "brackets are nested too deeply"),
+]
+
+
+@pytest.mark.parametrize(("added", "line", "said"), AFTER, ids=[said[:40] for _, _, said in AFTER])
+def test_one_fault_has_one_message(tmp_path: Path, added: str, line: int, said: str) -> None:
+    found = faults(tmp_path, GOOD + added + "\n")
+    assert said in found[0] and found[0].startswith(f"{line}: ")
+    assert len(found) == 1
+
+
+def test_every_fault_is_named_at_once(tmp_path: Path) -> None:
+    text = GOOD.replace('"5s"', "5").replace('pool = "a"', 'pool = "b"').replace("address = \"127.0.0.1:2\"", "addr = 1")
+    found = faults(tmp_path, text + "[limits]\nhead = 1\nbody = 2\n")
+    assert [int(line.partition(":")[0]) for line in found] == [4, 8, 12, 15, 16]
+    assert not any('"book" is not in this file' in line for line in found)  # it is, though faulty
+
+
+def test_a_file_without_a_listener_serves_nobody(tmp_path: Path) -> None:
+    assert faults(tmp_path, "") == ['1: there is no listener; write [listeners.NAME] with address = "127.0.0.1:8080"']
+
+
+def test_what_is_no_text_or_no_file(tmp_path: Path) -> None:
+    file = tmp_path / "f.toml"
+    file.write_bytes(GOOD.encode() + b"# caf\xe9\n")
+    with pytest.raises(FileFaults, match=r"f\.toml:14: byte 0xe9 is no UTF-8; save the file as UTF-8"):
+        load(str(file))
+    with pytest.raises(FileFaults, match="No such file"):
+        load(str(tmp_path / "none"))
+    with pytest.raises(FileFaults, match="Is a directory"):
+        load(str(tmp_path))
+    with open(file, "wb") as big:
+        big.truncate(loading.FILE_MOST + 1)
+    with pytest.raises(FileFaults, match="more than 8 MiB"):
+        load(str(file))
+
+
+def test_a_file_that_changes_while_it_is_read_is_read_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    file = tmp_path / "f.toml"
+    file.write_text(GOOD[:50])
+    true, left = os.fstat, [3]
+
+    def fstat(handle: int) -> os.stat_result:
+        if left[0]:
+            left[0] -= 1
+            with open(file, "a") as more:  # somebody is still writing it
+                more.write(GOOD[50:] if not left[0] else "")
+                os.utime(file, ns=(left[0], left[0]))
+        return true(handle)
+
+    monkeypatch.setattr(os, "fstat", fstat)
+    assert loading.read_text(str(file)) == GOOD
+    left[0] = 10**6
+    with pytest.raises(FileFaults, match="it changes while it is read"):
+        loading.read_text(str(file))
+
+
+def test_ten_thousand_routes(tmp_path: Path) -> None:
+    rows = "".join(f'[routes.n{n}]\npath = "/s{n}/{{id}}/*"\nhosts = ["h{n % 100}.example"]\nmethods = ["GET"]\n'
+                   f'pool = "a"\n' for n in range(10_000))
+    text = GOOD + rows
+    assert len(text) > 800_000 and faults(tmp_path, text) == []
+    last = text.count("\n") + 2
+    assert faults(tmp_path, text + '[routes.last]\npath = "last"\npool = "a"\n')[0].startswith(f"{last}: ")
+
+
+def test_lines_are_found_through_all_of_tomls_forms() -> None:
+    text = '''# a comment with [brackets] and = signs
+a = 1
+"b c".d = """
+[not.a.table]
+x = 1 \\" "" """
+e = [ 1, [2,
+  3], { f = 'x # y', g = { h = 1 } }, # ]
+  "]",
+]
+
+[t . "u v"] # here
+k = 1979-05-27 07:32:00
+l = "it's"
+[[t.w]]
+m = 1
+[[t.w]]
+m.n = 2
+[t.w.x]
+o = 3
+'''
+    tomllib.loads(text)
+    lines = Lines(text)
+    for path, line in {
+        ("a",): 2, ("b c", "d"): 3, ("e",): 6, ("e", 1): 6, ("e", 1, 1): 7, ("e", 2, "g", "h"): 7, ("e", 3): 8,
+        ("t", "u v"): 11, ("t", "u v", "k"): 12, ("t", "w", 0, "m"): 15, ("t", "w", 1): 16,
+        ("t", "w", 1, "m", "n"): 17, ("t", "w", 1, "x", "o"): 19, ("t", "w", 1, "none"): 16, ("none",): 1,
+    }.items():
+        assert lines.line(path) == line, path
+
+
+KEYS = st.text("ab-é\" .#", min_size=1, max_size=3)
+VALUES: st.SearchStrategy[Any] = st.recursive(
+    st.one_of(st.integers(-9, 9), st.booleans(), st.text("a\"'\\#[]{}=,é", max_size=4)),
+    lambda inner: st.one_of(st.lists(inner, max_size=3), st.dictionaries(KEYS, inner, max_size=3)), max_leaves=6,
+)
+
+
+def written(value: Any) -> str:
+    """A value as TOML, on one line."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, str):
+        return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
+    if isinstance(value, list):
+        return "[" + ", ".join(map(written, value)) + "]"
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{written(key)} = {written(inner)}" for key, inner in value.items()) + "}"
+    return str(value)
+
+
+@given(st.dictionaries(KEYS, VALUES, max_size=5), st.lists(st.integers(0, 3), min_size=5, max_size=5))
+def test_every_value_has_its_line_whatever_stands_before_it(table: dict[str, Any], gaps: list[int]) -> None:
+    text, lines = "", {}
+    for (key, value), gap in zip(table.items(), gaps, strict=False):
+        text += "# x = [1\n" * gap
+        lines[key] = text.count("\n") + 1
+        text += f"{written(key)} = {written(value)}\n"
+    assert tomllib.loads(text) == table
+    found = Lines(text)
+    for key, line in lines.items():
+        for path in _paths(table[key], (key,)):
+            assert found.line(path) == line
+
+
+def _paths(value: Any, path: tuple[Any, ...]) -> list[tuple[Any, ...]]:
+    inner = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    return [path, *(below for key, item in inner for below in _paths(item, (*path, key)))]
+
+
+def test_the_reference_names_every_key_and_its_default() -> None:
+    from lugspur.config.reference import reference
+
+    text = (ROOT / "docs" / "configuration.md").read_text()
+    assert reference() in text, "run python -m lugspur.config.reference docs/configuration.md"
+    assert "| `deadline` | `5s` |" in text
--- /dev/null
+++ b/tests/daemon/test_failures.py
@@ -0,0 +1,195 @@
+"""Fallbacks, splits and shares when pools fail."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from contextlib import AsyncExitStack
+
+import pytest
+from daemonic import answer, ask, backend, fields, pool, route, served, until
+from loopback import CLOSE, MAY_HAVE_RUN, NEVER_RAN, OK, soon, status
+
+from lugspur.routing.splits import by_key
+
+BOTH = 'pool = "a"\nfallback = ["b"]\n'
+BOOK, READ = route("book", "/book", BOTH + 'class = "book"'), route("read", "/read", BOTH + 'class = "read"')
+GONE = "127.0.0.1:9"  # nobody listens there
+
+
+@pytest.mark.parametrize("path", ["/book", "/read"])
+def test_a_pool_that_nobody_can_connect_to_gives_way(path: str) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as two:
+            async with served(pool("a", GONE) + pool("b", two.address) + BOOK + READ) as up:
+                client = await up.client()
+                for _ in range(4):
+                    assert status(await client.ask(ask("POST", path, b"x"))) == 200
+                assert two.got.qsize() == 4
+                await until(lambda: up.in_hand() == 0)
+                assert up.daemon._places.used("a") == up.daemon._places.used("b") == 0
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("left", ["drained", "gone"])
+def test_a_pool_without_a_backend_in_service_gives_way_and_comes_back(left: str) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            a = '[pools.a]\nfile = "a.json"\n'
+            async with served(a + pool("b", two.address) + BOOK) as up:
+                entry = {"name": "one", "address": one.address, "status": "in_service"}
+                listed = up.file.with_name("a.json")
+
+                def tell(*entries: dict[str, str]) -> None:
+                    listed.with_suffix(".new").write_text(json.dumps({"endpoints": entries}))
+                    listed.with_suffix(".new").rename(listed)
+
+                client = await up.client()
+                assert status(await client.ask(ask("POST", "/book", b"x"))) == 200 and two.got.qsize() == 1
+                tell(entry)
+                await until(lambda: not up.daemon.stations["a"].standing.empty())
+                assert status(await client.ask(ask("POST", "/book", b"x"))) == 200 and one.got.qsize() == 1
+                tell(*([entry | {"status": "terminating"}] if left == "drained" else []))
+                await until(up.daemon.stations["a"].standing.empty)
+                assert status(await client.ask(ask("POST", "/book", b"x"))) == 200 and two.got.qsize() == 2
+                listed.write_text("{ not a list")
+                tell(entry)
+                await until(lambda: not up.daemon.stations["a"].standing.empty())
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("script", [CLOSE, MAY_HAVE_RUN, b"nonsense cut", answer(b"", "500 Oh")])
+@pytest.mark.parametrize("path", ["/book", "/read"])
+def test_what_may_have_run_is_never_sent_to_the_second_pool(script: bytes, path: str) -> None:
+    async def play() -> None:
+        async with backend(lambda _: script) as one, backend(lambda _: OK) as two:
+            async with served(pool("a", one.address) + pool("b", two.address) + BOOK + READ) as up:
+                client = await up.client()
+                got = status(await client.ask(ask("POST", path, b"x")))
+                assert got in ((500, 502) if path == "/book" else (503,))
+                assert one.got.qsize() == 1 and two.got.empty()
+
+    asyncio.run(play())
+
+
+def test_an_unsafe_request_whose_first_attempt_broke_stays_though_the_pool_then_died() -> None:
+    async def play() -> None:
+        async with AsyncExitStack() as stack:
+            one = await stack.enter_async_context(backend(lambda _: None))
+            two = await stack.enter_async_context(backend(lambda _: OK))
+            async with served(pool("a", one.address) + pool("b", two.address) + BOOK) as up:
+                client = await up.client()
+                client.writer.write(ask("POST", "/book", b"x"))
+                await soon(one.got.get())
+                station = up.daemon.stations["a"]
+                for server in station.pool.backends:
+                    station.standing.unreachable(asyncio.get_running_loop().time(), server)
+                one.open[0].close()
+                assert status(await client.answer()) == 502 and two.got.empty()
+
+    asyncio.run(play())
+
+
+def test_a_full_pool_is_not_poured_over_the_second_one() -> None:
+    async def play() -> None:
+        async with backend(lambda _: NEVER_RAN) as one, backend(lambda _: OK) as two:
+            async with served(pool("a", one.address) + pool("b", two.address) + BOOK) as up:
+                client = await up.client()
+                got = await client.ask(ask("POST", "/book", b"x"))
+                assert status(got) == 503 and float(fields(got)["retry-after"]) > 0.0 and two.got.empty()
+
+    asyncio.run(play())
+
+
+def test_where_no_pool_has_a_backend_the_caller_is_told_when_to_come_back() -> None:
+    async def play() -> None:
+        empty = '[pools.a]\nfile = "none"\n[pools.b]\nfile = "none"\n'
+        async with served(empty + BOOK) as up:
+            client = await up.client()
+            got = await client.ask(ask("POST", "/book", b"x"))
+            assert status(got) == 503 and fields(got)["retry-after"] == "1" and "connection" not in fields(got)
+
+    asyncio.run(play())
+
+
+def test_a_hung_pool_leaves_the_others_what_they_need() -> None:
+    """Its every backend is silent, at full load: the healthy one keeps its answers and its sockets."""
+    text = route("hung", "/hung", 'pool = "a"\nclass = "read"') + route("well", "/well", 'pool = "b"\nclass = "read"')
+    small = '[limits]\nsockets = 128\n[listeners.main]\naddress = "127.0.0.1:0"\n'
+    classes = '[classes.read]\naim = "20s"\ndeadline = "20s"\nrepeat = "safe"\n'
+
+    async def play() -> None:
+        async with backend(lambda _: None) as one, backend(lambda _: OK) as two:
+            async with served(classes + pool("a", one.address) + pool("b", two.address) + text, small) as up:
+                daemon = up.daemon
+                hung = [await up.client() for _ in range(30)]  # of 40 callers
+                for client in hung:
+                    client.writer.write(ask(target="/hung"))
+                refused = [client for client in hung if client]
+                await until(lambda: daemon._places.used("a") + sum(
+                    bool(client.reader._buffer) for client in refused) == 30)  # type: ignore[attr-defined]
+                assert daemon._places.used("a") <= 30 and daemon._sockets.used("a") <= 30
+                well = [await up.client() for _ in range(8)]
+                for _ in range(5):
+                    got = await asyncio.gather(*(client.ask(ask(target="/well")) for client in well))
+                    assert [status(one) for one in got] == [200] * 8
+                assert daemon._sockets.used("b") >= 1 and two.got.qsize() == 40
+                for client in hung:
+                    client.writer.close()
+                await until(lambda: daemon._places.used("a") == daemon._sockets.used("a") == 0)
+
+    asyncio.run(play())
+
+
+def test_a_sticky_split_follows_its_weights_while_they_change_under_load() -> None:
+    def split(weight: int) -> str:
+        return route("r", "/{k}", f'split = {{ a = {100 - weight}, b = {weight} }}\nkey = {{ path = "k" }}\n'
+                                  'class = "read"')
+
+    async def play() -> None:
+        async with backend(lambda _: answer(b"a")) as one, backend(lambda _: answer(b"b")) as two:
+            pools = pool("a", one.address) + pool("b", two.address)
+            async with served(pools + split(10)) as up:
+                clients, stop, seen = [await up.client() for _ in range(4)], asyncio.Event(), Counter[str]()
+
+                async def load(at: int) -> None:
+                    number = at
+                    while not stop.is_set():
+                        number += 1
+                        got = await clients[at].ask(ask(target=f"/key-{number % 200}"))
+                        assert status(got) == 200
+                        seen[got[-1:].decode()] += 1
+
+                async with asyncio.TaskGroup() as group:
+                    for at in range(3):
+                        group.create_task(load(at))
+                    for weight in (20, 30, 40, 50, 60, 50, 40, 30, 20, 10):
+                        await up.reload(pools + split(weight))
+                        for number in range(30):
+                            got = await clients[3].ask(ask(target=f"/key-{number}"))
+                            wanted = by_key([("a", 100.0 - weight), ("b", float(weight))], f"key-{number}".encode())
+                            assert got[-1:].decode() == wanted[0]
+                    stop.set()
+                assert seen["a"] > seen["b"] > 0
+
+    asyncio.run(play())
+
+
+def test_a_key_whose_pool_is_gone_goes_to_the_next_one_and_back() -> None:
+    text = route("r", "/{k}", 'split = { a = 50, b = 50 }\nkey = { path = "k" }\nclass = "read"')
+
+    async def play() -> None:
+        async with backend(lambda _: answer(b"b")) as two:
+            key = next(k for k in map(str, range(99)) if by_key([("a", 50.0), ("b", 50.0)], k.encode())[0] == "a")
+            async with served(pool("a", GONE) + pool("b", two.address) + text) as up:
+                client = await up.client()
+                assert (await client.ask(ask(target=f"/{key}"))).endswith(b"b")
+            async with backend(lambda _: answer(b"a")) as one:
+                async with served(pool("a", one.address) + pool("b", two.address) + text) as up:
+                    client = await up.client()
+                    assert (await client.ask(ask(target=f"/{key}"))).endswith(b"a")
+
+    asyncio.run(play())
--- a/tests/daemonic.py
+++ b/tests/daemonic.py
@@ -11,6 +11,7 @@
 from loopback import HOST, Backend, Client, backend, soon, until
 
 from lugspur.config.load import load
+from lugspur.daemon.daemon import Daemon
 from lugspur.daemon.run import Running
 
 HEAD = """
@@ -50,9 +51,10 @@
 
     def __init__(self, running: Running, file: Path) -> None:
         self.running, self.file = running, file
+        self.clients: list[Client] = []
 
     @property
-    def daemon(self):  # type: ignore[no-untyped-def]
+    def daemon(self) -> Daemon:
         return self.running.daemon
 
     @property
@@ -63,7 +65,8 @@
         return self.running.addresses()[listener][1]
 
     async def client(self, listener: str = "main") -> Client:
-        return Client(*await asyncio.open_connection(HOST, self.port(listener)))
+        self.clients.append(Client(*await asyncio.open_connection(HOST, self.port(listener))))
+        return self.clients[-1]
 
     async def reload(self, text: str, head: str = HEAD) -> None:
         """Replace the file as an editor does, and let the daemon read it."""
@@ -86,9 +89,12 @@
         file.write_text(head + text)
         running = Running(str(file))
         await running.start(load(str(file)))
+        up = Served(running, file)
         try:
-            yield Served(running, file)
+            yield up
         finally:
+            for client in up.clients:
+                client.writer.close()  # else one that was rejected lingers
             await soon(running.stop())
 
 
