--- /dev/null
+++ b/lugspur/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, as ratios within one run: `lugspur bench`."""
--- /dev/null
+++ b/lugspur/bench/processes.py
@@ -0,0 +1,123 @@
+"""Processes under measurement: started, asked for their CPU and memory, and ended again by their ids."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from lugspur.bench.sockets import free_port, wait_for
+
+TICK = 1.0 / os.sysconf("SC_CLK_TCK")
+WIDE = 30.0  # seconds that a process may take to start
+
+SERVICES = [
+    {"Name": "read", "Aim": 30.0, "HardLimit": 30.0, "Repeat": "retryable", "LateWorth": 1.0},
+    {"Name": "book", "Aim": 30.0, "HardLimit": 30.0, "Repeat": "fragile", "LateWorth": 1.0},
+]
+FILE = """[limits]
+sockets = 4096
+[listeners.main]
+address = "127.0.0.1:{port}"
+[classes.read]
+aim = "30s"
+deadline = "30s"
+repeat = "safe"
+[classes.book]
+aim = "30s"
+deadline = "30s"
+[pools.main]
+members = [{members}]
+[routes.read]
+path = "/api/{{key}}"
+methods = ["GET"]
+pool = "main"
+class = "read"
+[routes.book]
+path = "/api/{{key}}"
+methods = ["POST"]
+pool = "main"
+class = "book"
+"""
+
+
+class Process:
+    """One running process and the address that it serves."""
+
+    def __init__(self, process: subprocess.Popen[str], address: str) -> None:
+        self._process = process
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+
+    def cpu(self) -> float:
+        """Seconds of CPU that it has used, by the system's own count."""
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) * TICK
+
+    def memory(self) -> float:
+        """MiB that it holds now."""
+        lines = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024.0
+
+    def end(self) -> None:
+        """Stop it, and wait until it has."""
+        self._process.kill()
+        self._process.wait()
+
+
+@contextmanager
+def standin(*command: str) -> Iterator[Process]:
+    """A stand-in that prints `ready HOST:PORT`."""
+    process = subprocess.Popen([sys.executable, "-m", *command], stdout=subprocess.PIPE, text=True)
+    assert process.stdout is not None
+    running = Process(process, process.stdout.readline().split()[1])
+    try:
+        yield running
+    finally:
+        running.end()
+
+
+@contextmanager
+def served(command: list[str], port: int, environ: dict[str, str]) -> Iterator[Process]:
+    """A proxy that listens on this port."""
+    process = subprocess.Popen(command, env=os.environ | environ, text=True, stderr=subprocess.DEVNULL)
+    running = Process(process, f"127.0.0.1:{port}")
+    try:
+        wait_for(port, WIDE)
+        yield running
+    finally:
+        running.end()
+
+
+@contextmanager
+def platform(folder: Path, backends: list[Process]) -> Iterator[Process]:
+    """The platform's proxy."""
+    port = free_port()
+    entries = [{"name": f"b{n}", "address": f"127.0.0.1:{b.port}", "zone": "", "type": "", "group": 0, "weight": 1.0,
+                "status": "in_service", "since_ms": 0} for n, b in enumerate(backends)]
+    config = {
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1",
+        "limits": {"sockets": 4096, "memory_mb": 256}, "known": {"index": 1, "endpoints": entries},
+        "settings": {"Instances": 1, "Services": SERVICES, "Bounds": {"Cancel": True}},
+    }
+    file = folder / "platform.json"
+    file.write_text(json.dumps(config))
+    with served([sys.executable, "-m", "lugspur"], port, {"RELAY_CONFIG": str(file)}) as running:
+        time.sleep(1.5)  # until the list known at the start counts
+        yield running
+
+
+@contextmanager
+def daemon(folder: Path, backends: list[Process], more: str = "") -> Iterator[Process]:
+    """`lugspur run`, with further text in its file."""
+    port = free_port()
+    members = ", ".join(f'{{ address = "127.0.0.1:{backend.port}" }}' for backend in backends)
+    file = folder / f"run-{port}.toml"
+    file.write_text(FILE.format(port=port, members=members) + more)
+    with served([sys.executable, "-m", "lugspur", "run", str(file)], port, {}) as running:
+        yield running
--- a/lugspur/cli/main.py
+++ b/lugspur/cli/main.py
@@ -142,3 +142,12 @@
     pools = ", ".join(name if len(action.splits) == 1 else f"{name} {100 * weight / total:g}%"
                       for name, weight in action.splits)
     return f"pool {pools}" + (f"; then {', '.join(action.fallback)}" if action.fallback else "")
+
+
+@cli.command()
+@click.option("--requests", default=4000, show_default=True, help="Requests of each round.")
+def bench(requests: int) -> None:
+    """Measure what a request costs, as multiples of a bare byte relay; some two minutes of a quiet machine."""
+    from lugspur.bench.main import report
+
+    report(requests, click.echo)
