--- a/lugspur/daemon/outgoing.py
+++ b/lugspur/daemon/outgoing.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Iterator, Mapping
-from dataclasses import replace
+from functools import lru_cache
 from secrets import token_hex
 
 from lugspur.http1.intake import Request
@@ -14,7 +14,6 @@
 
 ID = re.compile(rb"[\x21-\x7e]{1,128}")
 VIA = b"Via: 1.1 lugspur\r\n"  # RFC 9110 7.6.3
-MADE = frozenset({b"host", b"x-request-id", b"x-forwarded-for", b"x-forwarded-proto"})  # written anew each time
 CLAIMS = frozenset(  # what only a trusted caller may say of where a request came from
     {b"forwarded", b"x-forwarded-host", b"x-forwarded-port", b"x-forwarded-prefix", b"x-real-ip"}
 )
@@ -42,21 +41,29 @@
     if forward.rewrite is not None:
         path = forward.rewrite.fill(match.captured).encode() or b"/"
         path += b"" if target.query is None else b"?" + target.query
-    gone = {name.encode() for name in forward.request.remove}
-    dropped = MADE | gone if trusts else MADE | CLAIMS | gone
-    lines = [line for line in request.lines if line.partition(b":")[0].lower() not in dropped]
+    dropped, lines = _dropped(forward.request.remove, trusts), request.lines
+    if not dropped.isdisjoint(request.headers):
+        lines = [line for line in lines if line.partition(b":")[0].lower() not in dropped]
     get = request.headers.get
     name = get(b"x-request-id", b"")
     came, scheme = get(b"x-forwarded-for", b""), get(b"x-forwarded-proto", b"")
-    lines += (
-        b"Host: %b\r\n" % target.authority,
-        b"X-Request-ID: %b\r\n" % (name if ID.fullmatch(name) else token_hex(8).encode()),
-        b"X-Forwarded-For: %b\r\n" % (came + b", " + peer.encode() if trusts and came else peer.encode()),
-        b"X-Forwarded-Proto: %b\r\n" % (scheme if trusts and scheme else b"http"),
+    added = b"Host: %b\r\nX-Request-ID: %b\r\nX-Forwarded-For: %b\r\nX-Forwarded-Proto: %b\r\n%b" % (
+        target.authority,
+        name if ID.fullmatch(name) else token_hex(8).encode(),
+        came + b", " + peer.encode() if trusts and came else peer.encode(),
+        scheme if trusts and scheme else b"http",
         VIA,
     )
-    lines += (f"{key}: {value}\r\n".encode() for key, value in forward.request.set)
-    return replace(request, target=path, lines=lines)
+    more = [f"{key}: {value}\r\n".encode() for key, value in forward.request.set]
+    return Request(request.method, path, request.headers, [*lines, added, *more], request.body, request.arrived,
+                   request.keep_alive, request.terms)
+
+
+@lru_cache(maxsize=1024)
+def _dropped(remove: frozenset[str], trusts: bool) -> frozenset[bytes]:
+    """Which of a caller's header lines go no further."""
+    gone = frozenset(name.encode() for name in remove)
+    return gone if trusts else gone | CLAIMS
 
 
 def changed(head: bytes, changes: Changes) -> bytes:
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -13,6 +13,9 @@
 HEAD_MOST = 16 << 10  # bytes of a request's head: what backends commonly read
 WIRE_PART = 8  # times the limit on a body that a request may take on the wire: the smallest chunks take six
 VERSIONS = ("1.1", "1.0")
+REWRITTEN = frozenset(  # what the daemon writes anew for each request, so that it needn't be taken out of the lines
+    {b"host", b"x-request-id", b"x-forwarded-for", b"x-forwarded-proto"}
+)
 NAMED = frozenset(
     {b"x-priority-class", b"x-tenant-id", b"x-timeout", b"x-request-id", b"x-retried", b"x-cost",
      b"idempotency-key", b"host"}
@@ -136,6 +139,8 @@
             self._headers[lower] = value
         elif self._sizes.ordinary:
             self._any(lower, value)
+        if self._sizes.ordinary and lower in REWRITTEN:
+            return
         if lower == b"connection":
             self._connection += b"," + value.lower()
         elif lower == b"content-length" and int(value) > self._sizes.body:
--- a/lugspur/routing/model.py
+++ b/lugspur/routing/model.py
@@ -271,5 +271,7 @@
 
 def conditions_hold(route: Route, asked: Asked) -> bool:
     """Whether the headers and parameters are as the route wants them."""
-    return all(c.holds(asked.headers.get(c.name)) for c in route.headers) and all(
-        c.holds(asked.query.get(c.name)) for c in route.query)
+    for condition in route.headers:
+        if not condition.holds(asked.headers.get(condition.name)):
+            return False
+    return all(c.holds(asked.query.get(c.name)) for c in route.query)
--- a/lugspur/routing/standing.py
+++ b/lugspur/routing/standing.py
@@ -52,6 +52,8 @@
 
     `splits` are in the order of the key or the draw. Empty: nobody could take it.
     """
+    if len(splits) == 1 and not fallback:  # most routes
+        return [] if standings[splits[0]].empty() else list(splits)
     order = list(dict.fromkeys((*splits, *fallback)))
     usable = [name for name in order if name in standings and standings[name].usable(now)]
     # Better a try at what may be back by now than a refusal; the first of them is enough.
