--- a/lugspur/cli/main.py
+++ b/lugspur/cli/main.py
@@ -151,3 +151,18 @@
     from lugspur.bench.main import report
 
     report(requests, click.echo)
+
+
+@cli.command()
+@click.option("--seconds", default=8.0, show_default=True, help="How long it plays.")
+@click.option("--seed", default=7, show_default=True, help="For what it draws.")
+def demo(seconds: float, seed: int) -> None:
+    """Three tiers behind the daemon under a small load, a backend killed and another drained half-way.
+
+    Ends by itself; exit 0 only if no request was lost or doubled and the drain was kept.
+    """
+    from rich.console import Console
+
+    from lugspur.demo.main import run as play
+
+    sys.exit(0 if asyncio.run(play(seconds, seed, Console())) else 1)
