--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -9,7 +9,7 @@
 
 import pytest
 from daemonic import answer, ask, backend, fields, pool, route, served, until
-from loopback import CLOSE, MAY_HAVE_RUN, NEVER_RAN, OK, soon, status
+from loopback import CLOSE, MAY_HAVE_RUN, NEVER_RAN, OK, entry, soon, status, watches
 
 from lugspur.routing.splits import by_key
 
@@ -193,3 +193,63 @@
                     assert (await client.ask(ask(target=f"/{key}"))).endswith(b"a")
 
     asyncio.run(play())
+
+
+def test_a_pool_follows_the_http_watch() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, watches() as discovery:
+            text = f'[pools.a]\nwatch = "127.0.0.1:{discovery.port}"\n' + route("r", "/", 'pool = "a"')
+            async with served(text) as up:
+                client = await up.client()
+                assert await soon(discovery.asked.get()) == "/v1/servers?follow=1&since=0"
+                assert status(await client.ask(ask())) == 503
+                discovery.say(3, [entry("one", one.address)], snapshot=True)
+                standing = up.daemon.stations["a"].standing
+                await until(lambda: not standing.empty())
+                assert status(await client.ask(ask())) == 200
+                discovery.say(4, [entry("one", one.address, "terminating")])
+                await until(standing.empty)
+                assert status(await client.ask(ask())) == 503 and one.got.qsize() == 1
+            await soon(discovery.ended.get())  # a daemon that ends lets go of its watch
+
+    asyncio.run(play())
+
+
+def test_a_list_that_another_source_has_replaced_tells_nothing_more() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, watches() as discovery:
+            way = route("r", "/", 'pool = "a"')
+            async with served(f'[pools.a]\nwatch = "127.0.0.1:{discovery.port}"\n' + way) as up:
+                await soon(discovery.asked.get())
+                discovery.say(3, [entry("one", GONE)], snapshot=True)
+                standing = up.daemon.stations["a"].standing
+                await until(lambda: not standing.empty())
+                await up.reload(pool("a", one.address) + way)
+                await soon(discovery.ended.get())
+                client = await up.client()
+                assert status(await client.ask(ask("POST", "/", b"x"))) == 200
+                assert len(up.daemon.stations["a"].pool.backends) == 1
+
+    asyncio.run(play())
+
+
+def test_odd_lists_change_nothing_and_are_named_once(capsys: pytest.CaptureFixture[str]) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            async with served('[pools.a]\nfile = "a.json"\n' + route("r", "/", 'pool = "a"')) as up:
+                listed, standing = up.file.with_name("a.json"), up.daemon.stations["a"].standing
+                listed.write_text(json.dumps({"endpoints": [entry("one", one.address)]}))
+                await until(lambda: not standing.empty())
+                assert capsys.readouterr().err.count("\n") == 1  # that there was none at first
+                for odd in ("[]", '{"endpoints": [{"name": "x"}]}', '{"endpoints": 7}', "\x00"):
+                    said = len(capsys.readouterr().err)
+                    listed.write_text(odd)
+                    complaints: list[str] = []
+                    await until(lambda seen=complaints: bool(  # type: ignore[misc]
+                        seen.append(capsys.readouterr().err) or "".join(seen)))
+                    assert said == 0 and "the last list stays" in "".join(complaints)
+                    assert not standing.empty()
+                client = await up.client()
+                assert status(await client.ask(ask())) == 200
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/test_adopt.py
@@ -0,0 +1,77 @@
+"""The decision module goes on by other settings: what it learned stays, open requests keep their class."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jaspershelf import Balancer, Fail, ListKind, Outcome, Repeat, RequestClass, Send, ServerRow, Settings, Tenant
+from lugspur.daemon.station import places
+
+READ = RequestClass("read", repeat=Repeat.SAFE, late_worth=1.0)
+BOOK = RequestClass("book", late_worth=1.0)
+
+
+def balancer(*classes: RequestClass) -> Balancer:
+    one = Balancer(Settings(classes=classes), seed=1)
+    one.members(0.0, ListKind.WHOLE, [ServerRow(1), ServerRow(2)])
+    return one
+
+
+def test_what_was_learned_stays() -> None:
+    one = balancer(READ)
+    [send] = one.request(1.0, "a")
+    assert isinstance(send, Send)
+    one.outcome(1.2, "a", 0, Outcome.OK, 0.2, True)
+    one.adopt(2.0, Settings(classes=(replace(READ, aim=0.5), BOOK), tenants=(Tenant("t", quota=3.0),)))
+    assert one.servers[send.server].latency == 0.2 and one.paced == 1
+    [again] = one.request(2.0, "b", kind=1, tenant=0)
+    assert isinstance(again, Send)
+
+
+def test_an_open_request_is_judged_by_the_class_that_it_began_with() -> None:
+    one = balancer(BOOK)
+    one.request(1.0, "a")
+    with pytest.raises(ValueError, match=r"classes\[0\]: a request of it is open"):
+        one.adopt(1.1, Settings(classes=(READ,)))
+    one.adopt(1.1, Settings(classes=(BOOK, READ)))
+    [fail] = one.outcome(1.2, "a", 0, Outcome.BROKEN, 0.2)
+    assert isinstance(fail, Fail)
+    one.adopt(1.3, Settings(classes=(READ,)))  # now nothing stands against it
+
+
+def test_the_retry_budget_goes_on_with_what_was_spent() -> None:
+    one = balancer(READ)
+    for number in range(30):
+        rid = f"r{number}"
+        one.request(1.0, rid)
+        one.outcome(1.0, rid, 0, Outcome.BROKEN, 0.0)
+    spent = len(one.budget._extra)
+    one.adopt(1.0, replace(one.settings, classes=(replace(READ, aim=0.9),)) if not one.requests else one.settings)
+    assert len(one.budget._extra) == spent > 0
+
+
+def test_classes_bound_to_servers_are_refused() -> None:
+    one = balancer(READ)
+    with pytest.raises(ValueError, match="bound ones"):
+        one.adopt(1.0, Settings(classes=(replace(READ, only_kinds=(1,)),)))
+
+
+CLASSES = st.lists(st.integers(0, 6).map(lambda n: RequestClass(f"c{n % 3}", worth=n)), min_size=1, max_size=4,
+                   unique=True)
+
+
+@given(st.lists(st.tuples(CLASSES, st.sets(st.integers(0, 12))), min_size=1, max_size=6))
+def test_places_of_open_requests_stay_and_the_list_does_not_grow_for_ever(
+    steps: list[tuple[list[RequestClass], set[int]]]
+) -> None:
+    known: list[RequestClass] = []
+    for wanted, open_ in steps:
+        held = {at for at in open_ if at < len(known)}
+        after = places(known, wanted, held)
+        assert all(after[at] == known[at] for at in held) and set(wanted) <= set(after)
+        assert len(after) <= max(len(known), len(held) + len(wanted))
+        known = after
