--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import socket
 import time
 from typing import Any
 
@@ -646,3 +647,102 @@
             assert (await client.answer()).endswith(b"\r\n\r\ndone")
 
     asyncio.run(play())
+
+
+def test_a_name_is_looked_up_and_its_addresses_are_tried_in_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as gone:
+            pass
+        async with backend(lambda _: OK) as one:
+            dead, live = (int(stub.address.rpartition(":")[2]) for stub in (gone, one))
+
+            async def found(*_: Any, **__: Any) -> list[Any]:
+                return [(socket.AF_INET, 0, 0, "", (HOST, port)) for port in (dead, live)]
+
+            exchanges = Exchanges(one)
+            exchanges.upstream.update(exchanges.known, ("backend.local", 1), 0.0, True)
+            with monkeypatch.context() as patch:
+                patch.setattr(asyncio.get_running_loop(), "getaddrinfo", found)
+                exchanges.start()
+                assert await soon(exchanges.ended.get()) is Outcome.OK
+            assert exchanges.upstream.sockets() == 1
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("how", ["unknown", "cancelled"])
+def test_a_name_that_is_not_found_or_no_longer_wanted_leaves_nothing(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        asked = asyncio.Event()
+
+        async def look(*_: Any, **__: Any) -> list[Any]:
+            asked.set()
+            if how == "cancelled":
+                await asyncio.Event().wait()
+            raise socket.gaierror(socket.EAI_NONAME, "no such name")
+
+        async with backend(lambda _: OK) as one:
+            exchanges = Exchanges(one)
+            exchanges.upstream.update(exchanges.known, ("backend.local", 1), 0.0, True)
+            with monkeypatch.context() as patch:
+                patch.setattr(asyncio.get_running_loop(), "getaddrinfo", look)
+                exchange = exchanges.start()
+                await soon(asked.wait())
+                if how == "cancelled":
+                    exchange.end(Outcome.CANCELLED)
+                wanted = Outcome.CANCELLED if how == "cancelled" else Outcome.UNREACHABLE
+                assert await soon(exchanges.ended.get()) is wanted
+            assert exchanges.upstream.sockets() == 0 and one.got.empty()
+
+    asyncio.run(play())
+
+
+def test_a_connection_that_never_comes_up_is_given_up_in_time() -> None:
+    """A full accept queue answers nothing, as a machine that is cut off does."""
+    async def play() -> None:
+        with socket.socket() as full:
+            full.bind((HOST, 0))
+            full.listen(0)
+            fillers = [socket.socket() for _ in range(4)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(full.getsockname())
+            told: list[tuple[int, bool]] = []
+            pool = Upstream(Shares(9, {}), "", 60.0, 0.2, 1 << 20, dialled=lambda *what: told.append(what))
+            known, ended = Known(full.getsockname(), 7), asyncio.Queue[Outcome]()
+            pool.update(known, known.address, 0.0, True)
+            now = asyncio.get_running_loop().time()
+            pool.start(Exchange(known, now, now + 3 * WIDE, lambda left: b"", lambda _, how, __: ended.put_nowait(how)))
+            assert await soon(ended.get()) is Outcome.UNREACHABLE
+            assert pool.sockets() == 0 and told == [(7, False)]
+            for filler in fillers:
+                filler.close()
+
+    asyncio.run(play())
+
+
+def test_a_request_larger_than_the_sockets_room_goes_out_whole() -> None:
+    async def play() -> None:
+        gate, body = asyncio.Event(), b"x" * (8 << 20)
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            got = await reader.readexactly(len(body))
+            writer.write(OK if got == body else CLOSE)
+
+        server = await asyncio.start_server(slow, HOST, 0, limit=1 << 16)
+        async with backend(lambda _: OK) as one:
+            exchanges = Exchanges(one)
+            exchanges.upstream.update(exchanges.known, server.sockets[0].getsockname(), 0.0, True)
+            exchange = exchanges.start(body)
+            await until(lambda: exchange.connection is not None)
+            connection = exchange.connection
+            assert connection is not None and not connection.written  # not yet: it surely has not run
+            gate.set()
+            assert await soon(exchanges.ended.get()) is Outcome.OK
+            assert connection.written
+        server.close()
+
+    asyncio.run(play())
