--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -15,7 +15,7 @@
 from lugspur.daemon.pool import Owner, Pool
 from lugspur.http1.upstream import Upstream
 from lugspur.membership.rows import Endpoint, Reader
-from lugspur.membership.source import FixedList, Source, Told, WatchedFile
+from lugspur.membership.source import FixedList, Source, WatchedFile
 from lugspur.membership.watch import Discovery
 from lugspur.routing.shares import Shares
 from lugspur.routing.standing import Standing
@@ -63,7 +63,6 @@
         self._sockets, self._owner, self._epoch = sockets, owner, epoch
         self._loop = asyncio.get_running_loop()
         self._row: model.Pool | None = None
-        self._fed = 0  # how many sources there have been
         self._origin: object = None  # what its source was made from
         self._source: Source | None = None
         self.pool: Pool
@@ -121,23 +120,11 @@
         self._source.open()
 
     def _made(self, row: model.Pool, beside: str) -> Source:
-        told = self._teller()
         if row.file:
-            return WatchedFile(resolved(row.file, beside), told)
+            return WatchedFile(resolved(row.file, beside), self._members)
         if row.watch:
-            return Discovery(row.watch, Reader(), 0, told)
-        return FixedList([_entry(member) for member in row.members], told)
-
-    def _teller(self) -> Told:
-        """Guards the list against what a source still has to say after another has taken its place."""
-        self._fed += 1
-        number = self._fed
-
-        def told(kind: ListKind, endpoints: list[Endpoint]) -> None:
-            if number == self._fed:
-                self._members(kind, endpoints)
-
-        return told
+            return Discovery(row.watch, Reader(), 0, self._members)
+        return FixedList([_entry(member) for member in row.members], self._members)
 
     def _members(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
         if not endpoints and kind is ListKind.PATCH:
