--- a/lugspur/bench/main.py
+++ b/lugspur/bench/main.py
@@ -78,7 +78,7 @@
             "run": stack.enter_context(daemon(folder, backends)),
         }
         if against is not None:
-            contestants["platform before"] = stack.enter_context(platform(folder, backends, against))
+            contestants["platform, other checkout"] = stack.enter_context(platform(folder, backends, against))
         return {kind: measure(contestants, kind, requests) for kind in ("read", "book")}
 
 
@@ -132,7 +132,7 @@
                 f"{row.cpu * 1e6:.0f} | {row.cpu / base:.1f} | {row.memory:.1f} |")
         say(f"| {kind} | run / platform | | | | | {rows[2].cpu / rows[1].cpu:.2f} | |")
         if against is not None:
-            say(f"| {kind} | platform / before | | | | | {rows[1].cpu / rows[3].cpu:.2f} | |")
+            say(f"| {kind} | platform / other checkout | | | | | {rows[1].cpu / rows[3].cpu:.2f} | |")
     say("\n| routes | look-up us | x the first | MiB of run |\n| --- | --- | --- | --- |")
     held = dict(memory())
     looked = lookups()
