Let no header that ends here choose a route, nor a caller's word a redirect's host

Seen on rereading: a header that Connection names was still looked at for routes and tenants, though no backend saw it; a redirect could be written with a path variable in its host, and so lead where the caller likes; a new listener's address could still fail after a reload had begun to change things. Change: such headers are dropped for the decision, too; the host of a redirect is literal; addresses are listened on first; lugspur bench measures reading and checking a file.

--- a/lugspur/bench/main.py
+++ b/lugspur/bench/main.py
@@ -12,6 +12,7 @@
 from tempfile import TemporaryDirectory
 
 from lugspur.bench.processes import Process, daemon, platform, standin
+from lugspur.config.load import load
 from lugspur.routing.model import Asked, Forward, Route, read_pattern
 from lugspur.routing.table import Table
 from lugspur.routing.target import read_target
@@ -107,8 +108,8 @@
     return found
 
 
-def memory() -> list[tuple[int, float]]:
-    """MiB of the daemon by the number of routes."""
+def memory() -> list[tuple[int, float, float]]:
+    """MiB of the daemon, and seconds to read and check its file, by the number of routes."""
     found = []
     with TemporaryDirectory() as name, standin("lugspur.standins.backend") as backend:
         for count in (0, *COUNTS):
@@ -116,7 +117,10 @@
                 f'[routes.r{n}]\npath = "/svc{n // 100}/hotels/{{id}}/rooms/*"\nhosts = ["h{n % 100}.example"]\n'
                 f'methods = ["GET"]\npool = "main"\n' for n in range(count))
             with daemon(Path(name), [backend], text) as process:
-                found.append((count, process.memory()))
+                [file] = Path(name).glob(f"run-{process.port}.toml")
+                begun = time.perf_counter()
+                load(str(file))
+                found.append((count, process.memory(), time.perf_counter() - begun))
     return found
 
 
@@ -133,9 +137,8 @@
         say(f"| {kind} | run / platform | | | | | {rows[2].cpu / rows[1].cpu:.2f} | |")
         if against is not None:
             say(f"| {kind} | platform / other checkout | | | | | {rows[1].cpu / rows[3].cpu:.2f} | |")
-    say("\n| routes | look-up us | x the first | MiB of run |\n| --- | --- | --- | --- |")
-    held = dict(memory())
-    looked = lookups()
-    say(f"| 0 | | | {held[0]:.1f} |")
-    for count, seconds in looked:
-        say(f"| {count} | {seconds * 1e6:.2f} | {seconds / looked[0][1]:.2f} | {held[count]:.1f} |")
+    say("\n| routes | look-up us | x the first | MiB of run | s to read and check |\n| --- | --- | --- | --- | --- |")
+    looked = dict(lookups())
+    for count, held, took in memory():
+        look = f"{looked[count] * 1e6:.2f} | {looked[count] / looked[COUNTS[0]]:.2f}" if count else "|"
+        say(f"| {count} | {look} | {held:.1f} | {took:.2f} |")
--- a/lugspur/config/build.py
+++ b/lugspur/config/build.py
@@ -326,7 +326,8 @@
     status, to = row.redirect.status, row.redirect.to
     if status not in (301, 302, 303, 307, 308):
         place.at("status").wrong(f"{status} is no redirect that leads elsewhere; write 301, 302, 303, 307 or 308")
-    if not re.match(r"/(?!/)|https?://[^/{*]", to):
+    # Guards against a caller's word in the host's place: https://x{name} would lead wherever the caller likes.
+    if not re.match(r"/(?!/)|https?://[0-9A-Za-z.:\[\]_-]+(?:[/?]|$)", to):
         place.at("to").wrong(f'{shown(to)} leads nowhere; begin with "/" or "https://host"')
     template = _tried(place.at("to"), lambda: read_template(to, pattern))
     return Redirect(status, template) if template else None
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -14,7 +14,7 @@
 from lugspur.config.load import FileFaults, load
 from lugspur.daemon.daemon import Daemon
 from lugspur.daemon.service import drain
-from lugspur.http1.front import Front
+from lugspur.http1.front import BACKLOG, Front
 
 Listening = tuple[Front, socket.socket]
 
@@ -126,6 +126,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind((host, port))
+        sock.listen(BACKLOG)  # now, since it may fail where another socket is bound: nothing is changed yet
     except OSError as fault:
         sock.close()
         raise OSError(f"listener {name} can't have {host}:{port}: {fault.strerror or fault}") from fault
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -186,6 +186,8 @@
         if not named.isdisjoint(NAMED):  # Guards against a request that loses its id on the way.
             self._reject(400, "a header can't be dropped")
         self._lines = [line for line in self._lines if line.partition(b":")[0].lower() not in named]
+        for name in named:  # Guards routes and tenants against a header that no backend will see.
+            self._headers.pop(name, None)
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -72,6 +72,7 @@
     ("[routes.s]\npath = \"/s\"\nreply = { status = 99 }", 16, "99 is not from 200 to 599"),
     ("[routes.s]\npath = \"/s\"\nreply = { status = 200 }\nclass = \"book\"", 17, "no meaning beside reply"),
     ("[routes.s]\npath = \"/s\"\nredirect = { to = \"//evil\" }", 16, 'leads nowhere; begin with "/" or'),
+    ("[routes.s]\npath = \"/{x}\"\nhosts = [\"s\"]\nredirect = { to = \"https://s{x}/\" }", 17, 'leads nowhere; begin with'),
     ("[routes.s]\npath = \"/s\"\nredirect = { to = \"/{x}\" }", 16, "takes {x} from a path that has none"),
     ("[routes.s]\npath = \"/s\"\nredirect = { to = \"/t\", status = 304 }", 16, "304 is no redirect"),
     ("[routes.s]\npath = \"/s\"\npool = \"a\"\nrewrite = \"/t/*\"", 17, "takes * from a path that does not end in"),
--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -53,6 +53,21 @@
     asyncio.run(play())
 
 
+def test_a_header_that_ends_here_chooses_no_route() -> None:
+    text = ALL + route("beta", "/*", 'pool = "b"\nheaders = { X-Beta = "1" }') + route(
+        "of", "/of", 'pool = "a"\ntenant = { header = "X-Tenant" }') + "[tenants.acme]\n"
+
+    async def play() -> None:
+        async with backend(lambda _: answer(b"a")) as one, backend(lambda _: answer(b"b")) as two:
+            async with served(pool("a", one.address) + pool("b", two.address) + text) as up:
+                client = await up.client()
+                assert (await client.ask(ask(X_Beta="1"))).endswith(b"b")
+                assert (await client.ask(ask(X_Beta="1", Connection="keep-alive, x-beta"))).endswith(b"a")
+                assert status(await client.ask(ask(target="/of", X_Tenant="acme", Connection="X-Tenant"))) == 403
+
+    asyncio.run(play())
+
+
 def test_a_route_changes_paths_and_header_lines() -> None:
     text = route("r", "/v1/{id}/x/*", """pool = "a"
 rewrite = "/{id}/*"
