--- a/lugspur/standins/zookeeper/server.py
+++ b/lugspur/standins/zookeeper/server.py
@@ -13,11 +13,13 @@
 from lugspur.standins.zookeeper.tree import Event as Told
 from lugspur.standins.zookeeper.tree import Node, parent_of
 from lugspur.zookeeper import records as r
+from lugspur.zookeeper.frames import Frames
 from lugspur.zookeeper.jute import Input, Malformed, buffer, decode, encode
 from lugspur.zookeeper.records import Error, Happened, Op
 
 FRAME_MOST = 0xFFFFF + 1024  # bytes; the default of jute.maxbuffer, and room for a header
 SYNC_CONNECTED = 3
+EVENT_PREFIX = r.EVENT_XID.to_bytes(4, "big", signed=True)
 NEWER = (Op.ADD_WATCH, Op.SET_WATCHES2)  # requests that servers before 3.6 don't know
 WRITES = (Op.CREATE, Op.CREATE2, Op.DELETE, Op.SET_DATA, Op.SET_ACL, Op.CHECK)
 
@@ -27,7 +29,7 @@
     """What a server does wrong just now."""
 
     stalled: bool = False  # connections stay open; nothing is read, nothing is written
-    late: float = 0.0  # seconds by which replies come late
+    late: float = 0.0  # seconds by which replies come late; infinite: until the server is mended
     overtaking: bool = False  # events go out at once, past replies that are late
     old: bool = False  # it knows no persistent watches
     read_only: bool = False
@@ -94,6 +96,7 @@
         self.faults = Faults()
         self.replica.catch_up()
         for connection in tuple(self.connections):
+            connection.release()
             connection.pump()
 
     # ---- changes -----------------------------------------------------------------------------
@@ -149,10 +152,11 @@
         self.watches = Watches()
         self.who = Who()
         self._session: Session | None = None
-        self._data = b""
+        self._cut = Frames(FRAME_MOST)
         self._frames: deque[bytes] = deque()
         self._held: tuple[int, bytes] | None = None  # the zxid that a write's reply waits for
         self._late: deque[tuple[float, bytes]] = deque()
+        self._unsaid: list[bytes] = []
         self._loop = asyncio.get_running_loop()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -176,18 +180,11 @@
     # ---- frames ------------------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
-        self._data += data
-        at = 0
-        while len(self._data) - at >= 4:
-            length = int.from_bytes(self._data[at:at + 4], "big", signed=True)
-            if not 0 <= length <= FRAME_MOST:
-                self.abort()
-                return
-            if len(self._data) - at - 4 < length:
-                break
-            self._frames.append(self._data[at + 4:at + 4 + length])
-            at += 4 + length
-        self._data = self._data[at:]
+        try:
+            self._frames.extend(self._cut.feed(data))
+        except Malformed:
+            self.abort()
+            return
         self.pump()
 
     def pump(self) -> None:
@@ -214,28 +211,45 @@
             self.write(buffer(frame))
             return
         self._late.append((self._loop.time() + late, buffer(frame)))
-        if len(self._late) == 1:
-            self._loop.call_at(self._late[0][0], self._flush)
+        if late != float("inf"):
+            self._loop.call_at(self._late[-1][0], self._flush)
 
     def _flush(self) -> None:
         while self._late and self._late[0][0] <= self._loop.time() + 0.001:
             self.write(self._late.popleft()[1])
-        if self._late:
-            self._loop.call_at(self._late[0][0], self._flush)
+
+    def release(self) -> None:
+        """Send what is late, or was not said."""
+        unsaid, self._unsaid = self._unsaid, []
+        for data in unsaid:
+            self.write(data)
+        while self._late:
+            self.write(self._late.popleft()[1])
 
     def event(self, kind: Happened, path: str) -> None:
         """Tell of a watch; it goes out before any later reply, and past late ones where that fault is on."""
         header = r.ReplyHeader(r.EVENT_XID, -1, 0)
         frame = encode(header) + encode(r.Event(kind, SYNC_CONNECTED, path))
+        self._reply(frame)
         if self._server.faults.overtaking:
-            self.write(buffer(frame))
-        else:
-            self._reply(frame)
+            self._overtake()
+
+    def _overtake(self) -> None:
+        """Events go out past the replies that are late, and in their own order: the protocol promises that."""
+        late, self._late = self._late, deque()
+        for due, data in late:
+            if data[4:8] == EVENT_PREFIX:
+                self.write(data)
+            else:
+                self._late.append((due, data))
 
     def write(self, data: bytes) -> None:
         """Bytes as they are, unless a fault says otherwise."""
-        if self._server.faults.stalled or self._transport.is_closing():
-            return  # a stalled server's words are lost with the connection, which its client has to give up
+        if self._transport.is_closing():
+            return
+        if self._server.faults.stalled:  # as with a process that is stopped: said later, if ever
+            self._unsaid.append(data)
+            return
         if self._server.faults.cut:
             self._server.faults.cut = False
             self._transport.write(data[:len(data) // 2])
@@ -263,6 +277,8 @@
             self.end()
         elif header.op == Op.MULTI:
             self._multi(header.xid, r.decode_parts(source))
+        elif header.op == Op.SYNC:  # answered when this server shows all that was confirmed by now
+            self._wait(self._server.ensemble.zxid, header.xid, Error.OK, encode(decode(r.Path, source)))
         else:
             self._request(header.xid, header.op, source)
 
@@ -334,9 +350,7 @@
             if not self.who.prove(row.scheme, row.auth):
                 raise Refused(Error.AUTH_FAILED)
             return b""
-        if op == Op.PING:
-            return b""
-        return encode(row) if op == Op.SYNC else self._look(op, row)
+        return b"" if op == Op.PING else self._look(op, row)
 
     def _look(self, op: int, row: Any) -> bytes:
         node = self._server.replica.tree.nodes.get(row.path)
--- /dev/null
+++ b/lugspur/zookeeper/session.py
@@ -0,0 +1,311 @@
+"""One session with an ensemble, without I/O: bytes and the time go in, events and bytes come out.
+
+The rules are those of the Java client (ClientCnxn.java): a ping when nothing was sent for a third of the granted
+time-out, another server when nothing was heard for two thirds of it, and the session offered again wherever the
+client connects next. Only a server can say that a session has expired.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Any
+
+from lugspur.zookeeper import records as r
+from lugspur.zookeeper.frames import Frames
+from lugspur.zookeeper.jute import Input, Malformed, buffer, decode, encode
+from lugspur.zookeeper.records import Error, Happened, Op
+
+FRAME_MOST = 4 << 20  # bytes of a server's frame: some 100,000 names of children; the Java client's limit
+WATCHES_MOST = 128 << 10  # bytes of paths in one setWatches: servers take frames of 1 MB
+PENDING_MOST = 10_000  # requests without a reply: far more than the view and the registrations ask at once
+XID_MOST = (1 << 31) - 1
+READS = (Op.GET_DATA, Op.EXISTS, Op.GET_CHILDREN, Op.GET_CHILDREN2)
+
+
+class State(Enum):
+    """Where a session stands."""
+
+    DOWN = auto()  # no connection
+    OPENING = auto()  # connected; the server has not taken the session yet
+    UP = auto()
+    CLOSED = auto()  # for good
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """What a session is asked for; the time-out is in seconds, and servers may grant another."""
+
+    timeout: float = 10.0
+    read_only: bool = False  # whether servers that are cut off from the rest will do
+    auth: tuple[tuple[str, bytes], ...] = ()  # schemes and what they take, such as ("digest", b"user:password")
+
+
+@dataclass(slots=True, frozen=True)
+class Up:
+    """The session can be used; a fresh one has lost all that an earlier one had."""
+
+    fresh: bool
+    session: int
+    timeout: float  # seconds, as granted
+
+
+@dataclass(slots=True, frozen=True)
+class Down:
+    """The connection is over or must be given up; replies that are missing never come. The session may live on."""
+
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Expired:
+    """A server says that the session is no more; the next connection begins a fresh one."""
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """What became of a request; `result` is None where there is an error."""
+
+    token: int
+    op: int
+    error: int
+    result: Any
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """What a watch tells."""
+
+    kind: Happened
+    path: str
+
+
+Event = Up | Down | Expired | Reply | Told
+
+
+@dataclass(slots=True)
+class _Watched:
+    """Watches that the server holds for this session, to be set again at the next one."""
+
+    data: set[str] = field(default_factory=set)
+    exists: set[str] = field(default_factory=set)
+    children: set[str] = field(default_factory=set)
+    persistent: set[str] = field(default_factory=set)
+    recursive: set[str] = field(default_factory=set)
+
+    def asked(self, op: int, row: Any, error: int) -> None:
+        """A request that may have set one was answered."""
+        if op == Op.ADD_WATCH and not error:
+            (self.recursive if row.mode == r.PERSISTENT_RECURSIVE else self.persistent).add(row.path)
+        elif op in READS and row.watch:
+            if op == Op.EXISTS and error == Error.NO_NODE:
+                self.exists.add(row.path)
+            elif not error:
+                (self.children if op in (Op.GET_CHILDREN, Op.GET_CHILDREN2) else self.data).add(row.path)
+
+    def told(self, kind: Happened, path: str) -> None:
+        """One-shot watches are spent by what they tell."""
+        if kind is Happened.CHILDREN:
+            self.children.discard(path)
+            return
+        self.data.discard(path)
+        self.exists.discard(path)
+        if kind is Happened.DELETED:
+            self.children.discard(path)
+
+    def requests(self, since: int) -> Iterable[tuple[Op, Any]]:
+        """Set them all again, in requests that a server takes."""
+        lists = (self.data, self.exists, self.children, self.persistent, self.recursive)
+        newer = bool(self.persistent or self.recursive)
+        rows: list[list[str]] = [[] for _ in lists]
+        size = 0
+        for at, path in ((at, path) for at, paths in enumerate(lists) for path in sorted(paths)):
+            rows[at].append(path)
+            size += len(path.encode()) + 4
+            if size >= WATCHES_MOST:
+                yield _set_again(since, rows, newer)
+                rows, size = [[] for _ in lists], 0
+        if size:
+            yield _set_again(since, rows, newer)
+
+
+def _set_again(since: int, rows: list[list[str]], newer: bool) -> tuple[Op, Any]:
+    kept = [tuple(paths) for paths in rows]
+    return (Op.SET_WATCHES2, r.SetWatches2(since, *kept)) if newer else (Op.SET_WATCHES, r.SetWatches(since, *kept[:3]))
+
+
+class Session:
+    """Keeps one session through any number of connections. Times are in seconds, of one clock that never steps."""
+
+    def __init__(self, terms: Terms, servers: int = 1) -> None:
+        self.terms = terms
+        self.state = State.DOWN
+        self.id = 0
+        self.timeout = terms.timeout  # as granted, once a server has
+        self.zxid = 0  # the latest change that was seen of the tree, at any server
+        self.heard = float("-inf")  # when a server last said anything
+        self._servers = servers
+        self._password = r.NO_PASSWORD
+        self._floor = 0  # the zxid seen before this connection
+        self._out: list[bytes] = []
+        self._pending: deque[tuple[int, int, Any]] = deque()
+        self._xid = 0
+        self._sent = 0.0
+        self._opened = 0.0
+        self._frames = Frames(FRAME_MOST)
+        self._watched = _Watched()
+
+    @property
+    def attempt(self) -> float:
+        """Seconds that a server may take to let the session in.
+
+        Guards the session: two thirds of its time-out may have gone by before the first server is given up, and
+        all others are to be tried in what is left.
+        """
+        return self.timeout / 3.0 / max(1, self._servers - 1)
+
+    # ---- connections -------------------------------------------------------------------------
+
+    def opened(self, now: float) -> None:
+        """A connection is up."""
+        self.state, self._opened, self._floor = State.OPENING, now, self.zxid
+        self._frames = Frames(FRAME_MOST)
+        self._out.clear()
+        self._write(now, encode(r.ConnectRequest(
+            0, self.zxid, int(self.timeout * 1000), self.id, self._password, self.terms.read_only)))
+
+    def lost(self, reason: str) -> list[Event]:
+        """The connection is over, or given up; nothing happens where it was so already."""
+        if self.state in (State.DOWN, State.CLOSED):
+            return []
+        self.state = State.DOWN
+        self._pending.clear()
+        self._out.clear()
+        return [Down(reason)]
+
+    def received(self, now: float, data: bytes) -> list[Event]:
+        """Bytes of the server; a Down among the events asks for another connection."""
+        if self.state in (State.DOWN, State.CLOSED):
+            return []
+        self.heard = now
+        events: list[Event] = []
+        try:
+            for frame in self._frames.feed(data):
+                events += self._opening(now, frame) if self.state is State.OPENING else self._frame(frame)
+                if events and isinstance(events[-1], Down):
+                    break
+        except Malformed as fault:
+            events += self.lost(f"it sent what is no ZooKeeper's: {fault}")
+        return events
+
+    def take(self) -> bytes:
+        """What is to be sent now."""
+        data = b"".join(self._out)
+        self._out.clear()
+        return data
+
+    def due(self) -> float:
+        """When `tick` is wanted next; infinite without a connection."""
+        if self.state is State.OPENING:
+            return self._opened + self.attempt
+        if self.state is State.UP:
+            return min(self._sent + self.timeout / 3.0, self.heard + self.timeout * 2.0 / 3.0)
+        return float("inf")
+
+    def tick(self, now: float) -> list[Event]:
+        """Keep the session alive, or give up a server that says nothing."""
+        if now < self.due():
+            return []
+        if self.state is State.OPENING or now >= self.heard + self.timeout * 2.0 / 3.0:
+            # Guards against a server that hangs with its connections open: nothing else would tell.
+            return self.lost("it says nothing")
+        self._request(now, r.PING_XID, Op.PING, r.Nothing())
+        return []
+
+    def close(self, now: float) -> None:
+        """Ask for the session's end; its ephemeral nodes go with it."""
+        if self.state is State.UP:
+            self.ask(now, Op.CLOSE, r.Nothing())
+
+    # ---- requests ----------------------------------------------------------------------------
+
+    def ask(self, now: float, op: int, row: Any) -> int:
+        """Send a request while the session is up; the token comes back with the reply. Raises RuntimeError."""
+        if self.state is not State.UP:
+            raise RuntimeError("the session is not up")
+        if len(self._pending) >= PENDING_MOST:
+            raise RuntimeError(f"{PENDING_MOST} requests have no reply yet")
+        self._xid = self._xid % XID_MOST + 1
+        self._pending.append((self._xid, op, row))
+        self._request(now, self._xid, op, row)
+        return self._xid
+
+    def _request(self, now: float, xid: int, op: int, row: Any) -> None:
+        body = r.encode_parts(row) if op == Op.MULTI else encode(row)
+        self._write(now, encode(r.RequestHeader(xid, op)) + body)
+
+    def _write(self, now: float, frame: bytes) -> None:
+        self._sent = now
+        self._out.append(buffer(frame))
+
+    # ---- what the server says ----------------------------------------------------------------
+
+    def _opening(self, now: float, frame: bytes) -> list[Event]:
+        source = Input(frame)
+        answer = decode(r.ConnectResponse, source)
+        read_only = bool(source.left) and source.data[source.at] != 0
+        if answer.timeout <= 0 or not answer.session:
+            # What was seen of the tree stays known: a server behind it is none to follow with a fresh session either.
+            self.id, self._password, self.timeout = 0, r.NO_PASSWORD, self.terms.timeout
+            self._watched = _Watched()
+            return [Expired(), *self.lost("the session has expired")]
+        if read_only and not self.terms.read_only:
+            return self.lost("it is read-only")
+        fresh = answer.session != self.id
+        self.id, self._password, self.timeout = answer.session, answer.password, answer.timeout / 1000.0
+        self.state = State.UP
+        for scheme, auth in self.terms.auth:
+            self._request(now, r.AUTH_XID, Op.AUTH, r.Auth(0, scheme, auth))
+        if fresh:
+            self._watched = _Watched()
+        for op, row in self._watched.requests(self.zxid):
+            self._request(now, r.WATCHES_XID, op, row)
+        return [Up(fresh, self.id, self.timeout)]
+
+    def _frame(self, frame: bytes) -> list[Event]:
+        source = Input(frame)
+        header = decode(r.ReplyHeader, source)
+        if 0 < header.zxid < self._floor:
+            return self.lost("it is behind what other servers have shown")
+        self.zxid = max(self.zxid, header.zxid)
+        if header.xid == r.EVENT_XID:
+            return self._told(decode(r.Event, source))
+        if header.xid == r.AUTH_XID and header.error:
+            return self.lost("it takes no such credentials")
+        if header.xid in (r.PING_XID, r.AUTH_XID, r.WATCHES_XID):
+            return []
+        if not self._pending or self._pending[0][0] != header.xid:
+            raise Malformed(f"reply {header.xid} to no request, or out of turn")
+        return self._reply(header, source)
+
+    def _told(self, event: r.Event) -> list[Event]:
+        if event.kind not in (Happened.CREATED, Happened.DELETED, Happened.CHANGED, Happened.CHILDREN):
+            return []
+        kind = Happened(event.kind)
+        self._watched.told(kind, event.path)
+        return [Told(kind, event.path)]
+
+    def _reply(self, header: r.ReplyHeader, source: Input) -> list[Event]:
+        xid, op, row = self._pending.popleft()
+        error, result = header.error, None
+        if op == Op.ADD_WATCH and not error and not source.left:
+            error = Error.UNIMPLEMENTED  # servers before 3.6 answer what they don't know without a body
+        if not error:
+            result = r.decode_results(source) if op == Op.MULTI else decode(r.REPLIES[op], source)
+        self._watched.asked(op, row, error)
+        if op == Op.CLOSE:
+            self.state = State.CLOSED
+            return [Reply(xid, op, error, None), Down("the session is closed")]
+        return [Reply(xid, op, error, result)]
--- /dev/null
+++ b/lugspur/zookeeper/view.py
@@ -0,0 +1,322 @@
+"""What one folder of the tree holds, without I/O: told changes are read at once, and all of it after every gap.
+
+Between the server and the view the order is the protocol's: a watch tells of a change before any read shows it. The
+view does not lean on that alone. Whatever is told of a node while a read of it is on its way is read once more.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Any
+
+from lugspur.zookeeper import records as r
+from lugspur.zookeeper.records import Error, Happened, Op
+from lugspur.zookeeper.session import Up
+
+WINDOW = 500  # reads on their way at once: servers slow down all their clients at 1,000 (globalOutstandingLimit)
+DROPS_MOST = 2  # connections lost over addWatch in a row, after which the server is taken not to know it
+
+
+@dataclass(slots=True, frozen=True)
+class Whole:
+    """Everything has been read: these are all nodes, by name."""
+
+    nodes: dict[str, r.Data | None]
+
+
+@dataclass(slots=True, frozen=True)
+class Present:
+    """A node is new or has other data; without data where it may not be read."""
+
+    name: str
+    data: r.Data | None
+
+
+@dataclass(slots=True, frozen=True)
+class Absent:
+    """A node has been deleted, by whomever."""
+
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class Unread:
+    """The folder can't be read, for this reason; NO_NODE: it has never existed since this view began."""
+
+    error: int
+
+
+News = Whole | Present | Absent | Unread
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A request that is to be sent; whoever sends it brings back the reply with it."""
+
+    op: Op
+    row: Any
+    name: str = ""  # of the node that it reads
+    round: int = 0  # of the connection that it belongs to
+
+
+class Phase(Enum):
+    """How much of the folder is known."""
+
+    DOWN = auto()
+    READING = auto()  # all is being read
+    FOLLOWING = auto()
+
+
+@dataclass(slots=True)
+class _Reads:
+    """Reads of single nodes: at most one of each on its way."""
+
+    queue: deque[str] = field(default_factory=deque)
+    queued: set[str] = field(default_factory=set)
+    out: dict[str, bool] = field(default_factory=dict)  # on their way, and whether the reply will count
+    again: set[str] = field(default_factory=set)  # told of since they were asked for
+
+    def want(self, name: str) -> None:
+        """Read it, or read it once more."""
+        if name in self.out:
+            self.again.add(name)
+        elif name not in self.queued:
+            self.queued.add(name)
+            self.queue.append(name)
+
+    def wanted(self, name: str) -> bool:
+        """Whether a read of it is to come, or is on its way."""
+        return name in self.out or name in self.queued
+
+    def drop(self, name: str) -> None:
+        """It is gone: a reply that is on its way may be of before."""
+        self.queued.discard(name)
+        self.again.discard(name)
+        if name in self.out:
+            self.out[name] = False
+
+    def next(self) -> str | None:
+        """The next to ask for, if one may be asked for now."""
+        while self.queue and len(self.out) < WINDOW:
+            name = self.queue.popleft()
+            if name in self.queued:
+                self.queued.discard(name)
+                self.out[name] = True
+                return name
+        return None
+
+    def came(self, name: str) -> bool:
+        """Its reply is there; gives whether it counts."""
+        counts = self.out.pop(name, False)
+        if name in self.again:
+            self.again.discard(name)
+            self.want(name)
+        return counts
+
+
+class View:
+    """Follows the children of `path`; `asks` and `news` are to be taken after each event."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self.phase = Phase.DOWN
+        self._inside = path.rstrip("/") + "/"
+        self._asks: list[Ask] = []
+        self._news: list[News] = []
+        self._round = 0
+        self._plain = False  # whether only one-shot watches are to be had at this server
+        self._drops = 0
+        self._adding = False
+        self._reads = _Reads()
+        self._listing = False  # whether a list of the children is on its way...
+        self._list_again = False  # ...and is to be asked for once more
+        self._listed_once = False  # whether this full read has had one
+        self._missing: set[str] = set()  # nodes that the full read still waits for
+        self._versions: dict[str, tuple[int, int]] = {}  # what was told: by name, czxid and mzxid
+        self._fresh: dict[str, r.Data | None] = {}  # what the full read has found
+        self._seen = False  # whether the folder has ever been read whole
+
+    def asks(self) -> list[Ask]:
+        """What is to be asked now."""
+        while (name := self._reads.next()) is not None:
+            self._asks.append(Ask(Op.GET_DATA, r.Watching(self._inside + name, self._plain), name, self._round))
+        asks, self._asks = self._asks, []
+        return asks
+
+    def news(self) -> list[News]:
+        """What has become known since the last time."""
+        news, self._news = self._news, []
+        return news
+
+    # ---- the connection ----------------------------------------------------------------------
+
+    def up(self, event: Up) -> None:
+        """There is a connection; what happened before it is unknown, so all is read."""
+        self._plain = self._drops >= DROPS_MOST
+        self._read_all()
+        # Guards against a server that lags: what follows shows all that any server had confirmed by now.
+        self._ask(Op.SYNC, r.Path(self.path))
+        if self._plain:
+            self._list()
+        else:
+            self._adding = True
+            self._ask(Op.ADD_WATCH, r.AddWatch(self.path, r.PERSISTENT_RECURSIVE))
+
+    def down(self) -> None:
+        """There is none: what was told stays, and what is on its way is lost."""
+        if self._adding:
+            self._drops += 1
+        self._adding = False
+        self.phase = Phase.DOWN
+        self._asks.clear()
+        self._reads = _Reads()
+
+    def again(self) -> None:
+        """Try once more to read a folder that could not be read."""
+        if self.phase is Phase.READING and not self._listing and not self._adding:
+            self._list()
+
+    def _read_all(self) -> None:
+        self.phase = Phase.READING
+        self._round += 1  # a reply to what was asked before counts no more
+        self._reads = _Reads()
+        self._listing = self._list_again = False
+        self._listed_once = False
+        self._fresh, self._missing = {}, set()
+
+    def _ask(self, op: Op, row: Any) -> None:
+        self._asks.append(Ask(op, row, round=self._round))
+
+    def _list(self) -> None:
+        if self._listing:
+            self._list_again = True
+            return
+        self._listing = True
+        self._ask(Op.GET_CHILDREN2, r.Watching(self.path, self._plain))
+
+    # ---- what watches tell -------------------------------------------------------------------
+
+    def told(self, kind: Happened, path: str) -> None:
+        """A watch has told."""
+        if self.phase is Phase.DOWN:
+            return
+        if path == self.path:
+            self._told_folder(kind)
+        elif path.startswith(self._inside) and "/" not in (name := path[len(self._inside):]):
+            if kind is Happened.DELETED:
+                self._gone(name)
+                self._check_whole()
+            elif kind is not Happened.CHILDREN:
+                self._reads.want(name)
+
+    def _told_folder(self, kind: Happened) -> None:
+        if kind is Happened.DELETED:
+            for name in tuple(self._versions):
+                self._gone(name)
+            self._read_all()
+            self._list()  # without a node it sets no watch: the reply says so, and `exists` sets one
+        elif kind is Happened.CREATED or (kind is Happened.CHILDREN and self._plain):
+            self._list()
+
+    def _gone(self, name: str) -> None:
+        """It has been deleted; whoever makes it again is somebody else."""
+        self._reads.drop(name)
+        self._missing.discard(name)
+        self._fresh.pop(name, None)
+        if self._versions.pop(name, None) is not None:
+            self._news.append(Absent(name))
+
+    # ---- replies -----------------------------------------------------------------------------
+
+    def reply(self, ask: Ask, error: int, result: Any) -> None:
+        """What became of a request."""
+        if ask.round != self._round or self.phase is Phase.DOWN:
+            return
+        if ask.op == Op.ADD_WATCH:
+            self._added(error)
+        elif ask.op == Op.GET_CHILDREN2:
+            self._listed(error, result)
+        elif ask.op == Op.GET_DATA:
+            if self._reads.came(ask.name):
+                self._read(ask.name, error, result)
+                self._check_whole()
+        elif ask.op == Op.EXISTS and not error:
+            self._list()  # it was made between the two requests
+
+    def _added(self, error: int) -> None:
+        self._adding, self._drops = False, 0
+        self._plain = bool(error)
+        self._list()
+
+    def _listed(self, error: int, result: Any) -> None:
+        self._listing = False
+        if self._list_again:
+            self._list_again = False
+            self._list()
+        if error == Error.NO_NODE:
+            self._unmade()
+            return
+        if error:  # Guards the pool: a folder that may not be read now is not empty.
+            self._news.append(Unread(error))
+            return
+        names = set(result.names)
+        for name in (self._versions.keys() | self._fresh.keys()) - names:
+            wanted = self._reads.wanted(name)
+            self._gone(name)
+            if wanted:  # Guards a node whose making was told while this list, which is older, was on its way.
+                self._reads.want(name)
+        if self.phase is Phase.READING and not self._listed_once:
+            self._listed_once = True
+            self._missing = names
+            fresh = names
+        else:
+            self._missing &= names
+            fresh = names - self._versions.keys() - self._fresh.keys() - self._missing
+        for name in sorted(fresh):
+            self._reads.want(name)
+        self._check_whole()
+
+    def _unmade(self) -> None:
+        """The folder does not exist. Where it has, its nodes have been deleted one by one or with it."""
+        for name in tuple(self._versions):
+            self._gone(name)
+        self._fresh, self._missing = {}, set()
+        if self._plain:
+            self._ask(Op.EXISTS, r.Watching(self.path, True))
+        if self._seen:
+            self._listed_once = True
+            self._check_whole()
+        else:
+            self._news.append(Unread(Error.NO_NODE))
+
+    def _read(self, name: str, error: int, result: Any) -> None:
+        if error == Error.NO_NODE:
+            self._gone(name)
+            return
+        self._missing.discard(name)
+        data: r.Data | None = result if not error else None
+        version = (data.stat.czxid, data.stat.mzxid) if data is not None else (0, 0)
+        known = self._versions.get(name)
+        if known is not None and known[0] and version[0] and version[0] != known[0]:
+            self._news.append(Absent(name))  # deleted and made again unseen: somebody else's, of the same name
+        if self.phase is Phase.READING:
+            self._fresh[name] = data
+        if self._seen:
+            self._versions[name] = version
+            if known != version:
+                self._news.append(Present(name, data))
+
+    def _check_whole(self) -> None:
+        """The full read is over when each node that it listed has been read; what changes meanwhile is read after."""
+        if self.phase is not Phase.READING or self._missing or not self._listed_once:
+            return
+        self.phase = Phase.FOLLOWING
+        self._seen = True
+        self._versions = {
+            name: (data.stat.czxid, data.stat.mzxid) if data is not None else (0, 0)
+            for name, data in self._fresh.items()
+        }
+        self._news.append(Whole(self._fresh))
+        self._fresh = {}
