Follow a ZooKeeper registry from a pool, and register listeners and boxes in it

Need: the list of boxes arrives seconds late; teams register boxes as ephemeral nodes.

Change: [registries.NAME] and a pool's registry = { name, path, format, stale-after }; nodes in our own JSON, Curator's and Finagle's become rows; one session a registry, however many pools; what is told counts at once, what is merely not heard takes nobody out (membership/doubt.py). A listener's register and the command lugspur register keep a box's own node, looked at before it is made, deleted first thing on SIGTERM, made again when the session was lost.

--- a/lugspur/cli/main.py
+++ b/lugspur/cli/main.py
@@ -144,6 +144,37 @@
     return f"pool {pools}" + (f"; then {', '.join(action.fallback)}" if action.fallback else "")
 
 
+@cli.command()
+@click.argument("file")
+@click.argument("registry")
+@click.argument("path")
+@click.option("--name", required=True, help="The node's name; with --sequential the beginning of it.")
+@click.option("--address", required=True, metavar="HOST:PORT", help="Where the box is reached.")
+@click.option("--check", "url", metavar="URL", help="http://HOST:PORT/PATH answers below 400, or tcp://HOST:PORT takes "
+              "connections, while the box is well; by default tcp:// at its address.")
+@click.option("--every", default="1s", show_default=True, help="Time between two checks.")
+@click.option("--zone", default="", help="The box's zone.")
+@click.option("--cell", default=0, help="The box's cell.")
+@click.option("--weight", default=1.0, show_default=True, help="The box's size against the others'.")
+@click.option("--sequential", is_flag=True, help="Let the registry number the node.")
+def register(
+    file: str, registry: str, path: str, name: str, address: str, url: str | None, every: str, zone: str, cell: int,
+    weight: float, sequential: bool,
+) -> None:
+    """Keep the node of a box in PATH of a REGISTRY that FILE names, while the box is well.
+
+    SIGTERM deletes the node first thing, then ends. Stop it before the box itself, so that nobody calls the box later.
+    """
+    from lugspur.cli.register import beside, wished
+
+    plan = _load(file)
+    try:
+        wish = wished(plan, registry, path, name, address, url, every, zone, cell, weight, sequential)
+    except ValueError as fault:
+        raise click.UsageError(str(fault)) from fault
+    asyncio.run(beside(wish))
+
+
 @cli.command()
 @click.option("--requests", default=4000, show_default=True, help="Requests of each round.")
 @click.option("--against", metavar="DIR", help="Another checkout, whose platform's proxy is measured beside ours.")
--- a/lugspur/config/build.py
+++ b/lugspur/config/build.py
@@ -37,6 +37,8 @@
 )
 PLAIN = "(no class)"  # the class of routes that name none...
 NOBODY = "(no tenant)"  # ...and the tenant of those that tell none apart
+EVERYWHERE = ("0.0.0.0", "::")
+ORIGINS = ("members", "file", "watch", "registry")
 FORWARD_ONLY = ("fallback", "kind", "deadline", "tenant", "key", "rewrite", "request", "response")
 KEYS = {"kind": "class"}
 CONFLICTS_MOST = 100  # named in one run of the check
@@ -81,9 +83,10 @@
     if file.daemon.instance >= file.daemon.instances:
         place.at("daemon", "instance").wrong(
             f"{file.daemon.instance} is not below instances = {file.daemon.instances}; count from 0")
-    _check_listeners(file, place.at("listeners"))
+    registries = _named(raw, "registries")
+    _check_listeners(file, registries, place.at("listeners"))
     for name, pool in file.pools.items():
-        _check_pool(pool, place.at("pools", name))
+        _check_pool(pool, registries, place.at("pools", name))
     routes = _Routes(file, raw, place.at("routes"))
     table = Table(routes.read())
     for found, (one, two) in enumerate(conflicts(table.routes)):
@@ -107,19 +110,32 @@
         place.at("window").wrong('a window belongs to repeat = "keyed" alone; leave it out')
 
 
-def _check_listeners(file: model.File, place: Place) -> None:
+def _check_listeners(file: model.File, registries: Mapping[str, object], place: Place) -> None:
     seen: dict[Any, str] = {}
     for name, row in file.listeners.items():
+        if row.register is not None:
+            _check_register(row, row.register, registries, place.at(name, "register"))
         other = seen.setdefault(row.address, name)
         if other != name and row.address[1]:
             place.at(name, "address").wrong(f'listener "{other}" has this address already; take another port')
 
 
-def _check_pool(pool: model.Pool, place: Place) -> None:
-    given = [name for name, there in (("members", pool.members), ("file", pool.file), ("watch", pool.watch)) if there]
-    if len(given) != 1:
+def _check_register(
+    row: model.Listener, register: model.Register, registries: Mapping[str, object], place: Place
+) -> None:
+    _known(register.registry, registries, "registry", place.at("registry"))
+    if register.address is None and row.address[0] in EVERYWHERE:
+        place.wrong(f'nobody can call {row.address[0]}; write address = "HOST:PORT", where callers reach the listener')
+
+
+def _check_pool(pool: model.Pool, registries: Mapping[str, object], place: Place) -> None:
+    given = [name for name in ORIGINS if getattr(pool, name)]
+    if len(given) != 1 and given != ["members", "registry"]:
         said = f"{' and '.join(given)} are both given" if given else "no backends are given"
-        place.wrong(f'{said}; write exactly one of members = [{{ address = "127.0.0.1:9001" }}], file and watch')
+        place.wrong(f'{said}; write exactly one of members = [{{ address = "127.0.0.1:9001" }}], '
+                    f"{', '.join(ORIGINS[1:-1])} and {ORIGINS[-1]}")
+    if pool.registry is not None:
+        _known(pool.registry.name, registries, "registry", place.at("registry", "name"))
     seen: set[str] = set()
     for at, member in enumerate(pool.members):
         name = member_name(member)
@@ -183,13 +199,13 @@
     def _forward(self, row: model.Route, pattern: Pattern, place: Place) -> Forward:
         splits = tuple(row.split.items()) or ((row.pool, 1.0),)
         for name, _ in splits:
-            self._known(name, self._pools, "pool", place.at(*(("split", name) if row.split else ("pool",))))
+            _known(name, self._pools, "pool", place.at(*(("split", name) if row.split else ("pool",))))
         for at, name in enumerate(row.fallback):
-            self._known(name, self._pools, "pool", place.at("fallback", at))
+            _known(name, self._pools, "pool", place.at("fallback", at))
             if name in dict(splits):
                 place.at("fallback", at).wrong(f'pool "{name}" is no fallback for itself; leave it out')
         if row.kind:
-            self._known(row.kind, self._classes, "class", place.at("class"))
+            _known(row.kind, self._classes, "class", place.at("class"))
         rewrite = None
         if row.rewrite:
             rewrite = _tried(place.at("rewrite"), lambda: read_template(row.rewrite, pattern))
@@ -201,9 +217,10 @@
             _changes(row.response, place.at("response")),
         )
 
-    def _known(self, name: str, among: Mapping[str, object], what: str, place: Place) -> None:
-        if name not in among:
-            place.wrong(f'{what} "{name}" is not in this file{nearest(name, among)}')
+
+def _known(name: str, among: Mapping[str, object], what: str, place: Place) -> None:
+    if name not in among:
+        place.wrong(f'{what} "{name}" is not in this file{nearest(name, among)}')
 
 
 def _named(raw: Mapping[str, Any], section: str) -> Mapping[str, object]:
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -14,10 +14,15 @@
 from lugspur.config.units import (
     Wrong,
     address,
+    addresses,
     choice,
+    credentials,
     duration,
     flag,
+    folder,
+    node,
     number,
+    one_of,
     shown,
     size,
     text,
@@ -26,6 +31,8 @@
 )
 from lugspur.membership.rows import Address
 
+FORMATS = ("auto", "own", "curator", "serverset")  # of nodes; membership/nodes.py reads them
+
 MEMORY_MOST = 1 << 40
 
 
@@ -67,11 +74,36 @@
     idle: float = option(duration(2.0, 3600.0), "time that a caller may keep a connection between requests", 60.0)
 
 
+@dataclass(slots=True)
+class Registry:
+    """A ZooKeeper ensemble that pools follow and listeners register in, by one session."""
+
+    ensemble: tuple[Address, ...] = option(addresses, 'its servers, as ["127.0.0.1:2181", "127.0.0.1:2182"]')
+    session: float = option(duration(0.5, 600.0), "the session's time-out to ask for; servers may grant another", 10.0)
+    auth: str = option(credentials, 'digest credentials, as "user:password"', "")
+    read_only: bool = option(flag, "whether servers that are cut off from the others will do", False)
+
+
+@dataclass(slots=True)
+class Register:
+    """A listener's own node in a registry, there for as long as it listens."""
+
+    registry: str = option(text, "the registry")
+    path: str = option(folder, "the folder that the node is made in; it is made too")
+    name: str = option(node, "the node's name; with sequential the beginning of it")
+    address: Address | None = option(address, "where callers reach the listener, if not where it listens", None)
+    zone: str = option(text, "the zone to tell; by default the daemon's", "")
+    cell: int = option(whole(), "the cell to tell", 0)
+    weight: float = option(number(0.001, 1e6), "the weight to tell", 1.0)
+    sequential: bool = option(flag, "whether the registry numbers the node", False)
+
+
 @dataclass(slots=True)
 class Listener:
     """An address that callers connect to."""
 
     address: Address = option(address, 'where to listen, as "127.0.0.1:8080"; port 0 takes a free one')
+    register: Register | None = part(Register, "its node in a registry", None)
     trust_forwarded: bool = option(
         flag, "whether callers' X-Forwarded-For and X-Forwarded-Proto are kept and added to", False)
 
@@ -130,11 +162,26 @@
     span: float = option(duration(0.001, 3600.0), "the span", EXTRA_SPAN)
 
 
+@dataclass(slots=True)
+class Follow:
+    """The folder of a registry that a pool follows: each node in it is a backend."""
+
+    name: str = option(text, "the registry")
+    path: str = option(folder, 'the folder, as "/services/channel"')
+    format: str = option(one_of(*FORMATS), f"how nodes are written: {', '.join(FORMATS)}", "auto")
+    stale_after: float = option(
+        duration(0.1), "time without a word of the registry after which the log shows the list as stale", 30.0)
+
+
 @dataclass(slots=True)
 class Pool:
-    """Backends that serve alike. Where they come from: exactly one of members, file and watch."""
+    """Backends that serve alike. Where they come from: exactly one of members, file, watch and registry.
+
+    Members beside a registry serve until it has been reached for the first time.
+    """
 
     members: list[Member] = rows(Member, "a fixed list of backends")
+    registry: Follow | None = part(Follow, "a folder of a registry that is followed", None)
     file: str = option(text, "a file with the list, in the form of the HTTP watch; it is read when it changes", "")
     watch: Address | None = option(address, "the address of a discovery that serves the HTTP watch", None)
     attempts: int = option(whole(1, 10), "attempts for a request at most", 3)
@@ -216,5 +263,6 @@
     listeners: dict[str, Listener] = parts(Listener, "where callers connect")
     classes: dict[str, Class] = parts(Class, "kinds of requests")
     tenants: dict[str, Tenant] = parts(Tenant, "whose traffic is told apart")
+    registries: dict[str, Registry] = parts(Registry, "where backends are registered")
     pools: dict[str, Pool] = parts(Pool, "backends")
     routes: dict[str, Route] = parts(Route, "what becomes of a request")
--- a/lugspur/config/units.py
+++ b/lugspur/config/units.py
@@ -117,17 +117,54 @@
     return found
 
 
-def choice(kind: type[E]) -> Callable[[object], E]:
-    """A reader of one of a few words."""
-    def read(value: object) -> E:
-        known = [str(item.value) for item in kind]
+def one_of(*known: str) -> Callable[[object], str]:
+    """A reader of one of a few words that stay texts."""
+    def read(value: object) -> str:
         if value not in known:
             hint = nearest(value, known) if isinstance(value, str) else ""
             raise Wrong(f"{shown(value)} is none of {', '.join(known)}{hint if 'mean' in hint else ''}")
-        return kind(value)
+        return str(value)
+    return read
+
+
+def choice(kind: type[E]) -> Callable[[object], E]:
+    """A reader of one of a few words."""
+    def read(value: object) -> E:
+        return kind(one_of(*(str(item.value) for item in kind))(value))
     return read
 
 
+def addresses(value: object) -> tuple[Address, ...]:
+    """A list of `host:port`, each once."""
+    if value == []:
+        raise Wrong('the list is empty; write one address or more, as in ["127.0.0.1:2181"]')
+    return tuple(address(item) for item in words(value))
+
+
+def folder(value: object) -> str:
+    """The path of a registry's folder."""
+    path = text(value)
+    if not path.startswith("/") or path == "/" or path.endswith("/") or {"", ".", ".."} & set(path[1:].split("/")):
+        raise Wrong(f'{shown(value)} is no folder of a registry; write one such as "/services/channel"')
+    return path
+
+
+def node(value: object) -> str:
+    """The name of a registry's node."""
+    name = text(value)
+    if "/" in name or name in ("", ".", ".."):
+        raise Wrong(f'{shown(value)} is no name of a node; write one such as "channel-1"')
+    return name
+
+
+def credentials(value: object) -> str:
+    """`user:password`, or nothing."""
+    found = text(value)
+    if found and not all(found.partition(":")[::2]):
+        raise Wrong('it has no user and password; write one such as "user:password"')
+    return found
+
+
 def address(value: object) -> Address:
     """`host:port`."""
     try:
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -17,6 +17,7 @@
 from lugspur.http1.front import Caller, Front
 from lugspur.http1.intake import Rejected, Request, Sizes
 from lugspur.http1.upstream import HELD_PART, Response
+from lugspur.membership.registry import Registries
 from lugspur.routing.model import Asked, Forward, Redirect, Reply
 from lugspur.routing.shares import Shares, even
 from lugspur.routing.splits import by_chance, by_key
@@ -62,6 +63,7 @@
         self._places = Shares(0, {})  # requests in hand, by pool
         self.regime: Regime
         self.stations: dict[str, Station] = {}
+        self.registries = Registries()
 
     def apply(self, plan: Plan, path: str) -> None:
         """Take over a plan in one step: requests in hand keep what they began with."""
@@ -77,8 +79,10 @@
         for name, row in pools.items():
             station = self.stations.get(name)
             if station is None:
-                station = self.stations[name] = Station(name, self._sockets, self, self._epoch)
-            station.apply(row, plan.settings(row), int(held * row.share), limits.answer, path)
+                station = self.stations[name] = Station(
+                    name, self._sockets, self, self._epoch, self.registries)
+            station.apply(
+                row, plan.settings(row), int(held * row.share), limits.answer, path, plan.file.registries)
         standings = {name: station.standing for name, station in self.stations.items()}
         self.regime = Regime(plan, dict(self.stations), standings)
 
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -8,10 +8,12 @@
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 from lugspur.config import model
 from lugspur.config.build import Plan
 from lugspur.config.load import FileFaults, load
+from lugspur.daemon.announcers import Announcers
 from lugspur.daemon.daemon import Daemon
 from lugspur.daemon.service import drain
 from lugspur.http1.front import BACKLOG, Front
@@ -25,6 +27,7 @@
     def __init__(self, path: str) -> None:
         self.path = path
         self.daemon = Daemon()
+        self.announcers = Announcers(self.daemon.registries)
         self.listeners: dict[str, Listening] = {}
         self._rows: dict[str, model.Listener] = {}
         self._leaving: set[asyncio.Task[None]] = set()
@@ -80,7 +83,8 @@
     async def _apply(self, plan: Plan) -> None:
         """Take the new listeners' addresses first: what can fail comes before anything is changed."""
         rows = plan.file.listeners
-        kept = {name for name, row in rows.items() if name in self.listeners and self._rows[name] == row}
+        kept = {name for name, row in rows.items()
+                if name in self.listeners and _terms(self._rows[name]) == _terms(row)}
         taken = {sock.getsockname()[:2]: sock for _, sock in self.listeners.values()}
         bound: dict[str, socket.socket] = {}
         try:
@@ -93,6 +97,7 @@
             for sock in bound.values():
                 sock.close()
             raise
+        self.announcers.retire(plan.file, self.addresses())
         self.daemon.apply(plan, self.path)
         for name in self.listeners.keys() - kept:
             self._leave(name)
@@ -102,6 +107,7 @@
         for name in kept:
             self.daemon.retune(self.listeners[name][0])
         self._rows = dict(rows)
+        self.announcers.apply(plan.file, self.addresses())
 
     def _leave(self, name: str) -> None:
         task = asyncio.get_running_loop().create_task(drain(*self.listeners.pop(name)))
@@ -111,12 +117,19 @@
     # ---- the end -----------------------------------------------------------------------------
 
     async def stop(self) -> None:
-        """Finish what was taken, then let go of everything."""
+        """Tell registries first, finish what was taken, then let go of everything."""
+        await self.announcers.leave()
         for name in tuple(self.listeners):
             self._leave(name)
         await asyncio.gather(*self._leaving)
         for station in self.daemon.stations.values():
             station.close()
+        await self.daemon.registries.close()
+
+
+def _terms(row: model.Listener) -> model.Listener:
+    """What of a row needs another listener where it changes."""
+    return replace(row, register=None)
 
 
 def _bind(name: str, row: model.Listener) -> socket.socket:
--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import os
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -14,11 +14,13 @@
 from lugspur.config.load import resolved
 from lugspur.daemon.pool import Owner, Pool
 from lugspur.http1.upstream import Upstream
+from lugspur.membership.registry import Ensemble, Followed, Registries
 from lugspur.membership.rows import Endpoint, Reader
 from lugspur.membership.source import FixedList, Source, WatchedFile
 from lugspur.membership.watch import Discovery
 from lugspur.routing.shares import Shares
 from lugspur.routing.standing import Standing
+from lugspur.zookeeper.session import Terms
 
 LEAVE_EVERY = 0.1  # seconds between looks at whether a pool that leaves has ended its last request
 
@@ -57,9 +59,10 @@
 class Station:
     """A pool by its name in the file."""
 
-    def __init__(self, name: str, sockets: Shares, owner: Owner, epoch: float) -> None:
+    def __init__(self, name: str, sockets: Shares, owner: Owner, epoch: float, registries: Registries) -> None:
         self.name = name
         self.standing = Standing()
+        self._registries = registries
         self._sockets, self._owner, self._epoch = sockets, owner, epoch
         self._loop = asyncio.get_running_loop()
         self._row: model.Pool | None = None
@@ -68,7 +71,10 @@
         self.pool: Pool
         self._tenants: dict[str, int] = {}
 
-    def apply(self, row: model.Pool, settings: Settings, held_most: int, answer_most: int, beside: str) -> None:
+    def apply(
+        self, row: model.Pool, settings: Settings, held_most: int, answer_most: int, beside: str,
+        registries: Mapping[str, model.Registry],
+    ) -> None:
         """Begin, or go on, by this row of the file `beside`; what was learned of backends stays."""
         if self._row is None:
             self._begin(row, settings)
@@ -79,7 +85,7 @@
         self._row = row
         self._tenants = {tenant.name: at for at, tenant in enumerate(settings.tenants)}
         self.pool.upstream.tune(row.keep, row.connect, held_most, answer_most, row.idle)
-        self._feed(row, beside)
+        self._feed(row, beside, registries)
 
     def kind(self, row: RequestClass) -> int:
         """A class's place in this pool's settings; one that a reload has taken out while a body came is put back."""
@@ -108,23 +114,32 @@
 
     # ---- the list ----------------------------------------------------------------------------
 
-    def _feed(self, row: model.Pool, beside: str) -> None:
+    def _feed(self, row: model.Pool, beside: str, registries: Mapping[str, model.Registry]) -> None:
         """Take the list from where the row says; one that has not changed goes on as it is."""
-        origin = (row.members, row.file, row.watch)
+        ensemble = registries[row.registry.name] if row.registry else None
+        origin = (row.members, row.file, row.watch, row.registry, ensemble)
         if self._source is not None and origin == self._origin:
             return
         former, self._origin = self._source, origin
+        self._source = self._made(row, beside, ensemble)
+        self._source.open()  # before the former ends: a session that both use goes on
         if former is not None:
             former.close()  # what it told stays until the new one tells a whole list
-        self._source = self._made(row, beside)
-        self._source.open()
 
-    def _made(self, row: model.Pool, beside: str) -> Source:
+    def _made(self, row: model.Pool, beside: str, ensemble: model.Registry | None) -> Source:
+        fixed = [Reader().endpoint(_entry(member)) for member in row.members]
         if row.file:
             return WatchedFile(resolved(row.file, beside), self._members)
         if row.watch:
             return Discovery(row.watch, Reader(), 0, self._members)
-        return FixedList([_entry(member) for member in row.members], self._members)
+        if row.registry is not None and ensemble is not None:
+            follow, known = row.registry, bool(self.pool.backends)
+            # Guards a pool whose registry has moved: its last list is better than the fixed one.
+            return Followed(
+                self._registries, servers(ensemble), follow.path, follow.format, follow.stale_after,
+                [] if known else fixed, self._members, self.name,
+            )
+        return FixedList(fixed, self._members)
 
     def _members(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
         if not endpoints and kind is ListKind.PATCH:
@@ -156,6 +171,12 @@
         self.pool.upstream.close()
 
 
+def servers(row: model.Registry) -> Ensemble:
+    """A registry's row as its sessions need it."""
+    auth = (("digest", row.auth.encode()),) if row.auth else ()
+    return Ensemble(row.ensemble, Terms(row.session, row.read_only, auth))
+
+
 def _entry(member: model.Member) -> dict[str, Any]:
     return {
         "name": member_name(member), "address": f"{member.address[0]}:{member.address[1]}", "zone": member.zone,
--- a/lugspur/membership/source.py
+++ b/lugspur/membership/source.py
@@ -6,7 +6,7 @@
 import os
 import sys
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import orjson
 
@@ -31,8 +31,8 @@
 class FixedList:
     """A list that never changes."""
 
-    def __init__(self, entries: list[dict[str, Any]], told: Told) -> None:
-        self._endpoints = [Reader().endpoint(entry) for entry in entries]
+    def __init__(self, endpoints: list[Endpoint], told: Told) -> None:
+        self._endpoints = endpoints
         self._told = told
 
     def open(self) -> None:
--- a/lugspur/standins/zookeeper/ensemble.py
+++ b/lugspur/standins/zookeeper/ensemble.py
@@ -41,9 +41,9 @@
 class Refused(Exception):
     """A request that is not done."""
 
-    def __init__(self, error: Error) -> None:
-        super().__init__(error.name)
-        self.error = error
+    def __init__(self, error: int) -> None:
+        self.error = Error(error)
+        super().__init__(self.error.name)
 
 
 @dataclass(slots=True)
@@ -195,15 +195,17 @@
             results.append((op, self._result(op, row, effect)))
         return self._tell(Change(zxid, now, tuple(effects))), tuple(results)
 
-    def write(self, who: Who, text: str, data: bytes) -> int:
-        """For scripts and tests: make a node or replace its data, with all the paths above it."""
-        above = parent_of(text)
+    def write(self, who: Who, path: str, data: bytes) -> None:
+        """For scripts and tests: make a node or replace its data; paths above it are made to last. Raises Refused."""
+        above = parent_of(path)
         if above not in self.tree.nodes:
-            self.write(who, above, b"")
-        kind = Op.SET_DATA if text in self.tree.nodes else Op.CREATE
+            self.write(Who(), above, b"")
+        kind = Op.SET_DATA if path in self.tree.nodes else Op.CREATE
         flags = Mode.EPHEMERAL if who.session else Mode.PLAIN
-        row = SetData(text, data, NEVER_MIND) if kind is Op.SET_DATA else Create(text, data, OPEN, flags)
-        return self.commit(who, ((kind, row),))[0]
+        row = SetData(path, data, NEVER_MIND) if kind is Op.SET_DATA else Create(path, data, OPEN, flags)
+        _, ((op, result),) = self.commit(who, ((kind, row),))
+        if op == Op.ERROR:
+            raise Refused(result.error)
 
     def _judge(self, who: Who, op: int, row: object) -> Effect | None:
         if isinstance(row, Create):
