Hold the registry's session, view, formats and registration against their hard cases

Tests by bytes and clock without sockets: silence, expiry, lagging and read-only servers, frames of 1 GB, records compared with kazoo's bytes, events crossing replies, nodes made again, 10,000 nodes by one read each, formats fuzzed. Found and mended on the way: a sequential node was made twice where a lagging server did not show the first (a sync comes before the look now), and where a replacement's reply was lost (the folder is listed again); the stand-in let an expired session write.

--- a/lugspur/standins/zookeeper/ensemble.py
+++ b/lugspur/standins/zookeeper/ensemble.py
@@ -183,6 +183,8 @@
         results: list[Part] = []
         for at, (op, row) in enumerate(parts):
             try:
+                if who.session and who.session not in self.sessions:
+                    raise Refused(Error.SESSION_EXPIRED)
                 effect = self._judge(who, op, row)
             except Refused as fault:
                 for back in reversed(undo):
--- a/lugspur/zookeeper/registration.py
+++ b/lugspur/zookeeper/registration.py
@@ -58,6 +58,7 @@
         self._session = 0
         self._up = False
         self._busy = False
+        self._synced = False  # whether this connection shows all that was done before it
         self._doubted = False  # something was told while a request was out
         self._version = 0
         self._held = b""  # the data of the node that was found
@@ -100,9 +101,11 @@
         if event.fresh and self._session:
             self._news.append("the session was lost; registering again")
         self._session, self._up = event.session, True
-        self._busy, self._doubted, self._blocked = False, False, ""
+        self._busy, self._doubted, self._synced, self._blocked = False, False, False, ""
         self.found = Found.UNKNOWN
         self._folders = []
+        if self._prefix:
+            self.path = ""  # Guards against a replacement whose reply was lost: it has another number
 
     def down(self) -> None:
         """There is none."""
@@ -128,6 +131,9 @@
         return [] if ask is None else [ask]
 
     def _next(self) -> Ask | None:
+        if not self._synced:
+            # Guards against a server that lags behind a `create` whose reply was lost: it would show no node.
+            return Ask(Op.SYNC, r.Path(self.folder))
         if self.found is Found.UNKNOWN:
             if self._prefix and not self.path:
                 return Ask(Op.GET_CHILDREN, r.Watching(self.folder or "/", False))
@@ -163,7 +169,9 @@
             self._blocked = Error(error).name
             self._say((ask.op, error), f"{ask.op.name} of {getattr(ask.row, 'path', self.path)} fails: {self._blocked}")
             return
-        if ask.op is Op.GET_DATA:
+        if ask.op is Op.SYNC:
+            self._synced = True
+        elif ask.op is Op.GET_DATA:
             self._looked(error, result)
         elif ask.op is Op.GET_CHILDREN:
             self._listed(error, result)
--- a/lugspur/zookeeper/view.py
+++ b/lugspur/zookeeper/view.py
@@ -286,7 +286,7 @@
         if self._plain:
             self._ask(Op.EXISTS, r.Watching(self.path, True))
         if self._seen:
-            self._listed_once = True
+            self.phase, self._listed_once = Phase.READING, True
             self._check_whole()
         else:
             self._news.append(Unread(Error.NO_NODE))
--- /dev/null
+++ b/tests/zookeeper/test_session.py
@@ -0,0 +1,311 @@
+"""The session by its bytes and its clock: silence, expiry, servers that lag, and bytes that are no ZooKeeper's."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from kazoo.protocol import serialization as kazoo
+from kazoo.security import ACL, Id
+from wire import World, inside
+
+from lugspur.standins.zookeeper.ensemble import digest
+from lugspur.zookeeper import records as r
+from lugspur.zookeeper.jute import Input, Malformed, buffer, decode, encode
+from lugspur.zookeeper.records import Error, Happened, Op
+from lugspur.zookeeper.session import (
+    FRAME_MOST,
+    PENDING_MOST,
+    WATCHES_MOST,
+    XID_MOST,
+    Down,
+    Expired,
+    Reply,
+    Session,
+    State,
+    Terms,
+    Told,
+    Up,
+)
+
+
+def up(world: World, at: int = 0) -> World:
+    """Connected to a server, and quiet."""
+    world.connect(at)
+    world.settle()
+    assert world.session.state is State.UP
+    return world
+
+
+def accepted(timeout: float = 9.0, session: int = 5) -> Session:
+    """A session that a server has taken, without any server."""
+    made = Session(Terms(timeout))
+    made.opened(0.0)
+    made.take()
+    answer = r.ConnectResponse(0, int(timeout * 1000), session, b"p" * 16)
+    assert made.received(0.0, buffer(encode(answer) + b"\0")) == [Up(True, session, timeout)]
+    return made
+
+
+def downs(world: World) -> list[str]:
+    return [event.reason for event in world.events if isinstance(event, Down)]
+
+
+# ---- the records, by another's reading of them --------------------------------------------------
+
+
+@pytest.mark.parametrize("ours, theirs", [
+    (r.ConnectRequest(0, 7, 10_000, 99, b"p" * 16, False), kazoo.Connect(0, 7, 10_000, 99, b"p" * 16, False)),
+    (r.Watching("/ä", True), kazoo.GetData("/ä", True)),
+    (r.Watching("/a", False), kazoo.GetChildren2("/a", False)),
+    (r.Delete("/a", 3), kazoo.Delete("/a", 3)),
+    (r.SetData("/a", b"x", -1), kazoo.SetData("/a", b"x", -1)),
+    (r.Create("/a", b"x", r.OPEN, 3), kazoo.Create("/a", b"x", [ACL(31, Id("world", "anyone"))], 3)),
+    (r.Auth(0, "digest", b"u:p"), kazoo.Auth(0, "digest", "u:p")),
+    (r.Path("/a"), kazoo.Sync("/a")),
+])
+def test_requests_have_the_bytes_that_kazoo_gives_them(ours: object, theirs: object) -> None:
+    assert encode(ours) == bytes(theirs.serialize())  # type: ignore[attr-defined]
+
+
+def test_a_transaction_has_the_bytes_that_kazoo_gives_it() -> None:
+    ours = r.encode_parts(((Op.DELETE, r.Delete("/a", 1)), (Op.CHECK, r.Check("/b", 2))))
+    assert ours == bytes(kazoo.Transaction([kazoo.Delete("/a", 1), kazoo.CheckVersion("/b", 2)]).serialize())
+
+
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_record_are_malformed_and_nothing_else(data: bytes) -> None:
+    for kind in (r.Stat, r.Children, r.Data, r.Event, r.Acls, r.ConnectResponse):
+        try:
+            decode(kind, Input(data))
+        except Malformed:
+            continue
+
+
+# ---- silence ------------------------------------------------------------------------------------
+
+
+def test_a_ping_goes_out_after_a_third_of_the_time_out_and_silence_ends_the_connection_after_two() -> None:
+    session = accepted(9.0)
+    assert session.due() == 3.0 and session.tick(2.9) == [] and session.take() == b""
+    session.tick(3.0)
+    assert decode(r.RequestHeader, Input(session.take()[4:])) == r.RequestHeader(r.PING_XID, Op.PING)
+    assert session.tick(5.9) == []
+    assert session.tick(6.0) == [Down("it says nothing")] and session.state is State.DOWN
+
+
+def test_any_word_of_the_server_counts_as_life() -> None:
+    session = accepted(9.0)
+    session.received(5.0, buffer(encode(r.ReplyHeader(r.PING_XID, 1, 0))))
+    assert session.tick(6.0) == [] and session.tick(11.0) == [Down("it says nothing")]
+
+
+def test_a_server_that_does_not_take_the_session_is_left_in_time_for_all_others() -> None:
+    session = Session(Terms(9.0), servers=4)
+    session.opened(0.0)
+    assert session.attempt * 3 <= 9.0 / 3.0 and session.tick(session.attempt) == [Down("it says nothing")]
+
+
+def test_a_process_that_was_stopped_for_longer_than_its_session_asks_a_server_before_it_believes_anything() -> None:
+    async def run() -> None:
+        world = up(World())
+        first = world.session.id
+        world.cluster.ensemble.end(first)  # nobody heard of it
+        world.now += 1000.0
+        world.handle(world.session.tick(world.now))
+        assert downs(world) == ["it says nothing"] and not world.expired
+        world.disconnect()
+        world.recover()
+        assert world.expired and world.session.id not in (0, first)
+
+    inside(run())
+
+
+# ---- one session, many connections ---------------------------------------------------------------
+
+
+def test_the_session_goes_on_at_another_server_with_its_watches() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/w", b"1")
+        world.cluster.write("/boxes")
+        up(world)
+        first = world.session.id
+        for op, row in ((Op.GET_DATA, r.Watching("/w", True)), (Op.EXISTS, r.Watching("/new", True)),
+                        (Op.GET_CHILDREN2, r.Watching("/", True))):
+            world.session.ask(world.now, op, row)
+        world.settle()
+        world.disconnect()
+        world.cluster.write("/w", b"2")
+        world.cluster.write("/new")
+        before = len(world.events)
+        up(world, at=2)
+        told = {(event.kind, event.path) for event in world.events[before:] if isinstance(event, Told)}
+        assert world.session.id == first and Up(False, first, 10.0) in world.events
+        assert told == {(Happened.CHANGED, "/w"), (Happened.CREATED, "/new"), (Happened.CHILDREN, "/")}
+
+    inside(run())
+
+
+def test_watches_are_set_again_in_requests_that_a_server_takes() -> None:
+    session = accepted()
+    for at in range(3000):
+        session.ask(0.0, Op.EXISTS, r.Watching(f"/{at:0100d}", True))
+        session.received(0.0, buffer(encode(r.ReplyHeader(at + 1, 9, Error.NO_NODE))))
+    session.lost("cut")
+    session.opened(1.0)
+    session.take()
+    session.received(1.0, buffer(encode(r.ConnectResponse(0, 9000, 5, b"p" * 16)) + b"\0"))
+    paths: set[str] = set()
+    sent = session.take()
+    while sent:
+        length = int.from_bytes(sent[:4], "big")
+        assert length < WATCHES_MOST + 300
+        source = Input(sent[4:4 + length])
+        assert decode(r.RequestHeader, source).xid == r.WATCHES_XID
+        row = decode(r.SetWatches, source)
+        assert row.since == 9
+        paths.update(row.exists)
+        sent = sent[4 + length:]
+    assert len(paths) == 3000
+
+
+def test_an_expired_session_is_begun_anew_without_its_watches() -> None:
+    async def run() -> None:
+        world = up(World())
+        first = world.session.id
+        world.session.ask(world.now, Op.EXISTS, r.Watching("/new", True))
+        world.settle()
+        world.disconnect()
+        world.cluster.ensemble.end(first)
+        world.recover()
+        assert Expired() in world.events and world.session.id != first
+        assert isinstance(world.events[-1], Reply) or Up(True, world.session.id, 10.0) in world.events
+        assert not world.connection or "/new" not in world.connection.watches.data
+
+    inside(run())
+
+
+def test_a_server_behind_what_was_seen_turns_the_client_away_or_is_left() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes")
+        world.servers[1].lag()
+        world.cluster.write("/boxes/a")
+        up(world)
+        world.connect(1)
+        world.settle()
+        assert world.session.state is State.DOWN and not world.expired
+        # A server that does not check takes the client in: its first reply shows what it is.
+        session = accepted()
+        session.zxid = 500
+        session.lost("cut")
+        session.opened(1.0)
+        session.received(1.0, buffer(encode(r.ConnectResponse(0, 9000, 5, b"p" * 16)) + b"\0"))
+        token = session.ask(1.0, Op.SYNC, r.Path("/"))
+        old = encode(r.ReplyHeader(token, 499, 0)) + encode(r.Path("/"))
+        assert session.received(1.0, buffer(old)) == [Down("it is behind what other servers have shown")]
+
+    inside(run())
+
+
+@pytest.mark.parametrize("wanted", [False, True])
+def test_a_read_only_server_is_refused_unless_asked_for(wanted: bool) -> None:
+    session = Session(Terms(read_only=wanted))
+    session.opened(0.0)
+    events = session.received(0.0, buffer(encode(r.ConnectResponse(0, 9000, 5, b"p" * 16)) + b"\1"))
+    assert events == ([Up(True, 5, 9.0)] if wanted else [Down("it is read-only")])
+
+
+def test_credentials_go_out_first_and_wrong_ones_end_the_connection() -> None:
+    async def run() -> None:
+        world = World(terms=Terms(auth=(("digest", b"rosa:secret"),)))
+        guarded = (r.Acl(r.PERM_ALL, "digest", digest(b"rosa:secret")),)
+        world.cluster.ensemble.commit(world.cluster.operator, ((Op.CREATE, r.Create("/boxes", b"", guarded, 0)),))
+        up(world)
+        assert world.whole() == 1
+        wrong = World(terms=Terms(auth=(("digest", b"no-colon"),)))
+        wrong.connect()
+        wrong.settle()
+        assert "it takes no such credentials" in downs(wrong)
+
+    inside(run())
+
+
+def test_an_old_server_that_answers_addwatch_without_a_body_does_not_know_it() -> None:
+    session = accepted()
+    token = session.ask(0.0, Op.ADD_WATCH, r.AddWatch("/a", r.PERSISTENT_RECURSIVE))
+    events = session.received(0.0, buffer(encode(r.ReplyHeader(token, 1, 0))))
+    assert events == [Reply(token, Op.ADD_WATCH, Error.UNIMPLEMENTED, None)]
+
+
+def test_closing_ends_the_session_at_the_server() -> None:
+    async def run() -> None:
+        world = up(World())
+        world.session.close(world.now)
+        world.settle()
+        assert world.session.state is State.CLOSED and not world.cluster.ensemble.sessions
+
+    inside(run())
+
+
+# ---- what peers can send ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("data", [
+    (1 << 30).to_bytes(4, "big"), b"\xff\xff\xff\xff", (FRAME_MOST + 1).to_bytes(4, "big"),
+    buffer(b""), buffer(b"short"), buffer(encode(r.ReplyHeader(77, 1, 0))),
+    buffer(encode(r.ReplyHeader(1, 1, 0)) + b"\x7f\xff\xff\xff"),
+], ids=["1 GB", "negative", "one byte too many", "empty", "short", "no such request", "a list of 2 billion"])
+def test_what_is_no_zookeepers_costs_that_connection_and_no_memory(data: bytes) -> None:
+    session = accepted()
+    session.ask(0.0, Op.GET_CHILDREN2, r.Watching("/", False))
+    [event] = session.received(0.0, data)
+    assert isinstance(event, Down) and "no ZooKeeper's" in event.reason and session.due() == float("inf")
+    session.opened(1.0)
+    assert session.state is State.OPENING  # the next connection begins clean
+
+
+@given(st.binary(max_size=300), st.booleans())
+def test_no_bytes_of_a_server_raise(data: bytes, taken: bool) -> None:
+    session = accepted() if taken else Session(Terms())
+    if not taken:
+        session.opened(0.0)
+    session.received(0.0, data)
+
+
+@given(st.lists(st.integers(min_value=0, max_value=400), max_size=8))
+def test_where_the_bytes_are_cut_makes_no_difference(cuts: list[int]) -> None:
+    stat = r.Stat(*range(1, 12))
+    data = b"".join(buffer(frame) for frame in (
+        encode(r.ReplyHeader(1, 9, 0)) + encode(r.Data(b"x" * 50, stat)),
+        encode(r.ReplyHeader(r.EVENT_XID, -1, 0)) + encode(r.Event(Happened.CHANGED, 3, "/a")),
+        encode(r.ReplyHeader(2, 9, Error.NO_NODE)),
+    ))
+    session = accepted()
+    session.ask(0.0, Op.GET_DATA, r.Watching("/a", True))
+    session.ask(0.0, Op.GET_DATA, r.Watching("/b", True))
+    places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    events = [event for one, two in pairwise(places)
+              for event in session.received(0.0, data[one:two])]
+    assert events == [Reply(1, Op.GET_DATA, 0, r.Data(b"x" * 50, stat)), Told(Happened.CHANGED, "/a"),
+                      Reply(2, Op.GET_DATA, Error.NO_NODE, None)]
+
+
+def test_requests_without_replies_are_bounded_and_none_go_out_without_a_server() -> None:
+    session = accepted()
+    for _ in range(PENDING_MOST):
+        session.ask(0.0, Op.SYNC, r.Path("/"))
+    with pytest.raises(RuntimeError):
+        session.ask(0.0, Op.SYNC, r.Path("/"))
+    session.lost("cut")
+    with pytest.raises(RuntimeError):
+        session.ask(0.0, Op.SYNC, r.Path("/"))
+
+
+def test_request_numbers_begin_again_before_they_overflow() -> None:
+    session = accepted()
+    session._xid = XID_MOST - 1
+    assert [session.ask(0.0, Op.SYNC, r.Path("/")) for _ in range(2)] == [XID_MOST, 1]
--- a/tests/zookeeper/test_view.py
+++ b/tests/zookeeper/test_view.py
@@ -11,6 +11,8 @@
 from wire import World, inside
 
 from lugspur.standins.zookeeper.tree import Gone
+from lugspur.zookeeper.records import Happened, Op
+from lugspur.zookeeper.view import Absent, Phase, Present, Unread, Whole
 
 NAMES = ["a", "b", "c", "d e", "ü"]
 
@@ -138,3 +140,209 @@
 @given(number=st.integers(), old=st.booleans())
 def test_the_view_equals_the_tree_whatever_the_seed(number: int, old: bool) -> None:
     churn(number, rounds=6, old=old)
+
+
+# ---- cases by hand --------------------------------------------------------------------------------
+
+
+def following(world: World) -> World:
+    world.connect()
+    world.settle()
+    assert world.view.phase is Phase.FOLLOWING
+    world.news.clear()
+    return world
+
+
+@pytest.mark.parametrize("old", [False, True], ids=["persistent watches", "one-shot watches"])
+def test_an_event_that_crosses_the_reply_to_a_read_makes_it_be_read_once_more(old: bool) -> None:
+    async def run() -> None:
+        world = World()
+        for server in world.servers:
+            server.faults.old = old
+        world.cluster.write("/boxes/a", b"1")
+        following(world)
+        faults = world.servers[0].faults
+        world.cluster.write("/boxes/a", b"2")
+        world.receive()
+        faults.late, faults.overtaking = float("inf"), True
+        world.send()  # the read is served, with 2, and its reply held back
+        world.cluster.write("/boxes/a", b"3")
+        world.receive()  # the event overtakes it
+        world.servers[0].mend()
+        world.settle()
+        assert world.follower.nodes["a"][0] == b"3"
+
+    inside(run())
+
+
+@pytest.mark.parametrize("old", [False, True], ids=["persistent watches", "one-shot watches"])
+def test_two_changes_between_event_and_read_show_the_latter(old: bool) -> None:
+    async def run() -> None:
+        world = World()
+        world.servers[0].faults.old = old
+        world.cluster.write("/boxes/a", b"1")
+        following(world)
+        world.cluster.write("/boxes/a", b"2")
+        world.cluster.write("/boxes/a", b"3")
+        world.settle()
+        assert [one.data.data for one in world.news if isinstance(one, Present) and one.data] == [b"3"]
+
+    inside(run())
+
+
+@pytest.mark.parametrize("old", [False, True], ids=["persistent watches", "one-shot watches"])
+@pytest.mark.parametrize("gap", [False, True], ids=["in sight", "in a gap"])
+def test_a_node_deleted_and_made_again_is_told_gone_first(old: bool, gap: bool) -> None:
+    async def run() -> None:
+        world = World()
+        for server in world.servers:
+            server.faults.old = old
+        world.cluster.box("/boxes/a", b"same")
+        following(world)
+        if gap:
+            world.disconnect()
+        world.cluster.expire("/boxes/a")
+        world.cluster.box("/boxes/a", b"same")
+        if gap:
+            world.connect(1)
+        world.settle()
+        told = [type(one) for one in world.news if not isinstance(one, Whole)]
+        assert told == [Absent, Present] and world.follower.nodes == world.tree()
+
+    inside(run())
+
+
+def test_ten_thousand_nodes_take_one_read_each_and_a_change_takes_one() -> None:
+    async def run() -> None:
+        world = World()
+        for at in range(10_000):
+            world.cluster.write(f"/boxes/{at}", b"x")
+        following(world)
+        asked = world.servers[0].asked
+        assert (asked[Op.GET_DATA], asked[Op.GET_CHILDREN2]) == (10_000, 1) and len(world.follower.nodes) == 10_000
+        asked.clear()
+        world.cluster.write("/boxes/77", b"y")
+        world.cluster.delete("/boxes/78")
+        world.cluster.write("/boxes/new")
+        world.settle()
+        assert asked == {Op.GET_DATA: 2} and world.follower.nodes == world.tree()
+
+    inside(run())
+
+
+def test_children_that_change_while_they_are_read_are_all_there_in_the_end() -> None:
+    async def run() -> None:
+        world = World()
+        for at in range(50):
+            world.cluster.write(f"/boxes/{at}")
+        world.connect()
+        for at in range(200):
+            if at % 2:
+                world.cluster.write(f"/boxes/{at}")
+            elif f"/boxes/{at}" in world.cluster.ensemble.tree.nodes:
+                world.cluster.delete(f"/boxes/{at}")
+            world.send()
+            world.receive(700)
+        world.settle()
+        assert world.follower.nodes == world.tree() and world.whole() == 1
+
+    inside(run())
+
+
+@pytest.mark.parametrize("old", [False, True], ids=["persistent watches", "one-shot watches"])
+def test_a_folder_that_does_not_exist_is_no_removal_until_it_has_existed(old: bool) -> None:
+    async def run() -> None:
+        world = World()
+        world.servers[0].faults.old = old
+        world.connect()
+        world.settle()
+        assert world.news == [Unread(-101)]
+        world.cluster.write("/boxes/a", b"1")
+        world.settle()
+        assert world.follower.nodes.keys() == {"a"}
+        world.cluster.delete("/boxes/a")
+        world.cluster.delete("/boxes")
+        world.settle()
+        assert world.follower.nodes == {} and isinstance(world.news[-1], Whole)
+        world.cluster.write("/boxes/b", b"2")
+        world.settle()
+        assert world.follower.nodes.keys() == {"b"}
+
+    inside(run())
+
+
+def test_nodes_below_the_children_and_beside_the_folder_are_not_taken_for_boxes() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes/a/below", b"1")
+        world.cluster.write("/boxes-2/b", b"1")
+        following(world)
+        world.cluster.write("/boxes/a/other", b"1")
+        world.cluster.write("/boxes-2/b", b"2")
+        world.settle()
+        assert world.follower.nodes.keys() == {"a"} and world.news == []
+
+    inside(run())
+
+
+def test_a_node_of_one_megabyte_is_read_like_any_other() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes/big", b"x" * (1 << 20))
+        world.cluster.write("/boxes/a", b"1")
+        following(world)
+        assert world.follower.nodes.keys() == {"big", "a"}
+
+    inside(run())
+
+
+def test_a_server_that_hangs_up_on_addwatch_is_followed_by_one_shot_watches() -> None:
+    async def run() -> None:
+        world = World(servers=1)
+        world.cluster.write("/boxes/a", b"1")
+        for _ in range(2):
+            world.connect()
+            world.send()
+            world.receive()
+            assert world.session.take()  # addWatch is among it; the server hangs up
+            world.disconnect()
+        world.connect()
+        world.settle()
+        assert world.servers[0].asked[Op.ADD_WATCH] == 0
+        world.cluster.write("/boxes/b", b"2")
+        world.settle()
+        assert world.follower.nodes.keys() == {"a", "b"}
+
+    inside(run())
+
+
+def test_a_view_reads_again_after_every_gap_even_where_watches_are_forgotten() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes/a", b"1")
+        for server in world.servers:
+            server.faults.forgets = True
+        following(world)
+        world.disconnect()
+        world.cluster.write("/boxes/a", b"2")
+        world.connect(1)
+        world.settle()
+        world.cluster.write("/boxes/a", b"3")
+        world.settle()
+        assert world.follower.nodes["a"][0] == b"3"
+
+    inside(run())
+
+
+def test_nothing_is_told_while_there_is_no_server() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes/a", b"1")
+        following(world)
+        world.disconnect()
+        world.cluster.ensemble.end(world.session.id)
+        assert world.news == [] and world.follower.nodes.keys() == {"a"}
+        world.view.told(Happened.DELETED, "/boxes/a")  # what a former connection left over
+        assert world.view.news() == []
+
+    inside(run())
