--- a/lugspur/bench/processes.py
+++ b/lugspur/bench/processes.py
@@ -46,13 +46,11 @@
 """
 
 
-class Process:
-    """One running process and the address that it serves."""
+class Usage:
+    """What a process has used, by its id."""
 
-    def __init__(self, process: subprocess.Popen[str], address: str) -> None:
-        self._process = process
-        self.host, _, port = address.rpartition(":")
-        self.port = int(port)
+    def __init__(self, pid: int) -> None:
+        self._pid = pid
 
     def cpu(self) -> float:
         """Seconds of CPU that it has used, by the system's own count.
@@ -60,13 +58,23 @@
         By the process's CPU clock (clock_getcpuclockid(3)), not by /proc/PID/stat: that counts ticks of 10 ms, and
         a short round of the relay takes none.
         """
-        return time.clock_gettime((~self._process.pid << 3) | CPU_CLOCK)
+        return time.clock_gettime((~self._pid << 3) | CPU_CLOCK)
 
     def memory(self) -> float:
         """MiB that it holds now."""
-        lines = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        lines = Path(f"/proc/{self._pid}/status").read_text().splitlines()
         return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024.0
 
+
+class Process(Usage):
+    """One running process and the address that it serves."""
+
+    def __init__(self, process: subprocess.Popen[str], address: str) -> None:
+        super().__init__(process.pid)
+        self._process = process
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+
     def end(self) -> None:
         """Stop it, and wait until it has."""
         self._process.kill()
--- a/lugspur/membership/doubt.py
+++ b/lugspur/membership/doubt.py
@@ -82,10 +82,10 @@
 
     def whole(self, now: float, boxes: int) -> None:
         """Everything has been read: the list is as the registry has it. It counts, also where it is empty."""
-        if not self._read or self._stale or self._reason:
-            self._say(f"the registry is followed; {boxes} boxes")
-        elif not boxes:
+        if not boxes:
             self._say("the registry holds no box; its folder is empty or gone, and so is the pool")
+        elif not self._read or self._stale or self._reason:
+            self._say(f"the registry is followed; {boxes} boxes")
         self._reason = ""
         self._read = self._followed = True
         self._stale = False
