--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -48,7 +48,8 @@
     assert faults(tmp_path, GOOD) == []
 
 
-def test_the_example_has_no_fault() -> None:
+def test_the_examples_have_no_fault() -> None:
+    assert len(load(str(ROOT / "deploy" / "registry.toml")).table.routes) == 1
     assert len(load(str(ROOT / "deploy" / "example.toml")).table.routes) == 6
 
 
--- a/tests/membership/test_nodes.py
+++ b/tests/membership/test_nodes.py
@@ -69,7 +69,8 @@
 
 @pytest.mark.parametrize("data, said", [
     (b"\xff\x00", "it holds no JSON"), (b"[]", "its JSON is no object"), ({}, 'it has no "address"'),
-    ({"address": None}, 'it has no "address"'),     ({"address": "nowhere"}, "is not an address"), ({"address": 7}, 'its "address" is no text'),
+    ({"address": None}, 'it has no "address"'),
+    ({"address": "nowhere"}, "is not an address"), ({"address": 7}, 'its "address" is no text'),
     ({"address": "127.0.0.1:0"}, "is not an address"), (OWN | {"status": "asleep"}, "its status 'asleep'"),
     (OWN | {"weight": 0}, 'its "weight" is no number'), (OWN | {"weight": True}, 'its "weight" is no number'),
     (OWN | {"group": 1.5}, 'its "group" is no whole number'), (OWN | {"since_ms": -1}, 'its "since_ms"'),
