--- a/tests/daemon/test_registry.py
+++ b/tests/daemon/test_registry.py
@@ -338,6 +338,10 @@
             await folder.up.reload(text(folder.cluster), REGISTERED.replace("edge-1", "edge-2"))
             await until(lambda: "/edge/edge-2" in nodes and "/edge/edge-1" not in nodes)
             assert folder.up.port() == port
+            moved = REGISTERED.replace("edge-1", "edge-2").replace("127.0.0.1:0", "127.0.0.2:0")
+            await folder.up.reload(text(folder.cluster), moved)
+            await until(lambda: "/edge/edge-2" in nodes
+                        and json.loads(nodes["/edge/edge-2"].data)["address"] == f"127.0.0.2:{folder.up.port()}")
             await folder.up.reload(text(folder.cluster))
             await until(lambda: not nodes["/edge"].children)
 
--- a/tests/zookeeper/test_client.py
+++ b/tests/zookeeper/test_client.py
@@ -10,6 +10,7 @@
 
 import pytest
 from loopback import until
+from wire import Follower
 
 from lugspur.standins.zookeeper.cluster import Cluster
 from lugspur.standins.zookeeper.server import Server
@@ -162,3 +163,52 @@
             assert w.client.session.state is State.CLOSED
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("number", range(3))
+def test_the_view_equals_the_tree_after_churn_over_sockets(number: int) -> None:
+    """The same as in test_view.py, with real connections: fewer steps, and every fault of a server."""
+
+    async def play() -> None:
+        chance = random.Random(number)
+        async with world(terms=Terms(3.0)) as w:
+            follower = Follower()
+            heard = w.client._heard
+
+            def hear(events: list[Event]) -> None:
+                heard(events)
+                follower.hear(w.view.news())
+
+            w.client._heard = hear
+            cluster, servers = w.cluster, w.cluster.servers
+
+            def change(path: str) -> None:
+                there = path in cluster.ensemble.tree.nodes
+                kind = chance.randrange(3)
+                if kind == 0:
+                    cluster.write(path, str(chance.random()).encode())
+                elif kind == 1 and there:
+                    cluster.delete(path)
+                elif kind == 2 and not there:
+                    cluster.box(path, b"box")
+
+            faults = [Server.flap, Server.garbage, Server.huge, Server.lag, Server.mend, Server.mend, cut, forget]
+            for step in range(300):
+                change(f"/boxes/{chance.choice('abcdef')}")
+                if step % 10 == 0:
+                    chance.choice(faults)(chance.choice(servers))
+                if step % 100 == 50:
+                    cluster.ensemble.end(w.client.session.id)
+                await asyncio.sleep(chance.choice([0.0, 0.0, 0.002]))
+            for server in servers:
+                server.mend()
+            nodes = cluster.ensemble.tree.nodes
+            await until(lambda: follower.nodes == {
+                path[len("/boxes/"):]: (node.data, node.czxid) for path, node in nodes.items()
+                if path.startswith("/boxes/")})
+
+    asyncio.run(play())
+
+
+def forget(server: Server) -> None:
+    server.faults.forgets = True
