Test what mutations of the view and the registration got past

Of twenty guards taken out one by one four went unnoticed: a list older than a node's making, the sync before the first read, a replacement whose reply is lost where no watch tells of it. Each has a test now; the fourth was a line that did nothing, and is gone.

--- a/lugspur/zookeeper/session.py
+++ b/lugspur/zookeeper/session.py
@@ -269,8 +269,6 @@
         self.state = State.UP
         for scheme, auth in self.terms.auth:
             self._request(now, r.AUTH_XID, Op.AUTH, r.Auth(0, scheme, auth))
-        if fresh:
-            self._watched = _Watched()
         for op, row in self._watched.requests(self.zxid):
             self._request(now, r.WATCHES_XID, op, row)
         return [Up(fresh, self.id, self.timeout)]
--- a/tests/zookeeper/test_registration.py
+++ b/tests/zookeeper/test_registration.py
@@ -248,6 +248,7 @@
             world.send()
             if world.mine() == ["/boxes/box-f00-0000000000"]:
                 world.receive()
+        world.servers[1].faults.forgets = True  # nor does a watch tell that the old one is gone
         world.connect(1)
         world.settle()
         assert world.mine() == ["/boxes/box-f00-0000000001"] and world.most == 1
--- a/tests/zookeeper/test_view.py
+++ b/tests/zookeeper/test_view.py
@@ -346,3 +346,45 @@
         assert world.view.news() == []
 
     inside(run())
+
+
+def test_a_list_that_is_older_than_a_nodes_making_does_not_take_it_out() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes/m", b"1")
+        following(world)
+        world.disconnect()
+        world.cluster.delete("/boxes/m")
+        world.connect(1)
+        for _ in range(2):  # the session is taken; then sync and addWatch are answered
+            world.send()
+            world.receive()
+        faults = world.servers[1].faults
+        faults.late, faults.overtaking = float("inf"), True
+        world.send()  # the list is read, without m, and its reply held back
+        world.cluster.write("/boxes/m", b"2")
+        world.receive()  # m is told of before it
+        world.servers[1].mend()
+        world.settle()
+        assert world.follower.nodes == world.tree() and "m" in world.follower.nodes
+
+    inside(run())
+
+
+def test_a_server_that_lags_is_waited_for_before_anything_is_read() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes/a", b"1")
+        world.cluster.write("/boxes/b", b"1")
+        following(world)
+        world.disconnect()
+        world.servers[1].lag()  # as far as this client has seen, and no further
+        world.cluster.delete("/boxes/a")
+        world.connect(1)
+        world.settle()
+        assert world.news == []
+        world.servers[1].mend()
+        world.settle()
+        assert world.follower.nodes.keys() == {"b"} and world.whole() == 1
+
+    inside(run())
