--- a/lugspur/bench/processes.py
+++ b/lugspur/bench/processes.py
@@ -20,17 +20,18 @@
     {"Name": "read", "Aim": 30.0, "HardLimit": 30.0, "Repeat": "retryable", "LateWorth": 1.0},
     {"Name": "book", "Aim": 30.0, "HardLimit": 30.0, "Repeat": "fragile", "LateWorth": 1.0},
 ]
-FILE = """[limits]
-sockets = 4096
-[listeners.main]
-address = "127.0.0.1:{port}"
-[classes.read]
+CLASSES = """[classes.read]
 aim = "30s"
 deadline = "30s"
 repeat = "safe"
 [classes.book]
 aim = "30s"
 deadline = "30s"
+"""
+FILE = CLASSES + """[limits]
+sockets = 4096
+[listeners.main]
+address = "127.0.0.1:{port}"
 [pools.main]
 members = [{members}]
 [routes.read]
--- a/lugspur/bench/trial.py
+++ b/lugspur/bench/trial.py
@@ -12,6 +12,7 @@
 from tempfile import TemporaryDirectory
 from types import TracebackType
 
+from lugspur.bench.processes import CLASSES
 from lugspur.standins.backend import Answer, Asked, Backend
 from lugspur.standins.callers import Caller, Tally
 from lugspur.standins.zookeeper.cluster import Cluster
@@ -23,15 +24,8 @@
 WIDE = 30.0  # seconds that anything may take to begin
 CONNECTIONS = 16
 
-FILE = """[listeners.main]
+FILE = CLASSES + """[listeners.main]
 address = "127.0.0.1:0"
-[classes.read]
-aim = "30s"
-deadline = "30s"
-repeat = "safe"
-[classes.book]
-aim = "30s"
-deadline = "30s"
 [registries.main]
 ensemble = {ensemble}
 session = "{session}s"
--- a/lugspur/standins/zookeeper/__main__.py
+++ b/lugspur/standins/zookeeper/__main__.py
@@ -4,7 +4,8 @@
 
 import argparse
 import asyncio
-import contextlib
+import os
+import stat
 import sys
 from pathlib import Path
 
@@ -21,6 +22,15 @@
         print(await script.obey(line.decode()), flush=True)
 
 
+def _speaks() -> bool:
+    """Whether lines may come on standard input: one that is closed, a file or /dev/null can't be waited for."""
+    try:
+        kind = os.fstat(0).st_mode
+    except OSError:
+        return False
+    return os.isatty(0) or stat.S_ISFIFO(kind) or stat.S_ISSOCK(kind)
+
+
 async def _serve(listen: str, path: str, shortest: float, longest: float) -> None:
     async with Cluster(shortest, longest) as cluster:
         await cluster.listen(*map(read_address, listen.split(",")))
@@ -30,7 +40,7 @@
             answer = await script.obey(line)
             if answer != "ok":
                 print(f"{path}: {line}: {answer}", file=sys.stderr, flush=True)
-        with contextlib.suppress(OSError, ValueError):  # standard input is a file or closed: nothing is to be obeyed
+        if _speaks():
             await _lines(script)
         await asyncio.Event().wait()
 
--- a/tests/zookeeper/test_registration.py
+++ b/tests/zookeeper/test_registration.py
@@ -140,11 +140,10 @@
         world = Home(sequential)
         old = f"{FOLDER}/box-f00-0000000000" if sequential else f"{FOLDER}/box"
         world.cluster.box(old, b"ours before")
-        world.connect()
-        world.settle()
         events: list[int] = []
         world.cluster.ensemble.listeners.append(lambda _: events.append(len(world.mine())))
         world.want(True)
+        world.connect()
         world.settle()
         assert world.registration.found is Found.OURS and set(events) == {1}
         [path] = world.mine()
@@ -241,9 +240,8 @@
     async def run() -> None:
         world = Home(sequential=True)
         world.cluster.box(f"{FOLDER}/box-f00-0000000000", b"ours before")
-        world.connect()
-        world.settle()
         world.want(True)
+        world.connect()
         while world.mine() == ["/boxes/box-f00-0000000000"]:
             world.send()
             if world.mine() == ["/boxes/box-f00-0000000000"]:
@@ -254,3 +252,14 @@
         assert world.mine() == ["/boxes/box-f00-0000000001"] and world.most == 1
 
     asyncio.run(run())
+
+
+def test_an_old_node_of_a_box_that_is_ill_is_deleted() -> None:
+    async def run() -> None:
+        world = Home()
+        world.cluster.box(f"{FOLDER}/box", b"ours before")
+        world.connect()
+        world.settle()
+        assert world.mine() == [] and world.registration.settled
+
+    asyncio.run(run())
