--- a/tests/zookeeper/test_view.py
+++ b/tests/zookeeper/test_view.py
@@ -11,7 +11,7 @@
 from wire import World, inside
 
 from lugspur.standins.zookeeper.tree import Gone
-from lugspur.zookeeper.records import Happened, Op
+from lugspur.zookeeper.records import OPEN, PERM_ADMIN, Acl, Error, Happened, Op, SetAcl
 from lugspur.zookeeper.view import Absent, Phase, Present, Unread, Whole
 
 NAMES = ["a", "b", "c", "d e", "ü"]
@@ -388,3 +388,21 @@
         assert world.follower.nodes.keys() == {"b"} and world.whole() == 1
 
     inside(run())
+
+
+def test_a_folder_that_may_not_be_read_is_read_when_it_may() -> None:
+    async def run() -> None:
+        world = World()
+        world.cluster.write("/boxes/a", b"1")
+        shut = (Acl(PERM_ADMIN, "world", "anyone"),)
+        world.cluster.ensemble.commit(world.cluster.operator, ((Op.SET_ACL, SetAcl("/boxes", shut, -1)),))
+        world.connect()
+        world.settle()
+        assert world.news == [Unread(Error.NO_AUTH)] and world.view.phase is Phase.READING
+        world.cluster.ensemble.commit(world.cluster.operator, ((Op.SET_ACL, SetAcl("/boxes", OPEN, -1)),))
+        world.view.again()
+        world.link.turn(world.now)
+        world.settle()
+        assert world.follower.nodes.keys() == {"a"}
+
+    inside(run())
