--- a/lugspur/bench/registry.py
+++ b/lugspur/bench/registry.py
@@ -13,11 +13,14 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from statistics import median
 
+from jaspershelf import Balancer, ListKind, ServerRow, Settings
+from jaspershelf.model import State
 from lugspur.bench.processes import Usage
 from lugspur.bench.trial import FOLDER, Counts, Play, Trial
+from lugspur.membership.rows import server_id
 from lugspur.standins.zookeeper.cluster import Cluster
 from lugspur.zookeeper.records import Op
 
@@ -199,6 +202,20 @@
     memory: float  # MiB, above that of a folder with one
     churn: float  # the part of a CPU that 1,000 changes a second take
     lag: float  # seconds until the last of them was known
+    telling: float  # seconds of the decision module for one removal
+
+
+def telling(count: int) -> float:
+    """Seconds that the decision module takes for one removal of so many; the best of some."""
+    best = float("inf")
+    for _ in range(5):
+        balancer = Balancer(Settings(), seed=1)
+        rows = [ServerRow(server_id(f"box-{at}")) for at in range(count)]
+        balancer.members(0.0, ListKind.WHOLE, rows)
+        begun = time.perf_counter()
+        balancer.members(0.0, ListKind.PATCH, [replace(rows[0], state=State.GONE)])
+        best = min(best, time.perf_counter() - begun)
+    return best
 
 
 async def sizes(counts: tuple[int, ...], changes: int, per_second: int) -> list[Size]:
@@ -218,7 +235,7 @@
                 base = process.cpu(), process.memory()
                 continue
             size = Size(count, seconds, server.bytes_out / 1024.0, server.asked[Op.GET_DATA], 0.0,
-                        process.cpu() - base[0], process.memory() - base[1], 0.0, 0.0)
+                        process.cpu() - base[0], process.memory() - base[1], 0.0, 0.0, telling(count))
             await _churn(trial, size, process, changes, per_second)
             found.append(size)
     return found
@@ -306,10 +323,11 @@
 async def report_nodes() -> None:
     """By the number of nodes, and both clients beside each other."""
     print("| nodes | s to the whole list | KiB | getData | requests a change | CPU s | MiB | CPU of 1,000 changes/s "
-          "| s to the last |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+          "| s to the last | ms to decide a removal |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for size in await sizes((10, 100, 1_000, 10_000), 5_000, 1_000):
         print(f"| {size.nodes} | {size.seconds:.2f} | {size.kib:.0f} | {size.reads} | {size.asked:.2f} | "
-              f"{size.cpu:.2f} | {size.memory:.1f} | {size.churn:.2f} | {size.lag:.3f} |", flush=True)
+              f"{size.cpu:.2f} | {size.memory:.1f} | {size.churn:.2f} | {size.lag:.3f} | "
+              f"{size.telling * 1e3:.2f} |", flush=True)
     print("\n| client | nodes | s to the whole list | CPU s | MiB | threads | ms to a new node |\n"
           "| --- | --- | --- | --- | --- | --- | --- |")
     for count in (10, 10_000):
