Let the stand-in registry end a short session that began after a long one

The stand-in set its timer by the first session alone, here a box's of an hour, so that it never ended the daemon's of 2 s. Mostly the daemon's own timer came first at waking and it read again all the same; once what had come meanwhile was read first, and there was rightly no gap. The timer is set anew for a session that is due sooner, a connection whose session has ended is closed, as ZooKeeper does it, and the faults wait until the session has ended.

--- a/lugspur/bench/registry.py
+++ b/lugspur/bench/registry.py
@@ -71,6 +71,11 @@
     await trial.said(said, before)
 
 
+async def _own_expired(trial: Trial) -> None:
+    """The registry has ended the daemon's session; on a loaded machine its timer is late."""
+    await trial.until(lambda: not any(session.server for session in trial.cluster.ensemble.sessions.values()))
+
+
 async def stalled(trial: Trial, seconds: float) -> None:
     """The server that the daemon is at goes silent with its connection open."""
     [at] = [server for server in trial.cluster.servers if server.connections]
@@ -116,6 +121,7 @@
     left = trial.expire("box-0")
     left.removed = float("inf")
     await asyncio.sleep(seconds)
+    await _own_expired(trial)
     await _all_serve(trial)
     await _back(trial, "is followed")
     left.removed = asyncio.get_running_loop().time()
@@ -129,6 +135,7 @@
     left = trial.expire("box-0")
     left.removed = float("inf")
     await asyncio.sleep(seconds)
+    await _own_expired(trial)
     trial.daemon.send_signal(signal.SIGCONT)
     await trial.said("is followed", before)
     left.removed = asyncio.get_running_loop().time()
--- a/lugspur/standins/zookeeper/ensemble.py
+++ b/lugspur/standins/zookeeper/ensemble.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from lugspur.standins.zookeeper.tree import Effect, Event, Gone, Guarded, Made, Tree, Written, parent_of
 from lugspur.zookeeper.records import (
@@ -46,6 +47,13 @@
         super().__init__(self.error.name)
 
 
+class Held(Protocol):
+    """A connection that holds a session."""
+
+    def abort(self) -> None:
+        """Close it at once."""
+
+
 @dataclass(slots=True)
 class Session:
     """A client's session, whichever server it is connected to."""
@@ -54,7 +62,7 @@
     password: bytes
     timeout: float  # seconds
     heard: float  # the loop's time
-    server: object = None  # the connection that holds it
+    server: Held | None = None  # the connection that holds it
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,7 +125,8 @@
             min(max(timeout, self.shortest), self.longest), self._loop.time(),
         )
         self.sessions[session.id] = session
-        self._watch_over()
+        if self._timer is None or session.heard + session.timeout < self._timer.when():
+            self._watch_over()
         return session
 
     def touch(self, session: Session) -> None:
@@ -131,22 +140,25 @@
             self._log(tuple(Gone(path) for path in owned), session)
 
     def _watch_over(self) -> None:
-        if self._timer is None and self.sessions:
+        self.close()
+        if self.sessions:
             due = min(session.heard + session.timeout for session in self.sessions.values())
             self._timer = self._loop.call_at(max(due, self._loop.time() + 0.001), self._expire)
 
     def _expire(self) -> None:
-        self._timer = None
         now = self._loop.time()
         for session in tuple(self.sessions.values()):
             if session.heard + session.timeout <= now:
                 self.end(session.id)
+                if session.server is not None:
+                    session.server.abort()
         self._watch_over()
 
     def close(self) -> None:
         """Watch over nothing any more."""
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
 
     def restore(self) -> None:
         """Begin again with an empty tree and no session under a new leader: a backup that held nothing."""
--- a/lugspur/standins/zookeeper/server.py
+++ b/lugspur/standins/zookeeper/server.py
@@ -295,7 +295,7 @@
             self.end()
             return
         former, session.server, self._session = session.server, self, session
-        if isinstance(former, Connection):
+        if former is not None:
             former.abort()
         self.who.session = session.id
         ensemble.touch(session)
--- a/tests/zookeeper/test_client.py
+++ b/tests/zookeeper/test_client.py
@@ -55,6 +55,17 @@
             await client.close()
 
 
+def test_the_stand_in_ends_a_short_session_that_began_after_a_long_one() -> None:
+    async def play() -> None:
+        async with Cluster() as cluster:
+            cluster.box("/boxes", b"{}")
+            short = cluster.ensemble.begin(0.2)
+            await until(lambda: short.id not in cluster.ensemble.sessions)
+            assert len(cluster.ensemble.sessions) == 1
+
+    asyncio.run(play())
+
+
 def stall(server: Server) -> None:
     server.stall()
 
