--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -399,21 +399,24 @@
         """Go on by other settings, keep what was learned of servers; raises ValueError and changes nothing.
 
         Guards requests that are open: each is judged by the class that it began with, so that one must stand
-        at the same place as before. Classes that are bound to kinds or zones of servers can't be changed.
+        at the same place as before. A pool stays when no class is bound to its servers any more: there are as
+        many as ways in which classes were ever bound.
         """
         settings.check()
         before, after = self.settings.classes, settings.classes
         for request in self.requests.values():
             if request.kind >= len(after) or after[request.kind] != before[request.kind]:
                 raise ValueError(f"classes[{request.kind}]: a request of it is open")
-        if {(c.only_kinds, c.only_zones) for c in (*before, *after)} != {(None, None)}:
-            raise ValueError("classes: bound ones can't be changed")
         fresh = Balancer(settings, 0)
         for kind, row in enumerate(before[:len(after)]):
             if row == after[kind]:
                 fresh.lengths[kind], fresh.usual[kind] = self.lengths[kind], self.usual[kind]
         self.settings = settings
-        self.pool_of = self.pools * len(after)
+        places = {(pool.kinds, pool.zones): pool for pool in self.pools}
+        for row in after:
+            places.setdefault((row.only_kinds, row.only_zones), Pool(row.only_kinds, row.only_zones))
+        self.pools = list(places.values())
+        self.pool_of = [places[row.only_kinds, row.only_zones] for row in after]
         self.shares, self.due, self.due_at = fresh.shares, fresh.due, fresh.due_at
         self.alone, self.room, self.accept_worth = fresh.alone, fresh.room, fresh.accept_worth
         self.lengths, self.usual = fresh.lengths, fresh.usual
--- a/lugspur/config/build.py
+++ b/lugspur/config/build.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from importlib.util import find_spec
 from typing import Any
 
 from jaspershelf.model import Limits, Repeat, RequestClass, Rules, Settings, Tenant
@@ -41,6 +42,7 @@
 ORIGINS = ("members", "file", "watch", "registry")
 FORWARD_ONLY = ("fallback", "kind", "deadline", "tenant", "key", "rewrite", "request", "response")
 KEYS = {"kind": "class"}
+NO_H2 = 'HTTP/2 needs a library that is not installed; run pip install "lugspur[grpc]"'
 CONFLICTS_MOST = 100  # named in one run of the check
 
 
@@ -85,6 +87,7 @@
             f"{file.daemon.instance} is not below instances = {file.daemon.instances}; count from 0")
     registries = _named(raw, "registries")
     _check_listeners(file, registries, place.at("listeners"))
+    _check_http2(file, place)
     for name, pool in file.pools.items():
         _check_pool(pool, registries, place.at("pools", name))
     routes = _Routes(file, raw, place.at("routes"))
@@ -120,6 +123,18 @@
             place.at(name, "address").wrong(f'listener "{other}" has this address already; take another port')
 
 
+def _check_http2(file: model.File, place: Place) -> None:
+    """Guards the start: without the library the first caller would find out."""
+    if find_spec("h2") is not None:
+        return
+    for name, row in file.listeners.items():
+        if row.http2:
+            place.at("listeners", name, "http2").wrong(NO_H2)
+    for name, pool in file.pools.items():
+        if pool.protocol == "grpc" or any(member.protocol == "grpc" for member in pool.members):
+            place.at("pools", name).wrong(NO_H2)
+
+
 def _check_register(
     row: model.Listener, register: model.Register, registries: Mapping[str, object], place: Place
 ) -> None:
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -29,7 +29,7 @@
     whole,
     words,
 )
-from lugspur.membership.rows import Address
+from lugspur.membership.rows import PROTOCOLS, Address
 
 FORMATS = ("auto", "own", "curator", "serverset")  # of nodes; membership/nodes.py reads them
 
@@ -72,6 +72,8 @@
     answer: int = option(size(1 << 10, 256 << 20), "a backend's body: a spoilt answer beyond it", 8 << 20)
     read: float = option(duration(0.1, 600.0), "time for a whole request to come in: 408 beyond it", 10.0)
     idle: float = option(duration(2.0, 3600.0), "time that a caller may keep a connection between requests", 60.0)
+    drain: float = option(
+        duration(0.0, 3600.0), "time that open HTTP/2 streams may go on after SIGTERM, or without their listener", 10.0)
 
 
 @dataclass(slots=True)
@@ -103,6 +105,8 @@
     """An address that callers connect to."""
 
     address: Address = option(address, 'where to listen, as "127.0.0.1:8080"; port 0 takes a free one')
+    http2: bool = option(
+        flag, "whether HTTP/2 with prior knowledge, and with it gRPC, is taken beside HTTP/1.1", False)
     register: Register | None = part(Register, "its node in a registry", None)
     trust_forwarded: bool = option(
         flag, "whether callers' X-Forwarded-For and X-Forwarded-Proto are kept and added to", False)
@@ -138,6 +142,7 @@
     address: Address = option(address, 'where it listens, as "127.0.0.1:9001"')
     name: str = option(text, "what it is called; by default its address", "")
     weight: float = option(number(0.001, 1e6), "its size against the others'", 1.0)
+    protocol: str = option(one_of("", *PROTOCOLS), "http or grpc; by default the pool's", "")
     zone: str = option(text, "its zone", "")
     cell: int = option(whole(), "its cell: backends that drop each other's keyed repeats", 0)
     drain: bool = option(flag, "true: it finishes what it has and gets nothing new", False)
@@ -184,6 +189,8 @@
     registry: Follow | None = part(Follow, "a folder of a registry that is followed", None)
     file: str = option(text, "a file with the list, in the form of the HTTP watch; it is read when it changes", "")
     watch: Address | None = option(address, "the address of a discovery that serves the HTTP watch", None)
+    protocol: str = option(
+        one_of(*PROTOCOLS), "what backends speak that don't say: http (HTTP/1.1) or grpc (over HTTP/2)", "http")
     attempts: int = option(whole(1, 10), "attempts for a request at most", 3)
     connect: float = option(duration(0.001, 60.0), "time for a connection to come up", 0.25)
     keep: float = option(duration(0.1, 3600.0), "time after which its backends close idle connections", 15.0)
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -5,16 +5,18 @@
 import asyncio
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
 
 from jaspershelf.model import Outcome, Repeat, RequestClass
 from lugspur.config import model
 from lugspur.config.build import METHODS, NOBODY, Plan
+from lugspur.daemon import health
 from lugspur.daemon.outgoing import Headers, changed, drawn, outgoing
 from lugspur.daemon.pool import Call, Facts
 from lugspur.daemon.proxy import ANSWER_EARLY, CALLERS_PART, SPARE_SOCKETS, TIME, read_cost
-from lugspur.daemon.station import Station
-from lugspur.http1.front import Caller, Front
+from lugspur.daemon.station import GRPC, Station
+from lugspur.http1.front import Front
 from lugspur.http1.intake import Rejected, Request, Sizes
 from lugspur.http1.upstream import HELD_PART, Response
 from lugspur.membership.registry import Registries
@@ -24,6 +26,10 @@
 from lugspur.routing.standing import Standing, candidates
 from lugspur.routing.table import Match, Miss, read_query
 from lugspur.routing.target import Target, TargetError, read_target
+from lugspur.seams import Answerable
+
+if TYPE_CHECKING:
+    from lugspur.http2.pipe import Pipe
 
 COME_BACK = b"Retry-After: 1\r\n"  # where no backend is there, or no place: nothing tells when one will be
 REFUSALS = (429, 503)  # say that trying again is harmless, so no failure may be worded so
@@ -88,11 +94,18 @@
 
     def front(self, row: model.Listener) -> Front:
         """A front for one listener of the plan."""
-        def handle(request: Request, caller: Caller) -> None:
-            self._handle(row, request, caller)
+        def handle(request: Request, caller: Answerable) -> None:
+            if row.http2 and health.asked(request):
+                health.answer(request, caller, front, lambda name: self._serves(front, name))
+            else:
+                self._handle(row, request, caller)
 
         front = Front(row.address, 1, 0, handle)
         front.ready = True
+        if row.http2:
+            from lugspur.http2.front import Connection
+
+            front.http2 = lambda front: Connection(front, handle)
         front.terms = lambda: self.regime
         self.retune(front)
         return front
@@ -104,12 +117,19 @@
         sockets = max(8, limits.sockets - SPARE_SOCKETS)
         front.tune(
             max(1, int(CALLERS_PART * sockets) // count), limits.memory // count,
-            Sizes(limits.head, limits.body, ordinary=True), limits.read, limits.idle,
+            Sizes(limits.head, limits.body, ordinary=True), limits.read, limits.idle, limits.drain,
         )
 
+    def _serves(self, front: Front, name: str) -> bool | None:
+        """Whether a pool, or for "" the listener, serves; None for a name that nobody has."""
+        if not name:
+            return front.healthy()
+        station = self.stations.get(name)
+        return None if station is None else station.standing.usable(self._loop.time()) and front.healthy()
+
     # ---- requests ------------------------------------------------------------------------------
 
-    def _handle(self, row: model.Listener, request: Request, caller: Caller) -> None:
+    def _handle(self, row: model.Listener, request: Request, caller: Answerable) -> None:
         method = request.method.decode("latin-1")
         if method not in METHODS:
             raise Rejected(501, "the method is not served")
@@ -136,13 +156,13 @@
 
     def _forward(
         self, row: model.Listener, regime: Regime, match: Match, forward: Forward, request: Request, target: Target,
-        caller: Caller,
+        caller: Answerable,
     ) -> None:
         kind = regime.plan.classes[regime.plan.kinds[forward.kind]]
         timeout = self._timeout(kind, forward, request)
         query = read_query(target.query) if _reads_query(forward) else {}
         tenant = _tenant(regime.plan, match, forward, request, query)
-        caller.front.admit(caller)
+        caller.admit()
         if forward.key is not None:
             key = drawn(forward.key, Headers(request.headers), query, match.captured)
             order = by_key(forward.splits, key.encode("utf-8", "surrogatepass"))
@@ -171,15 +191,21 @@
             timeout = min(timeout, float(wanted) - (self._loop.time() - request.arrived))
         return timeout
 
-    def _submit(self, ticket: Ticket, caller: Caller) -> None:
+    def _submit(self, ticket: Ticket, caller: Answerable) -> None:
         """Give a request to its station, if that has a place left."""
-        station = ticket.station
+        station, form = ticket.station, ticket.request.form
+        kind = ticket.kind
+        if form is not None and form.bound:
+            if not station.speaks_grpc:
+                caller.answer(501, b"", b"no backend here speaks gRPC, and HTTP/1.1 takes no streams\n")
+                return
+            kind = replace(kind, only_kinds=(GRPC,))
         if not self._places.fits(station.name):
             # Guards the other pools: one that hangs fills its own places and what nobody else is sure of.
             caller.answer(503, COME_BACK, b"no place\n")
             return
         self._places.take(station.name)
-        facts = Facts(station.kind(ticket.kind), station.tenant(ticket.tenant), 0.0, ticket.cost, False)
+        facts = Facts(station.kind(kind), station.tenant(ticket.tenant), 0.0, ticket.cost, False)
         station.pool.submit(ticket.request, facts, caller, ticket.deadline, ticket)
 
     # ---- what pools ask of their owner -----------------------------------------------------------
@@ -190,9 +216,18 @@
 
     def served(self, call: Call, response: Response) -> None:
         """Pass the answer on."""
+        self._pass_on(call, response)
+
+    def _pass_on(self, call: Call, response: Response) -> None:
         ticket = _ticket(call)
         head = changed(response.head, ticket.forward.response)
-        ticket.station.pool.answer(call, response.status, head, response.body, response.length)
+        ticket.station.pool.answer(call, response.status, head, response.body, response.length, response.trailers)
+
+    def begun(self, call: Call, response: Response, body: Pipe) -> None:
+        """Pass on what there is of an answer, and the rest as it comes."""
+        ticket = _ticket(call)
+        if ticket.request.form is not None:
+            ticket.request.form.begin_answer(changed(response.head, ticket.forward.response), body)
 
     def refused(self, call: Call, retry_after: float) -> None:
         """Let the next pool take over where this one has no usable backend and nothing ran; else answer 503."""
@@ -210,13 +245,11 @@
 
     def failed(self, call: Call) -> None:
         """Pass on the backend's own word of its failure, if it has one that promises nothing; else 502 or 504."""
-        ticket, response = _ticket(call), call.response
-        pool = ticket.station.pool
+        response = call.response
         if response is not None and response.status >= 400 and response.status not in REFUSALS:
-            head = changed(response.head, ticket.forward.response)
-            pool.answer(call, response.status, head, response.body, response.length)
+            self._pass_on(call, response)
         else:
-            pool.answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
+            _ticket(call).station.pool.answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
 
     def settled(self, call: Call) -> None:
         """Its place is free again."""
@@ -242,7 +275,7 @@
     return any(source is not None and source.query for source in (forward.key, forward.tenant))
 
 
-def _answer_miss(miss: Miss, caller: Caller) -> None:
+def _answer_miss(miss: Miss, caller: Answerable) -> None:
     if miss.allow:
         head = b"Allow: %b\r\n" % ", ".join(sorted(miss.allow)).encode()
         caller.answer(405, head, b"method not allowed\n")
@@ -250,7 +283,7 @@
         caller.answer(404, b"", b"no route\n")
 
 
-def _answer_redirect(redirect: Redirect, match: Match, target: Target, caller: Caller) -> None:
+def _answer_redirect(redirect: Redirect, match: Match, target: Target, caller: Answerable) -> None:
     to = redirect.to.fill(match.captured).encode()
     if target.query is not None:
         to += (b"&" if b"?" in to else b"?") + target.query
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -11,7 +11,7 @@
 import traceback
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from jaspershelf.decide import Balancer
 from jaspershelf.model import (
@@ -29,9 +29,12 @@
     Timer,
 )
 from lugspur.http1 import upstream
-from lugspur.http1.front import Caller
 from lugspur.http1.intake import Request
-from lugspur.membership.rows import Endpoint
+from lugspur.membership.rows import Address, Endpoint
+from lugspur.seams import Answerable, Attempt, Lane
+
+if TYPE_CHECKING:
+    from lugspur.http2.pipe import Pipe
 
 COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
 
@@ -50,27 +53,28 @@
 class Call:
     """A request that a final answer is owed for, or that still has attempts out."""
 
-    __slots__ = ("caller", "context", "deadline", "exchanges", "facts", "last", "may_have_run", "request", "response",
-                 "rid", "timer")
+    __slots__ = ("bound", "caller", "context", "deadline", "exchanges", "facts", "last", "may_have_run", "request",
+                 "response", "rid", "timer")
 
     def __init__(
-        self, rid: str, request: Request, facts: Facts, caller: Caller, deadline: float, context: object
+        self, rid: str, request: Request, facts: Facts, caller: Answerable, deadline: float, context: object
     ) -> None:
         self.rid = rid
         self.request = request
         self.facts = facts
-        self.caller: Caller | None = caller  # None once nothing is owed
+        self.caller: Answerable | None = caller  # None once nothing is owed
         self.deadline = deadline  # in the loop's time
         self.context = context  # the owner's
-        self.exchanges: list[upstream.Exchange] = []
+        self.exchanges: list[Attempt] = []
+        self.bound = False  # whether a message has passed: the request belongs to that attempt
         self.may_have_run = False  # whether any attempt may
         self.last = Outcome.VOID  # how its latest attempt ended...
         self.response: upstream.Response | None = None  # ...and with what answer
         self.timer: asyncio.TimerHandle | None = None
 
     def bytes_for(self, left: float) -> bytes:
-        """The request as it goes to a backend that is waited for so many seconds."""
-        request = self.request
+        """The request as it goes to an HTTP/1.1 backend that is waited for so many seconds."""
+        request = self.request if self.request.form is None else self.request.form.plain(self.request)
         framed = request.body or request.method not in (b"GET", b"HEAD")
         length = b"Content-Length: %d\r\n" % len(request.body) if framed else b""
         return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
@@ -87,6 +91,9 @@
     def served(self, call: Call, response: upstream.Response) -> None:
         """A backend has served it in time."""
 
+    def begun(self, call: Call, response: upstream.Response, body: Pipe) -> None:
+        """A backend's answer is passed on as it comes; `served` or `failed` ends it."""
+
     def refused(self, call: Call, retry_after: float) -> None:
         """No attempt ran, or another does no harm: say so (0: no time to come back is known)."""
 
@@ -112,12 +119,33 @@
             sys.stderr.flush()
 
 
+class Sending:
+    """What a pool is told of one attempt of a call."""
+
+    __slots__ = ("_call", "_number", "_pool")
+
+    def __init__(self, pool: Pool, call: Call, number: int) -> None:
+        self._pool, self._call, self._number = pool, call, number
+
+    def ended(self, attempt: Attempt, outcome: Outcome, response: upstream.Response | None) -> None:
+        """Its one outcome."""
+        self._pool.outcome(self._call, self._number, attempt, outcome, response)
+
+    def bound(self) -> None:
+        """A message has passed: the request belongs to this attempt from now on."""
+        self._pool.bound(self._call, self._number)
+
+    def begun(self, response: upstream.Response, body: Pipe) -> None:
+        """Its answer is passed on as it comes."""
+        self._pool.begun(self._call, response, body)
+
+
 class Pool:
     """One instance of the decision module, its backends, and the requests that it has in hand."""
 
     def __init__(
         self, settings: Settings, seed: int, connections: upstream.Upstream, owner: Owner, epoch: float,
-        subscribe: Callable[[], None] = lambda: None,
+        subscribe: Callable[[], None] = lambda: None, lane: Callable[[], Lane] | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._epoch = epoch  # seconds from the loop's time to the time that lists use
@@ -128,6 +156,7 @@
         self.calls: dict[str, Call] = {}
         self._owner = owner
         self._subscribe = subscribe
+        self._lane = lane  # makes what carries attempts to boxes that speak no HTTP/1.1, where there are any
         self._repeatable = [row.repeat is not Repeat.UNSAFE for row in settings.classes]
         self._count = 0
         self._complaints = Complaints()
@@ -171,19 +200,25 @@
                 self._remove(row.server)
                 continue
             backend = self.backends.setdefault(row.server, upstream.Backend(endpoint.address, row.server))
-            self.upstream.update(backend, endpoint.address, row.started, row.state is State.UP)
+            self._update(backend, endpoint.address, row.started, row.state is State.UP)
+            backend.lane = self._lane() if endpoint.grpc and self._lane is not None else None
         self._perform(self._decide(self.balancer.members, kind, [endpoint.row for endpoint in endpoints]))
 
     def _remove(self, server: int) -> None:
         """Guards memory against backends that are gone for good; attempts that are out keep theirs."""
         backend = self.backends.pop(server, None)
         if backend is not None:
-            self.upstream.update(backend, backend.address, backend.started, False)
+            self._update(backend, backend.address, backend.started, False)
+
+    def _update(self, backend: upstream.Backend, address: Address, started: float, in_service: bool) -> None:
+        if backend.lane is not None:
+            backend.lane.update(backend, address, started, in_service)
+        self.upstream.update(backend, address, started, in_service)
 
     # ---- requests ------------------------------------------------------------------------------
 
     def submit(
-        self, request: Request, facts: Facts, caller: Caller, deadline: float, context: object = None
+        self, request: Request, facts: Facts, caller: Answerable, deadline: float, context: object = None
     ) -> None:
         """Take up a request; `deadline` is in the loop's time, and an answer is owed until then."""
         self._count += 1
@@ -199,6 +234,9 @@
     def _gone(self, call: Call) -> None:
         self._settle(call)
         self._perform(self._decide(self.balancer.gone, call.rid, call=call))
+        if call.bound:  # the module leaves a stream to its attempt, whose box need not go on for nobody
+            for exchange in tuple(call.exchanges):
+                exchange.end(Outcome.CANCELLED)
 
     def _overdue(self, call: Call) -> None:
         """The client's time is up: an answer is owed now, whatever the module says."""
@@ -214,13 +252,21 @@
         for exchange in tuple(call.exchanges):
             exchange.end(Outcome.CANCELLED)
 
-    def answer(self, call: Call, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
-        """Write the one final answer of a request."""
-        caller = self.release(call)
-        if caller is not None:
+    def answer(
+        self, call: Call, status: int, head: bytes, body: bytes, length: int | None = None,
+        trailers: bytes | None = None,
+    ) -> None:
+        """Write the one final answer of a request; with trailers it goes back as gRPC as it came."""
+        caller, form = self.release(call), call.request.form
+        if caller is None:
+            return
+        if trailers is not None and form is not None:
+            caller.gone = None
+            form.finish(head, body, trailers)
+        else:
             caller.answer(status, head, body, length)
 
-    def release(self, call: Call) -> Caller | None:
+    def release(self, call: Call) -> Answerable | None:
         """Let go of a request; who is given its caller owes the answer from then on."""
         caller = call.caller
         self._settle(call)
@@ -271,24 +317,33 @@
         until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
         number = len(call.exchanges)
 
-        def report(
-            exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
-        ) -> None:
-            self._outcome(call, number, exchange, outcome, response)
-
+        watcher = Sending(self, call, number)
         repeatable = self._repeatable[call.facts.kind]
+        timed = until < call.deadline  # at the deadline the call's own timer ends it
         backend = self.backends[action.server]
+        if backend.lane is not None:
+            call.exchanges.append(backend.lane.start(backend, call.request, until, watcher, repeatable, timed))
+            return
         exchange = upstream.Exchange(
-            backend, now, until, call.bytes_for, report, repeatable, call.request.method == b"HEAD",
-            until < call.deadline,  # at the deadline the call's own timer ends it
+            backend, now, until, call.bytes_for, watcher.ended, repeatable, call.request.method == b"HEAD", timed,
         )
         call.exchanges.append(exchange)
         self.upstream.start(exchange)
 
-    def _outcome(
-        self, call: Call, number: int, exchange: upstream.Exchange, outcome: Outcome,
-        response: upstream.Response | None,
+    def bound(self, call: Call, number: int) -> None:
+        """A message has passed: no other attempt may have this request."""
+        call.bound = True
+        self._perform(self._decide(self.balancer.begun, call.rid, number, call=call))
+
+    def begun(self, call: Call, response: upstream.Response, body: Pipe) -> None:
+        """An answer is passed on as it comes."""
+        if call.caller is not None:
+            self._owner.begun(call, response, body)
+
+    def outcome(
+        self, call: Call, number: int, exchange: Attempt, outcome: Outcome, response: upstream.Response | None
     ) -> None:
+        """An attempt has ended."""
         now = self._loop.time()
         call.last, call.response = outcome, response
         call.may_have_run = call.may_have_run or outcome not in NEVER_RAN
@@ -304,6 +359,6 @@
                 outcome = Outcome.TIMEOUT
         self._forget(call)
         self._perform(self._decide(
-            self.balancer.outcome, call.rid, number, outcome, now - exchange.started, call.caller is None,
+            self.balancer.outcome, call.rid, number, outcome, exchange.latency(now), call.caller is None,
             call=call,
         ))
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 import time
+from typing import TYPE_CHECKING
 
 from jaspershelf.model import Discovery, ListKind, Outcome, Repeat
 from lugspur.config.platform import Config
@@ -16,6 +17,9 @@
 from lugspur.membership.rows import Endpoint, Reader
 from lugspur.routing.shares import Shares
 
+if TYPE_CHECKING:
+    from lugspur.http2.pipe import Pipe
+
 SPARE_SOCKETS = 48  # descriptors for the listener, discovery, the loop, and callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
@@ -123,6 +127,9 @@
         """Pass the answer on."""
         self.pool.answer(call, 200, response.head, response.body)
 
+    def begun(self, call: Call, response: Response, body: Pipe) -> None:
+        """No answer of the platform's protocol is passed on before it is whole."""
+
     def refused(self, call: Call, retry_after: float) -> None:
         """Answer 503."""
         head = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0.0 else b""
--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -6,7 +6,7 @@
 import os
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from jaspershelf.model import ListKind, Outcome, RequestClass, Settings, State
 from lugspur.config import model
@@ -14,6 +14,7 @@
 from lugspur.config.load import resolved
 from lugspur.daemon.pool import Owner, Pool
 from lugspur.http1.upstream import Upstream
+from lugspur.membership.nodes import Nodes
 from lugspur.membership.registry import Ensemble, Followed, Registries
 from lugspur.membership.rows import Endpoint, Reader
 from lugspur.membership.source import FixedList, Source, WatchedFile
@@ -22,16 +23,21 @@
 from lugspur.routing.standing import Standing
 from lugspur.zookeeper.session import Terms
 
+if TYPE_CHECKING:
+    from lugspur.http2.upstream import Streams
+
+GRPC = 1  # the kind of backends that speak gRPC, for the decision module: streams are bound to it
 LEAVE_EVERY = 0.1  # seconds between looks at whether a pool that leaves has ended its last request
 
 
 def judge(status: int, unseen: bool) -> Outcome:
     """What an ordinary backend's answer says of its attempt.
 
-    Below 500 the backend did its work, whatever it thought of the request, but for 408 and 429: it gave up.
+    Below 500 the backend did its work, whatever it thought of the request, but for 408 and 429: it gave up. 501
+    is about the request too: another backend would not know it either.
     Only `X-Not-Processed: 1` proves of an answer that nothing ran.
     """
-    if status < 500 and status not in (408, 429):
+    if status == 501 or (status < 500 and status not in (408, 429)):
         return Outcome.OK
     return Outcome.FULL if status in (503, 504) and unseen else Outcome.ERROR
 
@@ -69,6 +75,9 @@
         self._origin: object = None  # what its source was made from
         self._source: Source | None = None
         self.pool: Pool
+        self.speaks_grpc = False  # whether a backend of it does
+        self._streams: Streams | None = None  # connections to those
+        self._limits = 0, 0  # bytes of answers that are not whole, and of one answer
         self._tenants: dict[str, int] = {}
 
     def apply(
@@ -84,7 +93,10 @@
                 places(self.pool.settings.classes, settings.classes, held))))
         self._row = row
         self._tenants = {tenant.name: at for at, tenant in enumerate(settings.tenants)}
+        self._limits = held_most, answer_most
         self.pool.upstream.tune(row.keep, row.connect, held_most, answer_most, row.idle)
+        if self._streams is not None:
+            self._streams.tune(row.keep, row.connect, held_most, answer_most)
         self._feed(row, beside, registries)
 
     def kind(self, row: RequestClass) -> int:
@@ -103,9 +115,19 @@
             self._sockets, self.name, row.keep, row.connect, 0, judge=judge, dialled=self._dialled
         )
         seed = int.from_bytes(os.urandom(8), "big")
-        self.pool = Pool(settings, seed, connections, self._owner, self._epoch)
+        self.pool = Pool(settings, seed, connections, self._owner, self._epoch, lane=self._lane)
         self.pool.start()
 
+    def _lane(self) -> Streams:
+        """Connections to gRPC backends, made and imported when the first of them is listed."""
+        from lugspur.http2.upstream import Streams
+
+        if self._streams is None:
+            assert self._row is not None
+            self._streams = Streams(self._sockets, self.name, judge, self._dialled)
+            self._streams.tune(self._row.keep, self._row.connect, *self._limits)
+        return self._streams
+
     def _dialled(self, server: int, up: bool) -> None:
         if up:
             self.standing.reached(server)
@@ -117,7 +139,7 @@
     def _feed(self, row: model.Pool, beside: str, registries: Mapping[str, model.Registry]) -> None:
         """Take the list from where the row says; one that has not changed goes on as it is."""
         ensemble = registries[row.registry.name] if row.registry else None
-        origin = (row.members, row.file, row.watch, row.registry, ensemble)
+        origin = (row.members, row.file, row.watch, row.registry, row.protocol, ensemble)
         if self._source is not None and origin == self._origin:
             return
         former, self._origin = self._source, origin
@@ -127,24 +149,29 @@
             former.close()  # what it told stays until the new one tells a whole list
 
     def _made(self, row: model.Pool, beside: str, ensemble: model.Registry | None) -> Source:
-        fixed = [Reader().endpoint(_entry(member)) for member in row.members]
+        reader = Reader(protocol=row.protocol)
+        fixed = [reader.endpoint(_entry(member)) for member in row.members]
         if row.file:
-            return WatchedFile(resolved(row.file, beside), self._members)
+            return WatchedFile(resolved(row.file, beside), reader, self._members)
         if row.watch:
-            return Discovery(row.watch, Reader(), 0, self._members)
+            return Discovery(row.watch, reader, 0, self._members)
         if row.registry is not None and ensemble is not None:
             follow, known = row.registry, bool(self.pool.backends)
             # Guards a pool whose registry has moved: its last list is better than the fixed one.
             return Followed(
-                self._registries, servers(ensemble), follow.path, follow.format, follow.stale_after,
-                [] if known else fixed, self._members, self.name,
+                self._registries, servers(ensemble), follow.path, Nodes(follow.format, row.protocol),
+                follow.stale_after, [] if known else fixed, self._members, self.name,
             )
         return FixedList(fixed, self._members)
 
     def _members(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
         if not endpoints and kind is ListKind.PATCH:
             return
+        if any(endpoint.grpc for endpoint in endpoints):
+            endpoints = [replace(endpoint, row=replace(endpoint.row, kind=GRPC)) if endpoint.grpc else endpoint
+                         for endpoint in endpoints]
         self.pool.members(kind, endpoints)
+        self.speaks_grpc = any(backend.lane is not None for backend in self.pool.backends.values())
         up = (key for key, server in self.pool.balancer.servers.items() if server.row.state is State.UP)
         self.standing.listed(up)
 
@@ -170,6 +197,8 @@
             source.close()
         self.pool.members(ListKind.WHOLE, [])
         self.pool.upstream.close()
+        if self._streams is not None:
+            self._streams.close()
 
 
 def servers(row: model.Registry) -> Ensemble:
@@ -179,7 +208,8 @@
 
 
 def _entry(member: model.Member) -> dict[str, Any]:
-    return {
+    protocol = {"protocol": member.protocol} if member.protocol else {}
+    return protocol | {
         "name": member_name(member), "address": f"{member.address[0]}:{member.address[1]}", "zone": member.zone,
         "group": member.cell, "weight": member.weight, "status": "terminating" if member.drain else "in_service",
     }
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -23,6 +23,7 @@
 DROP_MOST = 64 << 20  # bytes; closing with bytes unread would reset the connection, and the answer with it
 SWEEP = 0.25  # seconds between looks at those times
 HELD_PART = 0.25  # of the memory limit, for bodies that are not whole: hundreds of them could fill it
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"  # how HTTP/2 begins (RFC 9113 3.4); no HTTP/1.1 request does
 PIPELINE_MOST = 8  # requests that may wait behind another: callers send one at a time
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
@@ -42,20 +43,23 @@
         self.address = address
         self.handle = handle
         self.first_within, self.whole_within, self.idle_most = FIRST_WITHIN, WHOLE_WITHIN, IDLE_MOST
+        self.grace = LINGER  # seconds that streams may go on after `close`
         self.sizes = PLATFORM
         self.terms: Callable[[], object] | None = None  # by what a request is judged, asked when its head has come
+        # Makes what goes on with a connection that begins as HTTP/2 does, where that is taken here.
+        self.http2: Callable[[Front], Held] | None = None
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
         self.closing = False
         self.held = 0  # bytes of bodies that are not whole
         self._limit(most, memory)
         self.buffer = memoryview(bytearray(READ))
-        self.callers: set[Caller] = set()
+        self.callers: set[Held] = set()
         # Those that owe no answer, each with the loop's time at which it has to go.
-        self.leaving: dict[Caller, float] = {}  # answered for the last time
-        self.fresh: dict[Caller, float] = {}  # nothing has come yet
-        self.idle: dict[Caller, float] = {}  # between two requests
-        self.reading: dict[Caller, float] = {}  # a part of a request has come
+        self.leaving: dict[Held, float] = {}  # answered for the last time
+        self.fresh: dict[Held, float] = {}  # nothing has come yet
+        self.idle: dict[Held, float] = {}  # between two requests
+        self.reading: dict[Held, float] = {}  # a part of a request has come
         self.last_accept = 0.0
         self._loop = asyncio.get_running_loop()
         self._loop.call_later(SWEEP, self._sweep)
@@ -64,8 +68,12 @@
         self.most = most
         self.held_most = int(HELD_PART * memory)
 
-    def tune(self, most: int, memory: int, sizes: Sizes, within: float, idle: float) -> None:
-        """Go on by other limits: seconds for a whole request to come and between two; sizes at new connections."""
+    def tune(self, most: int, memory: int, sizes: Sizes, within: float, idle: float, grace: float) -> None:
+        """Go on by other limits: seconds for a whole request to come, between two and to end streams in.
+
+        Sizes count for new connections.
+        """
+        self.grace = grace
         self._limit(most, memory)
         self.sizes = sizes
         self.first_within = self.whole_within = within
@@ -104,10 +112,10 @@
     def close(self) -> None:
         """From here on answers close their connection; those that wait for nothing are closed now."""
         self.closing = True
-        for caller in (*self.fresh, *self.idle):
-            caller.close()
+        for caller in tuple(self.callers):
+            caller.front_closes()
 
-    def full(self, newcomer: Caller) -> bool:
+    def full(self, newcomer: Held) -> bool:
         """Whether there are too many callers, and none but this one that could go."""
         if len(self.callers) <= self.most:
             return False
@@ -134,25 +142,80 @@
         for caller in [caller for caller, limit in self.reading.items() if limit <= now]:
             caller.reject(Rejected(408, "the request took too long"))
 
-    def admit(self, caller: Caller) -> None:
+    def admit(self, caller: Held) -> None:
         """Take up a request that goes on; raises Rejected where there are too many connections."""
         if self.full(caller):
             raise Rejected(503, "too many connections")
         caller.used = True
 
 
-class Caller(asyncio.BufferedProtocol):
-    """One caller's connection; its requests are answered one after another."""
+class Held(asyncio.BufferedProtocol):
+    """A connection that a front counts, and that has to go when it is of no use."""
 
     def __init__(self, front: Front) -> None:
         self.front = front
+        self.used = False  # has sent a request that went on
+        self.peer = ""  # the address that it connected from
+        self._place: dict[Held, float] | None = None  # where the front keeps it while no answer is owed
+        self._transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self.peer = peer[0] if peer else ""
+        self.front.callers.add(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.front.buffer
+
+    def feed(self, data: memoryview) -> None:
+        """What has come in."""
+        raise NotImplementedError
+
+    def move(self, place: dict[Held, float] | None, limit: float = 0.0) -> None:
+        """The front keeps it there, until the loop's time `limit`."""
+        if self._place is not None:
+            self._place.pop(self, None)
+        self._place = place
+        if place is not None:
+            place[self] = limit
+
+    def leave(self) -> None:
+        """The front counts it no more."""
+        self.move(None)
+        self.front.callers.discard(self)
+
+    def close(self) -> None:
+        """Close it, once what is written is out."""
+        raise NotImplementedError
+
+    def front_closes(self) -> None:
+        """Nothing is taken from here on: it goes when it owes nothing."""
+        if self._place is self.front.fresh or self._place is self.front.idle:
+            self.close()
+
+    def drop(self) -> None:
+        """Close it at once."""
+        self.leave()
+        self._transport.abort()
+
+    def reject(self, fault: Rejected) -> None:
+        """Answer what is not served, for the last time."""
+        raise NotImplementedError
+
+
+class Caller(Held):
+    """One caller's connection; its requests are answered one after another."""
+
+    def __init__(self, front: Front) -> None:
+        super().__init__(front)
         self._loop = asyncio.get_running_loop()
+        self._early: bytes | None = b"" if front.http2 is not None else None  # until it is known what is spoken
         self._queue: deque[Request | Rejected] = deque()
         expected = self._continue if front.sizes.ordinary else None
         self._intake = Intake(self._queue.append, front.sizes, expected, front.terms)
-        self._place: dict[Caller, float] | None = None  # where the front keeps it while no answer is owed
         self._busy = False
-        self.used = False  # has sent a request that went on
         self._stuck = False  # does not read its answers
         self._keep_alive = True
         self._bodyless = False  # its request is a HEAD
@@ -164,19 +227,14 @@
     # ---- the connection ------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        peer = transport.get_extra_info("peername")
-        self.peer: str = peer[0] if peer else ""  # the address that it connected from
+        super().connection_made(transport)
         front = self.front
         front.last_accept = self._loop.time()
-        front.callers.add(self)
-        self._move(front.fresh, front.last_accept + front.first_within)
+        self.move(front.fresh, front.last_accept + front.first_within)
         front.full(self)  # Guards the limit on descriptors: one that can go makes room.
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._move(None)
-        self.front.callers.discard(self)
+        self.leave()
         self._queue.clear()
         self._hold(0)
         self._intake.close()
@@ -184,24 +242,11 @@
         if gone is not None:
             gone()
 
-    def _move(self, place: dict[Caller, float] | None, limit: float = 0.0) -> None:
-        if self._place is not None:
-            self._place.pop(self, None)
-        self._place = place
-        if place is not None:
-            place[self] = limit
-
     def close(self) -> None:
         """Close it, once what is written is out."""
-        self._move(self.front.leaving, self._loop.time() + LINGER)
+        self.move(self.front.leaving, self._loop.time() + LINGER)
         self._transport.close()
 
-    def drop(self) -> None:
-        """Close it at once."""
-        self._move(None)
-        self.front.callers.discard(self)
-        self._transport.abort()
-
     def pause_writing(self) -> None:
         self._stuck = True
 
@@ -209,17 +254,36 @@
         self._stuck = False
         self._resume()
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.front.buffer
-
     def buffer_updated(self, nbytes: int) -> None:
+        data = self.front.buffer[:nbytes]
+        if self._early is not None:
+            begun = self._early + bytes(data)
+            if PREFACE.startswith(begun[:len(PREFACE)]):
+                self._early = begun
+                if len(begun) >= len(PREFACE):
+                    self._hand_over(begun)
+                return
+            self._early, data = None, memoryview(begun)
+        self.feed(data)
+
+    def _hand_over(self, begun: bytes) -> None:
+        """It speaks HTTP/2: another protocol goes on with the connection. ALPN would lead here too."""
+        assert self.front.http2 is not None
+        successor, transport = self.front.http2(self.front), self._transport
+        self.leave()
+        self._intake.close()
+        transport.set_protocol(successor)
+        successor.connection_made(transport)
+        successor.feed(memoryview(begun))
+
+    def feed(self, data: memoryview) -> None:
         if self._faulty:
-            self._dropped += nbytes
+            self._dropped += len(data)
             if self._dropped > DROP_MOST:  # Guards the core against a sender that goes on for ever.
                 self.drop()
             return
         intake, front = self._intake, self.front
-        intake.feed(front.buffer[:nbytes], self._loop.time())
+        intake.feed(data, self._loop.time())
         self._hold(intake.held())
         if self._held and front.held > front.held_most:  # Guards the memory limit against many half bodies.
             intake.fault = Rejected(503, "too many bodies at once")
@@ -233,7 +297,7 @@
             self._next()
         elif intake.reading and not self._busy and self._place is not front.reading:
             first = self._place[self] if self._place is front.fresh else intake.arrived + front.whole_within
-            self._move(front.reading, first)
+            self.move(front.reading, first)
 
     def _hold(self, size: int) -> None:
         self.front.held += size - self._held
@@ -241,6 +305,10 @@
 
     # ---- requests and answers --------------------------------------------------------------
 
+    def admit(self) -> None:
+        """Take up its request; raises Rejected where there are too many connections."""
+        self.front.admit(self)
+
     def _next(self) -> None:
         """Take up the next request, unless one is still unanswered or its answer unread."""
         if self._busy or self._stuck:
@@ -251,7 +319,7 @@
             self.reject(request)
             return
         self._busy = True
-        self._move(None)
+        self.move(None)
         self._keep_alive = request.keep_alive
         self._bodyless = request.method == b"HEAD"
         try:
@@ -280,7 +348,7 @@
         self._queue.clear()
         self._hold(0)
         self._write(fault.status, b"", fault.reason.encode() + b"\n", False)
-        self._move(self.front.leaving, self._loop.time() + LINGER)
+        self.move(self.front.leaving, self._loop.time() + LINGER)
         # Guards the answer against a reset: what still comes is read until the caller closes.
         self._transport.resume_reading()
         self._transport.write_eof()
@@ -300,9 +368,9 @@
             return
         now, front = self._loop.time(), self.front
         if self._intake.reading:
-            self._move(front.reading, now + front.whole_within)
+            self.move(front.reading, now + front.whole_within)
         else:
-            self._move(front.idle, now + (front.idle_most if self.used else IDLE_LEAST))
+            self.move(front.idle, now + (front.idle_most if self.used else IDLE_LEAST))
         if not self._stuck:
             self._transport.resume_reading()
             if self._queue:
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -9,6 +9,7 @@
 import httptools
 
 from lugspur.http1.upstream import HOP_BY_HOP
+from lugspur.seams import Form
 
 BODY_MOST = 64 << 10  # bytes of a request's body, by the platform's protocol
 HEAD_MOST = 16 << 10  # bytes of a request's head: what backends commonly read
@@ -56,6 +57,7 @@
     arrived: float
     keep_alive: bool
     terms: Any = None  # by what it is judged, as of its head; the daemon's
+    form: Form | None = None  # what it has beyond this, where it came as gRPC
 
 
 class Intake:
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -16,6 +16,7 @@
 from jaspershelf.model import Outcome
 from lugspur.membership.rows import Address
 from lugspur.routing.shares import Shares
+from lugspur.seams import Lane
 
 ANSWER_MOST = 1 << 20  # bytes of an answer: not all keep to the 64 KiB of the protocol, 350 KB were seen
 HELD_PART = 0.125  # of the memory limit, for answers that are not whole: many large ones could fill it
@@ -41,6 +42,7 @@
     head: bytes  # its end-to-end headers, each with its line end
     body: bytes
     length: int | None = None  # of the body that a HEAD request was spared
+    trailers: bytes | None = None  # lines behind the body, where a gRPC box answers a request that came as gRPC
 
 
 def judge(status: int, unseen: bool) -> Outcome:
@@ -53,7 +55,7 @@
 class Backend:
     """One backend of the list and the idle connections to it, the most recently used last."""
 
-    __slots__ = ("address", "family", "idle", "in_service", "server", "started")
+    __slots__ = ("address", "family", "idle", "in_service", "lane", "server", "started")
 
     def __init__(self, address: Address, server: int = 0) -> None:
         self.move(address)
@@ -61,6 +63,7 @@
         self.started = 0.0
         self.in_service = False
         self.idle: list[Connection] = []
+        self.lane: Lane | None = None  # what carries attempts to it where it speaks no HTTP/1.1
 
     def move(self, address: Address) -> None:
         """It listens there from now on."""
@@ -110,6 +113,10 @@
             self.connection = None
         self._report(self, outcome, response)
 
+    def latency(self, now: float) -> float:
+        """Seconds that the backend took, if it ends now."""
+        return now - self.started
+
     def expire(self) -> None:
         """The time that this attempt is waited for is up."""
         self.end(Outcome.TIMEOUT if self._may_have_run() else Outcome.UNREACHABLE)
--- /dev/null
+++ b/lugspur/http2/front.py
@@ -0,0 +1,547 @@
+"""Callers over HTTP/2: connections, streams, and gRPC calls on them, behind the same front as HTTP/1.1 callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lugspur.grpc import mapping
+from lugspur.grpc.messages import Counter, Spoilt
+from lugspur.grpc.status import Status
+from lugspur.grpc.timeout import read_timeout
+from lugspur.http1.front import LINGER, Front, Held
+from lugspur.http1.intake import NAMED, REWRITTEN, Rejected, Request
+from lugspur.http2.frames import CANCEL, NO_ERROR, REFUSED_STREAM, STREAM_MOST, Leave
+from lugspur.http2.machine import STREAMS_MOST, Data, Ended, Event, Fields, Head, Machine, Over, Reset, Tail
+from lugspur.http2.pipe import Pipe
+
+GATHER = 0.02  # seconds after a whole message, or a head alone, in which a call may still turn out to be all there
+BACKLOG_MOST = 1 << 20  # bytes that the transport holds unsent before a caller is given up: DATA waits before
+LEAVE_AFTER = 0.25  # seconds between the two GOAWAYs: streams that were begun before the first was read still come
+STUCK = 2.0  # seconds that an answered stream may keep what its caller does not read
+Handle = Callable[[Request, "Stream"], None]
+
+
+class Stream:
+    """One request over HTTP/2, and its caller as pools see it."""
+
+    def __init__(self, connection: Connection, stream: int, now: float) -> None:
+        self.connection, self.stream = connection, stream
+        self.front = connection.front
+        self.peer = connection.peer
+        self.arrived = now
+        self.gone: Callable[[], None] | None = None
+        self.answered = False  # its final answer is written, though it may not be out
+        self._head: Fields = []
+        self._chunks: list[bytes] = []
+        self._held = 0
+        self._delivered = False
+
+    # ---- the request ---------------------------------------------------------------------------
+
+    def begin(self, fields: Fields) -> None:
+        """Its head has come; raises Rejected."""
+        self._head = fields
+        self._terms = None if self.front.terms is None else self.front.terms()
+        self._lines, self._named = read_fields(fields)
+
+    def data(self, data: bytes, size: int) -> None:
+        """A part of its body; raises Rejected."""
+        self.connection.machine.credit(self.stream, size)
+        self._keep(data)
+
+    def _keep(self, data: bytes) -> None:
+        self._chunks.append(data)
+        self._held += len(data)
+        self.front.held += len(data)
+        if self._held > self.front.sizes.body:
+            raise Rejected(413, "the body is too large")
+        if self.front.held > self.front.held_most:  # Guards the memory limit against many half bodies.
+            raise Rejected(503, "too many bodies at once")
+
+    def ended(self) -> None:
+        """The request is whole; raises Rejected."""
+        self._deliver()
+
+    def _release(self) -> bytes:
+        body = b"".join(self._chunks)
+        self._chunks = []
+        self.front.held -= self._held
+        self._held = 0
+        return body
+
+    def _deliver(self) -> None:
+        self._delivered = True
+        body = self._release()
+        self.connection.deliver(self._request(body), self)
+
+    def _request(self, body: bytes) -> Request:
+        told = dict(self._head)
+        method, path = told[b":method"], told[b":path"]
+        return Request(method, path, self._named, self._lines, body, self.arrived, True, self._terms)
+
+    # ---- the answer ----------------------------------------------------------------------------
+
+    def admit(self) -> None:
+        """Take up its request; raises Rejected where there are too many connections."""
+        self.front.admit(self.connection)
+
+    def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
+        """Write the one final answer."""
+        fields: Fields = [(b":status", b"%d" % status), *mapping.fields_of([head])]
+        if status not in (204, 304):
+            fields.append((b"content-length", b"%d" % (len(body) if length is None else length)))
+        self._write(fields, b"" if self._bodyless() else body, None)
+
+    def _bodyless(self) -> bool:
+        return dict(self._head).get(b":method") == b"HEAD"
+
+    def reject(self, fault: Rejected) -> None:
+        """Answer what is not served."""
+        self.gone = None
+        self.answer(fault.status, b"", fault.reason.encode() + b"\n")
+
+    def _write(self, head: Fields | None, body: bytes, tail: Fields | None) -> None:
+        """The final answer, or its end."""
+        if self.answered:
+            return
+        self.gone = None
+        self.answered = True
+        self._release()
+        machine, stream = self.connection.machine, self.stream
+        if head is not None and not body and tail is not None:
+            machine.head(stream, head + tail, end=True)  # trailers-only
+        else:
+            if head is not None:
+                machine.head(stream, head, end=not body and tail is None)
+            machine.write(stream, body)
+            if not machine.said(stream):
+                machine.finish(stream, tail)
+        self.connection.answered(self)
+
+    def over(self) -> None:
+        """Its caller has given it up, or its connection is gone."""
+        self._release()
+        self.answered = True
+        gone, self.gone = self.gone, None
+        if gone is not None:
+            gone()
+
+    def sent(self, size: int) -> None:
+        """So many bytes of the answer have gone out, or will never."""
+
+
+class Call(Stream):
+    """A gRPC call: unary, or a stream of messages either way; the form of its request (seams.py)."""
+
+    def __init__(self, connection: Connection, stream: int, now: float) -> None:
+        super().__init__(connection, stream, now)
+        self._counter = Counter()
+        self._timer: asyncio.TimerHandle | None = None
+        self._until = float("inf")  # the loop's time at which the caller's own time is up
+        self._answer: Pipe | None = None  # an answer that is passed on as it comes
+        self._begun = False  # its head is out
+        self.pipe: Pipe | None = None
+
+    @property
+    def bound(self) -> bool:
+        """Whether a gRPC box alone can take it: it is no single message."""
+        return self.pipe is not None or self._counter.whole != 1 or self._counter.open
+
+    # ---- the request ---------------------------------------------------------------------------
+
+    def begin(self, fields: Fields) -> None:
+        """Its head has come; raises Rejected."""
+        super().begin(fields)
+        told = dict(fields)
+        if told.get(b":method") != b"POST":
+            raise Rejected(405, "gRPC is asked for with POST")
+        if b"grpc-timeout" in told:
+            try:
+                seconds = read_timeout(told[b"grpc-timeout"])
+            except ValueError as fault:
+                raise Rejected(500, str(fault)) from fault  # INTERNAL
+            self._until = self.arrived + seconds
+            self._named[b"x-timeout"] = b"%.9f" % seconds
+        self._wait()
+
+    def _wait(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self.connection.loop.call_later(GATHER, self._stream)
+
+    def data(self, data: bytes, size: int) -> None:
+        """A part of its messages; raises Rejected."""
+        try:
+            self._counter.feed(data)
+        except Spoilt as fault:
+            raise Rejected(500, str(fault)) from fault  # INTERNAL
+        if self.pipe is not None:
+            self.connection.machine.credit(self.stream, size - len(data))
+            self.pipe.put(data)
+            return
+        self.connection.machine.credit(self.stream, size)
+        self._keep_call(data)
+
+    def _keep_call(self, data: bytes) -> None:
+        """Gather what may be a unary call; a second message, or one that is too large to hold, makes it a stream."""
+        counter, sizes = self._counter, self.front.sizes
+        self._chunks.append(data)
+        self._held += len(data)
+        self.front.held += len(data)
+        if counter.whole + counter.open > 1 or self._held + counter.least() > sizes.body or (
+            self.front.held > self.front.held_most
+        ):
+            self._stream()
+        elif counter.open:  # its length is told: it is waited for
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self.connection.loop.call_at(self.arrived + self.front.whole_within, self._slow)
+        else:
+            self._wait()
+
+    def _slow(self) -> None:
+        if not self._delivered and not self.answered:
+            self.connection.refuse(self, Rejected(408, "the message took too long"))
+
+    def ended(self) -> None:
+        """The caller has said all; raises Rejected."""
+        if self._counter.open:
+            raise Rejected(500, "the last message is cut")  # INTERNAL
+        if self.pipe is not None:
+            self.pipe.end()
+        elif not self._delivered:
+            self._stop()
+            self._deliver()
+
+    def _stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _stream(self) -> None:
+        """It is a stream: it goes on as it comes."""
+        self._stop()
+        if self._delivered or self.answered:
+            return
+        self._delivered = True
+        machine, stream = self.connection.machine, self.stream
+        pipe = self.pipe = Pipe(lambda size: self._credit(machine, stream, size))
+        body = self._release()
+        if body:
+            pipe.put(body, free=True)
+        self.connection.deliver(self._request(b""), self)
+
+    def _credit(self, machine: Machine, stream: int, size: int) -> None:
+        machine.credit(stream, size)
+        self.connection.wake()
+
+    def _request(self, body: bytes) -> Request:
+        request = super()._request(body)
+        request.form = self
+        return request
+
+    def plain(self, request: Request) -> Request:
+        """For a box that speaks HTTP/1.1."""
+        return mapping.unwrapped(request)
+
+    # ---- the answer ----------------------------------------------------------------------------
+
+    def _kind(self) -> bytes:
+        return dict(self._head).get(b"content-type", mapping.GRPC)
+
+    def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
+        """Write an answer that was made here or by an HTTP/1.1 box."""
+        first, messages, tail = mapping.served_answer(status, head, body, self._kind())
+        if status == 503 and self.connection.loop.time() >= self._until:
+            tail = mapping.failure(Status.DEADLINE_EXCEEDED, b"the time was up before it was sent anywhere")
+        if self._begun:
+            self._end_stream(tail)
+        else:
+            self._write(first, messages, tail)
+
+    def reject(self, fault: Rejected) -> None:
+        """Answer what is not served: what can't be read is INTERNAL, by gRPC's own list of statuses."""
+        self._stop()
+        super().reject(fault)
+
+    def start_answer(self, head: bytes) -> None:
+        """The head of an answer that goes on as it comes."""
+        self._begun = True
+        kind: Fields = [] if b"content-type:" in head.lower() else [(b"content-type", self._kind())]
+        self.connection.machine.head(self.stream, [(b":status", b"200"), *kind, *mapping.fields_of([head])])
+
+    def begin_answer(self, head: bytes, body: Pipe) -> None:
+        """Pass on an answer that has begun."""
+        self.start_answer(head)
+        self._answer = body
+        body.attach(self._more)
+
+    def _more(self) -> None:
+        if self._answer is not None and not self.answered:
+            self.connection.machine.write(self.stream, self._answer.take())
+            self.connection.wake()
+
+    def finish(self, head: bytes, body: bytes, trailers: bytes) -> None:
+        """Write the answer of a gRPC box, or what of it has not been passed on."""
+        tail = mapping.fields_of([trailers])
+        if self._begun:
+            self._end_stream(tail)
+            return
+        kind: Fields = [] if b"content-type:" in head.lower() else [(b"content-type", self._kind())]
+        self._write([(b":status", b"200"), *kind, *mapping.fields_of([head])], body, tail)
+
+    def _end_stream(self, tail: Fields) -> None:
+        self._more()
+        self._write(None, b"", tail)
+
+    def over(self) -> None:
+        """Its caller has given it up, or its connection is gone."""
+        self._stop()
+        if self._answer is not None:
+            self._answer.attach(None)
+        super().over()
+
+    def sent(self, size: int) -> None:
+        """So many bytes of the answer have gone out, or will never."""
+        if self._answer is not None:
+            self._answer.gone(size)
+
+
+def read_fields(fields: Fields) -> tuple[list[bytes], dict[bytes, bytes]]:
+    """The header lines that go on, and what routes may ask for; raises Rejected."""
+    lines: list[bytes] = []
+    named: dict[bytes, bytes] = {}
+    authority = b""
+    for name, value in fields:
+        if name[:1] == b":":
+            authority = value if name == b":authority" else authority
+            continue
+        if not value.isascii() or not name.isascii():  # Guards backends that close on what they can't read.
+            raise Rejected(400, "a header is not plain text")
+        before = named.get(name)
+        if before is not None and name in NAMED:  # Guards against a backend that reads the other one.
+            raise Rejected(400, "a header comes twice")
+        named[name] = value if before is None else before + b", " + value
+        if name not in REWRITTEN and name not in mapping.CONNECTION:
+            lines.append(b"%b: %b\r\n" % (name, value))
+    if authority:  # RFC 9113 8.3.1: it stands for Host; h2 refuses one that says otherwise
+        named[b"host"] = authority
+    return lines, named
+
+
+class Connection(Held):
+    """One caller's connection over HTTP/2."""
+
+    def __init__(self, front: Front, handle: Handle) -> None:
+        super().__init__(front)
+        self._handle = handle
+        self.loop = asyncio.get_running_loop()
+        self.machine = Machine(False, self._sent, front.sizes.head, STREAMS_MOST)
+        self.streams: dict[int, Stream] = {}
+        self._last = STREAM_MOST  # streams above it are not taken any more
+        self._leaving = False  # we leave...
+        self._left = False  # ...or the caller does
+        self._waking: asyncio.Handle | None = None
+        self._over = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.move(self.front.fresh, self.loop.time() + self.front.first_within)
+        if self.front.closing:
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._over = self.machine.over = True
+        self.leave()
+        if self._waking is not None:
+            self._waking.cancel()
+        streams, self.streams = tuple(self.streams.values()), {}
+        for stream in streams:
+            stream.over()
+
+    def pause_writing(self) -> None:
+        self.machine.corked = True
+
+    def resume_writing(self) -> None:
+        self.machine.uncork()
+        self.wake()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.feed(self.front.buffer[:nbytes])
+
+    def feed(self, data: memoryview) -> None:
+        """What has come in."""
+        now = self.loop.time()
+        if self._place is self.front.fresh:
+            self.move(self.front.idle, now + self.front.idle_most)
+        for event in self.machine.received(now, bytes(data)):
+            self._event(event)
+        self._flush()
+
+    def wake(self) -> None:
+        """Write what there is to write, before the loop waits again."""
+        if self._waking is None and not self._over:
+            self._waking = self.loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        if self._waking is not None:
+            self._waking.cancel()
+            self._waking = None
+        if self._over:
+            return
+        data = self.machine.take()
+        if data:
+            self._transport.write(data)
+        if self._transport.get_write_buffer_size() > BACKLOG_MOST:
+            self.drop()  # Guards memory against a caller that asks and reads nothing.
+
+    def _sent(self, stream: int, size: int) -> None:
+        found = self.streams.get(stream)
+        if found is not None:
+            found.sent(size)
+            if found.answered and self.machine.said(stream):
+                self.loop.call_soon(self._forget, found)
+
+    # ---- what comes ----------------------------------------------------------------------------
+
+    def _event(self, event: Event) -> None:
+        if isinstance(event, Over):
+            self._end()
+        elif isinstance(event, Head):
+            self._begin(event)
+        elif isinstance(event, Data | Ended | Tail):
+            stream = self.streams.get(event.stream)
+            if stream is not None and not stream.answered:
+                self._go_on(stream, event)
+        elif isinstance(event, Reset):
+            stream = self.streams.pop(event.stream, None)
+            if stream is not None:
+                stream.over()
+                self._settle()
+        elif isinstance(event, Leave):
+            self._left = True  # it waits for what it has asked
+            self._settle()
+
+    def _begin(self, event: Head) -> None:
+        if event.stream > self._last:
+            self.machine.reset(event.stream, REFUSED_STREAM)  # never ran; the GOAWAY told it
+            return
+        told = dict(event.fields)
+        grpc = mapping.is_grpc(told.get(b"content-type", b""))
+        stream = (Call if grpc else Stream)(self, event.stream, self.loop.time())
+        self.streams[event.stream] = stream
+        self.move(None)
+        try:
+            if told.get(b":method") == b"CONNECT":
+                raise Rejected(501, "the method is not served")
+            stream.begin(event.fields)
+            if event.ended:
+                stream.ended()
+        except Rejected as fault:
+            self.refuse(stream, fault)
+
+    def _go_on(self, stream: Stream, event: Data | Ended | Tail) -> None:
+        try:
+            if isinstance(event, Data):
+                stream.data(event.data, event.size)
+            elif isinstance(event, Ended):
+                stream.ended()
+        except Rejected as fault:
+            self.refuse(stream, fault)
+
+    def deliver(self, request: Request, stream: Stream) -> None:
+        """Hand a request on."""
+        try:
+            self._handle(request, stream)
+        except Rejected as fault:
+            self.refuse(stream, fault)
+
+    def refuse(self, stream: Stream, fault: Rejected) -> None:
+        """Answer what is not served; what a pool may have of it already is given up."""
+        gone = stream.gone
+        stream.reject(fault)
+        if gone is not None:
+            gone()
+        self.wake()
+
+    # ---- what goes -----------------------------------------------------------------------------
+
+    def answered(self, stream: Stream) -> None:
+        """Its final answer is written; it lingers while its caller's window is shut."""
+        if self.machine.said(stream.stream):
+            self._forget(stream)
+        else:
+            self.loop.call_later(STUCK, self._stuck, stream)
+        self.wake()
+
+    def _forget(self, stream: Stream) -> None:
+        if self.streams.pop(stream.stream, None) is not None:
+            if not self._over:
+                # RFC 9113 8.1: the answer is whole, and the rest of the request is not wanted.
+                self.machine.reset(stream.stream, NO_ERROR)
+            self._settle()
+
+    def _stuck(self, stream: Stream) -> None:
+        """Guards memory against a caller that opens no window for what it has asked for."""
+        if self.streams.get(stream.stream) is stream and not self._over:
+            self.machine.reset(stream.stream, CANCEL)
+            self._forget(stream)
+            self.wake()
+
+    def _settle(self) -> None:
+        """Where there is no stream left the front may close it."""
+        if self.streams or self._over:
+            return
+        if self._left or self._last != STREAM_MOST:
+            self._end()
+            return
+        if self._leaving:
+            return  # the second GOAWAY is still to come
+        front = self.front
+        self.move(front.idle, self.loop.time() + front.idle_most)
+
+    def _end(self) -> None:
+        """Close it, once what is written is out."""
+        self._flush()
+        if not self._over:
+            self.move(self.front.leaving, self.loop.time() + LINGER)
+            self._transport.close()
+
+    def close(self) -> None:
+        """Leave in good order: nothing new after a moment, and the end when all is answered (RFC 9113 6.8)."""
+        if not self._leaving:
+            self._leaving = True
+            self.move(None)
+            self.machine.leave(STREAM_MOST, NO_ERROR)
+            self.wake()
+            self.loop.call_later(LEAVE_AFTER, self._leave)
+            self.loop.call_later(max(self.front.grace, LEAVE_AFTER), self._cut)
+
+    def front_closes(self) -> None:
+        """Leave, whatever is open."""
+        self.close()
+
+    def _leave(self) -> None:
+        if self._over:
+            return
+        self._last = self.machine.highest()
+        self.machine.leave(self._last, NO_ERROR)
+        self.wake()
+        self._settle()
+
+    def _cut(self) -> None:
+        """An honest end of what is still open: each stream gets its answer now."""
+        for stream in tuple(self.streams.values()):
+            if not stream.answered:
+                self.refuse(stream, Rejected(502, "the proxy leaves"))
+
+    def drop(self) -> None:
+        """Close it at once."""
+        if not self._over:
+            self.machine.leave(self.machine.highest(), NO_ERROR)
+            self._transport.write(self.machine.take())
+        super().drop()
+
+    def reject(self, fault: Rejected) -> None:
+        """It has no request that could be answered."""
+        self.drop()
--- a/lugspur/membership/nodes.py
+++ b/lugspur/membership/nodes.py
@@ -18,7 +18,7 @@
 import orjson
 
 from jaspershelf.model import State
-from lugspur.membership.rows import STATES, Endpoint, Reader, read_address
+from lugspur.membership.rows import PROTOCOLS, STATES, Endpoint, Reader, read_address
 
 DATA_MOST = 64 << 10  # bytes of a node that are read as an entry: entries have a few hundred
 TEXT_MOST = 1024  # bytes of a name, zone or address: a name becomes a number of as many bytes
@@ -69,7 +69,7 @@
 def _own(name: str, raw: Entry) -> Entry:
     if raw.get("address") is None:
         raise Unreadable('it has no "address"')
-    kept = ("name", "address", "status", "zone", "group", "weight", "since_ms", "type")
+    kept = ("name", "address", "status", "zone", "group", "weight", "since_ms", "type", "protocol")
     return {key: raw[key] for key in kept if raw.get(key) is not None}
 
 
@@ -102,6 +102,8 @@
     found: Entry = {}
     if isinstance(raw.get("zone"), str):
         found["zone"] = raw["zone"]
+    if raw.get("protocol") in PROTOCOLS:
+        found["protocol"] = raw["protocol"]
     for key, name, kind in (("weight", "weight", float), ("cell", "group", int)):
         try:
             if raw.get(key) is not None:
@@ -131,6 +133,8 @@
         raise Unreadable(f"{entry['address']!r} is not an address of the form host:port")
     if entry["status"] not in STATES:
         raise Unreadable(f"its status {entry['status']!r} is none of {', '.join(STATES)}")
+    if entry.get("protocol", "http") not in PROTOCOLS:
+        raise Unreadable(f"its protocol {entry['protocol']!r} is none of {', '.join(PROTOCOLS)}")
     for key, low, high in (("weight", WEIGHT_LEAST, WEIGHT_MOST), ("since_ms", 0, 1 << 62), ("group", 0, CELL_MOST)):
         value = entry.get(key, low)
         if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value <= high:
@@ -143,9 +147,9 @@
 class Nodes:
     """Rows by nodes. A box that has several nodes, an old one and its next, counts by the one that was made last."""
 
-    def __init__(self, form: str) -> None:
+    def __init__(self, form: str, protocol: str = "http") -> None:
         self._form = form
-        self._reader = Reader()
+        self._reader = Reader(protocol=protocol)
         self._boxes: dict[str, tuple[int, int, Endpoint]] = {}  # by node: when made and changed, and what it says
         self._by_server: dict[int, set[str]] = {}
         self._faults: dict[str, str] = {}  # nodes that can't be read, and what was said of them
@@ -188,7 +192,7 @@
         server = known.row.server
         if server in self._by_server:
             return [self._row(server)]
-        return [Endpoint(replace(known.row, state=State.GONE), known.address)]
+        return [replace(known, row=replace(known.row, state=State.GONE))]
 
     def _row(self, server: int) -> Endpoint:
         names = self._by_server[server]
--- a/lugspur/membership/registry.py
+++ b/lugspur/membership/registry.py
@@ -90,7 +90,7 @@
     """
 
     def __init__(
-        self, registries: Registries, ensemble: Ensemble, path: str, form: str, stale_after: float,
+        self, registries: Registries, ensemble: Ensemble, path: str, nodes: Nodes, stale_after: float,
         fixed: list[Endpoint], told: Told, pool: str,
     ) -> None:
         self._loop = asyncio.get_running_loop()
@@ -98,7 +98,7 @@
         self._fixed = fixed
         self._told = told
         self._pool = pool
-        self._nodes = Nodes(form)
+        self._nodes = nodes
         self.view = View(path)
         self.doubt = Doubt(stale_after, self._say, self._loop.time())
         self._gone: dict[int, Endpoint] = {}  # what is to be told next: first who left...
@@ -229,7 +229,7 @@
             self._told_all = True
             self._told(ListKind.WHOLE, list(rows.values()))
             return
-        left = [Endpoint(replace(known.row, state=State.GONE), known.address)
+        left = [replace(known, row=replace(known.row, state=State.GONE))
                 for server, known in former.items() if server not in rows]
         changed = [endpoint for server, endpoint in rows.items() if former.get(server) != endpoint]
         if left or changed:
--- a/lugspur/membership/rows.py
+++ b/lugspur/membership/rows.py
@@ -9,6 +9,7 @@
 from jaspershelf.model import ServerRow, State
 
 Address = tuple[str, int]
+PROTOCOLS = ("http", "grpc")  # what a box may speak: HTTP/1.1, or gRPC over HTTP/2
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
 
 
@@ -26,6 +27,7 @@
 
     row: ServerRow
     address: Address
+    grpc: bool = False  # whether it speaks gRPC over HTTP/2; else HTTP/1.1
 
 
 def server_id(name: str) -> int:
@@ -36,8 +38,10 @@
 class Reader:
     """Turns entries of discovery's form into endpoints; names become places in the settings' lists."""
 
-    def __init__(self, zones: Mapping[str, int] | None = None, types: Mapping[str, int] | None = None) -> None:
-        self._zones, self._types = zones, types
+    def __init__(
+        self, zones: Mapping[str, int] | None = None, types: Mapping[str, int] | None = None, protocol: str = "http"
+    ) -> None:
+        self._zones, self._types, self._protocol = zones, types, protocol
 
     @staticmethod
     def _place(name: str, known: Mapping[str, int] | None) -> int:
@@ -57,7 +61,7 @@
             entry.get("since_ms", 0) / 1000.0,
             self._place(entry.get("type", ""), self._types),
         )
-        return Endpoint(row, read_address(entry["address"]))
+        return Endpoint(row, read_address(entry["address"]), entry.get("protocol", self._protocol) == "grpc")
 
     def endpoints(self, message: Mapping[str, Any]) -> list[Endpoint]:
         """All entries of a message."""
--- a/lugspur/membership/source.py
+++ b/lugspur/membership/source.py
@@ -49,8 +49,8 @@
     One that is missing or can't be read changes nothing: the last good list stays, and one line says why.
     """
 
-    def __init__(self, path: str, told: Told) -> None:
-        self._path = path
+    def __init__(self, path: str, reader: Reader, told: Told) -> None:
+        self._path, self._reader = path, reader
         self._told = told
         self._seen: tuple[int, ...] = ()
         self._said = ""
@@ -78,7 +78,7 @@
         if size > FILE_MOST:  # Guards memory against a wrong path.
             raise ValueError(f"it holds more than {FILE_MOST >> 20} MiB")
         with open(self._path, "rb") as file:
-            return Reader().endpoints(orjson.loads(file.read()))
+            return self._reader.endpoints(orjson.loads(file.read()))
 
     def _complain(self, said: str) -> None:
         if said != self._said:  # Guards the log: the same fault is looked at five times a second.
--- /dev/null
+++ b/lugspur/seams.py
@@ -0,0 +1,95 @@
+"""Where protocols meet the pools: what a request may bring along, and what carries an attempt to a box."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from jaspershelf.model import Outcome
+
+if TYPE_CHECKING:
+    from lugspur.http1.intake import Request
+    from lugspur.http1.upstream import Backend, Response
+    from lugspur.http2.pipe import Pipe
+    from lugspur.membership.rows import Address
+
+
+class Answerable(Protocol):
+    """Who a final answer is owed to."""
+
+    gone: Callable[[], None] | None  # told when it leaves before its answer
+    peer: str  # the address that it connected from
+
+    def admit(self) -> None:
+        """Take up its request; raises Rejected where there are too many connections."""
+
+    def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
+        """Write the one final answer: whole header lines, a body, and the length of one that HEAD is spared."""
+
+
+class Form(Protocol):
+    """What a gRPC request has beyond an HTTP/1.1 one, and how its answer goes back as it came."""
+
+    @property
+    def pipe(self) -> Pipe | None:
+        """Its messages, where they are not all there: a stream. None: the request's body has them all."""
+
+    def plain(self, request: Request) -> Request:
+        """The request for a box that speaks HTTP/1.1."""
+
+    @property
+    def bound(self) -> bool:
+        """Whether only a gRPC box can take it: a stream, or any other number of messages than one."""
+
+    def begin_answer(self, head: bytes, body: Pipe) -> None:
+        """Pass on an answer that has begun; `finish` ends it."""
+
+    def finish(self, head: bytes, body: bytes, trailers: bytes) -> None:
+        """Write the answer, or what of it has not been passed on."""
+
+
+class Attempt(Protocol):
+    """One attempt on the wire: from its start to its one outcome."""
+
+    started: float  # in the loop's time
+
+    @property
+    def open(self) -> bool:
+        """Whether its outcome has not been reported."""
+
+    def latency(self, now: float) -> float:
+        """Seconds that the box took, if it ends now."""
+
+    def end(self, outcome: Outcome, response: Response | None = None) -> None:
+        """Report the outcome, once, and let go of what carries it."""
+
+    def expire(self) -> None:
+        """The time that it is waited for is up."""
+
+
+class Watcher(Protocol):
+    """Who is told of one attempt."""
+
+    def ended(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
+        """Its one outcome."""
+
+    def bound(self) -> None:
+        """A message has passed: the request belongs to this attempt from now on."""
+
+    def begun(self, response: Response, body: Pipe) -> None:
+        """Its answer is passed on as it comes; `response` has its head alone."""
+
+
+class Lane(Protocol):
+    """Carries attempts to boxes that speak another protocol than HTTP/1.1."""
+
+    def start(
+        self, backend: Backend, request: Request, until: float, watcher: Watcher, repeatable: bool, timed: bool
+    ) -> Attempt:
+        """Send an attempt; its outcome is told later."""
+
+    def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
+        """What the list says of a box now; told before the backend itself is changed."""
+
+    def close(self) -> None:
+        """Let go of all connections; nothing is sent from here any more."""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -32,6 +32,7 @@
 
 from lugspur.daemon.proxy import Proxy
 from lugspur.daemon.service import drain
+from lugspur.http1.front import Caller
 
 ROOT = Path(__file__).parent.parent
 CHUNKED = book(Content_Length="", Transfer_Encoding="chunked", body=b"2\r\nro\r\n2\r\nom\r\n0\r\n\r\n")
@@ -227,6 +228,7 @@
             await asyncio.get_running_loop().sock_connect(sock, (HOST, up.port))
             await until(lambda: bool(up.proxy.front.callers))
             [caller] = up.proxy.front.callers
+            assert isinstance(caller, Caller)
             number = 0
             while not caller._stuck:
                 sock.send(read(number := number + 1))
