Test gRPC through the daemon with a stand-in box and caller, and mend what they found

What has run, time-outs, GOAWAY, drains, flow control, cancels and the end are played over loopback by peers on h2 alone. Found by them: h2 sends none of the settings that are set one by one before its start, and enforces them all the same; streams above a box's GOAWAY were refused where it is the only box (they go to the same box on a new connection now: boxes leave old connections); a box that keeps the window of a connection shut held up all that came later on it; a call whose time is up is DEADLINE_EXCEEDED, also where another try would do no harm.

--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -241,7 +241,9 @@
                 self._submit(ticket, caller)
             return
         head = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0.0 else COME_BACK
-        station.pool.answer(call, 503, head, b"refused\n")
+        # gRPC has a word for what its caller's time has run out for, harmless or not.
+        late = call.request.form is not None and now >= call.deadline
+        station.pool.answer(call, 504 if late else 503, head, b"the time is up\n" if late else b"refused\n")
 
     def failed(self, call: Call) -> None:
         """Pass on the backend's own word of its failure, if it has one that promises nothing; else 502 or 504."""
--- a/lugspur/grpc/mapping.py
+++ b/lugspur/grpc/mapping.py
@@ -190,8 +190,9 @@
         compressed = bool(encoding) and encoding.lower() != b"identity"
         return first + fields, pack(body, compressed), [(b"grpc-status", b"0")]
     text = body[:MESSAGE_MOST].strip() if _first([head], b"content-type")[:4] in (b"", b"text") else b""
-    never = status >= 500 and status not in HARMLESS
-    tail = failure(code, text or b"HTTP status %d" % status, _seconds(head), never)
+    seconds = _seconds(head)
+    never = status >= 500 and status not in HARMLESS and seconds is None
+    tail = failure(code, text or b"HTTP status %d" % status, seconds, never)
     return [(b":status", b"200"), (b"content-type", kind or GRPC)], b"", [*fields, *tail]
 
 
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -7,7 +7,6 @@
 
 from lugspur.grpc import mapping
 from lugspur.grpc.messages import Counter, Spoilt
-from lugspur.grpc.status import Status
 from lugspur.grpc.timeout import read_timeout
 from lugspur.http1.front import LINGER, Front, Held
 from lugspur.http1.intake import NAMED, REWRITTEN, Rejected, Request
@@ -138,7 +137,6 @@
         super().__init__(connection, stream, now)
         self._counter = Counter()
         self._timer: asyncio.TimerHandle | None = None
-        self._until = float("inf")  # the loop's time at which the caller's own time is up
         self._answer: Pipe | None = None  # an answer that is passed on as it comes
         self._begun = False  # its head is out
         self.pipe: Pipe | None = None
@@ -161,7 +159,6 @@
                 seconds = read_timeout(told[b"grpc-timeout"])
             except ValueError as fault:
                 raise Rejected(500, str(fault)) from fault  # INTERNAL
-            self._until = self.arrived + seconds
             self._named[b"x-timeout"] = b"%.9f" % seconds
         self._wait()
 
@@ -252,8 +249,6 @@
     def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
         """Write an answer that was made here or by an HTTP/1.1 box."""
         first, messages, tail = mapping.served_answer(status, head, body, self._kind())
-        if status == 503 and self.connection.loop.time() >= self._until:
-            tail = mapping.failure(Status.DEADLINE_EXCEEDED, b"the time was up before it was sent anywhere")
         if self._begun:
             self._end_stream(tail)
         else:
--- a/lugspur/http2/machine.py
+++ b/lugspur/http2/machine.py
@@ -14,7 +14,7 @@
 from h2.config import H2Configuration
 from h2.connection import H2Connection
 from h2.exceptions import ProtocolError
-from h2.settings import SettingCodes
+from h2.settings import SettingCodes, Settings
 
 from lugspur.http2.frames import NO_ERROR, PROTOCOL_ERROR, STREAM_MOST, Fault, Leave, Sieve, goaway
 
@@ -113,13 +113,12 @@
             client_side=client, header_encoding=None, validate_outbound_headers=False,
             normalize_outbound_headers=False,
         ))
-        self._h2.local_settings[SettingCodes.INITIAL_WINDOW_SIZE] = WINDOW
-        self._h2.local_settings[SettingCodes.MAX_HEADER_LIST_SIZE] = head_most
+        # Set one by one they would count only once acknowledged, and never be sent.
+        self._h2.local_settings = Settings(client=client, initial_values={
+            SettingCodes.INITIAL_WINDOW_SIZE: WINDOW, SettingCodes.MAX_HEADER_LIST_SIZE: head_most,
+            **({SettingCodes.ENABLE_PUSH: 0} if client else {SettingCodes.MAX_CONCURRENT_STREAMS: streams}),
+        })
         self._h2.decoder.max_header_list_size = head_most
-        if client:
-            self._h2.local_settings[SettingCodes.ENABLE_PUSH] = 0
-        else:
-            self._h2.local_settings[SettingCodes.MAX_CONCURRENT_STREAMS] = streams
         self._h2.initiate_connection()
         # Guards the streams against each other: all their windows together fit into the connection's.
         self._h2.increment_flow_control_window((streams - 1) * WINDOW)
@@ -205,6 +204,10 @@
         allowed = self._h2.remote_settings.max_concurrent_streams
         return min(allowed, STREAMS_MOST) - len(self.open)
 
+    def shut(self) -> bool:
+        """Whether the peer's window for the whole connection is used up: no body of any stream can go out."""
+        return int(self._h2.outbound_flow_control_window) <= 0
+
     def begin(self, fields: Iterable[tuple[bytes, bytes]]) -> int:
         """A client's new stream, with its request's head."""
         stream = self._h2.get_next_available_stream_id()
--- a/lugspur/http2/upstream.py
+++ b/lugspur/http2/upstream.py
@@ -106,6 +106,13 @@
         """The time that it is waited for is up."""
         self.ended(End.LATE if self.stream else End.UNSENT)
 
+    def untouched(self) -> bool:
+        """Whether it can be sent anew as it was: nothing of a stream has passed, and nothing was answered."""
+        pipe = self._requested()
+        if pipe is not None and not pipe.passed:
+            pipe.attach(None)
+        return not self._head and (pipe is None or not pipe.passed)
+
     def _requested(self) -> Pipe | None:
         return None if self.request.form is None else self.request.form.pipe
 
@@ -358,7 +365,8 @@
 
     def takes(self) -> bool:
         """Whether one more stream may begin."""
-        if self.leaving or self.machine.spent():
+        # Guards other requests against a box that reads nothing of one: they would wait behind it.
+        if self.leaving or self.machine.spent() or (self.ready and self.machine.shut()):
             return False
         return (self.machine.room() if self.ready else STREAMS_MOST) > len(self.waiting)
 
@@ -409,7 +417,8 @@
             self.wake()
             if not self.exchanges:
                 self.idle_since = self._loop.time()
-                if self.leaving and not self.over:
+                if (self.leaving or self.machine.shut()) and not self.over:
+                    self.leaving = True
                     self._loop.call_soon(self._close_if_idle)
 
     def retire(self) -> None:
@@ -474,9 +483,19 @@
             self._lane.again(exchange)
         for stream, exchange in tuple(self.exchanges.items()):
             if stream > leave.last:
-                exchange.ended(End.ABOVE)
+                self._unseen(exchange)
         self._loop.call_soon(self._close_if_idle)
 
+    def _unseen(self, exchange: Exchange) -> None:
+        """It never ran here. Boxes leave connections that are old, and take the same request on a new one."""
+        if exchange.untouched():
+            del self.exchanges[exchange.stream]
+            self.machine.reset(exchange.stream, CANCEL)
+            exchange.link, exchange.stream = None, 0
+            self._lane.again(exchange)
+        else:
+            exchange.ended(End.ABOVE)
+
     # ---- whether the box is there --------------------------------------------------------------
 
     def _ping(self, now: float) -> None:
--- /dev/null
+++ b/lugspur/standins/grpc/__main__.py
@@ -0,0 +1,35 @@
+"""`python -m lugspur.standins.grpc --listen 127.0.0.1:0` serves until it is killed."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+from lugspur.standins.grpc.box import Box
+from lugspur.standins.grpc.script import STEPS
+
+
+async def _serve(host: str, port: int, streams: int, window: int) -> None:
+    box = Box(streams=streams, window=window)
+    await box.listen(host, port)
+    print(f"ready {box.address}", flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Serve until it is killed."""
+    steps = "\n".join(f"  {name:20} {meaning}" for name, meaning in STEPS.items())
+    parser = argparse.ArgumentParser(
+        prog="python -m lugspur.standins.grpc", formatter_class=argparse.RawDescriptionHelpFormatter,
+        description="A stand-in gRPC box: it echoes messages.",
+        epilog=f"A call's metadata x-script holds steps, separated by commas:\n{steps}")
+    parser.add_argument("--listen", default="127.0.0.1:0", metavar="HOST:PORT")
+    parser.add_argument("--streams", type=int, default=100, help="streams that a connection may have open")
+    parser.add_argument("--window", type=int, default=65_535, help="bytes that a stream's sender may be ahead")
+    given = parser.parse_args()
+    host, _, port = given.listen.rpartition(":")
+    asyncio.run(_serve(host, int(port), given.streams, given.window))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lugspur/standins/grpc/caller.py
@@ -0,0 +1,220 @@
+"""A gRPC caller on h2 alone: what it sends and when it reads is up to whoever holds it."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from dataclasses import dataclass, field
+from urllib.parse import unquote
+
+from h2 import events as h2e
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.exceptions import ProtocolError
+from h2.settings import SettingCodes, Settings
+
+PREFIX = 5  # bytes ahead of each message
+Fields = list[tuple[str, str]]
+
+
+@dataclass(slots=True)
+class Answer:
+    """What has come for one call so far; `over` is set with its end, whichever that is."""
+
+    head: dict[str, str] = field(default_factory=dict)
+    tail: dict[str, str] = field(default_factory=dict)
+    data: bytearray = field(default_factory=bytearray)
+    ends: int = 0  # how often the stream was ended: more than once is a fault
+    reset: int | None = None  # the code that it was reset with
+    lost: bool = False  # the connection went first
+    over: asyncio.Event = field(default_factory=asyncio.Event)
+    more: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def status(self) -> int | None:
+        """Its grpc-status; None where none has come."""
+        found = self.tail.get("grpc-status", self.head.get("grpc-status"))
+        return None if found is None else int(found)
+
+    @property
+    def said(self) -> str:
+        """Its grpc-message."""
+        return unquote(self.tail.get("grpc-message", self.head.get("grpc-message", "")))
+
+    @property
+    def details(self) -> bytes:
+        """Its grpc-status-details-bin."""
+        text = self.tail.get("grpc-status-details-bin", self.head.get("grpc-status-details-bin", ""))
+        return base64.b64decode(text + "=" * (-len(text) % 4))
+
+    @property
+    def messages(self) -> list[bytes]:
+        """Its whole messages."""
+        found, at = [], 0
+        while at + PREFIX <= len(self.data):
+            size = int.from_bytes(self.data[at + 1:at + PREFIX], "big")
+            if at + PREFIX + size > len(self.data):
+                break
+            found.append(bytes(self.data[at + PREFIX:at + PREFIX + size]))
+            at += PREFIX + size
+        return found
+
+
+class Caller(asyncio.Protocol):
+    """One connection."""
+
+    def __init__(self, window: int | None = None) -> None:
+        self.h2 = H2Connection(H2Configuration(client_side=True, header_encoding="utf-8",
+                                               validate_outbound_headers=False, normalize_outbound_headers=False))
+        if window is not None:
+            self.h2.local_settings = Settings(client=True, initial_values={SettingCodes.INITIAL_WINDOW_SIZE: window})
+        self.answers: dict[int, Answer] = {}
+        self.credit = True  # opens its windows as it reads
+        self.goaways: list[tuple[int, int]] = []  # last ids and codes
+        self.closed = asyncio.Event()
+        self.room = asyncio.Event()
+        self.acked = 0  # PINGs that came back
+        self.transport: asyncio.Transport
+
+    async def connect(self, host: str, port: int) -> Caller:
+        """Open it."""
+        await asyncio.get_running_loop().create_connection(lambda: self, host, port)
+        return self
+
+    def close(self) -> None:
+        """Close it at once."""
+        self.transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.h2.initiate_connection()
+        self.flush()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed.set()
+        for answer in self.answers.values():
+            if not answer.over.is_set():
+                answer.lost = True
+                answer.over.set()
+
+    def flush(self) -> None:
+        """Write what there is."""
+        self.transport.write(self.h2.data_to_send())
+
+    def raw(self, data: bytes) -> None:
+        """Write these bytes, whatever they are."""
+        self.flush()
+        self.transport.write(data)
+
+    # ---- calls ---------------------------------------------------------------------------------
+
+    def begin(self, path: str, *metadata: tuple[str, str], end: bool = False, method: str = "POST") -> int:
+        """A call's head; gives its stream."""
+        stream = int(self.h2.get_next_available_stream_id())
+        fields = [(":method", method), (":scheme", "http"), (":path", path), (":authority", "h.example"),
+                  ("te", "trailers"), ("content-type", "application/grpc"), *metadata]
+        self.h2.send_headers(stream, fields, end_stream=end)
+        self.answers[stream] = Answer()
+        self.flush()
+        return stream
+
+    async def send(self, stream: int, message: bytes, end: bool = False) -> None:
+        """One message, as the windows allow."""
+        await self.write(stream, b"\0" + len(message).to_bytes(4, "big") + message, end)
+
+    async def write(self, stream: int, data: bytes, end: bool = False) -> None:
+        """Bytes of messages, as the windows allow; no more where the stream is over."""
+        try:
+            while data:
+                most = min(self.h2.local_flow_control_window(stream), self.h2.max_outbound_frame_size)
+                if most <= 0:
+                    self.room.clear()
+                    await self.room.wait()
+                    continue
+                self.h2.send_data(stream, data[:most], end_stream=end and most >= len(data))
+                data = data[most:]
+                self.flush()
+        except ProtocolError:
+            return
+
+    def end(self, stream: int) -> None:
+        """All is said."""
+        self.h2.end_stream(stream)
+        self.flush()
+
+    def cancel(self, stream: int, code: int = 8) -> None:
+        """Give a call up."""
+        self.h2.reset_stream(stream, code)
+        self.flush()
+
+    async def call(self, path: str, *messages: bytes, metadata: Fields | None = None, within: float = 30.0) -> Answer:
+        """A whole call; raises TimeoutError."""
+        stream = self.begin(path, *(metadata or []), end=not messages)
+        # One write, as gRPC's own libraries make it: a call of one message is all there at once.
+        await self.write(stream, b"".join(b"\0" + len(each).to_bytes(4, "big") + each for each in messages), end=True)
+        return await self.answer(stream, within)
+
+    async def answer(self, stream: int, within: float = 30.0) -> Answer:
+        """What came, when it is over; raises TimeoutError."""
+        answer = self.answers[stream]
+        async with asyncio.timeout(within):
+            await answer.over.wait()
+        return answer
+
+    # ---- what comes ----------------------------------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        for frame in self._without_goaways(data):
+            try:
+                events = self.h2.receive_data(frame)
+            except ProtocolError:
+                self.transport.abort()
+                return
+            for event in events:
+                self._event(event)
+        if not self.transport.is_closing():
+            self.flush()
+
+    _rest = b""
+
+    def _without_goaways(self, data: bytes) -> list[bytes]:
+        """Frame by frame, since h2 takes a GOAWAY for the end of everything."""
+        data, frames = self._rest + data, []
+        while len(data) >= 9:
+            size = 9 + int.from_bytes(data[:3], "big")
+            if len(data) < size:
+                break
+            if data[3] == 7:
+                self.goaways.append((int.from_bytes(data[9:13], "big"), int.from_bytes(data[13:17], "big")))
+            else:
+                frames.append(data[:size])
+            data = data[size:]
+        self._rest = data
+        return frames
+
+    def _event(self, event: h2e.Event) -> None:
+        if isinstance(event, h2e.WindowUpdated | h2e.RemoteSettingsChanged):
+            self.room.set()
+        elif isinstance(event, h2e.PingAckReceived):
+            self.acked += 1
+        answer = self.answers.get(getattr(event, "stream_id", None) or 0)
+        if answer is None:
+            return
+        if isinstance(event, h2e.ResponseReceived):
+            answer.head = {str(name): str(value) for name, value in event.headers}
+        elif isinstance(event, h2e.TrailersReceived):
+            answer.tail = {str(name): str(value) for name, value in event.headers}
+        elif isinstance(event, h2e.DataReceived):
+            answer.data += event.data
+            answer.more.set()
+            if self.credit and event.flow_controlled_length:
+                self.h2.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
+        elif isinstance(event, h2e.StreamEnded):
+            answer.ends += 1
+            answer.over.set()
+        elif isinstance(event, h2e.StreamReset):
+            if not answer.over.is_set():
+                answer.reset = int(event.error_code)
+            answer.over.set()
+            self.room.set()
--- /dev/null
+++ b/tests/daemon/test_grpc.py
@@ -0,0 +1,629 @@
+"""gRPC through the daemon, with a stand-in on each side: what has run, who is answered, and what is let go."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+from daemonic import answer, ask, backend, fields, pool, route
+from google.rpc import error_details_pb2, status_pb2
+from grpcpeers import HTTP2, ROUTES, World, boxed
+from loopback import soon, status, until
+
+from lugspur.http2 import front as http2_front
+from lugspur.standins.grpc.box import Call, scripted
+from lugspur.standins.grpc.script import Script
+
+UNKNOWN, DEADLINE, UNAVAILABLE, INTERNAL, UNIMPLEMENTED = 2, 4, 14, 13, 12
+
+
+def play(body: Callable[[World], Awaitable[None]], **options: object) -> None:
+    async def run() -> None:
+        async with boxed(**options) as world:  # type: ignore[arg-type]
+            await body(world)
+            await until(lambda: not world.up.in_hand())
+            assert not any(front.held for front, _ in world.up.running.listeners.values())
+            streams = world.up.daemon.stations["a"]._streams
+            assert streams is None or not streams.held
+
+    asyncio.run(run())
+
+
+def script(steps: str, rid: str = "r") -> list[tuple[str, str]]:
+    return [("x-script", steps), ("x-request-id", rid)]
+
+
+# ---- calls ---------------------------------------------------------------------------------------
+
+
+def test_a_unary_call_goes_through_with_its_metadata_unchanged() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        sent = [("x-request-id", "r"), ("a_b", "c"), ("blob-bin", "AP8"), ("many", "1"), ("many", "2")]
+        got = await caller.call("/read/Do", b"hello", metadata=sent)
+        assert (got.status, got.messages, got.ends) == (0, [b"hello"], 1)
+        [call] = world.box.calls
+        assert [(name, value) for name, value in call.fields if name in ("a_b", "blob-bin", "many")] == sent[1:]
+        assert call.headers["te"] == "trailers" and call.headers["x-forwarded-for"] == "127.0.0.1"
+        assert call.headers["grpc-timeout"].endswith("u") and "x-timeout" not in call.headers
+
+    play(body)
+
+
+@pytest.mark.parametrize("messages", [0, 2, 5])
+def test_streams_of_any_length_go_through(messages: int) -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        sent = [b"%d" % at for at in range(messages)]
+        assert (await caller.call("/read/Do", *sent)).messages == sent
+
+    play(body)
+
+
+def test_messages_of_a_stream_pass_as_they_come_both_ways() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/read/Talk")
+        answer = caller.answers[stream]
+        for at in range(5):
+            await caller.send(stream, b"%d" % at)
+            await until(lambda at=at: len(answer.messages) == at + 1)  # type: ignore[misc]
+        caller.end(stream)
+        assert (await caller.answer(stream)).status == 0
+
+    play(body)
+
+
+def test_a_message_cut_at_every_byte_is_one_message() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        data = b"\0\0\0\0\x06secret"
+        streams = []
+        for at in range(1, len(data)):
+            stream = caller.begin("/read/Do")
+            await caller.write(stream, data[:at])
+            streams.append((stream, data[at:]))
+        await asyncio.sleep(0.05)
+        for stream, rest in streams:
+            await caller.write(stream, rest, end=True)
+        for stream, _ in streams:
+            got = await caller.answer(stream)
+            assert (got.status, got.messages) == (0, [b"secret"])
+        assert all(call.ended for call in world.box.calls)
+
+    play(body)
+
+
+def test_a_call_that_ends_within_a_message_or_begins_with_no_flag_is_internal() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        for data in (b"\0\0\0\0\x09cut", b"\2\0\0\0\0", b"\0\0"):
+            stream = caller.begin("/read/Do")
+            await caller.write(stream, data, end=True)
+            assert (await caller.answer(stream)).status == INTERNAL
+        assert not world.ran()
+        assert (await caller.call("/read/Do", b"x")).status == 0  # the connection is as good as before
+
+    play(body)
+
+
+@pytest.mark.parametrize("steps,status_,said", [("status 5", 5, "as asked"), ("status 12", 12, "as asked"),
+                                                ("status 99", 99, "as asked")])
+def test_a_boxes_own_word_is_passed_on(steps: str, status_: int, said: str) -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        got = await caller.call("/book/Do", b"x", metadata=script(steps))
+        assert (got.status, got.said, world.ran("r")) == (status_, said, 1)
+
+    play(body)
+
+
+# ---- what has run --------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("steps", ["refuse", "above", "unseen"])
+def test_what_never_ran_goes_elsewhere_even_if_it_must_not_run_twice(steps: str) -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        got = await caller.call("/book/Do", b"x", metadata=script(steps))
+        # The same box again never runs it either: told so, a caller may try again without harm.
+        assert (got.status, world.ran("r")) == (UNAVAILABLE, 0)
+        assert got.head["grpc-retry-pushback-ms"] == "1000"
+        told = status_pb2.Status.FromString(got.details)
+        retry = error_details_pb2.RetryInfo()
+        assert told.code == UNAVAILABLE and told.details[0].Unpack(retry) and retry.retry_delay.seconds == 1
+
+    play(body)
+
+
+@pytest.mark.parametrize("steps", ["refuse", "above", "unseen"])
+def test_what_never_ran_is_served_by_another_box(steps: str) -> None:
+    async def body(world: World) -> None:
+        plain, caller = world.boxes[1], await world.caller()
+        for at in range(20):
+            got = await caller.call("/book/Do", b"x", metadata=script(steps, f"r{at}"))
+            assert got.status == (0 if plain.ran[f"r{at}"] else UNAVAILABLE) and world.ran(f"r{at}") <= 1
+        assert plain.ran.total()
+
+    async def run() -> None:
+        async with boxed(2) as world:
+            world.boxes[1].scripts = False
+            await body(world)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("point", ["head", "message", "answer", "body", "trailers"])
+@pytest.mark.parametrize("what", ["reset", "cut"])
+@pytest.mark.parametrize("code", [2, 8, 0])
+def test_what_broke_after_its_headers_went_out_is_failed_and_never_sent_again(
+    point: str, what: str, code: int
+) -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        steps = f"{what} {point}" + (f" {code}" if what == "reset" else "")
+        got = await caller.call("/book/Do", b"x", metadata=script(steps))
+        assert (got.status, world.ran("r"), got.ends) == (UNKNOWN, 1, 1)
+        told = got.head if "grpc-status" in got.head else got.tail
+        assert told["grpc-retry-pushback-ms"] == "-1"  # a caller's own retries would do it twice
+
+    play(body, count=2)
+
+
+@pytest.mark.parametrize("steps", ["reset message", "reset answer 8", "cut body", "spoil flag", "spoil early",
+                                   "spoil frame", "spoil nothing", "status 13", "status 14"])
+def test_what_may_run_again_is_tried_elsewhere(steps: str) -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        got = await caller.call("/read/Do", b"x", metadata=script(steps))
+        assert (got.status, world.ran("r")) == (UNAVAILABLE, 3)  # three boxes, three attempts
+
+    play(body, count=3)
+
+
+def test_a_booking_reset_half_way_is_failed_not_refused_and_ran_once() -> None:
+    """The letter of the request: a stream reset half-way through a booking is never resent."""
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/book/New", ("x-request-id", "r"), ("x-script", "reset message"))
+        await caller.write(stream, b"\0\0\0\0\x64" + b"x" * 50)
+        await asyncio.sleep(0.05)
+        assert not world.ran()  # one message is waited for
+        await caller.write(stream, b"x" * 50, end=True)
+        got = await caller.answer(stream)
+        assert (got.status, world.ran("r")) == (UNKNOWN, 1)
+
+    play(body, count=3)
+
+
+def test_a_stream_that_has_passed_a_message_belongs_to_its_attempt() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/read/Talk", *script("reset message"))
+        await caller.send(stream, b"one")
+        assert (await caller.answer(stream)).status == UNAVAILABLE  # safe: another try does no harm
+        assert world.ran("r") == 1
+
+    play(body, count=3)
+
+
+def test_a_safe_stream_that_breaks_before_any_message_has_passed_goes_elsewhere() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/read/Talk", *script("reset head"))
+        assert (await caller.answer(stream)).status == UNAVAILABLE
+        assert world.ran("r") == 3
+
+    play(body, count=3)
+
+
+def test_an_answer_of_messages_that_breaks_after_the_first_is_ended_honestly() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        got = await caller.call("/read/Do", b"x", metadata=script("messages 3, reset trailers"))
+        assert (got.messages, got.status, world.ran("r")) == ([b"x"] * 3, UNAVAILABLE, 1)
+
+    play(body, count=2)
+
+
+def test_a_mark_on_any_other_status_or_behind_a_message_proves_nothing() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        for at, path in enumerate(("/book/Ran", "/book/After")):
+            got = await caller.call(path, b"x", metadata=[("x-request-id", f"r{at}")])
+            assert world.ran(f"r{at}") == 1 and got.status not in (0, UNAVAILABLE)
+
+    async def work(call: Call, _: Script) -> None:
+        if call.path.endswith("After"):
+            await call.send(b"one")
+            call.finish(14, "", ("x-not-processed", "1"))
+        else:
+            call.finish(13, "", ("x-not-processed", "1"))
+
+    play(body, count=2, work=work)
+
+
+# ---- time ----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("value,status_", [("1n", DEADLINE), ("99999999H", 0), ("100S", 0), ("50m", DEADLINE)])
+def test_time_outs_in_every_unit_and_size(value: str, status_: int) -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        steps = "stall answer" if value == "50m" else ""
+        began = time.monotonic()
+        got = await caller.call("/read/Do", b"x", metadata=[("grpc-timeout", value), *script(steps)])
+        assert got.status == status_ and time.monotonic() - began < 20.0
+        for call in world.box.calls:  # never more than the class's deadline of 30 s
+            seconds = call.headers["grpc-timeout"]
+            assert int(seconds[:-1]) * {"n": 1e-9, "u": 1e-6, "m": 1e-3, "S": 1.0}[seconds[-1]] <= 30.0
+
+    play(body)
+
+
+@pytest.mark.parametrize("value", ["", "5", "S", "123456789S", "-1S", "1.5S", "1 S", "1s"])
+def test_a_time_out_that_cant_be_read_is_internal(value: str) -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        got = await caller.call("/read/Do", b"x", metadata=[("grpc-timeout", value)])
+        assert got.status == INTERNAL and "grpc-timeout" in got.said and not world.ran()
+
+    play(body)
+
+
+def test_our_own_time_out_cancels_the_boxs_stream_and_a_cancel_of_the_caller_reaches_it() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        got = await caller.call("/book/Do", b"x", metadata=[("grpc-timeout", "100m"), *script("stall answer", "late")])
+        assert got.status == DEADLINE
+        stream = caller.begin("/book/Do", *script("stall answer", "left"))
+        await caller.send(stream, b"x", end=True)
+        await until(lambda: world.ran("left") == 1)
+        caller.cancel(stream)
+        for call in world.box.calls:
+            await soon(call.cancelled.wait())
+            assert call.code == 8
+        assert len(world.box.connections) == 1  # the connection goes on
+
+    play(body)
+
+
+# ---- GOAWAY --------------------------------------------------------------------------------------
+
+
+def test_goaway_in_a_burst_serves_what_is_below_and_sends_the_rest_elsewhere_once() -> None:
+    async def body(world: World) -> None:
+        caller, box = await world.caller(), world.box
+        gate = asyncio.Event()
+
+        async def work(call: Call, script: Script) -> None:
+            await gate.wait()
+            await scripted(call, script)
+
+        box.work = work
+        streams = []
+        for at in range(20):
+            streams.append(caller.begin("/book/Do", ("x-request-id", f"r{at}")))
+            await caller.send(streams[-1], b"x", end=True)
+        await until(lambda: len(box.calls) == 20)
+        half = sorted(call.stream for call in box.calls)[9]
+        # What is above the last id must not run: this box forgets it, as it promises.
+        for call in [call for call in box.calls if call.stream > half]:
+            box.ran[call.rid] -= 1
+            box.calls.remove(call)
+        box.goaway(2**31 - 1)
+        await asyncio.sleep(0.02)
+        box.goaway(half)
+        box.goaway(half)
+        gate.set()
+        for at, stream in enumerate(streams):
+            got = await caller.answer(stream)
+            assert (got.status, got.messages) == (0, [b"x"]) and world.ran(f"r{at}") == 1
+        assert box.accepted == 2
+
+    play(body)
+
+
+def test_a_connection_is_shared_and_the_boxs_limit_on_streams_is_kept() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        gate = asyncio.Event()
+
+        async def work(call: Call, script: Script) -> None:
+            await gate.wait()
+            await scripted(call, script)
+
+        world.box.work = work
+        streams = [caller.begin("/book/Do", ("x-request-id", f"r{at}")) for at in range(30)]
+        for stream in streams:
+            await caller.send(stream, b"x", end=True)
+        await until(lambda: len(world.box.calls) == 16)
+        gate.set()
+        statuses = [(await caller.answer(stream)).status for stream in streams]
+        assert statuses.count(0) == 16 and statuses.count(UNAVAILABLE) == 14  # full: never queued out of sight
+        assert world.box.accepted == 4
+
+    play(body, streams=4)
+
+
+def test_a_drained_box_gets_no_new_stream_on_an_open_connection_and_finishes_the_old_ones() -> None:
+    async def body(world: World) -> None:
+        caller, box = await world.caller(), world.box
+        stream = caller.begin("/read/Talk")
+        await caller.send(stream, b"one")
+        await until(lambda: caller.answers[stream].messages == [b"one"])
+        member = f'{{ address = "{box.address}", protocol = "grpc", drain = true }}'
+        await world.up.reload(f"[pools.a]\nmembers = [{member}]\n" + ROUTES, HTTP2)
+        assert (await caller.call("/read/Do", b"x")).status == UNAVAILABLE
+        await caller.send(stream, b"two", end=True)
+        got = await caller.answer(stream)
+        assert (got.status, got.messages, len(box.calls)) == (0, [b"one", b"two"], 1)
+        await until(lambda: not box.connections)
+
+    play(body)
+
+
+def test_a_dead_box_is_found_by_a_ping_and_what_waits_for_it_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("lugspur.http2.upstream.FRESH", 0.0)
+
+    async def body(world: World) -> None:
+        caller, box = await world.caller(), world.box
+        assert (await caller.call("/book/Do", b"x")).status == 0
+        await until(lambda: box.pings == 0)
+        assert (await caller.call("/book/Do", b"x")).status == 0
+        assert box.pings == 1  # an idle connection is asked before it is trusted
+        box.stall()
+        got = await caller.call("/book/Do", b"x", metadata=script("", "r"))
+        assert got.status == UNAVAILABLE and world.ran("r") == 0
+
+    play(body, more='attempts = 1')
+
+
+def test_a_silent_box_with_streams_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("lugspur.http2.upstream.PINGS", (0.05, 10.0))
+    monkeypatch.setattr("lugspur.http2.upstream.PING_WITHIN", 0.2)
+
+    async def body(world: World) -> None:
+        caller, box = await world.caller(), world.box
+        stream = caller.begin("/book/Do", *script("stall answer"))
+        await caller.send(stream, b"x", end=True)
+        await until(lambda: world.ran("r") == 1)
+        box.stall()
+        assert (await caller.answer(stream)).status == UNKNOWN
+
+    play(body)
+
+
+# ---- both protocols ------------------------------------------------------------------------------
+
+
+def test_a_pool_of_both_kinds_of_boxes_serves_both_kinds_of_callers() -> None:
+    async def run() -> None:
+        async with backend(lambda request: answer(request.partition(b"\r\n\r\n")[2], x_box="plain")) as plain:
+            async with boxed(others=(plain.address,)) as world:
+                caller, client = await world.caller(), await world.up.client()
+                seen = set()
+                for at in range(20):
+                    calls = [caller.call("/book/Do", b"hi%d" % at) for _ in range(4)]  # else the quicker box has all
+                    for got in await asyncio.gather(*calls):
+                        assert (got.status, got.messages) == (0, [b"hi%d" % at])
+                        seen.add(got.head.get("x-box", "grpc"))
+                    reply = await client.ask(ask("POST", "/book/Do?a=b", b"hi%d" % at, X_Some="thing"))
+                    assert status(reply) == 200 and reply.endswith(b"\r\n\r\nhi%d" % at)
+                    seen.add("http " + fields(reply).get("x-box", "grpc"))
+                assert seen == {"plain", "grpc", "http plain", "http grpc"}
+                wrapped = next(call for call in world.box.calls if "x-http-method" in call.headers)
+                assert wrapped.headers["x-http-method"] == "POST" and wrapped.headers["x-http-query"] == "a=b"
+                assert wrapped.path == "/book/Do" and wrapped.headers["x-some"] == "thing"
+                for _ in range(10):  # streams go to the gRPC box alone
+                    assert (await caller.call("/read/Do", b"1", b"2")).messages == [b"1", b"2"]
+
+    asyncio.run(run())
+
+
+def test_a_stream_finds_no_box_in_a_pool_of_http_boxes() -> None:
+    async def run() -> None:
+        async with backend(lambda _: answer(b"done")) as plain:
+            async with boxed(0, others=(plain.address,)) as world:
+                caller = await world.caller()
+                assert (await caller.call("/read/Do", b"1", b"2")).status == UNIMPLEMENTED
+                got = await caller.call("/read/Do", b"1")
+                assert (got.status, got.messages) == (0, [b"done"])
+
+    asyncio.run(run())
+
+
+def test_refusals_of_the_daemon_itself() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        assert (await caller.call("/none/Do", b"x")).status == 5  # no route
+        assert (await caller.call("/once/Do", b"x")).status == 3  # no Idempotency-Key
+        got = await caller.call("/once/Do", b"x", metadata=[("idempotency-key", "k")])
+        assert got.status == 0
+        assert (await caller.call("/tenant/Do", b"x", metadata=[("x-tenant", "nobody")])).status == 7
+
+    text = (pool("b", "127.0.0.1:9") + ROUTES.replace('"/*"', '"/read/*"')
+            + route("t", "/tenant/*", 'pool = "a"\ntenant = { header = "X-Tenant" }'))
+    play(body, text=text)
+
+
+def test_an_ordinary_request_over_http2_is_served_like_one_over_http1() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/read/x?q=1", ("accept", "text/plain"), method="GET", end=True)
+        # The caller's own content type made it a gRPC call, which GET is not.
+        assert (await caller.answer(stream)).status is not None
+        fields_ = [(":method", "GET"), (":scheme", "http"), (":path", "/read/x?q=1"), (":authority", "h.example")]
+        plain = caller.h2.get_next_available_stream_id()
+        caller.h2.send_headers(plain, fields_, end_stream=True)
+        caller.answers[plain] = type(caller.answers[stream])()
+        caller.flush()
+        got = await caller.answer(plain)
+        assert got.head[":status"] == "200" and got.head["grpc-status"] == "0"
+
+    play(body)
+
+
+# ---- flow control --------------------------------------------------------------------------------
+
+
+def test_64_megabytes_pass_both_ways_at_one_megabyte_of_memory() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/read/Talk")
+        got = caller.answers[stream]
+        chunk, passed, most = b"x" * (1 << 18), 0, 0
+        for _ in range(256):
+            await caller.send(stream, chunk)
+            passed += len(got.data)
+            got.data.clear()
+            station = world.up.daemon.stations["a"]
+            assert station._streams is not None
+            most = max(most, station._streams.held + world.up.running.listeners["main"][0].held)
+        caller.end(stream)
+        await caller.answer(stream)
+        passed += len(got.data)
+        assert passed == 256 * (len(chunk) + 5) and most < 1 << 20 and got.status == 0
+
+    async def echo(call: Call, _: Script) -> None:
+        while (message := await call.message()) is not None:
+            await call.send(message)
+        call.finish()
+
+    play(body, work=echo)
+
+
+def test_a_caller_that_reads_nothing_holds_up_nobody_else(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http2_front, "STUCK", 0.1)
+
+    async def body(world: World) -> None:
+        deaf, other = await world.caller(), await world.caller()
+        deaf.credit = False
+        streams = [deaf.begin("/read/Do", *script("messages 40, size 10000", f"r{at}")) for at in range(30)]
+        for stream in streams:
+            await deaf.send(stream, b"x", end=True)
+        await until(lambda: world.ran() == 30)
+        for _ in range(5):
+            got = await other.call("/read/Do", b"x", metadata=script("messages 40, size 10000"))
+            assert (got.status, len(got.messages)) == (0, 40)
+        for stream in streams:
+            deaf.cancel(stream)
+
+    play(body)
+
+
+def test_a_box_whose_window_stays_shut_costs_its_own_callers_time_alone() -> None:
+    async def body(world: World) -> None:
+        world.box.credit = False
+        caller = await world.caller()
+        stream = caller.begin("/read/Talk", ("grpc-timeout", "500m"))
+        sending = asyncio.get_running_loop().create_task(caller.send(stream, b"x" * 500_000))
+        assert (await caller.answer(stream)).status == DEADLINE
+        await soon(sending)
+        world.box.credit = True
+        assert (await caller.call("/read/Do", b"x")).status == 0
+
+    play(body)
+
+
+def test_a_box_that_answers_before_the_caller_has_said_all_is_heard() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/book/Talk")
+        await caller.send(stream, b"one")
+        got = await caller.answer(stream)
+        assert (got.status, got.said) == (9, "enough")
+        assert (await caller.call("/book/Talk", b"x")).status == 9
+
+    async def work(call: Call, _: Script) -> None:
+        await call.message()
+        call.finish(9, "enough")
+
+    play(body, work=work)
+
+
+# ---- the end -------------------------------------------------------------------------------------
+
+
+def test_sigterm_tells_goaway_waits_and_ends_what_is_still_open() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        long = caller.begin("/read/Talk")
+        await caller.send(long, b"one")
+        await until(lambda: caller.answers[long].messages == [b"one"])
+        short = caller.begin("/book/Do", *script("sleep 300ms"))
+        await caller.send(short, b"x", end=True)
+        stopping = asyncio.get_running_loop().create_task(world.up.running.stop())
+        assert (await caller.answer(short)).status == 0
+        got = await caller.answer(long)
+        assert got.status == UNKNOWN and got.messages == [b"one"]
+        await soon(stopping)
+        assert [last for last, _ in caller.goaways][:2] == [2**31 - 1, short]
+
+    play(body, head=HTTP2.replace("[limits]", '[limits]\ndrain = "2s"'))
+
+
+def test_a_reload_that_takes_the_listener_away_lets_streams_end() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        stream = caller.begin("/read/Talk")
+        await caller.send(stream, b"one")
+        await until(lambda: caller.answers[stream].messages == [b"one"])
+        text = world.up.file.read_text().replace("listeners.main", "listeners.other").replace(
+            "127.0.0.1:0", "127.0.0.2:0")
+        world.up.file.write_text(text)
+        world.up.running.reload()
+        await soon(world.up.running.reloaded())
+        await until(lambda: bool(caller.goaways))
+        await caller.send(stream, b"two", end=True)
+        got = await caller.answer(stream)
+        assert (got.status, got.messages) == (0, [b"one", b"two"])
+        await soon(caller.closed.wait())
+
+    play(body)
+
+
+def test_http1_and_http2_are_told_apart_however_the_first_bytes_come() -> None:
+    async def body(world: World) -> None:
+        preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+        for at in range(1, len(preface)):
+            client = await world.up.client()
+            client.writer.write(preface[:at])
+            await client.writer.drain()
+            await asyncio.sleep(0.002)
+            client.writer.write(preface[at:] + b"\0\0\0\4\0\0\0\0\0")
+            head = await soon(client.reader.readexactly(9))
+            assert head[3] == 4  # SETTINGS
+            client.writer.close()
+        client = await world.up.client()
+        client.writer.write(b"P")
+        await asyncio.sleep(0.01)
+        body_ = b"x"
+        client.writer.write(b"OST /book/Do HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n" + body_)
+        assert b" 200 " in await soon(client.reader.readuntil(b"\r\n"))
+
+    play(body)
+
+
+def test_a_listener_without_http2_takes_none() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        await soon(caller.closed.wait())
+
+    play(body, head=HTTP2.replace("http2 = true\n", ""))
+
+
+def test_a_registry_entry_may_name_the_protocol() -> None:
+    from lugspur.membership.nodes import Node, Nodes
+
+    nodes = Nodes("own")
+    entry = {"address": "127.0.0.1:1", "protocol": "grpc"}
+    [row], _ = nodes.present("a", Node(json.dumps(entry).encode(), 1, 1, 1))
+    assert row.grpc
+    _, [said] = nodes.present("b", Node(json.dumps(entry | {"protocol": "smtp"}).encode(), 1, 1, 1))
+    assert "none of http, grpc" in said
+    [other], _ = Nodes("own", "grpc").present("c", Node(b'{"address": "127.0.0.1:1"}', 1, 1, 1))
+    assert other.grpc
