--- a/lugspur/http2/frames.py
+++ b/lugspur/http2/frames.py
@@ -20,7 +20,8 @@
 EARNED_MOST = 4000.0  # so many at once where much is of use
 
 DATA, HEADERS, PRIORITY, RST_STREAM, SETTINGS, PUSH_PROMISE, PING, GOAWAY, WINDOW_UPDATE, CONTINUATION = range(10)
-END_STREAM, END_HEADERS, PADDED = 0x1, 0x4, 0x8
+END_STREAM = ACK = 0x1
+PADDED = 0x8
 NO_ERROR, PROTOCOL_ERROR, INTERNAL_ERROR, FLOW_CONTROL_ERROR = 0, 1, 2, 3
 FRAME_SIZE_ERROR, REFUSED_STREAM, CANCEL, ENHANCE_YOUR_CALM = 6, 7, 8, 11
 STREAM_MOST = (1 << 31) - 1
@@ -104,6 +105,8 @@
     def _judge(self, size: int, kind: int, flags: int) -> None:
         if size > FRAME_MOST:
             raise Fault(FRAME_SIZE_ERROR, f"a frame of {size} bytes")
+        if kind == SETTINGS and flags & ACK and size:
+            raise Fault(FRAME_SIZE_ERROR, "an acknowledgement with a payload")
         if kind in (HEADERS, CONTINUATION):
             self._block = size if kind == HEADERS else self._block + size
             if self._block > BLOCK_MOST:
