--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -304,7 +304,7 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "attempts", "bound", "cost", "deadline", "done", "id", "kind", "open", "until",
+        "attempts", "begun", "bound", "cost", "deadline", "done", "id", "kind", "open", "until",
     )
 
     def __init__(self, rid: RequestId, kind: int, deadline: float) -> None:
@@ -316,7 +316,8 @@
         self.open = 0
         self.done = False
         self.cost = 1.0  # the work that is expected of it
-        self.bound = False  # a stream has begun: the request belongs to one attempt
+        self.bound = False  # a part of it has passed: the request belongs to one attempt
+        self.begun = False  # its answer has begun
 
     def first_maybe(self) -> Attempt | None:
         """The first attempt that may have run, or may be running."""
@@ -774,7 +775,8 @@
 
     def _finish(self, request: Request, out: list[Action]) -> None:
         request.done = True
-        self.pool_of[request.kind].owed -= 1
+        if not request.begun:
+            self.pool_of[request.kind].owed -= 1
         if not request.bound:
             out += self._cancels(request)
         if not request.open:
@@ -836,14 +838,25 @@
             # Guards against a server that fails fast and so looks quick: a failure costs a time-out.
             server.learn(now, max(latency, timeout))
 
-    def begun(self, now: float, rid: RequestId, number: int) -> list[Action]:
-        """The answer of a streamed class has begun: the request belongs to this attempt."""
+    def bind(self, now: float, rid: RequestId, number: int) -> list[Action]:
+        """A part of a stream has gone to this attempt's server: the request belongs to it."""
         request = self.requests.get(rid)
         if request is None or request.done:
             return []
         request.bound = True
         return self._cancels(request, number)
 
+    def begun(self, now: float, rid: RequestId, number: int) -> list[Action]:
+        """The answer of a stream has begun: the request belongs to this attempt, and waits for nothing.
+
+        Guards admission against streams that go on for long: they are no queue that would make others late.
+        """
+        request = self.requests.get(rid)
+        if request is not None and not request.done and not request.begun:
+            request.begun = True
+            self.pool_of[request.kind].owed -= 1
+        return self.bind(now, rid, number)
+
     def gone(self, now: float, rid: RequestId) -> list[Action]:
         """The client left; no answer is owed any more."""
         request = self.requests.get(rid)
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -107,6 +107,7 @@
     address: Address = option(address, 'where to listen, as "127.0.0.1:8080"; port 0 takes a free one')
     http2: bool = option(
         flag, "whether HTTP/2 with prior knowledge, and with it gRPC, is taken beside HTTP/1.1", False)
+    streams: int = option(whole(1, 10_000), "HTTP/2 streams that one connection may have open", 100)
     register: Register | None = part(Register, "its node in a registry", None)
     trust_forwarded: bool = option(
         flag, "whether callers' X-Forwarded-For and X-Forwarded-Proto are kept and added to", False)
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -105,7 +105,7 @@
         if row.http2:
             from lugspur.http2.front import Connection
 
-            front.http2 = lambda front: Connection(front, handle)
+            front.http2 = lambda front: Connection(front, handle, row.streams)
         front.terms = lambda: self.regime
         self.retune(front)
         return front
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -137,7 +137,7 @@
 
     def begun(self, response: upstream.Response, body: Pipe) -> None:
         """Its answer is passed on as it comes."""
-        self._pool.begun(self._call, response, body)
+        self._pool.begun(self._call, self._number, response, body)
 
 
 class Pool:
@@ -333,10 +333,11 @@
     def bound(self, call: Call, number: int) -> None:
         """A message has passed: no other attempt may have this request."""
         call.bound = True
-        self._perform(self._decide(self.balancer.begun, call.rid, number, call=call))
+        self._perform(self._decide(self.balancer.bind, call.rid, number, call=call))
 
-    def begun(self, call: Call, response: upstream.Response, body: Pipe) -> None:
+    def begun(self, call: Call, number: int, response: upstream.Response, body: Pipe) -> None:
         """An answer is passed on as it comes."""
+        self._perform(self._decide(self.balancer.begun, call.rid, number, call=call))
         if call.caller is not None:
             self._owner.begun(call, response, body)
 
--- a/lugspur/grpc/mapping.py
+++ b/lugspur/grpc/mapping.py
@@ -56,12 +56,11 @@
 def fields_of(lines: Iterable[bytes], without: frozenset[bytes] = CONNECTION) -> Fields:
     """Header lines as fields."""
     found: Fields = []
-    for chunk in lines:
-        for line in chunk.split(b"\r\n"):  # several lines may come in one piece
-            name, _, value = line.partition(b":")
-            lower = name.lower()
-            if lower and lower not in without:
-                found.append((lower, value.strip()))
+    for line in b"".join(lines).split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        lower = name.lower()
+        if lower and lower not in without:
+            found.append((lower, value.strip()))
     return found
 
 
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Generic, Protocol, TypeVar
 
 import httptools
 
@@ -95,7 +95,7 @@
         self.write = write  # the request's bytes, given the seconds that are left
         self.open = True
         self.connection: Connection | None = None
-        self.dial: Dial | None = None
+        self.dial: Dial[Exchange] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._report = report
 
@@ -143,17 +143,40 @@
         return self.connection is not None and self.connection.written
 
 
-class Dial:
-    """A connection that is being made for an exchange; it ends as a connection, or says that none came up.
+class Dialled(Protocol):
+    """What a connection is made for."""
+
+    dial: Any  # the Dial, while it goes on
+
+
+For = TypeVar("For", bound=Dialled)
+For_contra = TypeVar("For_contra", bound=Dialled, contravariant=True)
+
+
+class Dialler(Protocol[For_contra]):
+    """Who wants connections."""
+
+    def connected(self, wanted: For_contra, sock: socket.socket) -> None:
+        """One has come up."""
+
+    def unreachable(self, wanted: For_contra, number: int) -> None:
+        """None has; `number` is the system's error, 0 for a time-out."""
+
+    def undone(self) -> None:
+        """One was given up."""
+
+
+class Dial(Generic[For]):
+    """A connection that is being made; it ends as a connection, or says that none came up.
 
     Sockets are dialled and read by the loop's readers and writers: a task and a transport for each would cost
     more than all else that an attempt needs of the loop.
     """
 
-    __slots__ = ("_addresses", "_errno", "_exchange", "_loop", "_over", "_resolving", "_timer", "_upstream", "sock")
+    __slots__ = ("_addresses", "_dialler", "_errno", "_loop", "_over", "_resolving", "_timer", "_wanted", "sock")
 
-    def __init__(self, upstream: Upstream, exchange: Exchange, within: float) -> None:
-        self._upstream, self._exchange = upstream, exchange
+    def __init__(self, dialler: Dialler[For], wanted: For, backend: Backend, within: float) -> None:
+        self._dialler, self._wanted = dialler, wanted
         self._loop = asyncio.get_running_loop()
         self._over = False
         self._errno = 0  # why the latest address failed
@@ -161,11 +184,11 @@
         self._resolving: asyncio.Task[None] | None = None
         self.sock: socket.socket | None = None
         self._timer = self._loop.call_later(within, self._fail)
-        family = exchange.backend.family
+        family = backend.family
         if family is None:
-            self._resolving = self._loop.create_task(self._resolve(*exchange.backend.address))
+            self._resolving = self._loop.create_task(self._resolve(*backend.address))
         else:
-            self._addresses.append((family, exchange.backend.address))
+            self._addresses.append((family, backend.address))
             self._next()
 
     async def _resolve(self, host: str, port: int) -> None:
@@ -211,7 +234,7 @@
             return
         self._loop.remove_writer(self.sock.fileno())
         self._end()
-        self._upstream.connected(self._exchange, self.sock)
+        self._dialler.connected(self._wanted, self.sock)
 
     def _drop(self) -> None:
         if self.sock is not None:
@@ -222,14 +245,14 @@
     def _end(self) -> None:
         self._over = True
         self._timer.cancel()
-        self._exchange.dial = None
+        self._wanted.dial = None
 
     def _fail(self) -> None:
         """Refused, timed out, or no descriptor left."""
         if not self._over:
             self._end()
             self._drop()
-            self._upstream.unreachable(self._exchange, self._errno)
+            self._dialler.unreachable(self._wanted, self._errno)
 
     def cancel(self) -> None:
         """Its exchange is over."""
@@ -238,7 +261,7 @@
             if self._resolving is not None:
                 self._resolving.cancel()
             self._drop()
-            self._upstream.undone()
+            self._dialler.undone()
 
 
 class Connection:
@@ -530,7 +553,7 @@
                 return
             self._drop(next(iter(self._idle)))
         self._sockets.take(self._name)
-        exchange.dial = Dial(self, exchange, self._dial_timeout)
+        exchange.dial = Dial(self, exchange, exchange.backend, self._dial_timeout)
 
     def connected(self, exchange: Exchange, sock: socket.socket) -> None:
         """A dial has brought a connection, which holds the socket from then on."""
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -113,8 +113,8 @@
         else:
             if head is not None:
                 machine.head(stream, head, end=not body and tail is None)
-            machine.write(stream, body)
-            if not machine.said(stream):
+            machine.write(stream, body, end=tail is None)
+            if tail is not None:
                 machine.finish(stream, tail)
         self.connection.answered(self)
 
@@ -327,11 +327,11 @@
 class Connection(Held):
     """One caller's connection over HTTP/2."""
 
-    def __init__(self, front: Front, handle: Handle) -> None:
+    def __init__(self, front: Front, handle: Handle, streams: int = STREAMS_MOST) -> None:
         super().__init__(front)
         self._handle = handle
         self.loop = asyncio.get_running_loop()
-        self.machine = Machine(False, self._sent, front.sizes.head, STREAMS_MOST)
+        self.machine = Machine(False, self._sent, front.sizes.head, streams)
         self.streams: dict[int, Stream] = {}
         self._last = STREAM_MOST  # streams above it are not taken any more
         self._leaving = False  # we leave...
--- a/lugspur/http2/machine.py
+++ b/lugspur/http2/machine.py
@@ -15,10 +15,12 @@
 from h2.connection import H2Connection
 from h2.exceptions import ProtocolError
 from h2.settings import SettingCodes, Settings
+from hpack import NeverIndexedHeaderTuple
 
 from lugspur.http2.frames import NO_ERROR, PROTOCOL_ERROR, STREAM_MOST, Fault, Leave, Sieve, goaway
 
 Fields = list[tuple[bytes, bytes]]
+ONCE = frozenset({b"x-request-id", b"grpc-timeout", b"idempotency-key", b"traceparent", b"content-length"})
 
 STREAMS_MOST = 100  # streams that a peer may have open: RFC 9113 6.5.2 recommends no less
 WINDOW = 65_535  # bytes of a stream that may be on their way to us and not yet passed on: the protocol's default
@@ -100,6 +102,11 @@
         self.tail: Fields | None = None
 
 
+def _packed(fields: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    """Guards HPACK's table against values that never come again: each would drive out one that does."""
+    return [NeverIndexedHeaderTuple(*field) if field[0] in ONCE else field for field in fields]
+
+
 class Machine:
     """`sent` is told of bytes of a stream that have gone out: (stream, bytes)."""
 
@@ -211,7 +218,7 @@
     def begin(self, fields: Iterable[tuple[bytes, bytes]]) -> int:
         """A client's new stream, with its request's head."""
         stream = self._h2.get_next_available_stream_id()
-        self._h2.send_headers(stream, list(fields))
+        self._h2.send_headers(stream, _packed(fields))
         self.open.add(stream)
         return stream
 
@@ -222,18 +229,20 @@
     def head(self, stream: int, fields: Fields, end: bool = False) -> None:
         """An answer's head; with `end` nothing follows it."""
         if stream in self.open:
-            self._h2.send_headers(stream, fields, end_stream=end)
+            self._h2.send_headers(stream, _packed(fields), end_stream=end)
             if end:
                 self._said(stream)
 
-    def write(self, stream: int, data: bytes) -> None:
-        """Some more of a body, as the peer's windows allow."""
+    def write(self, stream: int, data: bytes, end: bool = False) -> None:
+        """Some more of a body, as the peer's windows allow; with `end` nothing follows it."""
         if stream not in self.open:
             self._sent(stream, len(data))
-        elif data:
+        elif data or end:
             out = self._out.setdefault(stream, _Out())
-            out.chunks.append(memoryview(data))
-            out.size += len(data)
+            if data:
+                out.chunks.append(memoryview(data))
+                out.size += len(data)
+            out.end = end
             self._push(stream, out)
 
     def finish(self, stream: int, tail: Fields | None = None) -> None:
@@ -268,7 +277,7 @@
         if out.end and not out.chunks:
             out.end = False
             if out.tail is not None:
-                self._h2.send_headers(stream, out.tail, end_stream=True)
+                self._h2.send_headers(stream, _packed(out.tail), end_stream=True)
             else:
                 self._h2.send_data(stream, b"", end_stream=True)
             self._said(stream)
--- a/lugspur/http2/upstream.py
+++ b/lugspur/http2/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from jaspershelf.model import Outcome
@@ -11,7 +12,7 @@
 from lugspur.grpc.messages import Counter, Spoilt
 from lugspur.grpc.status import Status, http_status, read_status
 from lugspur.http1.intake import Request
-from lugspur.http1.upstream import ANSWER_MOST, IDLE_PART, Backend, Response
+from lugspur.http1.upstream import ANSWER_MOST, IDLE_PART, OWN_FAULTS, Backend, Dial, Response
 from lugspur.http2.frames import CANCEL, ENHANCE_YOUR_CALM, REFUSED_STREAM, Leave
 from lugspur.http2.machine import (
     STREAMS_MOST,
@@ -38,6 +39,7 @@
 STREAM_AFTER = 0.02  # seconds that a whole message waits for its trailers before it is passed on by itself
 FRESH = 1.0  # seconds since a connection was last heard in which what must not run twice trusts it without a PING
 PINGS = (1.0, 10.0, 300.0)  # seconds of silence before the first, second and every further PING: gRPC servers count
+SETTINGS_WITHIN = 2.0  # seconds from the connection to the box's SETTINGS: the kernel accepts for a busy box, too
 PING_WITHIN = 1.0  # seconds for its answer
 LOOK_EVERY = 0.25  # seconds between looks at silent connections, while they have streams
 BACKLOG_MOST = 1 << 20  # bytes that the transport holds unsent before the connection is given up: DATA waits before
@@ -132,8 +134,7 @@
         if pipe is not None:
             pipe.attach(self._more)
             return
-        machine.write(self.stream, body)
-        machine.finish(self.stream)
+        machine.write(self.stream, body, end=True)
 
     def _more(self) -> None:
         """More of a stream of requests."""
@@ -265,6 +266,7 @@
         self.ready = False
         self.leaving = False  # no stream begins on it any more
         self.over = False
+        self.blamed = False  # no connection came up, or none that speaks HTTP/2, and the box is to blame
         self.heard = 0.0
         self.idle_since = self._loop.time()
         self._transport: asyncio.Transport | None = None
@@ -272,17 +274,17 @@
         self._pings = 0  # since the last answer
         self._waking: asyncio.Handle | None = None
         self._looking: asyncio.TimerHandle | None = None
-        self._timer = self._loop.call_later(lane.dial_timeout, self._lost)
-        self._dialling = self._loop.create_task(self._dial(box.backend.address))
-
-    async def _dial(self, address: Address) -> None:
-        try:
-            await self._loop.create_connection(lambda: self, *address)
-        except OSError:
-            self._lost()
+        self._timer: asyncio.TimerHandle | None = None  # for the box's SETTINGS
+        self._task: asyncio.Task[object] | None = None
+        self.dial: Dial[Link] | None = Dial(lane, self, box.backend, lane.dial_timeout)
 
     # ---- the connection ------------------------------------------------------------------------
 
+    def dialled(self, sock: socket.socket) -> None:
+        """The connection is up."""
+        self._timer = self._loop.call_later(SETTINGS_WITHIN, self._failed)
+        self._task = self._loop.create_task(self._loop.create_connection(lambda: self, sock=sock))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -292,7 +294,11 @@
             self._flush()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._lost()
+        self._failed()
+
+    def _failed(self) -> None:
+        self.blamed = self.blamed or not (self.ready or self.over)
+        self.lost()
 
     def pause_writing(self) -> None:
         self.machine.corked = True
@@ -325,18 +331,18 @@
         if data:
             transport.write(data)
             if transport.get_write_buffer_size() > BACKLOG_MOST:
-                self._lost()  # Guards memory: a box that reads nothing gets no further requests either.
+                self.lost()  # Guards memory: a box that reads nothing gets no further requests either.
 
-    def _lost(self) -> None:
+    def lost(self) -> None:
         """It has ended, by whichever side: nothing that went out is known not to have run."""
         if self.over:
             return
         self.over = self.leaving = True
-        self._timer.cancel()
-        for handle in (self._waking, self._looking):
+        for handle in (self._timer, self._waking, self._looking):
             if handle is not None:
                 handle.cancel()
-        self._dialling.cancel()
+        if self.dial is not None:
+            self.dial.cancel()
         if self._transport is not None:
             self._transport.abort()
         self._lane.lost(self)
@@ -355,7 +361,7 @@
         if not self.over:
             self.machine.leave(0)
             self._flush()
-            self._lost()
+            self.lost()
 
     # ---- streams -------------------------------------------------------------------------------
 
@@ -446,13 +452,14 @@
         if isinstance(event, Settled):
             if not self.ready:
                 self.ready = True
+                assert self._timer is not None
                 self._timer.cancel()
                 self._lane.reached(self.box.backend, True)
         elif isinstance(event, Leave):
             self._left(event)
         elif isinstance(event, Over):
             self._flush()
-            self._lost()
+            self._failed()
         elif not isinstance(event, Acked):
             exchange = self.exchanges.get(event.stream)
             if exchange is not None:
@@ -517,7 +524,7 @@
             return
         if self._pinged:
             if now - self._pinged >= PING_WITHIN:
-                self._lost()
+                self.lost()
                 return
         elif now - self.heard >= PINGS[min(self._pings, len(PINGS) - 1)] and not self.box.calm:
             self._ping(now)
@@ -626,6 +633,18 @@
                 if not box.links and not in_service:
                     del self._boxes[backend]
 
+    def connected(self, wanted: Link, sock: socket.socket) -> None:
+        """A dial has brought a connection."""
+        wanted.dialled(sock)
+
+    def unreachable(self, wanted: Link, number: int) -> None:
+        """A dial has brought none."""
+        wanted.blamed = number not in OWN_FAULTS
+        wanted.lost()
+
+    def undone(self) -> None:
+        """A dial was given up: `lost` counts its socket."""
+
     def reached(self, backend: Backend, up: bool) -> None:
         """Whether a connection came up."""
         self._dialled(backend.server, up)
@@ -634,7 +653,7 @@
         """A connection has ended."""
         self._sockets.give(self._name)
         link.box.links.remove(link)
-        if not link.ready:
+        if link.blamed:
             self.reached(link.box.backend, False)
         if not link.box.links and not link.box.backend.in_service:
             self._boxes.pop(link.box.backend, None)
--- a/lugspur/standins/grpc/caller.py
+++ b/lugspur/standins/grpc/caller.py
@@ -213,6 +213,7 @@
         elif isinstance(event, h2e.StreamEnded):
             answer.ends += 1
             answer.over.set()
+            answer.more.set()
         elif isinstance(event, h2e.StreamReset):
             if not answer.over.is_set():
                 answer.reset = int(event.error_code)
--- a/tests/daemon/test_same_decisions.py
+++ b/tests/daemon/test_same_decisions.py
@@ -56,6 +56,9 @@
         actions = super().outcome(self._tick(), rid, number, how, STEP, last)
         return self._note("outcome", (rid, number, how, last), actions)
 
+    def bind(self, now: float, rid: str, number: int) -> list[Action]:
+        return self._note("bind", (rid, number), super().bind(self._tick(), rid, number))
+
     def begun(self, now: float, rid: str, number: int) -> list[Action]:
         return self._note("begun", (rid, number), super().begun(self._tick(), rid, number))
 
--- a/tests/test_adopt.py
+++ b/tests/test_adopt.py
@@ -8,7 +8,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from jaspershelf import Balancer, Fail, ListKind, Outcome, Repeat, RequestClass, Send, ServerRow, Settings, Tenant
+from jaspershelf import (
+    Balancer,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Send,
+    ServerRow,
+    Settings,
+    Tenant,
+)
 from lugspur.daemon.station import places
 
 READ = RequestClass("read", repeat=Repeat.SAFE, late_worth=1.0)
@@ -71,6 +83,20 @@
     assert len(one.pools) == 2
 
 
+def test_a_stream_that_has_begun_is_no_queue_and_one_that_is_bound_goes_nowhere_else() -> None:
+    one = balancer(READ)
+    for rid in ("bound", "begun"):
+        one.request(1.0, rid)
+    one.bind(1.1, "bound", 0)
+    one.begun(1.1, "begun", 0)
+    one.begun(1.2, "begun", 0)
+    assert one.pool_of[0].owed == 1
+    for rid in ("bound", "begun"):
+        assert [type(action) for action in one.outcome(1.3, rid, 0, Outcome.BROKEN, 0.3)] == [Refuse]  # safe: no harm
+    assert one.pool_of[0].owed == 0 and not one.requests
+    assert one.bind(1.4, "bound", 0) == [] and one.begun(1.4, "begun", 0) == []
+
+
 CLASSES = st.lists(st.integers(0, 6).map(lambda n: RequestClass(f"c{n % 3}", worth=n)), min_size=1, max_size=4,
                    unique=True)
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -218,9 +218,9 @@
         async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
             loop = asyncio.get_running_loop()
             ready, dialled = Dial._ready, asyncio.Event()
-            held: list[Dial] = []
+            held: list[Dial[Exchange]] = []
 
-            def slow(dial: Dial) -> None:
+            def slow(dial: Dial[Exchange]) -> None:
                 assert dial.sock is not None
                 loop.remove_writer(dial.sock.fileno())
                 held.append(dial)
