--- a/lugspur/standins/grpc/caller.py
+++ b/lugspur/standins/grpc/caller.py
@@ -93,6 +93,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed.set()
+        self.room.set()
         for answer in self.answers.values():
             if not answer.over.is_set():
                 answer.lost = True
@@ -126,7 +127,7 @@
     async def write(self, stream: int, data: bytes, end: bool = False) -> None:
         """Bytes of messages, as the windows allow; no more where the stream is over."""
         try:
-            while data:
+            while data and not self.answers[stream].over.is_set():
                 most = min(self.h2.local_flow_control_window(stream), self.h2.max_outbound_frame_size)
                 if most <= 0:
                     self.room.clear()
@@ -152,8 +153,10 @@
         """A whole call; raises TimeoutError."""
         stream = self.begin(path, *(metadata or []), end=not messages)
         # One write, as gRPC's own libraries make it: a call of one message is all there at once.
-        await self.write(stream, b"".join(b"\0" + len(each).to_bytes(4, "big") + each for each in messages), end=True)
-        return await self.answer(stream, within)
+        data = b"".join(b"\0" + len(each).to_bytes(4, "big") + each for each in messages)
+        async with asyncio.timeout(within):
+            await self.write(stream, data, end=True)
+            return await self.answer(stream, within)
 
     async def answer(self, stream: int, within: float = 30.0) -> Answer:
         """What came, when it is over; raises TimeoutError."""
@@ -214,6 +217,7 @@
             answer.ends += 1
             answer.over.set()
             answer.more.set()
+            self.room.set()
         elif isinstance(event, h2e.StreamReset):
             if not answer.over.is_set():
                 answer.reset = int(event.error_code)
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -120,7 +120,9 @@
 def test_the_platforms_proxy_imports_nothing_of_the_rest() -> None:
     modules = imported("lugspur.__main__, lugspur.daemon.service")
     assert not {"click", "rich", "tomllib", "lugspur.config.load", "lugspur.daemon.daemon"} & modules
-    assert not [name for name in modules if name.startswith(("lugspur.zookeeper", "lugspur.membership.registry"))]
+    optional = ("lugspur.zookeeper", "lugspur.membership.registry", "lugspur.http2", "lugspur.grpc")
+    assert not [name for name in modules if name.startswith(optional)]
+    assert not {"h2", "hpack", "hyperframe"} & modules
 
 
 @pytest.mark.parametrize("module", ["lugspur.daemon.service", "lugspur.daemon.run", "lugspur.cli.main"])
--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -50,6 +50,7 @@
 
 def test_the_examples_have_no_fault() -> None:
     assert len(load(str(ROOT / "deploy" / "registry.toml")).table.routes) == 1
+    assert len(load(str(ROOT / "deploy" / "grpc.toml")).table.routes) == 3
     assert len(load(str(ROOT / "deploy" / "example.toml")).table.routes) == 6
 
 
--- a/tests/daemon/test_grpc.py
+++ b/tests/daemon/test_grpc.py
@@ -4,18 +4,25 @@
 
 import asyncio
 import json
+import subprocess
+import sys
 import time
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import pytest
-from daemonic import answer, ask, backend, fields, pool, route
+from daemonic import HEAD, answer, ask, backend, fields, pool, route
 from google.rpc import error_details_pb2, status_pb2
 from grpcpeers import HTTP2, ROUTES, World, boxed
 from loopback import soon, status, until
 
+from lugspur.bench.grpc import mixed
+from lugspur.config.load import FileFaults, load
 from lugspur.http2 import front as http2_front
 from lugspur.standins.grpc.box import Call, scripted
-from lugspur.standins.grpc.script import Script
+from lugspur.standins.grpc.caller import Answer, Caller
+from lugspur.standins.grpc.script import STEPS, Script, Wrong, read
 
 UNKNOWN, DEADLINE, UNAVAILABLE, INTERNAL, UNIMPLEMENTED = 2, 4, 14, 13, 12
 
@@ -627,3 +634,125 @@
     assert "none of http, grpc" in said
     [other], _ = Nodes("own", "grpc").present("c", Node(b'{"address": "127.0.0.1:1"}', 1, 1, 1))
     assert other.grpc
+
+
+# ---- attacks -------------------------------------------------------------------------------------
+
+
+def rapid_resets(caller: Caller) -> None:
+    for _ in range(40):
+        caller.cancel(caller.begin("/read/Talk"))
+
+
+def pings(caller: Caller) -> None:
+    caller.raw((b"\0\0\x08\x06\0\0\0\0\0" + b"\0" * 8) * 200)
+
+
+def settings(caller: Caller) -> None:
+    caller.raw(b"\0\0\0\x04\0\0\0\0\0" * 200)
+
+
+def empty_data(caller: Caller) -> None:
+    if not caller.answers:
+        caller.begin("/read/Talk")
+    caller.raw(b"\0\0\0\0\0\0\0\0\1" * 200)
+
+
+def continuation(caller: Caller) -> None:
+    if not caller.answers:
+        caller.answers[1] = Answer()
+        caller.raw(b"\0\0\1\1\0\0\0\0\1\x82")
+    caller.raw(b"\0\x3f\xff\x09\0\0\0\0\1" + b"\0" * 0x3fff)
+
+
+def bombs(caller: Caller) -> None:
+    block = bytearray(b"\x83\x86\x41\x01h\x44\x02/x")
+    block += b"\x40\x01b\x7f\x80\x1e" + b"y" * 3967 + b"\xbe" * 12_000  # one byte for each further 4 KB
+    caller.raw(len(block).to_bytes(3, "big") + b"\1\5\0\0\0\1" + bytes(block))
+
+
+def overflow(caller: Caller) -> None:
+    caller.raw((b"\0\0\4\x08\0\0\0\0\0" + b"\x7f\xff\xff\xff") * 2)
+
+
+def backwards(caller: Caller) -> None:
+    for stream in (9, 3):
+        caller.raw(b"\0\0\x09\1\5" + stream.to_bytes(4, "big") + b"\x83\x86\x41\x01h\x44\x02/x")
+
+
+@pytest.mark.parametrize("attack", [rapid_resets, pings, settings, empty_data, continuation, bombs, overflow,
+                                    backwards])
+def test_attacks_end_the_attackers_connection_and_harm_nobody_else(attack: Callable[[Caller], None]) -> None:
+    async def body(world: World) -> None:
+        bad, good = await world.caller(), await world.caller()
+        rounds = 0
+        while not bad.closed.is_set():
+            attack(bad)
+            rounds += 1
+            assert rounds < 200
+            assert (await good.call("/book/Do", b"x")).status == 0
+        assert len(world.up.running.listeners["main"][0].callers) == 1
+
+    play(body)
+
+
+def test_a_caller_that_asks_and_reads_nothing_is_let_go() -> None:
+    """Bounds what waits for it: its PINGs are answered into a buffer that it never empties."""
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        caller.transport.pause_reading()
+        for _ in range(20):
+            stream = caller.begin("/read/Do", *script("messages 60, size 10000", "r"))
+            await caller.send(stream, b"x", end=True)
+        await until(lambda: world.ran("r") == 20)
+        [held] = world.up.running.listeners["main"][0].callers
+        assert held._transport.get_write_buffer_size() <= http2_front.BACKLOG_MOST
+        caller.close()
+
+    play(body)
+
+
+# ---- what is not switched on ---------------------------------------------------------------------
+
+
+def test_nothing_of_http2_is_imported_where_nobody_asks_for_it() -> None:
+    code = ("import sys, asyncio\nfrom lugspur.config.load import load\nfrom lugspur.daemon.run import Running\n"
+            "async def play():\n    running = Running(sys.argv[1])\n    await running.start(load(sys.argv[1]))\n"
+            "asyncio.run(play())\n"
+            "print([name for name in sys.modules if name.split('.')[0] in ('h2', 'hpack', 'hyperframe')"
+            " or name.startswith(('lugspur.http2', 'lugspur.grpc'))])\n")
+    for text, wanted in ((HEAD, "[]\n"), (HTTP2, "")):
+        with TemporaryDirectory() as folder:
+            file = Path(folder) / "lugspur.toml"
+            file.write_text(text + pool("a", "127.0.0.1:9") + ROUTES)
+            said = subprocess.run([sys.executable, "-c", code, str(file)], capture_output=True, text=True, timeout=60)
+        assert said.returncode == 0, said.stderr
+        assert said.stdout == wanted or (not wanted and "lugspur.http2.front" in said.stdout)
+
+
+def test_a_file_that_asks_for_http2_without_the_library_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("lugspur.config.build.find_spec", lambda name: None)
+    with TemporaryDirectory() as folder:
+        file = Path(folder) / "lugspur.toml"
+        file.write_text(HTTP2 + pool("a", "127.0.0.1:9", more='protocol = "grpc"') + ROUTES)
+        with pytest.raises(FileFaults) as fault:
+            load(str(file))
+    assert [line for line in fault.value.lines if "lugspur[grpc]" in line] == fault.value.lines
+    assert len(fault.value.lines) == 2
+
+
+# ---- many calls ----------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_mixed_calls_at_boxes_that_fail_lose_and_double_nothing(seed: int) -> None:
+    counts = asyncio.run(mixed(600, seed))
+    assert counts.kept and counts.sent == 600, f"seed {seed}: {counts}"
+
+
+def test_the_stand_in_says_what_it_can_do() -> None:
+    said = subprocess.run([sys.executable, "-m", "lugspur.standins.grpc", "--help"], capture_output=True, text=True,
+                          timeout=60)
+    assert all(step.split()[0] in said.stdout for step in STEPS)
+    with pytest.raises(Wrong, match="'jump' is no step; write one of refuse"):
+        read("sleep 5ms, jump")
