Bound what HTTP/2 makes ahead of its transport, and let go of silent callers

On rereading: all windows together allow many MB in one turn of the loop, beyond which a caller or box that is well was given up; an ordinary request over HTTP/2 whose body never ends was never answered; a caller that vanishes with a stream open kept its place for good; cookies in pieces and names with underscores reached HTTP/1.1 boxes as HTTP/2 has them. Each has a test.

--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -17,6 +17,7 @@
 GATHER = 0.02  # seconds after a whole message, or a head alone, in which a call may still turn out to be all there
 BACKLOG_MOST = 1 << 20  # bytes that the transport holds unsent before a caller is given up: DATA waits before
 LEAVE_AFTER = 0.25  # seconds between the two GOAWAYs: streams that were begun before the first was read still come
+SILENT = 30.0  # seconds without a byte of a caller before a PING, and twice as many before it is given up
 STUCK = 2.0  # seconds that an answered stream may keep what its caller does not read
 Handle = Callable[[Request, "Stream"], None]
 
@@ -35,6 +36,7 @@
         self._chunks: list[bytes] = []
         self._held = 0
         self._delivered = False
+        self._timer: asyncio.TimerHandle | None = None
 
     # ---- the request ---------------------------------------------------------------------------
 
@@ -43,13 +45,25 @@
         self._head = fields
         self._terms = None if self.front.terms is None else self.front.terms()
         self._lines, self._named = read_fields(fields)
+        self._wait()
+
+    def _wait(self) -> None:
+        """Guards connections against a body that never ends."""
+        # Guards backends that take `_` for `-` and would read a name that was not checked here.
+        self._lines = [line for line in self._lines if b"_" not in line.partition(b":")[0]]
+        self._timer = self.connection.loop.call_at(self.arrived + self.front.whole_within, self._slow)
+
+    def _slow(self) -> None:
+        if not self._delivered and not self.answered:
+            self.connection.refuse(self, Rejected(408, "the request took too long"))
+
+    def _stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
 
     def data(self, data: bytes, size: int) -> None:
         """A part of its body; raises Rejected."""
         self.connection.machine.credit(self.stream, size)
-        self._keep(data)
-
-    def _keep(self, data: bytes) -> None:
         self._chunks.append(data)
         self._held += len(data)
         self.front.held += len(data)
@@ -60,6 +74,7 @@
 
     def ended(self) -> None:
         """The request is whole; raises Rejected."""
+        self._stop()
         self._deliver()
 
     def _release(self) -> bytes:
@@ -97,6 +112,7 @@
 
     def reject(self, fault: Rejected) -> None:
         """Answer what is not served."""
+        self._stop()
         self.gone = None
         self.answer(fault.status, b"", fault.reason.encode() + b"\n")
 
@@ -120,6 +136,7 @@
 
     def over(self) -> None:
         """Its caller has given it up, or its connection is gone."""
+        self._stop()
         self._release()
         self.answered = True
         gone, self.gone = self.gone, None
@@ -136,7 +153,6 @@
     def __init__(self, connection: Connection, stream: int, now: float) -> None:
         super().__init__(connection, stream, now)
         self._counter = Counter()
-        self._timer: asyncio.TimerHandle | None = None
         self._answer: Pipe | None = None  # an answer that is passed on as it comes
         self._begun = False  # its head is out
         self.pipe: Pipe | None = None
@@ -178,10 +194,10 @@
             self.pipe.put(data)
             return
         self.connection.machine.credit(self.stream, size)
-        self._keep_call(data)
+        self._gather(data)
 
-    def _keep_call(self, data: bytes) -> None:
-        """Gather what may be a unary call; a second message, or one that is too large to hold, makes it a stream."""
+    def _gather(self, data: bytes) -> None:
+        """Keep what may be a unary call; a second message, or one that is too large to hold, makes it a stream."""
         counter, sizes = self._counter, self.front.sizes
         self._chunks.append(data)
         self._held += len(data)
@@ -197,10 +213,6 @@
         else:
             self._wait()
 
-    def _slow(self) -> None:
-        if not self._delivered and not self.answered:
-            self.connection.refuse(self, Rejected(408, "the message took too long"))
-
     def ended(self) -> None:
         """The caller has said all; raises Rejected."""
         if self._counter.open:
@@ -211,10 +223,6 @@
             self._stop()
             self._deliver()
 
-    def _stop(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
     def _stream(self) -> None:
         """It is a stream: it goes on as it comes."""
         self._stop()
@@ -254,11 +262,6 @@
         else:
             self._write(first, messages, tail)
 
-    def reject(self, fault: Rejected) -> None:
-        """Answer what is not served: what can't be read is INTERNAL, by gRPC's own list of statuses."""
-        self._stop()
-        super().reject(fault)
-
     def start_answer(self, head: bytes) -> None:
         """The head of an answer that goes on as it comes."""
         self._begun = True
@@ -291,7 +294,6 @@
 
     def over(self) -> None:
         """Its caller has given it up, or its connection is gone."""
-        self._stop()
         if self._answer is not None:
             self._answer.attach(None)
         super().over()
@@ -307,6 +309,9 @@
     lines: list[bytes] = []
     named: dict[bytes, bytes] = {}
     authority = b""
+    crumbs = [value for name, value in fields if name == b"cookie"]
+    if len(crumbs) > 1:  # RFC 9113 8.2.3: HTTP/1.1 has them in one line
+        fields = [field for field in fields if field[0] != b"cookie"] + [(b"cookie", b"; ".join(crumbs))]
     for name, value in fields:
         if name[:1] == b":":
             authority = value if name == b":authority" else authority
@@ -338,6 +343,21 @@
         self._left = False  # ...or the caller does
         self._waking: asyncio.Handle | None = None
         self._over = False
+        self._heard = self.loop.time()
+        self._looking = self.loop.call_later(SILENT, self._look)
+
+    def _look(self) -> None:
+        """Guards the front's places against callers that are gone without a word, with streams open."""
+        if self._over:
+            return
+        silent = self.loop.time() - self._heard
+        if silent >= 2.0 * SILENT:
+            self.drop()
+            return
+        if silent >= SILENT:
+            self.machine.ping()
+            self.wake()
+        self._looking = self.loop.call_later(SILENT / 2.0, self._look)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -347,6 +367,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._over = self.machine.over = True
+        self._looking.cancel()
         self.leave()
         if self._waking is not None:
             self._waking.cancel()
@@ -366,7 +387,7 @@
 
     def feed(self, data: memoryview) -> None:
         """What has come in."""
-        now = self.loop.time()
+        self._heard = now = self.loop.time()
         if self._place is self.front.fresh:
             self.move(self.front.idle, now + self.front.idle_most)
         for event in self.machine.received(now, bytes(data)):
@@ -384,8 +405,7 @@
             self._waking = None
         if self._over:
             return
-        data = self.machine.take()
-        if data:
+        while data := self.machine.take():
             self._transport.write(data)
         if self._transport.get_write_buffer_size() > BACKLOG_MOST:
             self.drop()  # Guards memory against a caller that asks and reads nothing.
--- a/lugspur/http2/machine.py
+++ b/lugspur/http2/machine.py
@@ -24,6 +24,7 @@
 
 STREAMS_MOST = 100  # streams that a peer may have open: RFC 9113 6.5.2 recommends no less
 WINDOW = 65_535  # bytes of a stream that may be on their way to us and not yet passed on: the protocol's default
+AHEAD_MOST = 256 << 10  # bytes of DATA that are made before they are written: all windows together allow many MB
 HEAD_LIST_MOST = 16 << 10  # bytes of a header list, unpacked, as RFC 9113 6.5.2 counts: 32 more for each field
 
 
@@ -132,6 +133,8 @@
         self._out: dict[int, _Out] = {}
         self._extra = bytearray()  # frames that h2 knows nothing of, after what it has to send
         self.corked = False  # the transport takes no more DATA
+        self._ahead = 0  # bytes of DATA since `take`...
+        self._stopped = False  # ...and whether they were enough, and more waits
         self.over = False
         self.open: set[int] = set()  # streams that neither side has given up, and one may still write on
         self._done: set[int] = set()  # those on which we have said all
@@ -256,6 +259,9 @@
         """What goes out now."""
         gone = 0
         while out.chunks and not self.corked:
+            if self._ahead >= AHEAD_MOST:
+                self._stopped = True
+                break
             # An empty chunk needs no window; there is none.
             most = min(self._h2.local_flow_control_window(stream), self._h2.max_outbound_frame_size)
             if most <= 0:
@@ -270,6 +276,7 @@
             else:
                 out.chunks[0] = chunk[most:]
             gone += len(part)
+            self._ahead += len(part)
             out.size -= len(part)
             if last:
                 out.end = False
@@ -351,8 +358,12 @@
         return int(self._h2.highest_inbound_stream_id)
 
     def take(self) -> bytes:
-        """What is to be written."""
+        """What is to be written; there may be more at once, unless the transport is corked."""
         data = self._h2.data_to_send()
+        self._ahead = 0
+        if self._stopped:
+            self._stopped = False
+            self._widened(0)
         if self._extra:
             data += bytes(self._extra)
             self._extra.clear()
--- a/lugspur/http2/upstream.py
+++ b/lugspur/http2/upstream.py
@@ -327,11 +327,10 @@
         transport = self._transport
         if transport is None or self.over:
             return
-        data = self.machine.take()
-        if data:
+        while data := self.machine.take():
             transport.write(data)
-            if transport.get_write_buffer_size() > BACKLOG_MOST:
-                self.lost()  # Guards memory: a box that reads nothing gets no further requests either.
+        if transport.get_write_buffer_size() > BACKLOG_MOST:
+            self.lost()  # Guards memory: a box that reads nothing gets no further requests either.
 
     def lost(self) -> None:
         """It has ended, by whichever side: nothing that went out is known not to have run."""
--- a/tests/daemon/test_grpc.py
+++ b/tests/daemon/test_grpc.py
@@ -509,6 +509,61 @@
     play(body)
 
 
+def plain(caller: Caller, *fields_: tuple[str, str], end: bool = True) -> int:
+    """An ordinary request over HTTP/2; gives its stream."""
+    stream = int(caller.h2.get_next_available_stream_id())
+    head = [(":method", "POST"), (":scheme", "http"), (":path", "/read/x"), (":authority", "h.example"), *fields_]
+    caller.h2.send_headers(stream, head, end_stream=end)
+    caller.answers[stream] = Answer()
+    caller.flush()
+    return stream
+
+
+def test_an_ordinary_request_over_http2_whose_body_never_ends_is_answered_408() -> None:
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        got = await caller.answer(plain(caller, end=False))
+        assert got.head[":status"] == "408" and not world.ran()
+
+    play(body, head=HTTP2.replace("[limits]", '[limits]\nread = "100ms"'))
+
+
+def test_cookies_in_pieces_and_names_with_underscores_reach_http1_boxes_as_http1_has_them() -> None:
+    seen: list[bytes] = []
+
+    def take(request: bytes) -> bytes:
+        seen.append(request.lower())
+        return answer()
+
+    async def run() -> None:
+        async with backend(take) as other, boxed(0, others=(other.address,)) as world:
+            caller = await world.caller()
+            stream = plain(caller, ("cookie", "a=1"), ("x_tenant", "me"), ("cookie", "b=2"))
+            assert (await caller.answer(stream)).head[":status"] == "200"
+            assert b"\r\ncookie: a=1; b=2\r\n" in seen[0] and b"x_tenant" not in seen[0]
+
+    asyncio.run(run())
+
+
+def test_a_caller_that_is_gone_without_a_word_is_asked_and_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http2_front, "SILENT", 0.1)
+
+    async def body(world: World) -> None:
+        caller, alive = await world.caller(), await world.caller()
+        stream = caller.begin("/book/Do", *script("stall answer"))
+        await caller.send(stream, b"x", end=True)
+        other = alive.begin("/read/Talk")
+        await alive.send(other, b"one")
+        await until(lambda: world.ran("r") == 1)
+        caller.transport.pause_reading()
+        await until(lambda: len(world.up.running.listeners["main"][0].callers) == 1)
+        await soon(next(call for call in world.box.calls if call.rid == "r").cancelled.wait())
+        await alive.send(other, b"two", end=True)
+        assert (await alive.answer(other)).messages == [b"one", b"two"]
+
+    play(body)
+
+
 # ---- flow control --------------------------------------------------------------------------------
 
 
--- a/tests/http2/test_machine.py
+++ b/tests/http2/test_machine.py
@@ -195,6 +195,26 @@
     assert over(found).code == frames.FLOW_CONTROL_ERROR
 
 
+def test_what_is_made_ahead_of_the_transport_is_bounded() -> None:
+    pair = Pair()
+    streams = [pair.ask() for _ in range(40)]
+    pair.theirs.increment_flow_control_window(1 << 24)
+    pair.turn()
+    for stream in streams:
+        pair.ours.head(stream, ANSWER)
+        pair.ours.write(stream, b"x" * 60_000, end=True)
+    sizes = []
+    while data_ := pair.ours.take():
+        sizes.append(len(data_))
+        if len(sizes) == 2:
+            pair.ours.corked = True  # as the transport does when it has enough
+    assert len(sizes) == 3 and max(sizes) < frames.FRAME_MOST + (256 << 10) + 4096
+    pair.ours.uncork()
+    while pair.ours.take():
+        pass
+    assert sum(size for _, size in pair.sent) == 40 * 60_000
+
+
 # ---- GOAWAY (6.8) --------------------------------------------------------------------------------
 
 
