Let like reads share a call, each caller keeping its own deadline

Need: in the winter rush many agencies ask for the same hotel at nearly the same moment, and each read was a backend call of its own.

A route with `join` gives its safe reads to a desk without I/O: a read joins a call for the same thing that began at most `within` ago and after every answered write of its tenant; the call outlives the caller that it was made for, and is waited for as long as the longest can (Balancer.extend). Answers marked for one caller, tenant or variant reach nobody else; a refusal is its tenant's own; a tenant that floods makes room. HTTP/1.1 and gRPC alike; off on the platform, where each answer is made for its request's id. An emulator tries such designs in virtual time.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -787,6 +787,18 @@
             return []
         return [Cancel(request.id, n) for n, a in enumerate(request.attempts) if a.open and n != spared]
 
+    def extend(self, now: float, rid: RequestId, deadline: float) -> list[Action]:
+        """Somebody else waits for its answer too, and longer: attempts that are out keep their time."""
+        request = self.requests.get(rid)
+        if request is not None and not request.done and deadline > request.deadline:
+            if request.until >= request.deadline:
+                request.until = deadline
+            else:  # late answers are worth little: the newcomer's aim counts from now
+                aim = self.settings.classes[request.kind].aim
+                request.until = max(request.until, min(deadline, now + AIM_PART * aim))
+            request.deadline = deadline
+        return []
+
     def outcome(
         self, now: float, rid: RequestId, number: int, how: Outcome, latency: float, last: bool = False
     ) -> list[Action]:
--- a/lugspur/config/build.py
+++ b/lugspur/config/build.py
@@ -18,6 +18,7 @@
     Changes,
     Condition,
     Forward,
+    Join,
     Pattern,
     PatternError,
     Redirect,
@@ -40,7 +41,9 @@
 NOBODY = "(no tenant)"  # ...and the tenant of those that tell none apart
 EVERYWHERE = ("0.0.0.0", "::")
 ORIGINS = ("members", "file", "watch", "registry")
-FORWARD_ONLY = ("fallback", "kind", "deadline", "tenant", "key", "rewrite", "request", "response")
+FORWARD_ONLY = ("fallback", "kind", "deadline", "tenant", "key", "rewrite", "request", "response", "join")
+NEVER_IGNORED = frozenset(  # by which answers differ, whatever the file says
+    {"authorization", "cookie", "proxy-authorization", "host", "range", "content-type", "content-encoding"})
 KEYS = {"kind": "class"}
 NO_H2 = 'HTTP/2 needs a library that is not installed; run pip install "lugspur[grpc]"'
 CONFLICTS_MOST = 100  # named in one run of the check
@@ -229,9 +232,39 @@
         return Forward(
             splits, row.fallback, row.kind or PLAIN, row.deadline, _source(row.tenant, pattern, place.at("tenant")),
             _source(row.key, pattern, place.at("key")), rewrite, _changes(row.request, place.at("request")),
-            _changes(row.response, place.at("response")),
+            _changes(row.response, place.at("response")), self._join(row, place.at("join")),
         )
 
+    def _join(self, row: model.Route, place: Place) -> Join | None:
+        join = row.join
+        if join is None:
+            return None
+        kind = self._file.classes.get(row.kind)
+        if not row.kind:
+            place.wrong('a route without a class is not safe to repeat, and only reads are joined; '
+                        'give it a class with repeat = "safe"')
+        elif kind is not None and kind.repeat is not Repeat.SAFE:
+            place.wrong(f'class "{row.kind}" is {kind.repeat.value}, and only what is safe to repeat is joined; '
+                        'leave "join" out')
+        ignored = set()
+        for at, name in enumerate(join.ignore):
+            if not TOKEN.fullmatch(name):
+                place.at("ignore", at).wrong(f"{shown(name)} is no name of a header; write one such as User-Agent")
+            elif name.lower() in NEVER_IGNORED:
+                place.at("ignore", at).wrong(
+                    f"answers differ by {shown(name)}, so reads that differ in it are never the same; leave it out")
+            ignored.add(name.lower().encode())
+        if join.across_tenants:
+            if row.tenant is None:
+                place.at("across-tenants").wrong("this route tells no tenants apart; leave it out")
+            elif row.tenant.header.lower() in NEVER_IGNORED:
+                place.at("across-tenants").wrong(
+                    f"tenants are told apart by {shown(row.tenant.header)}, and answers differ by that; leave it out")
+            elif row.tenant.header:
+                ignored.add(row.tenant.header.lower().encode())
+        ignored |= {name.lower().encode() for name in row.request.remove}  # backends never see them
+        return Join(join.within, frozenset(ignored), join.across_tenants)
+
 
 def _known(name: str, among: Mapping[str, object], what: str, place: Place) -> None:
     if name not in among:
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -30,6 +30,7 @@
     words,
 )
 from lugspur.membership.rows import PROTOCOLS, Address
+from lugspur.routing.model import WITHIN_MOST
 
 FORMATS = ("auto", "own", "curator", "serverset")  # of nodes; membership/nodes.py reads them
 
@@ -72,6 +73,8 @@
     answer: int = option(size(1 << 10, 256 << 20), "a backend's body: a spoilt answer beyond it", 8 << 20)
     read: float = option(duration(0.1, 600.0), "time for a whole request to come in: 408 beyond it", 10.0)
     idle: float = option(duration(2.0, 3600.0), "time that a caller may keep a connection between requests", 60.0)
+    joined: int = option(
+        whole(0, 1 << 20), "reads that wait for others' calls; beyond it 503, the tenant with the most first", 1000)
     drain: float = option(
         duration(0.0, 3600.0), "time that open HTTP/2 streams may go on after SIGTERM, or without their listener", 10.0)
 
@@ -236,6 +239,18 @@
     status: int = option(whole(301, 308), "301, 302, 303, 307 or 308", 307)
 
 
+@dataclass(slots=True)
+class Join:
+    """Reads that are the same share one call, while it runs. The route's class must be safe to repeat."""
+
+    within: float = option(
+        duration(0.001, WITHIN_MOST), "how old a call may be that a further read joins; beyond it another begins", 0.1)
+    ignore: tuple[str, ...] = option(
+        words, "headers that say nothing of what is asked; any other that differs makes another read", ())
+    across_tenants: bool = option(
+        flag, "whether reads of several tenants may share; the header that names the tenant is ignored then", False)
+
+
 @dataclass(slots=True)
 class Route:
     """Conditions that must all be met, and exactly one of pool, split, reply and redirect."""
@@ -260,6 +275,7 @@
     rewrite: str = option(text, "the path that backends see, with {names} and /* filled in", "")
     request: Changes = part(Changes, "changes of the request's headers")
     response: Changes = part(Changes, "changes of the answer's headers")
+    join: Join | None = part(Join, "whether identical reads share one call", None)
 
 
 @dataclass(slots=True)
--- a/lugspur/config/reference.py
+++ b/lugspur/config/reference.py
@@ -15,7 +15,7 @@
 
 BEGIN, END = "<!-- reference -->\n", "<!-- end of the reference -->\n"
 SIZES = {"memory", "head", "body", "answer"}
-TIMES = {"read", "idle", "aim", "deadline", "window", "connect", "keep", "warm_after", "over", "span"}
+TIMES = {"read", "idle", "aim", "deadline", "window", "connect", "keep", "warm_after", "over", "span", "within"}
 
 
 def _default(item: Field[Any], kind: type) -> str:
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -11,10 +11,12 @@
 from jaspershelf.model import Outcome, Repeat, RequestClass
 from lugspur.config import model
 from lugspur.config.build import METHODS, NOBODY, Plan
+from lugspur.daemon.joins import Joins
 from lugspur.daemon.outgoing import Headers, changed, drawn, outgoing
 from lugspur.daemon.pool import Call, Facts
 from lugspur.daemon.proxy import ANSWER_EARLY, CALLERS_PART, SPARE_SOCKETS, TIME, read_cost
 from lugspur.daemon.station import GRPC, Station
+from lugspur.daemon.ticket import End, Ticket
 from lugspur.http1.front import Front
 from lugspur.http1.intake import Rejected, Request, Sizes
 from lugspur.http1.upstream import HELD_PART, Response
@@ -41,20 +43,7 @@
     plan: Plan
     stations: dict[str, Station]
     standings: dict[str, Standing]
-
-
-@dataclass(slots=True)
-class Ticket:
-    """What a request began with: nothing that a reload changes touches it."""
-
-    kind: RequestClass
-    forward: Forward
-    request: Request
-    tenant: str
-    cost: float
-    deadline: float  # in the loop's time
-    station: Station
-    rest: list[Station]  # those that may still take over
+    number: int  # of the reload that brought it
 
 
 class Daemon:
@@ -66,6 +55,8 @@
         self._rng = random.Random()
         self._sockets = Shares(0, {})
         self._places = Shares(0, {})  # requests in hand, by pool
+        self.joins = Joins(self._submit)
+        self._reloads = 0
         self.regime: Regime
         self.stations: dict[str, Station] = {}
         self.registries = Registries()
@@ -89,7 +80,9 @@
             station.apply(
                 row, plan.settings(row), int(held * row.share), limits.answer, path, plan.file.registries)
         standings = {name: station.standing for name, station in self.stations.items()}
-        self.regime = Regime(plan, dict(self.stations), standings)
+        self.joins.tune(limits.joined, limits.memory)
+        self._reloads += 1
+        self.regime = Regime(plan, dict(self.stations), standings, self._reloads)
 
     def front(self, row: model.Listener) -> Front:
         """A front for one listener of the plan."""
@@ -176,7 +169,13 @@
         sent = outgoing(request, target, match, forward, caller.peer, row.trust_forwarded)
         deadline = self._loop.time() + timeout - ANSWER_EARLY
         station, *rest = (regime.stations[name] for name in found)
-        self._submit(Ticket(kind, forward, sent, tenant, read_cost(request), deadline, station, rest), caller)
+        ticket = Ticket(kind, forward, sent, tenant, read_cost(request), deadline, station, rest)
+        if forward.join is None:
+            self._submit(ticket, caller)
+            return
+        # Reads of two files, or with and without what a trusted listener lets through, are never the same.
+        route = regime.number, match.route.name, station.name, row.trust_forwarded
+        self.joins.take(request, ticket, route, forward.join, caller)
 
     def _timeout(self, kind: RequestClass, forward: Forward, request: Request) -> float:
         """Seconds until it is given up; raises Rejected where it lacks what its class asks for."""
@@ -203,11 +202,14 @@
             kind = replace(kind, only_kinds=(GRPC,))
         if not self._places.fits(station.name):
             # Guards the other pools: one that hangs fills its own places and what nobody else is sure of.
+            ticket.end = End.TURNED
             caller.answer(503, COME_BACK, b"no place\n")
             return
         self._places.take(station.name)
         facts = Facts(station.kind(kind), station.tenant(ticket.tenant), 0.0, ticket.cost, False)
-        station.pool.submit(ticket.request, facts, caller, ticket.deadline, ticket)
+        call = station.pool.submit(ticket.request, facts, caller, ticket.deadline, ticket)
+        if call.caller is not None:  # else it is answered, or another pool has taken over by now
+            ticket.call = call
 
     # ---- what pools ask of their owner -----------------------------------------------------------
 
@@ -217,6 +219,7 @@
 
     def served(self, call: Call, response: Response) -> None:
         """Pass the answer on."""
+        _note(_ticket(call), call, End.SERVED)
         self._pass_on(call, response)
 
     def _pass_on(self, call: Call, response: Response) -> None:
@@ -241,6 +244,7 @@
             if caller is not None:
                 self._submit(ticket, caller)
             return
+        _note(ticket, call, End.FAILED if call.exchanges else End.TURNED)
         head = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0.0 else COME_BACK
         # gRPC has a word for what its caller's time has run out for, harmless or not.
         late = call.request.form is not None and now >= call.deadline
@@ -248,15 +252,24 @@
 
     def failed(self, call: Call) -> None:
         """Pass on the backend's own word of its failure, if it has one that promises nothing; else 502 or 504."""
-        response = call.response
+        response, ticket = call.response, _ticket(call)
+        _note(ticket, call, End.FAILED)
         if response is not None and response.status >= 400 and response.status not in REFUSALS:
             self._pass_on(call, response)
         else:
-            _ticket(call).station.pool.answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
+            ticket.station.pool.answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
 
     def settled(self, call: Call) -> None:
-        """Its place is free again."""
-        self._places.give(_ticket(call).station.name)
+        """Its place is free again; what it may have changed is not in answers that were begun before."""
+        ticket = _ticket(call)
+        self._places.give(ticket.station.name)
+        if ticket.kind.repeat is not Repeat.SAFE:
+            self.joins.wrote(ticket.tenant)
+
+
+def _note(ticket: Ticket, call: Call, end: End) -> None:
+    """How its pool has left a request, before its answer is worded."""
+    ticket.end, ticket.said = end, 0 if call.response is None else call.response.status
 
 
 def _ticket(call: Call) -> Ticket:
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -219,7 +219,7 @@
 
     def submit(
         self, request: Request, facts: Facts, caller: Answerable, deadline: float, context: object = None
-    ) -> None:
+    ) -> Call:
         """Take up a request; `deadline` is in the loop's time, and an answer is owed until then."""
         self._count += 1
         call = Call(str(self._count), request, facts, caller, deadline, context)
@@ -230,6 +230,16 @@
             self.balancer.request, call.rid, facts.kind, facts.tenant, deadline + self._epoch, facts.cost,
             facts.retry, call=call,
         ))
+        return call
+
+    def retime(self, call: Call, deadline: float) -> None:
+        """Its answer is owed until another time; the module hears of a later one."""
+        if call.caller is None or call.timer is None:
+            return
+        call.timer.cancel()
+        call.deadline = deadline
+        call.timer = self._loop.call_at(deadline, self._overdue, call)
+        self._perform(self._decide(self.balancer.extend, call.rid, deadline + self._epoch, call=call))
 
     def _gone(self, call: Call) -> None:
         self._settle(call)
--- /dev/null
+++ b/lugspur/daemon/ticket.py
@@ -0,0 +1,37 @@
+"""What a request began with and how its pools have left it: nothing that a reload changes touches it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from jaspershelf.model import RequestClass
+from lugspur.daemon.pool import Call
+from lugspur.daemon.station import Station
+from lugspur.http1.intake import Request
+from lugspur.routing.model import Forward
+
+
+class End(Enum):
+    """How the pools have left a request."""
+
+    SERVED = "served"
+    TURNED = "turned away before any attempt"
+    FAILED = "failed, or refused after attempts"
+
+
+@dataclass(slots=True)
+class Ticket:
+    """One request on its way through the pools that may serve it."""
+
+    kind: RequestClass
+    forward: Forward
+    request: Request
+    tenant: str
+    cost: float
+    deadline: float  # in the loop's time
+    station: Station
+    rest: list[Station]  # those that may still take over
+    call: Call | None = None  # in the pool that has it now
+    end: End = End.FAILED  # as of its final answer
+    said: int = 0  # the status of the backend's answer behind it; 0 where there is none
--- /dev/null
+++ b/lugspur/emulator/__main__.py
@@ -0,0 +1,42 @@
+"""`python -m lugspur.emulator joining [--seed N] [--reads N] [--plot FILE]`."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from lugspur.emulator import joining
+
+
+def _plot(found: dict[str, dict[float, joining.Found]], file: str) -> None:
+    """Draw what is served in time by load; needs the extra `emulator`."""
+    import pygal
+
+    chart = pygal.XY(title="Reads served in time, by load", x_title="load, of what the boxes can do",
+                     y_title="part of all reads", range=(0.0, 1.0), explicit_size=True)
+    for name, row in found.items():
+        chart.add(name, [(load, one.timely) for load, one in row.items()])
+    chart.render_to_file(file)
+
+
+def main() -> int:
+    """Play, print a table, and draw it where that is asked for."""
+    parser = argparse.ArgumentParser(description="Tries designs in virtual time.")
+    parser.add_argument("what", choices=["joining"])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--reads", type=int, default=joining.READS, help="at each load")
+    parser.add_argument("--plot", default="", metavar="FILE", help="an SVG")
+    given = parser.parse_args()
+    found = joining.compare(given.seed, given.reads)
+    print("| way | load | calls a read | in time | failed | turned away | oldest call |\n|---|---|---|---|---|---|---|")
+    for name, row in found.items():
+        for load, one in row.items():
+            print(f"| {name} | {load:g} | {one.calls:.2f} | {one.timely:.1%} | {one.failed:.1%} | {one.turned:.1%} | "
+                  f"{1e3 * one.oldest:.0f} ms |")
+    if given.plot:
+        _plot(found, given.plot)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lugspur/routing/model.py
+++ b/lugspur/routing/model.py
@@ -184,6 +184,18 @@
     set: tuple[tuple[str, str], ...] = ()
 
 
+WITHIN_MOST = 10.0  # seconds: the oldest call that any route may let its reads join
+
+
+@dataclass(slots=True, frozen=True)
+class Join:
+    """Identical reads share one call. `within`: how old, in seconds, a call may be for a further read to join it."""
+
+    within: float = 0.1
+    ignored: frozenset[bytes] = frozenset()  # headers, in lower case, that say nothing of what is asked
+    across: bool = False  # also between tenants
+
+
 @dataclass(slots=True, frozen=True)
 class Forward:
     """Send it to a pool: the splits by weight, then the pools that take over where those have no backend."""
@@ -197,6 +209,7 @@
     rewrite: Template | None = None
     request: Changes = Changes()
     response: Changes = Changes()
+    join: Join | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/daemon/test_joining.py
@@ -0,0 +1,447 @@
+"""Like reads share a call over real sockets: who gets what, and what happens when things fail."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+
+import pytest
+from daemonic import HEAD, Served, answer, ask, backend, fields, pool, route, served, until
+from grpcpeers import HTTP2, World, boxed
+from loopback import CLOSE, MAY_HAVE_RUN, NEVER_RAN, OK, Backend, Client, soon, status
+
+from lugspur.daemon import joins
+from lugspur.standins.grpc.box import Call
+from lugspur.standins.grpc.script import Script
+
+WIDE = "within = \"10s\""  # the machine may be slow
+TENANTS = "[tenants.a]\n[tenants.b]\n[tenants.c]\n"
+ACROSS = f'join = {{ {WIDE}, ignore = ["User-Agent"], across-tenants = true }}\ntenant = {{ header = "X-Agency" }}'
+
+
+def reads(join: str = f"join = {{ {WIDE} }}", more: str = "") -> str:
+    return route("read", "/*", f'pool = "a"\nclass = "read"\n{join}\n{more}')
+
+
+def play(text: str, body: Callable[[Served, Backend], Awaitable[None]], script: bytes | None = None,
+         head: str = HEAD, of_pool: str = "") -> None:
+    """One backend that answers by the script, and a daemon before it by this text."""
+    async def run() -> None:
+        async with backend(lambda _: script) as one, served(pool("a", one.address, more=of_pool) + text, head) as up:
+            await body(up, one)
+            await until(lambda: up.in_hand() == 0)
+            desk = up.daemon.joins.desk
+            await until(lambda: not up.daemon.joins._readers)
+            assert not desk.members and not desk.flights and not desk._open and not desk.waiting and not desk.joined
+            assert not up.daemon.joins._flights and up.daemon._places.used("a") == 0
+
+    asyncio.run(run())
+
+
+async def asking(up: Served, *requests: bytes) -> list[Client]:
+    """A caller for each request, all of which the daemon has taken up."""
+    clients = []
+    for request in requests:
+        taken = up.daemon.joins._count
+        clients.append(await up.client())
+        clients[-1].writer.write(request)
+        await until(lambda taken=taken: up.daemon.joins._count > taken)  # type: ignore[misc]
+    return clients
+
+
+def reply(one: Backend, raw: bytes) -> None:
+    """Answer on the connections that wait."""
+    for writer in one.open:
+        writer.write(raw)
+
+
+def test_200_like_reads_are_one_call_and_each_is_answered() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask(target="/h/1", X_Request_ID=f"r{n}") for n in range(200)))
+        assert one.got.qsize() == 1 and up.in_hand() == 1
+        reply(one, answer(b"rooms", X_Request_ID="r0"))
+        got = [await client.answer() for client in clients]
+        assert all(status(each) == 200 and each.endswith(b"rooms") for each in got)
+        assert [fields(each)["x-request-id"] for each in got] == [f"r{n}" for n in range(200)]
+        assert one.got.qsize() == 1
+
+    play(reads(), body)
+
+
+def test_other_reads_have_calls_of_their_own() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        await asking(up, ask(target="/h/1"), ask(target="/h/2"), ask("HEAD", target="/h/1"),
+                     ask(target="/h/1", Accept="text/x"), ask(target="/h/1", Cache_Control="no-cache"))
+        await until(lambda: one.got.qsize() == 5)
+        reply(one, OK)
+
+    play(reads(), body)
+
+
+def test_heads_are_joined_and_have_no_body() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, ask("HEAD"), ask("HEAD"))
+        reply(one, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+        for client in clients:
+            assert (await soon(client.reader.readuntil(b"\r\n\r\n"))).find(b"Content-Length: 9\r\n") > 0
+        assert one.got.qsize() == 1
+
+    play(reads(), body)
+
+
+def test_a_short_deadline_is_kept_and_holds_nobody_else_up() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        short, long, longest = await asking(up, ask(X_Timeout="0.15"), ask(X_Timeout="9"), ask(X_Timeout="20"))
+        assert status(await short.answer()) == 504 and not one.got.empty()
+        [call] = up.daemon.stations["a"].pool.calls.values()
+        assert call.deadline - asyncio.get_running_loop().time() > 9.0  # the longest has moved it
+        reply(one, OK)
+        assert status(await long.answer()) == status(await longest.answer()) == 200
+        assert one.got.qsize() == 1
+
+    play(reads(), body)
+
+
+def test_a_call_that_its_own_reader_gives_up_is_tried_again_for_the_others() -> None:
+    async def run() -> None:
+        async with backend(lambda _: None) as one, backend(lambda _: OK) as two:
+            async with served(pool("a", one.address, two.address) + reads()) as up:
+                while one.got.empty():  # until the silent backend has a call
+                    clients = await asking(up, ask(X_Timeout="0.3"), ask(X_Timeout="20"))
+                    async with asyncio.timeout(10):
+                        await clients[0].answer()
+                # The backend that was told of 0.3 s says so when they are up: the call goes on elsewhere.
+                reply(one, MAY_HAVE_RUN)
+                assert status(await clients[1].answer()) == 200
+
+    asyncio.run(run())
+
+
+def test_when_all_time_is_up_each_is_told_so_once() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask(X_Timeout=f"0.{n}") for n in (4, 2, 3)))
+        assert {status(await client.answer()) for client in clients} <= {503, 504}
+        reply(one, OK)
+        assert not [each for each in (client.reader._buffer for client in clients) if each]  # type: ignore[attr-defined]
+
+    play(reads(), body)
+
+
+@pytest.mark.parametrize(("script", "expected"), [
+    (answer(b"gone", "410 Gone"), 410), (answer(b"oh", "500 Oh"), 503), (CLOSE, 503), (b"nonsense cut", 503),
+    (MAY_HAVE_RUN, 503), (NEVER_RAN, 503),
+])
+def test_a_failure_reaches_every_caller(script: bytes, expected: int) -> None:
+    """A read that may run again is refused in the end, as it is where it waits alone."""
+    async def body(up: Served, one: Backend) -> None:
+        alone = await up.client()
+        if script not in (CLOSE,):
+            one.script = lambda _: script
+            assert status(await alone.ask(ask(target="/alone"))) == expected
+        one.script = lambda _: None
+        while not one.got.empty():
+            one.got.get_nowait()
+        clients = await asking(up, *(ask() for _ in range(20)))
+        await until(lambda: one.got.qsize() == 1)
+        one.script = lambda _: script
+        for writer in one.open:
+            writer.write(script)
+            if script == CLOSE or b"cut" in script:
+                writer.close()
+        got = [status(await client.answer()) for client in clients]
+        assert set(got) == {expected}
+        assert one.got.qsize() <= 3  # one call's attempts
+
+    play(reads(), body, of_pool="attempts = 3")
+
+
+def test_the_reader_that_a_call_was_made_for_may_leave_and_the_last_one_ends_it() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        first, second = await asking(up, ask(target="/x"), ask(target="/x"))
+        first.writer.transport.abort()
+        await until(lambda: len(up.daemon.joins._readers) == 1)
+        assert one.ended.empty()
+        third, fourth = await asking(up, ask(target="/y"), ask(target="/y"))
+        for client in (third, fourth):
+            client.writer.transport.abort()
+        await soon(one.ended.get())  # cancelled at the backend
+        reply(one, OK)
+        assert status(await second.answer()) == 200
+
+    play(reads(), body)
+
+
+@pytest.mark.parametrize("mark", [{"Cache_Control": "private"}, {"Set_Cookie": "s=1"}, {"Vary": "*"}])
+def test_an_answer_for_one_caller_reaches_no_other(mark: dict[str, str]) -> None:
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask(target="/x") for _ in range(5)))
+        one.script = lambda _: answer(b"own", **mark)
+        reply(one, answer(b"first", **mark))
+        got = [await client.answer() for client in clients]
+        assert [each.rpartition(b"\n")[2] for each in got] == [b"first"] + [b"own"] * 4
+        assert one.got.qsize() == 5
+        one.script = lambda _: None
+        clients = await asking(up, *(ask(target="/x") for _ in range(3)))
+        await until(lambda: one.got.qsize() == 8)  # known now: none waits for another
+        reply(one, OK)
+
+    play(reads(), body)
+
+
+def test_an_answer_that_varies_by_what_the_route_ignores_is_asked_for_once_each() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        def by_agent(sent: bytes) -> bytes:
+            return answer(fields(sent)["user-agent"].encode(), Vary="User-Agent")
+
+        agents = ["x", "y", "x", "y", "z"]
+        clients = await asking(up, *(ask(User_Agent=agent, X_Agency="a") for agent in agents))
+        one.script = by_agent
+        reply(one, by_agent(await soon(one.got.get())))
+        got = [await client.answer() for client in clients]
+        assert [each.rpartition(b"\n")[2].decode() for each in got] == agents
+        assert one.got.qsize() == 2
+
+    play(TENANTS + reads(ACROSS), body)
+
+
+@pytest.mark.parametrize("code", ["401 Who", "403 No"])
+def test_a_word_about_the_caller_is_its_tenants_own(code: str) -> None:
+    async def body(up: Served, one: Backend) -> None:
+        def judge(sent: bytes) -> bytes:
+            return answer(b"no", code) if fields(sent)["x-agency"] == "a" else OK
+
+        clients = await asking(up, *(ask(X_Agency=name) for name in "aabcb"))
+        one.script = judge
+        reply(one, judge(await soon(one.got.get())))
+        got = [status(await client.answer()) for client in clients]
+        assert got == [int(code[:3])] * 2 + [200] * 3
+        assert one.got.qsize() == 2
+
+    play(TENANTS + reads(ACROSS), body)
+
+
+def test_a_backend_that_is_too_busy_for_one_tenant_fails_no_other() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        def judge(sent: bytes) -> bytes:
+            return answer(b"", "429 Slow") if fields(sent)["x-agency"] == "a" else OK
+
+        clients = await asking(up, *(ask(X_Agency=name) for name in "aab"))
+        one.script = judge
+        reply(one, judge(await soon(one.got.get())))
+        got = [status(await client.answer()) for client in clients]
+        assert got[0] == got[1] != 200 and got[2] == 200
+
+    play(TENANTS + reads(ACROSS), body)
+
+
+def test_tenants_do_not_share_unless_the_file_says_so() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        await asking(up, *(ask(X_Agency=name) for name in "aabb"))
+        await until(lambda: one.got.qsize() == 2)
+        reply(one, OK)
+
+    join = f'join = {{ {WIDE} }}\ntenant = {{ header = "X-Agency" }}'
+    play(TENANTS + reads(join), body)
+
+
+@pytest.mark.parametrize(("writer", "reader", "joins"), [("a", "a", False), ("b", "a", True)])
+def test_a_read_after_its_tenants_write_is_not_given_an_older_answer(writer: str, reader: str, joins: bool) -> None:
+    async def body(up: Served, one: Backend) -> None:
+        first = (await asking(up, ask(target="/r", X_Agency="c")))[0]
+        one.script = lambda sent: OK if sent.startswith(b"POST") else None
+        client = await up.client()
+        assert status(await client.ask(ask("POST", "/w", b"x", X_Agency=writer))) == 200
+        second = (await asking(up, ask(target="/r", X_Agency=reader)))[0]
+        if not joins:
+            await until(lambda: one.got.qsize() == 3)
+        assert one.got.qsize() == (2 if joins else 3)
+        reply(one, OK)
+        assert status(await first.answer()) == status(await second.answer()) == 200
+
+    write = route("write", "/w", 'pool = "a"\nclass = "book"\nmethods = ["POST"]\ntenant = { header = "X-Agency" }')
+    play(TENANTS + reads(ACROSS) + write, body)
+
+
+def test_a_busy_tenant_does_not_crowd_out_the_others() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        busy = await asking(up, *(ask(X_Agency="a") for _ in range(12)))
+        quiet = await asking(up, *(ask(X_Agency=name) for name in "bcbc"))
+        turned = [client for client in busy if client.reader._buffer]  # type: ignore[attr-defined]
+        await until(lambda: sum(bool(client.reader._buffer) for client in busy) == 7)  # type: ignore[attr-defined]
+        reply(one, OK)
+        got = Counter([status(await client.answer()) for client in busy])
+        assert got == {200: 5, 503: 7} and turned
+        assert {status(await client.answer()) for client in quiet} == {200}
+        assert one.got.qsize() == 1
+
+    head = HEAD.replace("sockets = 1024", "sockets = 1024\njoined = 8")
+    play(TENANTS + reads(ACROSS), body, head=head)
+
+
+def test_a_tenant_that_is_turned_away_takes_no_other_along() -> None:
+    """No place is left in the pool: who leads is turned away, and so is each tenant's call in turn."""
+    async def body(up: Served, one: Backend) -> None:
+        asked: list[str] = []
+        pooled = up.daemon.stations["a"].pool
+        submit = pooled.balancer.request
+
+        def refuse_a(now: float, rid: str, kind: int, tenant: int, *more: object) -> list[object]:
+            name = pooled.settings.tenants[tenant].name
+            asked.append(name)
+            deadline = now - 1.0 if name == "a" else more[0]  # a's time is up as far as the module knows: refused
+            return submit(now, rid, kind, tenant, deadline, *more[1:])  # type: ignore[arg-type, return-value]
+
+        gate = [True]
+        fits = up.daemon._places.fits
+        up.daemon._places.fits = lambda *a: gate[0] and fits(*a)  # type: ignore[method-assign]
+        pooled.balancer.request = refuse_a  # type: ignore[method-assign, assignment]
+        first = (await asking(up, ask(X_Agency="a")))[0]
+        assert status(await first.answer()) == 503 and asked == ["a"]
+        gate[0] = False
+        second = (await asking(up, ask(X_Agency="b")))[0]
+        got = await second.answer()
+        assert status(got) == 503 and fields(got)["retry-after"] == "1"
+        gate[0] = True
+
+    play(TENANTS + reads(ACROSS), body)
+
+
+def test_answers_go_out_a_few_in_each_turn_of_the_loop(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(joins, "AT_ONCE", 3)
+
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask() for _ in range(20)))
+        up.daemon.joins._write_some()  # nothing is promised yet: harmless
+        reply(one, OK)
+        clients[-1].writer.transport.abort()  # one leaves between the promise and its turn, or before
+        assert {status(await client.answer()) for client in clients[:-1]} == {200}
+
+    play(reads(), body)
+
+
+def test_copies_of_a_large_answer_stay_within_the_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(joins, "COPIES_PART", 2.5 / (1 << 8))  # of 256 MiB: two and a half MiB
+
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask() for _ in range(4)))
+        large = answer(b"x" * (1 << 20))
+        one.script = lambda _: large
+        reply(one, large)
+        assert {status(await client.answer()) for client in clients} == {200}
+        assert one.got.qsize() == 3  # two had the first answer, two their own
+
+    play(reads(), body)
+
+
+def test_a_reload_leaves_calls_to_their_readers_and_joins_nobody_to_them() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        old = await asking(up, ask(), ask())
+        text = pool("a", one.address) + reads(more='response = { set = { X-New = "1" }, remove = ["X-Old"] }')
+        await up.reload(text)
+        new = await asking(up, ask(), ask())
+        await until(lambda: one.got.qsize() == 2)
+        reply(one, OK)
+        assert all(["x-new" not in fields(await client.answer()) for client in old])
+        for client in new:
+            assert status(await client.answer()) == 200
+        await up.reload(pool("a", one.address) + reads("", ""))
+        last = [await up.client() for _ in range(2)]
+        for client in last:
+            client.writer.write(ask())
+        await until(lambda: one.got.qsize() == 4)  # joins no more
+        reply(one, OK)
+
+    play(reads(), body)
+
+
+def test_a_pool_that_takes_over_answers_all() -> None:
+    async def run() -> None:
+        async with backend(lambda _: OK) as two:
+            more = 'fallback = ["b"]'
+            async with served(pool("a", "127.0.0.1:9") + pool("b", two.address) + reads(more=more)) as up:
+                clients = [await up.client() for _ in range(10)]
+                got = await asyncio.gather(*(client.ask(ask()) for client in clients))
+                assert {status(each) for each in got} == {200}
+                await until(lambda: up.in_hand() == 0 and not up.daemon.joins._readers)
+
+    asyncio.run(run())
+
+
+def test_many_keys_over_kept_connections_get_their_own_answers() -> None:
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            boxes = [await stack.enter_async_context(backend(lambda sent: answer(sent.split()[1]))) for _ in range(2)]
+            up = await stack.enter_async_context(
+                served(pool("a", *(box.address for box in boxes)) + reads("join = {}")))
+            clients = [await up.client() for _ in range(20)]
+
+            async def work(client: Client, seed: int) -> None:
+                for n in range(30):
+                    target = f"/h/{(seed + n) % 5}"
+                    got = await client.ask(ask(target=target))
+                    assert status(got) == 200 and got.endswith(target.encode())
+
+            await asyncio.gather(*(work(client, n % 3) for n, client in enumerate(clients)))
+            assert sum(box.got.qsize() for box in boxes) <= 600
+            await until(lambda: not up.daemon.joins._readers)
+
+    asyncio.run(run())
+
+
+# ---- gRPC ----------------------------------------------------------------------------------------
+
+
+def grpc(body: Callable[[World], Awaitable[None]], work: Callable[[Call, Script], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with boxed(work=work, text=reads(), head=HTTP2) as world:
+            await body(world)
+            await until(lambda: not world.up.daemon.joins._readers and not world.up.daemon.joins._flights)
+
+    asyncio.run(run())
+
+
+def test_unary_calls_share_one_and_get_its_message_and_trailers() -> None:
+    gate = asyncio.Event()
+
+    async def work(call: Call, _: Script) -> None:
+        got = await call.message()
+        await gate.wait()
+        await call.send(b"for " + (got or b""))
+        call.finish(0, "", ("x-seen", "1"))
+
+    async def body(world: World) -> None:
+        one, two = await world.caller(), await world.caller()
+        streams = [(caller, caller.begin("/read/Get")) for caller in (one, two, one, two)]
+        for caller, stream in streams:
+            await caller.send(stream, b"q", end=True)
+        await until(lambda: world.up.daemon.joins._count == 4)
+        await until(lambda: world.ran() == 1)
+        gate.set()
+        for caller, stream in streams:
+            got = await soon(caller.answer(stream))
+            assert got.status == 0 and got.data[5:] == b"for q" and got.tail["x-seen"] == "1"
+        assert world.ran() == 1
+
+    grpc(body, work)
+
+
+def test_a_stream_of_answers_goes_to_the_caller_that_it_was_made_for() -> None:
+    async def work(call: Call, _: Script) -> None:
+        await call.message()
+        for n in range(3):
+            await call.send(b"%d" % n)
+        call.finish()
+
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        streams = [caller.begin("/read/List") for _ in range(3)]
+        for stream in streams:
+            await caller.send(stream, b"q", end=True)
+        for stream in streams:
+            got = await soon(caller.answer(stream))
+            assert got.status == 0 and bytes(got.data)[5::6] == b"012"
+        assert world.ran() == 3
+
+    grpc(body, work)
--- /dev/null
+++ b/tests/emulator/test_emulator.py
@@ -0,0 +1,91 @@
+"""The emulator keeps the books of requests and boxes, and shows what joining is about. No sockets, no clock."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from jaspershelf.model import Outcome
+from lugspur.emulator import joining
+from lugspur.emulator.boxes import Box, Kind, Work
+from lugspur.emulator.clock import Clock
+from lugspur.emulator.world import FAILED, LATE, SERVED, TURNED, World
+
+
+def test_events_happen_in_time_and_in_order() -> None:
+    clock, seen = Clock(), list[str]()
+    clock.at(2.0, lambda: seen.append("late"))
+    clock.at(1.0, lambda: (seen.append("a"), clock.at(0.5, lambda: seen.append("past")))[0])  # type: ignore[func-returns-value]
+    clock.at(1.0, lambda: seen.append("b"))
+    clock.run()
+    assert seen == ["a", "b", "past", "late"] and clock.now == 2.0
+
+
+def test_a_box_works_on_as_many_as_it_has_slots_for_and_turns_away_what_is_too_much() -> None:
+    clock, ends = Clock(), list[tuple[float, Outcome]]()
+    box = Box(clock, Kind(slots=2, queue=2, work=1.0, steps=100_000), Random(1))
+    works = [Work(lambda how: ends.append((round(clock.now, 1), how))) for _ in range(6)]
+    for work in works[:3]:
+        box.take(work)
+    assert box.ran == 2 and [work.begun for work in works[:3]] == [True, True, False]
+    works[2].over = True  # given up before it began: no slot is spent on it
+    for work in works[3:]:
+        box.take(work)
+    clock.run()
+    assert Counter(ends) == {(0.0, Outcome.FULL): 2, (1.0, Outcome.OK): 2, (2.0, Outcome.OK): 1} and box.ran == 3
+
+
+def test_a_request_has_one_end_by_its_deadline() -> None:
+    for seed in range(5):
+        clock = Clock()
+        world = World(clock, joining.settings(), 2, Kind(slots=1, queue=3, work=0.2, wrong=0.3), seed)
+        ends: Counter[int] = Counter()
+        how: Counter[str] = Counter()
+        rng = Random(seed)
+
+        def ask(n: int, left: float, clock: Clock = clock, world: World = world, ends: Counter[int] = ends,
+                how: Counter[str] = how) -> None:
+            due = clock.now + left
+
+            def done(end: str) -> None:
+                ends[n] += 1
+                how[end] += 1
+                assert clock.now <= due
+
+            world.call(0, n % joining.TENANTS, due, done)
+
+        for n in range(200):
+            clock.at(rng.random() * 10.0, lambda n=n, ask=ask, rng=rng: ask(n, rng.choice((0.05, 1.0))))  # type: ignore[misc]
+        clock.run()
+        assert ends == Counter(range(200)) and how.keys() <= {SERVED, TURNED, FAILED, LATE} and how[SERVED]
+        assert not world._calls and not world.balancer.requests
+
+
+def test_the_same_seed_plays_the_same_day() -> None:
+    way = joining.WAYS["joined within 100 ms"]
+    assert joining.play(way, 2.0, 7, 500) == joining.play(way, 2.0, 7, 500) != joining.play(way, 2.0, 8, 500)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_joining_for_a_moment_serves_more_in_time_and_no_answer_is_older(seed: int) -> None:
+    found = {name: joining.play(way, 2.0, seed, 4000) for name, way in joining.WAYS.items()}
+    alone, common = found["each its own"], found["single flight"]
+    ours, short = found["joined within 100 ms"], found["joined within 20 ms"]
+    assert ours.timely > alone.timely + 0.2 and ours.turned < alone.turned / 4.0
+    assert ours.timely >= common.timely  # the short deadlines of some take no others along
+    assert ours.oldest <= 0.1 + 1e-9 and short.oldest <= 0.02 + 1e-9 and common.oldest > 0.1
+    assert ours.calls < alone.calls
+
+
+def test_the_command_prints_a_table_and_draws(tmp_path: Path) -> None:
+    picture = tmp_path / "joining.svg"
+    done = subprocess.run(
+        [sys.executable, "-m", "lugspur.emulator", "joining", "--reads", "300", "--plot", str(picture)],
+        capture_output=True, text=True, check=True)
+    assert done.stdout.count("\n") == 2 + len(joining.WAYS) * len(joining.LOADS)
+    assert "joined within 100 ms" in picture.read_text()
