Let the daemon guard itself: feel how long requests lay unread, turn the cheapest away first

Need: squeezed by a neighbour program the proxy fell behind with all its work alike: at twice what its core could do 9% of the bookings were in time. First part of the guard; off unless `[guard] on = true`, and nothing of it is imported on the platform.

Senses: a selector that notes its turns and shows answers before new work, the kernel's word for how long bytes lay there (also before a connection was accepted), CPU not got, idle time, memory. Who was turned away is not looked at for a moment. What came too late is answered 504 and not sent.

--- a/lugspur/bench/processes.py
+++ b/lugspur/bench/processes.py
@@ -51,7 +51,7 @@
     """What a process has used, by its id."""
 
     def __init__(self, pid: int) -> None:
-        self._pid = pid
+        self.pid = pid
 
     def cpu(self) -> float:
         """Seconds of CPU that it has used, by the system's own count.
@@ -59,11 +59,11 @@
         By the process's CPU clock (clock_getcpuclockid(3)), not by /proc/PID/stat: that counts ticks of 10 ms, and
         a short round of the relay takes none.
         """
-        return time.clock_gettime((~self._pid << 3) | CPU_CLOCK)
+        return time.clock_gettime((~self.pid << 3) | CPU_CLOCK)
 
     def memory(self) -> float:
         """MiB that it holds now."""
-        lines = Path(f"/proc/{self._pid}/status").read_text().splitlines()
+        lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
         return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024.0
 
 
--- a/lugspur/cli/main.py
+++ b/lugspur/cli/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from urllib.parse import urlsplit
 
 import click
@@ -35,6 +36,15 @@
     """
 
 
+def _loop_of(plan: Plan) -> Callable[[], asyncio.AbstractEventLoop] | None:
+    """The loop to run in: one whose turns can be felt where the daemon guards itself."""
+    if not plan.file.guard.on:
+        return None
+    from lugspur.daemon.senses import WatchedLoop
+
+    return WatchedLoop
+
+
 @cli.command()
 @click.argument("file")
 def run(file: str) -> None:
@@ -48,7 +58,8 @@
             click.echo(f"lugspur: listener {name} at {host}:{port}", err=True)
 
     try:
-        asyncio.run(serve(file, plan, ready))
+        with asyncio.Runner(loop_factory=_loop_of(plan)) as runner:
+            runner.run(serve(file, plan, ready))
     except OSError as fault:
         click.echo(f"lugspur: {fault}", err=True)
         sys.exit(1)
@@ -130,6 +141,9 @@
                    f"{min(kind.deadline, action.deadline or kind.deadline):g}s")
         if action.rewrite is not None:
             click.echo(f"  backends see {action.rewrite.fill(captured) or '/'}")
+        if action.join is not None:
+            who = "all tenants" if action.join.across else "one tenant"
+            click.echo(f"  like reads of {who} share a call that began at most {action.join.within:g}s before")
 
 
 def _leads(plan: Plan, route: Route) -> str:
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -79,6 +79,15 @@
         duration(0.0, 3600.0), "time that open HTTP/2 streams may go on after SIGTERM, or without their listener", 10.0)
 
 
+@dataclass(slots=True)
+class Guard:
+    """What is turned away when the proxy itself falls behind: the classes that are worth least, first."""
+
+    on: bool = option(flag, "whether it guards itself", False)
+    memory: int = option(
+        size(0, MEMORY_MOST), "what the process may hold: from 90% of it less is let in; 0: no limit is known", 0)
+
+
 @dataclass(slots=True)
 class Registry:
     """A ZooKeeper ensemble that pools follow and listeners register in, by one session."""
@@ -284,6 +293,7 @@
 
     daemon: Daemon = part(Daemon, "this instance among its like")
     limits: Limits = part(Limits, "limits")
+    guard: Guard = part(Guard, "whether the proxy guards itself")
     listeners: dict[str, Listener] = parts(Listener, "where callers connect")
     classes: dict[str, Class] = parts(Class, "kinds of requests")
     tenants: dict[str, Tenant] = parts(Tenant, "whose traffic is told apart")
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -30,6 +30,7 @@
 from lugspur.seams import Answerable
 
 if TYPE_CHECKING:
+    from lugspur.daemon.guarding import Guarding
     from lugspur.http2.pipe import Pipe
 
 COME_BACK = b"Retry-After: 1\r\n"  # where no backend is there, or no place: nothing tells when one will be
@@ -56,6 +57,7 @@
         self._sockets = Shares(0, {})
         self._places = Shares(0, {})  # requests in hand, by pool
         self.joins = Joins(self._submit)
+        self.guard: Guarding | None = None
         self._reloads = 0
         self.regime: Regime
         self.stations: dict[str, Station] = {}
@@ -81,9 +83,28 @@
                 row, plan.settings(row), int(held * row.share), limits.answer, path, plan.file.registries)
         standings = {name: station.standing for name, station in self.stations.items()}
         self.joins.tune(limits.joined, limits.memory)
+        self._guard(plan)
         self._reloads += 1
         self.regime = Regime(plan, dict(self.stations), standings, self._reloads)
 
+    def _guard(self, plan: Plan) -> None:
+        """Begin or end to guard the proxy itself, or go on by other classes."""
+        row = plan.file.guard
+        if not row.on:
+            self.close()
+        elif self.guard is None:
+            from lugspur.daemon.guarding import Guarding
+
+            self.guard = Guarding(plan.classes, row.memory)
+        else:
+            self.guard.adopt(plan.classes, row.memory)
+
+    def close(self) -> None:
+        """Guard nothing any more."""
+        if self.guard is not None:
+            self.guard.close()
+            self.guard = None
+
     def front(self, row: model.Listener) -> Front:
         """A front for one listener of the plan."""
         def handle(request: Request, caller: Answerable) -> None:
@@ -109,6 +130,10 @@
         file = self.regime.plan.file
         limits, count = file.limits, len(file.listeners)
         sockets = max(8, limits.sockets - SPARE_SOCKETS)
+        if self.guard is not None:
+            self.guard.watch(front)
+        else:
+            front.came = front.work = None
         front.tune(
             max(1, int(CALLERS_PART * sockets) // count), limits.memory // count,
             Sizes(limits.head, limits.body, ordinary=True), limits.read, limits.idle, limits.drain,
@@ -157,6 +182,17 @@
         query = read_query(target.query) if _reads_query(forward) else {}
         tenant = _tenant(regime.plan, match, forward, request, query)
         caller.admit()
+        deadline = self._loop.time() + timeout - ANSWER_EARLY
+        if timeout <= 0.0:  # It came too late, or lay too long: what nobody waits for costs no more than this.
+            caller.answer(504, b"", b"the time is up\n")
+            return
+        if self.guard is not None and regime is self.regime:
+            who = caller.peer if tenant == NOBODY else tenant
+            place = regime.plan.kinds[forward.kind]
+            if not self.guard.admits(place, who, len(request.body)):
+                caller.answer(503, COME_BACK, b"too busy\n")
+                self.guard.rest(caller, place)
+                return
         if forward.key is not None:
             key = drawn(forward.key, Headers(request.headers), query, match.captured)
             order = by_key(forward.splits, key.encode("utf-8", "surrogatepass"))
@@ -167,7 +203,6 @@
             caller.answer(503, COME_BACK, b"no backend\n")
             return
         sent = outgoing(request, target, match, forward, caller.peer, row.trust_forwarded)
-        deadline = self._loop.time() + timeout - ANSWER_EARLY
         station, *rest = (regime.stations[name] for name in found)
         ticket = Ticket(kind, forward, sent, tenant, read_cost(request), deadline, station, rest)
         if forward.join is None:
--- /dev/null
+++ b/lugspur/daemon/guarding.py
@@ -0,0 +1,65 @@
+"""Where the guard meets the daemon: samples go to the limiter, its word to requests. It decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Sequence
+
+from jaspershelf.model import RequestClass
+from lugspur.daemon.senses import Senses
+from lugspur.guard.limiter import WINDOW, Limiter
+from lugspur.http1.front import Caller, Front
+from lugspur.seams import Answerable
+
+COST_BYTES = 16 << 10  # bytes of a body that cost as much work here as a request without one
+
+
+class Guarding:
+    """The guard of one daemon, from now on."""
+
+    def __init__(self, classes: Sequence[RequestClass], memory_most: int) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.senses = Senses(memory_most)
+        self.limiter = Limiter([row.worth for row in classes], self._loop.time())
+        self.adopt(classes, memory_most)
+        self._timer = self._loop.call_at(self.senses.due, self._sample)
+
+    def adopt(self, classes: Sequence[RequestClass], memory_most: int) -> None:
+        """Go on by another file."""
+        self.senses.memory_most = memory_most
+        self.limiter.adopt([row.worth for row in classes], [row.name for row in classes])
+
+    def admits(self, kind: int, who: str, size: int) -> bool:
+        """Whether a request of that class and caller, with a body of so many bytes, is let in."""
+        now = self._loop.time()
+        if now >= self.senses.due + WINDOW:  # Guards against turns of the loop that are so long that no timer comes.
+            self._take()
+        senses = self.senses
+        return self.limiter.admits(kind, hash(who), 1.0 + size / COST_BYTES, senses.waited, senses.newcomer)
+
+    def rest(self, caller: Answerable, kind: int) -> None:
+        """Hear nothing of a caller for a moment; one over HTTP/2 has others' requests on its connection as well."""
+        if isinstance(caller, Caller):
+            caller.rest(self.limiter.rest(kind))
+
+    def watch(self, front: Front) -> None:
+        """Feel when the bytes of its callers came, and let answers go before its new work."""
+        front.came = self.senses.came
+        if self.senses.watching is not None:
+            front.work = self.senses.watching.work
+
+    def _sample(self) -> None:
+        self._take()
+        self._timer = self._loop.call_at(self.senses.due, self._sample)
+
+    def _take(self) -> None:
+        line = self.limiter.sample(self._loop.time(), self.senses.sample())
+        if line is not None:
+            print(f"lugspur: guard: {line}", file=sys.stderr, flush=True)
+
+    def close(self) -> None:
+        """Feel nothing any more."""
+        self._timer.cancel()
+        if self.senses.watching is not None:
+            self.senses.watching.work.clear()
--- a/lugspur/daemon/joins.py
+++ b/lugspur/daemon/joins.py
@@ -244,7 +244,6 @@
         """One leaves the others."""
         if reader is None:
             return
-        reader.caller.gone = None
         if isinstance(action, Alone):
             self._submit(reader.ticket, reader.caller)
         elif isinstance(action, Expire):
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -126,6 +126,7 @@
         await asyncio.gather(*self._leaving)
         for station in self.daemon.stations.values():
             station.close()
+        self.daemon.close()
         await self.daemon.registries.close()
 
 
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -48,6 +48,9 @@
         self.terms: Callable[[], object] | None = None  # by what a request is judged, asked when its head has come
         # Makes what goes on with a connection that begins as HTTP/2 does, where that is taken here.
         self.http2: Callable[[Front], Held] | None = None
+        # When the bytes that are read now came, where that is felt; else they came now.
+        self.came: Callable[[float, asyncio.Transport, bool], float] | None = None
+        self.work: set[int] | None = None  # where descriptors of callers are noted, if anywhere
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
         self.closing = False
@@ -158,6 +161,7 @@
         self.peer = ""  # the address that it connected from
         self._place: dict[Held, float] | None = None  # where the front keeps it while no answer is owed
         self._transport: asyncio.Transport
+        self._fd = -1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -165,6 +169,9 @@
         peer = transport.get_extra_info("peername")
         self.peer = peer[0] if peer else ""
         self.front.callers.add(self)
+        self._fd = transport.get_extra_info("socket").fileno()
+        if self.front.work is not None:
+            self.front.work.add(self._fd)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.front.buffer
@@ -185,6 +192,13 @@
         """The front counts it no more."""
         self.move(None)
         self.front.callers.discard(self)
+        if self.front.work is not None:
+            self.front.work.discard(self._fd)
+
+    def arrival(self, now: float) -> float:
+        """When the bytes that are read now came, as far as that is known."""
+        came = self.front.came
+        return now if came is None else came(now, self._transport, not self.used)
 
     def close(self) -> None:
         """Close it, once what is written is out."""
@@ -222,6 +236,8 @@
         self._faulty = False  # a rejection is queued or answered: nothing more is read
         self._dropped = 0
         self._held = 0  # its part of what the front counts
+        self._rests_until = 0.0  # what comes before then is not looked at
+        self._kept = b""  # ...which is this, of one read
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
 
     # ---- the connection ------------------------------------------------------------------
@@ -264,7 +280,30 @@
                     self._hand_over(begun)
                 return
             self._early, data = None, memoryview(begun)
-        self.feed(data)
+        if self._rests_until and self._loop.time() < self._rests_until:
+            self._keep(data)
+        else:
+            self.feed(data)
+
+    def rest(self, seconds: float) -> None:
+        """Look at nothing of it for a while: who asks again at once would only be turned away again.
+
+        Costs nothing where nothing comes. Could harm what is dear on the same connection: it waits as long.
+        """
+        self._rests_until = self._loop.time() + seconds
+
+    def _keep(self, data: memoryview) -> None:
+        self._transport.pause_reading()  # Guards memory: one read is kept at most.
+        self._kept = bytes(data)
+        self.front.held += len(self._kept)
+        self._loop.call_at(self._rests_until, self._rested, self.arrival(self._loop.time()))
+
+    def _rested(self, came: float) -> None:
+        data, self._kept, self._rests_until = self._kept, b"", 0.0
+        self.front.held -= len(data)
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+            self.feed(memoryview(data), came)
 
     def _hand_over(self, begun: bytes) -> None:
         """It speaks HTTP/2: another protocol goes on with the connection. ALPN would lead here too."""
@@ -276,14 +315,16 @@
         successor.connection_made(transport)
         successor.feed(memoryview(begun))
 
-    def feed(self, data: memoryview) -> None:
+    def feed(self, data: memoryview, came: float | None = None) -> None:
+        """What has come in; `came`: when, where it was kept meanwhile."""
         if self._faulty:
             self._dropped += len(data)
             if self._dropped > DROP_MOST:  # Guards the core against a sender that goes on for ever.
                 self.drop()
             return
         intake, front = self._intake, self.front
-        intake.feed(data, self._loop.time())
+        now = self.arrival(self._loop.time())
+        intake.feed(data, now if came is None else came)
         self._hold(intake.held())
         if self._held and front.held > front.held_most:  # Guards the memory limit against many half bodies.
             intake.fault = Rejected(503, "too many bodies at once")
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -411,7 +411,7 @@
             return
         told = dict(event.fields)
         grpc = mapping.is_grpc(told.get(b"content-type", b""))
-        stream = (Call if grpc else Stream)(self, event.stream, self.loop.time())
+        stream = (Call if grpc else Stream)(self, event.stream, self.arrival(self.loop.time()))
         self.streams[event.stream] = stream
         self.move(None)
         try:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -57,6 +57,11 @@
     assert command("explain", EXAMPLE, "GET", "/", "-H", "nocolon")[0] == 2
 
 
+def test_explain_says_what_is_joined() -> None:
+    status, said = command("explain", str(ROOT / "deploy" / "joining.toml"), "GET", "/v1/availability/h1")
+    assert status == 0 and "like reads of all tenants share a call that began at most 0.1s before" in said
+
+
 def test_explain_says_which_rule_decided(tmp_path: Path) -> None:
     file = tmp_path / "f.toml"
     file.write_text(HEAD + pool("a", "h:1") + "".join(route(f"r{n}", path, 'pool = "a"') for n, path in enumerate(
--- /dev/null
+++ b/tests/daemon/test_guard.py
@@ -0,0 +1,270 @@
+"""The guard round a daemon: what it feels on real sockets, and what becomes of requests that it turns away."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import pytest
+from daemonic import HEAD, Served, ask, backend, fields, pool, route, served, until
+from loopback import OK, Backend, soon, status
+
+from lugspur.daemon import senses as feeling
+from lugspur.daemon.senses import Senses, WatchedLoop, Watching
+from lugspur.guard.limiter import REST, WINDOW, Limiter, Sample
+
+GUARDED = HEAD.replace("[classes.read]", "[guard]\non = true\n[classes.cheap]\nworth = 0.1\n[classes.read]")
+ROUTES = (route("book", "/book", 'pool = "a"\nclass = "book"') + route("cheap", "/cheap", 'pool = "a"\nclass = "cheap"')
+          + route("read", "/*", 'pool = "a"\nclass = "read"'))
+
+
+def run(body: Coroutine[Any, Any, None]) -> None:
+    """In a loop whose turns can be felt."""
+    with asyncio.Runner(loop_factory=WatchedLoop) as runner:
+        runner.run(body)
+
+
+def play(body: Callable[[Served, Backend], Awaitable[None]], script: bytes | None = OK, head: str = GUARDED) -> None:
+    async def with_backend() -> None:
+        async with backend(lambda _: script) as one, served(pool("a", one.address) + ROUTES, head) as up:
+            await body(up, one)
+            await until(lambda: up.in_hand() == 0)
+
+    run(with_backend())
+
+
+def turn_away(up: Served, cheap: bool) -> None:
+    """As it would be after too long a wait: the cheapest class, or everything."""
+    guard = up.daemon.guard
+    assert guard is not None
+    guard.close()  # no sample comes between
+    guard.senses._due = float("inf")
+    for level in guard.limiter._levels:
+        if not cheap or level.worth < 1.0:
+            level.share = [0.0] * len(level.share)
+
+
+def test_it_is_off_unless_it_is_asked_for_and_a_reload_turns_it_on_and_off() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        [(front, _)] = up.running.listeners.values()
+        assert up.daemon.guard is None and front.came is None and front.work is None
+        text = pool("a", one.address) + ROUTES
+        await up.reload(text, GUARDED)
+        guard = up.daemon.guard
+        assert guard is not None and front.came is not None and front.work is not None
+        client = await up.client()
+        assert status(await client.ask(ask())) == 200 and len(front.work) == 1
+        await up.reload(text, GUARDED.replace("worth = 0.1", "worth = 0.2"))
+        assert up.daemon.guard is guard and min(level.worth for level in guard.limiter._levels) == 0.2
+        await up.reload(text, GUARDED.replace("on = true", "on = false"))
+        assert up.daemon.guard is None and status(await client.ask(ask())) == 200
+
+    play(body, head=GUARDED.replace("on = true", "on = false"))
+
+
+def test_what_is_cheap_is_turned_away_at_once_and_costs_no_backend_anything() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        turn_away(up, cheap=True)
+        client, dear = await up.client(), await up.client()
+        got = await client.ask(ask(target="/cheap"))
+        assert status(got) == 503 and fields(got)["retry-after"] == "1" and got.endswith(b"too busy\n")
+        assert one.got.empty() and up.in_hand() == 0 and up.daemon._places.used("a") == 0
+        assert status(await dear.ask(ask("POST", "/book", b"x"))) == 200 == status(await dear.ask(ask()))
+        assert status(await client.ask(ask("POST", "/book", b"x"))) == 200  # the connection lives, after a rest
+
+    play(body)
+
+
+def test_nothing_is_read_from_a_caller_that_was_turned_away_for_a_moment() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        guard = up.daemon.guard
+        assert guard is not None
+        turn_away(up, cheap=False)
+        client = await up.client()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        for _ in range(3):
+            await client.ask(ask(target="/cheap"))
+        assert loop.time() - begun >= 2.0 * REST and guard.limiter.turned == 3
+        await client.ask(ask(target="/cheap"))
+        client.writer.transport.abort()  # gone while it is not heard: no harm
+        front = up.running.listeners["main"][0]
+        await until(lambda: not front.callers)
+        assert not front.work
+        await until(lambda: front.held == 0)
+
+    play(body)
+
+
+def test_what_comes_while_a_caller_is_not_heard_keeps_its_time_and_is_bounded() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        turn_away(up, cheap=True)
+        guard = up.daemon.guard
+        assert guard is not None
+        client = await up.client()
+        assert status(await client.ask(ask(target="/cheap"))) == 503
+        begun = asyncio.get_running_loop().time()
+        client.writer.write(ask("POST", "/book", b"x" * 200_000, X_Timeout="20"))
+        front = up.running.listeners["main"][0]
+        await until(lambda: front.held > 0)
+        assert front.held <= 64 << 10  # one read, however much comes
+        assert status(await client.answer()) == 200
+        spent = asyncio.get_running_loop().time() - begun
+        assert spent >= 0.3 and front.held == 0  # all of its class is turned away: the longer rest
+        sent = fields(await soon(one.got.get()))
+        assert 20.0 - spent - 0.1 <= float(sent["x-timeout"]) <= 19.7
+
+    play(body)
+
+
+def test_what_a_backend_has_is_never_turned_away() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        client = await up.client()
+        client.writer.write(ask("POST", "/book", b"x"))
+        await soon(one.got.get())
+        turn_away(up, cheap=False)
+        for writer in one.open:
+            writer.write(OK)
+        assert status(await client.answer()) == 200
+
+    play(body, script=None)
+
+
+def test_a_request_that_lay_unread_until_its_time_was_up_is_answered_and_not_sent() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        old, new = await up.client(), await up.client()
+        assert status(await old.ask(ask())) == status(await new.ask(ask())) == 200
+        while not one.got.empty():
+            one.got.get_nowait()
+        sock = old.writer.get_extra_info("socket")
+        raw = socket.socket(fileno=socket.dup(sock.fileno()))
+        raw.send(ask(target="/cheap", X_Timeout="0.3"))
+        time.sleep(0.6)  # the process stands still
+        got = await old.answer()
+        assert status(got) == 504 and one.got.empty()
+        raw.send(ask(target="/cheap", X_Timeout="9"))
+        time.sleep(0.2)
+        assert status(await old.answer()) == 200
+        sent = fields(await soon(one.got.get()))
+        assert float(sent["x-timeout"]) < 8.9  # the time that it lay is gone
+        raw.close()
+
+    play(body)
+
+
+def test_a_newcomer_that_waited_to_be_accepted_has_waited_as_well() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        with socket.socket() as raw:
+            raw.connect(("127.0.0.1", up.port()))
+            raw.send(ask(target="/cheap", X_Timeout="0.3"))
+            time.sleep(0.6)
+            raw.setblocking(False)
+            got = await soon(asyncio.get_running_loop().sock_recv(raw, 1 << 16))
+            assert status(got) == 504 and one.got.empty()
+
+    play(body)
+
+
+def test_answers_are_shown_before_new_work() -> None:
+    watching = Watching()
+    pairs = [socket.socketpair() for _ in range(6)]
+    for ours, theirs in pairs:
+        watching.register(ours, 1)
+        theirs.send(b"x")
+    watching.work.update(ours.fileno() for ours, _ in pairs[:3])
+    shown = [key.fd in watching.work for key, _ in watching.select(0)]
+    assert shown == [False] * 3 + [True] * 3
+    for pair in pairs:
+        for sock in pair:
+            sock.close()
+    watching.close()
+
+
+def test_what_is_shown_at_once_may_have_waited_since_the_selector_was_last_asked() -> None:
+    watching = Watching()
+    ours, theirs = socket.socketpair()
+    watching.register(ours, 1)
+    watching.select(0)
+    asked = time.monotonic()
+    theirs.send(b"x")
+    time.sleep(0.05)
+    watching.select(1.0)
+    assert watching.seen <= asked
+    ours.recv(1)
+    watching.select(0.05)  # it had to wait: what comes then is news
+    assert watching.seen > asked + 0.05 and watching.slept >= 0.04
+    ours.close()
+    theirs.close()
+    watching.close()
+
+
+def test_the_memory_is_felt_as_a_part_of_its_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        felt = Senses(1 << 30).sample().memory
+        assert 0.01 < felt < 1.0 and Senses(0).sample().memory == 0.0
+        monkeypatch.setattr(feeling, "Path", lambda _: (_ for _ in ()).throw(OSError()))
+        assert Senses(1 << 30).sample().memory == 0.0  # what can't be felt is no reason
+
+    asyncio.run(body())
+
+
+def test_a_plain_loop_feels_how_late_its_samples_are() -> None:
+    async def body() -> None:
+        senses = Senses(0)
+        time.sleep(WINDOW + 0.1)
+        sample = senses.sample()
+        assert sample.lag >= 0.09 and sample.idle == 1.0 and 0.0 < sample.starved <= 1.0
+
+    asyncio.run(body())
+
+
+def test_a_turn_without_end_is_sampled_all_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
+    taken: list[float] = []
+    sample = Limiter.sample
+
+    def noted(self: Limiter, now: float, state: Sample) -> str | None:
+        taken.append(now)
+        return sample(self, now, state)
+
+    async def body(up: Served, one: Backend) -> None:
+        guard = up.daemon.guard
+        assert guard is not None
+        monkeypatch.setattr(Limiter, "sample", noted)
+        for _ in range(3):  # no timer can come between
+            time.sleep(2.5 * WINDOW)
+            guard.admits(0, "caller", 0)
+        assert len(taken) == 3
+
+    play(body)
+
+
+def test_run_prints_one_line_when_it_turns_away(tmp_path: Any) -> None:
+    file = tmp_path / "f.toml"
+    file.write_text(GUARDED + pool("a", "127.0.0.1:9") + ROUTES)
+    code = ("import sys\nfrom lugspur.guard import limiter\n"
+            "limiter.Limiter.sample = lambda self, now, state: 'turned away: cheap: requests wait 60 ms'\n"
+            "sys.argv = ['lugspur', 'run', sys.argv[1]]\nfrom lugspur.__main__ import main\nmain()")
+    process = subprocess.Popen([sys.executable, "-c", code, str(file)], stderr=subprocess.PIPE, text=True)
+    assert process.stderr is not None
+    try:
+        lines = [process.stderr.readline() for _ in range(2)]
+        assert "lugspur: guard: turned away: cheap: requests wait 60 ms\n" in lines
+    finally:
+        process.terminate()
+        process.wait(20)
+        process.stderr.close()
+
+
+def test_without_it_the_platforms_proxy_imports_nothing_of_it() -> None:
+    code = ("import sys, lugspur.daemon.service\n"
+            "ours = ('lugspur.guard', 'lugspur.joining', 'lugspur.emulator', 'lugspur.daemon.senses')\n"
+            "print([name for name in sys.modules if name.startswith(ours)])")
+    said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=True)
+    assert said.stdout == "[]\n"
+
+
--- a/tests/daemon/test_joining.py
+++ b/tests/daemon/test_joining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -12,6 +13,7 @@
 from grpcpeers import HTTP2, World, boxed
 from loopback import CLOSE, MAY_HAVE_RUN, NEVER_RAN, OK, Backend, Client, soon, status
 
+from jaspershelf import Refuse
 from lugspur.daemon import joins
 from lugspur.standins.grpc.box import Call
 from lugspur.standins.grpc.script import Script
@@ -96,7 +98,9 @@
         short, long, longest = await asking(up, ask(X_Timeout="0.15"), ask(X_Timeout="9"), ask(X_Timeout="20"))
         assert status(await short.answer()) == 504 and not one.got.empty()
         [call] = up.daemon.stations["a"].pool.calls.values()
-        assert call.deadline - asyncio.get_running_loop().time() > 9.0  # the longest has moved it
+        assert call.deadline - asyncio.get_running_loop().time() > 9.0  # the longest has moved it...
+        [flight] = up.daemon.joins._flights.values()
+        assert flight.ticket.deadline == call.deadline  # ...for a pool that takes over, too
         reply(one, OK)
         assert status(await long.answer()) == status(await longest.answer()) == 200
         assert one.got.qsize() == 1
@@ -281,33 +285,95 @@
 
 
 def test_a_tenant_that_is_turned_away_takes_no_other_along() -> None:
-    """No place is left in the pool: who leads is turned away, and so is each tenant's call in turn."""
     async def body(up: Served, one: Backend) -> None:
-        asked: list[str] = []
-        pooled = up.daemon.stations["a"].pool
-        submit = pooled.balancer.request
+        def by_agent(sent: bytes) -> bytes:
+            return answer(fields(sent)["x-agency"].encode(), Vary="User-Agent")
+
+        pool = up.daemon.stations["a"].pool
+        submit, asked = pool.balancer.request, list[str]()
 
-        def refuse_a(now: float, rid: str, kind: int, tenant: int, *more: object) -> list[object]:
-            name = pooled.settings.tenants[tenant].name
+        def refuse_a(now: float, rid: str, kind: int, tenant: int, deadline: float, cost: float, retry: bool) -> object:
+            name = pool.settings.tenants[tenant].name
             asked.append(name)
-            deadline = now - 1.0 if name == "a" else more[0]  # a's time is up as far as the module knows: refused
-            return submit(now, rid, kind, tenant, deadline, *more[1:])  # type: ignore[arg-type, return-value]
-
-        gate = [True]
-        fits = up.daemon._places.fits
-        up.daemon._places.fits = lambda *a: gate[0] and fits(*a)  # type: ignore[method-assign]
-        pooled.balancer.request = refuse_a  # type: ignore[method-assign, assignment]
-        first = (await asking(up, ask(X_Agency="a")))[0]
-        assert status(await first.answer()) == 503 and asked == ["a"]
-        gate[0] = False
-        second = (await asking(up, ask(X_Agency="b")))[0]
-        got = await second.answer()
-        assert status(got) == 503 and fields(got)["retry-after"] == "1"
-        gate[0] = True
+            return [Refuse(rid)] if name == "a" else submit(now, rid, kind, tenant, deadline, cost, retry)
+
+        clients = await asking(up, ask(User_Agent="x", X_Agency="c"),
+                               *(ask(User_Agent="y", X_Agency=name, X_Timeout=left)
+                                 for name, left in (("a", "20"), ("a", "9"), ("b", "9"))))
+        pool.balancer.request = refuse_a  # type: ignore[method-assign, assignment]
+        one.script = by_agent
+        reply(one, by_agent(await soon(one.got.get())))
+        assert [status(await client.answer()) for client in clients] == [200, 503, 503, 200]
+        assert asked == ["a", "b"]
+
+    play(TENANTS + reads(ACROSS), body)
+
+
+def test_where_a_pool_has_no_place_left_each_tenant_is_told_so_once() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask(User_Agent=agent, X_Agency=name) for agent, name in ("xc", "ya", "yb")))
+        up.daemon._places.fits = lambda *_: False  # type: ignore[method-assign]
+        reply(one, answer(b"", Vary="User-Agent"))
+        got = [await client.answer() for client in clients]
+        assert [status(each) for each in got] == [200, 503, 503]
+        assert fields(got[1])["retry-after"] == fields(got[2])["retry-after"] == "1"
 
     play(TENANTS + reads(ACROSS), body)
 
 
+def test_a_call_that_failed_is_not_made_again_in_other_tenants_names() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask(X_Agency=name) for name in "abc"))
+        one.script = lambda _: answer(b"", "500 Oh")
+        reply(one, answer(b"", "500 Oh"))
+        assert {status(await client.answer()) for client in clients} == {503}
+        assert one.got.qsize() <= 3
+
+    play(TENANTS + reads(ACROSS), body, of_pool="attempts = 3")
+
+
+def test_each_pool_of_a_split_has_its_own_calls() -> None:
+    async def run() -> None:
+        async with backend(lambda _: None) as one, backend(lambda _: None) as two:
+            split = route("r", "/*", f'split = {{ a = 1, b = 1 }}\nclass = "read"\njoin = {{ {WIDE} }}')
+            async with served(pool("a", one.address) + pool("b", two.address) + split) as up:
+                clients = await asking(up, *(ask() for _ in range(24)))
+                assert one.got.qsize() == two.got.qsize() == 1
+                reply(one, answer(b"1"))
+                reply(two, answer(b"2"))
+                got = Counter([(await client.answer())[-1:] for client in clients])
+                assert got.keys() == {b"1", b"2"} and got.total() == 24
+
+    asyncio.run(run())
+
+
+def test_what_a_trusted_listener_lets_through_is_another_read() -> None:
+    head = HEAD + '[listeners.inner]\naddress = "127.0.0.1:0"\ntrust-forwarded = true\n'
+
+    async def body(up: Served, one: Backend) -> None:
+        outer, inner = await up.client(), await up.client("inner")
+        for client in (outer, inner):
+            client.writer.write(ask(X_Forwarded_Proto="https"))
+        await until(lambda: one.got.qsize() == 2)
+        reply(one, OK)
+
+    play(reads(), body, head=head)
+
+
+def test_an_answer_that_comes_too_late_for_one_is_a_time_out_for_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    def slow(head: bytes, rid: bytes | None) -> bytes:
+        time.sleep(0.8)  # the loop is held up while answers go out
+        return head
+
+    async def body(up: Served, one: Backend) -> None:
+        clients = await asking(up, *(ask(X_Timeout="0.7") for _ in range(2)))
+        monkeypatch.setattr(joins, "worded_for", slow)
+        reply(one, OK)
+        assert sorted([status(await client.answer()) for client in clients]) == [200, 504]
+
+    play(reads(), body)
+
+
 def test_answers_go_out_a_few_in_each_turn_of_the_loop(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(joins, "AT_ONCE", 3)
 
@@ -445,3 +511,32 @@
         assert world.ran() == 3
 
     grpc(body, work)
+
+
+def test_a_stream_that_was_parted_ends_with_its_callers_own_time_and_its_leaving() -> None:
+    async def work(call: Call, _: Script) -> None:
+        await call.message()
+        for n in range(2):
+            await call.send(b"%d" % n)
+        await asyncio.Event().wait()
+
+    async def body(world: World) -> None:
+        for leaves in (False, True):
+            one, two = await world.caller(), await world.caller()
+            path = f"/read/List{leaves}"
+            first = one.begin(path, ("grpc-timeout", "9S" if leaves else "700m"))
+            second = two.begin(path, ("grpc-timeout", "8S" if leaves else "9S"))
+            taken = world.up.daemon.joins._count
+            await one.send(first, b"q", end=True)
+            await until(lambda taken=taken: world.up.daemon.joins._count > taken)  # type: ignore[misc]
+            await two.send(second, b"q", end=True)
+            await until(lambda one=one, first=first: bool(one.answers[first].data))  # type: ignore[misc]
+            if leaves:
+                one.cancel(first)
+            else:
+                assert (await soon(one.answer(first))).status == 4  # DEADLINE_EXCEEDED
+            await until(lambda: world.up.in_hand() == 1)  # the second one's own
+            two.cancel(second)
+            await until(lambda: world.up.in_hand() == 0)
+
+    grpc(body, work)
--- a/tests/joining/test_reads.py
+++ b/tests/joining/test_reads.py
@@ -44,6 +44,12 @@
     assert key(head) != key(request()) != key(request(), route="s")
 
 
+def test_calls_of_grpc_and_of_http_are_never_the_same() -> None:
+    form = request()
+    form.form = object()  # type: ignore[assignment]
+    assert key(form) != key(request())
+
+
 def test_tenants_share_only_where_the_file_says_so() -> None:
     within = Join(0.1, frozenset())
     assert key(request(), "a") == key(request(), "b")
