--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -237,7 +237,7 @@
         self._dropped = 0
         self._held = 0  # its part of what the front counts
         self._rests_until = 0.0  # what comes before then is not looked at
-        self._kept = b""  # ...which is this, of one read
+        self._kept = b""  # ...which is this
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
 
     # ---- the connection ------------------------------------------------------------------
@@ -293,10 +293,12 @@
         self._rests_until = self._loop.time() + seconds
 
     def _keep(self, data: memoryview) -> None:
-        self._transport.pause_reading()  # Guards memory: one read is kept at most.
-        self._kept = bytes(data)
-        self.front.held += len(self._kept)
-        self._loop.call_at(self._rests_until, self._rested, self.arrival(self._loop.time()))
+        if not self._kept:
+            self._loop.call_at(self._rests_until, self._rested, self.arrival(self._loop.time()))
+        # Guards memory: one read is kept, and another for each answer that makes the caller be read again.
+        self._transport.pause_reading()
+        self._kept += bytes(data)
+        self.front.held += len(data)
 
     def _rested(self, came: float) -> None:
         data, self._kept, self._rests_until = self._kept, b"", 0.0
--- a/tests/daemon/test_guard.py
+++ b/tests/daemon/test_guard.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from daemonic import HEAD, Served, ask, backend, fields, pool, route, served, until
+from daemonic import HEAD, Served, answer, ask, backend, fields, pool, route, served, target_of, until
 from loopback import OK, Backend, soon, status
 
 from lugspur.daemon import senses as feeling
@@ -122,6 +122,32 @@
     play(body)
 
 
+def test_nothing_is_lost_of_what_comes_while_a_caller_is_not_heard() -> None:
+    async def body(up: Served, one: Backend) -> None:
+        turn_away(up, cheap=True)
+        client = await up.client()
+        # The second is in hand when the first is turned away; its answer makes the proxy read on.
+        client.writer.write(ask(target="/cheap") + ask(target="/one"))
+        assert status(await client.answer()) == 503
+        await soon(one.got.get())
+        client.writer.write(ask(target="/two"))
+        front = up.running.listeners["main"][0]
+        await until(lambda: front.held > 0)
+        for writer in one.open:
+            writer.write(answer(b"one"))
+        assert (await client.answer()).endswith(b"one")
+        client.writer.write(ask(target="/three"))
+        seen = []
+        for _ in range(2):
+            seen.append(target_of(await soon(one.got.get())))
+            for writer in one.open:
+                writer.write(answer(seen[-1].encode()))
+            assert (await client.answer()).endswith(seen[-1].encode())
+        assert seen == ["/two", "/three"] and front.held == 0
+
+    play(body, script=None)
+
+
 def test_what_a_backend_has_is_never_turned_away() -> None:
     async def body(up: Served, one: Backend) -> None:
         client = await up.client()
