Leave a server alone that took no connection or request; notice a silent watch after 3 s

Ruled out: retries (each attempt was a first or second one) and breakers that are off: they see too few calls to leave their protection. Cause: with nothing in flight a dead box looks idle whenever the others are busy (Server.score), so the pick comes back to it; and SILENT = 6 s in membership/watch.py, where a line comes every 2 s.

Change: after a call that a server did not take (UNREACHABLE, FULL) it is picked only if no other is found, for 0.5 s doubling to 4 s, drawn anew each time; a new process begins afresh. SILENT is 3 s, spread by a fifth so that watchers come back apart.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -45,6 +45,8 @@
 PROTECTION = 5  # requests that never count against a server
 OUTLIER_LEAST = 2  # failures in the window that make an outlier of a server where they are most of its calls
 FORCE_PASS = 1.0  # seconds between calls that pass whatever the ratio
+DOWN_FIRST = 0.5  # seconds for which a server is left alone that took no connection, or no request...
+DOWN_MOST = 4.0  # ...doubling to so many, each drawn anew from half to one and a half times that
 ACTIVATION = 3.0  # the latency chance starts at this multiple of the baseline...
 CEILING = 0.95  # ...and is full at this part of the timeout...
 LATENCY_CAP = 0.3  # ...where it has this value
@@ -250,7 +252,7 @@
     """What an instance knows of one server of the next tier."""
 
     __slots__ = (
-        "breaker", "cold_credit", "cold_seen", "latency", "out", "row", "seen",
+        "breaker", "cold_credit", "cold_seen", "down_until", "downs", "latency", "out", "row", "seen",
     )
 
     def __init__(self, row: ServerRow) -> None:
@@ -260,6 +262,22 @@
         self.latency = 0.0  # the breaker's current latency, failures counted as the time-out
         self.seen = 0.0
         self.cold_credit = self.cold_seen = 0.0
+        self.downs = 0  # calls in a row that it did not take
+        self.down_until = 0.0
+
+    def turned_away(self, now: float, rng: Random) -> None:
+        """It took no connection, or no request: leave it alone for a while, longer each time.
+
+        Guards requests against a dead or full server that is still listed. With nothing in flight it looks
+        idle whenever the others are busy, and a breaker that sees few calls passes it dozens of times, each
+        at the cost of a dial. Drawn anew each time: instances must not all come back at the same moment.
+        """
+        self.downs += 1
+        self.down_until = now + min(DOWN_MOST, DOWN_FIRST * 2.0 ** (self.downs - 1)) * (0.5 + rng.random())
+
+    def took(self) -> None:
+        """It takes requests, whatever became of this one."""
+        self.downs, self.down_until = 0, 0.0
 
     def learn(self, now: float, latency: float) -> None:
         """Move the latency that picks follow."""
@@ -465,6 +483,7 @@
                 # The phase is drawn anew too: a credit counted from before the restart would be full at
                 # every instance at once, and the first call of each would push the cold server over.
                 known.cold_credit = known.cold_seen = 0.0
+                known.took()
             known.row = row
         self._forget(now)
         self._arrange(now)
@@ -700,7 +719,7 @@
         """
         pooled = self.pooled or self.settings.classes[request.kind].aim  # before any answer all are alike
         scores = {s: s.score(now, pooled) for s in self._candidates(now, request, among, first)}
-        if first and all(server.out or server.mostly_fails(now) for server in scores):
+        if first and all(s.out or s.down_until > now or s.mostly_fails(now) for s in scores):
             pool = self.pool_of[request.kind]
             unseen = pool.sent.read(now) * self.pooled / max(1, len(pool.working))
             for server in self._candidates(now, request, pool.ready, False):
@@ -710,13 +729,14 @@
             # Guards what can't be tried again against an outlier: its breaker lets calls through until it has
             # seen enough, and once a second then. What can be goes on finding out whether it has recovered.
             # Could harm where requests themselves are at fault: their server is shunned for a window.
-            return sorted(scores, key=lambda s: (s.mostly_fails(now), scores[s]))
-        return sorted(scores, key=scores.__getitem__)
+            return sorted(scores, key=lambda s: (s.down_until > now, s.mostly_fails(now), scores[s]))
+        return sorted(scores, key=lambda s: (s.down_until > now, scores[s]))
 
     def _candidates(self, now: float, request: Request, among: list[Server], first: bool) -> list[Server]:
-        """Two random ready servers, fewer where there are no more."""
+        """Two random ready servers, fewer where there are no more; one that is down if there is no other."""
         count = len(among)
         found: list[Server] = []
+        down: list[Server] = []
         pool = self.pool_of[request.kind]
         if now >= pool.warm_from:
             self._count_warm(now, pool)
@@ -731,10 +751,13 @@
                 continue
             if self._cold_until(server) > now and (not first or self._spares_cold(now, server, pool)):
                 continue
+            if server.down_until > now:
+                down = [server]
+                continue
             found.append(server)
             if len(found) == 2:
                 break
-        return found
+        return found or down
 
     def _among(self, now: float, request: Request) -> list[Server]:
         """Where a further attempt may go by the rules; empty if nowhere.
@@ -838,6 +861,10 @@
         breaker = server.breaker
         if breaker is None or how is Outcome.VOID or attempt.sent < server.row.started:
             return
+        if how in (Outcome.UNREACHABLE, Outcome.FULL):
+            server.turned_away(now, self.rng)
+        elif how is not Outcome.CANCELLED:
+            server.took()
         if how is Outcome.OK:
             breaker.accepted(now)
             if breaker.current <= 0.0 and self.pooled > 0.0:
--- a/lugspur/membership/watch.py
+++ b/lugspur/membership/watch.py
@@ -13,7 +13,8 @@
 from jaspershelf.model import ListKind
 from lugspur.membership.rows import Address, Endpoint, Reader
 
-SILENT = 6.0  # seconds without a line after which a watch is taken for dead: one comes every 2 s
+SILENT = 3.0  # seconds without a line after which a watch is taken for dead: one comes every 2 s...
+SILENT_SPREAD = 0.2  # ...and up to this part more: all watchers of a service that hangs must not come back at once
 RETRY_FIRST, RETRY_MOST = 0.1, 2.0  # seconds before a reconnect, doubling
 LINE_MOST = 4 << 20  # bytes of one line
 
@@ -115,11 +116,12 @@
         self._buffer = b""
         self._body: list[bytes] = []
         self.ended = self._loop.create_future()
+        self._silent = SILENT * (1.0 + SILENT_SPREAD * random.random())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._silence = self._loop.call_later(SILENT, self.close)
+        self._silence = self._loop.call_later(self._silent, self.close)
         transport.write(self._request)
 
     def on_body(self, body: bytes) -> None:
@@ -136,7 +138,7 @@
     def data_received(self, data: bytes) -> None:
         # Guards against a watch that hangs on a machine that vanished: nothing else would tell.
         self._silence.cancel()
-        self._silence = self._loop.call_later(SILENT, self.close)
+        self._silence = self._loop.call_later(self._silent, self.close)
         try:
             self._parser.feed_data(data)
             self._lines()
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,85 @@
+"""What many instances do together: each acts on what it alone has seen, and the servers feel the sum."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from jaspershelf import Balancer, ListKind, Outcome, Send, ServerRow, Settings
+from jaspershelf.model import Limits, Repeat, RequestClass
+
+UNSAFE = Settings(
+    classes=(RequestClass(aim=0.4, deadline=1.0, repeat=Repeat.UNSAFE),), tier=1, tiers=2,
+    limits=Limits(cancel=True, max_attempts=5),
+)
+
+
+def fleet(count: int, servers: int, seed: int) -> list[Balancer]:
+    made = []
+    for me in range(count):
+        balancer = Balancer(replace(UNSAFE, balancers=count, me=me), seed * 1000 + me)
+        balancer.members(0.0, ListKind.STALE, [ServerRow(n) for n in range(servers)])
+        made.append(balancer)
+    return made
+
+
+def ask(balancer: Balancer, now: float, rid: str, dead: frozenset[int], ends: list[tuple[float, str, int]]) -> int:
+    """One request; how many connections were tried in vain. Where it is served at last it ends 0.3 s later."""
+    vain, actions = 0, balancer.request(now, rid, deadline=now + 1.0)
+    while actions and isinstance(actions[0], Send):
+        if actions[0].server not in dead:
+            ends.append((now + 0.3, rid, vain))
+            return vain
+        actions = balancer.outcome(now, rid, vain, Outcome.UNREACHABLE, 0.0)
+        vain += 1
+    return vain
+
+
+def serve(balancer: Balancer, now: float, ends: list[tuple[float, str, int]]) -> int:
+    served = 0
+    while ends and ends[0][0] <= now:
+        at, rid, number = ends.pop(0)
+        balancer.outcome(at, rid, number, Outcome.OK, 0.3, last=True)
+        served += 1
+    return served
+
+
+def test_a_dead_server_that_is_still_listed_costs_the_fleet_few_dials() -> None:
+    for count in (4, 40):
+        instances, dead = fleet(count, count, 1), frozenset({count // 2})
+        open_: list[list[tuple[float, str, int]]] = [[] for _ in instances]
+        vain = served = asked = 0
+        for step in range(800):  # twenty seconds, the last eight with a dead server; each asks eight times a second
+            now = 1.0 + step / 40.0
+            for me, balancer in enumerate(instances):
+                served += serve(balancer, now, open_[me])
+                if (step + me) % 5 == 0:
+                    vain += ask(balancer, now, f"{step}", dead if step >= 480 else frozenset(), open_[me])
+                    asked += step >= 480
+        assert served + sum(map(len, open_)) == 160 * count  # nobody was turned away
+        # It looks idle to everyone, so all who know it came back to it whenever the others were busy.
+        assert vain <= 0.01 * asked + 15, (count, vain, asked)
+
+
+def test_where_all_servers_are_down_they_are_tried_all_the_same() -> None:
+    [balancer] = fleet(1, 2, 3)
+    for n in range(3):
+        assert ask(balancer, 1.0 + n * 0.01, f"d{n}", frozenset({0, 1}), [])
+    ends: list[tuple[float, str, int]] = []
+    assert ask(balancer, 1.1, "up", frozenset(), ends) == 0 and ends
+
+
+def test_a_server_that_comes_back_is_used_again_at_once() -> None:
+    [balancer] = fleet(1, 2, 5)
+    seen, ends = set(), list[tuple[float, str, int]]()
+    for n in range(200):
+        serve(balancer, 101.0 + n * 0.05, ends)
+        ask(balancer, 101.0 + n * 0.05, f"d{n}", frozenset({0}), ends)
+    now = 112.0
+    serve(balancer, now, ends)
+    balancer.members(now, ListKind.PATCH, [ServerRow(0, started=now - 50.0)])  # another process, warm already
+    for n in range(20):
+        actions = balancer.request(now, f"u{n}", deadline=now + 1.0)
+        assert isinstance(actions[0], Send)
+        seen.add(actions[0].server)
+        balancer.outcome(now, f"u{n}", 0, Outcome.OK, 0.3, last=True)
+    assert seen == {0, 1}
