Let a proxy with thin traffic hold more requests at once, by its part of the servers

Cause: ROOM_ALWAYS = 3 in Balancer._admits, the same whatever part of the tier a proxy stands for: at seven calls a second five at once are chance, no queue.

Change: two more for each server of the proxy's part, beyond one by the root; all together stay under three a proxy and two a server. The extra for a proxy alone in its zone (ROOM_ALONE) follows from it and goes.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -71,7 +71,7 @@
 ROOM_SLOPE = 8.0  # ...which it reaches where one request in so many fails
 ROOM_TRIED = 0.1  # part of the offered rate that counts as served: stuck requests must not hold all room
 ROOM_ALWAYS = 3.0  # requests that are taken whatever was served lately: a start, a proxy with few calls...
-ROOM_ALONE = 2.0  # ...and so many more, while none fail, at a proxy that shares its zone with no other
+ROOM_CHANCE = 2.0  # ...and so many for each server of its part, beyond one by the root: what comes by chance
 SHARE_SPAN = 5.0  # seconds of its share that a tenant may use at once: a burst, not a surplus
 
 POOL_PROTECTION = 1.0  # requests that never count against a pool: all of a proxy's calls fill its window...
@@ -406,7 +406,6 @@
         self.backoff = 1.0
         dearest = max(c.worth for c in settings.classes) or 1.0
         span = (ROOM - ROOM_LEAST) / dearest
-        self.alone = ROOM_ALONE if settings.balancers <= settings.zones else 0.0
         self.room = [c.aim * (ROOM_LEAST + span * c.worth) for c in settings.classes]
         self.pace = 0.0  # baseline of latency for each unit of cost...
         self.paced = 0  # ...and the answers behind it
@@ -437,7 +436,7 @@
         self.pools = list(places.values())
         self.pool_of = [places[row.only_kinds, row.only_zones] for row in after]
         self.shares, self.due, self.due_at = fresh.shares, fresh.due, fresh.due_at
-        self.alone, self.room, self.accept_worth = fresh.alone, fresh.room, fresh.accept_worth
+        self.room, self.accept_worth = fresh.room, fresh.accept_worth
         self.lengths, self.usual = fresh.lengths, fresh.usual
         self.budget.adopt(fresh.budget)
         self._arrange(now)
@@ -626,6 +625,16 @@
         self.due[tenant] -= 1.0
         return False
 
+    def _always(self, pool: Pool) -> float:
+        """How many requests may be owed here whatever was served lately.
+
+        Guards thin traffic: what one of many proxies has in hand by chance is no queue while the servers could
+        take it. Chance goes with the root of the part of the tier that is this proxy's; never more than two a
+        server, one in work and one that waits, so that all proxies together stay under that sum.
+        """
+        part = len(pool.ready) / self.settings.balancers
+        return ROOM_ALWAYS + ROOM_CHANCE * min(part, sqrt(part))
+
     def _admits(self, now: float, kind: int, over: bool) -> bool:
         """Whether the tiers below can be expected to serve one more request of this class in time.
 
@@ -635,9 +644,7 @@
         served a second, make a wait too long for the class, or by the design's throttle over whole requests.
         The wait shrinks with the part that fails: queues that lose requests must drain before they serve.
         The throttle guards against sparse windows: at many proxies each breaker of one server stays under its
-        protection while all of them fail. Could harm: a short burst at a proxy with few calls is refused; its
-        clients are dealt to the zone's other proxies, but where there are none they come straight back, so
-        there a burst is no overload until requests fail.
+        protection while all of them fail. Could harm: a short burst at a proxy with few calls is refused.
         """
         if self.settings.tier:
             return True
@@ -651,7 +658,7 @@
         served = pool.rate.read(now) * (1.0 if age < room else ROOM_TRIED)
         served = max(served, pool.served.read(now))
         served /= 1.0 - exp(-max(age, 0.2) / 2.0)
-        if pool.owed > room * served + ROOM_ALWAYS + self.alone * (1.0 - shrink):
+        if pool.owed > room * served + self._always(pool):
             return False
         if self.rng.random() < pool.breaker.error_ratio(now, self.accept_worth[kind], POOL_PROTECTION):
             pool.breaker.refused(now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -83,3 +83,31 @@
         seen.add(actions[0].server)
         balancer.outcome(now, f"u{n}", 0, Outcome.OK, 0.3, last=True)
     assert seen == {0, 1}
+
+
+FRONT = replace(UNSAFE, tier=0, tiers=1)
+
+
+def burst(balancers: int, servers: int, size: int) -> tuple[int, int]:
+    """Instances with a call a second each get `size` at once: how many one takes, and all together."""
+    taken = []
+    for me in range(balancers):
+        balancer = Balancer(replace(FRONT, balancers=balancers, me=me), me)
+        balancer.members(0.0, ListKind.STALE, [ServerRow(n) for n in range(servers)])
+        for n in range(8):
+            balancer.request(1.0 + n, f"w{n}", deadline=2.0 + n)
+            balancer.outcome(1.1 + n, f"w{n}", 0, Outcome.OK, 0.1, last=True)
+        sent = [balancer.request(9.0, f"b{n}", deadline=10.0) for n in range(size)]
+        taken.append(sum(isinstance(actions[0], Send) for actions in sent))
+    return taken[0], sum(taken)
+
+
+def test_a_burst_that_the_tier_could_take_is_no_overload_at_thin_traffic() -> None:
+    assert burst(7, 14, 7)[0] == 5  # its part is two servers; it took three, whatever the tier could do
+    assert burst(40, 10, 7)[0] == 3
+
+
+def test_what_all_take_at_once_grows_with_proxies_and_servers_not_with_their_product() -> None:
+    for balancers in (4, 40, 400):
+        _, together = burst(balancers, 60, 60)
+        assert together <= 4 * balancers + 2 * 60, (balancers, together)
