--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -628,7 +628,7 @@
     def _always(self, pool: Pool) -> float:
         """How many requests may be owed here whatever was served lately.
 
-        Guards thin traffic: what one of many proxies has in hand by chance is no queue while the servers could
+        Guards thin traffic: what one of many proxies has in hand by chance is no queue while servers could
         take it. Chance goes with the root of the part of the tier that is this proxy's; never more than two a
         server, one in work and one that waits, so that all proxies together stay under that sum.
         """
--- a/lugspur/joining/desk.py
+++ b/lugspur/joining/desk.py
@@ -142,6 +142,9 @@
         out: list[Action] = []
         if self.joined >= self.most and not self._make_room(tenant, out):
             return [Turn(number)]
+        if flight.number not in self.flights:
+            # Guards the newcomer: who made room was the last of that flight, whose call has been dropped.
+            return [*out, self._start(now, whole, key, [Member(number, tenant, deadline, told, _NONE, False)])]
         member = Member(number, tenant, deadline, told, flight, True)
         self.waiting.setdefault(tenant, {})[number] = None
         self.joined += 1
--- a/tests/joining/test_desk.py
+++ b/tests/joining/test_desk.py
@@ -183,6 +183,15 @@
         "a": 1, "b": 1, "c": 1}
 
 
+def test_a_newcomer_whose_flight_ends_as_room_is_made_leads_one_of_its_own() -> None:
+    asks = Asks(2)
+    for key in ("k", "k", "l", "l"):
+        asks.ask(0.0, "a", key=key)
+    assert asks.desk.gone(3) == []  # the leader has left: the fourth alone waits for that flight
+    assert asks.ask(0.0, "b", key="l") == [Turn(4), Drop(2), Start(3, 5, 9.0)]
+    assert asks.desk.gone(5) == [Drop(3)] and not asks.desk.waiting.get("b")
+
+
 def test_a_desk_without_places_joins_nobody() -> None:
     asks = Asks(0)
     asks.ask(0.0)
