Let only an answer end a server's being left alone, not a hung attempt's time-out

Seen on rereading: Balancer._learn called Server.took for a time-out or a break too. An attempt that began before a server vanished times out after the first dials to it have failed, and so brought the dead server back. The outcomes that count as not taken are NEVER_RAN, which stood there already. A test fails without the change.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -276,7 +276,7 @@
         self.down_until = now + min(DOWN_MOST, DOWN_FIRST * 2.0 ** (self.downs - 1)) * (0.5 + rng.random())
 
     def took(self) -> None:
-        """It takes requests, whatever became of this one."""
+        """It has answered. What hangs or breaks proves nothing: it may have begun before the server died."""
         self.downs, self.down_until = 0, 0.0
 
     def learn(self, now: float, latency: float) -> None:
@@ -868,9 +868,9 @@
         breaker = server.breaker
         if breaker is None or how is Outcome.VOID or attempt.sent < server.row.started:
             return
-        if how in (Outcome.UNREACHABLE, Outcome.FULL):
+        if how in NEVER_RAN:
             server.turned_away(now, self.rng)
-        elif how is not Outcome.CANCELLED:
+        elif how in (Outcome.OK, Outcome.ERROR):
             server.took()
         if how is Outcome.OK:
             breaker.accepted(now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -68,6 +68,21 @@
     assert ask(balancer, 1.1, "up", frozenset(), ends) == 0 and ends
 
 
+def test_an_attempt_that_hung_since_before_a_server_died_does_not_bring_it_back() -> None:
+    [balancer] = fleet(1, 1, 4)
+    for rid in ("hangs", "dials"):
+        balancer.request(1.0, rid, deadline=2.0)
+    balancer.outcome(1.1, "dials", 0, Outcome.UNREACHABLE, 0.1)
+    [server] = balancer.servers.values()
+    until = server.down_until
+    assert until > 1.1
+    balancer.outcome(1.2, "hangs", 0, Outcome.TIMEOUT, 0.2)
+    assert server.down_until == until
+    balancer.request(1.3, "answered", deadline=2.0)
+    balancer.outcome(1.4, "answered", 0, Outcome.OK, 0.1, last=True)
+    assert server.down_until == 0.0
+
+
 def test_a_server_that_comes_back_is_used_again_at_once() -> None:
     [balancer] = fleet(1, 2, 5)
     seen, ends = set(), list[tuple[float, str, int]]()
