Listen on a second address: ready, maintenance of backends, drain and undrain

Change: `lugspur/management` (calls without I/O, a door that carries them, the acts) on `management`/RELAY_MANAGEMENT, asleep without it; `membership/maintenance.py` lays bans over each list; a drain closes with each answer and lets idle callers go from 1 s on.

--- a/lugspur/config/platform.py
+++ b/lugspur/config/platform.py
@@ -37,6 +37,7 @@
     types: dict[str, int]
     conn_idle: float
     dial_timeout: float
+    management: Address | None = None  # the second address, for operators
 
 
 def _indices(names: list[str]) -> dict[str, int]:
@@ -48,6 +49,7 @@
     bounds = wire.get("Bounds") or {}
     settings = read_settings(wire)
     settings.check()
+    management = environ.get("RELAY_MANAGEMENT") or raw.get("management")
     return Config(
         name=environ.get("RELAY_NAME") or raw["name"],
         listen=read_address(environ.get("RELAY_LISTEN") or raw["listen"]),
@@ -63,6 +65,7 @@
         types=_indices(wire.get("HostTypes") or []),
         conn_idle=float(bounds.get("ConnIdle", 15.0)),
         dial_timeout=float(bounds.get("DialTimeout", 0.25)),
+        management=read_address(management) if management else None,
     )
 
 
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -165,7 +165,8 @@
         """Call once, after the list known at the start was given."""
         self._perform(self._decide(self.balancer.start))
 
-    def _now(self) -> float:
+    def now(self) -> float:
+        """The time that lists use."""
         return self._loop.time() + self._epoch
 
     def _decide(
@@ -173,7 +174,7 @@
     ) -> list[Action]:
         """Ask the module; an exception there fails the request that it was about, and nothing else."""
         try:
-            return method(self._now(), *args)
+            return method(self.now(), *args)
         except Exception:
             self._complaints.add()
             if call is not None:
@@ -182,7 +183,7 @@
 
     def adopt(self, settings: Settings) -> None:
         """Go on by other settings; the classes of requests in hand must keep their places."""
-        self.balancer.adopt(self._now(), settings)
+        self.balancer.adopt(self.now(), settings)
         self.settings = settings
         self._repeatable = [row.repeat is not Repeat.UNSAFE for row in settings.classes]
 
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -14,12 +14,14 @@
 from lugspur.http1.intake import Rejected, Request
 from lugspur.http1.upstream import HELD_PART, Response, Upstream
 from lugspur.membership import watch
-from lugspur.membership.rows import Endpoint, Reader
+from lugspur.membership.maintenance import Maintenance
+from lugspur.membership.rows import Endpoint, Reader, server_id
 from lugspur.routing.shares import Shares
 
 if TYPE_CHECKING:
     from lugspur.http2.pipe import Pipe
 
+MANAGEMENT_SOCKETS = 32  # descriptors set aside where there is a second address, for its listener and callers
 SPARE_SOCKETS = 48  # descriptors for the listener, discovery, the loop, and callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
@@ -37,7 +39,10 @@
         loop = asyncio.get_running_loop()
         self._config = config
         self._open: set[bytes] = set()  # the callers' ids of the requests that an answer is owed for
-        sockets = max(8, config.sockets - SPARE_SOCKETS)
+        # Set aside, so that full callers can't lock operators out.
+        spare = SPARE_SOCKETS + (0 if config.management is None else MANAGEMENT_SOCKETS)
+        sockets = max(8, config.sockets - spare)
+        self.maintenance = Maintenance()
         callers = int(CALLERS_PART * sockets)
         connections = Upstream(
             Shares(sockets - callers, {}), "", config.conn_idle, config.dial_timeout,
@@ -51,7 +56,7 @@
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
         epoch = time.time() - loop.time()
         self.pool = Pool(config.settings, config.seed, connections, self, epoch, self._discovery.open)
-        self.pool.members(ListKind.STALE, reader.endpoints(config.known))
+        self.pool.members(ListKind.STALE, self.maintenance.lay(ListKind.STALE, reader.endpoints(config.known)))
         self.pool.start()
         if config.settings.discovery is Discovery.PUSHED:
             self._discovery.open()
@@ -65,12 +70,47 @@
 
     def _told(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
         if endpoints or kind is not ListKind.PATCH:
-            self.pool.members(kind, endpoints)
+            self.pool.members(kind, self.maintenance.lay(kind, endpoints))
         self._loaded()
 
     def _loaded(self) -> None:
         self.front.ready = True
 
+    # ---- what operators ask ----------------------------------------------------------------------
+
+    @property
+    def takes_clients(self) -> bool:
+        """Whether this process takes clients: the list is loaded, and it listens."""
+        return self.front.ready and self.front.serving
+
+    def disable(self, name: str) -> bool:
+        """Nothing more to this backend, whatever lists say; whether it was ever listed."""
+        server = server_id(name)
+        if not self.maintenance.known(server):
+            return False
+        self._patch(self.maintenance.disable(server))
+        return True
+
+    def enable(self, name: str) -> bool:
+        """It may serve again, and begins cold; whether it was ever listed."""
+        server = server_id(name)
+        if not self.maintenance.known(server):
+            return False
+        self._patch(self.maintenance.enable(server, self.pool.now()))
+        return True
+
+    def drain(self) -> None:
+        """Send clients away; the process stays."""
+        self.front.drain()
+
+    def undrain(self) -> None:
+        """Take clients again."""
+        self.front.undrain()
+
+    def _patch(self, endpoints: list[Endpoint]) -> None:
+        if endpoints:
+            self.pool.members(ListKind.PATCH, endpoints)
+
     # ---- requests ------------------------------------------------------------------------------
 
     def _request(self, request: Request, caller: Caller) -> None:
--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -19,6 +19,10 @@
 CLOSE_AFTER = 0.02  # seconds in which what has just been accepted can still be read
 
 
+class StartError(Exception):
+    """The proxy can't take up service."""
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM, then finish what was taken."""
     loop = asyncio.get_running_loop()
@@ -28,6 +32,16 @@
     proxy = Proxy(config)
     front = proxy.front
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
+    if config.management is not None:
+        # Imported only here: a proxy without a second address stays lean.
+        from lugspur.management.acts import acts
+        from lugspur.management.door import Door
+
+        door = Door(config.management, acts(proxy))
+        try:
+            await door.open()
+        except OSError as fault:
+            raise StartError(f"management {config.management[0]}:{config.management[1]}: {fault}") from fault
     listener = await front.listen()
     gc.collect()
     gc.freeze()
@@ -73,6 +87,9 @@
         return 2
     try:
         asyncio.run(serve(config))
+    except StartError as fault:
+        print(f"lugspur: {fault}", file=sys.stderr)
+        return 1
     except OSError as fault:
         print(f"lugspur: {config.listen[0]}:{config.listen[1]}: {fault}", file=sys.stderr)
         return 1
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -25,6 +26,9 @@
 HELD_PART = 0.25  # of the memory limit, for bodies that are not whole: hundreds of them could fill it
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"  # how HTTP/2 begins (RFC 9113 3.4); no HTTP/1.1 request does
 PIPELINE_MOST = 8  # requests that may wait behind another: callers send one at a time
+DRAIN_FROM = 1.0  # seconds after a drain from which idle connections are let go: until then most ask once more...
+DRAIN_SETTLE = 0.3  # seconds in which a connection that came after the call may still bring its first request
+DRAIN_EVERY = 0.1  # ...and between looks from then on: who can still ask 2 s after the call is held 4 s after it
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}  # backends may send others
@@ -54,10 +58,12 @@
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
         self.closing = False
+        self.drained_at: float | None = None  # when operators had clients sent away
         self.held = 0  # bytes of bodies that are not whole
         self._limit(most, memory)
         self.buffer = memoryview(bytearray(READ))
         self.callers: set[Held] = set()
+        self.look = select.poll()
         # Those that owe no answer, each with the loop's time at which it has to go.
         self.leaving: dict[Held, float] = {}  # answered for the last time
         self.fresh: dict[Held, float] = {}  # nothing has come yet
@@ -84,7 +90,7 @@
 
     def healthy(self) -> bool:
         """Whether requests should be sent here."""
-        return self.ready and self.serving
+        return self.ready and self.serving and self.drained_at is None
 
     async def listen(self, sock: socket.socket | None = None) -> socket.socket:
         """Serve on the given address alone, or on a socket that is bound to it."""
@@ -118,6 +124,30 @@
         for caller in tuple(self.callers):
             caller.front_closes()
 
+    def drain(self) -> None:
+        """Send callers away: answers close their connection, and idle ones are let go a little later."""
+        if self.drained_at is None:
+            self.drained_at = self._loop.time()
+            self._let_go_in(DRAIN_FROM)
+
+    def undrain(self) -> None:
+        """Take callers again."""
+        self.drained_at = None
+
+    def _let_go_in(self, delay: float) -> None:
+        if self.drained_at is not None:
+            self._loop.call_later(delay, self._let_go, self.drained_at)
+
+    def _let_go(self, drained_at: float) -> None:
+        """Let go of callers that owe nothing."""
+        if self.drained_at != drained_at:
+            return
+        self._let_go_in(DRAIN_EVERY)
+        settled = self._loop.time() + self.first_within - DRAIN_SETTLE
+        for caller in tuple(self.callers):
+            if caller.quiet() and self.fresh.get(caller, 0.0) < settled:
+                caller.front_closes()
+
     def full(self, newcomer: Held) -> bool:
         """Whether there are too many callers, and none but this one that could go."""
         if len(self.callers) <= self.most:
@@ -204,6 +234,13 @@
         """Close it, once what is written is out."""
         raise NotImplementedError
 
+    def quiet(self) -> bool:
+        """Whether nothing waits unread: closing now crosses no request that has come."""
+        self.front.look.register(self._fd, select.POLLIN)
+        waits = bool(self.front.look.poll(0))
+        self.front.look.unregister(self._fd)
+        return not waits
+
     def front_closes(self) -> None:
         """Nothing is taken from here on: it goes when it owes nothing."""
         if self._place is self.front.fresh or self._place is self.front.idle:
@@ -403,7 +440,7 @@
         """
         self.gone = None
         self._busy = False
-        keep = self._keep_alive and not self.front.closing
+        keep = self._keep_alive and not self.front.closing and self.front.drained_at is None
         self._write(status, head, body, keep, length)
         if not keep:
             self._queue.clear()
--- /dev/null
+++ b/lugspur/management/__init__.py
@@ -0,0 +1,1 @@
+"""The second address: calls of operators to one running proxy."""
--- /dev/null
+++ b/tests/management/test_management.py
@@ -0,0 +1,220 @@
+"""The second address of a running proxy, on loopback: bans, drains, and callers that hang."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from loopback import HOST, OK, WIRE, Client, Running, backend, book, entry, read, running, soon, status, until
+
+from lugspur.http1 import front as fronts
+from lugspur.management.acts import acts
+from lugspur.management.door import MOST, Door
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+@asynccontextmanager
+async def operated(up: Running) -> AsyncIterator[int]:
+    """The second address of a running proxy: its port."""
+    door = Door((HOST, 0), acts(up.proxy))
+    sock = await door.open()
+    try:
+        yield sock.getsockname()[1]
+    finally:
+        door.close()
+
+
+async def call(port: int, method: str, path: str, body: str = "") -> int:
+    """One call's status."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    answer = await soon(reader.read())
+    writer.close()
+    return status(answer)
+
+
+def test_a_disabled_backend_gets_nothing_until_it_is_enabled() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            entries = [entry("s-1", one.address), entry("s-2", two.address)]
+            async with running(entries) as up, operated(up) as port:
+                client = await up.client()
+                for number in range(20):
+                    assert status(await client.ask(read(number))) == 200
+                assert await call(port, "POST", "/backends/disable", "s-1") == 200
+                before = one.got.qsize()
+                assert before
+                for number in range(20, 40):  # kept connections and lists that say otherwise change nothing
+                    up.tell([entry("s-1", one.address, since_ms=number)])
+                    assert status(await client.ask(read(number))) == 200
+                assert one.got.qsize() == before
+                assert await call(port, "POST", "/backends/enable", "s-1") == 200
+                assert await call(port, "POST", "/backends/disable", "s-2") == 200
+                for number in range(40, 60):
+                    assert status(await client.ask(read(number))) == 200
+                assert one.got.qsize() == before + 20
+                assert await call(port, "POST", "/backends/disable", "s-1") == 200
+                assert status(await client.ask(read(60))) == 503  # none is left
+
+    asyncio.run(play())
+
+
+def test_what_is_open_at_a_disabled_backend_finishes_and_a_repeat_goes_elsewhere() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, backend(lambda _: OK) as two:
+            async with running([entry("s-1", one.address)]) as up, operated(up) as port:
+                open_, repeated = await up.client(), await up.client()
+                open_.writer.write(book(1))
+                await soon(one.got.get())
+                repeated.writer.write(read(2))
+                await soon(one.got.get())
+                assert await call(port, "POST", "/backends/disable", "s-1") == 200
+                up.tell([entry("s-2", two.address)])
+                one.open[0].write(OK)
+                one.open[1].close()
+                assert status(await open_.answer()) == 200
+                assert status(await repeated.answer()) == 200
+                assert two.got.qsize() == 1
+
+    asyncio.run(play())
+
+
+def test_calls_about_backends_that_can_not_be_meant() -> None:
+    async def play() -> None:
+        async with running([entry("s-1", f"{HOST}:9")]) as up, operated(up) as port:
+            for path in ("/backends/disable", "/backends/enable"):
+                assert await call(port, "POST", path, "s-9") == 404
+                assert await call(port, "POST", path, "") == 400
+                assert await call(port, "POST", path, "s" * 200) == 400
+                assert await call(port, "POST", path, "s\t1") == 400
+            assert await call(port, "POST", "/backends/enable", "s-1") == 200
+            up.tell([entry("s-1", f"{HOST}:9", "terminated")])
+            assert await call(port, "POST", "/backends/disable", "s-1") == 200
+
+    asyncio.run(play())
+
+
+def test_ready_is_said_once_clients_are_taken() -> None:
+    async def play() -> None:
+        async with running([]) as up, operated(up) as port:
+            assert await call(port, "GET", "/ready") == 503
+            up.proxy.front.ready = True
+            assert await call(port, "GET", "/ready") == 200
+
+    asyncio.run(play())
+
+
+def test_callers_that_hang_lock_no_operator_out() -> None:
+    async def play() -> None:
+        async with running([]) as up, operated(up) as port:
+            up.proxy.front.ready = True
+            hung = []
+            for number in range(2 * MOST):
+                reader, writer = await asyncio.open_connection(HOST, port)
+                writer.write(b"POST /drain HTTP/1.1\r\nHost"[: number % 30])
+                hung.append((reader, writer))
+                assert await call(port, "GET", "/ready") == 200
+            assert up.proxy.front.drained_at is None
+            assert await soon(hung[0][0].read()) == b""  # the oldest had to go
+            for _, writer in hung:
+                writer.close()
+
+    asyncio.run(play())
+
+
+async def healthy(up: Running) -> int:
+    """What `/healthz` says."""
+    client = await up.client()
+    answer = await client.ask(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+    client.writer.close()
+    return status(answer)
+
+
+def test_a_drain_sends_callers_away_and_cuts_none_off() -> None:
+    async def play() -> None:
+        async with backend(lambda request: None if b"id9" in request else OK) as one:
+            async with running([entry("s-1", one.address)]) as up, operated(up) as port:
+                up.proxy.front.ready = True
+                idle, asking, busy = [await up.client() for _ in range(3)]
+                assert status(await idle.ask(read(1))) == 200
+                assert status(await asking.ask(read(2))) == 200
+                busy.writer.write(book(9))
+                await until(lambda: one.got.qsize() == 3)
+                assert await call(port, "POST", "/drain") == 200
+                assert await healthy(up) == 503
+                answer = await asking.ask(read(3))
+                assert status(answer) == 200
+                assert b"Connection: close" in answer
+                late = await up.client()  # the front has not noticed yet
+                assert status(await late.ask(read(4))) == 200
+                assert await soon(idle.reader.read()) == b""  # let go, nothing sent
+                one.open[-1].write(OK)
+                one.open[0].write(OK)
+                answer = await busy.answer()
+                assert status(answer) == 200
+                assert b"Connection: close" in answer
+                await until(lambda: not up.proxy.front.callers)
+                assert await call(port, "POST", "/undrain") == 200
+                assert await healthy(up) == 200
+                back = await up.client()
+                assert b"Connection: close" not in await back.ask(read(5))
+                assert await call(port, "GET", "/ready") == 200
+
+    asyncio.run(play())
+
+
+def test_a_drain_that_ends_early_lets_nobody_go() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("s-1", one.address)]) as up, operated(up) as port:
+            up.proxy.front.ready = True
+            client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            for _ in range(3):
+                assert await call(port, "POST", "/drain") == 200
+                assert await call(port, "POST", "/undrain") == 200
+            await asyncio.sleep(fronts.DRAIN_FROM + 2 * fronts.DRAIN_EVERY)
+            assert b"Connection: close" not in await client.ask(read(2))
+
+    asyncio.run(play())
+
+
+def test_bytes_that_wait_unread_keep_a_connection_at_a_drain() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("s-1", one.address)]) as up:
+            client: Client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            [held] = up.proxy.front.callers
+            assert held.quiet()
+            client.writer.write(read(2))  # the loop has had no turn to read it
+            assert not held.quiet()
+            up.proxy.front.drained_at = 0.0
+            up.proxy.front._let_go(0.0)
+            assert status(await client.answer()) == 200
+
+    asyncio.run(play())
+
+
+def test_an_address_that_is_taken_is_one_clear_error(tmp_path: Path) -> None:
+    async def play() -> None:
+        taken = await asyncio.start_server(lambda _, writer: writer.close(), HOST, 0)
+        port = taken.sockets[0].getsockname()[1]
+        raw = {"name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:9", "seed": "1",
+               "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": WIRE,
+               "management": f"{HOST}:{port}"}
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(raw))
+        done = await asyncio.to_thread(subprocess.run, [sys.executable, "-m", "lugspur"], cwd=ROOT, text=True,
+                                       env=os.environ | {"RELAY_CONFIG": str(path)}, capture_output=True)
+        taken.close()
+        assert done.returncode == 1
+        assert done.stderr.startswith(f"lugspur: management {HOST}:{port}: ")
+        assert done.stderr.count("\n") == 1
+
+    asyncio.run(play())
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -205,7 +205,7 @@
 def test_the_modules_clock_is_the_lists_clock() -> None:
     async def play() -> None:
         async with running([]) as up:
-            assert abs(up.proxy.pool._now() - time.time()) < 5.0
+            assert abs(up.proxy.pool.now() - time.time()) < 5.0
 
     asyncio.run(play())
 
