Take up other settings at SIGHUP in one step, and judge by both while callers change over

Files with a negative deadline or no text were refused already; one short of a key was taken with the default in its place.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -322,11 +322,12 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "attempts", "begun", "bound", "cost", "deadline", "done", "id", "kind", "open", "until",
+        "attempts", "begun", "bound", "cost", "deadline", "done", "id", "kind", "most", "open", "until",
     )
 
-    def __init__(self, rid: RequestId, kind: int, deadline: float) -> None:
+    def __init__(self, rid: RequestId, kind: int, deadline: float, most: int) -> None:
         self.id = rid
+        self.most = most  # attempts, by the settings that it began with
         self.kind = kind
         self.deadline = deadline
         self.until = deadline  # no attempt is waited for longer than this
@@ -580,7 +581,7 @@
             raise ValueError(f"rid: {rid!r} is open already")
         if deadline is None:
             deadline = now + self.settings.classes[kind].deadline
-        request = Request(rid, kind, deadline)
+        request = Request(rid, kind, deadline, self.settings.limits.max_attempts)
         request.until = self._worth_until(now, kind, deadline, retry)
         self.requests[rid] = request
         self.budget.take(now)
@@ -787,7 +788,7 @@
         """Try a further attempt within the rules and the retry budget."""
         if request.done or request.bound or now >= request.until or not self.budget.allows(now):
             return False
-        if len(request.attempts) >= self.settings.limits.max_attempts:
+        if len(request.attempts) >= request.most:
             return False
         return self._send(now, request, self._among(now, request), False, out)
 
--- a/lugspur/config/platform.py
+++ b/lugspur/config/platform.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 
 from jaspershelf.adapter import read_settings
 from jaspershelf.model import Settings
+from lugspur.config import retune
 from lugspur.membership.rows import Address, read_address
 
 MEMORY_MB = 192  # where the configuration states no limit: the most that the platform gives
@@ -37,6 +38,7 @@
     types: dict[str, int]
     conn_idle: float
     dial_timeout: float
+    wire: dict[str, Any] = field(default_factory=dict)  # settings and limits as they were told
     management: Address | None = None  # the second address, for operators
 
 
@@ -44,8 +46,10 @@
     return {name: index for index, name in enumerate(names)}
 
 
-def _read(environ: Mapping[str, str], raw: dict[str, Any]) -> Config:
+def _read(environ: Mapping[str, str], raw: dict[str, Any], former: dict[str, Any] | None) -> Config:
     wire = raw["settings"]
+    if former is not None:
+        retune.check(former, raw)
     bounds = wire.get("Bounds") or {}
     settings = read_settings(wire)
     settings.check()
@@ -65,18 +69,22 @@
         types=_indices(wire.get("HostTypes") or []),
         conn_idle=float(bounds.get("ConnIdle", 15.0)),
         dial_timeout=float(bounds.get("DialTimeout", 0.25)),
+        wire={"settings": wire, "limits": raw["limits"]},
         management=read_address(management) if management else None,
     )
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """The configuration that the environment names; every fault is a ConfigError of one line."""
+def load(environ: Mapping[str, str], former: dict[str, Any] | None = None) -> Config:
+    """The configuration that the environment names; every fault is a ConfigError of one line.
+
+    One that is to replace `former` settings is held against them: nothing may be missing.
+    """
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            return _read(environ, orjson.loads(file.read()))
+            return _read(environ, orjson.loads(file.read()), former)
     except KeyError as fault:
         raise ConfigError(f"{path}: {fault} is missing") from fault
     except (OSError, ValueError, TypeError, AttributeError) as fault:
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -5,11 +5,14 @@
 import asyncio
 import re
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from jaspershelf.model import Discovery, ListKind, Outcome, Repeat
+from jaspershelf.model import Discovery, ListKind, Outcome, Repeat, Settings
 from lugspur.config.platform import Config
+from lugspur.daemon.places import places
 from lugspur.daemon.pool import Call, Facts, Pool
+from lugspur.daemon.terms import CHANGE_WITHIN, STILL_COMING, Terms
 from lugspur.http1.front import Caller, Front
 from lugspur.http1.intake import Rejected, Request
 from lugspur.http1.upstream import HELD_PART, Response, Upstream
@@ -37,7 +40,10 @@
 
     def __init__(self, config: Config) -> None:
         loop = asyncio.get_running_loop()
-        self._config = config
+        self.wire = config.wire
+        self._tenants = config.tenants
+        self._terms = Terms(config.settings)
+        self._loop = loop
         self._open: set[bytes] = set()  # the callers' ids of the requests that an answer is owed for
         # Set aside, so that full callers can't lock operators out.
         spare = SPARE_SOCKETS + (0 if config.management is None else MANAGEMENT_SOCKETS)
@@ -49,7 +55,7 @@
             int(HELD_PART * config.memory),
         )
         self.front = Front(config.listen, callers, config.memory, self._request)
-        reader = Reader(config.zones, config.types)
+        self._reader = reader = Reader(config.zones, config.types)
         self._discovery = watch.Discovery(
             config.discovery, reader, config.known["index"], self._told
         )
@@ -65,9 +71,31 @@
             loop.call_later(KNOWN_AFTER, self._loaded)
 
     def reload(self, config: Config) -> None:
-        """Take over what a new configuration may change while the proxy runs: where discovery is."""
+        """Take over other settings and where discovery is, in one step; raises ValueError and changes nothing."""
+        before = self._terms
+        self._terms = before.copy()
+        try:
+            self._adopt(self._terms.retune(config.settings, self._loop.time()))
+        except ValueError:
+            self._terms = before
+            raise
+        self._loop.call_later(CHANGE_WITHIN + STILL_COMING, self._settle)
+        self.wire, self._tenants = config.wire, config.tenants
+        self._reader.name(config.zones, config.types)
+        self.pool.upstream.retime(config.conn_idle, config.dial_timeout)
         self._discovery.move(config.discovery)
 
+    def _settle(self) -> None:
+        settings = self._terms.settle(self._loop.time())
+        if settings is not None:
+            self._adopt(settings)
+
+    def _adopt(self, settings: Settings) -> None:
+        held = {call.facts.kind for call in self.pool.calls.values()}
+        classes = places(self.pool.settings.classes, settings.classes, held)
+        self.pool.adopt(replace(settings, classes=tuple(classes)))
+        self._terms.placed(self.pool.settings)
+
     def _told(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
         if endpoints or kind is not ListKind.PATCH:
             self.pool.members(kind, self.maintenance.lay(kind, endpoints))
@@ -138,16 +166,16 @@
         if not ID.fullmatch(get(b"x-request-id", b"")):
             raise Rejected(400, "no request id, or a malformed one")
         name = get(b"x-priority-class", b"").decode("latin-1")
-        kind = self._config.classes.get(name)
-        if kind is None:
+        rows = self._terms.rows(name, request.arrived)
+        if not rows:
             raise Rejected(400, "unknown class")
-        row = self._config.settings.classes[kind]
-        method, keyed = METHODS[row.repeat]
-        if request.method != method or (keyed and not get(b"idempotency-key")):
+        fitting = [(kind, row) for kind, row in rows if fits(request, row.repeat)]
+        if not fitting:
             raise Rejected(400, "the method does not fit the class")
+        kind, row = fitting[0]
         tenant: int | None = 0
-        if self._config.tenants:
-            tenant = self._config.tenants.get(get(b"x-tenant-id", b"").decode("latin-1"))
+        if self._tenants:
+            tenant = self._tenants.get(get(b"x-tenant-id", b"").decode("latin-1"))
         if tenant is None:
             raise Rejected(400, "unknown tenant")
         timeout = get(b"x-timeout", b"")
@@ -184,6 +212,12 @@
         self._open.discard(call.request.headers[b"x-request-id"])
 
 
+def fits(request: Request, repeat: Repeat) -> bool:
+    """Whether a request comes in the form of the classes that may be repeated so."""
+    method, keyed = METHODS[repeat]
+    return request.method == method and (not keyed or bool(request.headers.get(b"idempotency-key")))
+
+
 def read_cost(request: Request) -> float:
     """A caller's guess at the work, in seconds; 0 where there is none, or none that can be read."""
     cost = request.headers.get(b"x-cost", b"")
--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -53,11 +53,10 @@
     """Read the configuration file again; one that can't be read changes nothing."""
     try:
         # The file alone: the environment still names the discovery of the start.
-        config = load({"RELAY_CONFIG": os.environ.get("RELAY_CONFIG", "")})
-    except ConfigError as fault:
-        print(f"lugspur: reload: {fault}", file=sys.stderr, flush=True)
-        return
-    proxy.reload(config)
+        config = load({"RELAY_CONFIG": os.environ.get("RELAY_CONFIG", "")}, proxy.wire)
+        proxy.reload(config)
+    except (ConfigError, ValueError) as fault:
+        print(f"lugspur: reload: {fault}; the former settings stay", file=sys.stderr, flush=True)
 
 
 async def drain(front: Front, listener: socket.socket) -> None:
--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import os
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -12,6 +12,7 @@
 from lugspur.config import model
 from lugspur.config.build import member_name
 from lugspur.config.load import resolved
+from lugspur.daemon.places import places
 from lugspur.daemon.pool import Owner, Pool
 from lugspur.http1.upstream import Upstream
 from lugspur.membership.nodes import Nodes
@@ -42,26 +43,6 @@
     return Outcome.FULL if status in (503, 504) and unseen else Outcome.ERROR
 
 
-def places(known: Sequence[RequestClass], wanted: Sequence[RequestClass], held: set[int]) -> list[RequestClass]:
-    """The classes that a pool goes on with: all that are wanted, and those of open requests at their places.
-
-    Guards open requests, which are judged by the class that they began with. A place that no open request and
-    no wanted class needs is used again: the list does not grow with the number of reloads.
-    """
-    kept: list[RequestClass | None] = []
-    for at, former in enumerate(known):
-        needed = at in held or (former in wanted and former not in kept)  # a spare place may hold a class twice
-        kept.append(former if needed else None)
-    missing = [row for row in wanted if row not in kept]
-    for at, row in enumerate(kept):
-        if row is None and missing:
-            kept[at] = missing.pop(0)
-    while kept and kept[-1] is None:
-        kept.pop()
-    spare = wanted[0]
-    return [spare if row is None else row for row in kept] + missing
-
-
 class Station:
     """A pool by its name in the file."""
 
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -517,6 +517,10 @@
         self._keep, self._dial_timeout = IDLE_PART * conn_idle, dial_timeout
         self.held_most, self.answer_most = held_most, answer_most
 
+    def retime(self, conn_idle: float, dial_timeout: float) -> None:
+        """Go on by other times."""
+        self._keep, self._dial_timeout = IDLE_PART * conn_idle, dial_timeout
+
     def close(self) -> None:
         """Let go of all idle connections; nothing is sent from here any more."""
         self._sweeping.cancel()
--- a/lugspur/membership/rows.py
+++ b/lugspur/membership/rows.py
@@ -43,6 +43,10 @@
     ) -> None:
         self._zones, self._types, self._protocol = zones, types, protocol
 
+    def name(self, zones: Mapping[str, int], types: Mapping[str, int]) -> None:
+        """Other settings name zones and types from here on."""
+        self._zones, self._types = zones, types
+
     @staticmethod
     def _place(name: str, known: Mapping[str, int] | None) -> int:
         """A name's place; without a list of known names the name itself as a number, so that two differ."""
--- a/tests/test_adopt.py
+++ b/tests/test_adopt.py
@@ -21,7 +21,7 @@
     Settings,
     Tenant,
 )
-from lugspur.daemon.station import places
+from lugspur.daemon.places import places
 
 READ = RequestClass("read", repeat=Repeat.SAFE, late_worth=1.0)
 BOOK = RequestClass("book", late_worth=1.0)
