Let a second process take the first one's place: listening socket, callers, bans, what was learned

Change: lugspur/handover: messages without I/O (versioned, in bounded parts), a link over a Unix socket in TMPDIR, a keeper. The new process gets the listening socket itself and all state; on SIGTERM the old one gives it each caller's connection once nothing of it is open. Balancer.learned/recall/retire, typed in model.py: cold servers have one budget. SO_REUSEPORT is the way back.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -24,6 +24,10 @@
     Discovery,
     Fail,
     Group,
+    Learned,
+    LearnedBreaker,
+    LearnedPool,
+    LearnedServer,
     ListKind,
     Outcome,
     Refuse,
@@ -124,6 +128,18 @@
             self._failures -= old[3]
         self._failing = min(self._failing, len(ring))
 
+    def save(self) -> LearnedBreaker:
+        """What it counted, for one that goes on in its place."""
+        return LearnedBreaker(self.baseline, self.current, tuple((n, r, a, f) for n, r, a, f in self._ring))
+
+    def load(self, learned: LearnedBreaker) -> None:
+        """Go on where another was."""
+        self.baseline, self.current = learned.baseline, learned.current
+        self._ring = deque([list(bucket) for bucket in learned.window[-BUCKETS:]])
+        _, self._requests, self._accepts, self._failures = (
+            [sum(column) for column in zip(*self._ring, strict=True)] if self._ring else [0, 0, 0, 0])
+        self._failing = 0
+
     def refused(self, now: float) -> None:
         """Count a call refused here."""
         self._count(now)
@@ -204,6 +220,14 @@
         self._value = self.read(now) + 0.5
         self._at = now
 
+    def save(self) -> tuple[float, float]:
+        """Its value, and as of when."""
+        return self._value, self._at
+
+    def load(self, saved: tuple[float, float]) -> None:
+        """Go on where another was."""
+        self._value, self._at = saved
+
     def read(self, now: float) -> float:
         """The rate as of now."""
         return self._value * max(0.0, 1.0 - (now - self._at) / 2.0)
@@ -413,6 +437,7 @@
         self.accept_worth = [1.0 / (POOL_KEEPS - POOL_WORTH * c.worth / dearest) for c in settings.classes]
         self.lengths: list[dict[int, int]] = [{} for _ in settings.classes]  # of tries, in steps of 2%...
         self.usual = [0] * len(settings.classes)  # ...and the commonest
+        self.retired = False  # another goes on in its place
 
     def adopt(self, now: float, settings: Settings) -> None:
         """Go on by other settings, keep what was learned of servers; raises ValueError and changes nothing.
@@ -442,6 +467,53 @@
         self.budget.adopt(fresh.budget)
         self._arrange(now)
 
+    # ---- going on in another's place -------------------------------------------------------
+
+    def learned(self) -> Learned:
+        """What was learned, but for requests: they end where they began."""
+        return Learned(
+            tuple(LearnedServer(
+                s.row.server, s.row.started, s.latency, s.seen, s.downs, s.down_until, s.cold_credit, s.cold_seen,
+                s.breaker.save() if s.breaker is not None else None,
+            ) for s in self.servers.values()),
+            tuple(LearnedPool(
+                (p.rate.save(), p.sent.save(), p.served.save()), p.born if p.born < float("inf") else None,
+                p.breaker.save(),
+            ) for p in self.pools),
+            self.pooled, self.pace, self.paced,
+        )
+
+    def recall(self, now: float, learned: Learned) -> None:
+        """Go on with what another learned; call it once the list is there, before the first request.
+
+        A server counts as the same by its name and its start: of one that was restarted nothing holds.
+        """
+        self.pooled, self.pace, self.paced = learned.pooled, learned.pace, learned.paced
+        for known in learned.servers:
+            server = self.servers.get(known.server)
+            if server is None or server.row.started != known.started:
+                continue
+            server.latency, server.seen = known.latency, known.seen
+            server.downs, server.down_until = known.downs, known.down_until
+            server.cold_credit, server.cold_seen = known.cold_credit, known.cold_seen
+            if known.breaker is not None:
+                server.breaker = Breaker()
+                server.breaker.load(known.breaker)
+        if len(learned.pools) == len(self.pools):
+            for pool, saved in zip(self.pools, learned.pools, strict=True):
+                for rate, value in zip((pool.rate, pool.sent, pool.served), saved.rates, strict=True):
+                    rate.load(value)
+                pool.born = float("inf") if saved.born is None else saved.born
+                pool.breaker.load(saved.breaker)
+        self._resize(now)
+
+    def retire(self, on: bool) -> None:
+        """Another goes on in its place (or does not): cold servers get their budget from that one alone.
+
+        Guards cold servers: two that follow each other are one proxy, and both budgets would add up.
+        """
+        self.retired = on
+
     # ---- the list of servers -------------------------------------------------------------
 
     def start(self, now: float) -> list[Action]:
@@ -554,6 +626,8 @@
         Guards against pushing it over: this instance alone gives it at most the part of a warm peer's
         share that it can do for certain, both on average (a draw) and in any short span (a budget).
         """
+        if self.retired:
+            return True
         rules = self.settings.rules
         age = max(0.0, now - server.row.started)
         part = rules.cold_from + (1.0 - rules.cold_from) * min(1.0, age / max(rules.cold_for, 1e-6))
--- a/jaspershelf/model.py
+++ b/jaspershelf/model.py
@@ -225,6 +225,50 @@
     kind: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class LearnedBreaker:
+    """What a breaker counted, by its buckets, and its averages in seconds."""
+
+    baseline: float
+    current: float
+    window: tuple[tuple[int, int, int, int], ...]  # bucket number, requests, accepts, failures; oldest first
+
+
+@dataclass(slots=True, frozen=True)
+class LearnedServer:
+    """What an instance knows of one server; it counts for the same process alone, by its start."""
+
+    server: ServerId
+    started: float
+    latency: float
+    seen: float
+    downs: int
+    down_until: float
+    cold_credit: float
+    cold_seen: float
+    breaker: LearnedBreaker | None
+
+
+@dataclass(slots=True, frozen=True)
+class LearnedPool:
+    """What an instance knows of a pool: rates as value and time, by offered, sent and served."""
+
+    rates: tuple[tuple[float, float], tuple[float, float], tuple[float, float]]
+    born: float | None
+    breaker: LearnedBreaker
+
+
+@dataclass(slots=True, frozen=True)
+class Learned:
+    """All that an instance learned, for another that goes on in its place; times are of the lists' clock."""
+
+    servers: tuple[LearnedServer, ...]
+    pools: tuple[LearnedPool, ...]  # in the order in which the settings name them
+    pooled: float
+    pace: float
+    paced: int
+
+
 @dataclass(slots=True)
 class Send:
     """Start an attempt; `timeout` 0 means until the client gives up."""
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -6,7 +6,7 @@
 import re
 import time
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from jaspershelf.model import Discovery, ListKind, Outcome, Repeat, Settings
 from lugspur.config.platform import Config
@@ -22,6 +22,10 @@
 from lugspur.routing.shares import Shares
 
 if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from lugspur.handover.messages import Estate
     from lugspur.http2.pipe import Pipe
 
 MANAGEMENT_SOCKETS = 32  # descriptors set aside where there is a second address, for its listener and callers
@@ -35,11 +39,34 @@
 METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
 
 
+ELSEWHERE_MOST = 65_536  # ids of requests that are open at another process of this proxy
+
+
+class Others(Protocol):
+    """Other processes of this proxy, which are told what binds all."""
+
+    def ban(self, server: int, on: bool, at: float) -> None:
+        """An operator told this process."""
+
+    def drain(self, on: bool) -> None:
+        """An operator told this process."""
+
+    def began(self, name: bytes) -> None:
+        """A request with this id is open here."""
+
+    def done(self, name: bytes) -> None:
+        """Nothing is owed for it any more."""
+
+
 class Proxy:
     """One running proxy: the decision module between callers, backends and discovery."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, estate: Estate | None = None) -> None:
         loop = asyncio.get_running_loop()
+        self.others: Others | None = None  # other processes of this proxy, while there are any
+        self._elsewhere: set[bytes] = set()  # ids of requests that are open there
+        self._arrivals: set[asyncio.Task[object]] = set()
+        self.taken_up: Callable[[], None] | None = None  # told once clients are taken
         self.wire = config.wire
         self._tenants = config.tenants
         self._terms = Terms(config.settings)
@@ -50,23 +77,32 @@
         sockets = max(8, config.sockets - spare)
         self.maintenance = Maintenance()
         callers = int(CALLERS_PART * sockets)
+        self._sockets, self._sockets_most = Shares(sockets - callers, {}), sockets - callers
         connections = Upstream(
-            Shares(sockets - callers, {}), "", config.conn_idle, config.dial_timeout,
+            self._sockets, "", config.conn_idle, config.dial_timeout,
             int(HELD_PART * config.memory),
         )
         self.front = Front(config.listen, callers, config.memory, self._request)
         self._reader = reader = Reader(config.zones, config.types)
         self._discovery = watch.Discovery(
-            config.discovery, reader, config.known["index"], self._told
+            config.discovery, reader, config.known["index"] if estate is None else estate.index, self._told
         )
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
         epoch = time.time() - loop.time()
         self.pool = Pool(config.settings, config.seed, connections, self, epoch, self._discovery.open)
-        self.pool.members(ListKind.STALE, self.maintenance.lay(ListKind.STALE, reader.endpoints(config.known)))
+        known = reader.endpoints(config.known) if estate is None else estate.endpoints
+        if estate is not None:
+            self.maintenance.restore(estate.bans)
+        self.pool.members(ListKind.STALE, self.maintenance.lay(ListKind.STALE, known))
+        if estate is not None:
+            self.pool.balancer.recall(self.pool.now(), estate.learned)
+            self._elsewhere.update(estate.open)
+            if estate.drained:
+                self.front.drain(0.0)
         self.pool.start()
-        if config.settings.discovery is Discovery.PUSHED:
+        if config.settings.discovery is Discovery.PUSHED or estate is not None:
             self._discovery.open()
-        if config.known["endpoints"]:
+        if known and estate is None:
             # Guards against a discovery that is down at the start: an old list serves better than none.
             loop.call_later(KNOWN_AFTER, self._loaded)
 
@@ -102,7 +138,79 @@
         self._loaded()
 
     def _loaded(self) -> None:
-        self.front.ready = True
+        if not self.front.ready:
+            self.front.ready = True
+            self.begin()
+
+    def begin(self) -> None:
+        """Tell that clients are taken, once the list is there and the listener too."""
+        if self.takes_clients and self.taken_up is not None:
+            self.taken_up()
+            self.taken_up = None
+
+    # ---- another process of the same proxy -----------------------------------------------------------
+
+    def estate(self) -> Estate:
+        """All that another process needs to go on in this one's place."""
+        # Imported only here: a proxy without a second address stays lean.
+        from lugspur.handover.messages import Estate
+
+        return Estate(
+            self._discovery.index, list(self.maintenance.told.values()), self.maintenance.save(),
+            self.front.drained_at is not None, [*self._open, *self._elsewhere], self.pool.balancer.learned(),
+        )
+
+    def inherit(self) -> None:
+        """The list that came from the process before is as good as told."""
+        self._loaded()
+
+    def hear_ban(self, server: int, on: bool, at: float) -> None:
+        """Another process was told so."""
+        self._patch(self.maintenance.disable(server) if on else self.maintenance.enable(server, at))
+
+    def hear_drain(self, on: bool) -> None:
+        """Another process was told so."""
+        if on:
+            self.front.drain()
+        else:
+            self.front.undrain()
+
+    def hear_ids(self, begun: list[bytes], done: list[bytes]) -> None:
+        """Requests that are open at another process, and that are no more."""
+        if len(self._elsewhere) + len(begun) <= ELSEWHERE_MOST:
+            self._elsewhere.update(begun)
+        self._elsewhere.difference_update(done)
+
+    def forget_ids(self) -> None:
+        """The other process has ended, and its requests with it."""
+        self._elsewhere.clear()
+
+    def succeeded(self, on: bool) -> None:
+        """Another process serves in this one's place, or does no more: cold servers have one budget, sockets one."""
+        self.pool.balancer.retire(on)
+        self._sockets.reset(self._sockets_most // 2 if on else self._sockets_most, {})
+
+    def beside(self, others: Others) -> None:
+        """Another process may be there: tell it what binds both, and leave it its part."""
+        self.others = others
+        self._sockets.reset(self._sockets_most // 2, {})
+
+    def alone(self) -> None:
+        """No other process of this proxy is left."""
+        self._elsewhere.clear()
+        self._sockets.reset(self._sockets_most, {})
+
+    @property
+    def arriving(self) -> bool:
+        """Whether connections of another process are about to become callers."""
+        return bool(self._arrivals)
+
+    def adopt(self, sock: socket.socket) -> None:
+        """Go on with a caller's connection that another process had."""
+        sock.setblocking(False)
+        task = self._loop.create_task(self._loop.connect_accepted_socket(lambda: Caller(self.front, used=True), sock))
+        self._arrivals.add(task)
+        task.add_done_callback(self._arrivals.discard)
 
     # ---- what operators ask ----------------------------------------------------------------------
 
@@ -117,6 +225,8 @@
         if not self.maintenance.known(server):
             return False
         self._patch(self.maintenance.disable(server))
+        if self.others is not None:
+            self.others.ban(server, True, self.pool.now())
         return True
 
     def enable(self, name: str) -> bool:
@@ -124,16 +234,23 @@
         server = server_id(name)
         if not self.maintenance.known(server):
             return False
-        self._patch(self.maintenance.enable(server, self.pool.now()))
+        now = self.pool.now()
+        self._patch(self.maintenance.enable(server, now))
+        if self.others is not None:
+            self.others.ban(server, False, now)
         return True
 
     def drain(self) -> None:
         """Send clients away; the process stays."""
         self.front.drain()
+        if self.others is not None:
+            self.others.drain(True)
 
     def undrain(self) -> None:
         """Take clients again."""
         self.front.undrain()
+        if self.others is not None:
+            self.others.drain(False)
 
     def _patch(self, endpoints: list[Endpoint]) -> None:
         if endpoints:
@@ -155,9 +272,12 @@
     def _submit(self, request: Request, caller: Caller) -> None:
         facts = self._classify(request)
         name = request.headers[b"x-request-id"]
-        if name in self._open:  # Guards against a second request that backends would take for the first.
+        # Guards against a second request that backends would take for the first.
+        if name in self._open or name in self._elsewhere:
             raise Rejected(409, "a request with this id is open")
         self._open.add(name)
+        if self.others is not None:
+            self.others.began(name)
         self.pool.submit(request, facts, caller, request.arrived + facts.timeout - ANSWER_EARLY)
 
     def _classify(self, request: Request) -> Facts:
@@ -209,7 +329,10 @@
 
     def settled(self, call: Call) -> None:
         """Its id may come again."""
-        self._open.discard(call.request.headers[b"x-request-id"])
+        name = call.request.headers[b"x-request-id"]
+        self._open.discard(name)
+        if self.others is not None:
+            self.others.done(name)
 
 
 def fits(request: Request, repeat: Repeat) -> bool:
--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -8,12 +8,16 @@
 import signal
 import socket
 import sys
+from typing import TYPE_CHECKING
 
 from lugspur.config.platform import Config, ConfigError, load
 from lugspur.daemon.proxy import Proxy
 from lugspur.http1.front import Front
 from lugspur.membership.rows import Reader
 
+if TYPE_CHECKING:
+    from lugspur.handover.keeper import Inheritance, Keeper
+
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
 LISTEN_QUIET = 0.1  # ...until none has come for so long
 CLOSE_AFTER = 0.02  # seconds in which what has just been accepted can still be read
@@ -29,11 +33,18 @@
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
-    proxy = Proxy(config)
+    keeper: Keeper | None = None
+    inherited: Inheritance | None = None
+    if config.management is not None:
+        # Imported only here: a proxy without a second address stays lean, and alone under its address.
+        from lugspur.handover.keeper import Keeper
+
+        keeper = Keeper(config.listen)
+        inherited = await keeper.take()
+    proxy = Proxy(config, None if inherited is None else inherited.estate)
     front = proxy.front
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     if config.management is not None:
-        # Imported only here: a proxy without a second address stays lean.
         from lugspur.management.acts import acts
         from lugspur.management.door import Door
 
@@ -42,11 +53,23 @@
             await door.open()
         except OSError as fault:
             raise StartError(f"management {config.management[0]}:{config.management[1]}: {fault}") from fault
-    listener = await front.listen()
+    listener = await front.listen(None if inherited is None else inherited.listener, keeper is not None)
+    if keeper is not None:
+        proxy.taken_up = keeper.ready
+        proxy.beside(keeper)
+        keeper.serve(proxy, listener)
+    if inherited is not None:
+        proxy.inherit()
+    proxy.begin()
     gc.collect()
     gc.freeze()
     await told.wait()
-    await drain(front, listener)
+    if keeper is not None and keeper.followed():
+        await hand_over(proxy, listener, keeper)
+    else:
+        await drain(front, listener)
+    if keeper is not None:
+        keeper.close()
 
 
 def reload(proxy: Proxy) -> None:
@@ -59,6 +82,23 @@
         print(f"lugspur: reload: {fault}; the former settings stay", file=sys.stderr, flush=True)
 
 
+async def hand_over(proxy: Proxy, listener: socket.socket, keeper: Keeper) -> None:
+    """Another process serves already: finish what is open here, and give it every caller."""
+    front = proxy.front
+    front.serving = False
+    # Not closed: should the other process end, this one has to serve on.
+    asyncio.get_running_loop().remove_reader(listener.fileno())
+    front.pass_all(keeper.pass_on)
+    await asyncio.sleep(CLOSE_AFTER)  # what has just been accepted becomes a caller
+    while front.callers or proxy.arriving:
+        if keeper.heir is None:
+            front.pass_to = None
+            await front.listen(listener)
+            await drain(front, listener)
+            return
+        await asyncio.sleep(0.01)
+
+
 async def drain(front: Front, listener: socket.socket) -> None:
     """Take what is still coming, answer all that was taken, and let go of the callers."""
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/lugspur/handover/link.py
@@ -0,0 +1,105 @@
+"""Carries packets and descriptors between two processes of one proxy, over a Unix socket that keeps their bounds."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+from lugspur.handover.messages import PACKET_MOST, Foreign, pack, unpack
+
+QUEUE_MOST = 2048  # packets that wait for the other side: one that takes none for so long is as good as gone
+FDS_MOST = 4  # descriptors in one packet
+
+Heard = Callable[["Link", dict[str, Any], list[int]], None]
+
+
+class Link:
+    """One connection; `heard` is given each message with its descriptors, which are its own from then on."""
+
+    def __init__(self, sock: socket.socket, heard: Heard, ended: Callable[[Link], None]) -> None:
+        sock.setblocking(False)
+        self._sock = sock
+        self._heard, self._ended = heard, ended
+        self._loop = asyncio.get_running_loop()
+        self._queue: deque[tuple[bytes, int]] = deque()  # each with a descriptor of ours, or -1
+        self.open = True
+        self._loop.add_reader(sock.fileno(), self.pump)
+
+    def send(self, message: dict[str, Any] | bytes, fd: int = -1) -> bool:
+        """Send a message, with a descriptor that stays the caller's; False where the link is over."""
+        data = message if isinstance(message, bytes) else pack(message)
+        if self.open and not self._queue and self._write(data, fd):
+            return True
+        if not self.open:
+            return False
+        if len(self._queue) >= QUEUE_MOST:  # Guards memory against a process that hangs.
+            self.close()
+            return False
+        self._queue.append((data, os.dup(fd) if fd >= 0 else -1))
+        self._loop.add_writer(self._sock.fileno(), self._drain)
+        return True
+
+    def _write(self, data: bytes, fd: int) -> bool:
+        """Whether it has gone out; the link is over where it never will."""
+        try:
+            socket.send_fds(self._sock, [data], [fd] if fd >= 0 else [])
+        except BlockingIOError:
+            return False
+        except OSError:
+            self.close()
+            return False
+        return True
+
+    def _drain(self) -> None:
+        while self._queue:
+            data, fd = self._queue[0]
+            if not self._write(data, fd):
+                return
+            self._queue.popleft()
+            if fd >= 0:
+                os.close(fd)
+        self._loop.remove_writer(self._sock.fileno())
+
+    def pump(self) -> None:
+        """Read all that has come; a message that can't be understood ends the link."""
+        while self.open:
+            try:
+                data, fds, flags, _ = socket.recv_fds(self._sock, PACKET_MOST + 1, FDS_MOST)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.close()
+                return
+            try:
+                if not data:
+                    self.close()
+                elif len(data) > PACKET_MOST or flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
+                    raise Foreign("a packet is too large")
+                else:
+                    passed, fds = fds, []
+                    self._heard(self, unpack(data), passed)
+            except Foreign:
+                self.close()
+            finally:
+                for fd in fds:
+                    os.close(fd)
+
+    def close(self) -> None:
+        """End it; who keeps it is told once."""
+        if not self.open:
+            return
+        self.open = False
+        self._loop.remove_reader(self._sock.fileno())
+        self._loop.remove_writer(self._sock.fileno())
+        self._sock.close()
+        for _, fd in self._queue:
+            if fd >= 0:
+                with suppress(OSError):
+                    os.close(fd)
+        self._queue.clear()
+        self._ended(self)
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -29,6 +29,7 @@
 DRAIN_FROM = 1.0  # seconds after a drain from which idle connections are let go: until then most ask once more...
 DRAIN_SETTLE = 0.3  # seconds in which a connection that came after the call may still bring its first request
 DRAIN_EVERY = 0.1  # ...and between looks from then on: who can still ask 2 s after the call is held 4 s after it
+PASS_AGAIN = 0.02  # seconds between looks at whether an answer is out and its connection may be given on
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}  # backends may send others
@@ -58,6 +59,7 @@
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
         self.closing = False
+        self.pass_to: Callable[[int], bool] | None = None  # gives a connection to another process
         self.drained_at: float | None = None  # when operators had clients sent away
         self.held = 0  # bytes of bodies that are not whole
         self._limit(most, memory)
@@ -92,12 +94,14 @@
         """Whether requests should be sent here."""
         return self.ready and self.serving and self.drained_at is None
 
-    async def listen(self, sock: socket.socket | None = None) -> socket.socket:
-        """Serve on the given address alone, or on a socket that is bound to it."""
+    async def listen(self, sock: socket.socket | None = None, shared: bool = False) -> socket.socket:
+        """Serve on the given address alone, or on a socket that is bound to it; `shared`: others may bind it too."""
         loop = asyncio.get_running_loop()
         if sock is None:
             sock = socket.socket()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             sock.setblocking(False)
             sock.bind(self.address)
         self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
@@ -124,11 +128,17 @@
         for caller in tuple(self.callers):
             caller.front_closes()
 
-    def drain(self) -> None:
+    def pass_all(self, pass_to: Callable[[int], bool]) -> None:
+        """Another process goes on: it is given each connection by its descriptor, once nothing of it is open here."""
+        self.pass_to = pass_to
+        for caller in tuple(self.callers):
+            caller.pass_on()
+
+    def drain(self, since: float = DRAIN_FROM) -> None:
         """Send callers away: answers close their connection, and idle ones are let go a little later."""
         if self.drained_at is None:
             self.drained_at = self._loop.time()
-            self._let_go_in(DRAIN_FROM)
+            self._let_go_in(since)
 
     def undrain(self) -> None:
         """Take callers again."""
@@ -241,6 +251,10 @@
         self.front.look.unregister(self._fd)
         return not waits
 
+    def pass_on(self) -> None:
+        """Give it to the process that follows, if nothing of it is open; here it ends in the ordinary way."""
+        self.front_closes()
+
     def front_closes(self) -> None:
         """Nothing is taken from here on: it goes when it owes nothing."""
         if self._place is self.front.fresh or self._place is self.front.idle:
@@ -259,8 +273,9 @@
 class Caller(Held):
     """One caller's connection; its requests are answered one after another."""
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Front, used: bool = False) -> None:
         super().__init__(front)
+        self.used = used  # by another process before this one
         self._loop = asyncio.get_running_loop()
         self._early: bytes | None = b"" if front.http2 is not None else None  # until it is known what is spoken
         self._queue: deque[Request | Rejected] = deque()
@@ -283,7 +298,12 @@
         super().connection_made(transport)
         front = self.front
         front.last_accept = self._loop.time()
-        self.move(front.fresh, front.last_accept + front.first_within)
+        if self.used:
+            self.move(front.idle, front.last_accept + front.idle_most)
+        else:
+            self.move(front.fresh, front.last_accept + front.first_within)
+        if front.pass_to is not None:  # it was accepted just before
+            self._loop.call_soon(self.pass_on)
         front.full(self)  # Guards the limit on descriptors: one that can go makes room.
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -300,6 +320,18 @@
         self.move(self.front.leaving, self._loop.time() + LINGER)
         self._transport.close()
 
+    def pass_on(self) -> None:
+        """Give it to the process that follows: what lies unread goes with it, and nothing is closed."""
+        front, transport = self.front, self._transport
+        # Guards what this process has read, and answers that are not out.
+        open_ = self._busy or self._queue or self._intake.reading or self._kept or self._early or self._faulty
+        if front.pass_to is None or open_ or transport.is_closing() or self._place is front.leaving:
+            return
+        if transport.get_write_buffer_size():
+            self._loop.call_later(PASS_AGAIN, self.pass_on)
+        elif front.pass_to(self._fd):
+            self.drop()
+
     def pause_writing(self) -> None:
         self._stuck = True
 
@@ -451,6 +483,8 @@
             self.move(front.reading, now + front.whole_within)
         else:
             self.move(front.idle, now + (front.idle_most if self.used else IDLE_LEAST))
+            if front.pass_to is not None:
+                self._loop.call_soon(self.pass_on)
         if not self._stuck:
             self._transport.resume_reading()
             if self._queue:
--- a/lugspur/membership/rows.py
+++ b/lugspur/membership/rows.py
@@ -35,6 +35,11 @@
     return int.from_bytes(name.encode(), "big")
 
 
+def server_name(server: int) -> str:
+    """The name behind such a number."""
+    return server.to_bytes((server.bit_length() + 7) // 8, "big").decode()
+
+
 class Reader:
     """Turns entries of discovery's form into endpoints; names become places in the settings' lists."""
 
--- a/lugspur/membership/watch.py
+++ b/lugspur/membership/watch.py
@@ -33,6 +33,11 @@
         self._former: asyncio.Task[None] | None = None  # the watch at the address before, until ours tells
         self.retry = RETRY_FIRST
 
+    @property
+    def index(self) -> int:
+        """The version of the list as of the last word."""
+        return self._index
+
     def open(self) -> None:
         """Start the watch; nothing happens where it runs already."""
         if self._task is None:
--- /dev/null
+++ b/tests/handover/test_messages.py
@@ -0,0 +1,145 @@
+"""What two processes say to each other: whole round trips, and everything that is none."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jaspershelf import Balancer, ListKind, Outcome, Send, ServerRow, Settings, State
+from jaspershelf.model import Learned
+from lugspur.handover.messages import (
+    PACKET_MOST,
+    PARTS_MOST,
+    Estate,
+    Foreign,
+    Parts,
+    estate_parts,
+    read_estate,
+    unpack,
+)
+from lugspur.membership.maintenance import Bans
+from lugspur.membership.rows import Endpoint, server_id, server_name
+
+NAMES = st.text(st.characters(codec="utf-8", min_codepoint=1), min_size=1, max_size=40)
+
+
+def learned() -> Learned:
+    """What an instance has after some calls."""
+    balancer = Balancer(Settings(), 1)
+    balancer.members(10.0, ListKind.WHOLE, [ServerRow(server_id(f"s-{n}"), started=float(n)) for n in range(3)])
+    for number in range(40):
+        for action in balancer.request(10.0 + number, str(number)):
+            if isinstance(action, Send):
+                how = Outcome.ERROR if number % 7 == 0 else Outcome.OK
+                balancer.outcome(10.2 + number, str(number), 0, how, 0.2)
+    return balancer.learned()
+
+
+LEARNED = learned()
+
+
+def estate(names: list[str], **changed: Any) -> Estate:
+    servers = [server_id(name) for name in names]
+    rows = [Endpoint(ServerRow(server, State.UP, 1, 2, 1.5, 3.25, 0), ("127.0.0.1", 80 + n), n % 2 == 1)
+            for n, server in enumerate(servers)]
+    values: dict[str, Any] = {
+        "index": 41, "endpoints": rows, "bans": Bans(servers, servers[:1], dict.fromkeys(servers[1:2], 7.5)),
+        "drained": True, "open": [b"id1", b"id2"], "learned": LEARNED}
+    return Estate(**(values | changed))
+
+
+def together(packets: list[bytes]) -> Estate | None:
+    parts, whole = Parts(), None
+    for packet in packets:
+        assert whole is None
+        whole = parts.add(unpack(packet))
+    return whole
+
+
+@given(st.lists(NAMES, max_size=200, unique=True))
+def test_an_estate_arrives_as_it_was(names: list[str]) -> None:
+    sent = estate(names)
+    packets = estate_parts(sent)
+    assert together(packets) == sent
+    assert all(len(packet) <= PACKET_MOST for packet in packets)
+    assert [server_name(server_id(name)) for name in names] == names
+
+
+def test_the_largest_estate_fits_its_bounds() -> None:
+    names = [f"backend-of-a-long-name-{n:020}" for n in range(16_384)]
+    packets = estate_parts(estate(names[:4000], bans=Bans([server_id(name) for name in names], [], {})))
+    assert len(packets) <= PARTS_MOST
+    assert all(len(packet) <= PACKET_MOST for packet in packets)
+
+
+def spoilt(change: dict[str, Any]) -> str:
+    text = "".join(unpack(packet)["part"] for packet in estate_parts(estate(["a", "b"])))
+    return orjson.dumps(orjson.loads(text) | change).decode()
+
+
+@pytest.mark.parametrize("change", [
+    {"version": 2}, {"version": None}, {"endpoints": [["a"]]}, {"endpoints": None}, {"index": "x"}, {"learned": {}},
+    {"floors": []}, {"listed": [1]}, {"open": [7]},
+    {"endpoints": [["a", "often", 0, 0, 1.0, 0.0, 0, "h", 1, False]]},
+])
+def test_an_estate_that_makes_no_sense_is_foreign(change: dict[str, Any]) -> None:
+    with pytest.raises(Foreign):
+        read_estate(spoilt(change))
+
+
+@pytest.mark.parametrize("message", [
+    {}, {"n": 1, "of": 2, "part": ""}, {"n": 0, "of": PARTS_MOST + 1, "part": ""}, {"n": 0, "of": 1, "part": 5},
+    {"n": 0, "of": 1, "part": "x" * (1 << 20)}, {"n": 0, "of": 0, "part": ""}, {"n": "0", "of": 1, "part": "{}"},
+    {"n": 0, "of": 1, "part": "{}"}, {"n": 0, "of": 1, "part": "null"},
+])
+def test_parts_that_do_not_fit_are_foreign(message: dict[str, Any]) -> None:
+    with pytest.raises(Foreign):
+        Parts().add(message)
+
+
+@given(st.binary(max_size=200) | st.sampled_from([b"[]", b"{}", b'{"t":1}']))
+def test_noise_is_foreign(noise: bytes) -> None:
+    with pytest.raises(Foreign):
+        unpack(noise)
+
+
+def test_what_was_learned_goes_on_in_another_instance_and_not_for_a_restarted_server() -> None:
+    rows = [ServerRow(server_id(f"s-{n}"), started=float(n)) for n in range(3)]
+    rows[2] = replace(rows[2], started=99.0)
+    balancer = Balancer(Settings(), 2)
+    balancer.members(60.0, ListKind.STALE, rows)
+    balancer.recall(60.0, LEARNED)
+    again = {row.server: row for row in balancer.learned().servers}
+    before = {row.server: row for row in LEARNED.servers}
+    assert again[rows[0].server] == before[rows[0].server]
+    assert again[rows[1].server] == before[rows[1].server]
+    assert again[rows[2].server].latency == 0.0
+    assert balancer.learned().pools == LEARNED.pools
+    assert (balancer.pooled, balancer.pace, balancer.paced) == (LEARNED.pooled, LEARNED.pace, LEARNED.paced)
+
+
+def test_one_that_has_retired_sends_nothing_to_cold_servers() -> None:
+    cold = ServerRow(1, started=100.0)
+    warm = ServerRow(2)
+    settings = replace(Settings(), rules=replace(Settings().rules, cold_for=1000.0, cold_from=1.0))
+
+    def served(retired: bool) -> set[int]:
+        balancer = Balancer(settings, 3)
+        balancer.members(101.0, ListKind.WHOLE, [cold, warm])
+        balancer.retire(retired)
+        got = set()
+        for number in range(300):
+            now = 101.0 + number / 10.0
+            for action in balancer.request(now, str(number)):
+                if isinstance(action, Send):
+                    got.add(action.server)
+                    balancer.outcome(now, str(number), 0, Outcome.OK, 0.01)
+        return got
+
+    assert served(False) == {1, 2}
+    assert served(True) == {2}
--- /dev/null
+++ b/tests/handover/test_replacement.py
@@ -0,0 +1,264 @@
+"""One process takes another's place, as real processes on loopback under load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+from loopback import HOST, OK, WIDE, WIRE, Backend, Client, backend, book, entry, read, soon, status
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+class Fleet:
+    """Processes of one proxy, one after another."""
+
+    def __init__(self, folder: Path, entries: list[dict[str, Any]]) -> None:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            self.port: int = probe.getsockname()[1]
+        self.folder = folder
+        self.ports: list[int] = []
+        self.processes: list[asyncio.subprocess.Process] = []
+        self._raw = {"name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:9", "seed": "1",
+                     "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": WIRE,
+                     "known": {"index": 7, "snapshot": True, "endpoints": entries}}
+
+    async def start(self, **changed: Any) -> int:
+        """One more process: its second address, once it says yes."""
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            port: int = probe.getsockname()[1]
+        path = self.folder / f"config-{len(self.processes)}.json"
+        path.write_text(json.dumps(self._raw | {"management": f"{HOST}:{port}"} | changed))
+        temp = self.folder / "tmp"
+        temp.mkdir(exist_ok=True)
+        environment = os.environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(temp)}
+        self.processes.append(await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lugspur", cwd=ROOT, env=environment, stderr=asyncio.subprocess.DEVNULL))
+        self.ports.append(port)
+        async with asyncio.timeout(WIDE):
+            while await call(port, "GET", "/ready") != 200:
+                await asyncio.sleep(0.01)
+        return port
+
+    async def end(self, number: int = 0) -> None:
+        """SIGTERM to the oldest that still runs; it ends by itself."""
+        process = self.processes.pop(number)
+        process.send_signal(signal.SIGTERM)
+        assert await soon(process.wait()) == 0
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(HOST, self.port))
+
+
+async def call(port: int, method: str, path: str, body: str = "") -> int:
+    """One call's status; 0 where nobody listens."""
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+    except ConnectionError:
+        return 0
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    answer = await soon(reader.read())
+    writer.close()
+    return status(answer)
+
+
+@asynccontextmanager
+async def fleet(folder: Path, *backends: Backend) -> AsyncIterator[Fleet]:
+    """A proxy's processes; those that are left are ended."""
+    up = Fleet(folder, [entry(f"s-{n}", one.address) for n, one in enumerate(backends, 1)])
+    try:
+        yield up
+    finally:
+        for process in up.processes:
+            with suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+
+def test_fifty_replacements_under_load_lose_nothing_and_double_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        ran: Counter[bytes] = Counter()
+
+        def script(request: bytes) -> bytes:
+            ran[request.split(b"X-Request-ID: ")[1].split(b"\r\n")[0]] += 1
+            return OK
+
+        async with backend(script) as one, backend(script) as two, fleet(tmp_path, one, two) as up:
+            await up.start()
+            over = False
+            answers: Counter[int] = Counter()
+
+            async def load(mine: int) -> None:
+                """A client that keeps one connection for good: it is never closed in its face."""
+                client, number = await up.client(), 0
+                while not over:
+                    number += 1
+                    form = book if number % 2 else read
+                    answers[status(await client.ask(form(mine * 1_000_000 + number)))] += 1
+                    await asyncio.sleep(0.002 * mine)
+                client.writer.close()
+
+            async def knock() -> None:
+                """New connections all the while."""
+                number = 0
+                while not over:
+                    number += 1
+                    client = await up.client()
+                    answers[status(await client.ask(read(900_000_000 + number)))] += 1
+                    client.writer.close()
+                    await asyncio.sleep(0.005)
+
+            clients = [asyncio.create_task(load(mine)) for mine in range(1, 6)] + [asyncio.create_task(knock())]
+            for _ in range(50):
+                await up.start()
+                await up.end()
+            over = True
+            await soon(asyncio.gather(*clients))
+            assert set(answers) == {200}
+            assert sum(ran.values()) == answers[200]
+            assert set(ran.values()) == {1}
+
+    asyncio.run(play())
+
+
+def test_bans_drains_and_the_end_of_both_go_over_and_bind_both_processes(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, fleet(tmp_path, one, two) as up:
+            first = await up.start()
+            assert await call(first, "POST", "/backends/disable", "s-1") == 200
+            assert await call(first, "POST", "/drain") == 200
+            second = await up.start(known={"index": 0, "endpoints": []})
+            assert await call(second, "POST", "/backends/disable", "s-9") == 404
+            health = await up.client()
+            assert status(await health.ask(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")) == 503
+            assert await call(first, "POST", "/undrain") == 200  # told to the old one
+            assert await call(second, "POST", "/backends/disable", "s-2") == 200  # told to the new one
+            client = await up.client()
+            for number in range(8):
+                assert status(await client.ask(read(number))) == 503  # whichever has the connection
+                client = await up.client()
+            await up.end()
+            assert await call(second, "POST", "/backends/enable", "s-1") == 200
+            assert await call(second, "POST", "/undrain") == 200
+            client = await up.client()
+            assert status(await client.ask(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")) == 200
+            assert status(await client.ask(read(20))) == 200
+            assert two.got.qsize() == 0
+            assert one.got.qsize() == 1
+
+    asyncio.run(play())
+
+
+def test_a_request_that_is_open_is_finished_by_the_old_one_and_its_id_is_known_to_the_new_one(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, fleet(tmp_path, one) as up:
+            await up.start()
+            client = await up.client()
+            client.writer.write(book(1))
+            await soon(one.got.get())
+            await up.start()
+            ending = asyncio.create_task(up.end())
+            while True:  # until the new one has the door to itself
+                other = await up.client()
+                other.writer.write(book(1))
+                answer = await other.answer()
+                assert status(answer) == 409
+                if len(up.processes) == 1:
+                    break
+            one.open[0].write(OK)
+            assert status(await client.answer()) == 200
+            await soon(ending)
+            client.writer.write(book(2))  # the connection has gone over
+            await soon(one.got.get())
+            one.open[-1].write(OK)
+            assert status(await client.answer()) == 200
+
+    asyncio.run(play())
+
+
+def test_half_a_request_is_read_to_its_end_by_the_process_that_began_to(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, fleet(tmp_path, one) as up:
+            await up.start()
+            client = await up.client()
+            client.writer.write(book(1)[:-2])
+            other = await up.client()
+            assert status(await other.ask(read(3))) == 200  # both have been read
+            await up.start()
+            ending = asyncio.create_task(up.end())
+            assert status(await other.ask(read(4))) == 200
+            client.writer.write(book(1)[-2:])
+            assert status(await client.answer()) == 200
+            await soon(ending)
+            assert status(await client.ask(read(5))) == 200
+
+    asyncio.run(play())
+
+
+def test_the_new_one_dies_before_the_old_one_is_told_and_the_next_finds_it(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, fleet(tmp_path, one, two) as up:
+            first = await up.start()
+            assert await call(first, "POST", "/backends/disable", "s-1") == 200
+            await up.start()
+            dead = up.processes.pop()
+            dead.kill()
+            await dead.wait()
+            client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            await up.start()
+            await up.end()
+            assert status(await client.ask(read(2))) == 200
+            assert one.got.qsize() == 0
+
+    asyncio.run(play())
+
+
+def test_two_replacements_at_once_bind_all_three(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, fleet(tmp_path, one, two) as up:
+            await up.start()
+            client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            await up.start()
+            third = await up.start()
+            assert await call(third, "POST", "/backends/disable", "s-1") == 200
+            before = one.got.qsize()
+            await up.end()
+            await up.end()
+            for number in range(2, 8):
+                assert status(await client.ask(read(number))) == 200
+            assert one.got.qsize() == before
+
+    asyncio.run(play())
+
+
+def test_one_that_hangs_or_is_gone_is_followed_by_one_that_starts_from_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, fleet(tmp_path, one) as up:
+            await up.start()
+            up.processes[0].send_signal(signal.SIGSTOP)
+            await up.start()
+            hung = up.processes.pop(0)
+            hung.kill()
+            await hung.wait()
+            client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            up.processes[0].kill()
+            await up.processes.pop(0).wait()
+            await up.start()  # a stale socket lies there
+            client = await up.client()
+            assert status(await client.ask(read(2))) == 200
+
+    asyncio.run(play())
