Pass large bodies on as they come, both ways, at the pace of the slower side

Ruled out: our own delay (0.9 ms), lower tiers (0.1 s). At fault: Server.score took an attempt whose answer was being read for seconds, or whose body was still coming, for a server that hangs, and Pool.owed took them for a queue; and a fixed window of 64 KiB kept boxes busy as long as their callers read.

Time counts from the last byte. Answers that end with their connection, absolute targets, Expect in platform mode.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -320,7 +320,7 @@
             latency += (self.latency - pooled) * fresh
         out = self.out
         if out:
-            latency = max(latency, now - next(iter(out)).sent)
+            latency = max(latency, now - next(iter(out)).since)
         return latency * (len(out) + unseen + 1.0)
 
 
@@ -332,11 +332,12 @@
 class Attempt:
     """One send of a request."""
 
-    __slots__ = ("maybe_ran", "open", "sent", "server", "strained")
+    __slots__ = ("maybe_ran", "open", "sent", "server", "since", "strained")
 
     def __init__(self, server: Server, sent: float) -> None:
         self.server = server
         self.sent = sent
+        self.since = sent  # when the server could begin
         self.open = True
         self.maybe_ran = True  # until its outcome proves otherwise
         self.strained = False  # whether its end speaks of too much work for the servers there are
@@ -346,7 +347,8 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "attempts", "begun", "bound", "cost", "deadline", "done", "id", "kind", "most", "open", "until",
+        "attempts", "begun", "bound", "cost", "counted", "deadline", "done", "id", "kind", "most", "open",
+        "partial", "until",
     )
 
     def __init__(self, rid: RequestId, kind: int, deadline: float, most: int) -> None:
@@ -361,6 +363,8 @@
         self.cost = 1.0  # the work that is expected of it
         self.bound = False  # a part of it has passed: the request belongs to one attempt
         self.begun = False  # its answer has begun
+        self.partial = False  # a part of it is still to come from its client: no server works on it
+        self.counted = False  # whether it counts among those that wait for an answer
 
     def first_maybe(self) -> Attempt | None:
         """The first attempt that may have run, or may be running."""
@@ -473,8 +477,8 @@
         """What was learned, but for requests: they end where they began."""
         return Learned(
             tuple(LearnedServer(
-                s.row.server, s.row.started, s.latency, s.seen, s.downs, s.down_until, s.cold_credit, s.cold_seen,
-                s.breaker.save() if s.breaker is not None else None,
+                s.row.server, s.row.started, s.latency, s.seen, s.downs, s.down_until,
+                s.cold_credit, s.cold_seen, s.breaker.save() if s.breaker is not None else None,
             ) for s in self.servers.values()),
             tuple(LearnedPool(
                 (p.rate.save(), p.sent.save(), p.served.save()), p.born if p.born < float("inf") else None,
@@ -647,9 +651,12 @@
 
     def request(
         self, now: float, rid: RequestId, kind: int = 0, tenant: int = 0, deadline: float | None = None,
-        cost: float = 0.0, retry: bool = False,
+        cost: float = 0.0, retry: bool = False, partial: bool = False,
     ) -> list[Action]:
-        """A new request; exactly one final answer is owed from here on."""
+        """A new request; exactly one final answer is owed from here on.
+
+        `partial`: a part of it is still to come, and `whole` will tell when it is there.
+        """
         self.settings.check_request(kind, tenant, deadline, cost)
         if rid in self.requests:
             raise ValueError(f"rid: {rid!r} is open already")
@@ -664,7 +671,8 @@
         if now >= self.look_at:
             self._resize(now)
         out: list[Action] = []
-        pool.owed += 1
+        request.partial = partial
+        self._count(request, not partial)
         pool.born = min(pool.born, now)
         request.cost = cost or 1.0
         # Guards against work that cannot end in time: a heavy request, a caller with too little time left.
@@ -783,7 +791,8 @@
         if request.attempts:
             self.budget.spend(now)
         attempt = Attempt(server, now)
-        server.out[attempt] = None
+        if not request.partial:
+            server.out[attempt] = None
         self.pool_of[request.kind].sent.add(now)
         request.attempts.append(attempt)
         request.open += 1
@@ -878,10 +887,32 @@
         out.append(Refuse(request.id) if free or request.first_maybe() is None else Fail(request.id))
         self._finish(request, out)
 
+    def _count(self, request: Request, on: bool) -> None:
+        """Whether it is one of those that wait for an answer: work that the servers have before them."""
+        if request.counted is not on:
+            request.counted = on
+            self.pool_of[request.kind].owed += 1 if on else -1
+
+    def whole(self, now: float, rid: RequestId, deadline: float) -> list[Action]:
+        """The last byte of a partial request has come: its time counts from here.
+
+        Guards servers and admission against slow uploads: while one comes nothing runs, so that it says
+        neither that its server hangs nor that requests pile up.
+        """
+        request = self.requests.get(rid)
+        if request is None or request.done or not request.partial:
+            return []
+        request.partial = False
+        self._count(request, not request.begun)
+        for attempt in request.attempts:
+            if attempt.open and not request.begun:
+                attempt.since = now
+                attempt.server.out[attempt] = None
+        return self.extend(now, rid, deadline)
+
     def _finish(self, request: Request, out: list[Action]) -> None:
         request.done = True
-        if not request.begun:
-            self.pool_of[request.kind].owed -= 1
+        self._count(request, False)
         if not request.bound:
             out += self._cancels(request)
         if not request.open:
@@ -975,7 +1006,10 @@
         request = self.requests.get(rid)
         if request is not None and not request.done and not request.begun:
             request.begun = True
-            self.pool_of[request.kind].owed -= 1
+            self._count(request, False)
+            # Guards a server that gives a long answer against looking as if it hung.
+            for attempt in request.attempts:
+                attempt.server.out.pop(attempt, None)
         return self.bind(now, rid, number)
 
     def gone(self, now: float, rid: RequestId) -> list[Action]:
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -31,7 +31,7 @@
 
 if TYPE_CHECKING:
     from lugspur.daemon.guarding import Guarding
-    from lugspur.http2.pipe import Pipe
+    from lugspur.pipe import Pipe
 
 COME_BACK = b"Retry-After: 1\r\n"  # where no backend is there, or no place: nothing tells when one will be
 REFUSALS = (429, 503)  # say that trying again is harmless, so no failure may be worded so
--- a/lugspur/daemon/health.py
+++ b/lugspur/daemon/health.py
@@ -12,7 +12,7 @@
 from lugspur.grpc.messages import Spoilt, pack, unpack
 from lugspur.http1.front import Front
 from lugspur.http1.intake import Rejected, Request
-from lugspur.http2.pipe import Pipe, nothing
+from lugspur.pipe import Pipe, nothing
 from lugspur.seams import Answerable, Form
 
 CHECK, WATCH = b"/grpc.health.v1.Health/Check", b"/grpc.health.v1.Health/Watch"
--- a/lugspur/daemon/joins.py
+++ b/lugspur/daemon/joins.py
@@ -18,7 +18,7 @@
 from lugspur.seams import Answerable, Form
 
 if TYPE_CHECKING:
-    from lugspur.http2.pipe import Pipe
+    from lugspur.pipe import Pipe
 
 AT_ONCE = 32  # answers written in one turn of the loop: others' reads and timers go between
 COPIES_PART = 0.25  # of the memory limit that copies of one answer may take, where callers read slowly
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -29,12 +29,13 @@
     Timer,
 )
 from lugspur.http1 import upstream
+from lugspur.http1.body import Body
 from lugspur.http1.intake import Request
 from lugspur.membership.rows import Address, Endpoint
 from lugspur.seams import Answerable, Attempt, Lane
 
 if TYPE_CHECKING:
-    from lugspur.http2.pipe import Pipe
+    from lugspur.pipe import Pipe
 
 COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
 
@@ -77,6 +78,11 @@
         request = self.request if self.request.form is None else self.request.form.plain(self.request)
         framed = request.body or request.method not in (b"GET", b"HEAD")
         length = b"Content-Length: %d\r\n" % len(request.body) if framed else b""
+        stream = request.stream
+        if stream is not None:
+            length = b"Transfer-Encoding: chunked\r\n" if stream.length is None else (
+                b"Content-Length: %d\r\n" % stream.length)
+            left = self.facts.timeout  # counted from its last byte, whenever that comes
         return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
             request.method, request.target, b"".join(request.lines), max(left, 0.001), length, request.body
         )
@@ -160,6 +166,7 @@
         self._repeatable = [row.repeat is not Repeat.UNSAFE for row in settings.classes]
         self._count = 0
         self._complaints = Complaints()
+        self.streams = False  # whether large answers are passed on as they come
 
     def start(self) -> None:
         """Call once, after the list known at the start was given."""
@@ -219,17 +226,21 @@
     # ---- requests ------------------------------------------------------------------------------
 
     def submit(
-        self, request: Request, facts: Facts, caller: Answerable, deadline: float, context: object = None
+        self, request: Request, facts: Facts, caller: Answerable, deadline: float, context: object = None,
+        expected: float = float("inf"),
     ) -> Call:
-        """Take up a request; `deadline` is in the loop's time, and an answer is owed until then."""
+        """Take up a request; `deadline` is in the loop's time, and an answer is owed until then.
+
+        `expected`: until when the module is to expect an answer, where the deadline is not known yet.
+        """
         self._count += 1
         call = Call(str(self._count), request, facts, caller, deadline, context)
         self.calls[call.rid] = call
         caller.gone = lambda: self._gone(call)
         call.timer = self._loop.call_at(deadline, self._overdue, call)
         self._perform(self._decide(
-            self.balancer.request, call.rid, facts.kind, facts.tenant, deadline + self._epoch, facts.cost,
-            facts.retry, call=call,
+            self.balancer.request, call.rid, facts.kind, facts.tenant, min(deadline, expected) + self._epoch,
+            facts.cost, facts.retry, expected < deadline, call=call,
         ))
         return call
 
@@ -242,6 +253,20 @@
         call.timer = self._loop.call_at(deadline, self._overdue, call)
         self._perform(self._decide(self.balancer.extend, call.rid, deadline + self._epoch, call=call))
 
+    def whole(self, call: Call, deadline: float) -> None:
+        """The last byte of its body has come; an answer is owed until then."""
+        if call.caller is not None and call.timer is not None and call.deadline < float("inf"):
+            call.timer.cancel()
+            call.deadline = deadline
+            call.timer = self._loop.call_at(deadline, self._overdue, call)
+        self._perform(self._decide(self.balancer.whole, call.rid, deadline + self._epoch, call=call))
+
+    def untimed(self, call: Call) -> None:
+        """Its answer is on its way to the caller: no deadline ends it any more."""
+        if call.timer is not None:
+            call.timer.cancel()
+        call.deadline = float("inf")
+
     def _gone(self, call: Call) -> None:
         self._settle(call)
         self._perform(self._decide(self.balancer.gone, call.rid, call=call))
@@ -253,7 +278,7 @@
         """The client's time is up: an answer is owed now, whatever the module says."""
         for exchange in tuple(call.exchanges):
             exchange.expire()
-        if call.caller is not None:
+        if call.caller is not None and call.deadline < float("inf"):  # else its answer has just been begun
             self._abandon(call)
 
     def _abandon(self, call: Call) -> None:
@@ -338,9 +363,31 @@
         exchange = upstream.Exchange(
             backend, now, until, call.bytes_for, watcher.ended, repeatable, call.request.method == b"HEAD", timed,
         )
+        if self.streams:
+            exchange.begin = watcher.begun
+        if call.request.stream is not None:
+            self._stream(call, call.request.stream, exchange, number, action.timeout)
         call.exchanges.append(exchange)
         self.upstream.start(exchange)
 
+    def _stream(
+        self, call: Call, body: Body, exchange: upstream.Exchange, number: int, timeout: float
+    ) -> None:
+        """Its body is passed on as it comes; the attempt is waited for from its last byte on."""
+        exchange.body, exchange.timed, exchange.until = body, False, call.deadline
+
+        def written() -> None:
+            now = self._loop.time()
+            exchange.started = now
+            exchange.until = min(call.deadline, now + timeout) if timeout > 0.0 else call.deadline
+            if exchange.until < call.deadline:
+                exchange.timer = self._loop.call_at(exchange.until, exchange.expire)
+
+        def dropped() -> None:
+            self.bound(call, number)
+
+        exchange.written, body.dropped = written, dropped
+
     def bound(self, call: Call, number: int) -> None:
         """A message has passed: no other attempt may have this request."""
         call.bound = True
@@ -348,6 +395,7 @@
 
     def begun(self, call: Call, number: int, response: upstream.Response, body: Pipe) -> None:
         """An answer is passed on as it comes."""
+        call.bound = True
         self._perform(self._decide(self.balancer.begun, call.rid, number, call=call))
         if call.caller is not None:
             self._owner.begun(call, response, body)
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -15,7 +15,7 @@
 from lugspur.daemon.terms import CHANGE_WITHIN, STILL_COMING, Terms
 from lugspur.http1.front import Caller, Front
 from lugspur.http1.intake import Rejected, Request
-from lugspur.http1.upstream import HELD_PART, Response, Upstream
+from lugspur.http1.upstream import FLOW_PART, HELD_PART, Response, Upstream
 from lugspur.membership import watch
 from lugspur.membership.maintenance import Maintenance
 from lugspur.membership.rows import Endpoint, Reader, server_id
@@ -26,7 +26,7 @@
     from collections.abc import Callable
 
     from lugspur.handover.messages import Estate
-    from lugspur.http2.pipe import Pipe
+    from lugspur.pipe import Pipe
 
 MANAGEMENT_SOCKETS = 32  # descriptors set aside where there is a second address, for its listener and callers
 SPARE_SOCKETS = 48  # descriptors for the listener, discovery, the loop, and callers beyond the limit
@@ -36,6 +36,8 @@
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
 TIME = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 ID = re.compile(rb"[0-9A-Za-z._-]{1,64}")
+ABSOLUTE = re.compile(rb"http://[^/?#]*", re.IGNORECASE)
+UPLOAD_MOST = 1800.0  # seconds that a body may take: 40 MiB at the least rate
 METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
 
 
@@ -82,6 +84,7 @@
             self._sockets, "", config.conn_idle, config.dial_timeout,
             int(HELD_PART * config.memory),
         )
+        connections.flow_most = int(FLOW_PART * config.memory)
         self.front = Front(config.listen, callers, config.memory, self._request)
         self._reader = reader = Reader(config.zones, config.types)
         self._discovery = watch.Discovery(
@@ -93,6 +96,7 @@
         known = reader.endpoints(config.known) if estate is None else estate.endpoints
         if estate is not None:
             self.maintenance.restore(estate.bans)
+        self.pool.streams = True
         self.pool.members(ListKind.STALE, self.maintenance.lay(ListKind.STALE, known))
         if estate is not None:
             self.pool.balancer.recall(self.pool.now(), estate.learned)
@@ -259,6 +263,9 @@
     # ---- requests ------------------------------------------------------------------------------
 
     def _request(self, request: Request, caller: Caller) -> None:
+        absolute = ABSOLUTE.match(request.target)
+        if absolute is not None:  # RFC 9112 3.2.2
+            request.target = request.target[absolute.end():] or b"/"
         path = request.target.partition(b"?")[0]
         if path == b"/healthz" and request.method == b"GET":
             healthy = self.front.healthy()
@@ -278,7 +285,20 @@
         self._open.add(name)
         if self.others is not None:
             self.others.began(name)
-        self.pool.submit(request, facts, caller, request.arrived + facts.timeout - ANSWER_EARLY)
+        # A request's time counts from its last byte.
+        deadline = request.ended + facts.timeout - ANSWER_EARLY
+        stream = request.stream
+        if stream is None or stream.ended:
+            self.pool.submit(request, facts, caller, deadline)
+            return
+        # Until that has come the caller's own pace is what bounds it (http1/front.py).
+        call = self.pool.submit(request, facts, caller, deadline + UPLOAD_MOST, expected=deadline)
+
+        def whole() -> None:
+            self.pool.whole(call, self._loop.time() + facts.timeout - ANSWER_EARLY)
+
+        if call.caller is not None:
+            stream.whole = whole
 
     def _classify(self, request: Request) -> Facts:
         """Read what the decisions need; raises Rejected where it is malformed or unknown."""
@@ -312,11 +332,21 @@
         return 400 <= status < 500 and status not in RETRIABLE
 
     def served(self, call: Call, response: Response) -> None:
-        """Pass the answer on."""
-        self.pool.answer(call, 200, response.head, response.body)
+        """Pass the answer on, or end it."""
+        begun = call.context
+        if isinstance(begun, Caller):
+            self.pool.release(call)
+            begun.finish()
+        else:
+            self.pool.answer(call, 200, response.head, response.body)
 
     def begun(self, call: Call, response: Response, body: Pipe) -> None:
-        """No answer of the platform's protocol is passed on before it is whole."""
+        """Pass on a large answer as it comes; nothing of ours ends it from here on."""
+        caller = call.caller
+        assert isinstance(caller, Caller)
+        self.pool.untimed(call)
+        call.context = caller
+        caller.begin_answer(200, response.head, response.length, body)
 
     def refused(self, call: Call, retry_after: float) -> None:
         """Answer 503."""
@@ -324,7 +354,7 @@
         self.pool.answer(call, 503, head, b"refused\n")
 
     def failed(self, call: Call) -> None:
-        """Answer 502, or 504 where time ran out."""
+        """Answer 502, or 504 where time ran out; an answer that was begun is cut off."""
         self.pool.answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
 
     def settled(self, call: Call) -> None:
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -10,13 +10,19 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from lugspur.http1.body import Body
 from lugspur.http1.intake import PLATFORM, Intake, Rejected, Request, Sizes
 from lugspur.membership.rows import Address
+from lugspur.pipe import Pipe
 
 READ = 64 << 10  # bytes read in one go, into one buffer that all callers share
-FIRST_WITHIN = 2.0  # seconds from connecting in which the first request must be whole: 3 s are owed at most
+FIRST_WITHIN = 2.0  # seconds from connecting in which the first request must begin: 3 s are owed at most...
+HEAD_MORE = 0.6  # ...and so many more for its head: with the sweep's 0.25 s that is under 3
 SETTLE = 0.05  # seconds in which the first bytes of a new connection may still be on their way
-WHOLE_WITHIN = 2.0  # seconds from its first byte in which a later one must be
+WHOLE_WITHIN = 2.5  # seconds from its first byte in which its head must be: some take 2 s, and 3 s are owed at most
+BODY_RATE = 24 << 10  # bytes a second of a body at least, on the whole: some come at 64 kB a second...
+BODY_LEAST = 1.0  # ...and seconds that this may be behind
+FLOW_WITHIN = 10.0  # seconds in which a piece of an answer that is passed on must come and go
 IDLE_MOST = 10.0  # seconds that a caller may keep its connection and ask nothing...
 IDLE_LEAST = 2.0  # ...and when connections run short, or where it never sent a request: by the protocol
 CROWDED = 0.5  # part of the limit on callers from which connections count as short
@@ -71,6 +77,7 @@
         self.fresh: dict[Held, float] = {}  # nothing has come yet
         self.idle: dict[Held, float] = {}  # between two requests
         self.reading: dict[Held, float] = {}  # a part of a request has come
+        self.flowing: dict[Held, float] = {}  # an answer is passed on
         self.last_accept = 0.0
         self._loop = asyncio.get_running_loop()
         self._loop.call_later(SWEEP, self._sweep)
@@ -183,7 +190,9 @@
             for caller in [caller for caller, limit in place.items() if limit - before <= now]:
                 caller.drop()
         for caller in [caller for caller, limit in self.reading.items() if limit <= now]:
-            caller.reject(Rejected(408, "the request took too long"))
+            caller.slow(now)
+        for caller in [caller for caller, limit in self.flowing.items() if limit <= now]:
+            caller.drop()
 
     def admit(self, caller: Held) -> None:
         """Take up a request that goes on; raises Rejected where there are too many connections."""
@@ -260,6 +269,10 @@
         if self._place is self.front.fresh or self._place is self.front.idle:
             self.close()
 
+    def slow(self, now: float) -> None:
+        """Its request takes too long."""
+        self.reject(Rejected(408, "the request took too long"))
+
     def drop(self) -> None:
         """Close it at once."""
         self.leave()
@@ -279,8 +292,14 @@
         self._loop = asyncio.get_running_loop()
         self._early: bytes | None = b"" if front.http2 is not None else None  # until it is known what is spoken
         self._queue: deque[Request | Rejected] = deque()
-        expected = self._continue if front.sizes.ordinary else None
-        self._intake = Intake(self._queue.append, front.sizes, expected, front.terms)
+        expected = self._continue if front.sizes.ordinary or front.sizes.streams else None
+        self._intake = Intake(self._queue.append, front.sizes, expected, front.terms, self._room)
+        self._stream: Body | None = None  # the body of the request in hand, while it comes
+        self._paused_at = 0.0  # since when it is not read, as the backend takes no more; 0: it is
+        self._old = False  # its request is HTTP/1.0
+        self._flow: Pipe | None = None  # the answer that is passed on...
+        self._chunked = False  # ...in chunks...
+        self._owed = 0  # ...and its bytes that its sender has not been told of
         self._busy = False
         self._stuck = False  # does not read its answers
         self._keep_alive = True
@@ -311,9 +330,26 @@
         self._queue.clear()
         self._hold(0)
         self._intake.close()
+        self._let_go()
+
+    def _let_flow_go(self) -> None:
+        """Nothing of the answer that is passed on goes out from here any more."""
+        flow, self._flow = self._flow, None
+        owed, self._owed = self._owed, 0
+        if flow is not None:
+            flow.attach(None)
+            flow.gone(owed)
+            flow.discard()
+
+    def _let_go(self) -> None:
+        """Nobody waits for the answer any more."""
+        self._let_flow_go()
         gone, self.gone = self.gone, None
         if gone is not None:
             gone()
+        stream, self._stream = self._stream, None
+        if stream is not None:  # after that: its attempt ends, and must not be followed by another
+            stream.drop()
 
     def close(self) -> None:
         """Close it, once what is written is out."""
@@ -337,8 +373,30 @@
 
     def resume_writing(self) -> None:
         self._stuck = False
+        if self._flow is not None:
+            owed, self._owed = self._owed, 0
+            self._flow.gone(owed)
+            self._pass()
+            return
         self._resume()
 
+    def _room(self) -> None:
+        """More of the body that is passed on may come."""
+        if self._paused_at:  # the time in which it was not read is not its own
+            passed, self._paused_at = self._loop.time() - self._paused_at, 0.0
+            self._intake.headed_at += passed
+            if self._place is self.front.reading:
+                self.move(self.front.reading, self.front.reading[self] + passed)
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def slow(self, now: float) -> None:
+        stream = self._stream
+        if stream is not None and stream.full:  # it waits for the backend, not for this caller
+            self.move(self.front.reading, now + BODY_LEAST)
+            return
+        super().slow(now)
+
     def buffer_updated(self, nbytes: int) -> None:
         data = self.front.buffer[:nbytes]
         if self._early is not None:
@@ -397,6 +455,12 @@
         now = self.arrival(self._loop.time())
         intake.feed(data, now if came is None else came)
         self._hold(intake.held())
+        if self._stream is not None and not self._stream.ended:
+            self._more(now)
+            return
+        if self._stream is not None:
+            self._stream = None
+            self.move(None)
         if self._held and front.held > front.held_most:  # Guards the memory limit against many half bodies.
             intake.fault = Rejected(503, "too many bodies at once")
         if len(self._queue) > PIPELINE_MOST:  # Guards memory and backends against floods on one connection.
@@ -407,9 +471,30 @@
             self._queue.append(intake.fault)
         if self._queue:
             self._next()
-        elif intake.reading and not self._busy and self._place is not front.reading:
-            first = self._place[self] if self._place is front.fresh else intake.arrived + front.whole_within
-            self.move(front.reading, first)
+        elif intake.reading and not self._busy:
+            limit = intake.arrived + front.whole_within
+            if self._place is front.fresh:  # who said nothing for long has less for its head
+                limit = min(limit, front.fresh[self] + HEAD_MORE)
+            elif self._place is front.reading:
+                limit = front.reading[self]
+            self.move(front.reading, max(limit, intake.body_due(BODY_RATE) + BODY_LEAST))
+
+    def _more(self, now: float) -> None:
+        """More of a body that is passed on has come."""
+        intake, stream, front = self._intake, self._stream, self.front
+        assert stream is not None
+        if self._held and front.held > front.held_most:  # Guards the memory limit against many half bodies.
+            intake.fault = Rejected(503, "too many bodies at once")
+        if intake.fault is not None:
+            # Guards against an attempt that would end with a part of the body: it is cut off, and never ran.
+            self._let_go()
+            self.reject(intake.fault)
+        else:
+            limit = max(intake.arrived + front.whole_within, intake.body_due(BODY_RATE) + BODY_LEAST)
+            self.move(front.reading, limit)
+            if stream.full:
+                self._paused_at = now
+                self._transport.pause_reading()
 
     def _hold(self, size: int) -> None:
         self.front.held += size - self._held
@@ -432,12 +517,18 @@
             return
         self._busy = True
         self.move(None)
-        self._keep_alive = request.keep_alive
+        self._keep_alive, self._old = request.keep_alive, request.old
+        self._stream = stream = request.stream if request.stream is not None and not request.stream.ended else None
         self._bodyless = request.method == b"HEAD"
         try:
             self.front.handle(request, self)
         except Rejected as fault:
+            self._let_go()
             self.reject(fault)
+            return
+        if stream is not None and self._stream is stream:
+            self._transport.resume_reading()  # its body has to come while it is in hand
+            self.move(self.front.reading, self._loop.time() + self.front.whole_within)
 
     def _continue(self) -> None:
         """Ask for the body that a caller holds back; behind other requests it comes without."""
@@ -455,6 +546,8 @@
 
     def reject(self, fault: Rejected) -> None:
         """Answer what is not served, for the last time: kept alive it would come again at full speed."""
+        if self._stream is not None:
+            self._let_go()
         self.gone = None
         self._busy, self._faulty = False, True
         self._queue.clear()
@@ -470,10 +563,37 @@
 
         `head` holds whole header lines; `length` is that of a body that a HEAD request is spared.
         """
+        if self._flow is not None:  # what was begun can't be finished
+            self.cut()
+            return
+        if self._stream is not None and not self._stream.ended:  # answered before its body's end
+            self._answer_early(status, head, body, length)
+            return
         self.gone = None
         self._busy = False
-        keep = self._keep_alive and not self.front.closing and self.front.drained_at is None
+        keep = self._keeps()
         self._write(status, head, body, keep, length)
+        self._after(keep)
+
+    def _keeps(self) -> bool:
+        return self._keep_alive and not self.front.closing and self.front.drained_at is None
+
+    def _answer_early(self, status: int, head: bytes, body: bytes, length: int | None) -> None:
+        """Answer for the last time; what still comes of the body is read and dropped."""
+        stream, self._stream = self._stream, None
+        assert stream is not None
+        self.gone = None
+        self._busy, self._faulty = False, True
+        self._queue.clear()
+        stream.drop()
+        self._hold(0)
+        self._write(status, head, body, False, length)
+        self.move(self.front.leaving, self._loop.time() + LINGER)
+        self._transport.resume_reading()
+        self._transport.write_eof()
+
+    def _after(self, keep: bool) -> None:
+        """An answer is written whole."""
         if not keep:
             self._queue.clear()
             self.close()
@@ -490,6 +610,66 @@
             if self._queue:
                 self._loop.call_soon(self._resume)
 
+    # ---- an answer that is passed on as it comes ----------------------------------------------
+
+    def begin_answer(self, status: int, head: bytes, length: int | None, flow: Pipe) -> None:
+        """Write the head of an answer; its body comes through the pipe, and `finish` or `cut` ends it."""
+        stream, self._stream = self._stream, None
+        if stream is not None and not stream.ended:  # its body is wanted no more
+            self._keep_alive = False
+            self._faulty = True
+            stream.drop()
+            self._hold(0)
+        self._keep_alive = self._keeps() and (length is not None or not self._old)
+        self._chunked = length is None and not self._old
+        told = b"Transfer-Encoding: chunked\r\n" if self._chunked else (
+            b"" if length is None else b"Content-Length: %d\r\n" % length)
+        self._transport.write(b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
+            status, PHRASES.get(status, b"Other"), head, told, b"" if self._keep_alive else b"Connection: close\r\n"))
+        self._flow = flow
+        self.move(self.front.flowing, self._loop.time() + FLOW_WITHIN)
+        flow.attach(self._pass)
+
+    def _pass(self) -> None:
+        """Pass on what there is, as long as the caller takes it."""
+        flow = self._flow
+        while flow is not None and not self._stuck and (data := flow.take_piece()):
+            self.move(self.front.flowing, self._loop.time() + FLOW_WITHIN)
+            self._transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+            if self._stuck:  # told once it has gone out
+                self._owed += len(data)
+            else:
+                flow.gone(len(data))
+        if flow is not None and flow.ended and not self._stuck:
+            self._finish()
+
+    def finish(self) -> None:
+        """The answer that was begun is whole."""
+        self.gone = None
+        if self._flow is not None:
+            self._flow.end()
+
+    def _finish(self) -> None:
+        """All of it has been passed on."""
+        if self._chunked:
+            self._transport.write(b"0\r\n\r\n")
+        self._let_flow_go()
+        self._busy = False
+        if self._faulty:
+            self.close()
+        else:
+            self._after(self._keep_alive and self._keeps())
+
+    def cut(self) -> None:
+        """The answer that was begun can't be finished: the caller has to be able to tell."""
+        self._let_flow_go()
+        self.gone = None
+        if self._old and not self._chunked:  # an ordinary close would look like the end
+            self.drop()
+        else:
+            self._queue.clear()
+            self.close()
+
     def _resume(self) -> None:
         if not self._queue:
             self._transport.resume_reading()
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -8,10 +8,12 @@
 
 import httptools
 
+from lugspur.http1.body import HOLD, Body
 from lugspur.http1.upstream import HOP_BY_HOP
 from lugspur.seams import Form
 
-BODY_MOST = 64 << 10  # bytes of a request's body, by the platform's protocol
+BODY_MOST = 64 << 10  # bytes of a request's body, where nothing else is said
+STREAM_MOST = 40 << 20  # bytes of a body that is passed on in pieces: 32 MB are to be expected, 60 MB are turned away
 HEAD_MOST = 16 << 10  # bytes of a request's head: what backends commonly read
 WIRE_PART = 8  # times the limit on a body that a request may take on the wire: the smallest chunks take six
 VERSIONS = ("1.1", "1.0")
@@ -20,7 +22,7 @@
 )
 NAMED = frozenset(
     {b"x-priority-class", b"x-tenant-id", b"x-timeout", b"x-request-id", b"x-retried", b"x-cost",
-     b"idempotency-key", b"host"}
+     b"idempotency-key", b"host", b"expect"}
 )
 
 
@@ -40,9 +42,10 @@
     head: int = HEAD_MOST
     body: int = BODY_MOST
     ordinary: bool = False
+    streams: bool = False  # whether a body of over 64 KiB is passed on in pieces, or held whole
 
 
-PLATFORM = Sizes()
+PLATFORM = Sizes(body=STREAM_MOST, streams=True)
 
 
 @dataclass(slots=True)
@@ -58,17 +61,22 @@
     keep_alive: bool
     terms: Any = None  # by what it is judged, as of its head; the daemon's
     form: Form | None = None  # what it has beyond this, where it came as gRPC
+    stream: Body | None = None  # its body, where that is passed on as it comes
+    ended: float = 0.0  # the loop's time of its last byte; of a stream, of what there is
+    old: bool = False  # HTTP/1.0: its sender knows no chunks
 
 
 class Intake:
     """The parser of one connection: whole requests are delivered, the first fault is kept and ends it."""
 
-    __deletable__ = ("_deliver", "_expected", "_parser", "_terms")  # for mypyc
+    __deletable__ = ("_deliver", "_expected", "_parser", "_room", "_terms")  # for mypyc
 
     def __init__(
         self, deliver: Callable[[Request], None], sizes: Sizes = PLATFORM,
         expected: Callable[[], None] | None = None, terms: Callable[[], object] | None = None,
+        room: Callable[[], None] = lambda: None,
     ) -> None:
+        self._room = room  # told when more of a body that is passed on may come
         self._terms = terms  # asked for each request's terms when its head has come
         self._deliver = deliver
         self._sizes = sizes
@@ -76,12 +84,12 @@
         self._parser = httptools.HttpRequestParser(self)
         self.fault: Rejected | None = None
         self.reading = False  # a request has begun and is not whole
-        self.arrived = 0.0
+        self.arrived = self.headed_at = 0.0
         self._begin()
 
     def close(self) -> None:
         """Let go of the parser: it and this object hold each other."""
-        del self._parser, self._deliver, self._expected, self._terms
+        del self._parser, self._deliver, self._expected, self._terms, self._room
 
     def feed(self, data: memoryview, now: float) -> None:
         """Read what has come in."""
@@ -92,14 +100,22 @@
             self._reject(400, "the request is malformed")
         if begun and self.reading:
             self._wire += len(data)
-            most = WIRE_PART * self._sizes.body + self._sizes.head
+            # Of a stream by what has come of it: its limit alone would let framing go on for hundreds of MB.
+            body = min(self._sizes.body, max(self._size, HOLD)) if self._sizes.streams else self._sizes.body
+            most = WIRE_PART * body + self._sizes.head
             if not self._headed and self._wire > self._sizes.head:
                 self._reject(431, "the head is too large")  # Guards memory against one header without end.
             elif self._wire > most:  # Guards memory against chunk framing without end.
                 self._reject(413, "the request is too large")
 
+    def body_due(self, rate: float) -> float:
+        """When so much of the body would have come at this rate, in bytes a second; while its head comes, never."""
+        return self.headed_at + self._size / rate if self._headed else 0.0
+
     def held(self) -> int:
         """Bytes of the body of a request that is not whole."""
+        if self.stream is not None:
+            return self.stream.held
         return min(self._size, self._sizes.body) if self.reading else 0
 
     def _reject(self, status: int, reason: str) -> None:
@@ -114,7 +130,9 @@
         self._body: list[bytes] = []
         self._head = self._size = self._wire = 0
         self._headed = False
+        self._length: int | None = None
         self._judged_by: object = None
+        self.stream: Body | None = None  # the body of a request that has been delivered and is not whole
 
     # ---- the parser's calls ----------------------------------------------------------------
 
@@ -135,7 +153,8 @@
         elif not value.isascii():  # Guards backends that close on what they can't read.
             self._reject(400, "a header is not plain text")
         else:
-            self._header(name, name.lower(), value)
+            # Guards what is compared against the white space that may stand behind a value (RFC 9112 5.1).
+            self._header(name, name.lower(), value.strip(b" \t"))
 
     def _header(self, name: bytes, lower: bytes, value: bytes) -> None:
         if lower in NAMED:
@@ -148,8 +167,10 @@
             return
         if lower == b"connection":
             self._connection += b"," + value.lower()
-        elif lower == b"content-length" and int(value) > self._sizes.body:
-            self._reject(413, "the body is too large")
+        elif lower == b"content-length":
+            self._length = int(value)
+            if self._length > self._sizes.body:
+                self._reject(413, "the body is too large")
         elif lower == b"transfer-encoding" and value.lower() != b"chunked":
             # Guards against a body that others end elsewhere.
             self._reject(400, "the transfer coding is unknown")
@@ -163,7 +184,7 @@
         self._headers[lower] = value if before is None else before + b", " + value
 
     def on_headers_complete(self) -> None:
-        self._headed = True
+        self._headed, self.headed_at = True, self._now
         self._judged_by = None if self._terms is None else self._terms()
         version = self._parser.get_http_version()
         if self._parser.should_upgrade():  # Guards against bytes behind the head that are no request.
@@ -193,13 +214,29 @@
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size <= self._sizes.body:
-            self._body.append(body)
-        else:
+        if self._size > self._sizes.body:
             self._reject(413, "the body is too large")
+        elif self.stream is not None:
+            self.stream.put(body)
+        else:
+            self._body.append(body)
+            if self._sizes.streams and self._size > HOLD and self.fault is None:
+                stream = Body(self._length, self._room)
+                stream.put(b"".join(self._body))
+                self._body.clear()
+                self._pass(stream)
+                self.stream = stream
 
     def on_message_complete(self) -> None:
         self.reading = False
+        stream, self.stream = self.stream, None
+        if stream is None:
+            self._pass(None)
+        elif self.fault is None:
+            stream.end()
+
+    def _pass(self, stream: Body | None) -> None:
+        """Deliver the request: whole, or with a body that is passed on as it comes."""
         target = b"".join(self._target)
         if b"#" in target:
             self._reject(400, "the target is malformed")
@@ -208,4 +245,5 @@
         self._deliver(Request(
             self._parser.get_method(), target, self._headers, self._lines,
             b"".join(self._body), self.arrived, self._parser.should_keep_alive(), self._judged_by,
+            stream=stream, ended=self._now, old=self._parser.get_http_version() == "1.0",
         ))
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -14,11 +14,17 @@
 import httptools
 
 from jaspershelf.model import Outcome
+from lugspur.http1.body import Body
 from lugspur.membership.rows import Address
+from lugspur.pipe import Pipe
 from lugspur.routing.shares import Shares
 from lugspur.seams import Lane
 
-ANSWER_MOST = 1 << 20  # bytes of an answer: not all keep to the 64 KiB of the protocol, 350 KB were seen
+ANSWER_MOST = 1 << 20  # bytes of an answer that is held whole, where nothing else is said
+PASS_FROM = 64 << 10  # bytes of an answer beyond which it is passed on as it comes
+PASS_MOST = 40 << 20  # bytes of an answer that is passed on: 32 MB are to be expected, endless ones announce GBs
+FLOW_PART = 0.25  # of the memory limit, for such answers together: a backend that has given its answer is free...
+FLOW_LEAST = 8 << 10  # bytes of one that may wait for its caller, however many there are
 HELD_PART = 0.125  # of the memory limit, for answers that are not whole: many large ones could fill it
 HEAD_MOST = 16 << 10  # bytes of an answer's head, 1xx ones ahead of it included: what callers commonly read
 INFORMED_MOST = 16  # 1xx answers ahead of one
@@ -78,14 +84,19 @@
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
 
-    __slots__ = ("backend", "bodyless", "connection", "dial", "open", "repeatable", "started", "timed", "timer",
-                 "until", "write", "_report")
+    __slots__ = ("backend", "begin", "bodyless", "body", "connection", "dial", "first", "flowing", "open", "repeatable",
+                 "started", "timed", "timer", "until", "write", "written", "_report")
 
     def __init__(
         self, backend: Backend, started: float, until: float, write: Callable[[float], bytes],
         report: Callable[[Exchange, Outcome, Response | None], None], repeatable: bool = True,
         bodyless: bool = False, timed: bool = True,
     ) -> None:
+        self.body: Body | None = None  # what is passed on behind `write`'s bytes as it comes...
+        self.written: Callable[[], None] | None = None  # ...and who is told that all of it is out
+        # Takes the answer as it comes, if that may be; from then on it is `flowing`.
+        self.begin: Callable[[Response, Pipe], None] | None = None
+        self.flowing, self.first = False, 0.0  # since when
         self.repeatable = repeatable  # whether it may be sent again when its connection breaks
         self.bodyless = bodyless  # HEAD: the answer ends with its head, whatever length that tells
         self.timed = timed  # whether it expires by itself; else whoever started it sees to that
@@ -104,6 +115,8 @@
         if not self.open:
             return
         self.open = False
+        if self.body is not None:
+            self.body.told = None
         if self.timer is not None:
             self.timer.cancel()
         if self.dial is not None:
@@ -114,11 +127,13 @@
         self._report(self, outcome, response)
 
     def latency(self, now: float) -> float:
-        """Seconds that the backend took, if it ends now."""
-        return now - self.started
+        """Seconds that the backend took, if it ends now; to its first bytes where the caller's pace counts then."""
+        return (self.first if self.flowing else now) - self.started
 
     def expire(self) -> None:
-        """The time that this attempt is waited for is up."""
+        """The time that this attempt is waited for is up; an answer that is coming is passed on from here."""
+        if self.connection is not None and self.connection.pass_on(self):
+            return
         self.end(Outcome.TIMEOUT if self._may_have_run() else Outcome.UNREACHABLE)
 
     def broke(self) -> None:
@@ -131,7 +146,7 @@
         Guards what may be sent again against answers that begin and never end, whatever stops them: they
         would hold it until its time is up. Could harm where backends send slowly but rightly.
         """
-        if not self.repeatable or not self.open:
+        if not self.repeatable or not self.open or self.flowing:
             return
         if self.timer is not None:
             self.timer.cancel()
@@ -281,6 +296,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer: Response | None = None  # the whole answer to the exchange
         self._headed = self._spoilt = False
+        self._at = 0  # how far the exchange's body has been taken up
+        self._flow: Pipe | None = None  # the answer that is passed on...
+        self._waiting = 0  # ...its bytes that its caller has not taken...
+        self._paused = False  # ...and whether no more is read meanwhile
         self._begin()
         self.sock = sock
         self._unsent = memoryview(b"")
@@ -295,6 +314,9 @@
         exchange.connection = self
         self.written = False
         self._heard = False
+        if exchange.body is not None:
+            self._at = 0
+            exchange.body.begin(self._pump)
         try:
             sent = self.sock.send(data)
         except BlockingIOError:
@@ -303,7 +325,7 @@
             self._loop.call_soon(self._lost)
             return
         if sent == len(data):
-            self.written = True
+            self._out()
         else:
             self._unsent = memoryview(data)[sent:]
             self._loop.add_writer(self.sock.fileno(), self._writable)
@@ -320,7 +342,40 @@
         self._unsent = self._unsent[sent:]
         if not self._unsent:
             self._loop.remove_writer(self.sock.fileno())
+            self._out()
+
+    def _out(self) -> None:
+        """All bytes that were there are out."""
+        exchange = self.exchange
+        if exchange is None or exchange.body is None:
+            self.written = True
+        else:
+            exchange.body.passed(self._at)
+            self._pump()
+
+    def _pump(self) -> None:
+        """Pass on what there is of the body, one piece at a time."""
+        exchange = self.exchange
+        if exchange is None or exchange.body is None or self._unsent or self.written or self.over:
+            return
+        body = exchange.body
+        data = body.read(self._at)
+        self._at += len(data)
+        if data and body.length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if not data:
+            if body.over and not body.ended:
+                exchange.broke()  # the rest will never come: it can't have run
+            if body.over or not body.ended:
+                return
             self.written = True
+            if body.length is None:
+                data = b"0\r\n\r\n"
+        if data:
+            self._unsent = memoryview(data)
+            self._loop.add_writer(self.sock.fileno(), self._writable)
+        if self.written and exchange.written is not None:
+            exchange.written()
 
     def usable(self) -> bool:
         """Whether it can carry another exchange.
@@ -336,16 +391,27 @@
 
     def _readable(self) -> None:
         try:
-            count = self.sock.recv_into(self._upstream.buffer)
+            most = 0 if self._flow is None else min(READ, self._upstream.flow())
+            count = self.sock.recv_into(self._upstream.buffer, most)
         except BlockingIOError:
             return
         except OSError:
             count = 0
         if count:
             self.buffer_updated(count)
-        else:
+        elif not self._ended_whole():
             self._lost()
 
+    def _ended_whole(self) -> bool:
+        """Whether its end is the answer's end: one that has no length and no chunks (RFC 9112 6.3)."""
+        exchange = self.exchange
+        if exchange is None or not self._headed or self._spoilt or self._answer is not None or self._framed:
+            return False
+        self._clean = False
+        self._answer = Response(self._parser.get_status_code(), b"".join(self._head), b"".join(self._body))
+        self._deliver(exchange, self._answer)
+        return True
+
     def _lost(self) -> None:
         """It has ended, by whichever side."""
         if self.over:
@@ -355,6 +421,7 @@
         self._loop.remove_writer(self.sock.fileno())
         self.sock.close()
         self._let_go()
+        self._end_flow()
         self._upstream.lost(self)
         del self._parser  # Guards memory: the parser and this object hold each other.
         if self.exchange is not None:
@@ -384,8 +451,14 @@
             elif self._begun:
                 exchange.begun(self._upstream.now())
             return
+        self._deliver(exchange, answer)
+
+    def _deliver(self, exchange: Exchange, answer: Response) -> None:
+        """An answer is whole."""
         self._answer = None
         outcome = self._upstream.judge(answer.status, self._unseen)
+        if outcome is Outcome.ERROR and exchange.body is not None and not self.written:
+            outcome = Outcome.FULL  # a backend begins at the last byte: it never ran
         # Kept only if nothing came behind the answer: it might answer the next request.
         if self._clean and self.written and self.usable():
             self.exchange = exchange.connection = None
@@ -397,6 +470,56 @@
         self._upstream.held -= self._held
         self._held = 0
 
+    def _begin_flow(self, exchange: Exchange) -> None:
+        """So much has come that it is no short answer with a wrong length: pass it on as it comes."""
+        assert exchange.begin is not None
+        exchange.flowing, exchange.first = True, self._upstream.now()
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        def taken(size: int) -> None:
+            self._upstream.flow_held -= size
+            if flow is self._flow:  # not of an answer that has ended meanwhile
+                self._taken(size)
+
+        self._flow = flow = Pipe(taken)
+        self._put(b"".join(self._body))
+        self._body.clear()
+        self._let_go()
+        exchange.begin(Response(self._parser.get_status_code(), b"".join(self._head), b"", self._length), flow)
+
+    def pass_on(self, exchange: Exchange) -> bool:
+        """Its time is up: pass on what has come of its answer, if a part has and no end of it is known to be wrong.
+
+        Guards large answers that come slowly: it is their first bytes that count.
+        """
+        good = self._headed and self._body and self._clean and not self._spoilt and self._answer is None
+        if not good or exchange.begin is None or self._parser.get_status_code() != 200:
+            return False
+        self._begin_flow(exchange)
+        return True
+
+    def _put(self, data: bytes) -> None:
+        assert self._flow is not None
+        self._waiting += len(data)
+        self._upstream.flow_held += len(data)
+        self._flow.put(data)
+        if self._waiting > self._upstream.flow() and not self._paused and not self.over:
+            self._paused = True
+            self._loop.remove_reader(self.sock.fileno())
+
+    def _taken(self, size: int) -> None:
+        self._waiting -= size
+        if self._paused and not self.over and self._waiting <= self._upstream.flow() // 2:
+            self._paused = False
+            self._loop.add_reader(self.sock.fileno(), self._readable)
+
+    def _end_flow(self) -> None:
+        if self._flow is not None:
+            self._flow = None
+            if self._paused and not self.over:
+                self._loop.add_reader(self.sock.fileno(), self._readable)
+            self._paused, self._waiting = False, 0
+
     def _begin(self) -> None:
         self._head: list[bytes] = []
         self._body: list[bytes] = []
@@ -404,6 +527,8 @@
         self._length: int | None = None
         self._size = self._fed = self._informed = 0
         self._unseen = self._headed = self._spoilt = self._begun = False
+        self._framed = False  # whether its end can be told from its length or its chunks
+        self._end_flow()
         self._clean = True  # so far all that came can be read and belongs to the answer, and it may be kept
 
     # ---- the parser's calls ----------------------------------------------------------------
@@ -418,17 +543,18 @@
         if self._headed or self._spoilt or self._answer is not None:
             return
         self._size += len(name) + len(value) + 4
-        lower = name.lower()
+        lower, value = name.lower(), value.strip(b" \t")
         if lower == b"x-not-processed":
             self._unseen = value == b"1"
         elif lower == b"connection":
             self._named += b"," + value.lower()
         elif lower == b"content-length":
-            self._length = int(value)
+            self._length, self._framed = int(value), True
             # Guards the memory limit against an answer without end.
-            self._spoilt = self._length > self._upstream.answer_most and not self._bodyless()
+            self._spoilt = self._length > self._most() and not self._bodyless()
         elif lower == b"transfer-encoding":
             self._spoilt = value.lower() != b"chunked"
+            self._framed = True
         # A load report is for the proxy, and what is no plain text may be more than a caller can read.
         elif lower not in HOP_BY_HOP and lower != b"x-server-load" and value.isascii():
             self._head.append(b"%b: %b\r\n" % (name, value))
@@ -454,6 +580,14 @@
             self._clean = False
             self._answer = Response(status, b"".join(self._head), b"", self._length)
 
+    def _most(self) -> int:
+        """Bytes that its body may have."""
+        passes = self.exchange is not None and self.exchange.begin is not None
+        return PASS_MOST if passes else self._upstream.answer_most
+
+    def _repeatable(self) -> bool:
+        return self.exchange is not None and self.exchange.repeatable
+
     def _bodyless(self) -> bool:
         return self.exchange is not None and self.exchange.bodyless
 
@@ -461,10 +595,20 @@
         if self._answer is not None or self._spoilt:
             return
         self._size += len(body)
+        if self._flow is not None and self._size <= PASS_MOST:
+            self._put(body)
+            return
         # Guards the memory limit against an answer without end, and against many large ones at once.
         if self._size <= self._upstream.answer_most and self._upstream.holds(len(body)):
             self._held += len(body)
             self._body.append(body)
+            exchange = self.exchange
+            passes = exchange is not None and exchange.open and exchange.begin is not None
+            # What may be tried again is held until so much has come: a spoilt answer says more than it has.
+            large = self._size if self._repeatable() else max(self._size, self._length or 0)
+            if passes and large > PASS_FROM and self._parser.get_status_code() == 200:
+                assert exchange is not None
+                self._begin_flow(exchange)
         else:
             self._spoilt = True
 
@@ -505,6 +649,8 @@
         self.buffer = memoryview(bytearray(READ))
         self._distrust_until = 0.0
         self.held = 0  # bytes of answers that are not whole
+        self.flow_held = 0  # bytes of answers that are passed on and wait for their callers...
+        self.flow_most = held_most  # ...and of all of them together
         self.held_most = held_most
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._sweeping = self._loop.call_later(self._keep / 4.0, self._sweep)
@@ -613,6 +759,14 @@
         self.held += size * fits
         return fits
 
+    def flow(self) -> int:
+        """Bytes of one answer that may wait for its caller now: as many as are free.
+
+        So each holds the same in the end, one that is alone half of all, and together they keep to the whole,
+        however many come later (dynamic thresholds: Choudhury and Hahne, 1998).
+        """
+        return max(FLOW_LEAST, self.flow_most - self.flow_held)
+
     def sockets(self) -> int:
         """How many connections are up or being made."""
         return self._sockets.used(self._name)
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -12,8 +12,8 @@
 from lugspur.http1.intake import NAMED, REWRITTEN, Rejected, Request
 from lugspur.http2.frames import CANCEL, NO_ERROR, REFUSED_STREAM, STREAM_MOST, Leave
 from lugspur.http2.machine import STREAMS_MOST, Data, Ended, Event, Fields, Head, Machine, Over, Reset, Tail
-from lugspur.http2.pipe import Pipe
 from lugspur.http2.wire import Wire
+from lugspur.pipe import Pipe
 
 GATHER = 0.02  # seconds after a whole message, or a head alone, in which a call may still turn out to be all there
 LEAVE_AFTER = 0.25  # seconds between the two GOAWAYs: streams that were begun before the first was read still come
--- a/lugspur/http2/upstream.py
+++ b/lugspur/http2/upstream.py
@@ -28,9 +28,9 @@
     Settled,
     Tail,
 )
-from lugspur.http2.pipe import Pipe
 from lugspur.http2.wire import Wire
 from lugspur.membership.rows import Address
+from lugspur.pipe import Pipe
 from lugspur.routing.shares import Shares
 from lugspur.seams import Watcher
 
--- a/lugspur/http2/pipe.py
+++ b/lugspur/pipe.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 
@@ -17,7 +18,7 @@
 
     def __init__(self, credit: Callable[[int], None]) -> None:
         self._credit = credit
-        self._chunks: list[bytes] = []
+        self._chunks: deque[bytes] = deque()
         self._free = 0  # bytes at the beginning that their sender has been told of already
         self._told: Callable[[], None] | None = None
         self.ended = False
@@ -50,6 +51,16 @@
         self.passed = self.passed or bool(data)
         return data
 
+    def take_piece(self) -> bytes:
+        """What came first, as it came; empty where there is nothing."""
+        data = self._chunks.popleft() if self._chunks else b""
+        self.passed = self.passed or bool(data)
+        return data
+
+    def discard(self) -> None:
+        """What is there goes nowhere any more."""
+        self.gone(len(self.take()))
+
     def gone(self, size: int) -> None:
         """So many bytes that were taken have gone out, or will never."""
         free = min(size, self._free)
--- a/lugspur/seams.py
+++ b/lugspur/seams.py
@@ -10,8 +10,8 @@
 if TYPE_CHECKING:
     from lugspur.http1.intake import Request
     from lugspur.http1.upstream import Backend, Response
-    from lugspur.http2.pipe import Pipe
     from lugspur.membership.rows import Address
+    from lugspur.pipe import Pipe
 
 
 class Answerable(Protocol):
