Give the daemon the second address too, and test what a coming process may meet

Need: maintenance and drains were the platform's alone; a daemon's operators could only edit its file. Change: `[management] address`, daemon/operated.py: bans over all pools (a reload's new ones and gRPC boxes included), drains over all listeners, GOAWAY for HTTP/2 callers. Maintenance no longer looks through a list longer than the names that it remembers at every change.

--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -88,6 +88,13 @@
         size(0, MEMORY_MOST), "what the process may hold: from 90% of it less is let in; 0: no limit is known", 0)
 
 
+@dataclass(slots=True)
+class Management:
+    """The second address, for operators: ready, maintenance of boxes, drain."""
+
+    address: Address | None = option(address, "where to listen for management calls; none: nowhere", None)
+
+
 @dataclass(slots=True)
 class Registry:
     """A ZooKeeper ensemble that pools follow and listeners register in, by one session."""
@@ -294,6 +301,7 @@
     daemon: Daemon = part(Daemon, "this instance among its like")
     limits: Limits = part(Limits, "limits")
     guard: Guard = part(Guard, "whether the proxy guards itself")
+    management: Management = part(Management, "the second address, for operators")
     listeners: dict[str, Listener] = parts(Listener, "where callers connect")
     classes: dict[str, Class] = parts(Class, "kinds of requests")
     tenants: dict[str, Tenant] = parts(Tenant, "whose traffic is told apart")
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -79,6 +79,8 @@
             if station is None:
                 station = self.stations[name] = Station(
                     name, self._sockets, self, self._epoch, self.registries)
+                for other in self.stations.values():  # what operators have taken out is out of every pool
+                    station.maintenance.banned.update(other.maintenance.banned)
             station.apply(
                 row, plan.settings(row), int(held * row.share), limits.answer, path, plan.file.registries)
         standings = {name: station.standing for name, station in self.stations.items()}
--- /dev/null
+++ b/lugspur/daemon/operated.py
@@ -0,0 +1,89 @@
+"""What operators can do to the daemon: bans over all pools, drains over all listeners."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from lugspur.config.model import Management
+from lugspur.management.acts import acts
+from lugspur.management.door import Door
+from lugspur.membership.rows import server_id
+
+if TYPE_CHECKING:
+    from lugspur.daemon.run import Running
+
+
+class Operators:
+    """The daemon's second address; it moves with the file."""
+
+    def __init__(self, running: Running) -> None:
+        self._running = running
+        self._row: Management | None = None
+        self._door: Door | None = None
+        self.drained = False
+
+    async def prepare(self, row: Management) -> Door | None:
+        """Take the address that a file names; raises OSError and changes nothing."""
+        if row.address is None or row == self._row:
+            return None
+        door = Door(row.address, acts(self))
+        try:
+            await door.open()
+        except OSError as fault:
+            host, port = row.address
+            raise OSError(f"management can't have {host}:{port}: {fault.strerror or fault}") from fault
+        return door
+
+    def swap(self, row: Management, door: Door | None) -> None:
+        """The file is in force."""
+        if row != self._row:
+            self.close()
+            self._row, self._door = row, door
+
+    def port(self) -> int:
+        """Where calls are taken; 0: nowhere."""
+        return 0 if self._door is None else self._door.port
+
+    def close(self) -> None:
+        """Take no more calls."""
+        if self._door is not None:
+            self._door.close()
+            self._door = None
+
+    # ---- the calls -----------------------------------------------------------------------------
+
+    @property
+    def takes_clients(self) -> bool:
+        """Whether all listeners are there."""
+        fronts = [front for front, _ in self._running.listeners.values()]
+        return bool(fronts) and all(front.ready and front.serving for front in fronts)
+
+    def disable(self, name: str) -> bool:
+        """Nothing more to this box in any pool; whether one ever listed it."""
+        return self._each(name, True)
+
+    def enable(self, name: str) -> bool:
+        """It may serve again in all pools, and begins cold; whether one ever listed it."""
+        return self._each(name, False)
+
+    def _each(self, name: str, off: bool) -> bool:
+        server, now = server_id(name), time.time()
+        stations = self._running.daemon.stations.values()
+        known = any(station.maintenance.known(server) for station in stations)
+        if known:  # in pools, too, that may list it later
+            for station in stations:
+                station.ban(server, off, now)
+        return known
+
+    def drain(self) -> None:
+        """Send callers away, from all listeners."""
+        self.drained = True
+        for front, _ in self._running.listeners.values():
+            front.drain()
+
+    def undrain(self) -> None:
+        """Take callers again."""
+        self.drained = False
+        for front, _ in self._running.listeners.values():
+            front.undrain()
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from lugspur.config import model
 from lugspur.config.build import Plan
@@ -18,6 +19,9 @@
 from lugspur.daemon.service import drain
 from lugspur.http1.front import BACKLOG, Front
 
+if TYPE_CHECKING:
+    from lugspur.daemon.operated import Operators
+
 Listening = tuple[Front, socket.socket]
 
 
@@ -33,6 +37,7 @@
         self._leaving: set[asyncio.Task[None]] = set()
         self._reloading: asyncio.Task[None] | None = None
         self._again = False
+        self.operators: Operators | None = None
 
     async def start(self, plan: Plan) -> None:
         """Begin; raises OSError, with the listener's name, where an address can't be had."""
@@ -87,7 +92,14 @@
                 if name in self.listeners and _terms(self._rows[name]) == _terms(row)}
         taken = {sock.getsockname()[:2]: sock for _, sock in self.listeners.values()}
         bound: dict[str, socket.socket] = {}
+        door = None
         try:
+            if plan.file.management.address is not None and self.operators is None:
+                from lugspur.daemon.operated import Operators
+
+                self.operators = Operators(self)
+            if self.operators is not None:
+                door = await self.operators.prepare(plan.file.management)
             for name, row in rows.items():
                 if name not in kept:
                     # The same address under other terms or another name: its queue of connections goes on.
@@ -96,6 +108,8 @@
         except OSError:
             for sock in bound.values():
                 sock.close()
+            if door is not None:
+                door.close()
             raise
         addresses = {name: sock.getsockname()[:2] for name, sock in bound.items()}
         addresses |= {name: address for name, address in self.addresses().items() if name in kept}
@@ -109,6 +123,10 @@
         for name in kept:
             self.daemon.retune(self.listeners[name][0])
         self._rows = dict(rows)
+        if self.operators is not None:
+            self.operators.swap(plan.file.management, door)
+            if self.operators.drained:  # new listeners too
+                self.operators.drain()
         self.announcers.apply(plan.file, addresses)
 
     def _leave(self, name: str) -> None:
@@ -121,6 +139,8 @@
     async def stop(self) -> None:
         """Tell registries first, finish what was taken, then let go of everything."""
         await self.announcers.leave()
+        if self.operators is not None:
+            self.operators.close()
         for name in tuple(self.listeners):
             self._leave(name)
         await asyncio.gather(*self._leaving)
--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -15,6 +15,7 @@
 from lugspur.daemon.places import places
 from lugspur.daemon.pool import Owner, Pool
 from lugspur.http1.upstream import Upstream
+from lugspur.membership.maintenance import Maintenance
 from lugspur.membership.nodes import Nodes
 from lugspur.membership.registry import Ensemble, Followed, Registries
 from lugspur.membership.rows import Endpoint, Reader
@@ -49,6 +50,7 @@
     def __init__(self, name: str, sockets: Shares, owner: Owner, epoch: float, registries: Registries) -> None:
         self.name = name
         self.standing = Standing()
+        self.maintenance = Maintenance()
         self._registries = registries
         self._sockets, self._owner, self._epoch = sockets, owner, epoch
         self._loop = asyncio.get_running_loop()
@@ -151,6 +153,17 @@
         if any(endpoint.grpc for endpoint in endpoints):
             endpoints = [replace(endpoint, row=replace(endpoint.row, kind=GRPC)) if endpoint.grpc else endpoint
                          for endpoint in endpoints]
+        self._show(kind, self.maintenance.lay(kind, endpoints))
+
+    def ban(self, server: int, on: bool, now: float) -> None:
+        """Operators take a box out, or put it back."""
+        changed = self.maintenance.disable(server) if on else self.maintenance.enable(server, now)
+        if changed:
+            self._show(ListKind.PATCH, changed)
+            if not on:
+                self.pool.put_back(server)
+
+    def _show(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
         self.pool.members(kind, endpoints)
         self.speaks_grpc = any(backend.lane is not None for backend in self.pool.backends.values())
         up = (key for key, server in self.pool.balancer.servers.items() if server.row.state is State.UP)
--- a/lugspur/management/door.py
+++ b/lugspur/management/door.py
@@ -22,6 +22,7 @@
         self._address, self.acts = address, acts
         self.waiting: dict[Visitor, None] = {}  # those that have not made their call, the oldest first
         self.visitors: set[Visitor] = set()
+        self.port = 0
         self._server: asyncio.Server
 
     async def open(self) -> socket.socket:
@@ -35,6 +36,7 @@
         except OSError:
             sock.close()
             raise
+        self.port = sock.getsockname()[1]
         self._server = await loop.create_server(lambda: Visitor(self), sock=sock, backlog=BACKLOG)
         return sock
 
--- a/lugspur/membership/maintenance.py
+++ b/lugspur/membership/maintenance.py
@@ -84,7 +84,8 @@
 
     def _bound(self) -> None:
         """Guards memory against names that are ever new; one that is listed or banned is not forgotten."""
-        if len(self.listed) > NAMES_MOST:
+        # Of a list that alone is longer, the names that have gone are looked for only once there are some.
+        if len(self.listed) > max(NAMES_MOST, len(self.told) + NAMES_MOST // 16):
             spare = len(self.listed) - NAMES_MOST
             old = [s for s in self.listed if s not in self.told and s not in self.banned][:spare]
             for server in old:
--- /dev/null
+++ b/tests/handover/test_keeper.py
@@ -0,0 +1,204 @@
+"""A process that comes meets what is at the socket: nothing, rubbish, another version, silence, half an estate."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import HOST, OK, Running, backend, entry, read, running, soon, status, until
+
+from jaspershelf.model import Learned
+from lugspur.handover import keeper as keepers
+from lugspur.handover.keeper import Keeper, place, short
+from lugspur.handover.messages import PACKET_MOST, VERSION, Estate, estate_parts, pack, unpack
+from lugspur.membership.maintenance import Bans
+
+ADDRESS = (HOST, 7)
+
+
+@pytest.fixture(autouse=True)
+def folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Path]:
+    """A folder of its own, with a path longer than a Unix socket's address takes."""
+    deep = tmp_path / ("d" * 90) / ("e" * 90)
+    deep.mkdir(parents=True)
+    monkeypatch.setattr(tempfile, "tempdir", str(deep))
+    yield deep
+
+
+class Old:
+    """Stands where the process before would: a socket at the place, and what it says is the test's matter."""
+
+    def __init__(self) -> None:
+        folder, name = place(ADDRESS)
+        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        with short(folder) as path:
+            self._sock.bind(f"{path}/{name}")
+        self._sock.listen()
+        self._sock.settimeout(20.0)
+
+    def come(self) -> socket.socket:
+        """The process that comes, once it has said hello."""
+        one, _ = self._sock.accept()
+        one.settimeout(20.0)
+        assert unpack(one.recv(PACKET_MOST)) == {"t": "hello", "version": VERSION}
+        return one
+
+
+def took(says: Any) -> tuple[bool, int]:
+    """Whether an estate was taken where the old process does this; and the links that are left."""
+    async def play() -> tuple[bool, int]:
+        old = Old()
+        keeper = Keeper(ADDRESS)
+        taking = asyncio.create_task(keeper.take())
+        one = await asyncio.to_thread(old.come)
+        says(one)
+        found = await soon(taking)
+        if found is not None:
+            found.listener.close()
+        left = len(keeper.links)
+        keeper.close()
+        return found is not None, left
+
+    return asyncio.run(play())
+
+
+ESTATE = Estate(1, [], Bans([], [], {}), False, [], Learned((), (), 0.0, 0.0, 0))
+PARTS = estate_parts(ESTATE)
+NEWER = [part.replace(b'\\"version\\":1', b'\\"version\\":9') for part in PARTS]
+
+
+def with_socket(packets: list[bytes]) -> Any:
+    """Say these, the last with a listening socket."""
+    def say(one: socket.socket) -> None:
+        with socket.socket() as listener:
+            listener.bind((HOST, 0))
+            for packet in packets[:-1]:
+                one.send(packet)
+            socket.send_fds(one, [packets[-1]], [listener.fileno()])
+    return say
+
+
+def test_a_whole_estate_is_taken_over_a_path_of_any_length(folder: Path) -> None:
+    assert len(str(folder)) > 108
+    assert took(with_socket(PARTS)) == (True, 1)
+
+
+@pytest.mark.parametrize("says", [
+    lambda one: one.close(),
+    lambda one: one.send(b"nonsense"),
+    lambda one: one.send(b"x" * (PACKET_MOST + 5000)),
+    lambda one: one.send(pack({"t": "no", "why": "another version"})),
+    lambda one: one.send(PARTS[0]),  # whole, and no socket comes with it
+    lambda one: one.send(pack({"t": "estate", "n": 3, "of": 9, "part": ""})),
+    lambda one: one.send(pack({"t": "estate", "n": 0, "of": 10**9, "part": ""})),
+    with_socket(NEWER),
+], ids=range(8))
+def test_what_is_no_estate_means_a_start_from_nothing(says: Any) -> None:
+    assert NEWER != PARTS
+    assert took(says) == (False, 0)
+
+
+def test_one_that_says_nothing_or_half_is_waited_for_a_moment(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(keepers, "WITHIN", 0.1)
+    half = pack({"t": "estate", "n": 0, "of": 2, "part": "{"})
+    assert took(lambda one: None) == (False, 0)
+    assert took_again(lambda one: one.send(half)) == (False, 0)
+
+
+def took_again(says: Any) -> tuple[bool, int]:
+    """After the socket of a dead process has been left where it was."""
+    folder, name = place(ADDRESS)
+    os.unlink(f"{folder}/{name}")
+    return took(says)
+
+
+def test_a_stale_socket_another_users_and_none_at_all_are_no_process(
+    folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        keeper = Keeper(ADDRESS)
+        assert await keeper.take() is None
+        Old()._sock.close()
+        assert await keeper.take() is None
+        old = again()
+        monkeypatch.setattr(os, "geteuid", lambda: 12345)
+        assert await keeper.take() is None
+        old.close()
+        keeper.close()
+
+    asyncio.run(play())
+
+
+def again() -> socket.socket:
+    """One more at the place, where a stale one lies."""
+    folder, name = place(ADDRESS)
+    os.unlink(f"{folder}/{name}")
+    return Old()._sock
+
+
+async def serving(up: Running) -> Keeper:
+    """A running proxy's keeper, found by others."""
+    keeper = Keeper(ADDRESS)
+    [server] = up.proxy.front._server.sockets
+    up.proxy.beside(keeper)
+    keeper.serve(up.proxy, server)
+    keeper.ready()
+    return keeper
+
+
+def test_rubbish_from_a_process_that_comes_harms_nobody(folder: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("s-1", one.address)]) as up:
+            keeper = await serving(up)
+            folder_, name = place(ADDRESS)
+            for packet in (b"nonsense", pack({"t": "ban", "id": 7}), pack({"t": "ids", "begun": 5}), b"x" * 60_000,
+                           pack({"t": "caller"}), pack({"t": "hello", "version": 9}), pack({"t": "hello"})):
+                came = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+                with short(folder_) as path:
+                    came.connect(f"{path}/{name}")
+                came.send(packet)
+                await until(lambda: len(keeper.links) <= 1)
+                client = await up.client()
+                assert status(await client.ask(read())) == 200
+                came.close()
+                await until(lambda: not keeper.links)
+            assert keeper.heir is None
+            keeper.close()
+            assert not os.path.exists(folder / name)  # its own it takes along
+
+    asyncio.run(play())
+
+
+def test_a_ban_told_to_either_in_the_instant_of_the_hand_over_binds_both() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("s-1", one.address), entry("s-2", one.address)]) as old:
+            first = await serving(old)
+            second = Keeper(ADDRESS)
+            taking = asyncio.create_task(second.take())
+            await until(lambda: bool(first.links))
+            assert old.proxy.disable("s-1")  # before the estate has been read, or just after it was written
+            found = await soon(taking)
+            assert found is not None
+            assert old.proxy.disable("s-2")  # before the new one serves
+            found.listener.close()
+            async with running([entry("s-1", one.address), entry("s-2", one.address)]) as new:
+                new.proxy.maintenance.restore(found.estate.bans)
+                new.proxy.beside(second)
+                [server] = new.proxy.front._server.sockets
+                second.serve(new.proxy, server)
+                await until(lambda: len(new.proxy.maintenance.banned) == 2)
+                assert new.proxy.enable("s-1")  # told to the new one
+                await until(lambda: len(old.proxy.maintenance.banned) == 1)
+                client = await new.client()
+                assert status(await client.ask(read())) == 200
+                second.close()
+            await until(lambda: not first.links)
+            first.close()
+
+    asyncio.run(play())
