Pass large bodies through the daemon too, and count begun answers as load in picks

Need: streams were the platform's alone. Change: `[limits] hold` (1 MiB): beyond it HTTP/1.1 bodies and answers pass through as they come; gRPC boxes get bodies whole, since their one message's length goes ahead; a request whose body is still all there may go to the next pool. Answers that have begun count in flight (Server.flowing), as gRPC streams did, and no longer by their age.

--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -71,7 +71,12 @@
     head: int = option(size(1 << 10, 1 << 20), "a request's head: 431 beyond it", 16 << 10)
     body: int = option(size(0, 64 << 20), "a request's body: 413 beyond it", 1 << 20)
     answer: int = option(size(1 << 10, 256 << 20), "a backend's body: a spoilt answer beyond it", 8 << 20)
-    read: float = option(duration(0.1, 600.0), "time for a whole request to come in: 408 beyond it", 10.0)
+    hold: int = option(
+        size(1 << 10, 64 << 20), "bodies and answers up to here are held whole, so that another attempt can be made; "
+        "larger ones of HTTP/1.1 are passed on as they come", 1 << 20)
+    read: float = option(
+        duration(0.1, 600.0), "time for a request to come in, but for what of a body is beyond hold: 408 beyond it",
+        10.0)
     idle: float = option(duration(2.0, 3600.0), "time that a caller may keep a connection between requests", 60.0)
     joined: int = option(
         whole(0, 1 << 20), "reads that wait for others' calls; beyond it 503, the tenant with the most first", 1000)
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -14,10 +14,11 @@
 from lugspur.daemon.joins import Joins
 from lugspur.daemon.outgoing import Headers, changed, drawn, outgoing
 from lugspur.daemon.pool import Call, Facts
-from lugspur.daemon.proxy import ANSWER_EARLY, CALLERS_PART, SPARE_SOCKETS, TIME, read_cost
+from lugspur.daemon.proxy import ANSWER_EARLY, CALLERS_PART, SPARE_SOCKETS, TIME, UPLOAD_MOST, read_cost
 from lugspur.daemon.station import GRPC, Station
 from lugspur.daemon.ticket import End, Ticket
-from lugspur.http1.front import Front
+from lugspur.http1.body import Body
+from lugspur.http1.front import Caller, Front
 from lugspur.http1.intake import Rejected, Request, Sizes
 from lugspur.http1.upstream import HELD_PART, Response
 from lugspur.membership.registry import Registries
@@ -82,7 +83,7 @@
                 for other in self.stations.values():  # what operators have taken out is out of every pool
                     station.maintenance.banned.update(other.maintenance.banned)
             station.apply(
-                row, plan.settings(row), int(held * row.share), limits.answer, path, plan.file.registries)
+                row, plan.settings(row), int(held * row.share), limits, path, plan.file.registries)
         standings = {name: station.standing for name, station in self.stations.items()}
         self.joins.tune(limits.joined, limits.memory)
         self._guard(plan)
@@ -138,7 +139,7 @@
             front.came = front.work = None
         front.tune(
             max(1, int(CALLERS_PART * sockets) // count), limits.memory // count,
-            Sizes(limits.head, limits.body, ordinary=True), limits.read, limits.idle, limits.drain,
+            Sizes(limits.head, limits.body, ordinary=True, hold=limits.hold), limits.read, limits.idle, limits.drain,
         )
 
     def _serves(self, front: Front, name: str) -> bool | None:
@@ -191,7 +192,8 @@
         if self.guard is not None and regime is self.regime:
             who = caller.peer if tenant == NOBODY else tenant
             place = regime.plan.kinds[forward.kind]
-            if not self.guard.admits(place, who, len(request.body)):
+            size = len(request.body) if request.stream is None else request.stream.came
+            if not self.guard.admits(place, who, size):
                 caller.answer(503, COME_BACK, b"too busy\n")
                 self.guard.rest(caller, place)
                 return
@@ -207,7 +209,11 @@
         sent = outgoing(request, target, match, forward, caller.peer, row.trust_forwarded)
         station, *rest = (regime.stations[name] for name in found)
         ticket = Ticket(kind, forward, sent, tenant, read_cost(request), deadline, station, rest)
-        if forward.join is None:
+        stream = request.stream
+        if stream is not None and not stream.ended:
+            self._stream(ticket, stream, timeout, caller)
+            return
+        if forward.join is None or stream is not None:
             self._submit(ticket, caller)
             return
         # Reads of two files, or with and without what a trusted listener lets through, are never the same.
@@ -228,6 +234,27 @@
             timeout = min(timeout, float(wanted) - (self._loop.time() - request.arrived))
         return timeout
 
+    def _stream(self, ticket: Ticket, stream: Body, timeout: float, caller: Answerable) -> None:
+        """Pass on a body as it comes; its request's time counts from its last byte."""
+        def whole() -> None:
+            deadline = self._loop.time() + timeout - ANSWER_EARLY
+            ticket.deadline, ticket.expected = deadline, float("inf")
+            if ticket.call is not None:
+                ticket.station.pool.whole(ticket.call, deadline)
+
+        def gathered(body: bytes) -> None:
+            ticket.request.body, ticket.request.stream = body, None
+            whole()
+            self._submit(ticket, caller)
+
+        if any(station.speaks_grpc for station in (ticket.station, *ticket.rest)):
+            stream.gather(gathered)  # a gRPC box is sent one message, whose length goes ahead of it
+            return
+        ticket.expected = ticket.deadline
+        ticket.deadline += UPLOAD_MOST
+        stream.whole = whole
+        self._submit(ticket, caller)
+
     def _submit(self, ticket: Ticket, caller: Answerable) -> None:
         """Give a request to its station, if that has a place left."""
         station, form = ticket.station, ticket.request.form
@@ -244,7 +271,7 @@
             return
         self._places.take(station.name)
         facts = Facts(station.kind(kind), station.tenant(ticket.tenant), 0.0, ticket.cost, False)
-        call = station.pool.submit(ticket.request, facts, caller, ticket.deadline, ticket)
+        call = station.pool.submit(ticket.request, facts, caller, ticket.deadline, ticket, ticket.expected)
         if call.caller is not None:  # else it is answered, or another pool has taken over by now
             ticket.call = call
 
@@ -255,9 +282,14 @@
         return False
 
     def served(self, call: Call, response: Response) -> None:
-        """Pass the answer on."""
-        _note(_ticket(call), call, End.SERVED)
-        self._pass_on(call, response)
+        """Pass the answer on, or end it."""
+        ticket = _ticket(call)
+        _note(ticket, call, End.SERVED)
+        if ticket.begun is not None:
+            ticket.station.pool.release(call)
+            ticket.begun.finish()
+        else:
+            self._pass_on(call, response)
 
     def _pass_on(self, call: Call, response: Response) -> None:
         ticket = _ticket(call)
@@ -269,13 +301,20 @@
         ticket = _ticket(call)
         if ticket.request.form is not None:
             ticket.request.form.begin_answer(changed(response.head, ticket.forward.response), body)
+        elif isinstance(call.caller, Caller):  # nothing of ours ends it from here on
+            ticket.begun = call.caller
+            ticket.station.pool.untimed(call)
+            head = changed(response.head, ticket.forward.response)
+            call.caller.begin_answer(response.status, head, response.length, body)
 
     def refused(self, call: Call, retry_after: float) -> None:
         """Let the next pool take over where this one has no usable backend and nothing ran; else answer 503."""
         ticket = _ticket(call)
         station, now = ticket.station, self._loop.time()
         rest = [other for other in ticket.rest if other.standing.usable(now)]
-        if rest and not call.may_have_run and not station.standing.usable(now) and now < call.deadline:
+        stream = ticket.request.stream
+        gone = stream is not None and stream.bound  # a part of its body is not there any more
+        if rest and not gone and not call.may_have_run and not station.standing.usable(now) and now < call.deadline:
             caller = station.pool.release(call)
             ticket.station, *ticket.rest = rest
             if caller is not None:
--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -64,7 +64,7 @@
         self._tenants: dict[str, int] = {}
 
     def apply(
-        self, row: model.Pool, settings: Settings, held_most: int, answer_most: int, beside: str,
+        self, row: model.Pool, settings: Settings, held_most: int, limits: model.Limits, beside: str,
         registries: Mapping[str, model.Registry],
     ) -> None:
         """Begin, or go on, by this row of the file `beside`; what was learned of backends stays."""
@@ -76,8 +76,11 @@
                 places(self.pool.settings.classes, settings.classes, held))))
         self._row = row
         self._tenants = {tenant.name: at for at, tenant in enumerate(settings.tenants)}
+        answer_most = limits.answer
         self._limits = held_most, answer_most
-        self.pool.upstream.tune(row.keep, row.connect, held_most, answer_most, row.idle)
+        upstream = self.pool.upstream
+        upstream.tune(row.keep, row.connect, held_most, answer_most, row.idle)
+        upstream.pass_from, upstream.pass_most, upstream.flow_most = limits.hold, answer_most, held_most
         if self._streams is not None:
             self._streams.tune(row.keep, row.connect, held_most, answer_most)
         self._feed(row, beside, registries)
@@ -99,6 +102,7 @@
         )
         seed = int.from_bytes(os.urandom(8), "big")
         self.pool = Pool(settings, seed, connections, self._owner, self._epoch, lane=self._lane)
+        self.pool.streams = True
         self.pool.start()
 
     def _lane(self) -> Streams:
--- a/lugspur/http1/body.py
+++ b/lugspur/http1/body.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 HOLD = 64 << 10  # bytes up to which a body is held whole; a larger one goes through in pieces...
-KEEP = 128 << 10  # ...and is kept up to here, so that another attempt can begin anew
+KEEP = 2  # ...and is kept up to so many times that, so that another attempt can begin anew
 WINDOW = 64 << 10  # bytes that may have come and not gone on; its sender is not read beyond them
 PIECE = 64 << 10  # bytes sent on in one go
 
@@ -13,11 +13,13 @@
 class Body:
     """Bytes that come on one side and go on on the other, at the pace of the slower.
 
-    An attempt reads from its own place on. Until more than KEEP has been passed on, all is kept, and another
+    An attempt reads from its own place on. Until more than `keep` bytes have been passed on, all is kept, and another
     attempt can begin; from then on what has gone is dropped, and the request belongs to that attempt.
     """
 
-    def __init__(self, length: int | None, room: Callable[[], None]) -> None:
+    def __init__(self, length: int | None, room: Callable[[], None], keep: int = KEEP * HOLD) -> None:
+        self._keep = keep
+        self._gathers = False
         self.length = length  # as announced; None: it comes in chunks
         self._room = room  # told when more may come
         self._data = bytearray()
@@ -47,7 +49,13 @@
     @property
     def full(self) -> bool:
         """Whether its sender should wait."""
-        return not self.over and self.came - self._gone > WINDOW
+        return not self.over and not self._gathers and self.came - self._gone > WINDOW
+
+    def gather(self, whole: Callable[[bytes], None]) -> None:
+        """Nothing of it goes on before it is whole: who takes it can't take it in pieces."""
+        self._gathers = True
+        self.whole = lambda: whole(bytes(self._data))
+        self._room()
 
     def put(self, data: bytes) -> None:
         """Some more has come."""
@@ -88,7 +96,7 @@
         """The attempt that is out has passed on everything before this place."""
         full = self.full
         self._gone = at
-        if at > KEEP and not self.over:
+        if at > self._keep and not self.over:
             first = not self._base
             del self._data[:at - self._base]
             self._base = at
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -292,8 +292,7 @@
         self._loop = asyncio.get_running_loop()
         self._early: bytes | None = b"" if front.http2 is not None else None  # until it is known what is spoken
         self._queue: deque[Request | Rejected] = deque()
-        expected = self._continue if front.sizes.ordinary or front.sizes.streams else None
-        self._intake = Intake(self._queue.append, front.sizes, expected, front.terms, self._room)
+        self._intake = Intake(self._queue.append, front.sizes, self._continue, front.terms, self._room)
         self._stream: Body | None = None  # the body of the request in hand, while it comes
         self._paused_at = 0.0  # since when it is not read, as the backend takes no more; 0: it is
         self._old = False  # its request is HTTP/1.0
@@ -460,7 +459,8 @@
             return
         if self._stream is not None:
             self._stream = None
-            self.move(None)
+            if self._busy:  # else it has been answered in this very moment
+                self.move(None)
         if self._held and front.held > front.held_most:  # Guards the memory limit against many half bodies.
             intake.fault = Rejected(503, "too many bodies at once")
         if len(self._queue) > PIPELINE_MOST:  # Guards memory and backends against floods on one connection.
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from lugspur.http1.body import HOLD, Body
+from lugspur.http1.body import HOLD, KEEP, Body
 from lugspur.http1.upstream import HOP_BY_HOP
 from lugspur.seams import Form
 
@@ -42,10 +42,10 @@
     head: int = HEAD_MOST
     body: int = BODY_MOST
     ordinary: bool = False
-    streams: bool = False  # whether a body of over 64 KiB is passed on in pieces, or held whole
+    hold: int = 1 << 62  # beyond it a body is passed on in pieces
 
 
-PLATFORM = Sizes(body=STREAM_MOST, streams=True)
+PLATFORM = Sizes(body=STREAM_MOST, hold=HOLD)
 
 
 @dataclass(slots=True)
@@ -102,7 +102,7 @@
         if begun == self._begun and self.reading:  # not what has begun behind another in these bytes
             self._wire += len(data)
             # Of a stream by what has come of it: its limit alone would let framing go on for hundreds of MB.
-            body = min(self._sizes.body, max(self._size, HOLD)) if self._sizes.streams else self._sizes.body
+            body = min(self._sizes.body, max(self._size, self._sizes.hold))
             most = WIRE_PART * body + self._sizes.head
             if not self._headed and self._wire > self._sizes.head:
                 self._reject(431, "the head is too large")  # Guards memory against one header without end.
@@ -222,8 +222,8 @@
             self.stream.put(body)
         else:
             self._body.append(body)
-            if self._sizes.streams and self._size > HOLD and self.fault is None:
-                stream = Body(self._length, self._room)
+            if self._size > self._sizes.hold and self.fault is None:
+                stream = Body(self._length, self._room, KEEP * self._sizes.hold)
                 stream.put(b"".join(self._body))
                 self._body.clear()
                 self._pass(stream)
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -493,7 +493,7 @@
         Guards large answers that come slowly: it is their first bytes that count.
         """
         good = self._headed and self._body and self._clean and not self._spoilt and self._answer is None
-        if not good or exchange.begin is None or self._parser.get_status_code() != 200:
+        if not good or exchange.begin is None or not self._serves():
             return False
         self._begin_flow(exchange)
         return True
@@ -583,7 +583,10 @@
     def _most(self) -> int:
         """Bytes that its body may have."""
         passes = self.exchange is not None and self.exchange.begin is not None
-        return PASS_MOST if passes else self._upstream.answer_most
+        return self._upstream.pass_most if passes else self._upstream.answer_most
+
+    def _serves(self) -> bool:
+        return self._upstream.judge(self._parser.get_status_code(), self._unseen) is Outcome.OK
 
     def _repeatable(self) -> bool:
         return self.exchange is not None and self.exchange.repeatable
@@ -595,7 +598,7 @@
         if self._answer is not None or self._spoilt:
             return
         self._size += len(body)
-        if self._flow is not None and self._size <= PASS_MOST:
+        if self._flow is not None and self._size <= self._upstream.pass_most:
             self._put(body)
             return
         # Guards the memory limit against an answer without end, and against many large ones at once.
@@ -606,7 +609,7 @@
             passes = exchange is not None and exchange.open and exchange.begin is not None
             # What may be tried again is held until so much has come: a spoilt answer says more than it has.
             large = self._size if self._repeatable() else max(self._size, self._length or 0)
-            if passes and large > PASS_FROM and self._parser.get_status_code() == 200:
+            if passes and large > self._upstream.pass_from and self._serves():
                 assert exchange is not None
                 self._begin_flow(exchange)
         else:
@@ -649,6 +652,7 @@
         self.buffer = memoryview(bytearray(READ))
         self._distrust_until = 0.0
         self.held = 0  # bytes of answers that are not whole
+        self.pass_from, self.pass_most = PASS_FROM, PASS_MOST  # bytes of an answer that is passed on as it comes
         self.flow_held = 0  # bytes of answers that are passed on and wait for their callers...
         self.flow_most = held_most  # ...and of all of them together
         self.held_most = held_most
--- /dev/null
+++ b/tests/test_partial.py
@@ -0,0 +1,107 @@
+"""Requests that come in parts and answers that go on for long: neither a queue nor a server that hangs."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jaspershelf import Balancer, ListKind, Outcome, Repeat, RequestClass, Send, ServerRow, Settings
+
+SETTINGS = Settings(classes=(RequestClass("read", 0.4, 1.0, Repeat.SAFE),))
+ROWS = [ServerRow(1), ServerRow(2)]
+
+
+def balancer() -> Balancer:
+    """One that has seen both servers answer in 0.1 s."""
+    made = Balancer(SETTINGS, 5)
+    made.members(0.0, ListKind.WHOLE, ROWS)
+    for number in range(40):
+        now = number / 4.0
+        for action in made.request(now, f"w{number}"):
+            assert isinstance(action, Send)
+            made.outcome(now + 0.1, f"w{number}", 0, Outcome.OK, 0.1, True)
+    return made
+
+
+def shares(made: Balancer, now: float) -> dict[int, int]:
+    """Where the next requests go, one after another."""
+    got = {1: 0, 2: 0}
+    for number in range(60):
+        for action in made.request(now + number, f"s{number}"):
+            assert isinstance(action, Send)
+            got[action.server] += 1
+            made.outcome(now + number + 0.1, f"s{number}", 0, Outcome.OK, 0.1, True)
+    return got
+
+
+def test_a_server_that_gives_a_long_answer_does_not_look_hung() -> None:
+    made = balancer()
+    [send] = made.request(20.0, "long")
+    assert isinstance(send, Send)
+    made.begun(20.1, "long", 0)
+    assert shares(made, 30.0)[send.server] == 0  # the idle one is better...
+    got = {1: 0, 2: 0}
+    for number in range(4):  # ...but a hung attempt of 70 s would keep these from it, too
+        for action in made.request(90.0, f"t{number}"):
+            assert isinstance(action, Send)
+            got[action.server] += 1
+    assert got[send.server] >= 1
+    for number in range(4):
+        made.outcome(90.1, f"t{number}", 0, Outcome.OK, 0.1, True)
+    made.outcome(95.0, "long", 0, Outcome.OK, 0.1, True)
+    assert not any(server.flowing or server.out for server in made.servers.values())
+
+
+def test_a_server_that_gets_a_slow_upload_does_not_look_hung_until_it_is_whole() -> None:
+    made = balancer()
+    [send] = made.request(20.0, "slow", 0, 0, 21.0, 0.0, False, True)
+    assert isinstance(send, Send)
+    got = shares(made, 30.0)
+    assert got[send.server] >= 10
+    made.whole(95.0, "slow", 96.0)
+    assert next(iter(made.servers[send.server].out)).since == 95.0
+    assert shares(made, 105.0)[send.server] == 0  # now it hangs
+
+
+def test_slow_uploads_take_no_room_from_others() -> None:
+    made = balancer()
+    for number in range(50):
+        made.request(20.0 + number / 100.0, f"u{number}", 0, 0, 22.0, 0.0, False, True)
+    assert made.pools[0].owed == 0
+    assert any(isinstance(action, Send) for action in made.request(20.6, "next"))
+
+
+@given(st.lists(st.tuples(st.sampled_from(["whole", "begun", "gone", "ok", "broken", "late"]), st.integers(0, 3))))
+def test_nothing_is_counted_twice_or_left_over(steps: list[tuple[str, int]]) -> None:
+    made, sent = balancer(), dict[str, int]()
+    for number in range(4):
+        for action in made.request(20.0, f"r{number}", 0, 0, 21.0, 0.0, False, number % 2 == 0):
+            if isinstance(action, Send):
+                sent[action.request] = sent.get(action.request, 0) + 1
+    now = 20.1
+    for what, number in steps:
+        now += 0.01
+        rid = f"r{number}"
+        request = made.requests.get(rid)
+        if what == "whole":
+            actions = made.whole(now, rid, now + 1.0)
+        elif what == "gone":
+            actions = made.gone(now, rid)
+        elif request is None or not request.attempts or not request.attempts[-1].open:
+            continue
+        elif what == "begun":
+            actions = made.begun(now, rid, len(request.attempts) - 1)
+        else:
+            how = {"ok": Outcome.OK, "broken": Outcome.BROKEN, "late": Outcome.TIMEOUT}[what]
+            actions = made.outcome(now, rid, len(request.attempts) - 1, how, 0.1)
+        del actions
+        waiting = [r for r in made.requests.values() if not (r.done or r.begun or r.partial)]
+        assert made.pools[0].owed == len(waiting)
+    for rid, request in list(made.requests.items()):
+        made.gone(now, rid)
+        for number, attempt in enumerate(request.attempts):
+            if attempt.open:
+                made.outcome(now, rid, number, Outcome.CANCELLED, 0.1)
+    assert made.pools[0].owed == 0
+    assert not made.requests
+    assert not any(server.flowing or server.out for server in made.servers.values())
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,11 +14,13 @@
 from hypothesis import strategies as st
 from loopback import HOST, OK, Client, Running, backend, book, entry, read, running, soon, status, until
 
-from lugspur.http1.body import HOLD, KEEP, WINDOW, Body
+from lugspur.http1 import body as bodies
+from lugspur.http1.body import HOLD, WINDOW, Body
 from lugspur.http1.intake import PLATFORM, Intake, Rejected, Request
 from lugspur.http1.upstream import FLOW_LEAST, READ
 
 LARGE = 3 << 20
+KEEP = bodies.KEEP * HOLD
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -479,7 +481,7 @@
 
 
 def test_a_body_beyond_the_limit_is_turned_away_in_its_middle() -> None:
-    sizes = type(PLATFORM)(body=2 * HOLD, streams=True)
+    sizes = type(PLATFORM)(body=2 * HOLD, hold=HOLD)
     got: list[Request] = []
     intake = Intake(got.append, sizes)
     for at in range(0, 4 * HOLD, 5000):
