Leave begun answers out of the load that picks follow, as played both ways

A box that has given its answer is free, and the pace of a caller's reading says nothing of it. Server.flowing is gone again; the cost: new gRPC streams no longer avoid boxes with open ones, which had been an effect of their age.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -277,15 +277,13 @@
     """What an instance knows of one server of the next tier."""
 
     __slots__ = (
-        "breaker", "cold_credit", "cold_seen", "down_until", "downs", "flowing", "latency", "out",
-        "row", "seen",
+        "breaker", "cold_credit", "cold_seen", "down_until", "downs", "latency", "out", "row", "seen",
     )
 
     def __init__(self, row: ServerRow) -> None:
         self.row = row
         self.breaker: Breaker | None = None  # made at the first call: most rows of a big list see none
-        self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first...
-        self.flowing = 0  # ...and those whose answers have begun: they are load, and no sign that it hangs
+        self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first
         self.latency = 0.0  # the breaker's current latency, failures counted as the time-out
         self.seen = 0.0
         self.cold_credit = self.cold_seen = 0.0
@@ -324,7 +322,8 @@
         out = self.out
         if out:
             latency = max(latency, now - next(iter(out)).since)
-        return latency * (len(out) + self.flowing + unseen + 1.0)
+        return latency * (len(out) + unseen + 1.0)
+
 
     def mostly_fails(self, now: float) -> bool:
         """Whether it is an outlier by its breaker."""
@@ -334,7 +333,7 @@
 class Attempt:
     """One send of a request."""
 
-    __slots__ = ("flowing", "maybe_ran", "open", "sent", "server", "since", "strained")
+    __slots__ = ("maybe_ran", "open", "sent", "server", "since", "strained")
 
     def __init__(self, server: Server, sent: float) -> None:
         self.server = server
@@ -342,7 +341,6 @@
         self.since = sent  # when the server could begin
         self.open = True
         self.maybe_ran = True  # until its outcome proves otherwise
-        self.flowing = False  # whether its answer has begun
         self.strained = False  # whether its end speaks of too much work for the servers there are
 
 
@@ -994,7 +992,6 @@
     def _learn(self, now: float, attempt: Attempt, how: Outcome, latency: float, timeout: float) -> None:
         server = attempt.server
         server.out.pop(attempt, None)
-        server.flowing -= attempt.flowing
         breaker = server.breaker
         if breaker is None or how is Outcome.VOID or attempt.sent < server.row.started:
             return
@@ -1033,9 +1030,7 @@
             self._count(request, False)
             # Guards a server that gives a long answer against looking as if it hung.
             for attempt in request.attempts:
-                if attempt.open and attempt.server.out.pop(attempt, 0) is None:
-                    attempt.flowing = True
-                    attempt.server.flowing += 1
+                attempt.server.out.pop(attempt, None)
         return self.bind(now, rid, number)
 
     def gone(self, now: float, rid: RequestId) -> list[Action]:
