Let a request's new deadline be set in one place, whichever event brings it

Seen on rereading: Pool.whole wrote again what Pool.retime does, and retime, unlike it, would have set a deadline anew where an answer is on its way. Change: both go through Pool._owe. Checked: ruff, mypy, tests of streams, large bodies, settings, joining and the proxy.

--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -251,20 +251,22 @@
 
     def retime(self, call: Call, deadline: float) -> None:
         """Its answer is owed until another time; the module hears of a later one."""
-        if call.caller is None or call.timer is None:
-            return
-        call.timer.cancel()
-        call.deadline = deadline
-        call.timer = self._loop.call_at(deadline, self._overdue, call)
-        self._perform(self._decide(self.balancer.extend, call.rid, deadline + self._epoch, call=call))
+        if self._owe(call, deadline):
+            self._perform(self._decide(self.balancer.extend, call.rid, deadline + self._epoch, call=call))
 
     def whole(self, call: Call, deadline: float) -> None:
         """The last byte of its body has come; an answer is owed until then."""
-        if call.caller is not None and call.timer is not None and call.deadline < float("inf"):
-            call.timer.cancel()
-            call.deadline = deadline
-            call.timer = self._loop.call_at(deadline, self._overdue, call)
-        self._perform(self._decide(self.balancer.whole, call.rid, deadline + self._epoch, call=call))
+        if self._owe(call, deadline):
+            self._perform(self._decide(self.balancer.whole, call.rid, deadline + self._epoch, call=call))
+
+    def _owe(self, call: Call, deadline: float) -> bool:
+        """Whether an answer is still owed by a time, which is this one from now on."""
+        if call.caller is None or call.timer is None or call.deadline == float("inf"):
+            return False
+        call.timer.cancel()
+        call.deadline = deadline
+        call.timer = self._loop.call_at(deadline, self._overdue, call)
+        return True
 
     def untimed(self, call: Call) -> None:
         """Its answer is on its way to the caller: no deadline ends it any more."""
