--- a/tests/management/test_management.py
+++ b/tests/management/test_management.py
@@ -218,3 +218,21 @@
         assert done.stderr.count("\n") == 1
 
     asyncio.run(play())
+
+
+def test_a_reset_in_the_middle_of_a_call_does_nothing_and_leaves_nothing() -> None:
+    async def play() -> None:
+        async with running([]) as up:
+            up.proxy.front.ready = True
+            door = Door((HOST, 0), acts(up.proxy))
+            await door.open()
+            _, writer = await asyncio.open_connection(HOST, door.port)
+            writer.write(b"POST /drain HTTP/1.1\r\nContent-Length: 1\r\n\r\n")
+            await until(lambda: len(door.visitors) == 1)
+            writer.transport.abort()
+            await until(lambda: not door.visitors and not door.waiting)
+            assert up.proxy.front.drained_at is None
+            assert await call(door.port, "GET", "/ready") == 200
+            door.close()
+
+    asyncio.run(play())
