--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 check: $(DEVELOPED)
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n 4 --dist worksteal
 
 demo: $(DEVELOPED)
 	$(PYTHON) -m lugspur demo
