Pass on a large answer that begins before its request's body has ended

What was seen: reading the ways in which a body is dropped; a test then got 503 for a request that its backend was serving, with the head of the answer itself right behind it: two answers to one request. Cause: Caller.begin_answer drops the rest of the body, Connection._pump (http1/upstream.py) took that for a caller that had left and ended the attempt, whose outcome wrote the 503 before begin_answer went on. Ruled out: small answers (held whole, the attempt has ended by then).

The change: an attempt whose answer is being passed on is not ended by the end of its body. The test fails without it, for answers with a length and in chunks.

--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -364,7 +364,8 @@
         if data and body.length is None:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         if not data:
-            if body.over and not body.ended:
+            # Guards an answer that began before the body's end: nobody wants the rest, and the answer goes on.
+            if body.over and not body.ended and not exchange.flowing:
                 exchange.broke()  # the rest will never come: it can't have run
             if body.over or not body.ended:
                 return
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -250,6 +250,36 @@
     return head, await soon(client.reader.read())
 
 
+@pytest.mark.parametrize("head", ["length", "chunks"])
+def test_a_large_answer_before_the_bodys_end_is_passed_on_whole_and_alone(head: str) -> None:
+    async def play() -> None:
+        answer = noise(8 * HOLD)
+
+        async def early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(2 * HOLD)
+            if head == "length":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(answer), answer))
+            await reader.read()
+
+        async with box(early) as address, running([entry("a", address)]) as up:
+            client = await up.client()
+            client.writer.write(book(body=noise(LARGE))[:4 * HOLD])
+            told, body = await answer_of(client)
+            assert told.startswith(b"http/1.1 200 ")
+            assert body == answer
+            assert b"connection: close" in told
+            client.writer.write_eof()
+            assert await soon(client.reader.read()) == b""
+            await until(lambda: not up.proxy.pool.calls)
+            assert up.proxy.front.held == 0
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("size", [HOLD, HOLD + 1, LARGE])
 @pytest.mark.parametrize("head", ["length", "chunks", "end"])
 @pytest.mark.parametrize("request_", [read(), book()], ids=["safe", "unsafe"])
