Send a plain HTTP/2 request without a body to its box once, not twice

What was seen: a test of large answers over HTTP/2 met two attempts at once for one request. Cause: h2 tells a head that ends its stream by two events; Connection._begin (http2/front.py) took the first for the end and the second, Ended, was taken for it again. gRPC calls were spared by Call.ended, which looks at whether they were delivered. Ruled out: repeats by the module (the two were two calls), the stand-in caller (one HEADERS frame).

The change: only Ended is the end. The test counts requests at the box, with and without a body; it fails without the change.

--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -417,9 +417,7 @@
         try:
             if told.get(b":method") == b"CONNECT":
                 raise Rejected(501, "the method is not served")
-            stream.begin(event.fields)
-            if event.ended:
-                stream.ended()
+            stream.begin(event.fields)  # where nothing follows its head, Ended comes right behind
         except Rejected as fault:
             self.refuse(stream, fault)
 
--- a/tests/daemon/test_grpc.py
+++ b/tests/daemon/test_grpc.py
@@ -15,7 +15,7 @@
 from daemonic import HEAD, answer, ask, backend, fields, pool, route
 from google.rpc import error_details_pb2, status_pb2
 from grpcpeers import HTTP2, ROUTES, World, boxed
-from loopback import soon, status, until
+from loopback import OK, soon, status, until
 
 from lugspur.bench.grpc import mixed, passing
 from lugspur.config.load import FileFaults, load
@@ -510,16 +510,34 @@
     play(body)
 
 
-def plain(caller: Caller, *fields_: tuple[str, str], end: bool = True) -> int:
+def plain(caller: Caller, *fields_: tuple[str, str], end: bool = True, path: str = "/read/x") -> int:
     """An ordinary request over HTTP/2; gives its stream."""
     stream = int(caller.h2.get_next_available_stream_id())
-    head = [(":method", "POST"), (":scheme", "http"), (":path", "/read/x"), (":authority", "h.example"), *fields_]
+    head = [(":method", "POST"), (":scheme", "http"), (":path", path), (":authority", "h.example"), *fields_]
     caller.h2.send_headers(stream, head, end_stream=end)
     caller.answers[stream] = Answer()
     caller.flush()
     return stream
 
 
+@pytest.mark.parametrize("path", ["/book/x", "/read/x"])
+@pytest.mark.parametrize("body_", [b"", b"room"])
+def test_an_ordinary_request_over_http2_reaches_a_box_once(path: str, body_: bytes) -> None:
+    async def run() -> None:
+        async with backend(lambda _: OK) as one, boxed(0, others=(one.address,)) as world:
+            caller = await world.caller()
+            stream = plain(caller, end=not body_, path=path)
+            if body_:
+                await caller.write(stream, body_, end=True)
+            assert (await caller.answer(stream)).head[":status"] == "200"
+            after = plain(caller, path="/read/after")  # what came twice would have come before this
+            assert (await caller.answer(after)).head[":status"] == "200"
+            await until(lambda: world.up.in_hand() == 0)
+            assert one.got.qsize() == 2
+
+    asyncio.run(run())
+
+
 def test_an_ordinary_request_over_http2_whose_body_never_ends_is_answered_408() -> None:
     async def body(world: World) -> None:
         caller = await world.caller()
