Pass plain HTTP/2 bodies and answers through the daemon as they come

Need: the issue asks for streamed bodies once for both fronts; plain HTTP/2 requests and answers were held whole, up to 8 MiB each. Found on the way: an answer over HTTP/2 that its caller took longer than 2 s to read was reset however fast it read (Connection._stuck looked at the time alone): what moves goes on now.

--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -73,7 +73,7 @@
     answer: int = option(size(1 << 10, 256 << 20), "a backend's body: a spoilt answer beyond it", 8 << 20)
     hold: int = option(
         size(1 << 10, 64 << 20), "bodies and answers up to here are held whole, so that another attempt can be made; "
-        "larger ones of HTTP/1.1 are passed on as they come", 1 << 20)
+        "larger ones are passed on as they come, but to gRPC boxes", 1 << 20)
     read: float = option(
         duration(0.1, 600.0), "time for a request to come in, but for what of a body is beyond hold: 408 beyond it",
         10.0)
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -18,7 +18,7 @@
 from lugspur.daemon.station import GRPC, Station
 from lugspur.daemon.ticket import End, Ticket
 from lugspur.http1.body import Body
-from lugspur.http1.front import Caller, Front
+from lugspur.http1.front import Front
 from lugspur.http1.intake import Rejected, Request, Sizes
 from lugspur.http1.upstream import HELD_PART, Response
 from lugspur.membership.registry import Registries
@@ -287,7 +287,7 @@
         _note(ticket, call, End.SERVED)
         if ticket.begun is not None:
             ticket.station.pool.release(call)
-            ticket.begun.finish()
+            ticket.begun.finish_answer()
         else:
             self._pass_on(call, response)
 
@@ -300,12 +300,14 @@
         """Pass on what there is of an answer, and the rest as it comes."""
         ticket = _ticket(call)
         if ticket.request.form is not None:
-            ticket.request.form.begin_answer(changed(response.head, ticket.forward.response), body)
-        elif isinstance(call.caller, Caller):  # nothing of ours ends it from here on
-            ticket.begun = call.caller
+            ticket.request.form.begin_messages(changed(response.head, ticket.forward.response), body)
+            return
+        passing = None if call.caller is None else call.caller.passing()
+        if passing is not None:  # nothing of ours ends it from here on
+            ticket.begun = passing
             ticket.station.pool.untimed(call)
             head = changed(response.head, ticket.forward.response)
-            call.caller.begin_answer(response.status, head, response.length, body)
+            passing.begin_answer(response.status, head, response.length, body)
 
     def refused(self, call: Call, retry_after: float) -> None:
         """Let the next pool take over where this one has no usable backend and nothing ran; else answer 503."""
--- a/lugspur/daemon/health.py
+++ b/lugspur/daemon/health.py
@@ -58,7 +58,7 @@
         self._pipe = Pipe(nothing)
         self._timer: asyncio.TimerHandle | None = None
         caller.gone = self._stop
-        form.begin_answer(b"", self._pipe)
+        form.begin_messages(b"", self._pipe)
 
     def _stop(self) -> None:
         if self._timer is not None:
--- a/lugspur/daemon/joins.py
+++ b/lugspur/daemon/joins.py
@@ -78,6 +78,9 @@
 
     # ---- the answer ------------------------------------------------------------------------------
 
+    def passing(self) -> None:
+        """Several wait for one answer: it is whole before any of them gets it."""
+
     def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
         """Pass on the one final answer to all who wait for it."""
         def write(reader: Reader) -> None:
@@ -108,7 +111,7 @@
         among = depends(ticket.said, said, join, trailers)
         self._joins.ended(self.number, among, size, write)
 
-    def begin_answer(self, head: bytes, body: Pipe) -> None:
+    def begin_messages(self, head: bytes, body: Pipe) -> None:
         """An answer that comes as a stream goes to the read that it was made for, the others go alone."""
         left = self._joins.parted(self.number)
         if left is None:
@@ -119,7 +122,7 @@
         left.caller.gone = self.gone
         if self.ticket.call is not None:
             self.ticket.station.pool.retime(self.ticket.call, left.ticket.deadline)
-        _form(left).begin_answer(head, body)
+        _form(left).begin_messages(head, body)
 
 
 def _form(reader: Reader) -> Form:
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -30,7 +30,6 @@
 )
 from lugspur.http1 import upstream
 from lugspur.http1.body import Body
-from lugspur.http1.front import Caller
 from lugspur.http1.intake import Request
 from lugspur.membership.rows import Address, Endpoint
 from lugspur.seams import Answerable, Attempt, Lane
@@ -370,7 +369,7 @@
         exchange = upstream.Exchange(
             backend, now, until, call.bytes_for, watcher.ended, repeatable, call.request.method == b"HEAD", timed,
         )
-        if self.streams and isinstance(call.caller, Caller):  # not to several who wait for one answer, nor as gRPC
+        if self.streams and call.caller is not None and call.caller.passing() is not None:
             exchange.begin = watcher.begun
         if call.request.stream is not None:
             self._stream(call, call.request.stream, exchange, number, action.timeout)
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -349,7 +349,7 @@
         begun = call.context
         if isinstance(begun, Caller):
             self.pool.release(call)
-            begun.finish()
+            begun.finish_answer()
         else:
             self.pool.answer(call, 200, response.head, response.body)
 
--- a/lugspur/daemon/ticket.py
+++ b/lugspur/daemon/ticket.py
@@ -8,9 +8,9 @@
 from jaspershelf.model import RequestClass
 from lugspur.daemon.pool import Call
 from lugspur.daemon.station import Station
-from lugspur.http1.front import Caller
 from lugspur.http1.intake import Request
 from lugspur.routing.model import Forward
+from lugspur.seams import Passing
 
 
 class End(Enum):
@@ -36,5 +36,5 @@
     call: Call | None = None  # in the pool that has it now
     end: End = End.FAILED  # as of its final answer
     expected: float = float("inf")  # until when an answer is expected, while the deadline is not known
-    begun: Caller | None = None  # to whom an answer is passed on as it comes
+    begun: Passing | None = None  # to whom an answer is passed on as it comes
     said: int = 0  # the status of the backend's answer behind it; 0 where there is none
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -14,6 +14,7 @@
 from lugspur.http1.intake import PLATFORM, Intake, Rejected, Request, Sizes
 from lugspur.membership.rows import Address
 from lugspur.pipe import Pipe
+from lugspur.seams import Passing
 
 READ = 64 << 10  # bytes read in one go, into one buffer that all callers share
 FIRST_WITHIN = 2.0  # seconds from connecting in which the first request must begin: 3 s are owed at most...
@@ -612,8 +613,12 @@
 
     # ---- an answer that is passed on as it comes ----------------------------------------------
 
+    def passing(self) -> Passing | None:
+        """It takes an answer as it comes."""
+        return self
+
     def begin_answer(self, status: int, head: bytes, length: int | None, flow: Pipe) -> None:
-        """Write the head of an answer; its body comes through the pipe, and `finish` or `cut` ends it."""
+        """Write the head of an answer; its body comes through the pipe, and `finish_answer` or `cut` ends it."""
         stream, self._stream = self._stream, None
         if stream is not None and not stream.ended:  # its body is wanted no more
             self._keep_alive = False
@@ -643,7 +648,7 @@
         if flow is not None and flow.ended and not self._stuck:
             self._finish()
 
-    def finish(self) -> None:
+    def finish_answer(self) -> None:
         """The answer that was begun is whole."""
         self.gone = None
         if self._flow is not None:
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -8,17 +8,19 @@
 from lugspur.grpc import mapping
 from lugspur.grpc.messages import Counter, Spoilt
 from lugspur.grpc.timeout import read_timeout
-from lugspur.http1.front import LINGER, Front, Held
+from lugspur.http1.body import KEEP, Body
+from lugspur.http1.front import BODY_LEAST, BODY_RATE, FLOW_WITHIN, LINGER, Front, Held
 from lugspur.http1.intake import NAMED, REWRITTEN, Rejected, Request
-from lugspur.http2.frames import CANCEL, NO_ERROR, REFUSED_STREAM, STREAM_MOST, Leave
+from lugspur.http2.frames import CANCEL, INTERNAL_ERROR, NO_ERROR, REFUSED_STREAM, STREAM_MOST, Leave
 from lugspur.http2.machine import STREAMS_MOST, Data, Ended, Event, Fields, Head, Machine, Over, Reset, Tail
 from lugspur.http2.wire import Wire
 from lugspur.pipe import Pipe
+from lugspur.seams import Passing
 
 GATHER = 0.02  # seconds after a whole message, or a head alone, in which a call may still turn out to be all there
 LEAVE_AFTER = 0.25  # seconds between the two GOAWAYs: streams that were begun before the first was read still come
 SILENT = 30.0  # seconds without a byte of a caller before a PING, and twice as many before it is given up
-STUCK = 2.0  # seconds that an answered stream may keep what its caller does not read
+STUCK = 2.0  # seconds in which a caller must read a piece of what waits for it on an answered stream
 Handle = Callable[[Request, "Stream"], None]
 
 
@@ -36,9 +38,17 @@
         self.answered = False  # its final answer is written, though it may not be out
         self._told: dict[bytes, bytes] = {}  # its head
         self._chunks: list[bytes] = []
-        self._held = 0
+        self._held = 0  # its part of what the front counts
         self._delivered = False
         self._timer: asyncio.TimerHandle | None = None
+        self._body: Body | None = None  # the body that is passed on as it comes...
+        self._owed = 0  # ...its bytes that no credit was given for...
+        self._headed = now  # ...and from when its rate counts: while the backend took no more it did not
+        self._full_at = 0.0  # since when that is; 0: it takes more
+        self._answer: Pipe | None = None  # an answer that is passed on as it comes...
+        self._unsent = 0  # ...and its bytes that wait for the caller's windows
+        self.moved = 0.0  # when a piece of an answer last came or went
+        self.watched = False  # whether it sees by itself that the answer moves
 
     # ---- the request ---------------------------------------------------------------------------
 
@@ -47,16 +57,29 @@
         self._told = dict(fields)
         self._terms = None if self.front.terms is None else self.front.terms()
         self._lines, self._named = read_fields(fields, self.underscores)
+        length = self._named.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self.front.sizes.body:  # before a part of it goes on
+            raise Rejected(413, "the body is too large")
         self._wait_for_all()
 
     def _wait_for_all(self) -> None:
         """Guards connections against a body that never ends."""
+        self._wait_until(self.arrived + self.front.whole_within)
+
+    def _wait_until(self, limit: float) -> None:
         self._stop()
-        self._timer = self.connection.loop.call_at(self.arrived + self.front.whole_within, self._slow)
+        self._timer = self.connection.loop.call_at(limit, self._slow)
 
     def _slow(self) -> None:
-        if not self._delivered and not self.answered:
-            self.connection.refuse(self, Rejected(408, "the request took too long"))
+        if self.answered or (self._delivered and self._body is None):
+            return
+        if self._body is not None:
+            now = self.connection.loop.time()
+            due = self._headed + self._body.came / BODY_RATE + BODY_LEAST
+            if self._full_at or now < due:  # it waits for the backend, or comes at a rate that will do
+                self._wait_until(max(due, now + BODY_LEAST))
+                return
+        self.connection.refuse(self, Rejected(408, "the request took too long"))
 
     def _stop(self) -> None:
         if self._timer is not None:
@@ -64,30 +87,84 @@
 
     def data(self, data: bytes, size: int) -> None:
         """A part of its body; raises Rejected."""
-        self._keep(data, size)
-        if self._held > self.front.sizes.body:
+        body = self._body
+        if body is not None:
+            self._owed += size
+            body.put(data)
+            came = body.came
+            self._hold(body.held)
+            self._credit_body()
+        else:
+            self._keep(data, size)
+            came = self._held
+        if came > self.front.sizes.body:
             raise Rejected(413, "the body is too large")
         if self.front.held > self.front.held_most:  # Guards the memory limit against many half bodies.
             raise Rejected(503, "too many bodies at once")
+        if body is None and came > self.front.sizes.hold:
+            self._pass_body()
 
     def _keep(self, data: bytes, size: int) -> None:
         self.connection.machine.credit(self.stream, size)
         self._chunks.append(data)
-        self._held += len(data)
-        self.front.held += len(data)
+        self._hold(self._held + len(data))
+
+    def _hold(self, size: int) -> None:
+        self.front.held += size - self._held
+        self._held = size
+
+    def _pass_body(self) -> None:
+        """So much has come that the rest goes on as it comes."""
+        length = self._named.get(b"content-length")
+        body = Body(int(length) if length is not None else None, self._credit_body, KEEP * self.front.sizes.hold)
+        body.put(self._release())
+        self._hold(body.held)
+        self._body, self._delivered = body, True
+        request = self._request(b"")
+        request.stream = body
+        self.connection.deliver(request, self)
+
+    def _credit_body(self) -> None:
+        """More of the body may come, as far as its backend keeps up."""
+        body, now = self._body, self.connection.loop.time()
+        if body is None:
+            return
+        if body.full:
+            self._full_at = self._full_at or now
+            return
+        if self._full_at:
+            self._headed += now - self._full_at
+            self._full_at = 0.0
+        if not self.answered and not body.ended:
+            self._hold(body.held)
+        owed, self._owed = self._owed, 0
+        if owed:
+            self.connection.machine.credit(self.stream, owed)
+            self.connection.wake()
 
     def ended(self) -> None:
         """The request is whole; raises Rejected."""
         self._stop()
-        self._deliver()
+        if self._body is not None:
+            self._hold(0)
+            self._body.end()
+        else:
+            self._deliver()
 
     def _release(self) -> bytes:
         body = b"".join(self._chunks)
         self._chunks = []
-        self.front.held -= self._held
-        self._held = 0
+        self._hold(0)
         return body
 
+    def _drop_body(self) -> None:
+        """Nothing more of its body is wanted."""
+        body = self._body
+        if body is not None and not body.ended:
+            self._stop()
+            body.drop()
+            self._hold(0)
+
     def _deliver(self) -> None:
         self._delivered = True
         body = self._release()
@@ -103,18 +180,33 @@
         """Take up its request; raises Rejected where there are too many connections."""
         self.front.admit(self.connection)
 
+    def passing(self) -> Passing | None:
+        """It takes an answer as it comes."""
+        return self
+
     def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
-        """Write the one final answer."""
+        """Write the one final answer; one that was begun can't be finished by another."""
+        if self._answer is not None:
+            self.gone = None
+            self.connection.cut(self, INTERNAL_ERROR)
+            return
+        self._write(self._first_fields(status, head, len(body) if length is None else length),
+                    b"" if self._told.get(b":method") == b"HEAD" else body, None)
+
+    def _first_fields(self, status: int, head: bytes, length: int | None) -> Fields:
         fields: Fields = [(b":status", b"%d" % status), *mapping.fields_of([head])]
-        if status not in (204, 304):
-            fields.append((b"content-length", b"%d" % (len(body) if length is None else length)))
-        self._write(fields, b"" if self._told.get(b":method") == b"HEAD" else body, None)
+        if status not in (204, 304) and length is not None:
+            fields.append((b"content-length", b"%d" % length))
+        return fields
 
     def reject(self, fault: Rejected) -> None:
-        """Answer what is not served."""
+        """Answer what is not served; what a pool may have of it already is given up."""
         self._stop()
-        self.gone = None
-        self.answer(fault.status, b"", fault.reason.encode() + b"\n")
+        self._let_go()
+        if self._answer is None:
+            self.answer(fault.status, b"", fault.reason.encode() + b"\n")
+        else:
+            self.connection.cut(self, INTERNAL_ERROR)
 
     def _write(self, head: Fields | None, body: bytes, tail: Fields | None) -> None:
         """The final answer, or its end."""
@@ -123,6 +215,7 @@
         self.gone = None
         self.answered = True
         self._release()
+        self._drop_body()
         machine, stream = self.connection.machine, self.stream
         if head is not None and not body and tail is not None:
             machine.head(stream, head + tail, end=True)  # trailers-only
@@ -134,17 +227,66 @@
                 machine.finish(stream, tail)
         self.connection.answered(self)
 
+    def _let_go(self) -> None:
+        """Nobody waits for its answer any more."""
+        gone, self.gone = self.gone, None
+        if gone is not None:
+            gone()
+        self._drop_body()  # after that: its attempt ends, and must not be followed by another
+
     def over(self) -> None:
         """Its caller has given it up, or its connection is gone."""
         self._stop()
+        if self._answer is not None:
+            self._answer.attach(None)
+            self._answer.gone(self._unsent)
+            self._answer.discard()
         self._release()
         self.answered = True
-        gone, self.gone = self.gone, None
-        if gone is not None:
-            gone()
+        self._let_go()
+
+    # ---- an answer that is passed on as it comes ----------------------------------------------
+
+    def begin_answer(self, status: int, head: bytes, length: int | None, flow: Pipe) -> None:
+        """Write the head of an answer; its body comes through the pipe, and `finish` ends it."""
+        self._drop_body()
+        self.connection.machine.head(self.stream, self._first_fields(status, head, length))
+        self._begin_flow(flow)
+        self.watched = True
+        self._look()
+
+    def _begin_flow(self, flow: Pipe) -> None:
+        self.moved = self.connection.loop.time()
+        self._answer = flow
+        flow.attach(self._more)
+
+    def _look(self) -> None:
+        """Guards memory and backends against an answer that stands still on either side."""
+        limit = self.moved + FLOW_WITHIN
+        if self.connection.loop.time() < limit:
+            self._timer = self.connection.loop.call_at(limit, self._look)
+        elif self.connection.streams.get(self.stream) is self:
+            self.connection.cut(self, CANCEL)
+
+    def _more(self) -> None:
+        if self._answer is not None and not self.answered:
+            data = self._answer.take()
+            self._unsent += len(data)
+            self.moved = self.connection.loop.time()
+            self.connection.machine.write(self.stream, data)
+            self.connection.wake()
+
+    def finish_answer(self) -> None:
+        """The answer that was begun is whole."""
+        self._more()
+        self._write(None, b"", None)
 
     def sent(self, size: int) -> None:
         """So many bytes of the answer have gone out, or will never."""
+        self.moved = self.connection.loop.time()
+        if self._answer is not None:
+            self._unsent -= size
+            self._answer.gone(size)
 
 
 class Call(Stream):
@@ -155,8 +297,6 @@
     def __init__(self, connection: Connection, stream: int, now: float) -> None:
         super().__init__(connection, stream, now)
         self._counter = Counter()
-        self._answer: Pipe | None = None  # an answer that is passed on as it comes
-        self._begun = False  # its head is out
         self.pipe: Pipe | None = None
 
     @property
@@ -242,10 +382,20 @@
 
     # ---- the answer ----------------------------------------------------------------------------
 
+    def passing(self) -> Passing | None:
+        """A gRPC answer has trailers: it passes by its form."""
+        return None
+
+    def reject(self, fault: Rejected) -> None:
+        """Answer what is not served; what a pool may have of it already is given up."""
+        self._stop()
+        self._let_go()
+        self.answer(fault.status, b"", fault.reason.encode() + b"\n")
+
     def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
         """Write an answer that was made here or by an HTTP/1.1 box."""
         first, messages, tail = mapping.served_answer(status, head, body, self._told[b"content-type"])
-        if self._begun:
+        if self._answer is not None:
             self._end_stream(tail)
         else:
             self._write(first, messages, tail)
@@ -257,22 +407,15 @@
             fields.append((b"content-type", self._told[b"content-type"]))
         return fields
 
-    def begin_answer(self, head: bytes, body: Pipe) -> None:
+    def begin_messages(self, head: bytes, body: Pipe) -> None:
         """Pass on an answer that has begun."""
-        self._begun = True
         self.connection.machine.head(self.stream, self._first(head))
-        self._answer = body
-        body.attach(self._more)
-
-    def _more(self) -> None:
-        if self._answer is not None and not self.answered:
-            self.connection.machine.write(self.stream, self._answer.take())
-            self.connection.wake()
+        self._begin_flow(body)
 
     def finish(self, head: bytes, body: bytes, trailers: bytes) -> None:
         """Write the answer of a gRPC box, or what of it has not been passed on."""
         tail = mapping.fields_of([trailers])
-        if self._begun:
+        if self._answer is not None:
             self._end_stream(tail)
         else:
             self._write(self._first(head), body, tail)
@@ -281,17 +424,6 @@
         self._more()
         self._write(None, b"", tail)
 
-    def over(self) -> None:
-        """Its caller has given it up, or its connection is gone."""
-        if self._answer is not None:
-            self._answer.attach(None)
-        super().over()
-
-    def sent(self, size: int) -> None:
-        """So many bytes of the answer have gone out, or will never."""
-        if self._answer is not None:
-            self._answer.gone(size)
-
 
 def read_fields(fields: Fields, underscores: bool) -> tuple[list[bytes], dict[bytes, bytes]]:
     """The header lines that go on, names with `_` or not, and what routes may ask for; raises Rejected."""
@@ -439,10 +571,7 @@
 
     def refuse(self, stream: Stream, fault: Rejected) -> None:
         """Answer what is not served; what a pool may have of it already is given up."""
-        gone = stream.gone
         stream.reject(fault)
-        if gone is not None:
-            gone()
         self.wake()
 
     # ---- what goes -----------------------------------------------------------------------------
@@ -451,10 +580,19 @@
         """Its final answer is written; it lingers while its caller's window is shut."""
         if self.machine.said(stream.stream):
             self._forget(stream)
-        else:
+        elif not stream.watched:
             self.loop.call_later(STUCK, self._stuck, stream)
         self.wake()
 
+    def cut(self, stream: Stream, code: int) -> None:
+        """End an answer that was begun and can't be finished, so that its caller can tell."""
+        if not self.over:
+            self.machine.reset(stream.stream, code)
+            self.wake()
+        self.streams.pop(stream.stream, None)
+        stream.over()
+        self._settle()
+
     def _forget(self, stream: Stream) -> None:
         if self.streams.pop(stream.stream, None) is not None:
             if not self.over:
@@ -464,10 +602,14 @@
 
     def _stuck(self, stream: Stream) -> None:
         """Guards memory against a caller that opens no window for what it has asked for."""
-        if self.streams.get(stream.stream) is stream and not self.over:
-            self.machine.reset(stream.stream, CANCEL)
-            self._forget(stream)
-            self.wake()
+        if self.streams.get(stream.stream) is not stream or self.over:
+            return
+        if self.loop.time() < stream.moved + STUCK:  # it reads, however slowly
+            self.loop.call_at(stream.moved + STUCK, self._stuck, stream)
+            return
+        self.machine.reset(stream.stream, CANCEL)
+        self._forget(stream)
+        self.wake()
 
     def _settle(self) -> None:
         """Where there is no stream left the front may close it."""
--- a/lugspur/seams.py
+++ b/lugspur/seams.py
@@ -26,6 +26,19 @@
     def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
         """Write the one final answer: whole header lines, a body, and the length of one that HEAD is spared."""
 
+    def passing(self) -> Passing | None:
+        """Who takes the answer as it comes, where it may be passed on so: not several, nor as gRPC."""
+
+
+class Passing(Protocol):
+    """Who takes an answer as it comes."""
+
+    def begin_answer(self, status: int, head: bytes, length: int | None, flow: Pipe) -> None:
+        """Write an answer's head; its body comes through the pipe, and `finish_answer` ends it, or `answer` cuts it."""
+
+    def finish_answer(self) -> None:
+        """The answer that was begun is whole."""
+
 
 class Form(Protocol):
     """What a gRPC request has beyond an HTTP/1.1 one, and how its answer goes back as it came."""
@@ -41,7 +54,7 @@
     def bound(self) -> bool:
         """Whether only a gRPC box can take it: a stream, or any other number of messages than one."""
 
-    def begin_answer(self, head: bytes, body: Pipe) -> None:
+    def begin_messages(self, head: bytes, body: Pipe) -> None:
         """Pass on an answer that has begun; `finish` ends it."""
 
     def finish(self, head: bytes, body: bytes, trailers: bytes) -> None:
