Test drains that a slow body outlasts, SIGTERM while drained, and SIGHUP in a replacement

Need: hard cases of the operators' issue that had no test: a body (passed on, and held) that outlasts a drain; SIGTERM while drained with a request open, and a process after it that follows nobody; other settings for both processes in the middle of a replacement, with calls answered meanwhile; twelve calls that come byte by byte among others.

--- a/tests/handover/test_replacement.py
+++ b/tests/handover/test_replacement.py
@@ -262,3 +262,64 @@
             assert status(await client.ask(read(2))) == 200
 
     asyncio.run(play())
+
+
+def test_other_settings_in_the_middle_of_a_replacement_are_taken_up_by_both(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, fleet(tmp_path, one) as up:
+            await up.start()
+            before = await up.client()
+            assert status(await before.ask(read(1))) == 200
+            await up.start()
+            extra = {"Name": "extra", "Aim": 60.0, "HardLimit": 60.0, "Repeat": "retryable", "LateWorth": 1.0}
+            for number, process in enumerate(up.processes):
+                path = tmp_path / f"config-{number}.json"
+                raw = json.loads(path.read_text())
+                raw["settings"] = WIRE | {"Services": [*WIRE["Services"], extra]}
+                path.write_text(json.dumps(raw))
+                process.send_signal(signal.SIGHUP)
+            number = 2
+
+            async def taken_up(client: Client) -> None:
+                """The class that is new is served there, and a call is answered."""
+                nonlocal number
+                async with asyncio.timeout(WIDE):
+                    while True:
+                        number += 1
+                        answer = await client.ask(read(number, X_Priority_Class="extra"))
+                        if status(answer) == 200:
+                            return
+                        client.reader, client.writer = await asyncio.open_connection(HOST, up.port)
+                        await asyncio.sleep(0.02)
+
+            await taken_up(before)
+            for port in up.ports:
+                assert await call(port, "GET", "/ready") == 200
+            await up.end()
+            await taken_up(await up.client())
+            await taken_up(before)
+
+    asyncio.run(play())
+
+
+def test_sigterm_ends_a_drained_process_with_what_is_open_and_the_next_begins_undrained(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda request: None if b"id9" in request else OK) as one, fleet(tmp_path, one) as up:
+            port = await up.start()
+            busy = await up.client()
+            busy.writer.write(book(9))
+            await soon(one.got.get())
+            assert await call(port, "POST", "/drain") == 200
+            [process] = up.processes
+            process.send_signal(signal.SIGTERM)
+            late = await up.client()  # connections still come for a moment
+            assert status(await late.ask(read(2))) == 200
+            one.open[0].write(OK)
+            answer = await busy.answer()
+            assert status(answer) == 200 and b"Connection: close\r\n" in answer
+            assert await soon(process.wait()) == 0
+            up.processes.clear()
+            await up.start()  # it followed nobody: a drain ends with its process
+            assert b"Connection: close\r\n" not in await (await up.client()).ask(read(3))
+
+    asyncio.run(play())
--- a/tests/management/test_management.py
+++ b/tests/management/test_management.py
@@ -11,6 +11,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
 from loopback import HOST, OK, WIRE, Client, Running, backend, book, entry, read, running, soon, status, until
 
 from lugspur.http1 import front as fronts
@@ -236,3 +237,49 @@
             door.close()
 
     asyncio.run(play())
+
+
+def test_a_body_that_takes_longer_than_a_drain_is_read_to_its_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(fronts, "DRAIN_FROM", 0.05)
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("s-1", one.address)]) as up, operated(up) as port:
+            up.proxy.front.ready = True
+            idle, slow, begun = [await up.client() for _ in range(3)]
+            assert status(await idle.ask(read(1))) == 200
+            sent, half = book(2, body=bytes(200_000)), book(3)
+            slow.writer.write(sent[:100_000])  # passed on as it comes
+            begun.writer.write(half[:-2])  # held until it is whole
+            await until(lambda: bool(up.proxy.pool.calls))
+            assert await call(port, "POST", "/drain") == 200
+            assert await soon(idle.reader.read()) == b""  # by now all are gone that go
+            await asyncio.sleep(2 * fronts.DRAIN_EVERY)
+            slow.writer.write(sent[100_000:])
+            begun.writer.write(half[-2:])
+            for client in (slow, begun):
+                answer = await client.answer()
+                assert status(answer) == 200
+                assert b"Connection: close" in answer
+            await until(lambda: not up.proxy.front.callers)
+
+    asyncio.run(play())
+
+
+def test_a_call_that_comes_byte_by_byte_is_answered_once_among_others() -> None:
+    async def play() -> None:
+        async with running([entry("s-1", f"{HOST}:9")]) as up, operated(up) as port:
+            up.proxy.front.ready = True
+            said = b"POST /backends/disable HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\ns-1"
+            callers = [await asyncio.open_connection(HOST, port) for _ in range(12)]
+            for at in range(len(said)):
+                for _, writer in callers:
+                    writer.write(said[at:at + 1])
+                if at % 16 == 0:
+                    assert await call(port, "GET", "/ready") == 200
+                await asyncio.sleep(0)
+            for reader, writer in callers:
+                answer = await soon(reader.read())
+                assert answer.startswith(b"HTTP/1.1 200 ") and answer.count(b"HTTP/1.1") == 1
+                writer.close()
+
+    asyncio.run(play())
