--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -475,13 +475,16 @@
 
     # ---- going on in another's place -------------------------------------------------------
 
-    def learned(self) -> Learned:
-        """What was learned, but for requests: they end where they began."""
+    def learned(self, among: Sequence[ServerId] | None = None) -> Learned:
+        """What was learned, but for requests: they end where they began. `among`: of these servers alone."""
+        if among is None:
+            among = tuple(self.servers)
+        found = (self.servers[server] for server in among if server in self.servers)
         return Learned(
             tuple(LearnedServer(
                 s.row.server, s.row.started, s.latency, s.seen, s.downs, s.down_until,
                 s.cold_credit, s.cold_seen, s.breaker.save() if s.breaker is not None else None,
-            ) for s in self.servers.values()),
+            ) for s in found),
             tuple(LearnedPool(
                 (p.rate.save(), p.sent.save(), p.served.save()), p.born if p.born < float("inf") else None,
                 p.breaker.save(),
--- a/lugspur/cli/main.py
+++ b/lugspur/cli/main.py
@@ -189,6 +189,24 @@
     asyncio.run(beside(wish))
 
 
+class _Later(click.Group):
+    """Imports its commands when one of them is asked for: `lugspur run` has no use for tables."""
+
+    def _commands(self) -> click.Group:
+        from lugspur.cli.state import state
+
+        return state
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return self._commands().list_commands(ctx)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        return self._commands().get_command(ctx, cmd_name)
+
+
+cli.add_command(_Later("state", help="Show, verify or prune what a daemon has kept of its backends."))
+
+
 @cli.command()
 @click.option("--requests", default=4000, show_default=True, help="Requests of each round.")
 @click.option("--against", metavar="DIR", help="Another checkout, whose platform's proxy is measured beside ours.")
--- /dev/null
+++ b/lugspur/cli/state.py
@@ -0,0 +1,138 @@
+"""`lugspur state`: what a daemon has kept, for people and for scripts."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from lugspur.config.units import Wrong, duration
+from lugspur.membership import learned as forms
+from lugspur.membership.rows import server_name
+from lugspur.state.disk import Disk
+from lugspur.state.file import FILE_MOST, Pool, Snapshot, Unreadable, fact, read, whole
+from lugspur.state.store import Store, Taken
+
+UNUSABLE = 2  # the exit status for a file that can't be used
+
+
+@click.group()
+def state() -> None:
+    """What a daemon has kept of its backends: the file `state` in the folder that [state] names."""
+
+
+def _read(file: str) -> Snapshot:
+    """What a file says, or why it can't be used on standard error."""
+    path = Path(file)
+    try:
+        disk = Disk(str(path.parent))
+        try:
+            return read(disk.read(path.name, FILE_MOST))
+        finally:
+            disk.close()
+    except OSError as fault:
+        why = fault.strerror or str(fault)
+    except (ValueError, Unreadable) as fault:
+        why = str(fault)
+    click.echo(f"{file}: {why}", err=True)
+    sys.exit(UNUSABLE)
+
+
+def _rows(pool: Pool) -> Iterator[dict[str, Any]]:
+    """A pool's backends and what was learned of each."""
+    learned = {} if pool.learned is None else {row.server: row for row in pool.learned.servers}
+    for endpoint in pool.endpoints:
+        row, known = endpoint.row, learned.get(endpoint.row.server)
+        breaker = None if known is None else known.breaker
+        window = () if breaker is None else breaker.window
+        host, port = endpoint.address
+        yield {
+            "backend": server_name(row.server), "address": f"{host}:{port}", "state": row.state.name.lower(),
+            "latency_ms": None if known is None or not known.latency else round(known.latency * 1e3, 3),
+            "seen_s": None if known is None or not known.seen else round(pool.at - known.seen, 1),
+            "calls": sum(bucket[1] for bucket in window), "failed": sum(bucket[3] for bucket in window),
+            "turned_away": 0 if known is None else known.downs,
+        }
+
+
+@state.command()
+@click.argument("file")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of tables.")
+def show(file: str, as_json: bool) -> None:
+    """Show what FILE says of each pool and backend."""
+    snapshot = _read(file)
+    age = time.time() - snapshot.written
+    if as_json:
+        click.echo(json.dumps({
+            "written": snapshot.written, "age_s": round(age, 1),
+            "pools": {name: list(_rows(pool)) for name, pool in snapshot.pools.items()}}))
+        return
+    click.echo(f"written {age:.0f} s ago")
+    console = Console(width=None if sys.stdout.isatty() else 120)
+    for name, pool in snapshot.pools.items():
+        table = Table(title=f"pool {name}", title_justify="left")
+        for column in ("backend", "address", "state", "latency ms", "seen s before", "calls", "failed", "turned away"):
+            table.add_column(column)
+        for row in _rows(pool):
+            table.add_row(*("-" if value is None else str(value) for value in row.values()))
+        console.print(table)
+
+
+@state.command()
+@click.argument("file")
+def verify(file: str) -> None:
+    """Say whether FILE is whole and can be used; exit 2 if not."""
+    snapshot = _read(file)
+    backends = sum(len(pool.endpoints) for pool in snapshot.pools.values())
+    click.echo(f"{file}: whole; {len(snapshot.pools)} pools, {backends} backends")
+
+
+@state.command()
+@click.argument("file")
+@click.option("--unseen", default="1h", show_default=True, help="Forget what was learned of backends not seen so long.")
+def prune(file: str, unseen: str) -> None:
+    """Forget what FILE says of backends that were not seen for long; their places in the list stay.
+
+    Not while a daemon keeps its state there.
+    """
+    try:
+        within = duration(0.0, 1e9)(unseen)
+    except Wrong as fault:
+        raise click.UsageError(f"--unseen {unseen}: {fault}") from fault
+    snapshot = _read(file)
+    path = Path(file)
+    dropped = 0
+    facts: list[bytes] = []
+    for name, pool in snapshot.pools.items():
+        facts.append(fact("pool", name, {"at": pool.at}))
+        facts += (fact("backend", name, forms.entry(endpoint)) for endpoint in pool.endpoints)
+        if pool.learned is not None:
+            kept = [row for row in pool.learned.servers if row.seen and pool.at - row.seen <= within]
+            dropped += len(pool.learned.servers) - len(kept)
+            facts += (fact("learned", name, forms.server(row)) for row in kept)
+            facts.append(fact("tier", name, forms.tier(replace(pool.learned, servers=()))))
+    try:
+        store = Store(Disk(os.path.dirname(path.resolve())))
+    except Taken:
+        click.echo(f"{file}: a daemon keeps its state there; stop it first", err=True)
+        sys.exit(1)
+    except OSError as fault:
+        click.echo(f"{file}: {fault.strerror or fault}", err=True)
+        sys.exit(1)
+    try:
+        store.replace(path.name, whole(snapshot.written, facts))
+    except OSError as fault:
+        click.echo(f"{file}: {fault.strerror or fault}", err=True)
+        sys.exit(1)
+    finally:
+        store.close()
+    click.echo(f"{file}: forgot {dropped} backends")
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -100,6 +100,14 @@
     address: Address | None = option(address, "where to listen for management calls; none: nowhere", None)
 
 
+@dataclass(slots=True)
+class State:
+    """What was learned of backends, kept over a restart. What a reload changes here counts from the next start on."""
+
+    folder: str = option(text, "a folder of this daemon's own that survives a restart; none: nothing is kept", "")
+    every: float = option(duration(0.5, 3600.0), "time between two writings, where something has changed", 5.0)
+
+
 @dataclass(slots=True)
 class Registry:
     """A ZooKeeper ensemble that pools follow and listeners register in, by one session."""
@@ -307,6 +315,7 @@
     limits: Limits = part(Limits, "limits")
     guard: Guard = part(Guard, "whether the proxy guards itself")
     management: Management = part(Management, "the second address, for operators")
+    state: State = part(State, "what is kept over a restart")
     listeners: dict[str, Listener] = parts(Listener, "where callers connect")
     classes: dict[str, Class] = parts(Class, "kinds of requests")
     tenants: dict[str, Tenant] = parts(Tenant, "whose traffic is told apart")
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -32,6 +32,7 @@
 
 if TYPE_CHECKING:
     from lugspur.daemon.guarding import Guarding
+    from lugspur.daemon.remembering import Remembering
     from lugspur.pipe import Pipe
 
 COME_BACK = b"Retry-After: 1\r\n"  # where no backend is there, or no place: nothing tells when one will be
@@ -63,6 +64,7 @@
         self.regime: Regime
         self.stations: dict[str, Station] = {}
         self.registries = Registries()
+        self.remembering: Remembering | None = None
 
     def apply(self, plan: Plan, path: str) -> None:
         """Take over a plan in one step: requests in hand keep what they began with."""
@@ -77,13 +79,16 @@
             self.stations.pop(name).leave(self.regime.plan.file.limits.read)
         for name, row in pools.items():
             station = self.stations.get(name)
+            kept, age = None, None
             if station is None:
+                if self.remembering is not None:
+                    kept, age = self.remembering.of(name)
                 station = self.stations[name] = Station(
                     name, self._sockets, self, self._epoch, self.registries)
                 for other in self.stations.values():  # what operators have taken out is out of every pool
                     station.maintenance.banned.update(other.maintenance.banned)
             station.apply(
-                row, plan.settings(row), int(held * row.share), limits, path, plan.file.registries)
+                row, plan.settings(row), int(held * row.share), limits, path, plan.file.registries, kept, age)
         standings = {name: station.standing for name, station in self.stations.items()}
         self.joins.tune(limits.joined, limits.memory)
         self._guard(plan)
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -172,6 +172,11 @@
         """Call once, after the list known at the start was given."""
         self._perform(self._decide(self.balancer.start))
 
+    @property
+    def taken(self) -> int:
+        """Requests so far."""
+        return self._count
+
     def now(self) -> float:
         """The time that lists use."""
         return self._loop.time() + self._epoch
--- /dev/null
+++ b/lugspur/daemon/remembering.py
@@ -0,0 +1,182 @@
+"""Keeps what the pools learned over a restart: slices on the loop, the file in a thread, what was kept given back."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
+from typing import TYPE_CHECKING, TypeVar
+
+from lugspur.config.load import resolved
+from lugspur.membership import learned as forms
+from lugspur.state.aging import age_of
+from lugspur.state.file import BACKENDS_MOST, Pool, Snapshot, fact, whole
+from lugspur.state.store import Found, Store, Taken, open_store
+
+if TYPE_CHECKING:
+    from lugspur.daemon.station import Station
+
+Done = TypeVar("Done")
+SLICE = 0.0003  # seconds of the loop's time that a slice takes, about: requests that come meanwhile wait for it
+EACH = 4  # backends asked for in one go: a full one takes some 30 us
+SERVED_AFTER = 10.0  # seconds of service after which a start with a file counts as gone well
+BACK_OFF_MOST = 60.0  # seconds between two tries where the disk fails
+LAST_WITHIN = 2.0  # seconds that the last writing may hold up the end
+
+
+class Remembering:
+    """One daemon's folder."""
+
+    def __init__(self, folder: str, every: float, beside: str) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._folder = resolved(folder, beside)
+        self._every = self._delay = every
+        self._store: Store | None = None
+        self._snapshot: Snapshot | None = None
+        self._age: float | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._served: asyncio.TimerHandle | None = None
+        self._written: object = None  # what the pools had seen when that was last written
+        self._failing = False
+
+    async def open(self) -> None:
+        """Read what was kept; a folder that can't be used is one line in the log."""
+        try:
+            self._store, found = await self._aside(self._open)
+        except Taken:
+            _say(f"{self._folder} is kept by another process: this one keeps nothing")
+            return
+        except OSError as fault:
+            _say(f"{self._folder} can't be used: {fault.strerror or fault}; nothing is kept")
+            return
+        for line in found.said:
+            _say(line)
+        self._snapshot = found.snapshot
+        if found.snapshot is not None:
+            self._age = age_of(found.snapshot.written, time.time())
+            pools = found.snapshot.pools
+            backends = sum(len(pool.endpoints) for pool in pools.values())
+            aged = "of unknown age" if self._age is None else f"{self._age:.0f} s old"
+            _say(f"{backends} backends of {len(pools)} pools, {aged}")
+
+    def _open(self) -> tuple[Store, Found]:
+        store = open_store(self._folder)
+        return store, store.load()
+
+    def of(self, name: str) -> tuple[Pool | None, float | None]:
+        """What was kept of a pool, and its age."""
+        return (None if self._snapshot is None else self._snapshot.pools.get(name)), self._age
+
+    def begin(self, stations: Callable[[], Mapping[str, Station]]) -> None:
+        """The daemon serves: keep on writing."""
+        self._snapshot = None
+        if self._store is None:
+            return
+        self._stations = stations
+        self._served = self._loop.call_later(SERVED_AFTER, self._went_well)
+        self._task = self._loop.create_task(self._keep())
+
+    def _went_well(self) -> None:
+        if self._store is not None:
+            threading.Thread(target=self._store.served, daemon=True).start()
+
+    async def _keep(self) -> None:
+        while True:
+            await asyncio.sleep(self._delay)
+            await self._write()
+
+    async def _write(self) -> None:
+        store = self._store
+        seen = {name: station.seen() for name, station in self._stations().items()}
+        if store is None or seen == self._written:
+            return
+        facts = await self._facts()
+        try:
+            await self._aside(lambda: store.save(whole(time.time(), facts)))
+        except OSError as fault:
+            if not self._failing:
+                _say(f"can't write to {self._folder}: {fault.strerror or fault}; tried again and again")
+            self._failing = True
+            self._delay = min(BACK_OFF_MOST, 2.0 * self._delay)
+        else:
+            if self._failing:
+                _say(f"can write to {self._folder} again")
+            self._failing, self._delay, self._written = False, self._every, seen
+
+    async def _facts(self) -> list[bytes]:
+        """All lines of a file, in slices."""
+        found: list[bytes] = []
+        begun, left = self._loop.time(), BACKENDS_MOST
+        for station in tuple(self._stations().values()):
+            for line in lines(station, left):
+                found.append(line)
+                if self._loop.time() - begun >= SLICE:
+                    await asyncio.sleep(0)
+                    begun = self._loop.time()
+            left = max(0, left - len(station.maintenance.told))
+        return found
+
+    async def close(self) -> None:
+        """Write for the last time, and let others have the folder."""
+        if self._served is not None:
+            self._served.cancel()
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
+            try:
+                async with asyncio.timeout(LAST_WITHIN):
+                    await self._write()
+            except TimeoutError:
+                _say(f"{self._folder} is too slow: what was learned last is not kept")
+                return  # the thread may still write; the lock ends with the process
+        store, self._store = self._store, None
+        if store is not None:
+            if task is not None:
+                store.served()
+            store.close()
+
+    async def _aside(self, work: Callable[[], Done]) -> Done:
+        """Done in a thread that doesn't hold up the end of the process."""
+        done: asyncio.Future[Done] = self._loop.create_future()
+
+        def tell(result: Done | None, fault: BaseException | None) -> None:
+            if done.done():
+                return
+            if fault is not None:
+                done.set_exception(fault)
+            else:
+                done.set_result(result)  # type: ignore[arg-type]  # what `work` gave
+
+        def run() -> None:
+            result: Done | None = None
+            fault: BaseException | None = None
+            try:
+                result = work()
+            except BaseException as raised:  # whatever it is, whoever waits has to know
+                fault = raised
+            with suppress(RuntimeError):  # the loop is gone by now: so is whoever waited
+                self._loop.call_soon_threadsafe(tell, result, fault)
+
+        threading.Thread(target=run, name="state", daemon=True).start()
+        return await done
+
+
+def lines(station: Station, most: int) -> Iterator[bytes]:
+    """What is kept of a pool, at most so many of its backends."""
+    name, pool = station.name, station.pool
+    yield fact("pool", name, {"at": pool.now()})
+    told = tuple(station.maintenance.told.values())[:most]
+    for endpoint in told:
+        yield fact("backend", name, forms.entry(endpoint))
+    for at in range(0, len(told), EACH):
+        among = [endpoint.row.server for endpoint in told[at:at + EACH]]
+        for row in pool.balancer.learned(among).servers:
+            yield fact("learned", name, forms.server(row))
+    yield fact("tier", name, forms.tier(pool.balancer.learned(())))
+
+
+def _say(line: str) -> None:
+    print(f"lugspur: state: {line}", file=sys.stderr, flush=True)
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -41,7 +41,21 @@
 
     async def start(self, plan: Plan) -> None:
         """Begin; raises OSError, with the listener's name, where an address can't be had."""
-        await self._apply(plan)
+        row = plan.file.state
+        if row.folder:
+            # Imported only here: a daemon that keeps nothing has no use for it.
+            from lugspur.daemon.remembering import Remembering
+
+            self.daemon.remembering = Remembering(row.folder, row.every, self.path)
+            await self.daemon.remembering.open()
+        try:
+            await self._apply(plan)
+        except BaseException:
+            if self.daemon.remembering is not None:
+                await self.daemon.remembering.close()
+            raise
+        if self.daemon.remembering is not None:
+            self.daemon.remembering.begin(lambda: self.daemon.stations)
 
     def addresses(self) -> dict[str, tuple[str, int]]:
         """Where each listener can be reached."""
@@ -144,6 +158,8 @@
         for name in tuple(self.listeners):
             self._leave(name)
         await asyncio.gather(*self._leaving)
+        if self.daemon.remembering is not None:
+            await self.daemon.remembering.close()
         for station in self.daemon.stations.values():
             station.close()
         self.daemon.close()
--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from lugspur.http2.upstream import Streams
+    from lugspur.state.file import Pool as Kept
 
 GRPC = 1  # the kind of backends that speak gRPC, for the decision module: streams are bound to it
 LEAVE_EVERY = 0.1  # seconds between looks at whether a pool that leaves has ended its last request
@@ -62,12 +63,16 @@
         self._streams: Streams | None = None  # connections to those
         self._limits = 0, 0  # bytes of answers that are not whole, and of one answer
         self._tenants: dict[str, int] = {}
+        self._lists = 0  # lists and changes that have been told
 
     def apply(
         self, row: model.Pool, settings: Settings, held_most: int, limits: model.Limits, beside: str,
-        registries: Mapping[str, model.Registry],
+        registries: Mapping[str, model.Registry], kept: Kept | None = None, age: float | None = None,
     ) -> None:
-        """Begin, or go on, by this row of the file `beside`; what was learned of backends stays."""
+        """Begin, or go on, by this row of the file `beside`; what was learned of backends stays.
+
+        `kept`: what a process before this one knew of the pool, and its age, where that can be known.
+        """
         if self._row is None:
             self._begin(row, settings)
         else:
@@ -83,7 +88,24 @@
         upstream.pass_from, upstream.pass_most, upstream.flow_most = limits.hold, answer_most, held_most
         if self._streams is not None:
             self._streams.tune(row.keep, row.connect, held_most, answer_most)
+        if kept is not None:  # until its source has told a list, that one serves
+            self._show(ListKind.STALE, self.maintenance.lay(ListKind.STALE, kept.endpoints))
         self._feed(row, beside, registries)
+        if kept is not None:
+            self._recall(kept, age)
+
+    def _recall(self, kept: Kept, age: float | None) -> None:
+        # Imported only here: a daemon that keeps nothing has no use for it.
+        from lugspur.state.aging import aged
+
+        now = self.pool.now()
+        learned = aged(kept, age, now)
+        if learned is not None:
+            self.pool.balancer.recall(now, learned)
+
+    def seen(self) -> tuple[int, int]:
+        """Changes where something may have been learned."""
+        return self.pool.taken, self._lists
 
     def kind(self, row: RequestClass) -> int:
         """A class's place in this pool's settings; one that a reload has taken out while a body came is put back."""
@@ -168,6 +190,7 @@
                 self.pool.put_back(server)
 
     def _show(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
+        self._lists += 1
         self.pool.members(kind, endpoints)
         self.speaks_grpc = any(backend.lane is not None for backend in self.pool.backends.values())
         up = (key for key, server in self.pool.balancer.servers.items() if server.row.state is State.UP)
--- a/lugspur/handover/messages.py
+++ b/lugspur/handover/messages.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 from dataclasses import dataclass
 from typing import Any
 
 import orjson
 
-from jaspershelf.model import Learned, LearnedBreaker, LearnedPool, LearnedServer, ServerRow, State
+from jaspershelf.model import Learned
+from lugspur.membership import learned as forms
 from lugspur.membership.maintenance import Bans
 from lugspur.membership.rows import Endpoint, server_id, server_name
 
@@ -56,13 +56,13 @@
     whole = orjson.dumps({
         "version": VERSION,
         "index": estate.index,
-        "endpoints": [_entry(endpoint) for endpoint in estate.endpoints],
+        "endpoints": [forms.entry(endpoint) for endpoint in estate.endpoints],
         "listed": [server_name(server) for server in estate.bans.listed],
         "banned": [server_name(server) for server in estate.bans.banned],
         "floors": {server_name(server): at for server, at in estate.bans.floors.items()},
         "drained": estate.drained,
         "open": [name.decode() for name in estate.open],
-        "learned": _learned(estate.learned),
+        "learned": forms.tier(estate.learned) | {"servers": [forms.server(row) for row in estate.learned.servers]},
     }).decode()
     parts = [whole[at:at + PART] for at in range(0, len(whole), PART)]
     return [pack({"t": "estate", "n": n, "of": len(parts), "part": part}) for n, part in enumerate(parts)]
@@ -91,52 +91,13 @@
         raw = orjson.loads(text)
         if raw["version"] != VERSION:
             raise Foreign(f"an estate of version {raw['version']}")
+        learned = raw["learned"]
         return Estate(
-            int(raw["index"]), [_endpoint(row) for row in raw["endpoints"]],
+            int(raw["index"]), [forms.read_entry(row) for row in raw["endpoints"]],
             Bans([server_id(name) for name in raw["listed"]], [server_id(name) for name in raw["banned"]],
                  {server_id(name): float(at) for name, at in raw["floors"].items()}),
-            bool(raw["drained"]), [name.encode() for name in raw["open"]], _relearned(raw["learned"]),
+            bool(raw["drained"]), [name.encode() for name in raw["open"]],
+            forms.read_learned(learned, learned["servers"]),
         )
-    except (ValueError, TypeError, KeyError, AttributeError, IndexError) as fault:
+    except forms.SENSELESS as fault:
         raise Foreign(f"no estate: {fault!r}") from fault
-
-
-def _entry(endpoint: Endpoint) -> list[Any]:
-    row = endpoint.row
-    return [server_name(row.server), row.state.value, row.zone, row.cell, row.size, row.started, row.kind,
-            *endpoint.address, endpoint.grpc]
-
-
-def _endpoint(raw: list[Any]) -> Endpoint:
-    name, state, zone, cell, size, started, kind, host, port, grpc = raw
-    row = ServerRow(server_id(name), State(state), int(zone), int(cell), float(size), float(started), int(kind))
-    return Endpoint(row, (str(host), int(port)), bool(grpc))
-
-
-def _learned(learned: Learned) -> dict[str, Any]:
-    raw = dataclasses.asdict(learned)
-    for row in raw["servers"]:
-        row["server"] = server_name(row["server"])
-    return raw
-
-
-def _relearned(raw: dict[str, Any]) -> Learned:
-    return Learned(
-        tuple(LearnedServer(**row | {
-            "server": server_id(row["server"]),
-            "breaker": None if row["breaker"] is None else _breaker(row["breaker"]),
-        }) for row in raw["servers"]),
-        tuple(_pool(row) for row in raw["pools"]),
-        float(raw["pooled"]), float(raw["pace"]), int(raw["paced"]),
-    )
-
-
-def _pool(raw: dict[str, Any]) -> LearnedPool:
-    offered, sent, served = ((float(value), float(at)) for value, at in raw["rates"])
-    born = None if raw["born"] is None else float(raw["born"])
-    return LearnedPool((offered, sent, served), born, _breaker(raw["breaker"]))
-
-
-def _breaker(raw: dict[str, Any]) -> LearnedBreaker:
-    window = tuple((int(n), int(r), int(a), int(f)) for n, r, a, f in raw["window"])
-    return LearnedBreaker(float(raw["baseline"]), float(raw["current"]), window)
--- /dev/null
+++ b/lugspur/state/file.py
@@ -0,0 +1,97 @@
+"""The file's form: lines in, lines out, all of it or nothing. No I/O.
+
+A line that names the form, one line of JSON for each fact, and a last line with the SHA-256 of all before it and the
+count of lines: what is cut, mixed or flipped anywhere can't pass for whole.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from jaspershelf.model import Learned
+from lugspur.membership import learned as forms
+from lugspur.membership.rows import Endpoint
+
+FORM = b"lugspur state"
+VERSION = 1
+FILE_MOST = 64 << 20  # bytes: 10,000 backends with full windows take some 8 MB
+BACKENDS_MOST = 50_000  # of all pools together, so that what is written can be read again
+
+
+class Unreadable(Exception):
+    """The file is none that this program can use, and why."""
+
+
+@dataclass(slots=True)
+class Pool:
+    """What was kept of one pool."""
+
+    at: float  # the time of its lists when it was asked
+    endpoints: list[Endpoint] = field(default_factory=list)
+    learned: Learned | None = None
+
+
+@dataclass(slots=True)
+class Snapshot:
+    """What a file says."""
+
+    written: float  # the wall clock's time
+    pools: dict[str, Pool]
+
+
+def fact(kind: str, pool: str, value: object) -> bytes:
+    """One line."""
+    return orjson.dumps([kind, pool, value]) + b"\n"
+
+
+def whole(written: float, facts: Iterable[bytes]) -> bytes:
+    """A whole file."""
+    lines = [b"%b %d %.3f\n" % (FORM, VERSION, written), *facts]
+    text = b"".join(lines)
+    count = text.count(b"\n")
+    return text + b"end %b %d\n" % (hashlib.sha256(text).hexdigest().encode(), count)
+
+
+def read(data: bytes) -> Snapshot:
+    """What a file says; raises Unreadable."""
+    first, _, _ = data.partition(b"\n")
+    form, _, rest = first.rpartition(b" ")
+    form, _, version = form.rpartition(b" ")
+    if form != FORM:
+        raise Unreadable("it is no state file")
+    if version != b"%d" % VERSION:  # before the checksum: another version may have another one
+        raise Unreadable(f"it is of version {version[:9].decode('latin-1')}, and this program reads {VERSION}")
+    at = data.rfind(b"\nend ", 0, -1) + 1
+    text, end = data[:at], data[at:]
+    if end != b"end %b %d\n" % (hashlib.sha256(text).hexdigest().encode(), text.count(b"\n")):
+        raise Unreadable("its checksum does not fit: it is cut or changed")
+    try:
+        return Snapshot(forms.finite(rest), _pools(text.splitlines()[1:]))
+    except forms.SENSELESS as fault:  # well written, and yet it makes no sense
+        raise Unreadable(f"it makes no sense: {fault!r:.200}") from fault
+
+
+def _pools(lines: Sequence[bytes]) -> dict[str, Pool]:
+    found: dict[str, Pool] = {}
+    tiers: dict[str, dict[str, Any]] = {}
+    servers: dict[str, list[dict[str, Any]]] = {}
+    for line in lines:
+        kind, name, value = orjson.loads(line)
+        if kind == "pool":
+            found[name] = Pool(forms.finite(value["at"]))
+        elif kind == "backend":
+            found[name].endpoints.append(forms.read_entry(value))
+        elif kind == "learned":
+            servers.setdefault(name, []).append(value)
+        elif kind == "tier":
+            tiers[name] = value
+        else:
+            raise ValueError(f"an unknown fact {kind!r}")
+    for name, tier in tiers.items():
+        found[name].learned = forms.read_learned(tier, servers.get(name, []))
+    return found
--- /dev/null
+++ b/tests/daemon/test_state.py
@@ -0,0 +1,328 @@
+"""A daemon that keeps what it learned: restarts, silent sources, bad folders, slow and failing disks."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from daemonic import HEAD, Served, ask, backend, pool, route, served
+from loopback import HOST, OK, Backend, soon, status, until, watches
+
+from lugspur.cli.main import cli
+from lugspur.daemon import remembering
+from lugspur.state.file import read
+from lugspur.state.store import NOW, Store, open_store
+
+ROOT = Path(__file__).parent.parent.parent
+ALL = route("all", "/*", 'pool = "a"\nclass = "read"')
+
+
+@asynccontextmanager
+async def keeping(folder: Path, text: str, every: str = "500ms") -> AsyncIterator[Served]:
+    """A daemon that keeps its state in this folder."""
+    async with served(f'[state]\nfolder = "{folder}"\nevery = "{every}"\n' + text) as up:
+        yield up
+
+
+async def asked(up: Served, count: int = 30) -> None:
+    client = await up.client()
+    for _ in range(count):
+        assert status(await client.ask(ask())) == 200
+
+
+def latencies(up: Served) -> dict[int, float]:
+    servers = up.daemon.stations["a"].pool.balancer.servers
+    return {key: server.latency for key, server in servers.items()}
+
+
+def kept(folder: Path) -> list[str]:
+    """The backends that the file knows something of."""
+    learned = read((folder / NOW).read_bytes()).pools["a"].learned
+    assert learned is not None
+    return sorted(str(row.server) for row in learned.servers)
+
+
+def test_what_was_learned_is_there_after_a_restart(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            text = pool("a", one.address, two.address) + ALL
+            async with keeping(tmp_path, text) as up:
+                await asked(up)
+                known = latencies(up)
+                assert any(known.values())  # few calls may all go to one of them
+            async with keeping(tmp_path, text) as up:
+                again = latencies(up)
+                assert again.keys() == known.keys()
+                # Drawn towards the mean by what a second or so costs.
+                assert all(again[key] == pytest.approx(known[key], rel=0.05) for key in known)
+                await asked(up, 1)
+            async with keeping(tmp_path, pool("a", f"{HOST}:1") + ALL) as up:  # both are gone, and another is new
+                assert list(latencies(up).values()) == [0.0]
+
+    asyncio.run(play())
+    assert "lugspur: state: 2 backends of 1 pools, " in capsys.readouterr().err
+
+
+def test_the_last_view_serves_while_the_source_is_silent_and_gives_way_to_its_first_list(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, watches() as registry:
+            text = f'[pools.a]\nwatch = "{HOST}:{registry.port}"\n' + ALL
+            row = {"name": "x", "address": one.address, "zone": "kingston-main-a", "type": "large-one", "group": 0,
+                   "status": "in_service", "weight": 1.0, "since_ms": 0}
+            async with keeping(tmp_path, text) as up:
+                await soon(registry.asked.get())
+                registry.say(5, [row], snapshot=True)
+                await until(lambda: bool(latencies(up)))
+                await asked(up, 3)
+            async with keeping(tmp_path, text) as up:
+                await asked(up, 3)  # the source has said nothing yet
+                assert one.got.qsize() == 6
+                await soon(registry.asked.get())
+                registry.say(6, [row | {"name": "y", "address": two.address}], snapshot=True)
+                await until(lambda: len(up.daemon.stations["a"].pool.backends) == 1
+                            and up.daemon.stations["a"].pool.backends.popitem()[1].address[1]
+                            == int(two.address.split(":")[1]))
+
+    asyncio.run(play())
+
+
+def test_nothing_is_written_where_nothing_changes(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            async with keeping(tmp_path, pool("a", one.address) + ALL) as up:
+                await asked(up, 2)
+                await until(lambda: (tmp_path / NOW).exists())
+                kept_now = up.daemon.remembering
+                assert kept_now is not None
+                await until(lambda: kept_now._written is not None)
+                before = (tmp_path / NOW).stat().st_mtime_ns
+                await kept_now._write()
+                assert (tmp_path / NOW).stat().st_mtime_ns == before
+                await asked(up, 1)
+                await kept_now._write()
+                assert (tmp_path / NOW).stat().st_mtime_ns > before
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("bad", ["no folder", "a file in its place", "broken", "newer", "taken"])
+def test_a_folder_or_file_of_no_use_is_one_line_and_the_daemon_serves(
+    bad: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    folder = tmp_path / "kept"
+    if bad != "no folder":
+        folder.mkdir()
+    if bad == "a file in its place":
+        folder.rmdir()
+        folder.write_text("")
+    if bad == "broken":
+        (folder / NOW).write_bytes(b"lugspur state 1 5.0\nhalf")
+    if bad == "newer":
+        (folder / NOW).write_bytes(b"lugspur state 2 5.0\nend x 1\n")
+    other = open_store(str(folder)) if bad == "taken" else None
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, keeping(folder, pool("a", one.address) + ALL) as up:
+            await asked(up, 2)
+            if bad in ("broken", "newer"):
+                await until(lambda: (folder / NOW).exists())  # and goes on keeping
+
+    asyncio.run(play())
+    if other is not None:
+        other.close()
+        assert not (folder / NOW).exists()
+    said = [line for line in capsys.readouterr().err.splitlines() if line.startswith("lugspur: state: ")]
+    assert len(said) == 1
+
+
+def test_a_disk_that_fails_is_one_line_and_another_when_it_works_again(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    save, full, tries = Store.save, True, 0
+
+    def failing(store: Store, data: bytes) -> None:
+        nonlocal tries
+        tries += 1
+        if full:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        save(store, data)
+
+    monkeypatch.setattr(Store, "save", failing)
+
+    async def play() -> None:
+        nonlocal full
+        async with backend(lambda _: OK) as one, keeping(tmp_path, pool("a", one.address) + ALL) as up:
+            kept_now = up.daemon.remembering
+            assert kept_now is not None
+            await asked(up, 2)
+            for _ in range(3):
+                await kept_now._write()
+            assert kept_now._delay == 4.0  # 500 ms doubled three times: it backs off
+            full = False
+            await kept_now._write()
+            assert kept_now._delay == 0.5
+            await asked(up, 2)
+
+    asyncio.run(play())
+    said = [line for line in capsys.readouterr().err.splitlines() if "state: can" in line]
+    assert len(said) == 2 and "No space left" in said[0] and "again" in said[1]
+    assert tries >= 4
+
+
+def test_a_slow_disk_holds_up_no_request_and_the_end_for_a_moment_only(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    go, begun = threading.Event(), threading.Event()
+
+    def slow(store: Store, data: bytes) -> None:
+        begun.set()
+        go.wait(20.0)
+
+    monkeypatch.setattr(Store, "save", slow)
+    monkeypatch.setattr(remembering, "LAST_WITHIN", 0.2)
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, keeping(tmp_path, pool("a", one.address) + ALL) as up:
+            await asked(up, 2)
+            await until(begun.is_set)
+            await asked(up, 20)  # the disk is at it all the while
+            assert not go.is_set()
+
+    asyncio.run(play())
+    go.set()
+    assert "too slow" in capsys.readouterr().err
+
+
+def test_two_backends_with_one_name_in_two_pools_are_told_apart(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            text = "".join(f'[pools.{name}]\nmembers = [{{ name = "x", address = "{box.address}" }}]\n'
+                           for name, box in (("a", one), ("b", two))) + ALL
+            async with keeping(tmp_path, text) as up:
+                await asked(up, 5)
+            async with keeping(tmp_path, text) as up:
+                both = [next(iter(up.daemon.stations[name].pool.balancer.servers.values())) for name in "ab"]
+                assert both[0].latency > 0.0 and both[1].latency == 0.0
+
+    asyncio.run(play())
+
+
+def test_a_real_process_keeps_its_state_over_sigkill_and_sigterm(tmp_path: Path) -> None:
+    folder = tmp_path / "kept"
+    folder.mkdir()
+
+    def start(one: Backend) -> tuple[subprocess.Popen[str], int]:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            port = int(probe.getsockname()[1])
+        file = tmp_path / "f.toml"
+        file.write_text(HEAD.replace("127.0.0.1:0", f"{HOST}:{port}") + '[state]\nfolder = "kept"\nevery = "500ms"\n'
+                        + pool("a", one.address) + ALL)
+        return subprocess.Popen([sys.executable, "-m", "lugspur", "run", str(file)], cwd=ROOT, text=True,
+                                stderr=subprocess.PIPE), port
+
+    async def ask_of(port: int) -> None:
+        async with asyncio.timeout(20.0):
+            while True:
+                try:
+                    reader, writer = await asyncio.open_connection(HOST, port)
+                    break
+                except ConnectionError:
+                    await asyncio.sleep(0.02)
+        writer.write(ask())
+        assert (await soon(reader.readuntil(b"\r\n\r\n"))).startswith(b"HTTP/1.1 200 ")
+        writer.close()
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            for number in (signal.SIGKILL, signal.SIGTERM, signal.SIGTERM):
+                process, port = start(one)
+                await ask_of(port)
+                before = (folder / NOW).stat().st_mtime_ns if (folder / NOW).exists() else 0
+                if number == signal.SIGKILL:
+                    await until(lambda: (folder / NOW).exists())
+                process.send_signal(number)
+                _, said = await asyncio.to_thread(process.communicate)
+                assert (folder / NOW).stat().st_mtime_ns > before
+                assert len(kept(folder)) == 1
+                assert ("backends of 1 pools" in said) == (before > 0)
+
+    asyncio.run(play())
+
+
+def test_a_process_that_dies_with_a_file_uses_it_no_third_time(tmp_path: Path) -> None:
+    folder = tmp_path / "kept"
+    folder.mkdir()
+    program = (
+        "import asyncio, sys, os\n"
+        "from lugspur.daemon.remembering import Remembering\n"
+        "async def play():\n"
+        "    kept = Remembering('kept', 5.0, sys.argv[1])\n"
+        "    await kept.open()\n"
+        "    print(kept.of('a')[0] is not None, flush=True)\n"
+        "    os._exit(1)\n"
+        "asyncio.run(play())\n")
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, keeping(folder, pool("a", one.address) + ALL) as up:
+            await asked(up, 2)
+
+    asyncio.run(play())
+    told = [subprocess.run([sys.executable, "-c", program, str(tmp_path / "f.toml")], cwd=ROOT, text=True,
+                           capture_output=True).stdout.strip() for _ in range(4)]
+    assert told == ["True", "True", "False", "False"]
+
+
+def test_nothing_of_it_is_imported_where_nobody_asks_for_it(tmp_path: Path) -> None:
+    file = tmp_path / "f.toml"
+    file.write_text(HEAD + pool("a", f"{HOST}:1") + ALL)
+    program = (
+        "import asyncio, sys\nfrom lugspur.config.load import load\nfrom lugspur.daemon.run import Running\n"
+        "async def play():\n    running = Running(sys.argv[1])\n    await running.start(load(sys.argv[1]))\n"
+        "    await running.stop()\nasyncio.run(play())\n"
+        "print([name for name in sys.modules if name.startswith('lugspur.state') or 'remembering' in name])\n")
+    done = subprocess.run([sys.executable, "-c", program, str(file)], cwd=ROOT, text=True, capture_output=True)
+    assert done.stdout.strip() == "[]"
+
+
+def test_the_commands_show_verify_and_prune(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, keeping(tmp_path, pool("a", one.address) + ALL) as up:
+            await asked(up, 5)
+            await until(lambda: (tmp_path / NOW).exists())
+            assert run("prune", str(tmp_path / NOW))[0] == 1  # a daemon is at it
+
+    def run(*words: str) -> tuple[int, str]:
+        got = CliRunner().invoke(cli, ("state", *words))
+        return got.exit_code, got.output
+
+    asyncio.run(play())
+    file = str(tmp_path / NOW)
+    status_, said = run("show", file)
+    assert status_ == 0 and "pool a" in said and "127.0.0.1:" in said
+    status_, said = run("show", "--json", file)
+    [row] = json.loads(said)["pools"]["a"]
+    assert row["calls"] == 5 and row["failed"] == 0 and row["latency_ms"] > 0.0
+    assert run("verify", file) == (0, f"{file}: whole; 1 pools, 1 backends\n")
+    time.sleep(0.01)
+    assert run("prune", file, "--unseen", "1h") == (0, f"{file}: forgot 0 backends\n")
+    assert run("prune", file, "--unseen", "0s") == (0, f"{file}: forgot 1 backends\n")
+    assert run("verify", file)[0] == 0
+    assert run("prune", file, "--unseen", "soon")[0] == 2
+    (tmp_path / NOW).write_bytes((tmp_path / NOW).read_bytes()[:-3])
+    for words in (("show", file), ("verify", file), ("prune", file), ("verify", str(tmp_path / "none"))):
+        status_, said = run(*words)
+        assert status_ == 2 and len(said.splitlines()) == 1, words
--- /dev/null
+++ b/tests/state/kept.py
@@ -0,0 +1,57 @@
+"""A small state for the tests of its file."""
+
+from __future__ import annotations
+
+from random import Random
+
+from jaspershelf.decide import Balancer
+from jaspershelf.model import Learned, ListKind, Outcome, Repeat, RequestClass, Send, ServerRow, Settings
+from lugspur.membership import learned as forms
+from lugspur.membership.rows import Endpoint, server_id
+from lugspur.state.file import fact, whole
+
+READ = RequestClass("read", aim=0.4, deadline=1.0, repeat=Repeat.SAFE)
+SETTINGS = Settings(classes=(READ,))
+
+
+def endpoints(count: int = 3, started: float = 0.0) -> list[Endpoint]:
+    return [Endpoint(ServerRow(server_id(f"s-{n}"), started=started, zone=server_id("kingston-main-a")),
+                     ("127.0.0.1", 9000 + n)) for n in range(count)]
+
+
+def taught(rows: list[Endpoint], now: float = 1000.0, slow: int = 0, bad: int = 0, rounds: int = 60) -> Balancer:
+    """A module that has met boxes of which the first are slow and the next ones fail."""
+    balancer = Balancer(SETTINGS, 7)
+    balancer.members(now, ListKind.STALE, [row.row for row in rows])
+    names = [row.row.server for row in rows]
+    for number in range(rounds):
+        at = now + 0.02 * number
+        actions = balancer.request(at, f"r{number}", deadline=at + 1.0)
+        while actions and isinstance(send := actions[0], Send):
+            place = names.index(send.server)
+            took = 0.3 if place < slow else 0.01
+            how = Outcome.ERROR if slow <= place < slow + bad else Outcome.OK
+            actions = balancer.outcome(at + took, f"r{number}", send_number(balancer, f"r{number}"), how, took)
+    return balancer
+
+
+def send_number(balancer: Balancer, rid: str) -> int:
+    return len(balancer.requests[rid].attempts) - 1
+
+
+def text(
+    written: float = 1000.0, rows: list[Endpoint] | None = None, learned: Learned | None = None, name: str = "channel"
+) -> bytes:
+    """A whole file of one pool."""
+    rows = endpoints() if rows is None else rows
+    learned = taught(rows).learned() if learned is None else learned
+    facts = [fact("pool", name, {"at": written})]
+    facts += (fact("backend", name, forms.entry(row)) for row in rows)
+    facts += (fact("learned", name, forms.server(row)) for row in learned.servers)
+    facts.append(fact("tier", name, forms.tier(learned)))
+    return whole(written, facts)
+
+
+def other(seed: int) -> bytes:
+    """Another whole file, of another length."""
+    return text(1000.0 + seed, endpoints(1 + Random(seed).randrange(4)))
--- /dev/null
+++ b/tests/state/test_aging.py
@@ -0,0 +1,168 @@
+"""How much of what was kept still counts, and what the module does with it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from math import isfinite
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from kept import SETTINGS, endpoints, send_number, taught
+
+from jaspershelf.decide import BUCKETS, WINDOW, Balancer
+from jaspershelf.model import Learned, ListKind, Outcome, Rules, Send, State
+from lugspur.membership.rows import Endpoint
+from lugspur.state.aging import BEYOND, HALF, age_of, aged
+from lugspur.state.file import Pool
+
+AT = 1002.0  # when the module of `taught` was asked: right after its last request
+
+
+def kept(rows: list[Endpoint], **more: int) -> Pool:
+    return Pool(AT, rows, taught(rows, **more).learned())
+
+
+def test_an_age_is_known_only_where_clocks_are_steady() -> None:
+    assert age_of(100.0, 160.0) == 60.0
+    assert age_of(100.0, 99.5) == 0.0  # a step of NTP
+    assert age_of(100.0, 90.0) is None
+
+
+def test_what_is_fresh_counts_as_it_was_on_the_new_clock() -> None:
+    pool = kept(endpoints(4), slow=1)
+    assert pool.learned is not None
+    found = aged(pool, 0.0, AT)
+    assert found is not None
+    for row, was in zip(found.servers, pool.learned.servers, strict=True):
+        assert (row.latency, row.seen, row.breaker) == (was.latency, was.seen, was.breaker)
+    later = aged(pool, 2.0, AT + 5002.0)  # another clock, two seconds later
+    assert later is not None
+    for row, was in zip(later.servers, pool.learned.servers, strict=True):
+        assert row.seen == pytest.approx(was.seen + 5000.0)
+        assert row.breaker is not None and was.breaker is not None
+        shift = round(5000.0 / (WINDOW / BUCKETS))
+        assert set(row.breaker.window) <= {(n + shift, r, a, f) for n, r, a, f in was.breaker.window}
+
+
+def test_what_is_older_counts_less_and_what_is_too_old_not_at_all() -> None:
+    pool = kept(endpoints(4), slow=1)
+    assert pool.learned is not None
+    pooled = pool.learned.pooled
+    gaps = []
+    for halves in (0, 1, 3):
+        found = aged(pool, halves * HALF, AT + halves * HALF)
+        assert found is not None
+        gaps.append(max(abs(row.latency - pooled) for row in found.servers))
+        assert halves == 0 or all(row.breaker is None or not row.breaker.window for row in found.servers)
+    assert gaps[1] == pytest.approx(gaps[0] / 2)
+    assert gaps[2] == pytest.approx(gaps[0] / 8)
+    for age in (BEYOND + 1.0, 86_400.0, None):
+        assert aged(pool, age, AT) is None
+    assert aged(Pool(AT, endpoints(1)), 1.0, AT) is None
+
+
+def numbers(found: Learned) -> list[float]:
+    return [value for row in found.servers for value in (row.latency, row.seen, row.down_until, row.cold_credit)]
+
+
+@given(st.floats(0.0, BEYOND), st.floats(-1e9, 1e9), st.integers(0, 4), st.integers(0, 4), st.integers(1, 80))
+@settings(deadline=None, max_examples=60)
+def test_whatever_the_clocks_say_the_module_goes_on(age: float, clock: float, slow: int, bad: int, rounds: int) -> None:
+    rows = endpoints(4)
+    now = AT + clock
+    found = aged(kept(rows, slow=slow, bad=bad, rounds=rounds), age, now)
+    assert found is not None
+    assert all(isfinite(value) for value in numbers(found))
+    assert all(row.seen <= now for row in found.servers)
+    last = int(now / (WINDOW / BUCKETS))
+    for row in found.servers:
+        if row.breaker is not None:
+            assert all(last - BUCKETS < bucket[0] <= last for bucket in row.breaker.window)
+    after(rows, found, now)
+
+
+def after(
+    rows: list[Endpoint], learned: Learned | None, now: float, count: int = 40, slow: int = 0, bad: int = 0,
+    seed: int = 3,
+) -> Counter[int]:
+    """What a module that begins with this sends, by the boxes' places; the first are slow, the next ones fail."""
+    balancer = Balancer(SETTINGS, seed)
+    balancer.members(now, ListKind.STALE, [row.row for row in rows])
+    if learned is not None:
+        balancer.recall(now, learned)
+    names, sent = [row.row.server for row in rows], Counter[int]()
+    for number in range(count):
+        at, rid = now + 0.02 * number, f"q{number}"
+        actions = balancer.request(at, rid, deadline=at + 1.0)
+        while actions and isinstance(send := actions[0], Send):
+            place = names.index(send.server)
+            sent[place] += 1
+            took = 0.3 if place < slow else 0.01
+            how = Outcome.ERROR if slow <= place < slow + bad else Outcome.OK
+            actions = balancer.outcome(at + took, rid, send_number(balancer, rid), how, took)
+    return sent
+
+
+def test_a_fresh_file_spares_slow_and_failing_boxes_from_the_first_request_on() -> None:
+    rows = endpoints(20)
+    pool = kept(rows, slow=5, bad=2, rounds=100)
+    met: Counter[str] = Counter()
+    for seed in range(20):
+        for name, learned in (("none", None), ("fresh", aged(pool, 1.0, AT + 1.0))):
+            sent = after(rows, learned, AT + 1.0, slow=5, bad=2, seed=seed)
+            met[name] += sum(sent[place] for place in range(7))
+        # What a process meets that never ended: of two candidates both are bad now and then.
+        long, short = (after(rows, None, AT + 1.0, count, slow=5, bad=2, seed=seed) for count in (440, 400))
+        met["steady"] += sum(long[place] - short[place] for place in range(7))
+    assert met["fresh"] - met["steady"] < 0.5 * (met["none"] - met["steady"])
+
+
+def test_a_file_from_before_an_incident_is_unlearned_soon() -> None:
+    # It says of all boxes but the last that they are slow; that one is broken now.
+    rows = endpoints(6)
+    pool = kept(rows, slow=5, rounds=200)
+    turned = list(reversed(rows))  # the first is now the one that was best
+    met: Counter[str] = Counter()
+    for seed in range(20):
+        for name, learned in (("none", None), ("fresh", aged(pool, 1.0, AT + 1.0))):
+            met[name] += after(turned, learned, AT + 1.0, count=100, bad=1, seed=seed)[0]
+    assert met["fresh"] <= met["none"] + 20 * 5  # five more calls of a hundred at most, for each start
+
+
+def test_a_box_that_restarted_since_is_cold_whatever_the_file_says() -> None:
+    rules = Rules(cold_from=0.3, cold_for=10.0)
+    rows = endpoints(6, started=500.0)
+    learned = aged(kept(rows, rounds=200), 5.0, AT + 5.0)
+    assert learned is not None
+    sent: Counter[str] = Counter()
+    for seed in range(30):
+        for name, known in (("none", None), ("fresh", learned)):
+            balancer = Balancer(replace(SETTINGS, rules=rules), seed)
+            now = AT + 5.0
+            balancer.members(now, ListKind.STALE, [row.row for row in rows])
+            if known is not None:
+                balancer.recall(now, known)
+            young = replace(rows[0].row, started=now - 0.5)  # the first list that is told
+            balancer.members(now, ListKind.WHOLE, [young, *(row.row for row in rows[1:])])
+            assert balancer.servers[young.server].breaker is None
+            for number in range(60):
+                at, rid = now + 0.02 * number, f"q{number}"
+                for action in balancer.request(at, rid, deadline=at + 1.0):
+                    if isinstance(action, Send):
+                        sent[name] += action.server == young.server
+                        balancer.outcome(at + 0.01, rid, 0, Outcome.OK, 0.01)
+    assert sent["fresh"] <= sent["none"] + 30  # one call for each start: its budget is no larger
+    assert sent["fresh"] < 30 * 60 / 6  # less than a warm box's part
+
+
+def test_nothing_is_taken_up_for_a_box_with_another_start_or_that_is_not_listed() -> None:
+    rows = endpoints(2, started=500.0)
+    learned = aged(kept(rows), 1.0, AT + 1.0)
+    assert learned is not None
+    balancer = Balancer(SETTINGS, 1)
+    balancer.members(AT, ListKind.STALE, [replace(rows[0].row, started=900.0)])
+    balancer.recall(AT + 1.0, learned)
+    assert [server.latency for server in balancer.servers.values()] == [0.0]
+    assert all(server.row.state is State.UP for server in balancer.servers.values())
--- /dev/null
+++ b/tests/state/test_file.py
@@ -0,0 +1,81 @@
+"""The file's form: all of it or nothing, whatever has happened to it."""
+
+from __future__ import annotations
+
+import hashlib
+from contextlib import suppress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from kept import endpoints, taught, text
+
+from lugspur.state.file import Unreadable, fact, read, whole
+
+
+def signed(lines: bytes) -> bytes:
+    return lines + b"end %b %d\n" % (hashlib.sha256(lines).hexdigest().encode(), lines.count(b"\n"))
+
+
+def test_what_is_written_is_read_as_it_was() -> None:
+    rows = endpoints(5)
+    learned = taught(rows, slow=2, bad=1).learned()
+    found = read(text(1234.5, rows, learned))
+    assert found.written == 1234.5
+    pool = found.pools["channel"]
+    assert (pool.at, pool.endpoints, pool.learned) == (1234.5, rows, learned)
+
+
+def test_a_file_of_no_pool_is_whole_too() -> None:
+    assert read(whole(1.0, [])).pools == {}
+
+
+def test_every_flipped_bit_is_noticed() -> None:
+    data = text(rows=endpoints(1))
+    for at in range(len(data)):
+        for bit in range(8):
+            changed = bytearray(data)
+            changed[at] ^= 1 << bit
+            with pytest.raises(Unreadable):
+                read(bytes(changed))
+
+
+def test_a_file_cut_at_any_length_is_noticed() -> None:
+    data = text()
+    for end in range(len(data)):
+        with pytest.raises(Unreadable):
+            read(data[:end])
+
+
+@pytest.mark.parametrize("line", [
+    b"lugspur state 2 1000.000\n", b"lugspur state 99999999999999999999 1.0\n", b"lugspur state 0 1.0\n",
+])
+def test_another_version_is_named(line: bytes) -> None:
+    with pytest.raises(Unreadable, match="it is of version"):
+        read(signed(line))
+
+
+POOL = fact("pool", "a", {"at": 1.0})
+ROW = ["s", "up", "0", 0, 1.0, 0.0, "0", "h", 1, False]
+
+
+@pytest.mark.parametrize("facts", [
+    fact("backend", "a", ROW),  # of a pool that is not there
+    POOL + fact("backend", "a", ROW[:-1]), POOL + fact("backend", "a", [*ROW[:1], "maybe", *ROW[2:]]),
+    POOL + fact("rumour", "a", {}), POOL + fact("tier", "a", {"pools": []}), POOL + b"[1,2]\n", POOL + b"{}\n",
+    POOL + b"nonsense\n", fact("pool", "a", {"at": "soon"}), fact("pool", "a", {"at": "nan"}),
+    fact("pool", "a", {"at": "inf"}), fact("pool", "a", {}), POOL + fact("tier", "a", {
+        "pools": [], "pooled": "nan", "pace": 0.0, "paced": 0}),
+    POOL + fact("backend", "a", [*ROW[:4], float("1e400"), *ROW[5:]]),
+])
+def test_what_is_whole_and_makes_no_sense_is_noticed(facts: bytes) -> None:
+    with pytest.raises(Unreadable, match="makes no sense"):
+        read(signed(b"lugspur state 1 5.000\n" + facts))
+
+
+@given(st.binary(max_size=400))
+@settings(deadline=None)  # a loaded machine is no fault
+def test_noise_is_noticed(noise: bytes) -> None:
+    for data in (noise, b"lugspur state 1 1.0\n" + noise, signed(b"lugspur state 1 1.0\n" + noise + b"\n")):
+        with suppress(Unreadable):
+            assert read(data).pools == {}
--- /dev/null
+++ b/tests/state/test_store.py
@@ -0,0 +1,277 @@
+"""Two generations in a folder, whatever stops, fails or lies there."""
+
+from __future__ import annotations
+
+import errno
+import os
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import pytest
+from kept import endpoints, other, text
+
+from lugspur.state.disk import Disk
+from lugspur.state.file import FILE_MOST, read
+from lugspur.state.store import ASIDE, ASIDE_MOST, BEFORE, NOW, TRIED, TRIES, Taken, open_store
+
+CALLS = ("create", "write", "sync", "end", "rename", "remove", "sync_folder")
+OLD, NEW = text(1000.0), text(2000.0, endpoints(1))
+
+
+class Stopped(BaseException):
+    """As if the process had ended here."""
+
+
+class Faulty(Disk):
+    """Fails at one call, before or after it is done; writes little at a time."""
+
+    def __init__(self, folder: str, at: int, fault: Callable[[], BaseException], done: bool, piece: int) -> None:
+        super().__init__(folder)
+        self.calls, self.at, self.fault, self.done, self.piece = 0, at, fault, done, piece
+        self.over = False
+
+    def __getattribute__(self, name: str) -> object:
+        found = super().__getattribute__(name)
+        if name not in CALLS:
+            return found
+
+        def call(*args: object) -> object:
+            self.calls += 1
+            now = self.calls == self.at
+            if self.over or (now and not self.done):
+                self.over = isinstance(self.fault(), Stopped)
+                raise self.fault()
+            try:
+                return found(*args)
+            finally:
+                if now:
+                    self.over = isinstance(self.fault(), Stopped)
+                    raise self.fault()
+
+        return call
+
+    def write(self, fd: int, data: memoryview) -> int:
+        return super().write(fd, data[:self.piece])
+
+
+def saved(folder: Path, *texts: bytes) -> None:
+    store = open_store(str(folder))
+    for each in texts:
+        store.save(each)
+    store.close()
+
+
+def loaded(folder: Path) -> tuple[float | None, list[str]]:
+    """When what is found was written, and what the log would tell."""
+    store = open_store(str(folder))
+    try:
+        found = store.load()
+        store.served()
+        return None if found.snapshot is None else found.snapshot.written, found.said
+    finally:
+        store.close()
+
+
+def faulty(folder: Path, at: int, fault: Callable[[], BaseException], done: bool, piece: int) -> tuple[Faulty, bool]:
+    """Save once more with a fault; whether it met it."""
+    made: list[Faulty] = []
+
+    def disk(name: str) -> Disk:
+        made.append(Faulty(name, at, fault, done, piece))
+        return made[0]
+
+    store = open_store(str(folder), disk)
+    try:
+        store.save(NEW)
+    except (OSError, Stopped):
+        return made[0], True
+    finally:
+        made[0].at, made[0].over = 0, False
+        store.close()
+    return made[0], False
+
+
+@pytest.mark.parametrize("done", [False, True])
+@pytest.mark.parametrize("before", [(), (OLD,), (OLD, OLD)])
+@pytest.mark.parametrize("piece", [1 << 20, 100])
+def test_a_stop_at_any_call_leaves_the_old_or_the_new_one(
+    done: bool, before: tuple[bytes, ...], piece: int, tmp_path: Path
+) -> None:
+    at, met = 0, True
+    while met:
+        at += 1
+        folder = tmp_path / str(at)
+        folder.mkdir()
+        saved(folder, *before)
+        _, met = faulty(folder, at, Stopped, done, piece)
+        written, said = loaded(folder)
+        assert not said
+        assert written in ((1000.0, 2000.0) if before else (None, 2000.0))
+        saved(folder, NEW)  # the next process goes on
+        assert loaded(folder) == (2000.0, [])
+    assert at > 6
+
+
+def test_a_stop_after_any_byte_leaves_the_old_one(tmp_path: Path) -> None:
+    saved(tmp_path, OLD)
+    for at in range(2, 2 + len(NEW), 7):  # the first call makes the file
+        assert faulty(tmp_path, at, Stopped, True, 1)[1]
+        assert loaded(tmp_path) == (1000.0, [])
+
+
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS, errno.EACCES, errno.EDQUOT])
+def test_a_fault_of_the_disk_at_any_call_costs_nothing_that_was_there(number: int, tmp_path: Path) -> None:
+    saved(tmp_path, OLD)
+    for at in range(1, 7):
+        _, met = faulty(tmp_path, at, lambda: OSError(number, os.strerror(number)), False, 1 << 20)
+        assert met
+        assert loaded(tmp_path)[0] in (1000.0, 2000.0)
+
+
+def test_killed_at_any_moment_there_is_always_a_whole_one(tmp_path: Path) -> None:
+    texts = [other(seed) for seed in range(8)]
+    saved(tmp_path, texts[0])
+    whole, rng = {read(each).written for each in texts}, Random(5)
+    seen = set()
+    for _ in range(300):
+        child = os.fork()
+        if not child:
+            store = open_store(str(tmp_path))
+            at = 0
+            while True:
+                store.save(texts[at % len(texts)])
+                at += 1
+        time.sleep(rng.random() * 0.006)
+        os.kill(child, signal.SIGKILL)
+        os.waitpid(child, 0)
+        written, said = loaded(tmp_path)
+        assert written in whole
+        assert not said
+        seen.add(written)
+    assert len(seen) > 2  # it was killed while it wrote
+
+
+def test_a_broken_one_is_set_aside_and_the_former_one_used(tmp_path: Path) -> None:
+    saved(tmp_path, OLD, NEW)
+    for broken in (NEW[:-5], b"", b"lugspur state 7 1.0\n", os.urandom(100)):
+        (tmp_path / NOW).write_bytes(broken)
+        written, said = loaded(tmp_path)
+        assert written == 1000.0
+        assert len(said) == 1 and "state is not used: " in said[0] and ASIDE in said[0]
+    saved(tmp_path, NEW)
+    assert loaded(tmp_path) == (2000.0, [])
+    assert read((tmp_path / BEFORE).read_bytes()).written == 1000.0  # nothing whole was lost by that
+
+
+def test_what_is_no_plain_file_is_set_aside(tmp_path: Path) -> None:
+    target = tmp_path / "elsewhere"
+    target.write_bytes(NEW)
+    saved(tmp_path, OLD, OLD)
+
+    def link() -> None:
+        (tmp_path / NOW).symlink_to(target)
+
+    def pipe() -> None:
+        os.mkfifo(tmp_path / NOW)
+
+    def large() -> None:
+        with open(tmp_path / NOW, "wb") as file:
+            file.truncate(10 << 30)
+
+    def folder() -> None:
+        (tmp_path / NOW).mkdir()
+
+    for make in (link, pipe, large, folder):
+        (tmp_path / NOW).unlink(missing_ok=True)
+        make()
+        written, said = loaded(tmp_path)
+        assert written == 1000.0
+        assert len(said) == 1 and "is not used" in said[0]
+        assert not (tmp_path / NOW).exists()
+    assert target.read_bytes() == NEW  # nothing was written through the link
+
+
+def test_what_is_set_aside_is_bounded(tmp_path: Path) -> None:
+    for number in range(3 * ASIDE_MOST):
+        (tmp_path / NOW).write_bytes(b"broken %d" % number)
+        loaded(tmp_path)
+    kept = [each for each in os.listdir(tmp_path) if ASIDE in each]
+    assert len(kept) == ASIDE_MOST
+    assert f"{NOW}{ASIDE}{3 * ASIDE_MOST}" in kept  # the latest
+
+
+def test_one_that_is_too_large_is_never_read(tmp_path: Path) -> None:
+    (tmp_path / NOW).write_bytes(OLD)
+    disk = Disk(str(tmp_path))
+    assert disk.read(NOW, FILE_MOST) == OLD
+    with pytest.raises(ValueError, match="are the most"):
+        disk.read(NOW, len(OLD) - 1)
+    disk.close()
+
+
+def test_a_start_that_fails_with_one_uses_it_twice_and_no_third_time(tmp_path: Path) -> None:
+    saved(tmp_path, OLD, NEW)
+
+    def start() -> float | None:
+        store = open_store(str(tmp_path))
+        found = store.load()
+        store.close()  # as a process does that ends before it serves
+        return None if found.snapshot is None else found.snapshot.written
+
+    assert [start() for _ in range(TRIES)] == [2000.0] * TRIES
+    assert [start() for _ in range(TRIES)] == [1000.0] * TRIES
+    assert start() is None
+    assert (tmp_path / TRIED).exists()
+    saved(tmp_path, NEW)
+    for _ in range(2 * TRIES):  # one that came to serve is used again and again
+        assert loaded(tmp_path)[0] == 2000.0
+
+
+def test_a_folder_has_one_daemon_and_a_dead_ones_lock_is_no_obstacle(tmp_path: Path) -> None:
+    first = open_store(str(tmp_path))
+    with pytest.raises(Taken):
+        open_store(str(tmp_path))
+    first.save(OLD)
+    first.close()
+    child = os.fork()
+    if not child:
+        open_store(str(tmp_path))
+        os.kill(os.getpid(), signal.SIGKILL)
+    os.waitpid(child, 0)
+    assert (tmp_path / "lock").exists()
+    assert loaded(tmp_path)[0] == 1000.0
+
+
+def test_a_folder_that_vanishes_is_an_error_and_no_more(tmp_path: Path) -> None:
+    folder = tmp_path / "gone"
+    folder.mkdir()
+    store = open_store(str(folder))
+    store.save(OLD)
+    for each in folder.iterdir():
+        each.unlink()
+    folder.rmdir()
+    (tmp_path / "gone").mkdir()  # another one under its name is not the same
+    with pytest.raises(OSError):
+        store.save(NEW)
+    assert not list(folder.iterdir())
+    store.close()
+    with pytest.raises(OSError):
+        open_store(str(tmp_path / "none"))
+
+
+def test_a_store_that_was_let_go_of_writes_nothing(tmp_path: Path) -> None:
+    store = open_store(str(tmp_path))
+    store.close()
+    store.save(OLD)
+    store.served()
+    assert loaded(tmp_path) == (None, [])
+
+
+def test_a_note_that_makes_no_sense_says_nothing(tmp_path: Path) -> None:
+    saved(tmp_path, OLD)
+    for note in (b"", b"9", b"many words", b"-5 x", b"9 another", b"\xff" * 500):
+        (tmp_path / TRIED).write_bytes(note)
+        assert loaded(tmp_path)[0] == 1000.0
