--- a/lugspur/daemon/remembering.py
+++ b/lugspur/daemon/remembering.py
@@ -20,7 +20,8 @@
     from lugspur.daemon.station import Station
 
 Done = TypeVar("Done")
-SLICE = 0.0003  # seconds of the loop's time that a slice takes, about: requests that come meanwhile wait for it
+SLICE = 0.0003  # seconds of the loop's time that a slice takes, about: requests that come meanwhile wait for it...
+PAUSE = 0.002  # ...and between two: a request takes several turns of the loop, and would meet a slice in each
 EACH = 4  # backends asked for in one go: a full one takes some 30 us
 SERVED_AFTER = 10.0  # seconds of service after which a start with a file counts as gone well
 BACK_OFF_MOST = 60.0  # seconds between two tries where the disk fails
@@ -114,7 +115,7 @@
             for line in lines(station, left):
                 found.append(line)
                 if self._loop.time() - begun >= SLICE:
-                    await asyncio.sleep(0)
+                    await asyncio.sleep(PAUSE)
                     begun = self._loop.time()
             left = max(0, left - len(station.maintenance.told))
         return found
