Test calls amid reloads and replacements, discovery that moves, and what a kept state leaves out

Need: hard cases that had no test: management calls under load in the middle of reloads, drains and replacements; discovery that moves while two processes run; more backends than can be kept; a box that moved to another address.

--- a/lugspur/bench/operations.py
+++ b/lugspur/bench/operations.py
@@ -130,8 +130,13 @@
         asking = [asyncio.create_task(ask(kind, keeps, mine)) for mine, (kind, keeps) in enumerate(
             [("read", True), ("book", True), ("read", False), ("book", False)] * (CALLERS // 4))]
         took = []
+        alone = Usage(proxy.processes[0].pid).memory()
+        peak = sockets = 0.0
         for _ in range(count):
             took.append(await proxy.start())
+            both = [process.pid for process in proxy.processes]
+            peak = max(peak, sum(Usage(pid).memory() for pid in both))
+            sockets = max(sockets, sum(len(os.listdir(f"/proc/{pid}/fd")) for pid in both))
             await proxy.end()
         over = True
         await asyncio.gather(*asking)
@@ -139,10 +144,11 @@
         proxy.kill()
     ran = sum((backend.ran for backend in backends), Counter[str]())
     asked = sum(statuses.values())
-    print("| replacements | requests | served | refused | lost | run twice | slowest ready, s |")
-    print("| --- | --- | --- | --- | --- | --- | --- |")
+    print("| replacements | requests | served | refused | lost | run twice | slowest ready, s | MiB, alone and both | "
+          "descriptors of both |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     print(f"| {count} | {asked} | {statuses[200]} | {statuses[429] + statuses[503]} | {statuses[0]} | "
-          f"{sum(n > 1 for n in ran.values())} | {max(took):.2f} |")
+          f"{sum(n > 1 for n in ran.values())} | {max(took):.2f} | {alone:.0f}, {peak:.0f} | {sockets:.0f} |")
 
 
 async def calls(folder: Path) -> None:
--- a/tests/daemon/test_state.py
+++ b/tests/daemon/test_state.py
@@ -99,6 +99,40 @@
     asyncio.run(play())
 
 
+def test_more_backends_than_can_be_kept_are_left_out_and_the_rest_is_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(remembering, "BACKENDS_MOST", 3)
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            both = ALL
+            for name in "ab":
+                members = ", ".join(f'{{ name = "{name}{n}", address = "{one.address}" }}' for n in range(2))
+                both += f"[pools.{name}]\nmembers = [{members}]\n"
+            async with keeping(tmp_path, both) as up:
+                await asked(up, 5)
+            pools = read((tmp_path / NOW).read_bytes()).pools
+            assert [len(pools[name].endpoints) for name in "ab"] == [2, 1]
+            async with keeping(tmp_path, both) as up:
+                await asked(up, 5)
+
+    asyncio.run(play())
+
+
+def test_a_box_that_moved_to_another_address_keeps_what_was_learned_and_is_called_there(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
+            for box in (one, two):
+                text = f'[pools.a]\nmembers = [{{ name = "x", address = "{box.address}" }}]\n' + ALL
+                async with keeping(tmp_path, text) as up:
+                    assert any(latencies(up).values()) == (box is two)
+                    await asked(up, 4)
+            assert (one.got.qsize(), two.got.qsize()) == (4, 4)
+
+    asyncio.run(play())
+
+
 def test_nothing_is_written_where_nothing_changes(tmp_path: Path) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one:
--- a/tests/handover/test_replacement.py
+++ b/tests/handover/test_replacement.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from loopback import HOST, OK, WIDE, WIRE, Backend, Client, backend, book, entry, read, soon, status
+from loopback import HOST, OK, WIDE, WIRE, Backend, Client, backend, book, entry, read, soon, status, watches
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -29,9 +29,10 @@
         self.folder = folder
         self.ports: list[int] = []
         self.processes: list[asyncio.subprocess.Process] = []
-        self._raw = {"name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:9", "seed": "1",
-                     "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": WIRE,
-                     "known": {"index": 7, "snapshot": True, "endpoints": entries}}
+        self.raw: dict[str, Any] = {
+            "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:9", "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": WIRE,
+            "known": {"index": 7, "snapshot": True, "endpoints": entries}}
 
     async def start(self, **changed: Any) -> int:
         """One more process: its second address, once it says yes."""
@@ -39,7 +40,7 @@
             probe.bind((HOST, 0))
             port: int = probe.getsockname()[1]
         path = self.folder / f"config-{len(self.processes)}.json"
-        path.write_text(json.dumps(self._raw | {"management": f"{HOST}:{port}"} | changed))
+        path.write_text(json.dumps(self.raw | {"management": f"{HOST}:{port}"} | changed))
         temp = self.folder / "tmp"
         temp.mkdir(exist_ok=True)
         environment = os.environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(temp)}
@@ -323,3 +324,70 @@
             assert b"Connection: close\r\n" not in await (await up.client()).ask(read(3))
 
     asyncio.run(play())
+
+
+def test_discovery_that_moves_in_the_middle_of_a_replacement_is_followed_by_the_one_that_stays(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, watches() as old, watches() as new:
+            async with fleet(tmp_path, one) as up:
+                up.raw["discovery"] = f"{HOST}:{old.port}"
+                await up.start()
+                await soon(old.asked.get())
+                await up.start()
+                await soon(old.asked.get())
+                for number, process in enumerate(up.processes):
+                    path = tmp_path / f"config-{number}.json"
+                    path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": f"{HOST}:{new.port}"}))
+                    process.send_signal(signal.SIGHUP)
+                    await soon(new.asked.get())
+                await up.end()  # the watch that is left is the new process's
+                new.say(8, [entry("s-1", one.address, "terminated"), entry("s-2", two.address)])
+                client, number = await up.client(), 0
+                async with asyncio.timeout(WIDE):
+                    while two.got.empty():
+                        number += 1
+                        assert status(await client.ask(read(number))) == 200
+                before = one.got.qsize()
+                for number in range(1000, 1010):
+                    assert status(await client.ask(read(number))) == 200
+                assert one.got.qsize() == before
+
+    asyncio.run(play())
+
+
+def test_calls_are_answered_under_load_and_in_the_middle_of_reloads_drains_and_replacements(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, fleet(tmp_path, one) as up:
+            await up.start()
+            over = False
+            answers: Counter[int] = Counter()
+
+            async def load(mine: int) -> None:
+                client, number = await up.client(), 0
+                while not over:
+                    number += 1
+                    answer = await client.ask(read(mine * 1_000_000 + number))
+                    answers[status(answer)] += 1
+                    if b"Connection: close" in answer:
+                        client = await up.client()
+
+            clients = [asyncio.create_task(load(mine)) for mine in range(1, 17)]
+            for act in ("reload", "drain", "undrain", "replace", "reload", "end"):
+                if act == "reload":
+                    for process in up.processes:
+                        process.send_signal(signal.SIGHUP)
+                elif act == "replace":
+                    await up.start()
+                elif act == "end":
+                    up.ports.pop(0)
+                    await up.end()
+                else:
+                    assert await call(up.ports[0], "POST", f"/{act}") == 200
+                calls = [call(port, *what) for port in up.ports for what in (
+                    ("GET", "/ready"), ("POST", "/backends/disable", "s-9"), ("POST", "/undrain"), ("GET", "/none"))]
+                assert await soon(asyncio.gather(*calls)) == [200, 404, 200, 404] * len(up.ports)
+            over = True
+            await soon(asyncio.gather(*clients))
+            assert set(answers) == {200}
+
+    asyncio.run(play())
