Bound how long a kept state may hold up the start, and let no list stop its keeping

What was seen, on rereading: Remembering.open waited for the disk without a bound, so that one that hangs kept the daemon from starting; an exception other than the disk's own (a list with what no file can hold) ended the keeping without a word, and at the end the orderly stop with it. The change: 5 s, then the daemon serves and keeps nothing; any fault of a writing is one line and tried again. Two tests, each fails before.

--- a/lugspur/daemon/remembering.py
+++ b/lugspur/daemon/remembering.py
@@ -25,7 +25,8 @@
 EACH = 4  # backends asked for in one go: a full one takes some 30 us
 SERVED_AFTER = 10.0  # seconds of service after which a start with a file counts as gone well
 BACK_OFF_MOST = 60.0  # seconds between two tries where the disk fails
-LAST_WITHIN = 2.0  # seconds that the last writing may hold up the end
+LAST_WITHIN = 2.0  # seconds that the last writing may hold up the end...
+OPEN_WITHIN = 5.0  # ...and reading the start
 
 
 class Remembering:
@@ -46,10 +47,14 @@
     async def open(self) -> None:
         """Read what was kept; a folder that can't be used is one line in the log."""
         try:
-            self._store, found = await self._aside(self._open)
+            async with asyncio.timeout(OPEN_WITHIN):
+                self._store, found = await self._aside(self._open)
         except Taken:
             _say(f"{self._folder} is kept by another process: this one keeps nothing")
             return
+        except TimeoutError:  # before OSError, which it is too
+            _say(f"{self._folder} is too slow: nothing is taken up or kept")
+            return
         except OSError as fault:
             _say(f"{self._folder} can't be used: {fault.strerror or fault}; nothing is kept")
             return
@@ -94,12 +99,13 @@
         seen = {name: station.seen() for name, station in self._stations().items()}
         if store is None or seen == self._written:
             return
-        facts = await self._facts()
         try:
+            facts = await self._facts()
             await self._aside(lambda: store.save(whole(time.time(), facts)))
-        except OSError as fault:
+        except Exception as fault:  # Guards service and its orderly end: a list may hold what no file can.
             if not self._failing:
-                _say(f"can't write to {self._folder}: {fault.strerror or fault}; tried again and again")
+                why = fault.strerror if isinstance(fault, OSError) and fault.strerror else repr(fault)
+                _say(f"can't write to {self._folder}: {why}; tried again and again")
             self._failing = True
             self._delay = min(BACK_OFF_MOST, 2.0 * self._delay)
         else:
--- a/tests/daemon/test_state.py
+++ b/tests/daemon/test_state.py
@@ -14,6 +14,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -240,6 +241,49 @@
     assert "too slow" in capsys.readouterr().err
 
 
+def test_a_disk_that_hangs_at_the_start_is_not_waited_for(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    go = threading.Event()
+    monkeypatch.setattr(Store, "load", lambda store: go.wait(20.0))
+    monkeypatch.setattr(remembering, "OPEN_WITHIN", 0.1)
+
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, keeping(tmp_path, pool("a", one.address) + ALL) as up:
+            await asked(up, 2)
+
+    asyncio.run(play())
+    go.set()
+    assert "too slow: nothing is taken up or kept" in capsys.readouterr().err
+
+
+def test_what_no_file_can_hold_is_one_line_and_stops_neither_service_nor_its_end(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            listed = tmp_path / "list.json"
+            listed.write_text(json.dumps({"endpoints": [
+                {"name": "x", "address": one.address, "zone": "", "group": 0, "status": "in_service", "weight": 1.0,
+                 "since_ms": 0}]}))
+            text = f'[pools.a]\nfile = "{listed}"\n' + ALL
+            folder = tmp_path / "kept"
+            folder.mkdir()
+            async with keeping(folder, text) as up:
+                await asked(up, 2)
+                told = up.daemon.stations["a"].maintenance.told
+                [(server, endpoint)] = told.items()
+                told[server] = replace(endpoint, address=(object(), 1))  # type: ignore[arg-type]  # on purpose
+                kept_now = up.daemon.remembering
+                assert kept_now is not None
+                for _ in range(2):
+                    await kept_now._write()
+                await asked(up, 2)
+
+    asyncio.run(play())
+    assert capsys.readouterr().err.count("can't write to") == 1
+
+
 def test_two_backends_with_one_name_in_two_pools_are_told_apart(tmp_path: Path) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
