--- a/lugspur/bench/sockets.py
+++ b/lugspur/bench/sockets.py
@@ -5,12 +5,21 @@
 import socket
 import time
 
+_held: list[socket.socket] = []  # until this process ends
+
 
 def free_port() -> int:
-    """A port that nobody listens on now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port that nobody listens on, and that nobody is given until this process ends.
+
+    Guards against a port that is taken between the look and the use: connections of whole test runs draw theirs from
+    the same range. The socket stays bound without listening: the system gives its port to nobody, refuses connections
+    to it, and lets a listener with SO_REUSEADDR have it.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _held.append(sock)
+    return int(sock.getsockname()[1])
 
 
 def wait_for(port: int, within: float) -> None:
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -19,8 +19,8 @@
 from lugspur.daemon.ticket import End, Ticket
 from lugspur.http1.body import Body
 from lugspur.http1.front import Front
-from lugspur.http1.intake import Rejected, Request, Sizes
-from lugspur.http1.upstream import HELD_PART, Response
+from lugspur.http1.intake import Rejected, Sizes
+from lugspur.http1.upstream import HELD_PART
 from lugspur.membership.registry import Registries
 from lugspur.routing.model import Asked, Forward, Redirect, Reply
 from lugspur.routing.shares import Shares, even
@@ -28,7 +28,7 @@
 from lugspur.routing.standing import Standing, candidates
 from lugspur.routing.table import Match, Miss, read_query
 from lugspur.routing.target import Target, TargetError, read_target
-from lugspur.seams import Answerable
+from lugspur.seams import Answerable, Request, Response
 
 if TYPE_CHECKING:
     from lugspur.daemon.guarding import Guarding
--- a/lugspur/daemon/health.py
+++ b/lugspur/daemon/health.py
@@ -11,9 +11,9 @@
 from lugspur.grpc.health import Serving, read_service, write_serving
 from lugspur.grpc.messages import Spoilt, pack, unpack
 from lugspur.http1.front import Front
-from lugspur.http1.intake import Rejected, Request
+from lugspur.http1.intake import Rejected
 from lugspur.pipe import Pipe, nothing
-from lugspur.seams import Answerable, Form
+from lugspur.seams import Answerable, Form, Request
 
 CHECK, WATCH = b"/grpc.health.v1.Health/Check", b"/grpc.health.v1.Health/Watch"
 LOOK_EVERY = 0.2  # seconds between looks for whoever watches: a drain is to be known well within 500 ms
--- a/lugspur/daemon/joins.py
+++ b/lugspur/daemon/joins.py
@@ -10,12 +10,11 @@
 
 from lugspur.config.build import NOBODY
 from lugspur.daemon.ticket import End, Ticket
-from lugspur.http1.intake import Request
 from lugspur.joining.desk import Action, Alone, Desk, Drop, Expire, Extend, Give, Start, Turn
 from lugspur.joining.keys import key_of, told_of
 from lugspur.joining.sharing import depends, worded_for
 from lugspur.routing.model import Join
-from lugspur.seams import Answerable, Form
+from lugspur.seams import Answerable, Form, Request
 
 if TYPE_CHECKING:
     from lugspur.pipe import Pipe
--- a/lugspur/daemon/operated.py
+++ b/lugspur/daemon/operated.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Mapping
 
 from lugspur.config.model import Management
+from lugspur.daemon.station import Station
+from lugspur.http1.front import Front
 from lugspur.management.acts import acts
 from lugspur.management.door import Door
 from lugspur.membership.rows import server_id
 
-if TYPE_CHECKING:
-    from lugspur.daemon.run import Running
-
 
 class Operators:
-    """The daemon's second address; it moves with the file."""
+    """The daemon's second address; it moves with the file. It acts on what is there when it is called."""
 
-    def __init__(self, running: Running) -> None:
-        self._running = running
+    def __init__(self, fronts: Callable[[], list[Front]], stations: Callable[[], Mapping[str, Station]]) -> None:
+        self._fronts, self._stations = fronts, stations
         self._row: Management | None = None
         self._door: Door | None = None
         self.drained = False
@@ -56,7 +55,7 @@
     @property
     def takes_clients(self) -> bool:
         """Whether all listeners are there."""
-        fronts = [front for front, _ in self._running.listeners.values()]
+        fronts = self._fronts()
         return bool(fronts) and all(front.ready and front.serving for front in fronts)
 
     def disable(self, name: str) -> bool:
@@ -69,7 +68,7 @@
 
     def _each(self, name: str, off: bool) -> bool:
         server, now = server_id(name), time.time()
-        stations = self._running.daemon.stations.values()
+        stations = self._stations().values()
         known = any(station.maintenance.known(server) for station in stations)
         if known:  # in pools, too, that may list it later
             for station in stations:
@@ -79,11 +78,11 @@
     def drain(self) -> None:
         """Send callers away, from all listeners."""
         self.drained = True
-        for front, _ in self._running.listeners.values():
+        for front in self._fronts():
             front.drain()
 
     def undrain(self) -> None:
         """Take callers again."""
         self.drained = False
-        for front, _ in self._running.listeners.values():
+        for front in self._fronts():
             front.undrain()
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -30,9 +30,8 @@
 )
 from lugspur.http1 import upstream
 from lugspur.http1.body import Body
-from lugspur.http1.intake import Request
 from lugspur.membership.rows import Address, Endpoint
-from lugspur.seams import Answerable, Attempt, Lane
+from lugspur.seams import Answerable, Attempt, Lane, Request, Response
 
 if TYPE_CHECKING:
     from lugspur.pipe import Pipe
@@ -70,7 +69,7 @@
         self.bound = False  # whether a message has passed: the request belongs to that attempt
         self.may_have_run = False  # whether any attempt may
         self.last = Outcome.VOID  # how its latest attempt ended...
-        self.response: upstream.Response | None = None  # ...and with what answer
+        self.response: Response | None = None  # ...and with what answer
         self.timer: asyncio.TimerHandle | None = None
 
     def bytes_for(self, left: float) -> bytes:
@@ -94,10 +93,10 @@
     def at_fault(self, status: int) -> bool:
         """Whether a backend's answer says that the request itself is wrong, and would be anywhere else."""
 
-    def served(self, call: Call, response: upstream.Response) -> None:
+    def served(self, call: Call, response: Response) -> None:
         """A backend has served it in time."""
 
-    def begun(self, call: Call, response: upstream.Response, body: Pipe) -> None:
+    def begun(self, call: Call, response: Response, body: Pipe) -> None:
         """A backend's answer is passed on as it comes; `served` or `failed` ends it."""
 
     def refused(self, call: Call, retry_after: float) -> None:
@@ -133,7 +132,7 @@
     def __init__(self, pool: Pool, call: Call, number: int) -> None:
         self._pool, self._call, self._number = pool, call, number
 
-    def ended(self, attempt: Attempt, outcome: Outcome, response: upstream.Response | None) -> None:
+    def ended(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         """Its one outcome."""
         self._pool.outcome(self._call, self._number, attempt, outcome, response)
 
@@ -141,7 +140,7 @@
         """A message has passed: the request belongs to this attempt from now on."""
         self._pool.bound(self._call, self._number)
 
-    def begun(self, response: upstream.Response, body: Pipe) -> None:
+    def begun(self, response: Response, body: Pipe) -> None:
         """Its answer is passed on as it comes."""
         self._pool.begun(self._call, self._number, response, body)
 
@@ -404,7 +403,7 @@
         call.bound = True
         self._perform(self._decide(self.balancer.bind, call.rid, number, call=call))
 
-    def begun(self, call: Call, number: int, response: upstream.Response, body: Pipe) -> None:
+    def begun(self, call: Call, number: int, response: Response, body: Pipe) -> None:
         """An answer is passed on as it comes."""
         call.bound = True
         self._perform(self._decide(self.balancer.begun, call.rid, number, call=call))
@@ -412,7 +411,7 @@
             self._owner.begun(call, response, body)
 
     def outcome(
-        self, call: Call, number: int, exchange: Attempt, outcome: Outcome, response: upstream.Response | None
+        self, call: Call, number: int, exchange: Attempt, outcome: Outcome, response: Response | None
     ) -> None:
         """An attempt has ended."""
         now = self._loop.time()
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -14,12 +14,13 @@
 from lugspur.daemon.pool import Call, Facts, Pool
 from lugspur.daemon.terms import CHANGE_WITHIN, STILL_COMING, Terms
 from lugspur.http1.front import Caller, Front
-from lugspur.http1.intake import Rejected, Request
-from lugspur.http1.upstream import FLOW_PART, HELD_PART, Response, Upstream
+from lugspur.http1.intake import Rejected
+from lugspur.http1.upstream import FLOW_PART, HELD_PART, Upstream
 from lugspur.membership import watch
 from lugspur.membership.maintenance import Maintenance
 from lugspur.membership.rows import Endpoint, Reader, server_id
 from lugspur.routing.shares import Shares
+from lugspur.seams import Request, Response
 
 if TYPE_CHECKING:
     import socket
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -111,7 +111,8 @@
             if plan.file.management.address is not None and self.operators is None:
                 from lugspur.daemon.operated import Operators
 
-                self.operators = Operators(self)
+                self.operators = Operators(
+                    lambda: [front for front, _ in self.listeners.values()], lambda: self.daemon.stations)
             if self.operators is not None:
                 door = await self.operators.prepare(plan.file.management)
             for name, row in rows.items():
--- a/lugspur/daemon/ticket.py
+++ b/lugspur/daemon/ticket.py
@@ -8,9 +8,8 @@
 from jaspershelf.model import RequestClass
 from lugspur.daemon.pool import Call
 from lugspur.daemon.station import Station
-from lugspur.http1.intake import Request
 from lugspur.routing.model import Forward
-from lugspur.seams import Passing
+from lugspur.seams import Passing, Request
 
 
 class End(Enum):
--- a/lugspur/grpc/mapping.py
+++ b/lugspur/grpc/mapping.py
@@ -22,8 +22,7 @@
     status_of,
 )
 from lugspur.grpc.timeout import write_timeout
-from lugspur.http1.intake import Request
-from lugspur.http1.upstream import Response
+from lugspur.seams import Request, Response
 
 Fields = list[tuple[bytes, bytes]]
 
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -11,10 +11,10 @@
 from http import HTTPStatus
 
 from lugspur.http1.body import Body
-from lugspur.http1.intake import PLATFORM, Intake, Rejected, Request, Sizes
+from lugspur.http1.intake import PLATFORM, Intake, Rejected, Sizes
 from lugspur.membership.rows import Address
 from lugspur.pipe import Pipe
-from lugspur.seams import Passing
+from lugspur.seams import Passing, Request
 
 READ = 64 << 10  # bytes read in one go, into one buffer that all callers share
 FIRST_WITHIN = 2.0  # seconds from connecting in which the first request must begin: 3 s are owed at most...
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -4,13 +4,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 import httptools
 
 from lugspur.http1.body import HOLD, KEEP, Body
-from lugspur.http1.upstream import HOP_BY_HOP
-from lugspur.seams import Form
+from lugspur.http1.hops import HOP_BY_HOP
+from lugspur.seams import Request
 
 BODY_MOST = 64 << 10  # bytes of a request's body, where nothing else is said
 STREAM_MOST = 40 << 20  # bytes of a body that is passed on in pieces: 32 MB are to be expected, 60 MB are turned away
@@ -48,24 +47,6 @@
 PLATFORM = Sizes(body=STREAM_MOST, hold=HOLD)
 
 
-@dataclass(slots=True)
-class Request:
-    """A whole request as it came; `arrived` is the loop's time of its first byte."""
-
-    method: bytes
-    target: bytes
-    headers: dict[bytes, bytes]  # those that the proxy reads, by their names in lower case
-    lines: list[bytes]  # the end-to-end headers, each with its line end, but for the time
-    body: bytes
-    arrived: float
-    keep_alive: bool
-    terms: Any = None  # by what it is judged, as of its head; the daemon's
-    form: Form | None = None  # what it has beyond this, where it came as gRPC
-    stream: Body | None = None  # its body, where that is passed on as it comes
-    ended: float = 0.0  # the loop's time of its last byte; of a stream, of what there is
-    old: bool = False  # HTTP/1.0: its sender knows no chunks
-
-
 class Intake:
     """The parser of one connection: whole requests are delivered, the first fault is kept and ends it."""
 
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -8,17 +8,17 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from typing import Any, Generic, Protocol, TypeVar
 
 import httptools
 
 from jaspershelf.model import Outcome
 from lugspur.http1.body import Body
+from lugspur.http1.hops import HOP_BY_HOP
 from lugspur.membership.rows import Address
 from lugspur.pipe import Pipe
 from lugspur.routing.shares import Shares
-from lugspur.seams import Lane
+from lugspur.seams import Lane, Listed, Response
 
 ANSWER_MOST = 1 << 20  # bytes of an answer that is held whole, where nothing else is said
 PASS_FROM = 64 << 10  # bytes of an answer beyond which it is passed on as it comes
@@ -34,22 +34,6 @@
 DISTRUST = 10.0  # seconds in which none is kept after one that was kept broke before any answer
 STALL = 0.1  # seconds between two pieces of an answer: it comes in one go, and a second try needs about 0.2
 OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)  # say nothing of a backend
-HOP_BY_HOP = frozenset(
-    {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-     b"content-length", b"expect"}
-)
-
-
-@dataclass(slots=True)
-class Response:
-    """A backend's whole answer."""
-
-    status: int
-    head: bytes  # its end-to-end headers, each with its line end
-    body: bytes
-    length: int | None = None  # of the body that a HEAD request was spared
-    trailers: bytes | None = None  # lines behind the body, where a gRPC box answers a request that came as gRPC
-
 
 def judge(status: int, unseen: bool) -> Outcome:
     """What an answer by the platform's protocol says of its attempt; `unseen`: `X-Not-Processed: 1`."""
@@ -190,7 +174,7 @@
 
     __slots__ = ("_addresses", "_dialler", "_errno", "_loop", "_over", "_resolving", "_timer", "_wanted", "sock")
 
-    def __init__(self, dialler: Dialler[For], wanted: For, backend: Backend, within: float) -> None:
+    def __init__(self, dialler: Dialler[For], wanted: For, backend: Listed, within: float) -> None:
         self._dialler, self._wanted = dialler, wanted
         self._loop = asyncio.get_running_loop()
         self._over = False
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -10,12 +10,12 @@
 from lugspur.grpc.timeout import read_timeout
 from lugspur.http1.body import KEEP, Body
 from lugspur.http1.front import BODY_LEAST, BODY_RATE, FLOW_WITHIN, LINGER, Front, Held
-from lugspur.http1.intake import NAMED, REWRITTEN, Rejected, Request
+from lugspur.http1.intake import NAMED, REWRITTEN, Rejected
 from lugspur.http2.frames import CANCEL, INTERNAL_ERROR, NO_ERROR, REFUSED_STREAM, STREAM_MOST, Leave
 from lugspur.http2.machine import STREAMS_MOST, Data, Ended, Event, Fields, Head, Machine, Over, Reset, Tail
 from lugspur.http2.wire import Wire
 from lugspur.pipe import Pipe
-from lugspur.seams import Passing
+from lugspur.seams import Passing, Request
 
 GATHER = 0.02  # seconds after a whole message, or a head alone, in which a call may still turn out to be all there
 LEAVE_AFTER = 0.25  # seconds between the two GOAWAYs: streams that were begun before the first was read still come
--- a/lugspur/http2/upstream.py
+++ b/lugspur/http2/upstream.py
@@ -11,8 +11,7 @@
 from lugspur.grpc.evidence import PROVES, End, by_reset
 from lugspur.grpc.messages import Counter, Spoilt
 from lugspur.grpc.status import Status, http_status, read_status
-from lugspur.http1.intake import Request
-from lugspur.http1.upstream import ANSWER_MOST, IDLE_PART, OWN_FAULTS, Backend, Dial, Response
+from lugspur.http1.upstream import ANSWER_MOST, IDLE_PART, OWN_FAULTS, Dial
 from lugspur.http2.frames import CANCEL, ENHANCE_YOUR_CALM, REFUSED_STREAM, Leave
 from lugspur.http2.machine import (
     STREAMS_MOST,
@@ -32,7 +31,7 @@
 from lugspur.membership.rows import Address
 from lugspur.pipe import Pipe
 from lugspur.routing.shares import Shares
-from lugspur.seams import Watcher
+from lugspur.seams import Listed, Request, Response, Watcher
 
 LINKS_MOST = 4  # connections to one box: one core of a box rarely serves more than one at full speed
 SPREAD = 32  # streams on each connection before a further one is made
@@ -54,7 +53,7 @@
                  "_waiting", "_watcher")
 
     def __init__(
-        self, lane: Streams, backend: Backend, request: Request, started: float, until: float, watcher: Watcher,
+        self, lane: Streams, backend: Listed, request: Request, started: float, until: float, watcher: Watcher,
         repeatable: bool,
     ) -> None:
         self._lane, self._watcher = lane, watcher
@@ -515,7 +514,7 @@
 
     __slots__ = ("backend", "calm", "links")
 
-    def __init__(self, backend: Backend) -> None:
+    def __init__(self, backend: Listed) -> None:
         self.backend = backend
         self.links: list[Link] = []
         self.calm = False  # it has asked for fewer PINGs: there are no more
@@ -532,7 +531,7 @@
         self.judge = judge
         self.dial_timeout, self._keep = 0.25, 7.5
         self.held, self.held_most, self.answer_most = 0, ANSWER_MOST, ANSWER_MOST
-        self._boxes: dict[Backend, Box] = {}
+        self._boxes: dict[Listed, Box] = {}
         self._sweeping = self._loop.call_later(1.0, self._sweep)
 
     def tune(self, conn_idle: float, dial_timeout: float, held_most: int, answer_most: int) -> None:
@@ -554,7 +553,7 @@
     # ---- attempts ------------------------------------------------------------------------------
 
     def start(
-        self, backend: Backend, request: Request, until: float, watcher: Watcher, repeatable: bool, timed: bool
+        self, backend: Listed, request: Request, until: float, watcher: Watcher, repeatable: bool, timed: bool
     ) -> Exchange:
         """Send an attempt; whoever sends is not ready for its outcome, so it begins at the loop's next turn."""
         exchange = Exchange(self, backend, request, self._loop.time(), until, watcher, repeatable)
@@ -601,7 +600,7 @@
 
     # ---- connections ---------------------------------------------------------------------------
 
-    def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
+    def update(self, backend: Listed, address: Address, started: float, in_service: bool) -> None:
         """Guards against streams on connections to a process or a place that is no more."""
         if backend.address != address or backend.started != started or not in_service:
             box = self._boxes.get(backend)
@@ -624,7 +623,7 @@
     def undone(self) -> None:
         """A dial was given up: `lost` counts its socket."""
 
-    def reached(self, backend: Backend, up: bool) -> None:
+    def reached(self, backend: Listed, up: bool) -> None:
         """Whether a connection came up."""
         self._dialled(backend.server, up)
 
--- a/lugspur/seams.py
+++ b/lugspur/seams.py
@@ -3,17 +3,46 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
 
 from jaspershelf.model import Outcome
 
 if TYPE_CHECKING:
-    from lugspur.http1.intake import Request
-    from lugspur.http1.upstream import Backend, Response
+    from lugspur.http1.body import Body
     from lugspur.membership.rows import Address
     from lugspur.pipe import Pipe
 
 
+@dataclass(slots=True)
+class Request:
+    """A whole request as it came; `arrived` is the loop's time of its first byte."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]  # those that the proxy reads, by their names in lower case
+    lines: list[bytes]  # the end-to-end headers, each with its line end, but for the time
+    body: bytes
+    arrived: float
+    keep_alive: bool
+    terms: Any = None  # by what it is judged, as of its head; the daemon's
+    form: Form | None = None  # what it has beyond this, where it came as gRPC
+    stream: Body | None = None  # its body, where that is passed on as it comes
+    ended: float = 0.0  # the loop's time of its last byte; of a stream, of what there is
+    old: bool = False  # HTTP/1.0: its sender knows no chunks
+
+
+@dataclass(slots=True)
+class Response:
+    """A backend's whole answer."""
+
+    status: int
+    head: bytes  # its end-to-end headers, each with its line end
+    body: bytes
+    length: int | None = None  # of the body that a HEAD request was spared
+    trailers: bytes | None = None  # lines behind the body, where a gRPC box answers a request that came as gRPC
+
+
 class Answerable(Protocol):
     """Who a final answer is owed to."""
 
@@ -93,15 +122,25 @@
         """Its answer is passed on as it comes; `response` has its head alone."""
 
 
+class Listed(Protocol):
+    """A box as the list has it."""
+
+    address: Address
+    family: int | None  # that of a numeric address; a name has to be looked up
+    server: int  # its number in the list
+    started: float
+    in_service: bool
+
+
 class Lane(Protocol):
     """Carries attempts to boxes that speak another protocol than HTTP/1.1."""
 
     def start(
-        self, backend: Backend, request: Request, until: float, watcher: Watcher, repeatable: bool, timed: bool
+        self, backend: Listed, request: Request, until: float, watcher: Watcher, repeatable: bool, timed: bool
     ) -> Attempt:
         """Send an attempt; its outcome is told later."""
 
-    def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
+    def update(self, backend: Listed, address: Address, started: float, in_service: bool) -> None:
         """What the list says of a box now; told before the backend itself is changed."""
 
     def close(self) -> None:
--- a/tests/rpc/test_grpc_rules.py
+++ b/tests/rpc/test_grpc_rules.py
@@ -24,7 +24,7 @@
     status_of,
 )
 from lugspur.grpc.timeout import DIGITS_MOST, LONGEST, UNITS, read_timeout, write_timeout
-from lugspur.http1.intake import Request
+from lugspur.seams import Request
 
 # ---- time ----------------------------------------------------------------------------------------
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -37,9 +37,10 @@
 from lugspur.daemon.proxy import Proxy
 from lugspur.http1.front import Caller
 from lugspur.http1.intake import Intake
-from lugspur.http1.upstream import STALL, Connection, Dial, Exchange, Response, Upstream
+from lugspur.http1.upstream import STALL, Connection, Dial, Exchange, Upstream
 from lugspur.http1.upstream import Backend as Known
 from lugspur.routing.shares import Shares
+from lugspur.seams import Response
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -16,8 +16,9 @@
 
 from lugspur.http1 import body as bodies
 from lugspur.http1.body import HOLD, WINDOW, Body
-from lugspur.http1.intake import PLATFORM, Intake, Rejected, Request
+from lugspur.http1.intake import PLATFORM, Intake, Rejected
 from lugspur.http1.upstream import FLOW_LEAST, READ
+from lugspur.seams import Request
 
 LARGE = 3 << 20
 KEEP = bodies.KEEP * HOLD
