Let processes know of each other: SWIM with Lifeguard's rules, without I/O, and its emulator

Need: each proxy judges alone, and nobody notices when one dies; duties and shared state stand on a view of who is there.

lugspur/fleet holds one member's view as a machine: questions by turns, help of four others, doubts that shorten with each independent doubter, refutation by incarnation, whole views by pages where digests differ, a search for those that count as dead. Datagrams of at most 1,200 bytes, msgpack by msgspec, with a fleet's mark and a keyed tag where asked for; bounds on members, datagrams read, bytes sent. A process that stood still blames nobody.

Found on the way, in the emulator: what an event makes due was taken for a late turn, so busy members thought themselves slow and views took a minute to agree; a reset of the turn by the first datagram after a stop hid the stop; a former life whose clock had gone back was never told so.

--- /dev/null
+++ b/lugspur/emulator/members.py
@@ -0,0 +1,126 @@
+"""A fleet in virtual time: what its views cost, how soon they agree again after faults, and who is doubted wrongly.
+
+`python -m lugspur.emulator members` plays 5, 50 and 200 members, period 1 s.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from lugspur.emulator.datagrams import Address, Network, halves
+from lugspur.fleet.machine import Changed, Fleet
+from lugspur.fleet.wire import Facts, Status, Wire
+
+SIZES = (5, 50, 200)
+NAME = "emulated"
+CALM, CUT, STOP = 30.0, 40.0, 10.0  # seconds without a fault, in two halves, and for which a fifth stands still
+LOSSY, LOSS, STALL = 300.0, 0.05, 0.3  # seconds with so much loss, in which members stand still for so long
+WITHIN = 60.0  # seconds in which all views have to agree
+EPOCH = 1.7e9  # the wall clock's time at the start
+
+
+@dataclass(slots=True, frozen=True)
+class Found:
+    """What one size came to; times in seconds from when the fault was over."""
+
+    members: int
+    sent: float  # datagrams of each member a second, calm...
+    size: float  # ...bytes...
+    cpu: float  # ...and microseconds of CPU, with the emulator's own
+    joined: float
+    killed: float  # until nobody counts a dead one as there
+    healed: float
+    woken: float
+    doubts: float  # wrong ones in 1,000 minutes of a member
+
+    def row(self) -> str:
+        """A line of the table."""
+        return (f"| {self.members} | {self.sent:.1f} | {self.size:.0f} | {self.cpu:.0f} | {self.joined:.1f} | "
+                f"{self.killed:.1f} | {self.healed:.1f} | {self.woken:.1f} | {self.doubts:.2f} |")
+
+
+class Members:
+    """Machines of one fleet on a network."""
+
+    def __init__(self, count: int, seed: int, loss: float = 0.0) -> None:
+        self.network = Network(seed)
+        self.network.loss = loss
+        self.seed = seed
+        self.changes: list[tuple[float, str, Changed]] = []  # when, who saw it, what
+        self.network.after = self._after  # type: ignore[assignment]  # all machines here are fleets
+        for number in range(count):
+            self.start(number)
+
+    def _after(self, address: Address, machine: Fleet) -> None:
+        self.changes += [(self.network.now, machine.me.name, event) for event in machine.events()
+                         if isinstance(event, Changed)]
+
+    @staticmethod
+    def address(number: int) -> Address:
+        """Where a member takes datagrams."""
+        return f"10.0.{number // 250}.{number % 250 + 1}", 7946
+
+    def start(self, number: int, name: str = "", fleet: str = NAME, behind: float = 0.0) -> Fleet:
+        """One more member; its wall clock may be behind."""
+        address, network = self.address(number), self.network
+        rng = Random(f"{self.seed} {number} {network.now}")
+        seeds = [self.address(0), self.address(1)]
+        machine = Fleet(
+            Wire(fleet), name or f"m{number}", address, Facts("z", "1", network.now), seeds, network.clock(address),
+            lambda: EPOCH + network.now - behind, rng)
+        network.add(address, machine)
+        return machine
+
+    def all(self) -> dict[Address, Fleet]:
+        """Those that run."""
+        return {at: machine for at, machine in self.network.machines.items() if isinstance(machine, Fleet)}
+
+    def agree(self) -> bool:
+        """Whether all that run see the same: those that run."""
+        machines = self.all().values()
+        return len({m.digest for m in machines}) == 1 and all(m.count == len(machines) for m in machines)
+
+    def settle(self, most: float = WITHIN) -> float:
+        """Seconds until all views agree."""
+        return self.network.until(self.agree, most)
+
+    def doubts(self, since: float, but: Iterable[str] = ()) -> int:
+        """Members that others doubted first-hand, though they ran."""
+        return sum(when >= since and change.record.status is Status.SUSPECT and change.record.by == who
+                   and change.record.name not in but for when, who, change in self.changes)
+
+    def total(self, what: str) -> int:
+        """A count of all machines."""
+        return sum(machine.counts[what] for machine in self.all().values())
+
+
+def play(count: int, seed: int) -> Found:
+    """One size; the same seed gives the same, but for the CPU."""
+    fleet = Members(count, seed)
+    network = fleet.network
+    joined = fleet.settle()
+    network.run(10.0)
+    sent, size, cpu = fleet.total("sent"), fleet.total("bytes sent"), time.process_time()
+    network.run(CALM)
+    each = CALM * count
+    sent, size, cpu = fleet.total("sent") - sent, fleet.total("bytes sent") - size, time.process_time() - cpu
+    network.kill(fleet.address(count - 1))
+    killed = fleet.settle()
+    network.cut = halves(list(fleet.all())[:count // 2])
+    network.run(CUT)
+    network.cut = lambda origin, to: False
+    healed = fleet.settle()
+    for address in list(fleet.all())[:max(1, count // 5)]:
+        network.stop(address, STOP)
+    network.run(STOP)
+    woken = fleet.settle()
+    network.loss, began = LOSS, network.now
+    while network.now < began + LOSSY:
+        for address in network.rng.sample(list(fleet.all()), max(1, count // 10)):
+            network.stop(address, STALL)
+        network.run(2.0)
+    doubts = fleet.doubts(began) / (count * LOSSY / 60.0) * 1000.0
+    return Found(count, sent / each, size / each, 1e6 * cpu / each, joined, killed, healed, woken, doubts)
--- /dev/null
+++ b/tests/fleet/test_members.py
@@ -0,0 +1,281 @@
+"""Members in virtual time: each fault of the design note, and what becomes of the views."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from lugspur.emulator.datagrams import Address, halves
+from lugspur.emulator.members import Members
+from lugspur.fleet.bounds import EACH_BURST
+from lugspur.fleet.machine import MEMBERS_MOST, Changed, Fleet, Posted, Rival
+from lugspur.fleet.wire import DATAGRAM_MOST, Facts, News, Packet, Ping, Post, Record, Status, Wire
+
+PERIODS = 10.0  # in which all views have to be the same again
+
+
+def status(fleet: Members, at: int, of: str) -> Status | None:
+    """What one thinks of another."""
+    member = fleet.all()[fleet.address(at)].members.get(of)
+    return None if member is None else Status(member.record.status)
+
+
+@pytest.mark.parametrize("count", [2, 3, 5, 50])
+def test_all_find_each_other_by_two_seeds(count: int) -> None:
+    assert Members(count, 1).settle() <= PERIODS
+
+
+@pytest.mark.parametrize(("count", "seed"), [(3, 1), (5, 2), (50, 3)])
+def test_a_dead_member_is_gone_everywhere_within_ten_periods(count: int, seed: int) -> None:
+    fleet = Members(count, seed)
+    fleet.settle()
+    fleet.network.kill(fleet.address(2))
+    fleet.settle(PERIODS)
+    assert all(status(fleet, at, "m2") is Status.DEAD for at in range(count) if at != 2)
+
+
+def test_one_that_says_goodbye_is_gone_at_once_and_doubted_by_nobody() -> None:
+    fleet = Members(10, 4)
+    fleet.settle()
+    began = fleet.network.now
+    leaving = fleet.all()[fleet.address(3)]
+    leaving.leave(began)
+    fleet.network.turn(fleet.address(3))
+    fleet.network.kill(fleet.address(3))
+    assert fleet.settle(2.0) <= 2.0
+    assert all(status(fleet, at, "m3") is Status.LEFT for at in range(10) if at != 3)
+    assert fleet.doubts(began) == 0
+
+
+@pytest.mark.parametrize(("count", "cut"), [(5, 2), (20, 10), (50, 17)])
+def test_two_halves_that_took_each_other_for_dead_find_each_other(count: int, cut: int) -> None:
+    fleet = Members(count, 5)
+    fleet.settle()
+    inside = [fleet.address(number) for number in range(cut)]
+    fleet.network.cut = halves(inside)
+    fleet.network.run(40.0)
+    for address, machine in fleet.all().items():
+        assert machine.count == (cut if address in inside else count - cut)
+    fleet.network.cut = lambda origin, to: False
+    fleet.settle(PERIODS)
+
+
+def test_one_that_hears_but_is_not_heard_goes_and_comes_back() -> None:
+    fleet = Members(8, 6)
+    fleet.settle()
+    mute = fleet.address(5)
+    fleet.network.cut = lambda origin, to: origin == mute
+    fleet.network.run(15.0)
+    assert all(status(fleet, at, "m5") is Status.DEAD for at in range(8) if at != 5)
+    fleet.network.cut = lambda origin, to: False
+    fleet.settle(PERIODS)
+
+
+@pytest.mark.parametrize("seconds", [0.3, 3.0, 30.0])
+def test_a_process_that_stood_still_blames_nobody(seconds: float) -> None:
+    fleet = Members(10, 7)
+    fleet.settle()
+    began = fleet.network.now
+    stopped = fleet.address(4)
+    fleet.network.stop(stopped, seconds)
+    fleet.network.run(seconds)
+    fleet.settle(PERIODS)
+    assert fleet.doubts(began, but=["m4"]) == 0
+
+
+def test_losses_and_short_stops_are_nobodys_death() -> None:
+    fleet = Members(20, 8)
+    fleet.settle()
+    fleet.network.loss, fleet.network.twice, fleet.network.late = 0.05, 0.1, 0.05
+    began = fleet.network.now
+    while fleet.network.now < began + 60.0:
+        fleet.network.stop(fleet.address(Random(fleet.network.now).randrange(20)), 0.3)
+        fleet.network.run(1.0)
+    assert fleet.doubts(began) == 0
+
+
+def test_one_that_starts_anew_is_told_from_its_former_life() -> None:
+    fleet = Members(6, 9)
+    fleet.settle()
+    before = fleet.all()[fleet.address(3)].me
+    fleet.network.kill(fleet.address(3))
+    fleet.network.run(1.0)
+    fleet.start(3)
+    fleet.settle(PERIODS)
+    seen = [machine.members["m3"].record for at, machine in fleet.all().items() if at != fleet.address(3)]
+    assert all(record.life != before.life and record.incarnation > before.incarnation for record in seen)
+
+
+def test_one_whose_wall_clock_went_back_an_hour_comes_back_all_the_same() -> None:
+    fleet = Members(6, 10)
+    fleet.settle()
+    fleet.network.kill(fleet.address(3))
+    fleet.start(3, behind=3600.0)
+    fleet.settle(PERIODS)
+    assert not any(isinstance(event, Rival) for event in fleet.all()[fleet.address(3)].events())
+
+
+def test_words_of_a_former_life_change_nothing() -> None:
+    fleet = Members(4, 11)
+    fleet.settle()
+    former = fleet.all()[fleet.address(3)]
+    old = former.wire.encode(Packet("m3", former.me.life, "m1", News([former.me])))
+    fleet.network.kill(fleet.address(3))
+    fleet.start(3)
+    fleet.settle(PERIODS)
+    now = fleet.all()[fleet.address(1)].members["m3"].record
+    for _ in range(10):
+        fleet.all()[fleet.address(1)].receive(fleet.network.now, old, fleet.address(3))
+    assert fleet.all()[fleet.address(1)].members["m3"].record == now
+    posted = former.wire.encode(Packet("m3", former.me.life, "m1", Post(1, b"old")))
+    fleet.all()[fleet.address(1)].receive(fleet.network.now, posted, fleet.address(3))
+    assert not any(isinstance(event, Posted) for event in fleet.all()[fleet.address(1)].events())
+
+
+def test_of_two_processes_with_one_name_the_younger_falls_silent() -> None:
+    fleet = Members(5, 12)
+    fleet.settle()
+    rivals: list[tuple[str, Rival]] = []
+
+    def after(address: Address, machine: Fleet) -> None:
+        rivals.extend((f"{address[0]}", event) for event in machine.events() if isinstance(event, Rival))
+
+    fleet.network.after = after  # type: ignore[assignment]  # all machines here are fleets
+    fleet.start(7, "m2")
+    fleet.network.run(25.0)
+    assert any(event.yields for where, event in rivals if where == fleet.address(7)[0])
+    assert not any(event.yields for where, event in rivals if where == fleet.address(2)[0])
+    fleet.network.run(1.0)
+    others = [fleet.all()[fleet.address(at)] for at in (0, 1, 3, 4)]
+    assert {machine.members["m2"].record.address for machine in others} == {fleet.address(2)}
+
+
+def test_a_member_may_move() -> None:
+    fleet = Members(5, 13)
+    fleet.settle()
+    machine = fleet.all()[fleet.address(2)]
+    fleet.network.kill(fleet.address(2))
+    machine.move(fleet.network.now, fleet.address(9))
+    fleet.network.add(fleet.address(9), machine)
+    fleet.settle(PERIODS)
+    assert fleet.all()[fleet.address(0)].members["m2"].record.address == fleet.address(9)
+    fleet.network.run(10.0)
+    assert fleet.agree()
+
+
+def test_facts_reach_all() -> None:
+    fleet = Members(20, 14)
+    fleet.settle()
+    fleet.all()[fleet.address(2)].tell(fleet.network.now, Facts("z", "1", 0.0, draining=True))
+    fleet.network.turn(fleet.address(2))
+    fleet.network.until(lambda: all(
+        machine.members["m2"].record.facts.draining for at, machine in fleet.all().items() if at != fleet.address(2)),
+        PERIODS)
+
+
+def test_dead_seeds_and_a_wrong_fleet_leave_it_alone_and_cost_little() -> None:
+    fleet = Members(1, 15)
+    alone = fleet.start(5)
+    fleet.network.kill(fleet.address(0))
+    stranger = fleet.start(6, fleet="another")
+    alone.seeds.append(fleet.address(6))
+    fleet.network.run(60.0)
+    assert alone.alone and stranger.alone and alone.count == 1
+    assert alone.counts["sent"] <= 130  # about one look a period, and no answers
+    assert stranger.counts["another fleet"] > 10
+
+
+def test_a_fleet_holds_so_many_members_and_not_one_more() -> None:
+    machine = Members(1, 16).all()[Members.address(0)]
+    for number in range(MEMBERS_MOST + 100):
+        record = Record(f"x{number}", number, 1, "10.1.0.1", 1 + number)
+        data = machine.wire.encode(Packet(record.name, number, "m0", Ping(number, 0, [record])))
+        machine.receive(number * 0.1, data, ("10.1.0.1", 1 + number))
+        machine.take()
+    assert len(machine.members) == MEMBERS_MOST - 1 and machine.count == MEMBERS_MOST
+    assert machine.counts["too many members"] == 101
+    gone = machine.members["x5"].record
+    dead = Record(gone.name, gone.life, gone.incarnation, gone.host, gone.port, Status.LEFT, gone.name)
+    machine.receive(200.0, machine.wire.encode(Packet("x5", gone.life, "m0", News([dead]))), gone.address)
+    late = Record("late", 1, 1, "10.1.0.2", 5)
+    machine.receive(200.1, machine.wire.encode(Packet("late", 1, "m0", Ping(1, 0, [late]))), late.address)
+    assert "late" in machine.members and "x5" not in machine.members  # whoever is gone makes room
+
+
+def test_a_liar_makes_nobody_dead_who_answers() -> None:
+    fleet = Members(8, 17)
+    fleet.settle()
+    began = fleet.network.now
+    liar = fleet.all()[fleet.address(7)]
+
+    def lie() -> None:
+        for at in range(6):
+            record = liar.members[f"m{at}"].record
+            for state in (Status.SUSPECT, Status.DEAD):
+                word = Record(record.name, record.life, record.incarnation, record.host, record.port, state, "m7")
+                for to in range(7):
+                    data = liar.wire.encode(Packet("m7", liar.me.life, f"m{to}", News([word])))
+                    fleet.all()[fleet.address(to)].receive(fleet.network.now, data, fleet.address(7))
+                    fleet.network.turn(fleet.address(to))
+
+    for _ in range(20):
+        lie()
+        fleet.network.run(0.5)
+    deaths = {(change.record.name, who) for when, who, change in fleet.changes
+              if when >= began and change.record.status is Status.DEAD and change.record.by != "m7"}
+    assert not deaths
+    fleet.settle(PERIODS)
+
+
+def test_a_flood_from_one_place_takes_nobody_elses_turn() -> None:
+    fleet = Members(6, 18)
+    fleet.settle()
+    began, victim = fleet.network.now, fleet.all()[fleet.address(1)]
+    rng = Random(1)
+    for _ in range(100):
+        for _ in range(100):
+            victim.receive(fleet.network.now, rng.randbytes(rng.randrange(DATAGRAM_MOST)), ("10.9.9.9", 9))
+        fleet.network.run(0.1)
+    assert victim.counts["too many"] > 10_000 - EACH_BURST - 1100
+    assert fleet.doubts(began) == 0 and fleet.agree()
+
+
+def test_incarnations_from_the_future_are_not_believed() -> None:
+    machine = Members(1, 19).all()[Members.address(0)]
+    record = Record("x", 1, (1 << 52) - 1, "10.1.0.1", 1)
+    machine.receive(1.0, machine.wire.encode(Packet("x", 1, "m0", News([record]))), record.address)
+    assert not machine.members and machine.counts["from the future"] == 1
+
+
+def test_a_word_on_somebody_goes_along_only_so_often() -> None:
+    fleet = Members(30, 20)
+    fleet.settle()
+    fleet.network.run(20.0)
+    sent = fleet.total("sent")
+    fleet.network.run(30.0)
+    assert fleet.total("sent") - sent <= 30 * 30 * 2.1  # a ping and an answer each period: nothing is told any more
+
+
+def test_a_change_is_told_with_its_cause() -> None:
+    fleet = Members(3, 21)
+    fleet.settle()
+    fleet.network.kill(fleet.address(2))
+    fleet.network.run(20.0)
+    fleet.start(2)
+    fleet.network.run(5.0)
+    seen = [(change.cause, Status(change.record.status)) for _, who, change in fleet.changes
+            if who == "m0" and change.record.name == "m2"]
+    causes = [cause for cause, _ in seen]
+    assert causes[0] in ("came", "heard of") and "started anew" in causes
+    assert [state for _, state in seen if state in (Status.SUSPECT, Status.DEAD)][-1] is Status.DEAD
+    assert isinstance(fleet.changes[0][2], Changed)
+
+
+def test_other_keys_hear_nothing_of_each_other() -> None:
+    fleet = Members(2, 22)
+    keyed = fleet.start(3)
+    keyed.wire = Wire("emulated", b"k" * 16)
+    fleet.network.run(10.0)
+    assert keyed.count == 1 and keyed.counts["garbage"] + keyed.counts["another key"] == 0
+    assert all(machine.count == 2 for at, machine in fleet.all().items() if at != fleet.address(3))
--- /dev/null
+++ b/tests/fleet/test_wire.py
@@ -0,0 +1,97 @@
+"""Datagrams that are not of this fleet count for nothing, whatever they hold."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lugspur.fleet.wire import (
+    DATAGRAM_MOST,
+    HEAD,
+    MAGIC,
+    NAME_MOST,
+    Ack,
+    Facts,
+    Foreign,
+    Message,
+    News,
+    Packet,
+    Page,
+    Ping,
+    Post,
+    Record,
+    Status,
+    Wire,
+)
+
+RECORD = Record("edge-1", 7, 1000, "127.0.0.1", 7946, Status.SUSPECT, "edge-2", Facts("north", "1", 2.5, True, 3.5))
+MESSAGES: list[Message] = [Ping(1, 2, [RECORD]), Ack(1, 2, []), News([RECORD]), Page("", True, [RECORD]), Post(1, b"x")]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+@pytest.mark.parametrize("key", [b"", b"0123456789abcdef"])
+def test_what_goes_out_comes_in(message: Message, key: bytes) -> None:
+    packet = Packet("edge-3", 9, "edge-1", message)
+    data = Wire("edge", key).encode(packet)
+    assert len(data) <= DATAGRAM_MOST
+    assert Wire("edge", key).decode(data) == packet
+
+
+def test_foreign_ones_are_told_apart() -> None:
+    data = Wire("edge", b"k" * 16).encode(Packet("a", 1, "", MESSAGES[0]))
+    cases = {
+        "another fleet": (Wire("core", b"k" * 16), data),
+        "another key": (Wire("edge", b"l" * 16), data),
+        "another version": (Wire("edge", b"k" * 16), MAGIC + b"\x02" + data[3:]),
+        "too large": (Wire("edge", b"k" * 16), data + bytes(DATAGRAM_MOST)),
+        "garbage": (Wire("edge", b"k" * 16), b"XX" + data[2:]),
+    }
+    for said, (wire, what) in cases.items():
+        with pytest.raises(Foreign, match=said):
+            wire.decode(what)
+
+
+def test_every_flipped_bit_of_a_keyed_datagram_is_noticed() -> None:
+    wire = Wire("edge", b"k" * 32)
+    data = wire.encode(Packet("a", 1, "", MESSAGES[0]))
+    for bit in range(8 * len(data)):
+        spoilt = bytearray(data)
+        spoilt[bit // 8] ^= 1 << bit % 8
+        with pytest.raises(Foreign):
+            wire.decode(bytes(spoilt))
+
+
+@given(st.binary(max_size=2 * DATAGRAM_MOST))
+def test_random_bytes_are_garbage_and_nothing_else(body: bytes) -> None:
+    wire = Wire("edge")
+    head = wire.encode(Packet("a", 1, "", MESSAGES[0]))[:HEAD]
+    for data in (body, head + body):
+        try:
+            found = wire.decode(data)
+        except Foreign:
+            continue
+        assert wire.encode(found)  # by chance it was one
+
+
+def _raw(**changed: object) -> bytes:
+    fields = {"name": "a", "life": 1, "incarnation": 1, "host": "127.0.0.1", "port": 1, "status": 0, "by": "",
+              "facts": ["", "", 0.0, False, 0.0]} | changed
+    return msgspec.msgpack.encode(["me", 1, "", [5, [list(fields.values())]]])
+
+
+@pytest.mark.parametrize("changed", [
+    {"name": ""}, {"name": "a" * (NAME_MOST + 1)}, {"name": "a b"}, {"name": "a\n"}, {"life": -1}, {"life": 1 << 60},
+    {"incarnation": 1 << 53}, {"incarnation": 1.5}, {"host": "example.org"}, {"port": 0}, {"port": 1 << 16},
+    {"status": 4}, {"status": -1}, {"facts": ["", "", float("nan"), False, 0.0]},
+    {"facts": ["", "", 0.0, False, float("inf")]}, {"facts": ["", "", 0.0, False, float("nan")]},
+    {"facts": ["", "", 0.0, False, -1.0]}, {"facts": ["z" * 33, "", 0.0, False, 0.0]}, {"facts": []}, {"facts": None},
+])
+def test_absurd_values_are_garbage(changed: dict[str, object]) -> None:
+    wire = Wire("edge")
+    head = wire.encode(Packet("a", 1, "", MESSAGES[0]))[:HEAD]
+    if changed != {"facts": []}:  # fields that are left out have their defaults
+        with pytest.raises(Foreign):
+            wire.decode(head + _raw(**changed))
+    assert wire.decode(head + _raw()).me == "me"
