Give a duty one holder at a time: leases that three or five electors promise by majority

Need: nothing stops two proxies from doing at once what one is to do, or all from draining in the same second.

lugspur/leases, without I/O: an elector's promises (for a time by its own clock, under epochs that only grow and are written down before they are told), a process's rounds, when to ask, and receivers' fences. The holder counts from before it asked and to less, so clocks may run 6% fast or slow. While in office nothing is given back.

Checked: every order of events in small worlds by the code that runs (python -m lugspur.bench.explore), drawn faults in virtual time (python -m lugspur.emulator duties). Builds without the margin, without the silence after a start and with promises given back in office are caught by both; the explorer caught none of them at first, since it kept the answers of one elector for another's, which is mended.

--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m lugspur.emulator joining [--seed N] [--reads N] [--plot FILE]`, or `fleet [--seed N]`."""
+"""`python -m lugspur.emulator joining [--reads N] [--plot FILE]`, `fleet`, `members` or `duties [--seeds N]`."""
 
 from __future__ import annotations
 
@@ -22,9 +22,10 @@
 def main() -> int:
     """Play, print a table, and draw it where that is asked for."""
     parser = argparse.ArgumentParser(description="Tries designs in virtual time.")
-    parser.add_argument("what", choices=["joining", "fleet"])
+    parser.add_argument("what", choices=["joining", "fleet", "members", "duties"])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--reads", type=int, default=joining.READS, help="at each load")
+    parser.add_argument("--seeds", type=int, default=1000, help="of duties")
     parser.add_argument("--plot", default="", metavar="FILE", help="an SVG")
     given = parser.parse_args()
     if given.what == "fleet":
@@ -34,6 +35,22 @@
             for day in (fleet.CALM, fleet.DEAD):
                 print(fleet.play(count, day, given.seed).row())
         return 0
+    if given.what == "members":
+        # Imported only here: it needs the extra `fleet`.
+        from lugspur.emulator import members
+
+        print("| members | datagrams/s | bytes/s | CPU us/s | all joined s | one killed s | two halves s | "
+              "a fifth stopped s | wrong doubts |")
+        print("|---|---|---|---|---|---|---|---|---|")
+        for count in members.SIZES:
+            print(members.play(count, given.seed).row(), flush=True)
+        return 0
+    if given.what == "duties":
+        from lugspur.emulator import duties
+
+        for line in duties.report(given.seed, given.seeds):
+            print(line, flush=True)
+        return 0
     found = joining.compare(given.seed, given.reads)
     print("| way | load | calls a read | in time | failed | turned away | oldest call |\n|---|---|---|---|---|---|---|")
     for name, row in found.items():
--- /dev/null
+++ b/lugspur/emulator/duties.py
@@ -0,0 +1,283 @@
+"""Leases in virtual time under faults drawn by seed: who is in office when, and for how long nobody is.
+
+`python -m lugspur.emulator duties [--seeds N]` plays N seeds and says what it found; it fails where two were in office.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from lugspur.emulator.datagrams import Address, Network, halves
+from lugspur.leases.claim import Claim, Turned, order
+from lugspur.leases.elector import Elector, Promise, Who
+from lugspur.leases.messages import Free, Give, Grant, Message, No, Want, pack, unpack
+
+DUTY = "duty"
+LEASE = 5.0  # seconds
+CALM, FAULTS = 20.0, 60.0  # seconds before anything fails, and in which things do
+EACH = 3.0  # seconds between two faults
+DISK = 0.01  # seconds at most that a promise takes to be written down
+WALL = 1.7e12  # the wall clock's milliseconds at the start
+KILLS = 200  # of holders, in the report
+RATE = 0.05  # by which clocks run fast or slow
+
+
+class TwoInOffice(AssertionError):
+    """What must never be."""
+
+
+class Node:
+    """One process: it may want the duty, and may be an elector."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self._world = world
+        self.name, self.address = f"n{number}", world.address(number)
+        now = world.network.clock(self.address)
+        self._rng = Random(f"{world.seed} {number} {world.network.now}")
+        self.who = Who(self.name, self._rng.randrange(1 << 40))
+        self.elector: Elector | None = None
+        if number < world.electors:
+            memory = list(world.disks[self.name].values()) if world.memory else None
+            self.elector = Elector(LEASE, now, memory, int(WALL + 1000.0 * world.network.now))
+        self.claim: Claim | None = None
+        if number >= world.electors or world.all_want:
+            names = [f"n{at}" for at in range(world.electors)]
+            self.claim = Claim(DUTY, names, LEASE, now, self._rng, self._rank)
+        self._written: tuple[float, dict[str, Promise]] | None = None  # what reaches the disk, and when
+        self._out: list[tuple[Address, bytes]] = []
+
+    def _rank(self, duty: str) -> int:
+        return order(duty, self._world.wanting()).index(self.name)
+
+    def receive(self, now: float, data: bytes, source: Address) -> None:
+        """Words of another."""
+        for message in unpack(data[8:]):
+            self._hear(now, Who(self._world.names[source], int.from_bytes(data[:8], "big")), message)
+
+    def _hear(self, now: float, who: Who, message: Message) -> None:
+        if isinstance(message, Want | Give):
+            if self.elector is not None:
+                self.elector.heard(now, who, message)
+        elif self.claim is not None and isinstance(message, Grant | No | Free):
+            self.claim.heard(now, who.name, message)
+
+    def due(self) -> float:
+        """When it wants to be woken."""
+        times = [self.claim.due()] if self.claim is not None else []
+        if self._written is not None:
+            times.append(self._written[0])
+        return min(times, default=float("inf"))
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        if self.claim is not None and now >= self.claim.due():
+            self.claim.tick(now)
+        if self._written is not None and now >= self._written[0] and self.elector is not None:
+            _, promises = self._written
+            self._written = None
+            self._world.disks[self.name] |= promises
+            self.elector.written(now, promises)
+
+    def hand_on(self, now: float) -> None:
+        """It gives the duty back, and wants it again."""
+        assert self.claim is not None
+        self.claim.hand_on(now)
+        self.claim.want(now)
+
+    def take(self) -> list[tuple[Address, bytes]]:
+        """What it has to say."""
+        world, now = self._world, self._world.network.clock(self.address)
+        while True:
+            said = self.claim.take() if self.claim is not None else []
+            said += self.elector.take() if self.elector is not None else []
+            if not said:
+                break
+            for name, message in said:
+                if name == self.name:
+                    self._hear(now, self.who, message)
+                else:
+                    self._out.append((world.places[name], self.who.life.to_bytes(8, "big") + pack([message])))
+        if self.elector is not None and self.elector.unwritten and self._written is None:
+            promises, self.elector.unwritten = self.elector.unwritten, {}
+            self._written = now + DISK * self._rng.random(), promises
+        if self.claim is not None:
+            for event in self.claim.events():
+                if isinstance(event, Turned):
+                    world.turned(self, event.holds, event.epoch)
+        out, self._out = self._out, []
+        return out
+
+
+@dataclass(slots=True)
+class World:
+    """A few processes under faults."""
+
+    seed: int
+    electors: int = 3
+    others: int = 3
+    all_want: bool = True
+    memory: bool = True
+    network: Network = field(init=False)
+    disks: dict[str, dict[str, Promise]] = field(init=False)
+    names: dict[Address, str] = field(init=False)
+    places: dict[str, Address] = field(init=False)
+    highest: tuple[int, Who | None] = (0, None)
+    offices: int = 0
+    vacant_since: float | None = 0.0
+    vacancies: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.network = Network(self.seed)
+        count = self.electors + self.others
+        self.names = {self.address(number): f"n{number}" for number in range(count)}
+        self.places = {name: address for address, name in self.names.items()}
+        self.disks = {name: {} for name in self.places}
+        self.network.rates = {address: 1.0 + RATE * self.network.rng.uniform(-1.0, 1.0) for address in self.names}
+        for number in range(count):
+            self.start(number)
+
+    @staticmethod
+    def address(number: int) -> Address:
+        """Where a process takes datagrams."""
+        return f"10.0.0.{number + 1}", 7946
+
+    def start(self, number: int) -> None:
+        """A process begins, or begins anew."""
+        self.network.add(self.address(number), Node(self, number))
+
+    def nodes(self) -> dict[Address, Node]:
+        """Those that run."""
+        return {at: node for at, node in self.network.machines.items() if isinstance(node, Node)}
+
+    def wanting(self) -> list[str]:
+        """Who may hold it."""
+        first = 0 if self.all_want else self.electors
+        return [f"n{number}" for number in range(first, self.electors + self.others)]
+
+    def holders(self) -> list[Node]:
+        """Who is in office by its own clock; one that stands still is, too."""
+        return [node for address, node in self.nodes().items()
+                if node.claim is not None and node.claim.term.holds(self.network.clock(address))]
+
+    def turned(self, node: Node, holds: bool, epoch: int) -> None:
+        """Somebody comes into office, or leaves it: only a coming can make it two."""
+        if not holds:
+            self._vacant()
+            return
+        inside = [other.name for other in self.holders()]
+        if len(inside) > 1:
+            raise TwoInOffice(f"seed {self.seed}, {self.network.now:.3f} s: {' and '.join(inside)} are in office")
+        former, who = self.highest
+        if epoch < former or (epoch == former and who != node.who):
+            raise TwoInOffice(f"seed {self.seed}, {self.network.now:.3f} s: epoch {epoch} after {former}")
+        self.highest = epoch, node.who
+        self.offices += 1
+        if self.vacant_since is not None:
+            self.vacancies.append(self.network.now - self.vacant_since)
+            self.vacant_since = None
+
+    def _vacant(self) -> None:
+        if self.vacant_since is None and not self.holders():
+            self.vacant_since = self.network.now
+
+    def kill(self, number: int) -> None:
+        """A process dies."""
+        self.network.kill(self.address(number))
+        self._vacant()
+
+
+def _fault(world: World, rng: Random) -> None:
+    """One fault, drawn; it is over after some seconds."""
+    network, count = world.network, world.electors + world.others
+    number = rng.randrange(count)
+    holders = world.holders()
+    if holders and rng.random() < 0.4:
+        number = int(holders[0].name[1:])
+    seconds = rng.choice([0.3, 1.0, 2.0]) * LEASE * rng.random()
+    address = world.address(number)
+
+    def stop() -> None:
+        network.stop(address, seconds)
+
+    def kill() -> None:
+        world.kill(number)
+        network.run(rng.random())
+        world.start(number)
+
+    def forget() -> None:
+        if world.memory and number < world.electors:
+            world.disks[world.names[address]].clear()  # its folder is lost, the others' are not
+        kill()
+
+    def restart_all() -> None:
+        for elector in range(world.electors):
+            world.kill(elector)
+            network.run(0.2 * rng.random())
+            world.start(elector)
+
+    def cut() -> None:
+        network.cut = halves(world.address(at) for at in rng.sample(range(count), rng.randrange(1, count)))
+
+    def mute() -> None:
+        network.cut = lambda origin, to: origin == address
+
+    def deaf() -> None:
+        network.cut = lambda origin, to: to == address
+
+    def hand_on() -> None:
+        node = world.nodes().get(address)
+        if node is not None and node.claim is not None:
+            node.hand_on(network.clock(address))
+            network.turn(address)
+
+    faults: list[Callable[[], None]] = [stop, kill, forget, restart_all, cut, cut, mute, deaf, hand_on]
+    rng.choice(faults)()
+
+
+def play(seed: int, memory: bool = True, electors: int = 3, faults: float = FAULTS) -> World:
+    """One seed; raises TwoInOffice."""
+    rng = Random(f"faults {seed}")
+    world = World(seed, electors, rng.randrange(1, 5), rng.random() < 0.5, memory)
+    network = world.network
+    network.run(CALM)
+    network.loss, network.twice = rng.choice([0.0, 0.05, 0.3]), rng.choice([0.0, 0.2])
+    network.late = rng.choice([0.0, 0.1, 2.0 * LEASE])
+    while network.now < CALM + faults:
+        _fault(world, rng)
+        network.run(EACH * rng.random())
+        if rng.random() < 0.5:
+            network.cut = lambda origin, to: False
+    network.cut, network.loss, network.late = (lambda origin, to: False), 0.0, 0.0
+    network.run(4.0 * LEASE)
+    if not world.holders():
+        raise AssertionError(f"seed {seed}: nobody is in office though nothing fails any more")
+    return world
+
+
+def after_kill(seed: int) -> float:
+    """Seconds without anybody in office after the holder is killed, of leases of LEASE seconds."""
+    world = World(seed)
+    world.network.run(CALM + LEASE * Random(seed).random())
+    [holder] = world.holders()
+    world.network.kill(holder.address)
+    began, count = world.network.now, world.offices
+    world.network.until(lambda: world.offices > count, 4.0 * LEASE, 0.01)
+    return world.network.now - began
+
+
+def report(first: int, seeds: int) -> Iterator[str]:
+    """Play so many seeds, a third without memories and half with five electors; raises TwoInOffice."""
+    offices = 0
+    vacant: list[float] = []
+    for seed in range(first, first + seeds):
+        world = play(seed, seed % 3 > 0, 3 + 2 * (seed % 2))
+        offices += world.offices
+        vacant += world.vacancies[1:]  # the first one is the start
+    vacant.sort()
+    yield (f"{seeds} seeds: {offices} times in office, never two; nobody for {vacant[len(vacant) // 2]:.1f} s "
+           f"(median of {len(vacant)}), {vacant[int(0.99 * len(vacant))]:.1f} s (99%), leases of {LEASE:g} s")
+    killed = sorted(after_kill(seed) for seed in range(first, first + KILLS))
+    yield (f"after {KILLS} kills of the holder nobody in office for {killed[KILLS // 2]:.1f} s (median), "
+           f"{killed[int(0.95 * KILLS)]:.1f} s (95%), {killed[-1]:.1f} s (longest)")
--- /dev/null
+++ b/tests/leases/test_duties.py
@@ -0,0 +1,120 @@
+"""Leases under drawn faults in virtual time: never two in office, and somebody soon again. More seeds: the emulator."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from lugspur.emulator import duties
+from lugspur.emulator.duties import CALM, LEASE, TwoInOffice, World, after_kill, play
+from lugspur.leases import span
+from lugspur.leases.claim import STANDBY, order
+from lugspur.leases.elector import Elector
+from lugspur.leases.term import Ended, Term
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_never_two_in_office_whatever_fails(seed: int) -> None:
+    world = play(seed, memory=seed % 3 > 0, electors=3 + 2 * (seed % 2), faults=30.0)
+    assert world.offices > 1
+
+
+def _caught(most: int, electors: int = 3, memory: bool = True) -> bool:
+    for seed in range(most):
+        try:
+            play(seed, memory, electors)
+        except TwoInOffice:
+            return True
+        except AssertionError:
+            continue
+    return False
+
+
+def test_a_build_without_the_margin_for_clocks_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(span, "DRIFT", -0.06)
+    assert _caught(60)
+
+
+def test_a_build_without_the_silence_after_a_start_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    begin: Callable[..., None] = Elector.__init__
+
+    def at_once(self: Elector, lease: float, now: float, memory: object, floor: int) -> None:
+        begin(self, lease, now, memory, floor)
+        self.quiet_until = now
+
+    monkeypatch.setattr(Elector, "__init__", at_once)
+    assert _caught(60, memory=False)
+
+
+def test_a_build_that_keeps_its_office_while_it_gives_back_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def give_up(self: Term, now: float) -> Ended:
+        asked, self._asked = self._asked, 0
+        self._tell(asked)
+        return Ended.LOST
+
+    monkeypatch.setattr(Term, "give_up", give_up)
+    assert _caught(60)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_after_a_kill_somebody_is_in_office_soon(seed: int) -> None:
+    assert after_kill(seed) <= 2.0 * LEASE
+
+
+def test_a_duty_that_is_handed_on_is_taken_at_once() -> None:
+    for seed in range(10):
+        world = World(seed)
+        world.network.run(CALM)
+        [holder] = world.holders()
+        count = world.offices
+        holder.hand_on(world.network.clock(holder.address))
+        world.network.turn(holder.address)
+        took = world.network.until(lambda: world.offices > count, 1.0, 0.001)  # noqa: B023
+        assert took <= 0.2
+
+
+def test_two_hundred_that_want_one_duty_ask_the_electors_little() -> None:
+    world = World(1, others=197)
+    network = world.network
+    asked = 0
+
+    def after(address: tuple[str, int], node: object) -> None:
+        nonlocal asked
+        assert isinstance(node, duties.Node)
+        asked += len(node.claim.term._out) if node.claim is not None else 0
+
+    network.after = after
+    network.run(CALM)
+    assert len(world.holders()) == 1
+    asked = 0
+    network.run(60.0)
+    # The holder and two that stand by ask three electors some three times a lease; all the others seldom.
+    assert asked / 60.0 <= 3 * 3 * (3 + STANDBY + 200 / 30) / LEASE
+    assert len(world.holders()) == 1
+
+
+def test_an_elector_is_missed_by_nobody_and_two_by_all() -> None:
+    world = World(3)
+    world.network.run(CALM)
+    world.network.kill(world.address(0))
+    world.network.run(4 * LEASE)
+    assert len(world.holders()) == 1
+    world.network.kill(world.address(1))
+    world.network.run(2 * LEASE)
+    assert not world.holders()  # a minority promises nothing
+    world.start(1)
+    world.network.run(4 * LEASE)
+    assert len(world.holders()) == 1
+
+
+def test_the_order_is_everybodys_and_one_that_leaves_moves_no_other() -> None:
+    names = [f"m{number}" for number in range(50)]
+    rng = Random(1)
+    for duty in ("a", "b", "c"):
+        found = order(duty, names)
+        assert found == order(duty, rng.sample(names, 50))
+        without = [name for name in found if name != found[7]]
+        assert order(duty, without) == without
+    assert order("a", names) != order("b", names)
--- /dev/null
+++ b/tests/leases/test_explore.py
@@ -0,0 +1,19 @@
+"""Every order of events in the smallest worlds; the larger ones are `python -m lugspur.bench.explore`."""
+
+from __future__ import annotations
+
+import pytest
+
+from lugspur.bench.explore import BROKEN, Limits, caught, explore, told_apart
+
+
+@pytest.mark.parametrize("limits", [Limits(rounds=1, steps=0, memory=False)])
+def test_never_two_in_office_and_no_epoch_goes_back(limits: Limits) -> None:
+    with told_apart():
+        states, whole = explore(limits)
+    assert whole and states > 10_000
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_builds_that_are_wrong_are_caught(name: str) -> None:
+    assert caught(name)
