Put daemons into fleets: [fleet] of the file, duties handed on at SIGTERM and drain, lugspur fleet

Need: the fleet and its leases, in the program that runs, and proven between processes.

daemon/company.py joins the machines to one UDP socket, writes an elector's promises in a thread, and tells the log who came, is doubted, is gone, and whose duties are. The second address has /fleet/members, /fleet/duties and /fleet/may; `lugspur fleet show|members|duties` reads them, `lugspur fleet run DUTY -- COMMAND` runs a command where it is held. check warns of electors without a folder. Nothing of it is imported where no fleet is named (tests/fleet/test_lean.py).

lugspur/bench/fleet.py starts processes by their own files with a relay on each link, and judges by their histories; 23 tests over processes: stops of 1, 2 and 10 leases, kills, cuts both ways and one way, halves, restarts of all electors with and without folders, a lost folder, clocks 5% apart, a third of all datagrams lost.

--- a/lugspur/cli/main.py
+++ b/lugspur/cli/main.py
@@ -5,11 +5,12 @@
 import asyncio
 import sys
 from collections.abc import Callable
+from importlib import import_module
 from urllib.parse import urlsplit
 
 import click
 
-from lugspur.config.build import Plan
+from lugspur.config.build import Plan, warnings
 from lugspur.config.load import FileFaults, load
 from lugspur.routing.explain import Verdict, decided_by, explain
 from lugspur.routing.model import Asked, Forward, Redirect, Route
@@ -71,6 +72,8 @@
     """Name every fault of FILE, with its line and what to write instead; exit 2 if there is one."""
     plan = _load(file)
     parts = plan.file
+    for line in warnings(parts):
+        click.echo(f"{file}: {line}", err=True)
     counts = [(len(parts.listeners), "listener"), (len(parts.classes), "class"), (len(parts.pools), "pool"),
               (len(parts.routes), "route")]
     said = ", ".join(f"{count} {what if count == 1 else what + ('es' if what.endswith('s') else 's')}"
@@ -193,9 +196,9 @@
     """Imports its commands when one of them is asked for: `lugspur run` has no use for tables."""
 
     def _commands(self) -> click.Group:
-        from lugspur.cli.state import state
-
-        return state
+        found = getattr(import_module(f"lugspur.cli.{self.name}"), str(self.name))
+        assert isinstance(found, click.Group)
+        return found
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return self._commands().list_commands(ctx)
@@ -205,6 +208,7 @@
 
 
 cli.add_command(_Later("state", help="Show, verify or prune what a daemon has kept of its backends."))
+cli.add_command(_Later("fleet", help="Show a daemon's fleet and its duties, or run a command where a duty is held."))
 
 
 @cli.command()
--- a/lugspur/config/build.py
+++ b/lugspur/config/build.py
@@ -11,7 +11,7 @@
 from jaspershelf.model import Limits, Repeat, RequestClass, Rules, Settings, Tenant
 from lugspur.config import model
 from lugspur.config.schema import Place
-from lugspur.config.units import Wrong, nearest, shown, text
+from lugspur.config.units import MARK, Wrong, nearest, shown, text
 from lugspur.routing.conflicts import conflicts
 from lugspur.routing.model import (
     HOST,
@@ -39,6 +39,7 @@
 )
 PLAIN = "(no class)"  # the class of routes that name none...
 NOBODY = "(no tenant)"  # ...and the tenant of those that tell none apart
+NUMERIC = re.compile(r"[0-9a-fA-F:.]+")  # an address that needs no look-up
 EVERYWHERE = ("0.0.0.0", "::")
 ORIGINS = ("members", "file", "watch", "registry")
 FORWARD_ONLY = ("fallback", "kind", "deadline", "tenant", "key", "rewrite", "request", "response", "join")
@@ -88,6 +89,7 @@
     if file.daemon.instance >= file.daemon.instances:
         place.at("daemon", "instance").wrong(
             f"{file.daemon.instance} is not below instances = {file.daemon.instances}; count from 0")
+    _check_fleet(file.fleet, place.at("fleet"))
     registries = _named(raw, "registries")
     _check_listeners(file, registries, place.at("listeners"))
     _check_http2(file, place)
@@ -107,6 +109,46 @@
     )
 
 
+def _check_fleet(row: model.Fleet, place: Place) -> None:
+    if not row.name:
+        if row != model.Fleet():
+            place.wrong('a fleet needs a name; write name = "edge"')
+        return
+    if find_spec("msgspec") is None:
+        place.wrong('a fleet needs a library that is not installed; run pip install "lugspur[fleet]"')
+    if not row.member:
+        place.wrong('this member needs a name of its own; write member = "edge-1"')
+    if row.bind is None:
+        place.wrong('it takes datagrams nowhere; write address = "127.0.0.1:7946"')
+    elif row.advertise is None and (row.bind[0] in EVERYWHERE or not row.bind[1]):
+        place.wrong(f"nobody can reach {row.bind[0]}:{row.bind[1]}; write advertise, where others reach it")
+    for key, given in (("address", row.bind), ("advertise", row.advertise)):
+        if given is not None and not NUMERIC.fullmatch(given[0]):
+            place.at(key).wrong(f"{shown(given[0])} is no numeric address; datagrams look no names up")
+    for at, seed in enumerate(row.seeds):
+        if not NUMERIC.fullmatch(seed[0]):
+            place.at("seeds", at).wrong(f"{shown(seed[0])} is no numeric address; datagrams look no names up")
+    if len(row.electors) not in (0, 3, 5):
+        place.at("electors").wrong(f"{len(row.electors)} are no electorate; write 3 or 5 members' names")
+    for at, name in enumerate(row.electors):
+        if not MARK.fullmatch(name):
+            place.at("electors", at).wrong(f"{shown(name)} is no member's name")
+    if row.duties and not row.electors:
+        place.at("duties").wrong("nobody promises them; write electors, 3 or 5 members' names")
+    for at, duty in enumerate(row.duties):
+        if not MARK.fullmatch(duty):
+            place.at("duties", at).wrong(f'{shown(duty)} is no duty\'s name; write one such as "nightly-report"')
+
+
+def warnings(file: model.File) -> list[str]:
+    """What is no fault, and yet promises less than it may seem to."""
+    fleet = file.fleet
+    if fleet.member in fleet.electors and not fleet.folder:
+        return [f'fleet: elector "{fleet.member}" has no folder: when most electors restart at once, epochs go back if '
+                'their wall clocks do, and nothing is promised for a lease\'s time; write folder = "..."']
+    return []
+
+
 def _check_class(row: model.Class, place: Place) -> None:
     if row.aim > row.deadline:
         place.at("aim").wrong(f"the aim of {row.aim:g}s is after the deadline of {row.deadline:g}s; make it sooner")
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -20,6 +20,7 @@
     duration,
     flag,
     folder,
+    mark,
     node,
     number,
     one_of,
@@ -108,6 +109,29 @@
     every: float = option(duration(0.5, 3600.0), "time between two writings, where something has changed", 5.0)
 
 
+@dataclass(slots=True)
+class Fleet:
+    """The others of its like, and the duties that one of them holds at a time. Needs the extra fleet.
+
+    What a reload changes here counts from the next start on.
+    """
+
+    name: str = option(mark, "the fleet's name: others' datagrams are dropped; none: this daemon is in no fleet", "")
+    member: str = option(mark, "this daemon's name in it, which no other has; an elector's stays over restarts", "")
+    bind: Address | None = option(address, "where it takes datagrams (UDP): a numeric address and a port", None,
+                                  key="address")
+    advertise: Address | None = option(address, "where others reach that, if elsewhere", None)
+    seeds: tuple[Address, ...] = option(addresses, "members to begin with; those that are gone do no harm", ())
+    key: str = option(text, "a file of 16 to 64 bytes that all members share: datagrams carry a tag by it", "")
+    period: float = option(duration(0.05, 60.0), "time between two looks at another member", 1.0)
+    electors: tuple[str, ...] = option(
+        words, "the members, 3 or 5, who promise duties by majority; the same list at all; none: no duties", ())
+    lease: float = option(duration(0.5, 3600.0), "time for which a duty is promised, the same at all", 10.0)
+    folder: str = option(text, "where an elector keeps what it promised; without one epochs go by the wall clock", "")
+    duties: tuple[str, ...] = option(words, "duties of your own: one member at a time holds each of them", ())
+    history: str = option(text, "a file to which every promise is added, for audits and tests; none: nowhere", "")
+
+
 @dataclass(slots=True)
 class Registry:
     """A ZooKeeper ensemble that pools follow and listeners register in, by one session."""
@@ -316,6 +340,7 @@
     guard: Guard = part(Guard, "whether the proxy guards itself")
     management: Management = part(Management, "the second address, for operators")
     state: State = part(State, "what is kept over a restart")
+    fleet: Fleet = part(Fleet, "the others of its like")
     listeners: dict[str, Listener] = parts(Listener, "where callers connect")
     classes: dict[str, Class] = parts(Class, "kinds of requests")
     tenants: dict[str, Tenant] = parts(Tenant, "whose traffic is told apart")
--- a/lugspur/config/units.py
+++ b/lugspur/config/units.py
@@ -157,6 +157,17 @@
     return name
 
 
+MARK = re.compile(r"[!-~]{1,48}")
+
+
+def mark(value: object) -> str:
+    """A name that goes along in datagrams, or none: printable ASCII without spaces."""
+    found = text(value)
+    if found and not MARK.fullmatch(found):
+        raise Wrong(f'{shown(value)} is no name here; write up to 48 letters, digits and marks, such as "edge-1"')
+    return found
+
+
 def credentials(value: object) -> str:
     """`user:password`, or nothing."""
     found = text(value)
--- /dev/null
+++ b/lugspur/daemon/company.py
@@ -0,0 +1,331 @@
+"""The daemon among its like: its place in the fleet, the duties that it wants, its promises where it is an elector."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from importlib.metadata import PackageNotFoundError, version
+from typing import TextIO
+
+from lugspur.config import model
+from lugspur.config.load import resolved
+from lugspur.fleet import clock
+from lugspur.fleet.machine import Changed, Event, Fleet, Posted, Rival
+from lugspur.fleet.transport import Transport, bound
+from lugspur.fleet.wire import KEY_LEAST, KEY_MOST, VERSION_MOST, ZONE_MOST, Facts, Status, Wire
+from lugspur.leases.claim import Claim, Turned, Won, order
+from lugspur.leases.elector import Elector, Who
+from lugspur.leases.memory import Memory, Spoilt, Taken
+from lugspur.leases.messages import Free, Give, Grant, Malformed, Message, No, Want, pack, unpack
+
+LEASES = 1  # the topic of these messages among a fleet's posts
+BODY_MESSAGES = 7  # in one datagram: each takes up to some 150 bytes
+AGAIN = (0.03, 0.09)  # seconds after which it is said again that a duty is given back: a datagram may be lost
+SAID = {Status.ALIVE: "is there", Status.SUSPECT: "is doubted", Status.DEAD: "is gone", Status.LEFT: "has left"}
+
+
+class Company:
+    """Runs one daemon's place in its fleet; `say` writes a line to the log."""
+
+    def __init__(self, row: model.Fleet, zone: str, beside: str, say: Callable[[str], None]) -> None:
+        self._row, self._beside, self._say = row, beside, say
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random()
+        self._facts = Facts(zone[:ZONE_MOST], _version(), time.time())
+        self.claims: dict[str, Claim] = {}
+        self.elector: Elector | None = None
+        self._memory: Memory | None = None
+        self._writing = False
+        self._handed: list[tuple[str, Message]] = []
+        self._history: TextIO | None = None
+        self.transport: Transport
+
+    @property
+    def fleet(self) -> Fleet:
+        """What it knows of the others."""
+        return self.transport.fleet
+
+    def open(self) -> None:
+        """Begin; raises OSError where the address, the key or the elector's folder can't be had."""
+        row = self._row
+        assert row.bind is not None
+        wire = Wire(row.name, self._key())
+        if row.member in row.electors:
+            self._open_elector()
+        try:
+            sock = bound(row.bind)
+        except OSError as fault:
+            self._close_memory()
+            host, port = row.bind
+            raise OSError(f"fleet can't have {host}:{port}: {fault.strerror or fault}") from fault
+        host, port = row.advertise or sock.getsockname()[:2]
+        fleet = Fleet(wire, row.member, (host, port), self._facts, list(row.seeds), clock.now(), time.time, self._rng,
+                      row.period)
+        self.transport = Transport(sock, fleet, self._heard, self._woken, self._dues)
+        if row.history:
+            path = resolved(row.history, self._beside)
+            try:
+                self._history = open(path, "a", buffering=1, encoding="utf-8")  # noqa: SIM115  (until `leave`)
+            except OSError as fault:
+                raise OSError(f"fleet: history {path}: {fault.strerror or fault}") from fault
+        for duty in row.duties:
+            self.want(duty)
+        self._say(f"member {row.member} of {row.name} at {host}:{port}")
+        self.transport.turn()
+
+    def _key(self) -> bytes:
+        if not self._row.key:
+            return b""
+        path = resolved(self._row.key, self._beside)
+        try:
+            with open(path, "rb") as file:
+                key = file.read(KEY_MOST + 1)
+        except OSError as fault:
+            raise OSError(f"fleet: key {path}: {fault.strerror or fault}") from fault
+        if not KEY_LEAST <= len(key) <= KEY_MOST:
+            raise OSError(f"fleet: key {path}: it has to have {KEY_LEAST} to {KEY_MOST} bytes")
+        return key
+
+    def _open_elector(self) -> None:
+        row = self._row
+        lease, promises = row.lease, None
+        if row.folder:
+            folder = resolved(row.folder, self._beside)
+            try:
+                self._memory = Memory(folder, row.member, row.lease)
+            except Taken as fault:
+                raise OSError(f"fleet: {folder} is another elector's, which runs") from fault
+            except Spoilt as fault:
+                # Guards against epochs that go back: only operators can know that nothing was promised since.
+                raise OSError(f"fleet: {folder}: promises can't be read: {fault}") from fault
+            except OSError as fault:
+                raise OSError(f"fleet: {folder}: {fault.strerror or fault}") from fault
+            lease, promises = self._memory.lease, self._memory.promises
+            if self._memory.fresh:
+                self._say(f"elector {row.member} remembers nothing: a new one, or its folder was lost")
+        self.elector = Elector(lease, clock.now(), promises, int(time.time() * 1000))
+
+    def _close_memory(self) -> None:
+        if self._memory is not None:
+            self._memory.close()
+            self._memory = None
+
+    # ---- duties ------------------------------------------------------------------------------------
+
+    def want(self, duty: str) -> Claim:
+        """Ask for a duty from now on, whenever nobody holds it."""
+        row = self._row
+        claim = self.claims[duty] = Claim(duty, row.electors, row.lease, clock.now(), self._rng, self._rank)
+        return claim
+
+    def may(self, duty: str, needs: float = 0.0) -> int | None:
+        """The epoch that an act of this duty has to carry that takes so many seconds; None: it must not begin."""
+        claim = self.claims.get(duty)
+        return None if claim is None else claim.epoch(clock.now(), needs)
+
+    def _rank(self, duty: str) -> int:
+        return self._ordered(duty).index(self._row.member)
+
+    def _ordered(self, duty: str) -> list[str]:
+        there = self.fleet.there() if hasattr(self, "transport") else {}
+        ready = [name for name, record in there.items() if not record.facts.draining]
+        return order(duty, list({*ready, self._row.member}))
+
+    def hand_on(self) -> None:
+        """This daemon goes: its duties go to those who are next, at once."""
+        facts = self._facts
+        self.fleet.tell(clock.now(), Facts(facts.zone, facts.version, facts.started, True, facts.rate))
+        for duty, claim in self.claims.items():
+            if not claim.hand_on(clock.now()):
+                continue
+            heirs = [name for name in self._ordered(duty) if name != self._row.member]
+            if heirs:
+                self._handed.append((heirs[0], Free(duty, claim.term.epoch)))
+            self._handed += [(name, Give(duty, claim.term.epoch, claim.term.round)) for name in claim.term.electors]
+        for delay in (0.0, *AGAIN):
+            self._loop.call_later(delay, self._say_again)
+
+    def _say_again(self) -> None:
+        self._send(self._handed)
+        self.transport.turn()
+
+    def take_up(self) -> None:
+        """This daemon stays after all: it wants its duties again."""
+        self._handed.clear()
+        self.fleet.tell(clock.now(), self._facts)
+        for claim in self.claims.values():
+            claim.want(clock.now())
+        self.transport.turn()
+
+    def leave(self) -> None:
+        """Say goodbye, and let go of everything."""
+        self.fleet.leave(clock.now())
+        self.transport.close()
+        self._close_memory()
+        if self._history is not None:
+            self._history.close()
+
+    # ---- what happens --------------------------------------------------------------------------------
+
+    def _heard(self, event: Event) -> None:
+        if isinstance(event, Posted):
+            if event.topic == LEASES:
+                self._body(event)
+        elif isinstance(event, Changed):
+            self._changed(event)
+        elif isinstance(event, Rival):
+            host, port = event.address
+            done = "this one is the younger and is silent for a while" if event.yields else "it is the younger"
+            self._say(f"another process at {host}:{port} uses the name {self._row.member}: {done}")
+
+    def _changed(self, event: Changed) -> None:
+        record, former = event.record, event.former
+        if former is None or former.status is not record.status or former.address != record.address or (
+                former.life != record.life):
+            host, port = record.address
+            self._say(f"member {record.name} {SAID[Status(record.status)]} ({event.cause}) at {host}:{port}")
+            for claim in self.claims.values():
+                claim.others_changed(clock.now())
+
+    def _body(self, event: Posted) -> None:
+        with suppress(Malformed):
+            for message in unpack(event.body):
+                self._lease(Who(event.name, event.life), message)
+
+    def _lease(self, who: Who, message: Message) -> None:
+        now = clock.now()
+        if isinstance(message, Want | Give):
+            if self.elector is not None:
+                self.elector.heard(now, who, message)
+            return
+        claim = self.claims.get(message.duty)
+        if claim is not None and isinstance(message, Grant | No | Free):
+            claim.heard(now, who.name, message)
+
+    def _dues(self) -> Iterator[float]:
+        for claim in self.claims.values():
+            yield claim.due()
+
+    def _woken(self, now: float) -> None:
+        """Duties have their turn: what they say to this process's own elector, and it to them, takes no datagram."""
+        out: list[tuple[str, Message]] = []
+        for claim in self.claims.values():
+            if now >= claim.due():
+                claim.tick(now)
+        while True:
+            said = [word for claim in self.claims.values() for word in claim.take()]
+            if self.elector is not None:
+                said += self.elector.take()
+            if not said:
+                break
+            me = Who(self._row.member, self.fleet.me.life)
+            for name, message in said:
+                if name == me.name:
+                    self._lease(me, message)
+                else:
+                    out.append((name, message))
+        for claim in self.claims.values():
+            for event in claim.events():
+                self._turned(event)
+        if self._memory is not None and self.elector is not None and self.elector.unwritten and not self._writing:
+            self._write(self._memory, self.elector)
+        self._send(out)
+
+    def _send(self, messages: list[tuple[str, Message]]) -> None:
+        """One datagram for all that one member is to be told, as far as that fits."""
+        bodies: defaultdict[str, list[Message]] = defaultdict(list)
+        for name, message in messages:
+            bodies[name].append(message)
+        for name, words in bodies.items():
+            for at in range(0, len(words), BODY_MESSAGES):
+                self.fleet.post(clock.now(), name, LEASES, pack(words[at:at + BODY_MESSAGES]))
+
+    def _turned(self, turned: Turned | Won) -> None:
+        if self._history is not None and (isinstance(turned, Won) or not turned.holds):
+            left = self.claims[turned.duty].term.left(clock.now()) if isinstance(turned, Won) else 0.0
+            row = {"at": time.clock_gettime(time.CLOCK_BOOTTIME), "member": self._row.member,
+                   "life": self.fleet.me.life, "duty": turned.duty, "epoch": turned.epoch, "left": left}
+            self._history.write(json.dumps(row) + "\n")
+        if isinstance(turned, Won):
+            return
+        what = "is ours" if turned.holds else "is ours no more"
+        self._say(f"duty {turned.duty} {what} under epoch {turned.epoch}: {turned.why}")
+
+    # ---- an elector's memory -----------------------------------------------------------------------
+
+    def _write(self, memory: Memory, elector: Elector) -> None:
+        """Write promises down, in a thread; they are told when they will survive."""
+        promises = elector.promises()
+        duties, elector.unwritten = list(elector.unwritten), {}
+        self._writing = True
+
+        def done(fault: OSError | None) -> None:
+            self._writing = False
+            if fault is None:
+                elector.written(clock.now(), duties)
+            else:
+                self._say(f"promises can't be written, so none are given: {fault.strerror or fault}")
+                elector.unwritable(duties)
+            self.transport.turn()
+
+        def work() -> None:
+            fault = None
+            try:
+                memory.write(promises)
+            except OSError as raised:
+                fault = raised
+            with suppress(RuntimeError):  # the loop is gone, and nobody is told
+                self._loop.call_soon_threadsafe(done, fault)
+
+        threading.Thread(target=work, name="promises", daemon=True).start()
+
+    # ---- what operators see ------------------------------------------------------------------------
+
+    def members(self) -> str:
+        """All members that are known, as one line of JSON."""
+        fleet = self.fleet
+        rows = [fleet.me, *(member.record for member in fleet.members.values())]
+        return json.dumps({"fleet": self._row.name, "member": self._row.member, "digest": fleet.digest, "members": [
+            {"name": row.name, "address": f"{row.host}:{row.port}", "state": Status(row.status).name.lower(),
+             "zone": row.facts.zone, "version": row.facts.version, "started": row.facts.started,
+             "draining": row.facts.draining, "elector": row.name in self._row.electors}
+            for row in sorted(rows, key=lambda row: row.name)], "counts": dict(sorted(fleet.counts.items()))})
+
+    def duties(self) -> str:
+        """All duties that this daemon wants, as one line of JSON."""
+        now = clock.now()
+        rows = []
+        for duty, claim in sorted(self.claims.items()):
+            term = claim.term
+            held = claim.epoch(now) is not None
+            rows.append({"duty": duty, "ours": held, "epoch": term.epoch if held else term.heard,
+                         "holder": self._row.member if held else term.holder, "left": round(term.left(now), 3)})
+        return json.dumps({"member": self._row.member, "duties": rows})
+
+    def ask(self, asked: str) -> tuple[int, str]:
+        """`DUTY [SECONDS]`: whether an act of that duty may begin here that takes so long, and under which epoch."""
+        duty, _, needs = asked.partition(" ")
+        try:
+            seconds = float(needs or 0.0)
+        except ValueError:
+            return 400, "the body has to be a duty's name, and seconds if you like"
+        if duty not in self.claims:
+            return 404, f"no duty {duty!r} is wanted here"
+        epoch = self.may(duty, seconds) if seconds >= 0.0 else None
+        claim = self.claims[duty]
+        if epoch is None:
+            return 409, json.dumps({"duty": duty, "holder": claim.term.holder})
+        return 200, json.dumps({"duty": duty, "epoch": epoch, "left": round(claim.term.left(clock.now()), 3)})
+
+
+def _version() -> str:
+    try:
+        return version("lugspur")[:VERSION_MOST]
+    except PackageNotFoundError:
+        return "checkout"
--- a/lugspur/daemon/operated.py
+++ b/lugspur/daemon/operated.py
@@ -9,6 +9,7 @@
 from lugspur.daemon.station import Station
 from lugspur.http1.front import Front
 from lugspur.management.acts import acts
+from lugspur.management.calls import Act
 from lugspur.management.door import Door
 from lugspur.membership.rows import server_id
 
@@ -16,8 +17,13 @@
 class Operators:
     """The daemon's second address; it moves with the file. It acts on what is there when it is called."""
 
-    def __init__(self, fronts: Callable[[], list[Front]], stations: Callable[[], Mapping[str, Station]]) -> None:
+    def __init__(
+        self, fronts: Callable[[], list[Front]], stations: Callable[[], Mapping[str, Station]],
+        more: Mapping[tuple[str, str], Act], drains: Callable[[bool], None],
+    ) -> None:
         self._fronts, self._stations = fronts, stations
+        self._more = more  # calls beside those that every proxy has
+        self._drains = drains  # told when callers are sent away, and when they are taken again
         self._row: Management | None = None
         self._door: Door | None = None
         self.drained = False
@@ -26,7 +32,7 @@
         """Take the address that a file names; raises OSError and changes nothing."""
         if row.address is None or row == self._row:
             return None
-        door = Door(row.address, acts(self))
+        door = Door(row.address, {**acts(self), **self._more})
         try:
             await door.open()
         except OSError as fault:
@@ -78,11 +84,13 @@
     def drain(self) -> None:
         """Send callers away, from all listeners."""
         self.drained = True
+        self._drains(True)
         for front in self._fronts():
             front.drain()
 
     def undrain(self) -> None:
         """Take callers again."""
         self.drained = False
+        self._drains(False)
         for front in self._fronts():
             front.undrain()
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -20,7 +20,9 @@
 from lugspur.http1.front import BACKLOG, Front
 
 if TYPE_CHECKING:
+    from lugspur.daemon.company import Company
     from lugspur.daemon.operated import Operators
+    from lugspur.management.calls import Act
 
 Listening = tuple[Front, socket.socket]
 
@@ -38,6 +40,7 @@
         self._reloading: asyncio.Task[None] | None = None
         self._again = False
         self.operators: Operators | None = None
+        self.company: Company | None = None
 
     async def start(self, plan: Plan) -> None:
         """Begin; raises OSError, with the listener's name, where an address can't be had."""
@@ -49,14 +52,41 @@
             self.daemon.remembering = Remembering(row.folder, row.every, self.path)
             await self.daemon.remembering.open()
         try:
+            if plan.file.fleet.name:
+                # Imported only here: a daemon that is alone has no use for it.
+                from lugspur.daemon.company import Company
+
+                company = Company(plan.file.fleet, plan.file.daemon.zone, self.path, _say_fleet)
+                company.open()
+                self.company = company
             await self._apply(plan)
         except BaseException:
+            if self.company is not None:
+                self.company.leave()
             if self.daemon.remembering is not None:
                 await self.daemon.remembering.close()
             raise
         if self.daemon.remembering is not None:
             self.daemon.remembering.begin(lambda: self.daemon.stations)
 
+    def _fleet_calls(self) -> dict[tuple[str, str], Act]:
+        company = self.company
+        if company is None:
+            return {}
+        return {
+            ("GET", "/fleet/members"): lambda _: (200, company.members()),
+            ("GET", "/fleet/duties"): lambda _: (200, company.duties()),
+            ("POST", "/fleet/may"): company.ask,
+        }
+
+    def _drains(self, on: bool) -> None:
+        """Who sends its callers away holds no duties either."""
+        if self.company is not None:
+            if on:
+                self.company.hand_on()
+            else:
+                self.company.take_up()
+
     def addresses(self) -> dict[str, tuple[str, int]]:
         """Where each listener can be reached."""
         return {name: sock.getsockname()[:2] for name, (_, sock) in self.listeners.items()}
@@ -112,7 +142,8 @@
                 from lugspur.daemon.operated import Operators
 
                 self.operators = Operators(
-                    lambda: [front for front, _ in self.listeners.values()], lambda: self.daemon.stations)
+                    lambda: [front for front, _ in self.listeners.values()], lambda: self.daemon.stations,
+                    self._fleet_calls(), self._drains)
             if self.operators is not None:
                 door = await self.operators.prepare(plan.file.management)
             for name, row in rows.items():
@@ -153,6 +184,8 @@
 
     async def stop(self) -> None:
         """Tell registries first, finish what was taken, then let go of everything."""
+        if self.company is not None:
+            self.company.hand_on()
         await self.announcers.leave()
         if self.operators is not None:
             self.operators.close()
@@ -165,6 +198,8 @@
             station.close()
         self.daemon.close()
         await self.daemon.registries.close()
+        if self.company is not None:
+            self.company.leave()
 
 
 def _terms(row: model.Listener) -> model.Listener:
@@ -190,6 +225,10 @@
     print(f"lugspur: {line}", file=sys.stderr, flush=True)
 
 
+def _say_fleet(line: str) -> None:
+    _say(f"fleet: {line}")
+
+
 async def serve(path: str, plan: Plan, ready: Callable[[Running], None]) -> None:
     """Run until SIGTERM or SIGINT, then finish what was taken; SIGHUP reads the file again."""
     loop = asyncio.get_running_loop()
--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -51,9 +51,12 @@
 def test_the_examples_have_no_fault() -> None:
     assert len(load(str(ROOT / "deploy" / "registry.toml")).table.routes) == 1
     assert len(load(str(ROOT / "deploy" / "grpc.toml")).table.routes) == 3
+    for number in (1, 2, 3):
+        assert load(str(ROOT / "deploy" / f"fleet-{number}.toml")).file.fleet.member == f"edge-{number}"
     assert len(load(str(ROOT / "deploy" / "example.toml")).table.routes) == 6
 
 
+FLEET = '[fleet]\nname = "f"\nmember = "m"\naddress = "127.0.0.1:7946"'
 # ruff: noqa: E501
 AFTER = [  # what is added, the line of the fault, what is said of it
     ("[routes.s]\npath = 7\npool = \"a\"", 15, 's.path: 7 is no text; write it in quotes'),
@@ -93,6 +96,17 @@
     ("[routes.s]\npath = \"/s\"\npool = \"a\"\nresponse = { set = { X = \"\\n\" } }", 17, "is no header's value"),
     ("[routes.s]\npath = \"/s\"\npool = \"a\"\nfallbak = []", 17, 'key "fallbak" is unknown here; did you mean "fallback"?'),
     ("[routes.s]\npath = \"/r/{k}\"\npool = \"a\"", 14, 'route "s" and route "r" take the same requests'),
+    ("[fleet]\nmember = \"m\"", 14, 'a fleet needs a name; write name = "edge"'),
+    ("[fleet]\nname = \"f\"\naddress = \"127.0.0.1:7946\"", 14, 'this member needs a name of its own'),
+    ("[fleet]\nname = \"f\"\nmember = \"m\"", 14, 'it takes datagrams nowhere; write address = "127.0.0.1:7946"'),
+    ("[fleet]\nname = \"f\"\nmember = \"m\"\naddress = \"0.0.0.0:7946\"", 14, 'write advertise, where others reach it'),
+    ("[fleet]\nname = \"f\"\nmember = \"m\"\naddress = \"x.example:1\"", 17, 'is no numeric address; datagrams look no'),
+    (FLEET + "\nseeds = [\"x.example:1\"]", 18, 'is no numeric address; datagrams look no names up'),
+    (FLEET + "\nelectors = [\"a\", \"b\"]", 18, "2 are no electorate; write 3 or 5 members' names"),
+    (FLEET + "\nelectors = [\"a\", \"b\", \"c d\"]", 18, '"c d" is no member\'s name'),
+    (FLEET + "\nduties = [\"d\"]", 18, "nobody promises them; write electors, 3 or 5 members' names"),
+    (FLEET + "\nelectors = [\"a\", \"b\", \"c\"]\nduties = [\"d e\"]", 19, '"d e" is no duty\'s name'),
+    ("[fleet]\nname = \"f g\"", 15, '"f g" is no name here; write up to 48 letters'),
     ("[classes.x]\naim = 410", 15, '410 has no unit; write a text such as "410ms"'),
     ("[classes.x]\naim = \"410\"", 15, '"410": it has no unit; write one of us, ms, s, m, h'),
     ("[classes.x]\naim = \"410sec\"", 15, 'unit "sec" is unknown'),
