Want no duty that a reload brings while the daemon is drained

Found on rereading the change: a drained daemon gives its duties back, but a reload that added `check` to a pool made it ask for that pool's duty at once (company.py, want), while its callers were sent away. It wants it once they are taken again.

--- a/lugspur/daemon/company.py
+++ b/lugspur/daemon/company.py
@@ -48,6 +48,7 @@
         self._memory: Memory | None = None
         self._writing = False
         self._handed: list[tuple[str, Message]] = []
+        self._drained = False
         self._history: TextIO | None = None
         self.transport: Transport
 
@@ -135,6 +136,8 @@
         """Ask for a duty from now on, whenever nobody holds it."""
         row = self._row
         claim = self.claims[duty] = Claim(duty, row.electors, row.lease, clock.now(), self._rng, self._rank)
+        if self._drained:  # a reload brings a duty while callers are sent away: it is wanted once they are taken again
+            claim.hand_on(clock.now())
         return claim
 
     def drop(self, duty: str) -> None:
@@ -175,6 +178,7 @@
 
     def hand_on(self) -> None:
         """This daemon goes: its duties go to those who are next, at once."""
+        self._drained = True
         facts = self._facts
         self.fleet.tell(clock.now(), Facts(facts.zone, facts.version, facts.started, True, facts.rate))
         for duty, claim in self.claims.items():
@@ -194,6 +198,7 @@
     def take_up(self) -> None:
         """This daemon stays after all: it wants its duties again."""
         self._handed.clear()
+        self._drained = False
         self.fleet.tell(clock.now(), self._facts)
         for claim in self.claims.values():
             claim.want(clock.now())
--- a/tests/daemon/test_company.py
+++ b/tests/daemon/test_company.py
@@ -39,6 +39,20 @@
     asyncio.run(play())
 
 
+def test_a_drained_daemon_wants_no_duty_that_a_reload_brings() -> None:
+    async def play() -> None:
+        async with served(CHECKED.replace('check = { every = "1s" }', "") + FLEET) as up:
+            company = up.running.company
+            assert company is not None
+            company.hand_on()
+            await up.reload(CHECKED + FLEET)
+            assert company.claims["probe:p"].due() == float("inf")
+            company.take_up()
+            assert company.claims["probe:p"].due() < float("inf")
+
+    asyncio.run(play())
+
+
 def test_what_operators_have_taken_out_a_prober_does_not_put_back() -> None:
     async def play() -> None:
         async with served(CHECKED + FLEET) as up:
