--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -252,6 +252,10 @@
         """Go on by another's figures, with what was taken and spent so far."""
         self._free, self._share, self._span = other._free, other._share, other._span
 
+    def allot(self, free: float) -> None:
+        """So many further attempts are free in any span, from now on: those who share the budget are more or fewer."""
+        self._free = free
+
     def take(self, now: float) -> None:
         """Count a request taken, refused ones too."""
         self._taken.append(now)
--- /dev/null
+++ b/lugspur/hive/calls.py
@@ -0,0 +1,63 @@
+"""Calls over HTTP: one dispatch on method and path segments, and answers from the table of errors."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lugspur.hive.errors import ANSWERS, HiveError, Kind
+from lugspur.http1.front import Front
+from lugspur.http1.intake import Sizes
+from lugspur.membership.rows import read_address
+from lugspur.seams import Answerable, Request
+
+JSON = b"Content-Type: application/json\r\n"
+CALL_MOST = 64 << 20  # bytes of a call's body: the whole configuration comes in one
+CALLERS_MOST = 256  # connections of those who call
+Call = Callable[[Request, Answerable, list[str]], None]
+
+
+def reply(caller: Answerable, body: bytes = b"{}", status: int = 200, head: bytes = b"") -> None:
+    """Answer a call."""
+    caller.answer(status, head + JSON, body)
+
+
+def fail(caller: Answerable, fault: HiveError) -> None:
+    """Answer a call that came to nothing: its code, and one line of what is wrong."""
+    row = ANSWERS[fault.kind]
+    after = b"Retry-After: %.2f\r\n" % row.after if row.after else b""
+    detail = fault.detail.replace("\\", "/").replace('"', "'").encode("ascii", "replace")
+    reply(caller, b'{"error":"%b","detail":"%b"}' % (fault.code.encode(), detail), row.status, after)
+
+
+class Desk:
+    """The calls that a process takes, by method and path segments; `*` stands for any one segment."""
+
+    def __init__(self) -> None:
+        self._calls: list[tuple[str, list[str], Call]] = []
+
+    def add(self, method: str, path: str, call: Call) -> None:
+        """Take calls of a method and a path; the segments that `*` stood for are handed over."""
+        self._calls.append((method, path.strip("/").split("/"), call))
+
+    def handle(self, request: Request, caller: Answerable) -> None:
+        """One call."""
+        method = request.method.decode("ascii", "replace")
+        segments = request.target.partition(b"?")[0].decode("ascii", "replace").strip("/").split("/")
+        for wanted, pattern, call in self._calls:
+            if wanted != method or len(pattern) != len(segments):
+                continue
+            if all(p in ("*", s) for p, s in zip(pattern, segments, strict=True)):
+                caller.admit()
+                try:
+                    call(request, caller, [s for p, s in zip(pattern, segments, strict=True) if p == "*"])
+                except HiveError as fault:
+                    fail(caller, fault)
+                return
+        fail(caller, HiveError(Kind.NO_CALL, f"{method} {request.target.decode('ascii', 'replace')[:100]}"))
+
+    async def serve(self, address: str, memory: int) -> Front:
+        """Listen for calls."""
+        front = Front(read_address(address), CALLERS_MOST, memory, self.handle)
+        front.sizes = Sizes(body=CALL_MOST, ordinary=True)
+        await front.listen()
+        return front
--- /dev/null
+++ b/lugspur/hive/claims.py
@@ -0,0 +1,147 @@
+"""The claimant's side of operation keys, without I/O: who may run an operation, by a majority of the seats.
+
+A claim is won when a majority of one roster's seats has it on disk, each granting a key to one claimant at a time. Two
+claimants can't both win: majorities meet. One who can't win any more gives back what it was granted, which is safe: it
+never ran.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cachetools import TTLCache
+
+from lugspur.hive.comb import majority
+from lugspur.hive.wire import Answer, Claim, Release, Roster, Verdict
+
+CLAIMS_MOST = 10_000  # open or won lately, at once
+WON_KEPT = 30.0  # seconds for which late grants of what was won are told from those that came too late
+
+
+@dataclass(slots=True)
+class Won:
+    """It may run."""
+
+
+@dataclass(slots=True)
+class Known:
+    """It has run, and this was its answer."""
+
+    answer: Answer
+
+
+@dataclass(slots=True)
+class Taken:
+    """Another has it; `busy`: and is at work."""
+
+    busy: bool
+
+
+@dataclass(slots=True)
+class Unsettled:
+    """Too few seats answered."""
+
+
+Settled = Won | Known | Taken | Unsettled
+
+
+class _Open:
+    __slots__ = ("by", "ends", "granted", "key", "left", "others", "over", "roster", "busy", "until")
+
+    def __init__(self, key: bytes, by: bytes, left: float, ends: float, until: float,
+                 over: Callable[[Settled], None]) -> None:
+        self.key, self.by, self.left, self.ends, self.until, self.over = key, by, left, ends, until, over
+        self.granted: set[str] = set()
+        self.others: set[str] = set()
+        self.busy = False
+        self.roster: Roster | None = None
+
+
+class Claims:
+    """The claims of one process that are not settled. `send` gives a message to a seat by its IP number."""
+
+    def __init__(self, send: Callable[[str, Claim | Release], None]) -> None:
+        self._send = send
+        self._open: dict[tuple[bytes, bytes], _Open] = {}
+        # Grants that come behind a majority's belong to what runs: they must not be given back.
+        self._won: TTLCache[tuple[bytes, bytes], None] = TTLCache(CLAIMS_MOST, WON_KEPT)
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def begin(self, now: float, roster: Roster, key: bytes, by: bytes, left: float, within: float,
+              over: Callable[[Settled], None]) -> None:
+        """Claim a key for `by`, whose request ends in `left` seconds; settled in `within` seconds."""
+        found = _Open(key, by, left, now + left, now + within, over)
+        self._open[key, by] = found
+        self._ask(now, found, roster)
+
+    def _ask(self, now: float, found: _Open, roster: Roster) -> None:
+        found.roster = roster
+        found.granted.clear()
+        found.others.clear()
+        for seat in roster.seats:
+            self._send(seat.ip, Claim(found.key, found.by, roster.epoch, max(0.0, found.ends - now)))
+
+    def again(self, now: float, roster: Roster) -> None:
+        """The roster has changed: what was granted under another one counts no more, and is asked for anew."""
+        for found in list(self._open.values()):
+            self._ask(now, found, roster)
+
+    def reach(self, now: float, ip: str) -> None:
+        """A seat can be reached anew: what it may not have heard is said again."""
+        for found in self._open.values():
+            roster = found.roster
+            if roster is not None and ip in {s.ip for s in roster.seats} and ip not in found.granted | found.others:
+                self._send(ip, Claim(found.key, found.by, roster.epoch, max(0.0, found.ends - now)))
+
+    def verdict(self, now: float, ip: str, message: Verdict) -> None:
+        """A seat's answer."""
+        found = self._open.get((message.key, message.by))
+        if found is None:
+            if message.granted and (message.key, message.by) not in self._won:
+                # It came too late and was not run: nobody else shall wait for it.
+                self._send(ip, Release(message.key, message.by))
+            return
+        roster = found.roster
+        assert roster is not None
+        if message.answer is not None:
+            self._settle(found, Known(message.answer))
+            return
+        if message.epoch != roster.epoch or ip not in {seat.ip for seat in roster.seats}:
+            return
+        if message.granted:
+            found.granted.add(ip)
+            if len(found.granted) >= majority(len(roster.seats)) and now < found.until:
+                self._won[message.key, message.by] = None
+                self._settle(found, Won())
+        elif message.other:
+            found.others.add(ip)
+            found.busy = found.busy or message.busy
+            if len(roster.seats) - len(found.others) < majority(len(roster.seats)):
+                self._settle(found, Taken(found.busy))
+
+    def look(self, now: float) -> None:
+        """End what has gone on for too long."""
+        for found in [found for found in self._open.values() if found.until <= now]:
+            self._settle(found, Taken(found.busy) if found.others else Unsettled())
+
+    def drop(self, key: bytes, by: bytes) -> None:
+        """Nobody waits for it any more."""
+        found = self._open.get((key, by))
+        if found is not None:
+            found.over = _nobody
+            self._settle(found, Unsettled())
+
+    def _settle(self, found: _Open, how: Settled) -> None:
+        del self._open[found.key, found.by]
+        if not isinstance(how, Won):
+            for seat in found.roster.seats if found.roster is not None else ():
+                if seat.ip not in found.others:
+                    self._send(seat.ip, Release(found.key, found.by))
+        found.over(how)
+
+
+def _nobody(how: Settled) -> None:
+    """Told of what nobody waits for."""
--- /dev/null
+++ b/lugspur/hive/disk.py
@@ -0,0 +1,128 @@
+"""A comb's disk: one lmdb environment, written by a thread of its own in groups, each synced before it counts."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import threading
+from collections.abc import Callable
+
+import lmdb
+
+from lugspur.hive import notes
+from lugspur.hive.errors import HiveError, Kind
+
+MAP_PART = 0.6  # of the disk: lmdb must not fill it, and a file that grew is never smaller again
+MAP_LEAST, MAP_MOST = 16 << 20, 1 << 30  # bytes
+AGAIN = 0.3  # seconds after a failed write in which the environment is left alone
+
+Rows = list[tuple[bytes, bytes | None]]
+
+
+class Disk:
+    """Rows by key. `write` returns at once; what is given with it is called in the loop when it is on disk."""
+
+    def __init__(self, folder: str, disk_mb: int) -> None:
+        self._folder = os.path.join(folder, "comb")
+        self._size = int(min(MAP_MOST, max(MAP_LEAST, disk_mb * MAP_PART * (1 << 20))))
+        self._loop = asyncio.get_running_loop()
+        self._wake = threading.Condition()
+        self._rows: Rows = []
+        self._calls: list[Callable[[], None]] = []
+        self._closing = False
+        self.fault = ""  # what the latest write failed on
+        self.commits = 0
+        try:
+            os.makedirs(self._folder, exist_ok=True)
+            self._env = self._open()
+        except (OSError, lmdb.Error) as fault:
+            raise HiveError(Kind.STATE, f"{self._folder}: {fault}") from None
+        self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
+
+    def _open(self) -> lmdb.Environment:
+        return lmdb.open(self._folder, map_size=self._size, subdir=True, max_readers=8, lock=False, metasync=True)
+
+    def rows(self) -> list[tuple[bytes, bytes]]:
+        """All that is on disk; to be read before `start`."""
+        try:
+            with self._env.begin() as txn:
+                return [(bytes(key), bytes(value)) for key, value in txn.cursor()]
+        except lmdb.Error as fault:
+            raise HiveError(Kind.STATE, f"{self._folder}: {fault}") from None
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def write(self, rows: Rows, then: Callable[[], None] | None = None) -> None:
+        """Have rows written with all else that waits; without `then` they wait until something wakes the writer."""
+        with self._wake:
+            self._rows += rows
+            if then is not None:
+                self._calls.append(then)
+                self._wake.notify()
+
+    def flush(self) -> None:
+        """Wake the writer for what waits."""
+        with self._wake:
+            if self._rows:
+                self._wake.notify()
+
+    def _run(self) -> None:
+        while True:
+            with self._wake:
+                while not self._rows and not self._calls and not self._closing:
+                    self._wake.wait()
+                if self._closing and not self._rows and not self._calls:
+                    return
+                rows, self._rows = self._rows, []
+                calls, self._calls = self._calls, []
+            self._commit(rows, calls)
+
+    def _commit(self, rows: Rows, calls: list[Callable[[], None]]) -> None:
+        try:
+            with self._env.begin(write=True) as txn:
+                for key, value in rows:
+                    if value is None:
+                        txn.delete(key)
+                    else:
+                        txn.put(key, value)
+        except (lmdb.Error, OSError) as fault:
+            # What waited for these rows is never promised; what was in them comes again with the next write or from
+            # the other combs. The environment is opened anew: after a failed write it refuses all.
+            self.fault = str(fault)
+            self._post(lambda: notes.warn("disk", fault=self.fault, rows=len(rows)))
+            self._reopen()
+            return
+        self.commits += 1
+        self.fault = ""
+        for call in calls:
+            self._post(call)
+
+    def _reopen(self) -> None:
+        while not self._closing:
+            with self._wake:
+                self._wake.wait(AGAIN)
+                # Guards memory and the promise: what came meanwhile is not on disk, and nobody is told it is.
+                self._rows, self._calls = [], []
+            try:
+                self._env.close()
+                self._env = self._open()
+                return
+            except (lmdb.Error, OSError) as fault:
+                self.fault = str(fault)
+
+    def _post(self, call: Callable[[], None]) -> None:
+        try:
+            self._loop.call_soon_threadsafe(call)
+        except RuntimeError:  # the loop has ended: nobody is to be told
+            return
+
+    def close(self, within: float) -> None:
+        """Write what waits, then close; gives up after `within` seconds where the disk hangs."""
+        with self._wake:
+            self._closing = True
+            self._wake.notify()
+        self._thread.join(within)
+        if not self._thread.is_alive():
+            self._env.close()
--- /dev/null
+++ b/lugspur/hive/forager.py
@@ -0,0 +1,382 @@
+"""The caller's side: one request from its route to its one final answer, by the design's breakers and pick."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from jaspershelf.decide import Breaker, Budget
+from lugspur.hive.claims import Known, Settled, Taken, Won
+from lugspur.hive.errors import ANSWERS, HiveError, Kind
+from lugspur.hive.gate import End
+from lugspur.hive.table import Table, Way
+from lugspur.hive.wire import Answer, Forward, Reply
+from lugspur.seams import Answerable, Request
+
+ATTEMPT, KEY, BY_MS = b"lugspur-attempt-id", b"lugspur-operation-key", b"lugspur-deliver-by-ms"
+OWN_LINES = (b"lugspur-sender", b"lugspur-deliver-to", BY_MS)  # set anew here, whatever was sent
+REWRITTEN = (b"host", b"x-request-id", b"x-forwarded-for", b"x-forwarded-proto")  # kept out of the lines by the reader
+ID_MOST = 256  # bytes of an id or a key
+PACE_WEIGHT = 1 / 32  # of one answer in a route's pace
+CLAIM_WITHIN = 0.6  # seconds for a claim, and at most a third of the time that is left
+MARGIN = 0.02  # seconds for which the backend's word at the deadline is waited for
+COLD = 2.0  # times the usual latency that a backend counts with while it says that it is slow
+REST = 0.04  # seconds for which a backend that turned a request away is passed over, drawn from half to one and a half
+BUDGET_PART = 0.5  # of the retry budget that is used: nested calls of what runs twice count too, and views lag
+ROUNDS = 4  # backends that may turn one request away before it is given up
+HEDGE = 3.0  # times a route's pace after which a safe request is sent to a second backend...
+HEDGE_AIM = 0.6  # ...and not before this part of its aim
+LATE = 3.0  # how much a failure counts as, in usual latencies: a backend that fails fast must not look quick
+
+
+class Rank:
+    """What this process knows of one life of one backend."""
+
+    __slots__ = ("berths", "breaker", "cold_until", "id", "inflight", "ip", "latency", "rests_until", "service", "zone")
+
+    def __init__(self, ident: str, service: str, ip: str, zone: str) -> None:
+        self.id, self.service, self.ip, self.zone = ident, service, ip, zone
+        self.berths = 1
+        self.breaker = Breaker()
+        self.latency = 0.0  # in units of the route's pace; failures count as LATE
+        self.inflight = 0
+        self.cold_until = self.rests_until = 0.0
+
+    def learn(self, latency: float) -> None:
+        """Move the latency that picks follow."""
+        self.latency += (latency - self.latency) / 4.0 if self.latency > 0.0 else latency
+
+    def score(self, now: float) -> float:
+        """Current latency x (in flight + 1); lower is better."""
+        usual = COLD if now < self.cold_until else 1.0
+        return (self.latency or usual) * (self.inflight + 1)
+
+
+class Carrier(Protocol):
+    """What takes a request to the gate beside a backend."""
+
+    def ready(self, ip: str) -> bool:
+        """Whether that machine can be reached now."""
+
+    def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Callable[[], None]:
+        """Send it; the reply comes once. Returns what cancels it."""
+
+
+class Keys(Protocol):
+    """What settles operation keys."""
+
+    def claim(self, key: bytes, by: bytes, left: float, within: float, over: Callable[[Settled], None]) -> None:
+        """Ask for the right to run."""
+
+    def release(self, key: bytes, by: bytes) -> None:
+        """Give it back: nothing ran."""
+
+    def drop(self, key: bytes, by: bytes) -> None:
+        """Nobody waits for it any more."""
+
+
+class Forager:
+    """All requests that start on this machine."""
+
+    def __init__(self, table: Table, carrier: Carrier, keys: Keys, rng: Random, ratio: float, slack: float,
+                 span: float) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.table, self.carrier, self.keys, self.rng = table, carrier, keys, rng
+        self._ratio, self._slack, self._span = ratio * BUDGET_PART, slack * BUDGET_PART, span
+        self.proxies = 1  # how many share the budget
+        self.services: dict[str, dict[str, Rank]] = {}  # by the backend's id
+        self.budgets: dict[str, Budget] = {}
+        self.sender = ""  # the service of this machine
+        self.flights: set[Flight] = set()
+        self.served = self.refused = self.failed = 0
+
+    def members(self, service: str, ranks: dict[str, tuple[str, str, int, float]]) -> None:
+        """The backends of a service that accept work: id to machine, zone, berths, and when it is warm."""
+        known = self.services.get(service, {})
+        fresh: dict[str, Rank] = {}
+        for ident, (ip, zone, berths, cold_until) in ranks.items():
+            rank = known.get(ident) or Rank(ident, service, ip, zone)
+            rank.berths, rank.cold_until = berths, cold_until
+            fresh[ident] = rank
+        if fresh:
+            self.services[service] = fresh
+        else:
+            self.services.pop(service, None)
+
+    def budget(self, service: str) -> Budget:
+        """This process's part of the service's retry budget."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = self.budgets[service] = Budget(0.0, self._ratio, self._span)
+        found.allot(self._slack / max(1, self.proxies))
+        return found
+
+    def handle(self, request: Request, caller: Answerable) -> None:
+        """Take one request; its caller gets one answer."""
+        try:
+            flight = self._take(request, caller)
+        except HiveError as fault:
+            refuse(caller, fault.kind)
+            return
+        flight.begin()
+
+    def _take(self, request: Request, caller: Answerable) -> Flight:
+        headers = request.headers
+        attempt, key = headers.get(ATTEMPT, b""), headers.get(KEY, b"")
+        # Guards what must run once against two readings of one id: repeated headers are joined by commas.
+        if not 0 < len(attempt) <= ID_MOST or b"," in attempt or len(key) > ID_MOST or not request.target[:1] == b"/":
+            raise HiveError(Kind.BAD_REQUEST)
+        if not len(self.table):
+            raise HiveError(Kind.NOT_READY)
+        way = self.table.find(headers.get(b"host", b""), request.target)
+        if way is None:
+            raise HiveError(Kind.NO_ROUTE)
+        left = way.deadline
+        told = headers.get(BY_MS)
+        if told is not None:
+            if not told.isdigit() or len(told) > 9:
+                raise HiveError(Kind.BAD_REQUEST)
+            left = min(left, int(told) / 1000.0)
+        caller.admit()
+        return Flight(self, request, caller, way, request.arrived + left, attempt, key)
+
+
+def refuse(caller: Answerable, kind: Kind) -> None:
+    """Tell a caller what went wrong, and when to come back if that helps."""
+    row = ANSWERS[kind]
+    after = b"Retry-After: %.2f\r\n" % row.after if row.after else b""
+    caller.answer(row.status, after, kind.value.encode() + b"\n")
+
+
+class Flight:
+    """One request."""
+
+    def __init__(self, forager: Forager, request: Request, caller: Answerable, way: Way, deadline: float,
+                 attempt: bytes, key: bytes) -> None:
+        self.forager, self.request, self.caller, self.way = forager, request, caller, way
+        self.deadline, self.attempt = deadline, attempt
+        self.key = key if way.kind == "tracked" else b""
+        self.service = way.service(forager.rng)
+        self.sends = 0  # backends that it was offered to, or may have been
+        self.rounds = 0  # gates that turned it away
+        self.tried: set[str] = set()
+        self.out: dict[int, tuple[Rank, float, Callable[[], None]]] = {}  # what is under way
+        self.over = False
+        self.maybe = False  # it may have run
+        self.won = False
+        self.number = 0
+        self.last: Answer | None = None  # a failure of the backend's own, to be passed on where nothing better comes
+        self._lines: list[bytes] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._hedge: asyncio.TimerHandle | None = None
+
+    def begin(self) -> None:
+        """Set off."""
+        forager, loop = self.forager, self.forager.loop
+        now = loop.time()
+        if now >= self.deadline:
+            refuse(self.caller, Kind.TOO_LATE)
+            return
+        forager.flights.add(self)
+        forager.budget(self.service).take(now)
+        self.caller.gone = self._gone
+        self._timer = loop.call_at(self.deadline + MARGIN, self._late)
+        if self.key:
+            left = self.deadline - now
+            forager.keys.claim(self.key, self.attempt, left, min(CLAIM_WITHIN, left / 3.0), self._claimed)
+        else:
+            self._go(now)
+
+    def _claimed(self, how: Settled) -> None:
+        if self.over:
+            if isinstance(how, Won):
+                self.forager.keys.release(self.key, self.attempt)
+        elif isinstance(how, Won):
+            self.won = True
+            self._go(self.forager.loop.time())
+        elif isinstance(how, Known):
+            self._answer(how.answer)
+        elif isinstance(how, Taken):
+            self._refuse(Kind.KEY_BUSY if how.busy else Kind.KEY_SPENT)
+        else:
+            self._refuse(Kind.NO_QUORUM)
+
+    # ---- the pick ------------------------------------------------------------------------
+
+    def _ready(self, now: float) -> list[Rank]:
+        carrier = self.forager.carrier
+        return [rank for ident, rank in self.forager.services.get(self.service, {}).items()
+                if ident not in self.tried and now >= rank.rests_until and carrier.ready(rank.ip)]
+
+    def _pick(self, now: float) -> Rank | None:
+        """Two random ready backends, that with the lower current latency x (in flight + 1) first; both may refuse."""
+        ready = self._ready(now)
+        rng = self.forager.rng
+        two = ready if len(ready) < 2 else rng.sample(ready, 2)
+        pace = self.way.pace
+        timeout = self.way.deadline / pace if pace else 0.0
+        for rank in sorted(two, key=lambda rank: rank.score(now)):
+            if not rank.breaker.refuses(now, timeout, rng):
+                return rank
+        return None
+
+    def _go(self, now: float, again: bool = False) -> bool:
+        """Send it to a backend, or give it up; `again`: what is under way may still bring the answer."""
+        rank = self._pick(now)
+        if rank is None:
+            if not again:
+                self._give_up()
+            return False
+        self.tried.add(rank.id)
+        self.number += 1
+        number = self.number
+        way, request = self.way, self.request
+        if self._lines is None:
+            self._lines = self._write_lines()
+        forward = Forward(
+            0, rank.id, request.method, request.target, self._lines, request.body, self.deadline - now,
+            request.arrived + way.target - now, self.attempt, way.priority, way.safe, self.key,
+            self.attempt if self.key else b"")
+        rank.inflight += 1
+        self.sends += 1
+        if self.sends > 1:
+            self.forager.budget(self.service).spend(now)
+        self.out[number] = (rank, now, _nothing)
+        cancel = self.forager.carrier.carry(rank.ip, forward, lambda reply: self._replied(number, reply))
+        if number in self.out:
+            self.out[number] = (rank, now, cancel)
+            if way.safe and way.pace and self._hedge is None and self.sends < way.tries:
+                at = now + max(HEDGE * way.pace, HEDGE_AIM * way.target)
+                if at + way.pace < self.deadline:
+                    self._hedge = self.forager.loop.call_at(at, self._second)
+        return True
+
+    def _second(self) -> None:
+        """A safe request has been out for long: its answer may be lost."""
+        now = self.forager.loop.time()
+        if not self.over and len(self.out) == 1 and self.forager.budget(self.service).allows(now):
+            self._go(now, True)
+
+    def _write_lines(self) -> list[bytes]:
+        request = self.request
+        lines = [line for line in request.lines if line.partition(b":")[0].lower() not in OWN_LINES]
+        for name in REWRITTEN:
+            value = request.headers.get(name)
+            if value is not None:
+                lines.append(b"%b: %b\r\n" % (name.title(), value))
+        lines.append(b"Lugspur-Sender: %b\r\n" % self.forager.sender.encode())
+        return lines
+
+    # ---- how it ends -----------------------------------------------------------------------
+
+    def _replied(self, number: int, reply: Reply) -> None:
+        rank, since, _ = self.out.pop(number)
+        rank.inflight -= 1
+        loop = self.forager.loop
+        now = loop.time()
+        took, way = now - since, self.way
+        how = reply.how
+        if how == End.ANSWERED and reply.answer is not None:
+            if reply.answer.status < 500:
+                way.pace += (took - way.pace) * (PACE_WEIGHT if way.pace else 1.0)
+                relative = took / way.pace
+                rank.breaker.accepted(now)
+                rank.breaker.sample(relative)
+                rank.learn(relative)
+            else:
+                self._failed(now, rank)
+            if self.over:
+                return
+            if reply.answer.status >= 500 and way.safe:
+                self.last = reply.answer
+                if not self._again(now):
+                    self._finish_failed()
+                return
+            self._answer(reply.answer)
+            return
+        if how == End.NOT_RUN:
+            self.rounds += 1
+            if not reply.sent:
+                self.sends -= 1  # no backend was offered it
+            rank.breaker.failed(now)
+            rank.rests_until = now + REST * (0.5 + self.forager.rng.random())
+        else:
+            self._failed(now, rank)
+            self.maybe = True
+        if self.over:
+            return
+        if not self._again(now):
+            self._finish_failed()
+
+    def _failed(self, now: float, rank: Rank) -> None:
+        rank.breaker.failed(now)
+        rank.learn(LATE)
+
+    def _again(self, now: float) -> bool:
+        """Whether it goes on: something is under way, or another backend may have it."""
+        if self.out:
+            return True
+        if (self.maybe or self.last is not None) and not self.way.safe:
+            return False
+        if self.rounds >= ROUNDS or now >= self.deadline or self.sends >= self.way.tries:
+            return False
+        if self.sends and not self.forager.budget(self.service).allows(now):
+            return False
+        return self._go(now, True)
+
+    def _finish_failed(self) -> None:
+        if self.last is not None:
+            self._answer(self.last)
+        else:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """Nobody will run it: refused where that is proven, else failed."""
+        if self.maybe and not self.way.safe:
+            self._refuse(Kind.MAYBE_RAN)
+            return
+        if self.won:
+            self.forager.keys.release(self.key, self.attempt)
+        self._refuse(Kind.MAYBE_RAN if self.maybe else Kind.NO_BACKEND)
+
+    def _late(self) -> None:
+        if not self.over:
+            if self.won and not self.out and not self.maybe:
+                self.forager.keys.release(self.key, self.attempt)
+            self._refuse(Kind.TOO_LATE)
+
+    def _answer(self, answer: Answer) -> None:
+        self._finish()
+        self.forager.served += 1
+        self.caller.answer(answer.status, answer.head, answer.body)
+
+    def _refuse(self, kind: Kind) -> None:
+        self._finish()
+        if ANSWERS[kind].status == 503:
+            self.forager.refused += 1
+        else:
+            self.forager.failed += 1
+        refuse(self.caller, kind)
+
+    def _gone(self) -> None:
+        """Its caller has left."""
+        if not self.over:
+            self._finish()
+
+    def _finish(self) -> None:
+        self.over = True
+        self.forager.flights.discard(self)
+        for timer in (self._timer, self._hedge):
+            if timer is not None:
+                timer.cancel()
+        if self.key and not self.won:
+            self.forager.keys.drop(self.key, self.attempt)
+        if self.way.safe:
+            for _, _, cancel in list(self.out.values()):
+                cancel()
+
+
+def _nothing() -> None:
+    """Cancels what has not begun."""
--- /dev/null
+++ b/lugspur/hive/gate.py
@@ -0,0 +1,212 @@
+"""Beside the backend: the one way in. Who gets a berth, what goes to the backend, and what its answer proves."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import heapq
+import itertools
+from collections.abc import Callable
+
+from jaspershelf.model import Outcome
+from lugspur.hive.wire import Answer, Forward, Reply
+from lugspur.http1.upstream import Backend, Exchange, Upstream
+from lugspur.membership.rows import read_address
+from lugspur.routing.shares import Shares
+from lugspur.seams import Response
+
+CLOSING_TAKES = 0.25  # of the drain's time: so long after `closing` new work is still taken, as news gets round...
+CLOSING_MOST = 0.4  # seconds, at most
+EXTRA = 1  # requests at the backend beyond its berths: the next one is there when a berth gets free
+QUEUE_BERTHS = 2  # requests that wait here, for each berth
+WAIT_PART = 0.7  # of the time that its answer is worth most in, for waiting here
+WAIT_LATE = 0.25  # ...and of the time that is left, where that is more
+PACE_WEIGHT = 1 / 16  # of one answer in the pace
+GRACE = 0.03  # seconds behind the deadline in which the backend's own word on it may come
+DIAL_WITHIN = 0.5  # seconds: the backend is on this machine
+
+
+class End(enum.IntEnum):
+    """How a request ended here."""
+
+    ANSWERED = 0  # the backend's whole answer
+    NOT_RUN = 1  # proven: it has not run and never will
+    MAYBE = 2  # it was sent, and nothing is known
+    SPOILT = 3  # it was sent, and what came is no answer
+
+
+def judge(status: int, unseen: bool) -> Outcome:
+    """421 and `Lugspur-Not-Delivered` prove that it did not run; all else is the backend's answer."""
+    return Outcome.FULL if unseen or status == 421 else Outcome.OK
+
+
+class Local:
+    """The backend of this machine, in its present life."""
+
+    __slots__ = ("backend", "berths", "closing_at", "down", "heard", "id", "sequence", "service", "state", "warm_at")
+
+    def __init__(self, ident: str, service: str, address: str, now: float) -> None:
+        self.id, self.service = ident, service
+        self.backend = Backend(read_address(address))
+        self.backend.in_service = True
+        self.berths, self.sequence = 1, -1
+        self.state = "accepting"
+        self.closing_at = float("inf")  # when it said so
+        self.heard, self.warm_at = now, now
+        self.down = False  # it took no connection since its last beat
+
+
+class Ticket:
+    """One request in hand."""
+
+    __slots__ = ("exchange", "forward", "local", "over", "respond", "sent", "since", "until")
+
+    def __init__(self, forward: Forward, local: Local, now: float, respond: Callable[[Reply], None]) -> None:
+        self.forward, self.local, self.respond = forward, local, respond
+        self.since = now
+        self.until = now + forward.left
+        self.exchange: Exchange | None = None
+        self.sent = False  # whether the backend was offered it
+        self.over = False
+
+
+class Gate:
+    """All requests for the backend of this machine go through here."""
+
+    def __init__(
+        self, memory: int, files: int, drain: float, done: Callable[[Forward, Answer], None],
+        down: Callable[[Local], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._drain = drain
+        self._done, self._down = done, down
+        self.local: Local | None = None
+        self.leaving = False  # this process ends: nothing new
+        self._upstream = Upstream(
+            Shares(files, {}), "", 20.0, DIAL_WITHIN, memory // 4, memory // 8, judge, proof=b"lugspur-not-delivered",
+            echo=b"lugspur-attempt-id", keeps=64)
+        self._count = itertools.count()
+        self._waiting: list[tuple[int, int, Ticket]] = []  # by priority, then in the order that they came
+        self._at_work = 0
+        self._pace = 0.0  # seconds that an answer takes
+
+    @property
+    def busy(self) -> int:
+        """Requests in hand."""
+        return self._at_work + len(self._waiting)
+
+    def takes(self, now: float, backend: str) -> bool:
+        """Whether new work for that life of the backend is taken."""
+        local = self.local
+        if local is None or local.id != backend or self.leaving or local.down:
+            return False
+        return now <= local.closing_at + min(CLOSING_MOST, CLOSING_TAKES * self._drain)
+
+    def run(self, forward: Forward, respond: Callable[[Reply], None]) -> Ticket | None:
+        """Have the backend run it; the answer comes once. None: it is turned away."""
+        now = self._loop.time()
+        local = self.local
+        if local is None or not self.takes(now, forward.backend) or not self._room(local, forward):
+            respond(Reply(forward.n, End.NOT_RUN, None, False, self.busy))
+            return None
+        ticket = Ticket(forward, local, now, respond)
+        if self._at_work < local.berths + EXTRA:
+            self._send(ticket)
+        else:
+            heapq.heappush(self._waiting, (forward.priority, next(self._count), ticket))
+        return ticket
+
+    def _room(self, local: Local, forward: Forward) -> bool:
+        """Whether it would get its turn while its answer is still worth something."""
+        free = local.berths + EXTRA - self._at_work
+        if free > 0:
+            return True
+        ahead = sum(1 for row in self._waiting if row[0] <= forward.priority and not row[2].over)
+        if ahead >= QUEUE_BERTHS * local.berths or len(self._waiting) >= 2 * QUEUE_BERTHS * local.berths:
+            return False
+        wait = (ahead + 1) * self._pace / max(1, local.berths)
+        return wait <= max(WAIT_PART * (forward.aim - self._pace), WAIT_LATE * forward.left)
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Nobody waits for it any more."""
+        if not ticket.over:
+            if ticket.exchange is not None:
+                ticket.exchange.end(Outcome.CANCELLED)
+            else:
+                ticket.over = True  # it is passed over when its turn comes
+
+    def _next(self) -> None:
+        while self._waiting:
+            local = self.local
+            if self._at_work >= (local.berths if local is not None else 0) + EXTRA:
+                return
+            _, _, ticket = heapq.heappop(self._waiting)
+            if ticket.over:
+                continue
+            now = self._loop.time()
+            if not self.takes_waiting(now, ticket) or now >= ticket.until:
+                self._end(ticket, End.NOT_RUN, None)
+            else:
+                self._send(ticket)
+
+    def takes_waiting(self, now: float, ticket: Ticket) -> bool:
+        """Whether what was taken may still go to the backend: it is the same life, and the drain's time is not up."""
+        local = ticket.local
+        return local is self.local and not local.down and now < local.closing_at + 0.8 * self._drain
+
+    def _send(self, ticket: Ticket) -> None:
+        forward, now = ticket.forward, self._loop.time()
+        self._at_work += 1
+        ticket.sent = True
+        exchange = Exchange(
+            ticket.local.backend, now, ticket.until + GRACE, lambda left: self._bytes(forward, left - GRACE),
+            lambda exchange, outcome, response: self._ended(ticket, outcome, response), repeatable=forward.safe,
+            bodyless=forward.method == b"HEAD")
+        exchange.echo = forward.attempt
+        ticket.exchange = exchange
+        self._upstream.start(exchange)
+
+    @staticmethod
+    def _bytes(forward: Forward, left: float) -> bytes:
+        told = b""
+        if forward.body or forward.method in (b"POST", b"PUT", b"PATCH"):
+            told = b"Content-Length: %d\r\n" % len(forward.body)
+        return b"%b %b HTTP/1.1\r\n%bLugspur-Deliver-By-Ms: %d\r\nLugspur-Deliver-To: %b\r\n%b\r\n%b" % (
+            forward.method, forward.target, b"".join(forward.lines), max(1, int(left * 1000.0)),
+            forward.backend.encode(), told, forward.body)
+
+    def _ended(self, ticket: Ticket, outcome: Outcome, response: Response | None) -> None:
+        self._at_work -= 1
+        if outcome is Outcome.OK and response is not None:
+            took = self._loop.time() - ticket.since
+            self._pace += (took - self._pace) * (PACE_WEIGHT if self._pace else 1.0)
+            if self._sound(ticket.forward, response):
+                answer = Answer(response.status, response.head, response.body)
+                if ticket.forward.key:
+                    self._done(ticket.forward, answer)
+                self._end(ticket, End.ANSWERED, answer)
+            else:
+                self._end(ticket, End.SPOILT, None)
+        elif outcome in (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID):
+            if outcome is Outcome.UNREACHABLE and not ticket.local.down and ticket.local is self.local:
+                ticket.local.down = True
+                self._down(ticket.local)
+            if outcome is not Outcome.FULL:
+                ticket.sent = False
+            self._end(ticket, End.NOT_RUN, None)
+        else:
+            self._end(ticket, End.MAYBE, None)
+        self._next()
+
+    @staticmethod
+    def _sound(forward: Forward, response: Response) -> bool:
+        """Whether it is this request's answer, as the backend meant it."""
+        head = response.head.lower()
+        if b"lugspur-attempt-id:" not in head or b"content-encoding:" in head:
+            return False
+        return response.status // 100 != 2 or b"lugspur-postmark:" in head
+
+    def _end(self, ticket: Ticket, how: End, answer: Answer | None) -> None:
+        if not ticket.over:
+            ticket.over = True
+            ticket.respond(Reply(ticket.forward.n, how, answer, ticket.sent, self.busy))
--- /dev/null
+++ b/lugspur/hive/hand.py
@@ -0,0 +1,348 @@
+"""A forager's process: requests of its machine out, requests for its backend in, and its backend's beats."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from lugspur.hive import notes
+from lugspur.hive.calls import Desk, fail, reply
+from lugspur.hive.errors import HiveError, Kind
+from lugspur.hive.forager import Forager
+from lugspur.hive.gate import End, Gate, Local, Ticket
+from lugspur.hive.items import LIMITS, ROUTES
+from lugspur.hive.link import Dialler, Link
+from lugspur.hive.node import Node
+from lugspur.hive.settings import Settings
+from lugspur.hive.table import Table
+from lugspur.hive.wire import Answer, Cancel, Done, Entry, Forward, Hello, Message, Reply
+from lugspur.http1.front import Front
+from lugspur.http1.intake import Sizes
+from lugspur.membership.rows import read_address
+from lugspur.seams import Answerable, Request
+
+FILES_KEPT = 264  # descriptors for files and what is not counted here; 200 are reserved by the platform
+CALLERS_PART = 0.5  # of the descriptors, for callers; the rest is for the backend and other proxies
+BEATS_MISSED = 3.0  # beats that may be missed until a backend counts as gone
+LEAVE_TAKES = 0.35  # of the time that a process has to end, in which callers are still served anew
+LEAVE_ENDS = 0.9  # ...and by which all ends
+BEAT_MOST = 4096  # bytes of a beat
+
+
+class Spot(msgspec.Struct, array_like=True, frozen=True):
+    """What a forager says of its backend, as a soft entry under its own IP number."""
+
+    id: str
+    service: str
+    zone: str
+    state: str
+    berths: int
+    cold: float  # seconds for which it stays slow, from when it was said
+
+
+class Beat(msgspec.Struct):
+    """A backend's beat."""
+
+    service: str
+    address: str
+    state: str
+    sequence: int
+    berths: int = 1
+    warmup_left_ms: float = 0.0
+
+
+_beat = msgspec.json.Decoder(Beat)
+_pack = msgspec.msgpack.Encoder().encode
+_spot = msgspec.msgpack.Decoder(Spot)
+
+
+class Hand(Node):
+    """One forager's process."""
+
+    def __init__(self, settings: Settings, path: str) -> None:
+        limits, bounds = settings.own.limits, settings.tariffs.bounds
+        self.table = Table()
+        self.spots: dict[str, Spot] = {}  # by the machine's IP number
+        self._cold: dict[str, float] = {}  # when each one's backend is warm
+        self._said: Entry | None = None
+        self._stale_services: set[str] = set()
+        self._carried: dict[str, dict[int, Callable[[Reply], None]]] = {}  # by machine, what waits for a reply
+        self._n = 0
+        self._tickets: dict[tuple[Link, int], Ticket] = {}
+        super().__init__(settings, path, False)
+        self.forager = Forager(self.table, self, self, self.rng, bounds.retry_ratio, bounds.retry_slack,
+                               bounds.retry_window_s)
+        self.forager.sender = settings.own.service
+        self.reloaded.append(self._sender)
+        self.gate = Gate(limits.memory_mb << 20, max(16, limits.file_handles // 4), bounds.drain_ms / 1000.0,
+                         self._done, self._backend_down)
+
+    def _sender(self) -> None:
+        local = self.gate.local
+        self.forager.sender = local.service if local is not None else self.settings.own.service
+
+    async def serve(self) -> None:
+        """Listen: to the hive, to callers, to the platform, and to the backend's beats."""
+        settings = self.settings
+        ip, port = settings.inner
+        listen, limits = settings.network.listen, settings.own.limits
+        await self.loop.create_server(lambda: Link(self._asked, self._ended), ip, port, backlog=512)
+        most = max(64, int((limits.file_handles - FILES_KEPT) * CALLERS_PART))
+        self.front = Front(read_address(listen.outgoing), most, limits.memory_mb << 20, self._handle)
+        self._tune()
+        self._sock = await self.front.listen()
+        desk = Desk()
+        desk.add("GET", "/readiness", self._ready)
+        await desk.serve(listen.readiness, limits.memory_mb << 20)
+        desk = Desk()
+        desk.add("POST", "/backends/*/heartbeat", self._heartbeat)
+        desk.add("POST", "/backends/*/sign-off", self._sign_off)
+        desk.add("POST", "/config/amend", self._elsewhere)
+        desk.add("GET", "/config/read", self._elsewhere)
+        await desk.serve(listen.dispatch, limits.memory_mb << 20)
+
+    def _tune(self) -> None:
+        """Callers are held to the operators' limits."""
+        bounds, limits = self.table.bounds, self.settings.own.limits
+        most = max(64, int((limits.file_handles - FILES_KEPT) * CALLERS_PART))
+        sizes = Sizes(head=bounds.label_bytes + 1024, body=bounds.payload_bytes, ordinary=True)
+        self.front.tune(most, limits.memory_mb << 20, sizes, bounds.label_wait_ms / 1000.0,
+                        bounds.idle_ms / 1000.0, 2.0)
+
+    def _handle(self, request: Request, caller: Answerable) -> None:
+        if not self.known:
+            raise_not_ready(caller)
+            return
+        self.forager.handle(request, caller)
+
+    # ---- calls -------------------------------------------------------------------------------
+
+    def _ready(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        if self.known and len(self.table) and not self.leaving:
+            reply(caller)
+        else:
+            raise HiveError(Kind.LEAVING if self.leaving else Kind.NOT_READY)
+
+    def _elsewhere(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        """A call that only a comb can settle."""
+        seed = self.rng.choice(self.settings.network.seed_nodes)
+        reply(caller, status=307, head=b"Location: http://%b%b\r\n" % (seed.encode(), request.target))
+
+    def _heartbeat(self, request: Request, caller: Answerable, found: list[str]) -> None:
+        try:
+            beat = _beat.decode(request.body[:BEAT_MOST])
+            read_address(beat.address)
+        except (msgspec.MsgspecError, ValueError) as fault:
+            raise HiveError(Kind.BAD_REQUEST, str(fault)) from None
+        now, local = self.loop.time(), self.gate.local
+        if local is None or local.id != found[0]:
+            if local is not None and beat.state != "accepting" and beat.sequence > 0:
+                reply(caller)  # a life that has gone, heard late: it must not take the present one's place
+                return
+            local = Local(found[0], beat.service, beat.address, now)
+            self.gate.local = local
+            notes.note("backend", id=local.id, service=local.service, address=beat.address, state=beat.state)
+        if beat.sequence > local.sequence:
+            local.sequence, local.heard, local.down = beat.sequence, now, False
+            local.berths = max(1, beat.berths)
+            local.warm_at = now + beat.warmup_left_ms / 1000.0
+            if beat.state != "accepting" and local.state == "accepting":
+                local.closing_at = now
+                notes.note("closing", id=local.id)
+            if local.state != "gone":
+                local.state = "accepting" if beat.state == "accepting" and local.state == "accepting" else "closing"
+            self._sender()
+            self._publish()
+        reply(caller)
+
+    def _sign_off(self, request: Request, caller: Answerable, found: list[str]) -> None:
+        local = self.gate.local
+        if local is not None and local.id == found[0]:
+            local.state = "gone"
+            local.closing_at = min(local.closing_at, self.loop.time())
+            notes.note("sign-off", id=local.id)
+            self._publish()
+        reply(caller)
+
+    def _backend_down(self, local: Local) -> None:
+        notes.note("backend-down", id=local.id)
+        self._publish()
+
+    def _publish(self) -> None:
+        """Tell the hive how this machine's backend is, where that has changed."""
+        local = self.gate.local
+        if local is None:
+            return
+        now = self.loop.time()
+        gone = local.state == "gone" or local.down or self.leaving
+        spot = Spot(local.id, local.service, self.settings.own.zone, "gone" if gone else local.state, local.berths,
+                    round(max(0.0, local.warm_at - now), 1))
+        said = self.spots.get(self.ip)
+        if said is not None and self._said is not None and self._said.value is not None and (
+                (said.id, said.service, said.state, said.berths) == (spot.id, spot.service, spot.state, spot.berths)):
+            return
+        self._said = Entry("backend", self.ip, self.edition("backend", self.ip), _pack(spot))
+        self.ledger.merge([self._said])
+        self.report()
+
+    def own_entries(self, again: bool) -> list[Entry]:
+        if self._said is not None and again:
+            self._said = Entry("backend", self.ip, self.edition("backend", self.ip), self._said.value)
+            self.ledger.merge([self._said])
+        return [] if self._said is None else [self._said]
+
+    # ---- news --------------------------------------------------------------------------------
+
+    def changed(self, entry: Entry) -> None:
+        if entry.kind == "backend":
+            if entry.name == self.ip and self._said is not None and entry.edition > self._said.edition:
+                self._said = Entry("backend", self.ip, entry.edition + 1, self._said.value)
+                self.loop.call_soon(self._say_again)
+                return
+            before = self.spots.pop(entry.name, None)
+            if before is not None:
+                self._stale_services.add(before.service)
+            if entry.value is not None:
+                spot = _spot.decode(entry.value)
+                self.spots[entry.name] = spot
+                self._stale_services.add(spot.service)
+                self._cold[entry.name] = self.loop.time() + spot.cold
+            if len(self._stale_services) == 1 or before is None:
+                self.loop.call_soon(self._members)
+        elif entry.kind in (ROUTES, LIMITS) and self.table.change(entry) and hasattr(self, "front"):
+            self._tune()
+
+    def _say_again(self) -> None:
+        if self._said is not None:
+            self.ledger.merge([self._said])
+            self.report()
+
+    def _members(self) -> None:
+        """Services whose backends have changed."""
+        stale, self._stale_services = self._stale_services, set()
+        for service in stale:
+            self.forager.members(service, {
+                spot.id: (ip, spot.zone, spot.berths, self._cold.get(ip, 0.0))
+                for ip, spot in self.spots.items() if spot.service == service and spot.state == "accepting"})
+        self.forager.proxies = max(1, len(self.spots))
+        self._reach()
+
+    def wanted(self) -> set[str]:
+        return super().wanted() | (set(self.spots) - {self.ip})
+
+    def keep_peer(self, ip: str) -> bool:
+        return bool(self._carried.get(ip))
+
+    # ---- carrying requests (see forager.Carrier) -----------------------------------------------
+
+    def ready(self, ip: str) -> bool:
+        """Whether that machine can be reached now."""
+        if ip == self.ip:
+            return True
+        dialler = self.peers.get(ip)
+        return dialler is not None and dialler.link is not None
+
+    def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Callable[[], None]:
+        """Send it to the gate beside that machine's backend."""
+        if ip == self.ip:
+            ticket = self.gate.run(forward, respond)
+            return _nothing if ticket is None else lambda: self.gate.cancel(ticket)
+        dialler = self.peers[ip]
+        link = dialler.link
+        assert link is not None
+        self._n += 1
+        n = forward.n = self._n
+        self._carried.setdefault(ip, {})[n] = respond
+        link.send(forward)
+
+        def cancel() -> None:
+            waits = self._carried.get(ip)
+            found = None if waits is None else waits.pop(n, None)
+            if found is not None:
+                link.send(Cancel(n))
+                found(Reply(n, End.MAYBE))
+        return cancel
+
+    def heard_more(self, now: float, ip: str, message: Message) -> None:
+        if isinstance(message, Reply):
+            waits = self._carried.get(ip)
+            respond = None if waits is None else waits.pop(message.n, None)
+            if respond is not None:
+                respond(message)
+
+    def _down(self, dialler: Dialler) -> None:
+        super()._down(dialler)
+        # What had been sent may run, or have run: nothing proves otherwise.
+        for n, respond in self._carried.pop(dialler.ip, {}).items():
+            respond(Reply(n, End.MAYBE))
+
+    def _asked(self, link: Link, message: Message) -> None:
+        """Something from one who dialled: requests for this machine's backend."""
+        if isinstance(message, Forward):
+            n = message.n
+
+            def respond(said: Reply) -> None:
+                self._tickets.pop((link, n), None)
+                link.send(said)
+            ticket = self.gate.run(message, respond)
+            if ticket is not None and not ticket.over:
+                self._tickets[link, n] = ticket
+        elif isinstance(message, Cancel):
+            ticket = self._tickets.pop((link, message.n), None)
+            if ticket is not None:
+                self.gate.cancel(ticket)
+        elif isinstance(message, Hello):
+            link.peer = message.ip
+            dialler = self.peers.get(message.ip)
+            if dialler is not None:
+                dialler.nudge()
+
+    def _ended(self, link: Link) -> None:
+        for key in [key for key in self._tickets if key[0] is link]:
+            ticket = self._tickets.pop(key)
+            if ticket.forward.safe:  # nobody hears its answer; others' may be kept for a repeat
+                self.gate.cancel(ticket)
+
+    def _done(self, forward: Forward, answer: Answer) -> None:
+        """A keyed operation has run: the seats keep its answer for repeats."""
+        if self.roster is not None:
+            for seat in self.roster.seats:
+                self.to(seat.ip, Done(forward.key, forward.by, answer))
+
+    # ---- time -----------------------------------------------------------------------------------
+
+    def look(self, now: float) -> None:
+        local = self.gate.local
+        if local is not None and local.state != "gone":
+            due = BEATS_MISSED * self.settings.depot.heartbeat_ms / 1000.0 + 1.0
+            if now - local.heard > due:
+                local.state = "gone"
+                notes.note("backend-silent", id=local.id)
+                self._publish()
+
+    async def leave(self) -> None:
+        """SIGTERM: take the readiness back, serve on while callers go elsewhere, end when nothing is open."""
+        self.leaving = True
+        grace = self.settings.tariffs.bounds.grace_s
+        start = self.loop.time()
+        self._publish()
+        self.front.drain(0.5)
+        await asyncio.sleep(LEAVE_TAKES * grace)
+        await self.front.stop_listening(self._sock)
+        self.front.close()
+        self.gate.leaving = True
+        while self.loop.time() < start + LEAVE_ENDS * grace and (
+                self.forager.flights or self.gate.busy or self.front.callers):
+            await asyncio.sleep(0.05)
+        notes.note("left", flights=len(self.forager.flights), busy=self.gate.busy, after=self.loop.time() - start)
+
+
+def raise_not_ready(caller: Answerable) -> None:
+    """Nothing is known yet."""
+    fail(caller, HiveError(Kind.NOT_READY))
+
+
+def _nothing() -> None:
+    """Cancels what is over."""
--- /dev/null
+++ b/lugspur/hive/items.py
@@ -0,0 +1,226 @@
+"""The operator's items: read from a call, checked against what stands, given back as they were sent."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from lugspur.hive.errors import HiveError, Kind
+from lugspur.hive.ledger import Ledger, newer
+from lugspur.hive.wire import Entry
+
+ROUTES, SERVICES, LIMITS = "routes", "services", "limits"
+SOFT = frozenset({"backend", "comb", "roster"})  # kinds of the hive's own: no call of the operator may name them
+DEADLINE_MOST = 600_000.0  # ms, by the protocol
+ITEMS_MOST = 20_000  # in one call: what operators send at first is some thousands at the most
+NAME_MOST = 512  # bytes of a name: lmdb takes keys of 511 with the kind
+CLASSES = ("safe", "unsafe", "upload", "tracked")
+EDITION = re.compile(r"[0-9a-fA-F]{8}")
+
+
+class Share(msgspec.Struct):
+    """A part of a route's requests."""
+
+    service: str
+    share: float
+
+
+class Route(msgspec.Struct):
+    """A route as operators send it; times in milliseconds."""
+
+    name: str
+    office: str
+    path_prefix: str
+    mail_class: str
+    deadline_ms: float
+    edition: str
+    target_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    split: list[Share] | None = None
+    tries: int = 1
+
+    def services(self) -> list[str]:
+        """The services that it may go to."""
+        return [part.service for part in self.split] if self.split else [self.service] if self.service else []
+
+
+class Service(msgspec.Struct):
+    """A service as operators send it."""
+
+    name: str
+    edition: str
+    checkup_path: str = "/"
+    max_connections: int = 0
+    dedupes: bool = False
+
+
+class Bounds(msgspec.Struct):
+    """The item `limits`: what a client may send, in bytes, and how long it may take, in milliseconds."""
+
+    edition: str = "00000000"
+    label_bytes: int = 16384
+    payload_bytes: int = 64 << 20
+    label_wait_ms: float = 3000.0
+    idle_ms: float = 15000.0
+
+
+class _Named(msgspec.Struct):
+    name: str
+    edition: str
+
+
+class _Edition(msgspec.Struct):
+    edition: str
+
+
+class _Call(msgspec.Struct):
+    upsert: dict[str, msgspec.Raw] = {}
+    withdraw: dict[str, list[_Named]] = {}
+
+
+_call = msgspec.json.Decoder(_Call)
+_list = msgspec.json.Decoder(list[msgspec.Raw])
+_named = msgspec.json.Decoder(_Named)
+_edition = msgspec.json.Decoder(_Edition)
+_route = msgspec.json.Decoder(Route)
+_service = msgspec.json.Decoder(Service)
+_bounds = msgspec.json.Decoder(Bounds)
+
+
+def _number(edition: str) -> int:
+    if not EDITION.fullmatch(edition):
+        raise HiveError(Kind.BAD_CONFIG, f"edition {edition!r} is not eight hexadecimal digits")
+    return int(edition, 16)
+
+
+def read_route(value: bytes) -> Route:
+    """A route of an entry."""
+    return _route.decode(value)
+
+
+def read_service(value: bytes) -> Service:
+    """A service of an entry."""
+    return _service.decode(value)
+
+
+def read_bounds(value: bytes) -> Bounds:
+    """The limits of their entry."""
+    return _bounds.decode(value)
+
+
+def read_call(body: bytes) -> list[Entry]:
+    """The entries of a call, each checked by itself; raises HiveError (BAD_CONFIG)."""
+    try:
+        msgspec.json.decode(body)  # Guards against bytes that Raw would pass over
+        call = _call.decode(body)
+        entries = [entry for kind, raw in call.upsert.items() for entry in _upsert(kind, raw)]
+        for kind, dropped in call.withdraw.items():
+            _kind(kind)
+            entries += [Entry(kind, _name(d.name), _number(d.edition), None) for d in dropped]
+    except (msgspec.DecodeError, msgspec.ValidationError) as fault:
+        raise HiveError(Kind.BAD_CONFIG, str(fault)) from None
+    if len(entries) > ITEMS_MOST:
+        raise HiveError(Kind.BAD_CONFIG, f"more than {ITEMS_MOST} items in one call")
+    seen: dict[tuple[str, str], Entry] = {}
+    for entry in entries:
+        before = seen.get((entry.kind, entry.name))
+        if before is not None and before.edition == entry.edition and before.value != entry.value:
+            raise HiveError(Kind.BAD_CONFIG, f"{entry.kind} {entry.name!r} comes twice under one edition")
+        if newer(entry, before):
+            seen[(entry.kind, entry.name)] = entry
+    return list(seen.values())
+
+
+def _kind(kind: str) -> None:
+    if kind in SOFT or not kind.isidentifier() or len(kind) > 64:
+        raise HiveError(Kind.BAD_CONFIG, f"no items of kind {kind!r}")
+
+
+def _name(name: str) -> str:
+    if not name or len(name.encode()) > NAME_MOST - 80:
+        raise HiveError(Kind.BAD_CONFIG, "a name is empty or too long")
+    return name
+
+
+def _upsert(kind: str, raw: msgspec.Raw) -> list[Entry]:
+    _kind(kind)
+    if kind == LIMITS:
+        return [Entry(LIMITS, "", _number(_bounds.decode(raw).edition), bytes(raw))]
+    entries = []
+    for item in _list.decode(raw):
+        named = _named.decode(item)
+        if kind == ROUTES:
+            _check_route(_route.decode(item))
+        elif kind == SERVICES:
+            _service.decode(item)
+        entries.append(Entry(kind, _name(named.name), _number(named.edition), bytes(item)))
+    return entries
+
+
+def _check_route(route: Route) -> None:
+    """What makes a route invalid by itself."""
+    name = route.name
+    if not 0.0 < route.deadline_ms <= DEADLINE_MOST:
+        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: deadline_ms {route.deadline_ms:g} is not in (0, 600000]")
+    if not route.path_prefix.startswith("/"):
+        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: path_prefix does not begin with a slash")
+    if route.mail_class not in CLASSES:
+        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: mail_class {route.mail_class!r} is unknown")
+    if not route.services() or (route.split and route.service):
+        raise HiveError(Kind.BAD_CONFIG, f"route {name!r} needs a service or a split")
+    if route.split and (min(p.share for p in route.split) < 0.0 or not any(p.share > 0.0 for p in route.split)):
+        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: the shares of its split say nothing")
+    if not route.office or route.tries < 1:
+        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: office is empty or tries is under 1")
+
+
+def check(entries: list[Entry], ledger: Ledger) -> None:
+    """Whether what would come into force may stand beside the rest; raises HiveError.
+
+    Only what takes effect is held against the rest: an old change that arrives again changes nothing.
+    """
+    taking = {}
+    for entry in entries:
+        standing = ledger.get(entry.kind, entry.name)
+        if standing is not None and standing.edition == entry.edition and standing.value != entry.value:
+            raise HiveError(Kind.CONFLICT, f"{entry.kind} {entry.name!r} has another content under that edition")
+        if newer(entry, standing):
+            taking[(entry.kind, entry.name)] = entry
+    services = set(ledger.standing(SERVICES))
+    routes = ledger.standing(ROUTES)
+    for (kind, name), entry in taking.items():
+        if kind == SERVICES:
+            (services.discard if entry.value is None else services.add)(name)
+        elif kind == ROUTES and entry.value is None:
+            routes.pop(name, None)
+        elif kind == ROUTES and entry.value is not None:
+            routes[name] = entry.value
+    read = {name: read_route(value) for name, value in routes.items()}
+    places: dict[tuple[str, str], list[str]] = {}
+    for name, route in read.items():
+        places.setdefault((route.office.lower(), route.path_prefix), []).append(name)
+    gone = {name for (kind, name), entry in taking.items() if kind == SERVICES and entry.value is None}
+    for name, route in read.items():
+        touched = (ROUTES, name) in taking
+        for service in route.services():
+            if service not in services and (touched or service in gone):
+                raise HiveError(Kind.BAD_CONFIG, f"route {name!r} names the unknown service {service!r}")
+        others = [other for other in places[route.office.lower(), route.path_prefix] if other != name]
+        if touched and others:
+            raise HiveError(Kind.BAD_CONFIG, f"routes {name!r} and {others[0]!r} share host and prefix")
+
+
+def read_back(ledger: Ledger) -> bytes:
+    """All items that stand, as they were sent."""
+    kinds: dict[str, Any] = {ROUTES: [], SERVICES: []}
+    for entry in ledger.all():
+        if entry.kind in SOFT or entry.value is None:
+            continue
+        if entry.kind == LIMITS:
+            kinds[LIMITS] = msgspec.Raw(entry.value)
+        else:
+            kinds.setdefault(entry.kind, []).append(msgspec.Raw(entry.value))
+    return msgspec.json.encode(kinds)
--- /dev/null
+++ b/lugspur/hive/keeper.py
@@ -0,0 +1,373 @@
+"""A comb's process: it keeps the hive's state, tells all who subscribe, and takes operators' calls."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from typing import Any
+
+import msgspec
+
+from lugspur.hive import notes
+from lugspur.hive.calls import Desk, fail, reply
+from lugspur.hive.comb import GENESIS, Comb, Effects, majority
+from lugspur.hive.disk import Disk
+from lugspur.hive.errors import HiveError, Kind
+from lugspur.hive.link import Link
+from lugspur.hive.node import LOOK, Node
+from lugspur.hive.settings import Settings
+from lugspur.hive.steward import Outcome, Presence, Steward, proposal, target
+from lugspur.hive.wire import (
+    Accept,
+    Accepted,
+    Ask,
+    Claim,
+    Delta,
+    Done,
+    Entry,
+    Fetch,
+    Hello,
+    Message,
+    Pong,
+    Prepare,
+    Promise,
+    Put,
+    Release,
+    Report,
+    Seat,
+    State,
+    Sync,
+)
+from lugspur.seams import Answerable, Request
+
+LEASE = 4.0  # seconds without a word after which what a process said of itself is dropped
+FETCH_EVERY = 0.5  # seconds between calls for all that the other seats have
+SWEEP_EVERY = 1.0  # seconds between looks at claims whose window is over
+LAZY = 0.1  # seconds for which rows that nobody waits for may wait for others
+PATIENCE = 2.0  # seconds beyond the time in which machines count as in touch, until a silent seat is replaced
+LEAVE_PART = 0.5  # of the time that a process has to end, for handing its seat on
+
+_pack = msgspec.msgpack.Encoder().encode
+_presence = msgspec.msgpack.Decoder(Presence)
+
+
+class Here:
+    """This process as a peer of its own comb."""
+
+    def __init__(self, node: Keeper) -> None:
+        self._node = node
+        self.peer = node.ip
+
+    def send(self, message: Message) -> None:
+        """Hand it over in the loop's next turn, as a connection would."""
+        self._node.loop.call_soon(self._node.heard, self._node.ip, message)
+
+
+class Subscriber:
+    """One who is told of changes."""
+
+    __slots__ = ("at", "entries", "link", "pinged")
+
+    def __init__(self, link: Link, at: int) -> None:
+        self.link, self.at = link, at
+        self.pinged = 0.0
+
+
+class Keeper(Node):
+    """One comb's process."""
+
+    def __init__(self, settings: Settings, path: str) -> None:
+        limits, own = settings.own.limits, settings.own
+        self.disk = Disk(own.data_dir, limits.disk_mb)
+        rows = self.disk.rows()
+        self.subscribers: dict[Link, Subscriber] = {}
+        self.leases: dict[tuple[str, str], tuple[Link, int, float]] = {}  # who said it, its edition, heard last
+        self._flushing = False
+        self._lazy = False
+        self._states: dict[str, tuple[int, list[State]]] = {}
+        self._fetch_at = self._sweep_at = 0.0
+        self._said: Entry | None = None
+        super().__init__(settings, path, True)
+        self.here = Here(self)
+        self.comb = Comb(own.ip, os.urandom(8).hex(), own.zone, settings.tariffs.bounds.stamp_window_s,
+                         limits.memory_mb << 20, self.ledger)
+        self.steward = Steward(own.ip, self.rng)
+        self.disk.start()
+        if rows:
+            self.comb.restore(rows, self.loop.time())
+        elif own.first_start and own.ip in settings.seeds:
+            self.comb.seat = Seat(own.ip, GENESIS, own.zone)
+            self.do(self.comb.begin([Seat(ip, GENESIS, "") for ip in settings.seeds]))
+        else:
+            self.disk.write([(b"muid", self.comb.seat.uid.encode())], lambda: None)
+        notes.note("comb", uid=self.comb.seat.uid, epoch=self.comb.epoch, full=self.comb.full, rows=len(rows))
+        self.announce()
+
+    # ---- serving its kind ------------------------------------------------------------------
+
+    async def serve(self) -> None:
+        """Listen to the hive, and to operators."""
+        ip, port = self.settings.inner
+        await self.loop.create_server(lambda: Link(self._asked, self._ended), ip, port, backlog=512)
+        desk = Desk()
+        desk.add("POST", "/config/amend", self._amend)
+        desk.add("GET", "/config/read", self._read)
+        self.front = await desk.serve(self.settings.network.listen.dispatch, self.settings.own.limits.memory_mb << 20)
+
+    def _amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        def over(fault: HiveError | None) -> None:
+            notes.note("amend", bytes=len(request.body), fault=fault or "none")
+            if fault is None:
+                reply(caller)
+            else:
+                fail(caller, fault)
+        self.amend(request.body, over)
+
+    def _read(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        def over(body: bytes | None) -> None:
+            if body is None:
+                fail(caller, HiveError(Kind.NO_QUORUM, "too few combs answer"))
+            else:
+                reply(caller, body)
+        self.read(over)
+
+    def _ended(self, link: Link) -> None:
+        self.subscribers.pop(link, None)
+
+    def _asked(self, link: Link, message: Message) -> None:
+        """Something from one who dialled."""
+        if isinstance(message, Hello):
+            link.peer = message.ip
+            dialler = self.peers.get(message.ip)
+            if dialler is not None:
+                dialler.nudge()
+        elif isinstance(message, Sync):
+            since = message.since if message.life == self.life and message.since <= self.ledger.upto else 0
+            self.subscribers[link] = Subscriber(link, since)
+            self._tell(self.subscribers[link], True)
+        elif isinstance(message, Report):
+            now = self.loop.time()
+            for entry in message.entries:
+                if entry.kind in ("backend", "comb"):
+                    self.leases[entry.kind, entry.name] = (link, entry.edition, now)
+            self.take([e for e in message.entries if e.kind in ("backend", "comb")])
+        elif not isinstance(message, Pong):
+            self._judge(link, message)
+
+    def _judge(self, peer: Any, message: Message) -> None:
+        """Something for this comb as a seat."""
+        now, comb = self.loop.time(), self.comb
+        if isinstance(message, Claim):
+            self.do(comb.claim(now, peer, message))
+        elif isinstance(message, Done):
+            self.do(comb.done(now, message))
+        elif isinstance(message, Release):
+            self.do(comb.release(message))
+        elif isinstance(message, Ask):
+            self._flush()  # what changed goes ahead of the answer
+            self.do(comb.ask(peer, message))
+        elif isinstance(message, Put):
+            self.do(comb.put(peer, message))
+        elif isinstance(message, Prepare):
+            self.do(comb.prepare(peer, message))
+        elif isinstance(message, Accept):
+            self.do(comb.accept(peer, message))
+        elif isinstance(message, Fetch):
+            self.do(comb.fetch(now, peer, message))
+
+    def do(self, effects: Effects) -> None:
+        """Send, write, and send the rest once that is on disk."""
+        for peer, message in effects.send:
+            peer.send(message)
+        if not effects.write and not effects.then:
+            return
+        if effects.then:
+            then = effects.then
+
+            def written() -> None:
+                for peer, message in then:
+                    peer.send(message)
+
+            self.disk.write(effects.write, written)
+        else:
+            self.disk.write(effects.write)
+            if not self._lazy:
+                self._lazy = True
+                self.loop.call_later(LAZY, self._write_lazy)
+
+    def _write_lazy(self) -> None:
+        self._lazy = False
+        self.disk.flush()
+
+    def to(self, ip: str, message: Message) -> None:
+        if ip == self.ip:
+            self.loop.call_soon(self._judge, self.here, message)
+        else:
+            super().to(ip, message)
+
+    def take(self, entries: list[Entry]) -> None:
+        """Entries from others."""
+        taken = self.ledger.merge(entries)
+        if taken:
+            self.merged(taken)
+
+    def merged(self, taken: list[Entry]) -> None:
+        self.do(self.comb.heard(taken))
+
+    # ---- telling others --------------------------------------------------------------------
+
+    def changed(self, entry: Entry) -> None:
+        if not self._flushing:
+            self._flushing = True
+            self.loop.call_soon(self._flush)
+        if entry.kind == "comb" and entry.name == self.ip and self._said is not None and entry != self._said:
+            self.loop.call_soon(self.announce)  # it was dropped, or stands as an older life left it
+
+    def _flush(self) -> None:
+        self._flushing = False
+        for subscriber in self.subscribers.values():
+            if subscriber.at < self.ledger.upto:
+                self._tell(subscriber)
+
+    def _tell(self, subscriber: Subscriber, first: bool = False) -> None:
+        now = self.loop.time()
+        entries = self.ledger.after(subscriber.at)
+        subscriber.at = self.ledger.upto
+        subscriber.pinged = now
+        subscriber.link.send(Delta(self.life, self.ledger.upto, min(1e6, self.age(now)), self.full(), entries))
+
+    def full(self) -> bool:
+        return self.comb.full
+
+    def follows(self, ip: str) -> bool:
+        return True
+
+    def own_entries(self, again: bool) -> list[Entry]:
+        return [] if self._said is None else [self._said]
+
+    def announce(self) -> None:
+        """Say what this comb is."""
+        value = _pack(Presence(self.comb.seat.uid, self.settings.own.zone, self.leaving))
+        standing = self.ledger.get("comb", self.ip)
+        if standing is not None and standing == self._said and standing.value == value:
+            return
+        self._said = Entry("comb", self.ip, self.edition("comb", self.ip), value)
+        self.ledger.merge([self._said])
+        for dialler in self.peers.values():
+            if dialler.link is not None:
+                dialler.link.send(Report([self._said]))
+
+    # ---- the roster -------------------------------------------------------------------------
+
+    def roster_changed(self) -> None:
+        assert self.roster is not None
+        self.do(self.comb.adopt(self.roster))
+        self._states.clear()
+        self._fetch_at = 0.0
+
+    def heard_more(self, now: float, ip: str, message: Message) -> None:
+        ballot = self.steward.ballot
+        if isinstance(message, State):
+            self._state(now, ip, message)
+        elif isinstance(message, Promise) and ballot is not None:
+            self._ballot(ballot.promise(ip, message))
+        elif isinstance(message, Accepted) and ballot is not None:
+            self._ballot(ballot.accepted(ip, message))
+
+    def _ballot(self, outcome: Outcome) -> None:
+        ballot = self.steward.ballot
+        if ballot is not None:
+            for message in outcome.send:
+                for seat in ballot.roster.seats:
+                    self.to(seat.ip, message)
+        if outcome.decided is not None:
+            notes.note("ballot", epoch=outcome.decided.epoch, seats=",".join(s.ip for s in outcome.decided.seats))
+            self.do(self.comb.adopt(outcome.decided))
+
+    def _state(self, now: float, ip: str, message: State) -> None:
+        """A part of what another seat has."""
+        if message.epoch != self.comb.epoch or self.comb.full:
+            return
+        epoch, parts = self._states.get(ip, (message.epoch, []))
+        if parts and parts[-1].last:
+            parts = []
+        parts.append(message)
+        self._states[ip] = (epoch, parts)
+        whole = [p for _, p in self._states.values() if p[-1].last]
+        assert self.comb.roster is not None
+        need = majority(self.comb.roster.before or len(self.comb.roster.seats))
+        if len(whole) >= need:
+            self.do(self.comb.caught_up(now, message.epoch, [part for p in whole for part in p]))
+            self._states.clear()
+            notes.note("caught-up", epoch=self.comb.epoch, claims=self.comb.claims, full=self.comb.full)
+
+    def _down(self, dialler: Any) -> None:
+        self._states.pop(dialler.ip, None)
+        super()._down(dialler)
+
+    def look(self, now: float) -> None:
+        self._leases(now)
+        for subscriber in list(self.subscribers.values()):
+            if now - subscriber.link.at > LEASE:
+                subscriber.link.close()
+            elif now - subscriber.pinged >= self.ping - LOOK / 2:
+                self._tell(subscriber)
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_EVERY
+            self.do(self.comb.sweep(now))
+        roster = self.comb.roster
+        if roster is None:
+            return
+        if self.comb.seated and not self.comb.full and now >= self._fetch_at:
+            self._fetch_at = now + FETCH_EVERY
+            for seat in roster.seats:
+                if seat.ip != self.ip:
+                    self.to(seat.ip, Fetch(roster))
+        if self.comb.full:
+            self._ballot(self.steward.look(now, roster, self._wanted(now)))
+
+    def _wanted(self, now: float) -> Any:
+        """The roster that should follow, where enough seats are there to decide it."""
+        roster = self.comb.roster
+        assert roster is not None
+        bounds, tolerate = self.settings.tariffs.bounds, self.settings.tariffs.tolerate
+        there = [s for s in roster.seats if s.ip == self.ip or now - self.heard_at.get(s.ip, -1e9) < self.stale]
+        if len(there) < majority(len(roster.seats)):
+            return None
+        absent = {}
+        for seat in roster.seats:
+            dialler = self.peers.get(seat.ip)
+            if seat.ip != self.ip and dialler is not None:
+                absent[seat.ip] = now - (dialler.link.at if dialler.link is not None else dialler.since)
+        combs = {name: _presence.decode(value) for name, value in self.ledger.standing("comb").items()}
+        # A comb that is out of reach is none to choose: what it said of itself is dropped when its lease is over.
+        return proposal(roster, combs, absent, bounds.contact_ms / 1000.0 + PATIENCE,
+                        target(tolerate.machines, tolerate.zones))
+
+    def _leases(self, now: float) -> None:
+        """Drop what was said by those who are silent."""
+        for (kind, name), (link, edition, at) in list(self.leases.items()):
+            if link.open:
+                if now - at > 1.0:
+                    self.leases[kind, name] = (link, edition, max(at, link.at))
+            elif now - max(at, link.at) > LEASE:
+                del self.leases[kind, name]
+                standing = self.ledger.get(kind, name)
+                if standing is not None and standing.edition == edition and standing.value is not None:
+                    self.take([Entry(kind, name, edition + 1, None)])
+
+    # ---- the end ---------------------------------------------------------------------------
+
+    async def leave(self) -> None:
+        """SIGTERM: hand the seat on where another comb can take it, then end."""
+        self.leaving = True
+        self.announce()
+        until = self.loop.time() + LEAVE_PART * self.settings.tariffs.bounds.grace_s
+        while self.loop.time() < until and self.comb.seated:
+            seated = {seat.ip for seat in self.comb.roster.seats} if self.comb.roster is not None else set()
+            if not set(self.ledger.standing("comb")) - seated:
+                break
+            await asyncio.sleep(LOOK)
+        await asyncio.sleep(0.3)
+        self.front.close()
+        self.disk.close(1.0)
--- /dev/null
+++ b/lugspur/hive/link.py
@@ -0,0 +1,189 @@
+"""One connection between two processes of the hive: frames in, frames out, all of one turn of the loop in one write."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+from lugspur.hive import notes
+from lugspur.hive.wire import Message, decode, encode
+
+FRAME_MOST = 96 << 20  # bytes of one frame: the largest body that operators allow is 64 MiB, and heads beside it
+UNSENT_MOST = 48 << 20  # bytes that may wait for a peer that does not read: then it counts as gone
+USER_TIMEOUT = 1500  # ms without an acknowledgement after which a connection is dead: a cut says nothing
+KEEP_IDLE, KEEP_EVERY, KEEP_COUNT = 2, 1, 2  # s, s, probes: where nothing is sent, a dark machine shows in 4 s
+
+
+def alert(sock: socket.socket) -> None:
+    """Have the system tell of a peer that is silent: a machine without power sends no reset."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_IDLE)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_EVERY)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_COUNT)
+
+
+class Link(asyncio.Protocol):
+    """`heard` is given each message, `ended` is told once that nothing more comes or goes."""
+
+    def __init__(
+        self, heard: Callable[[Link, Message], None], ended: Callable[[Link], None],
+        begun: Callable[[Link], None] | None = None,
+    ) -> None:
+        self._heard, self._ended, self._begun = heard, ended, begun
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._in = bytearray()
+        self._out: list[bytes] = []
+        self._size = 0
+        self.open = True
+        self.peer = ""  # the IP number of who dialled, once it has said Hello
+        self.at = 0.0  # the loop's time of the latest message
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
+        alert(transport.get_extra_info("socket"))
+        self.at = self._loop.time()
+        if self._begun is not None:
+            self._begun(self)
+        self._flush()
+
+    def data_received(self, data: bytes) -> None:
+        self.at = self._loop.time()
+        held = self._in
+        held += data
+        at, end = 0, len(held)
+        while end - at >= 4 and self.open:
+            size = int.from_bytes(held[at:at + 4], "big")
+            if size > FRAME_MOST:  # Guards memory against a peer that announces more than any message has.
+                notes.warn("frame", peer=self.peer, size=size)
+                self.close()
+                return
+            if end - at - 4 < size:
+                break
+            try:
+                message = decode(bytes(held[at + 4:at + 4 + size]))
+            except (msgspec.DecodeError, msgspec.ValidationError) as fault:
+                notes.warn("frame", peer=self.peer, fault=str(fault))
+                self.close()
+                return
+            at += 4 + size
+            self._heard(self, message)
+        del held[:at]
+
+    def send(self, message: Message) -> None:
+        """Write it with all else of this turn of the loop."""
+        if not self.open:
+            return
+        frame = encode(message)
+        self._size += len(frame)
+        if not self._out:
+            self._loop.call_soon(self._flush)
+        self._out.append(frame)
+        if self._size > UNSENT_MOST:  # Guards memory against a peer that is not there yet and never comes.
+            self.close()
+
+    def _flush(self) -> None:
+        transport = self._transport
+        if transport is None or not self._out or not self.open:
+            return
+        data, self._out, self._size = b"".join(self._out), [], 0
+        transport.write(data)
+        if transport.get_write_buffer_size() > UNSENT_MOST:  # Guards memory against a peer that does not read.
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end()
+
+    def close(self) -> None:
+        """Drop it at once."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._end()
+
+    def _end(self) -> None:
+        if self.open:
+            self.open = False
+            self._out.clear()
+            self._ended(self)
+
+
+class Dialler:
+    """Keeps one connection to a peer: dials, and dials again with a growing pause."""
+
+    def __init__(
+        self, ip: str, port: int, own: str, heard: Callable[[Link, Message], None],
+        up: Callable[[Dialler], None], down: Callable[[Dialler], None],
+    ) -> None:
+        self.ip, self._port, self._own = ip, port, own
+        self._heard, self._up, self._down = heard, up, down
+        self._loop = asyncio.get_running_loop()
+        self.link: Link | None = None  # while it is up
+        self._closed = False
+        self.failures = 0  # dials in a row that brought nothing
+        self.since = self._loop.time()  # when it went up or down
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._dial()
+
+    def _dial(self) -> None:
+        self._timer = None
+        if not self._closed and self._task is None:
+            self._task = self._loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        link = Link(self._heard, self._lost)
+        link.peer = self.ip
+        try:
+            async with asyncio.timeout(DIAL_WITHIN):
+                await self._loop.create_connection(lambda: link, self.ip, self._port, local_addr=(self._own, 0))
+        except (OSError, TimeoutError):
+            self._task = None
+            self.failures += 1
+            self._again()
+            return
+        self._task = None
+        if self._closed:
+            link.close()
+        elif link.open:
+            self.link, self.failures, self.since = link, 0, self._loop.time()
+            self._up(self)
+        else:
+            self._again()
+
+    def nudge(self) -> None:
+        """Something speaks for it: dial now where a pause is on."""
+        if self._timer is not None and self.failures > 1:
+            self._timer.cancel()
+            self._dial()
+
+    def _again(self) -> None:
+        if not self._closed and self._timer is None:
+            pause = min(DIAL_MOST, DIAL_FIRST * 2.0 ** min(self.failures, 6))
+            self._timer = self._loop.call_later(pause, self._dial)
+
+    def _lost(self, link: Link) -> None:
+        if self.link is link:
+            self.link, self.since = None, self._loop.time()
+            if not self._closed:
+                self._down(self)
+                self._again()
+
+    def close(self) -> None:
+        """End it."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+        if self.link is not None:
+            self.link.close()
+
+
+DIAL_WITHIN = 0.6  # seconds: a cut hangs, and zones are milliseconds apart
+DIAL_FIRST, DIAL_MOST = 0.02, 0.5  # seconds between dials: a peer that comes back is wanted within its first second
--- /dev/null
+++ b/lugspur/hive/notes.py
@@ -0,0 +1,37 @@
+"""Logs: one line of key=value pairs for each event, through logbook, on standard error."""
+
+from __future__ import annotations
+
+import sys
+
+import logbook
+
+_logger = logbook.Logger("hive")
+
+
+def start(node: str) -> None:
+    """Send all events to standard error, each with the time and the node's name."""
+    handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
+    handler.format_string = f"{{record.time:%H:%M:%S.%f}} node={node} level={{record.level_name}} {{record.message}}"
+    handler.push_application()
+
+
+def note(event: str, **pairs: object) -> None:
+    """One event; values with spaces are quoted."""
+    _logger.info(_line(event, pairs))
+
+
+def warn(event: str, **pairs: object) -> None:
+    """One event that operators should look at."""
+    _logger.warning(_line(event, pairs))
+
+
+def _line(event: str, pairs: dict[str, object]) -> str:
+    words = [f"event={event}"]
+    for key, value in pairs.items():
+        text = f"{value:.6g}" if isinstance(value, float) else str(value)
+        if not text or any(c in text for c in ' "=\n'):
+            # Guards the line against values that would read as further pairs or further lines.
+            text = '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+        words.append(f"{key}={text}")
+    return " ".join(words)
--- /dev/null
+++ b/lugspur/hive/program.py
@@ -0,0 +1,62 @@
+"""One program for all machines: what its settings file says it is, it becomes."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+
+import uvloop
+
+from lugspur.hive import notes
+from lugspur.hive.errors import HiveError
+from lugspur.hive.node import Node
+from lugspur.hive.settings import DEFAULT, VARIABLE, Settings, load
+
+GC_YOUNG = 20_000  # objects made until the youngest are looked at: requests leave few cycles behind
+
+
+def serve() -> int:
+    """Run until SIGTERM; returns the exit status."""
+    path = os.environ.get(VARIABLE, DEFAULT)
+    try:
+        settings = load(path)
+    except HiveError as fault:
+        notes.start("unknown")
+        notes.warn("settings", fault=fault.detail)
+        return 2
+    notes.start(settings.own.node_name)
+    try:
+        return uvloop.run(_run(settings, path))
+    except HiveError as fault:
+        notes.warn("stopped", code=fault.code, fault=fault.detail)
+        return 1
+
+
+async def _run(settings: Settings, path: str) -> int:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    # Imported only where it is run: starting counts, and on a small machine each module takes its time.
+    node: Node
+    if settings.keeps:
+        from lugspur.hive.keeper import Keeper
+        keeper = node = Keeper(settings, path)
+        await keeper.serve()
+        leave = keeper.leave
+    else:
+        from lugspur.hive.hand import Hand
+        hand = node = Hand(settings, path)
+        await hand.serve()
+        leave = hand.leave
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_YOUNG, 20, 50)
+    notes.note("serving", ip=node.ip, keeps=settings.keeps, first=settings.own.first_start)
+    await stop.wait()
+    notes.note("leaving")
+    await leave()
+    return 0
--- /dev/null
+++ b/lugspur/hive/settings.py
@@ -0,0 +1,162 @@
+"""The settings file: what a process is told of its machine, its neighbours and the bounds it must keep."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import dacite
+
+from lugspur.hive.errors import HiveError, Kind
+from lugspur.membership.rows import Address, read_address
+
+VARIABLE = "LUGSPUR_NODE_FILE"  # names the file
+DEFAULT = "/etc/lugspur/settings.toml"
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the machine gives this process."""
+
+    cpu_share: float = 1.0
+    memory_mb: int = 256
+    file_handles: int = 1024
+    disk_mb: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Own:
+    """The table `self`."""
+
+    node_name: str
+    ip: str
+    zone: str
+    serves: list[str]
+    machine_class: str = ""
+    role: str = ""
+    counted: bool = False
+    first_start: bool = False
+    app_address: str = ""
+    service: str = ""
+    data_dir: str = ""
+    limits: Limits = field(default_factory=Limits)
+
+
+@dataclass(slots=True, frozen=True)
+class Listen:
+    """Addresses to serve at; empty: not served."""
+
+    incoming: str = ""
+    outgoing: str = ""
+    readiness: str = ""
+    dispatch: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Network:
+    """The table `network`."""
+
+    inner_ports: list[int]
+    seed_nodes: list[str]
+    listen: Listen = field(default_factory=Listen)
+    zones: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Depot:
+    """The table `depot`."""
+
+    heartbeat_ms: float = 1500.0
+
+
+@dataclass(slots=True, frozen=True)
+class Tolerate:
+    """What may be lost at once."""
+
+    machines: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """The figures of the rules; the file's names, in the units that these end with."""
+
+    contact_ms: float = 3000.0
+    receipt_ms: float = 4000.0
+    catch_up_s: float = 4.0
+    drain_ms: float = 2000.0
+    grace_s: float = 6.0
+    edition_ms: float = 2000.0
+    fallback_ms: float = 250.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 10.0
+    stamp_window_s: float = 60.0
+    seed_lag_s: float = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class Tariffs:
+    """The table `tariffs`."""
+
+    contracts: list[str] = field(default_factory=list)
+    tolerate: Tolerate = field(default_factory=Tolerate)
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """The whole file."""
+
+    own: Own
+    network: Network
+    depot: Depot = field(default_factory=Depot)
+    tariffs: Tariffs = field(default_factory=Tariffs)
+
+    @property
+    def inner(self) -> Address:
+        """Where this process listens to its own kind."""
+        return self.own.ip, self.network.inner_ports[0]
+
+    @property
+    def seeds(self) -> list[str]:
+        """The seeds' IP numbers; all machines use the same ports."""
+        return [read_address(seed)[0] for seed in self.network.seed_nodes]
+
+    @property
+    def keeps(self) -> bool:
+        """Whether it holds the hive's state: it serves operators and has a disk."""
+        return "dispatch" in self.own.serves and bool(self.own.data_dir)
+
+
+def parse(data: dict[str, Any]) -> Settings:
+    """Check a file's tables; unknown fields are ignored. Raises HiveError (SETTINGS)."""
+    named = {("own" if name == "self" else name): value for name, value in data.items()}
+    try:
+        settings = dacite.from_dict(Settings, named, dacite.Config(cast=[float]))
+        for address in (*settings.network.seed_nodes, settings.own.app_address, settings.network.listen.incoming,
+                        settings.network.listen.outgoing, settings.network.listen.readiness,
+                        settings.network.listen.dispatch):
+            if address:
+                read_address(address)
+    except (dacite.DaciteError, ValueError, TypeError) as fault:
+        raise HiveError(Kind.SETTINGS, str(fault)) from None
+    if not settings.network.inner_ports:
+        raise HiveError(Kind.SETTINGS, "network.inner_ports is empty")
+    bounds = settings.tariffs.bounds
+    for name in ("edition_ms", "stamp_window_s", "grace_s", "retry_window_s"):
+        if getattr(bounds, name) <= 0.0:
+            raise HiveError(Kind.SETTINGS, f"tariffs.bounds.{name} is not above 0")
+    return settings
+
+
+def load(path: str | Path) -> Settings:
+    """Read the file; raises HiveError (SETTINGS) with what is wrong."""
+    try:
+        with open(path, "rb") as file:
+            return parse(tomllib.load(file))
+    except (OSError, tomllib.TOMLDecodeError) as fault:
+        raise HiveError(Kind.SETTINGS, f"{path}: {fault}") from None
--- /dev/null
+++ b/lugspur/hive/table.py
@@ -0,0 +1,107 @@
+"""Which route a request is on: by host and the longest prefix, from the items that stand."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+
+from lugspur.hive.items import LIMITS, ROUTES, Bounds, Route, read_bounds, read_route
+from lugspur.hive.wire import Entry
+
+
+class Way:
+    """A route as requests use it; times in seconds."""
+
+    __slots__ = ("deadline", "edition", "host", "kind", "name", "pace", "prefix", "priority", "services", "shares",
+                 "target", "tries")
+
+    def __init__(self, route: Route, edition: int) -> None:
+        self.name, self.edition = route.name, edition
+        self.host = route.office.lower().encode()
+        self.prefix = route.path_prefix.encode()
+        self.kind = route.mail_class
+        self.deadline = route.deadline_ms / 1000.0
+        self.target = (route.target_ms or route.deadline_ms) / 1000.0
+        self.priority, self.tries = route.priority, route.tries
+        self.services = route.services()
+        self.shares = [part.share for part in route.split] if route.split else [1.0]
+        self.pace = 0.0  # seconds that an answer on it usually takes, as seen here
+
+    @property
+    def safe(self) -> bool:
+        """Whether it may run more than once."""
+        return self.kind == "safe"
+
+    def service(self, rng: Random) -> str:
+        """Where this request goes, by the shares."""
+        if len(self.services) == 1:
+            return self.services[0]
+        return rng.choices(self.services, self.shares)[0]
+
+
+class Table:
+    """All routes, by host; each change of an item is taken up at once."""
+
+    def __init__(self) -> None:
+        self._ways: dict[str, Way] = {}  # by the item's name
+        self._hosts: dict[bytes, dict[bytes, Way]] = {}  # by the prefix
+        self._claimants: dict[tuple[bytes, bytes], dict[str, Way]] = {}  # all that want a place, by their names
+        self.bounds = Bounds()
+
+    def __len__(self) -> int:
+        return len(self._ways)
+
+    def change(self, entry: Entry) -> bool:
+        """Take up an item; returns whether it was the limits."""
+        if entry.kind == LIMITS and entry.value is not None:
+            self.bounds = read_bounds(entry.value)
+            return True
+        if entry.kind != ROUTES:
+            return False
+        before = self._ways.pop(entry.name, None)
+        if before is not None:
+            self._give_up(entry.name, before)
+        if entry.value is not None:
+            try:
+                route = read_route(entry.value)
+            except msgspec.MsgspecError:  # Guards the other routes: what was taken is checked, but by another build
+                return False
+            way = Way(route, entry.edition)
+            if before is not None:
+                way.pace = before.pace
+            self._ways[entry.name] = way
+            here = self._claimants.setdefault((way.host, way.prefix), {})
+            here[entry.name] = way
+            self._hosts.setdefault(way.host, {})[way.prefix] = self._first(here)
+        return False
+
+    def _give_up(self, name: str, way: Way) -> None:
+        here = self._claimants[way.host, way.prefix]
+        del here[name]
+        if here:
+            self._hosts[way.host][way.prefix] = self._first(here)
+            return
+        del self._claimants[way.host, way.prefix]
+        del self._hosts[way.host][way.prefix]
+        if not self._hosts[way.host]:
+            del self._hosts[way.host]
+
+    @staticmethod
+    def _first(here: dict[str, Way]) -> Way:
+        """Who has a place: two operators may have given it to two routes, and all proxies must choose the same."""
+        return max(here.values(), key=lambda way: (way.edition, way.name))
+
+    def find(self, host: bytes, target: bytes) -> Way | None:
+        """The route of a request."""
+        places = self._hosts.get(host.partition(b":")[0].lower())
+        if not places:
+            return None
+        path = target.partition(b"?")[0]
+        at = len(path)
+        way = places.get(path)
+        while way is None and at > 0:
+            at = path.rfind(b"/", 0, at)
+            if at >= 0:
+                way = places.get(path[:at + 1])
+        return way
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import cast
 
 from lugspur.http1.body import Body
 from lugspur.http1.intake import PLATFORM, Intake, Rejected, Sizes
@@ -214,8 +215,7 @@
         self._fd = -1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)  # other loops' transports are no subclass of it
         peer = transport.get_extra_info("peername")
         self.peer = peer[0] if peer else ""
         self.front.callers.add(self)
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -45,7 +45,7 @@
 class Backend:
     """One backend of the list and the idle connections to it, the most recently used last."""
 
-    __slots__ = ("address", "family", "idle", "in_service", "lane", "server", "started")
+    __slots__ = ("address", "family", "idle", "in_service", "keeps", "lane", "server", "started")
 
     def __init__(self, address: Address, server: int = 0) -> None:
         self.move(address)
@@ -53,6 +53,7 @@
         self.started = 0.0
         self.in_service = False
         self.idle: list[Connection] = []
+        self.keeps = 0.0  # seconds for which it keeps idle connections, where it says
         self.lane: Lane | None = None  # what carries attempts to it where it speaks no HTTP/1.1
 
     def move(self, address: Address) -> None:
@@ -68,8 +69,8 @@
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
 
-    __slots__ = ("backend", "begin", "bodyless", "body", "connection", "dial", "first", "flowing", "open", "repeatable",
-                 "started", "timed", "timer", "until", "write", "written", "_report")
+    __slots__ = ("backend", "begin", "bodyless", "body", "connection", "dial", "echo", "first", "flowing", "open",
+                 "repeatable", "started", "timed", "timer", "until", "write", "written", "_report")
 
     def __init__(
         self, backend: Backend, started: float, until: float, write: Callable[[float], bytes],
@@ -82,6 +83,7 @@
         self.begin: Callable[[Response, Pipe], None] | None = None
         self.flowing, self.first = False, 0.0  # since when
         self.repeatable = repeatable  # whether it may be sent again when its connection breaks
+        self.echo: bytes | None = None  # the id that its answer has to bear, where backends echo one
         self.bodyless = bodyless  # HEAD: the answer ends with its head, whatever length that tells
         self.timed = timed  # whether it expires by itself; else whoever started it sees to that
         self.backend = backend
@@ -276,6 +278,7 @@
         self.idle_since = 0.0  # 0: it is new
         self.over = False
         self._heard = False  # whether a byte of an answer has come
+        self._strayed = False  # whether an answer to another request has come
         self._held = 0  # its part of what the upstream counts
         self._parser = httptools.HttpResponseParser(self)
         self._answer: Response | None = None  # the whole answer to the exchange
@@ -297,7 +300,7 @@
         self.exchange = exchange
         exchange.connection = self
         self.written = False
-        self._heard = False
+        self._heard = self._strayed = False
         if exchange.body is not None:
             self._at = 0
             exchange.body.begin(self._pump)
@@ -425,13 +428,14 @@
             self._parser.feed_data(self._upstream.buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._clean = False
+            self._spoilt = self._spoilt or (self._strayed and self._answer is None)
         if not self._headed:
             self._fed += nbytes
             # Guards memory against one header without end.
             self._spoilt = self._spoilt or self._fed > HEAD_MOST + READ
         answer = self._answer
         if answer is None or self._spoilt:
-            if self._spoilt or not self._clean:
+            if self._spoilt or not (self._clean or self._strayed):
                 exchange.broke()
             elif self._begun:
                 exchange.begun(self._upstream.now())
@@ -509,6 +513,7 @@
         self._head: list[bytes] = []
         self._body: list[bytes] = []
         self._named = b""
+        self._echoed: bytes | None = None
         self._length: int | None = None
         self._size = self._fed = self._informed = 0
         self._unseen = self._headed = self._spoilt = self._begun = False
@@ -529,7 +534,7 @@
             return
         self._size += len(name) + len(value) + 4
         lower, value = name.lower(), value.strip(b" \t")
-        if lower == b"x-not-processed":
+        if lower == self._upstream.proof:
             self._unseen = value == b"1"
         elif lower == b"connection":
             self._named += b"," + value.lower()
@@ -540,11 +545,29 @@
         elif lower == b"transfer-encoding":
             self._spoilt = value.lower() != b"chunked"
             self._framed = True
+        elif lower == self._upstream.echo:
+            self._echoed = value
+            self._head.append(b"%b: %b\r\n" % (name, value))
+        elif lower == b"keep-alive":
+            self._heard_keep(value)
         # A load report is for the proxy, and what is no plain text may be more than a caller can read.
         elif lower not in HOP_BY_HOP and lower != b"x-server-load" and value.isascii():
             self._head.append(b"%b: %b\r\n" % (name, value))
         self._spoilt = self._spoilt or self._size > HEAD_MOST
 
+    def _heard_keep(self, value: bytes) -> None:
+        """How long the backend keeps idle connections, as far as it says."""
+        for part in value.split(b","):
+            key, _, seconds = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and seconds.isdigit():
+                self.backend.keeps = float(seconds)
+
+    def _stray(self) -> bool:
+        """Whether it answers another request than the one in hand: a second answer, come late."""
+        exchange = self.exchange
+        return (exchange is not None and exchange.echo is not None and self._echoed is not None
+                and self._echoed != exchange.echo)
+
     def on_headers_complete(self) -> None:
         if self._answer is not None:
             return
@@ -603,13 +626,20 @@
     def on_message_complete(self) -> None:
         if self._answer is not None or self._spoilt:
             return
+        if self._headed and self._stray():
+            # Guards a request against an answer that is not its own; the connection is not kept after it.
+            self._let_go()
+            self._strayed = True
+            self._begin()
+            self._clean = False
+            return
         if not self._headed:  # 1xx: the answer is still to come, and its head starts anew
             self._begun = False
             self._head.clear()
             self._named = b""
             self._length = None
             return
-        self._clean = self._parser.should_keep_alive()
+        self._clean = self._parser.should_keep_alive() and not self._strayed
         self._answer = Response(self._parser.get_status_code(), b"".join(self._head), b"".join(self._body))
         self._body.clear()
         self._let_go()
@@ -624,8 +654,15 @@
     def __init__(
         self, sockets: Shares, name: str, conn_idle: float, dial_timeout: float, held_most: int,
         answer_most: int = ANSWER_MOST, judge: Callable[[int, bool], Outcome] = judge,
-        dialled: Callable[[int, bool], None] | None = None,
+        dialled: Callable[[int, bool], None] | None = None, proof: bytes = b"x-not-processed", echo: bytes = b"",
+        keeps: int = 0,
     ) -> None:
+        """`proof`: the header that says that a request did not run; `echo`: the one with its id, if there is one.
+
+        `keeps`: idle connections kept to one backend, also for what must not run twice, where that many are stated.
+        """
+        self.proof, self.echo = proof, echo
+        self._reuses = keeps > 0
         self._tell = dialled  # told of each backend whether a connection to it came up
         self._loop = asyncio.get_running_loop()
         self._sockets, self._name = sockets, name
@@ -633,7 +670,7 @@
         self.judge = judge
         self._keep = IDLE_PART * conn_idle
         self._dial_timeout = dial_timeout
-        self._idle_each = IDLE_EACH
+        self._idle_each = keeps or IDLE_EACH
         self.buffer = memoryview(bytearray(READ))
         self._distrust_until = 0.0
         self.held = 0  # bytes of answers that are not whole
@@ -678,10 +715,13 @@
             exchange.timer = self._loop.call_at(exchange.until, exchange.expire)
         idle = exchange.backend.idle
         # Guards what must not run twice: a kept connection may be dead already, and nothing would tell.
-        while idle and exchange.repeatable:
+        while idle and (exchange.repeatable or self._reuses):
             connection = idle.pop()
             del self._idle[connection]
-            if connection.usable():
+            keeps = exchange.backend.keeps
+            # Guards what must not run twice against a connection that the backend is about to close.
+            stale = keeps > 0.0 and self._loop.time() - connection.idle_since > IDLE_PART * keeps
+            if not stale and connection.usable():
                 self._transmit(exchange, connection)
                 return
             connection.abandon()
