Queue by what is due first, prefer the own zone, and tell how requests end

The gate queues by when an answer loses its worth, evicts the last for a more urgent one, begins nothing that can't end, and measures its pace from when the backend is offered a request. The pick draws one backend of the own zone and one of all others, which counts 1.6 times, more with a body. One line every 2 s says how requests ended.

--- a/lugspur/hive/forager.py
+++ b/lugspur/hive/forager.py
@@ -26,6 +26,8 @@
 COLD = 2.0  # times the usual latency that a backend counts with while it says that it is slow
 REST = 0.04  # seconds for which a backend that turned a request away is passed over, drawn from half to one and a half
 BUDGET_PART = 0.5  # of the retry budget that is used: nested calls of what runs twice count too, and views lag
+FAR = 1.6  # times its score that a backend of another zone counts with: bytes between zones cost...
+FAR_BYTES = 16 << 10  # ...and once more for so many bytes of a body
 ROUNDS = 4  # backends that may turn one request away before it is given up
 HEDGE = 3.0  # times a route's pace after which a safe request is sent to a second backend...
 HEDGE_AIM = 0.6  # ...and not before this part of its aim
@@ -82,16 +84,17 @@
     """All requests that start on this machine."""
 
     def __init__(self, table: Table, carrier: Carrier, keys: Keys, rng: Random, ratio: float, slack: float,
-                 span: float) -> None:
+                 span: float, zone: str) -> None:
         self.loop = asyncio.get_running_loop()
         self.table, self.carrier, self.keys, self.rng = table, carrier, keys, rng
         self._ratio, self._slack, self._span = ratio * BUDGET_PART, slack * BUDGET_PART, span
+        self.zone = zone
         self.proxies = 1  # how many share the budget
         self.services: dict[str, dict[str, Rank]] = {}  # by the backend's id
         self.budgets: dict[str, Budget] = {}
         self.sender = ""  # the service of this machine
         self.flights: set[Flight] = set()
-        self.served = self.refused = self.failed = 0
+        self.ended: dict[str, int] = {}  # requests, by how they ended
 
     def members(self, service: str, ranks: dict[str, tuple[str, str, int, float]]) -> None:
         """The backends of a service that accept work: id to machine, zone, berths, and when it is warm."""
@@ -114,6 +117,10 @@
         found.allot(self._slack / max(1, self.proxies))
         return found
 
+    def count(self, how: str) -> None:
+        """One more that ended so."""
+        self.ended[how] = self.ended.get(how, 0) + 1
+
     def handle(self, request: Request, caller: Answerable) -> None:
         """Take one request; its caller gets one answer."""
         try:
@@ -215,12 +222,21 @@
         """Two random ready backends, that with the lower current latency x (in flight + 1) first; both may refuse."""
         ready = self._ready(now)
         rng = self.forager.rng
-        two = ready if len(ready) < 2 else rng.sample(ready, 2)
+        zone = self.forager.zone
+        near = [rank for rank in ready if rank.zone == zone]
+        two = ready
+        if len(ready) > 2 and near:  # one of the own zone, one of all others: bytes between zones cost
+            first = rng.choice(near)
+            two = [first, rng.choice([rank for rank in ready if rank is not first])]
+        elif len(ready) > 2:
+            two = rng.sample(ready, 2)
         pace = self.way.pace
         timeout = self.way.deadline / pace if pace else 0.0
-        for rank in sorted(two, key=lambda rank: rank.score(now)):
+        far = FAR + len(self.request.body) / FAR_BYTES
+        for rank in sorted(two, key=lambda rank: rank.score(now) * (1.0 if rank.zone == zone else far)):
             if not rank.breaker.refuses(now, timeout, rng):
                 return rank
+        self.forager.count("breaker-refused" if two else "none-ready")
         return None
 
     def _go(self, now: float, again: bool = False) -> bool:
@@ -350,15 +366,12 @@
 
     def _answer(self, answer: Answer) -> None:
         self._finish()
-        self.forager.served += 1
+        self.forager.count("answered" if answer.status < 500 else "backend-failed")
         self.caller.answer(answer.status, answer.head, answer.body)
 
     def _refuse(self, kind: Kind) -> None:
         self._finish()
-        if ANSWERS[kind].status == 503:
-            self.forager.refused += 1
-        else:
-            self.forager.failed += 1
+        self.forager.count(kind.value)
         refuse(self.caller, kind)
 
     def _gone(self) -> None:
--- a/lugspur/hive/gate.py
+++ b/lugspur/hive/gate.py
@@ -21,6 +21,8 @@
 QUEUE_BERTHS = 2  # requests that wait here, for each berth
 WAIT_PART = 0.7  # of the time that its answer is worth most in, for waiting here
 WAIT_LATE = 0.25  # ...and of the time that is left, where that is more
+HOPELESS = 0.3  # of the pace: with less time left nothing is begun
+RANK_PART = 0.25  # of its aim by which a request waits longer, for each step of priority
 PACE_WEIGHT = 1 / 16  # of one answer in the pace
 GRACE = 0.03  # seconds behind the deadline in which the backend's own word on it may come
 DIAL_WITHIN = 0.5  # seconds: the backend is on this machine
@@ -59,11 +61,11 @@
 class Ticket:
     """One request in hand."""
 
-    __slots__ = ("exchange", "forward", "local", "over", "respond", "sent", "since", "until")
+    __slots__ = ("exchange", "forward", "local", "over", "respond", "sent", "sent_at", "since", "until")
 
     def __init__(self, forward: Forward, local: Local, now: float, respond: Callable[[Reply], None]) -> None:
         self.forward, self.local, self.respond = forward, local, respond
-        self.since = now
+        self.since = self.sent_at = now
         self.until = now + forward.left
         self.exchange: Exchange | None = None
         self.sent = False  # whether the backend was offered it
@@ -86,9 +88,10 @@
             Shares(files, {}), "", 20.0, DIAL_WITHIN, memory // 4, memory // 8, judge, proof=b"lugspur-not-delivered",
             echo=b"lugspur-attempt-id", keeps=64)
         self._count = itertools.count()
-        self._waiting: list[tuple[int, int, Ticket]] = []  # by priority, then in the order that they came
+        self._waiting: list[tuple[float, int, Ticket]] = []  # by what is due first
         self._at_work = 0
-        self._pace = 0.0  # seconds that an answer takes
+        self._pace = 0.0  # seconds that an answer takes, from when the backend is offered the request
+        self.turned = self.evicted = self.hopeless = 0  # for lack of room, for others, for lack of time
 
     @property
     def busy(self) -> int:
@@ -113,19 +116,41 @@
         if self._at_work < local.berths + EXTRA:
             self._send(ticket)
         else:
-            heapq.heappush(self._waiting, (forward.priority, next(self._count), ticket))
+            heapq.heappush(self._waiting, (self._rank(now, forward), next(self._count), ticket))
         return ticket
 
+    @staticmethod
+    def _rank(now: float, forward: Forward) -> float:
+        """Who is first: whose answer loses its worth soonest, the dearer ones sooner.
+
+        Guards the work of parents: their calls have short aims, and a parent holds its berth until they are answered.
+        """
+        return now + forward.aim * (1.0 + RANK_PART * forward.priority)
+
     def _room(self, local: Local, forward: Forward) -> bool:
         """Whether it would get its turn while its answer is still worth something."""
         free = local.berths + EXTRA - self._at_work
         if free > 0:
             return True
-        ahead = sum(1 for row in self._waiting if row[0] <= forward.priority and not row[2].over)
-        if ahead >= QUEUE_BERTHS * local.berths or len(self._waiting) >= 2 * QUEUE_BERTHS * local.berths:
-            return False
+        rank = self._rank(self._loop.time(), forward)
+        ahead = sum(1 for row in self._waiting if row[0] <= rank and not row[2].over)
         wait = (ahead + 1) * self._pace / max(1, local.berths)
-        return wait <= max(WAIT_PART * (forward.aim - self._pace), WAIT_LATE * forward.left)
+        fits = wait <= max(WAIT_PART * (forward.aim - self._pace), WAIT_LATE * forward.left)
+        if not fits or ahead >= QUEUE_BERTHS * local.berths:
+            self.turned += 1
+            return False
+        if len(self._waiting) >= QUEUE_BERTHS * local.berths:
+            self._evict()
+        return True
+
+    def _evict(self) -> None:
+        """Whoever would be last makes room: a queue without end serves nobody in time."""
+        last = max(self._waiting)
+        self._waiting.remove(last)
+        heapq.heapify(self._waiting)
+        if not last[2].over:
+            self.evicted += 1
+            self._end(last[2], End.NOT_RUN, None)
 
     def cancel(self, ticket: Ticket) -> None:
         """Nobody waits for it any more."""
@@ -144,7 +169,8 @@
             if ticket.over:
                 continue
             now = self._loop.time()
-            if not self.takes_waiting(now, ticket) or now >= ticket.until:
+            if not self.takes_waiting(now, ticket) or now + HOPELESS * self._pace >= ticket.until:
+                self.hopeless += 1
                 self._end(ticket, End.NOT_RUN, None)
             else:
                 self._send(ticket)
@@ -157,7 +183,7 @@
     def _send(self, ticket: Ticket) -> None:
         forward, now = ticket.forward, self._loop.time()
         self._at_work += 1
-        ticket.sent = True
+        ticket.sent, ticket.sent_at = True, now
         exchange = Exchange(
             ticket.local.backend, now, ticket.until + GRACE, lambda left: self._bytes(forward, left - GRACE),
             lambda exchange, outcome, response: self._ended(ticket, outcome, response), repeatable=forward.safe,
@@ -178,7 +204,7 @@
     def _ended(self, ticket: Ticket, outcome: Outcome, response: Response | None) -> None:
         self._at_work -= 1
         if outcome is Outcome.OK and response is not None:
-            took = self._loop.time() - ticket.since
+            took = self._loop.time() - ticket.sent_at
             self._pace += (took - self._pace) * (PACE_WEIGHT if self._pace else 1.0)
             if self._sound(ticket.forward, response):
                 answer = Answer(response.status, response.head, response.body)
--- a/lugspur/hive/hand.py
+++ b/lugspur/hive/hand.py
@@ -28,6 +28,7 @@
 BEATS_MISSED = 3.0  # beats that may be missed until a backend counts as gone
 LEAVE_TAKES = 0.35  # of the time that a process has to end, in which callers are still served anew
 LEAVE_ENDS = 0.9  # ...and by which all ends
+TELL_EVERY = 2.0  # seconds between lines on how requests ended
 BEAT_MOST = 4096  # bytes of a beat
 
 
@@ -70,10 +71,11 @@
         self._stale_services: set[str] = set()
         self._carried: dict[str, dict[int, Callable[[Reply], None]]] = {}  # by machine, what waits for a reply
         self._n = 0
+        self._told_at = 0.0
         self._tickets: dict[tuple[Link, int], Ticket] = {}
         super().__init__(settings, path, False)
         self.forager = Forager(self.table, self, self, self.rng, bounds.retry_ratio, bounds.retry_slack,
-                               bounds.retry_window_s)
+                               bounds.retry_window_s, settings.own.zone)
         self.forager.sender = settings.own.service
         self.reloaded.append(self._sender)
         self.gate = Gate(limits.memory_mb << 20, max(16, limits.file_handles // 4), bounds.drain_ms / 1000.0,
@@ -313,7 +315,20 @@
 
     # ---- time -----------------------------------------------------------------------------------
 
+    def _tell(self, now: float) -> None:
+        """How requests ended since the last time, one line."""
+        if now < self._told_at + TELL_EVERY:
+            return
+        self._told_at = now
+        ended, self.forager.ended = self.forager.ended, {}
+        gate = self.gate
+        if ended or gate.turned or gate.evicted or gate.hopeless:
+            notes.note("requests", **ended, turned=gate.turned, evicted=gate.evicted, hopeless=gate.hopeless,
+                       busy=gate.busy, open=len(self.forager.flights))
+        gate.turned = gate.evicted = gate.hopeless = 0
+
     def look(self, now: float) -> None:
+        self._tell(now)
         local = self.gate.local
         if local is not None and local.state != "gone":
             due = BEATS_MISSED * self.settings.depot.heartbeat_ms / 1000.0 + 1.0
