Run the whole mesh on loopback: a stand-in backend, a told tour, tests by processes, behave

python -m lugspur.bench.hive starts three combs, two foragers and two stand-in backends and shows what is kept when combs are killed. Tests by processes: an operation over the kill of all combs, an empty disk, a seat handed on at SIGTERM, a forager stopped with requests open, a backend that closes, a bad settings file. make check also runs behave.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 	$(PYTHON) -m pytest -n 4 --dist worksteal
+	$(PYTHON) -m behave --format progress --no-capture tests/features
 
 demo: $(DEVELOPED)
 	$(PYTHON) -m lugspur demo
--- /dev/null
+++ b/lugspur/bench/hive.py
@@ -0,0 +1,223 @@
+"""A whole mesh on loopback: combs and foragers as processes, backends as stand-ins.
+
+    python -m lugspur.bench.hive
+
+Each machine is an address of 127/8, so that all may use the same ports, as machines do. What it shows: a configuration
+is taken and kept, requests are served, a keyed operation runs once wherever it is repeated, a backend that closes gets
+nothing new, and all of it again with a comb killed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from lugspur.standins.mesh import MeshBackend
+
+ROOT = Path(__file__).parent.parent.parent
+READY_WITHIN = 20.0  # seconds for all to be ready, on a loaded machine too
+TRY_EVERY = 0.05
+
+
+def free_ports(hosts: list[str], count: int) -> list[int]:
+    """Ports that are free at every one of these addresses; all are held until the last is found."""
+    held: list[socket.socket] = []
+    found: list[int] = []
+    while len(found) < count:
+        first = socket.create_server((hosts[0], 0))
+        held.append(first)
+        port = first.getsockname()[1]
+        with suppress(OSError):
+            held += [socket.create_server((host, port)) for host in hosts[1:]]
+            found.append(port)
+    for sock in held:
+        sock.close()
+    return found
+
+
+async def call(address: str, method: str, path: str, body: bytes = b"", **headers: str) -> tuple[int, bytes, bytes]:
+    """One call on a connection of its own: status, head and body."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        told = {"Host": "x", "Content-Length": str(len(body)), "Connection": "close"}
+        told |= {k.replace("_", "-"): v for k, v in headers.items()}
+        lines = "".join(f"{k}: {v}\r\n" for k, v in told.items())
+        writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+        head, _, rest = (await reader.read()).partition(b"\r\n\r\n")
+        return int(head.split(b" ", 2)[1]), head, rest
+    finally:
+        writer.close()
+
+
+class Mesh:
+    """So many combs and foragers; each forager has one stand-in backend."""
+
+    def __init__(self, folder: Path, combs: int = 3, services: Iterable[str] = ("rooms", "rooms")) -> None:
+        self.folder = folder
+        self.services = list(services)
+        base = 16 + os.getpid() % 200  # other meshes of this machine have other addresses
+        self.comb_ips = [f"127.{base}.1.{n + 1}" for n in range(combs)]
+        self.forager_ips = [f"127.{base}.2.{n + 1}" for n in range(len(self.services))]
+        everyone = [*self.comb_ips, *self.forager_ips]
+        self.inner, self.dispatch, self.outgoing, self.ready, self.app = free_ports(everyone, 5)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.backends: list[MeshBackend] = []
+        self.started: set[str] = set()
+
+    def settings(self, ip: str) -> str:
+        """One machine's settings file."""
+        at = self.forager_ips.index(ip) if ip in self.forager_ips else -1
+        comb = at < 0
+        listen = {"dispatch": f"{ip}:{self.dispatch}"}
+        own: dict[str, Any] = {
+            "node_name": f"{'comb' if comb else 'forager'}-{ip.rsplit('.', 1)[1]}", "ip": ip, "zone": f"z{ip[-1]}",
+            "serves": ["dispatch"] if comb else ["courier"], "first_start": ip not in self.started}
+        if comb:
+            own["data_dir"] = str(self.folder / ip)
+        else:
+            own |= {"app_address": f"{ip}:{self.app}", "service": self.services[at]}
+            listen |= {"outgoing": f"{ip}:{self.outgoing}", "readiness": f"{ip}:{self.ready}"}
+        tables = {"self": own, "self.limits": {"memory_mb": 200, "file_handles": 1024, "disk_mb": 64},
+                  "network": {"inner_ports": [self.inner, self.inner],
+                              "seed_nodes": [f"{seed}:{self.dispatch}" for seed in self.comb_ips[:3]]},
+                  "network.listen": listen, "tariffs.tolerate": {"machines": 1}}
+        return "".join(f"[{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in table.items())
+                       for name, table in tables.items())
+
+    def start(self, ip: str) -> None:
+        """Start one machine's process."""
+        path = self.folder / f"{ip}.toml"
+        path.write_text(self.settings(ip))
+        (self.folder / ip).mkdir(exist_ok=True)
+        self.started.add(ip)
+        with (self.folder / f"{ip}.log").open("ab") as log:
+            self.processes[ip] = subprocess.Popen(
+                [sys.executable, "-m", "lugspur.hive", "serve"], cwd=ROOT, stderr=log,
+                env=os.environ | {"LUGSPUR_NODE_FILE": str(path)})
+
+    def end(self, ip: str, how: signal.Signals = signal.SIGKILL) -> int:
+        """End one; returns its exit status."""
+        process = self.processes.pop(ip)
+        process.send_signal(how)
+        return process.wait(20.0)
+
+    def log(self, ip: str) -> str:
+        """What it has said."""
+        return (self.folder / f"{ip}.log").read_text()
+
+    async def begin(self) -> None:
+        """All processes and backends, and the first configuration."""
+        for ip in (*self.comb_ips, *self.forager_ips):
+            self.start(ip)
+        for ip, service in zip(self.forager_ips, self.services, strict=True):
+            backend = MeshBackend(service, f"{ip}:{self.app}", f"{ip}:{self.dispatch}", f"z{ip[-1]}")
+            await backend.serve()
+            self.backends.append(backend)
+        routes = [self.route("look", "safe"), self.route("book", "tracked")]
+        await self.amend({"routes": routes, "services": [
+            {"name": name, "checkup_path": "/checkup", "edition": "00000001"} for name in sorted(set(self.services))]})
+        for ip in self.forager_ips:
+            await self.until(ip, self.ready, "/readiness", 200)
+        await self.served(self.forager_ips[0], "/look/1", "warm")
+
+    @staticmethod
+    def route(name: str, kind: str, edition: str = "00000001", **other: Any) -> dict[str, Any]:
+        """A route of the first service."""
+        return {"name": name, "office": "mesh.example", "path_prefix": f"/{name}/", "mail_class": kind,
+                "deadline_ms": 5000, "target_ms": 500, "priority": 1, "service": "rooms", "tries": 2,
+                "edition": edition} | other
+
+    async def until(self, ip: str, port: int, path: str, status: int) -> None:
+        """Ask until that status comes; raises TimeoutError."""
+        async with asyncio.timeout(READY_WITHIN):
+            while True:
+                with suppress(OSError, IndexError, ValueError):
+                    if (await call(f"{ip}:{port}", "GET", path))[0] == status:
+                        return
+                await asyncio.sleep(TRY_EVERY)
+
+    async def amend(self, upsert: dict[str, Any], at: int = 0, expect: int = 200) -> bytes:
+        """Change the configuration at one comb, again until it answers as expected."""
+        body, found = json.dumps({"upsert": upsert}).encode(), b""
+        async with asyncio.timeout(READY_WITHIN):
+            while True:
+                with suppress(OSError, IndexError, ValueError):
+                    status, _, found = await call(
+                        f"{self.comb_ips[at]}:{self.dispatch}", "POST", "/config/amend", body)
+                    if status == expect:
+                        return found
+                await asyncio.sleep(TRY_EVERY)
+
+    async def read(self, at: int = 0) -> dict[str, Any]:
+        """The configuration as a comb reads it."""
+        await self.until(self.comb_ips[at], self.dispatch, "/config/read", 200)
+        _, _, body = await call(f"{self.comb_ips[at]}:{self.dispatch}", "GET", "/config/read")
+        found: dict[str, Any] = json.loads(body)
+        return found
+
+    async def ask(self, ip: str, path: str, attempt: str, **headers: str) -> tuple[int, bytes, bytes]:
+        """One try of a client."""
+        return await call(f"{ip}:{self.outgoing}", "GET", path, b"", Host="mesh.example", Lugspur_Attempt_Id=attempt,
+                          Lugspur_Deliver_By_Ms="5000", **headers)
+
+    async def served(self, ip: str, path: str, attempt: str) -> bytes:
+        """A safe request, again until it is served."""
+        async with asyncio.timeout(READY_WITHIN):
+            while True:
+                with suppress(OSError, IndexError, ValueError):
+                    status, _, body = await self.ask(ip, path, attempt)
+                    if status == 200:
+                        return body
+                await asyncio.sleep(TRY_EVERY)
+
+    async def close(self) -> None:
+        """End all."""
+        for backend in self.backends:
+            await backend.close()
+        for ip in list(self.processes):
+            self.end(ip)
+
+
+async def show() -> None:
+    """The whole path, told as it goes."""
+    with tempfile.TemporaryDirectory() as folder:
+        mesh = Mesh(Path(folder))
+        try:
+            await mesh.begin()
+            print("three combs, two foragers, two backends; the configuration is taken and in force")
+            for n in range(6):
+                body = await mesh.served(mesh.forager_ips[n % 2], "/look/1", f"look-{n}")
+            print(f"a request: {body.decode().strip()}")
+            first = await mesh.ask(mesh.forager_ips[0], "/book/7", "try-1", Lugspur_Operation_Key="k-7")
+            again = await mesh.ask(mesh.forager_ips[1], "/book/7", "try-2", Lugspur_Operation_Key="k-7")
+            print(f"a booking, and its repeat elsewhere: {first[0]} {first[2]!r}, {again[0]} {again[2]!r}")
+            mesh.end(mesh.comb_ips[0])
+            await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 1)
+            body = await mesh.served(mesh.forager_ips[0], "/late/1", "late-1")
+            print(f"with a comb killed, a new route: {body.decode().strip()}")
+            for ip in mesh.comb_ips[1:]:
+                mesh.end(ip)
+            for ip in mesh.comb_ips:
+                mesh.start(ip)
+            names = [route["name"] for route in (await mesh.read(2))["routes"]]
+            third = await mesh.ask(mesh.forager_ips[1], "/book/7", "try-3", Lugspur_Operation_Key="k-7")
+            print(f"after all combs were killed: routes {', '.join(sorted(names))}; the booking again: {third[0]}")
+            ran = sum(backend.ran.count(t) for backend in mesh.backends for t in ("try-1", "try-2", "try-3"))
+            print(f"the booking ran {ran} time{'s' * (ran != 1)}")
+        finally:
+            await mesh.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(show())
--- a/lugspur/emulator/hive.py
+++ b/lugspur/emulator/hive.py
@@ -208,14 +208,14 @@
             ready = [pair for pair, wire in self.wires.items() if wire and pair not in self.cut]
             if ready:
                 pair = rng.choice(ready)
-                self._deliver(pair, self.wires[pair].popleft())
+                self.deliver(pair, self.wires[pair].popleft())
         elif draw < 0.82:
             self._up().sync()
         elif draw < 0.87:
             process = self._up()
             process.look()
             if rng.random() < 0.4:
-                self._gossip(process)
+                self.gossip(process)
         elif draw < 0.93:
             self._claim()
         elif draw < 0.96:
@@ -247,7 +247,8 @@
             process.start(False)
         return process
 
-    def _deliver(self, pair: tuple[str, str], message: Message) -> None:
+    def deliver(self, pair: tuple[str, str], message: Message) -> None:
+        """A message has come."""
         source, to = pair
         process, proxy = self.combs.get(to), self.proxies.get(to)
         if process is not None:
@@ -264,7 +265,7 @@
     def _learn(self, proxy: Proxy, message: Delta) -> None:
         proxy.ledger.merge(message.entries)
 
-    def _gossip(self, process: Process) -> None:
+    def gossip(self, process: Process) -> None:
         """Its news reaches all that it can reach."""
         for ip in self.combs:
             if ip != process.ip:
@@ -379,7 +380,7 @@
             self.now += STEP * self.rng.random()
             ready = [pair for pair, wire in self.wires.items() if wire]
             for pair in ready:
-                self._deliver(pair, self.wires[pair].popleft())
+                self.deliver(pair, self.wires[pair].popleft())
             for process in self.combs.values():
                 if not process.up:
                     process.start(False)
@@ -387,7 +388,7 @@
             if self.rng.random() < 0.2:
                 for process in self.combs.values():
                     process.look()
-                    self._gossip(process)
+                    self.gossip(process)
             if self.well():
                 return True
         return False
--- /dev/null
+++ b/tests/features/steps/keys.py
@@ -0,0 +1,69 @@
+"""Steps over combs and claimants in virtual time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+
+from lugspur.emulator.hive import World
+from lugspur.hive.claims import Settled, Taken, Won
+
+
+@given("{combs:d} combs that bear the loss of {machines:d}")
+def begin(context: Any, combs: int, machines: int) -> None:
+    context.world = World(1, combs, machines, proxies=6)
+    assert context.world.settle()
+    for process in context.world.combs.values():
+        context.world.gossip(process)
+
+
+@when("{proxies:d} proxies claim one key at the same moment")
+def claim(context: Any, proxies: int) -> None:
+    world = context.world
+    context.how = []
+    for name in list(world.proxies)[:proxies]:
+        ask(world, name, context.how)
+    run(world)
+    assert len(context.how) == proxies
+
+
+@when("the disk of one seat is lost and it comes back")
+def lose(context: Any) -> None:
+    world = context.world
+    process = world.combs[world.seeds[0]]
+    process.stop(True)
+    world.silent[process.ip] = world.now
+    assert world.settle()
+
+
+@then("at most one of them may run it")
+def once(context: Any) -> None:
+    assert sum(isinstance(how, Won) for how in context.how) <= 1
+
+
+@then("a later claim is told who has it")
+def later(context: Any) -> None:
+    if not any(isinstance(how, Won) for how in context.how):
+        return  # none had a majority, and all gave back what they had
+    how: list[Settled] = []
+    ask(context.world, "p5", how)
+    run(context.world)
+    assert isinstance(how[0], Taken)
+
+
+def ask(world: World, name: str, how: list[Settled]) -> None:
+    proxy = world.proxies[name]
+    assert proxy.roster is not None
+    world.attempt += 1
+    proxy.claims.begin(world.now, proxy.roster, b"key", b"by%d" % world.attempt, 1.0, 2.0, how.append)
+
+
+def run(world: World) -> None:
+    """Until nothing is on its way."""
+    for _ in range(200):
+        for pair, wire in list(world.wires.items()):
+            while wire:
+                world.deliver(pair, wire.popleft())
+        for process in world.combs.values():
+            process.sync()
--- /dev/null
+++ b/tests/hive/test_mesh.py
@@ -0,0 +1,125 @@
+"""The mesh as processes on loopback: what is promised holds over kills, stops and restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from lugspur.bench.hive import ROOT, Mesh
+
+
+def play(folder: Path, what: Callable[[Mesh], Awaitable[None]], combs: int = 3) -> None:
+    async def run() -> None:
+        mesh = Mesh(folder, combs)
+        try:
+            async with asyncio.timeout(60.0):
+                await mesh.begin()
+                await what(mesh)
+        except BaseException:
+            for path in sorted(folder.glob("*.log")):
+                print(path.name, path.read_text()[-3000:], file=sys.stderr)
+            raise
+        finally:
+            await mesh.close()
+    asyncio.run(run())
+
+
+def test_an_operation_runs_once_and_a_change_stays_over_the_kill_of_all_combs(tmp_path: Path) -> None:
+    async def what(mesh: Mesh) -> None:
+        one, other = mesh.forager_ips
+        tries = [mesh.ask((one, other)[n % 2], "/book/1", f"t{n}", Lugspur_Operation_Key="k") for n in range(6)]
+        statuses = {status for status, _, _ in await asyncio.gather(*tries)}
+        assert statuses <= {200, 409, 503}
+        first = await mesh.ask(one, "/book/1", "t6", Lugspur_Operation_Key="k")
+        mesh.end(mesh.comb_ips[0])
+        await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 1)
+        for ip in mesh.comb_ips[1:]:
+            mesh.end(ip)
+        for ip in mesh.comb_ips:
+            mesh.start(ip)
+        found = await mesh.read(0)
+        assert {route["name"] for route in found["routes"]} == {"look", "book", "late"}
+        await mesh.served(other, "/late/1", "l1")
+        async with asyncio.timeout(20.0):
+            while (again := await mesh.ask(other, "/book/1", "t7", Lugspur_Operation_Key="k"))[0] == 503:
+                await asyncio.sleep(0.05)  # until the seats can be reached anew
+        assert (again[0], again[2]) == (200, first[2])
+        assert sum(len([t for t in backend.ran if t.startswith("t")]) for backend in mesh.backends) == 1
+    play(tmp_path, what)
+
+
+def test_a_comb_with_an_empty_disk_is_a_newcomer_that_catches_up(tmp_path: Path) -> None:
+    async def what(mesh: Mesh) -> None:
+        await mesh.ask(mesh.forager_ips[0], "/book/1", "t0", Lugspur_Operation_Key="k")
+        wiped = mesh.comb_ips[0]
+        mesh.end(wiped)
+        for file in (tmp_path / wiped / "comb").iterdir():
+            file.unlink()
+        mesh.start(wiped)
+        async with asyncio.timeout(20.0):
+            while "event=caught-up" not in mesh.log(wiped):
+                await asyncio.sleep(0.05)
+        mesh.end(mesh.comb_ips[1])  # now it is needed, and knows what it never heard
+        repeat = await mesh.ask(mesh.forager_ips[1], "/book/1", "t1", Lugspur_Operation_Key="k")
+        assert repeat[0] == 200 and b"t0" in repeat[2]
+        assert len((await mesh.read(0))["routes"]) == 2
+    play(tmp_path, what)
+
+
+def test_a_spare_comb_takes_the_seat_of_one_that_leaves(tmp_path: Path) -> None:
+    async def what(mesh: Mesh) -> None:
+        assert mesh.end(mesh.comb_ips[0], signal.SIGTERM) == 0
+        async with asyncio.timeout(20.0):
+            while "event=caught-up" not in mesh.log(mesh.comb_ips[3]):
+                await asyncio.sleep(0.05)
+        mesh.end(mesh.comb_ips[1])  # of the first three one is left
+        await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 3)
+        await mesh.served(mesh.forager_ips[0], "/late/1", "l1")
+    play(tmp_path, what, combs=4)
+
+
+def test_a_forager_that_is_stopped_ends_what_it_has_and_exits_well(tmp_path: Path) -> None:
+    async def what(mesh: Mesh) -> None:
+        one, other = mesh.forager_ips
+        for backend in mesh.backends:
+            backend.work = 1.0
+        open_ = [asyncio.create_task(mesh.ask(ip, "/look/1", f"o{n}")) for n, ip in enumerate([one, other] * 4)]
+        while sum(len(backend.ran) for backend in mesh.backends) < 9:
+            await asyncio.sleep(0.01)
+        process = mesh.processes.pop(one)
+        process.send_signal(signal.SIGTERM)
+        await mesh.until(one, mesh.ready, "/readiness", 503)
+        late = await mesh.ask(one, "/look/1", "late")  # its callers hear of it later
+        assert late[0] == 200
+        assert [status for status, _, _ in await asyncio.gather(*open_)] == [200] * 8
+        assert await asyncio.to_thread(process.wait, 20.0) == 0
+        assert "flights=0 busy=0" in mesh.log(one)
+        mesh.start(one)
+        await mesh.until(one, mesh.ready, "/readiness", 200)
+    play(tmp_path, what)
+
+
+def test_a_backend_that_closes_gets_nothing_new(tmp_path: Path) -> None:
+    async def what(mesh: Mesh) -> None:
+        closing = mesh.backends[0]
+        closing.state = "closing"
+        await closing.beat()
+        await asyncio.sleep(0.6)  # what the gate still takes while news gets round
+        ran = len(closing.ran)
+        for n in range(10):
+            await mesh.served(mesh.forager_ips[n % 2], "/look/1", f"c{n}")
+        assert len(closing.ran) == ran and len(mesh.backends[1].ran) >= 10
+    play(tmp_path, what)
+
+
+def test_a_bad_settings_file_is_one_line_and_exit_status_2(tmp_path: Path) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text("[self]\nip = 7\n")
+    ended = subprocess.run([sys.executable, "-m", "lugspur.hive", "serve"], cwd=ROOT, capture_output=True, check=False,
+                           env=os.environ | {"LUGSPUR_NODE_FILE": str(path)}, timeout=30)
+    assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1 and b"event=settings" in ended.stderr
