--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -22,7 +22,6 @@
     ROOM,
     ROOM_LEAST,
     SHARE_SPAN,
-    Admission,
 )
 from jaspershelf.breaker import Breaker
 from jaspershelf.budget import EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN, Budget
@@ -60,7 +59,7 @@
 SUBSCRIBE = 1  # timer token
 
 
-class Balancer(Picker, Admission):
+class Balancer(Picker):
     """One instance: a method for each event, each returning the actions to carry out in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
--- a/jaspershelf/pick.py
+++ b/jaspershelf/pick.py
@@ -4,9 +4,9 @@
 
 from bisect import bisect_right
 from math import sqrt
-from random import Random
 
-from jaspershelf.model import Group, Repeat, Settings
+from jaspershelf.admission import Admission
+from jaspershelf.model import Group, Repeat
 from jaspershelf.servers import Pool, Request, Server
 
 DRAWS = 8  # random draws for two candidates, at most
@@ -15,13 +15,13 @@
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
 
 
-class Picker:
-    """The part of a balancer that finds candidates; what it goes by is the balancer's."""
+class Picker(Admission):
+    """The part of a balancer that finds candidates; what it goes by is the balancer's.
+
+    On top of the part that says no, not beside it: compiled classes have one base.
+    """
 
-    settings: Settings
-    rng: Random
     pools: list[Pool]
-    pool_of: list[Pool]
     pooled: float
     look_at: float
     back: dict[Server, float]
--- a/lugspur/hive/cli.py
+++ b/lugspur/hive/cli.py
@@ -2,24 +2,42 @@
 
 from __future__ import annotations
 
+import http.client
+import json
 import sys
+import time
+from pathlib import Path
+from typing import Any
 
 import cyclopts
 
-from lugspur.hive.errors import HiveError
+from lugspur.hive.errors import HiveError, Kind
 from lugspur.hive.settings import load
+from lugspur.membership.rows import read_address
 
-app = cyclopts.App(name="lugspur-hive", help="The mesh: foragers that carry requests, combs that keep the state.")
+WITHIN = 10.0  # seconds for one call
+app = cyclopts.App(name="python -m lugspur.hive", help="The mesh: foragers carry requests, combs keep the state.")
+
+
+def call(address: str, method: str, path: str, body: bytes | None = None) -> bytes:
+    """One call at a `dispatch` address; raises HiveError where it can't be made or is not taken."""
+    try:
+        host, port = read_address(address)
+        connection = http.client.HTTPConnection(host, port, timeout=WITHIN)
+        connection.request(method, path, body, {"Content-Type": "application/json"} if body is not None else {})
+        answer = connection.getresponse()
+        found = answer.read()
+    except (OSError, ValueError, http.client.HTTPException) as fault:
+        raise HiveError(Kind.NOT_READY, f"{address}: {fault}") from None
+    if answer.status != 200:
+        raise HiveError(Kind.BAD_REQUEST, f"{address}: {answer.status} {found.decode('utf-8', 'replace').strip()}")
+    return found
 
 
 @app.command
-def check(path: str) -> None:
+def check(path: Path) -> None:
     """Check a settings file; one line of what is wrong, and exit status 2, where it can't be used."""
-    try:
-        settings = load(path)
-    except HiveError as fault:
-        print(fault.detail, file=sys.stderr)
-        sys.exit(2)
+    settings = load(path)
     print(f"{settings.own.node_name}: {'comb' if settings.keeps else 'forager'} in {settings.own.zone}")
 
 
@@ -31,6 +49,57 @@
     sys.exit(run())
 
 
+@app.command
+def show(address: str, *, as_json: bool = False, watch: float = 0.0) -> None:
+    """What a process knows and goes by; it needs no majority. `watch`: again every so many seconds."""
+    while True:
+        found = call(address, "GET", "/hive/status")
+        print(found.decode() if as_json else "\n".join(lines(json.loads(found))), flush=True)
+        if watch <= 0.0:
+            return
+        time.sleep(watch)
+
+
+def lines(found: dict[str, Any]) -> list[str]:
+    """A status as people read it: one line for each fact, one for each of many."""
+    told = []
+    for key, value in found.items():
+        if isinstance(value, dict) and value and all(isinstance(v, dict) for v in value.values()):
+            told += [f"{key} {name}: {_pairs(row)}" for name, row in value.items()]
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            told += [f"{key}: {_pairs(row)}" for row in value]
+        elif isinstance(value, dict):
+            told.append(f"{key}: {_pairs(value)}")
+        else:
+            told.append(f"{key}: {' '.join(value) if isinstance(value, list) else value}")
+    return told
+
+
+def _pairs(row: dict[str, Any]) -> str:
+    return " ".join(f"{key}={value}" for key, value in row.items())
+
+
+@app.command
+def read(address: str) -> None:
+    """The newest configuration, as a majority of the seats has it."""
+    print(call(address, "GET", "/config/read").decode())
+
+
+@app.command
+def amend(address: str, path: Path) -> None:
+    """Change the configuration by a file with `upsert` and `withdraw`; it is kept once this command ends well."""
+    try:
+        body = path.read_bytes()
+    except OSError as fault:
+        raise HiveError(Kind.BAD_REQUEST, f"{path}: {fault.strerror}") from None
+    call(address, "POST", "/config/amend", body)
+    print("taken, and on the disks of a majority")
+
+
 def main() -> None:
-    """Run the command line."""
-    app()
+    """Run the command line; what goes wrong is one line, and exit status 2."""
+    try:
+        app()
+    except HiveError as fault:
+        print(fault, file=sys.stderr)
+        sys.exit(2)
--- a/lugspur/hive/hand.py
+++ b/lugspur/hive/hand.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -55,6 +56,7 @@
 
 
 _beat = msgspec.json.Decoder(Beat)
+_json = msgspec.json.Encoder().encode
 _pack = msgspec.msgpack.Encoder().encode
 _spot = msgspec.msgpack.Decoder(Spot)
 
@@ -103,6 +105,7 @@
         desk.add("POST", "/backends/*/sign-off", self._sign_off)
         desk.add("POST", "/config/amend", self._elsewhere)
         desk.add("GET", "/config/read", self._elsewhere)
+        desk.add("GET", "/hive/status", lambda request, caller, found: reply(caller, _json(self.status())))
         await desk.serve(listen.dispatch, limits.memory_mb << 20)
 
     def _tune(self) -> None:
@@ -313,6 +316,24 @@
             for seat in self.roster.seats:
                 self.to(seat.ip, Done(forward.key, forward.by, answer))
 
+    def status(self) -> dict[str, Any]:
+        """What operators see of this forager: what it goes by, how old that is, and whom it would send to."""
+        now, local = self.loop.time(), self.gate.local
+        ranks = [rank for found in self.forager.services.values() for rank in found.values()]
+        return {
+            "node": self.settings.own.node_name, "role": "forager", "ip": self.ip, "zone": self.settings.own.zone,
+            "sender": self.forager.sender, "leaving": self.leaving, "known": self.known,
+            "epoch": 0 if self.roster is None else self.roster.epoch,
+            "seats": [] if self.roster is None else [seat.ip for seat in self.roster.seats],
+            "source": self.source, "age_s": round(min(1e6, now - self.source_at), 3), "routes": len(self.table),
+            "open": len(self.forager.flights), "busy": self.gate.busy,
+            "backend": None if local is None else {"id": local.id, "service": local.service, "state": local.state,
+                                                   "berths": local.berths, "down": local.down},
+            "backends": [{"id": r.id, "service": r.service, "ip": r.ip, "zone": r.zone, "reached": self.ready(r.ip),
+                          "in_flight": r.inflight, "latency": round(r.latency, 3),
+                          "refuses": round(r.breaker.error_ratio(now), 3)} for r in ranks],
+        }
+
     # ---- time -----------------------------------------------------------------------------------
 
     def _tell(self, now: float) -> None:
--- a/lugspur/hive/keeper.py
+++ b/lugspur/hive/keeper.py
@@ -44,6 +44,7 @@
 PATIENCE = 2.0  # seconds beyond the time in which machines count as in touch, until a silent seat is replaced
 LEAVE_PART = 0.5  # of the time that a process has to end, for handing its seat on
 
+_json = msgspec.json.Encoder().encode
 _pack = msgspec.msgpack.Encoder().encode
 _presence = msgspec.msgpack.Decoder(Presence)
 
@@ -110,6 +111,7 @@
         desk = Desk()
         desk.add("POST", "/config/amend", self._amend)
         desk.add("GET", "/config/read", self._read)
+        desk.add("GET", "/hive/status", lambda request, caller, found: reply(caller, _json(self.status())))
         self.front = await desk.serve(self.settings.network.listen.dispatch, self.settings.own.limits.memory_mb << 20)
 
     def _amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
@@ -315,6 +317,21 @@
                 if standing is not None and standing.edition == edition and standing.value is not None:
                     self.take([Entry(kind, name, edition + 1, None)])
 
+    def status(self) -> dict[str, Any]:
+        """What operators see of this comb, whether a majority can be reached or not."""
+        now, comb = self.loop.time(), self.comb
+        kinds = {kind: len(self.ledger.standing(kind)) for kind in sorted({e.kind for e in self.ledger.all()})}
+        combs = {name: _presence.decode(value) for name, value in self.ledger.standing("comb").items()}
+        return {
+            "node": self.settings.own.node_name, "role": "comb", "ip": self.ip, "zone": self.settings.own.zone,
+            "uid": comb.seat.uid, "epoch": comb.epoch, "seated": comb.seated, "full": comb.full,
+            "seats": [] if comb.roster is None else [seat.ip for seat in comb.roster.seats],
+            "seats_wanted": self.sitting.seats, "age_s": round(min(1e6, self.age(now)), 3),
+            "combs": {ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving} for ip, p in combs.items()},
+            "entries": kinds, "claims": comb.claims, "subscribers": len(self.subscribers),
+            "disk": {"commits": self.disk.commits, "fault": self.disk.fault},
+        }
+
     # ---- the end ---------------------------------------------------------------------------
 
     async def leave(self) -> None:
--- a/lugspur/hive/node.py
+++ b/lugspur/hive/node.py
@@ -172,7 +172,9 @@
             return
         up = {ip for ip, dialler in self.peers.items() if dialler.link is not None}
         zones = {seat.ip: seat.zone for seat in self.roster.seats} if self.roster is not None else {}
-        able = [ip for ip in up if ip in zones] or [ip for ip in up if self.roster is None or self._cut_off()]
+        able = [ip for ip in up if ip in zones]
+        if not able or self._cut_off():  # the roster that is known may be an old one; foragers tell no news
+            able += [ip for ip in up if ip in self.settings.seeds and ip not in zones]
         if not able:
             self.source = ""
             return
--- /dev/null
+++ b/tests/hive/test_cli.py
@@ -0,0 +1,54 @@
+"""The operators' command line against a mesh of processes, and without one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from lugspur.bench.hive import ROOT, Mesh
+
+
+def run(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "lugspur.hive", *words], cwd=ROOT, capture_output=True, text=True,
+                          check=False, timeout=60)
+
+
+def test_operators_see_and_change_a_mesh_and_see_it_without_a_majority(tmp_path: Path) -> None:
+    async def what() -> None:
+        mesh = Mesh(tmp_path)
+        try:
+            await mesh.begin()
+            at = f"{mesh.comb_ips[0]}:{mesh.dispatch}"
+            change = tmp_path / "change.json"
+            change.write_text(json.dumps({"upsert": {"routes": [mesh.route("late", "safe", "00000002")]}}))
+            taken = await asyncio.to_thread(run, "amend", at, str(change))
+            assert (taken.returncode, taken.stdout) == (0, "taken, and on the disks of a majority\n"), taken.stderr
+            change.write_text('{"upsert": {"routes": [{"name": "x"}]}}')
+            refused = await asyncio.to_thread(run, "amend", at, str(change))
+            assert refused.returncode == 2 and "400" in refused.stderr and len(refused.stderr.splitlines()) == 1
+            names = {r["name"] for r in json.loads((await asyncio.to_thread(run, "read", at)).stdout)["routes"]}
+            assert names == {"look", "book", "late"}
+            forager = await asyncio.to_thread(run, "show", f"{mesh.forager_ips[0]}:{mesh.dispatch}")
+            assert "role: forager" in forager.stdout and forager.stdout.count("reached=True") == 2
+            for ip in mesh.comb_ips[1:]:
+                mesh.end(ip)
+            alone = await asyncio.to_thread(run, "show", at, "--as-json")
+            found = json.loads(alone.stdout)
+            assert (found["role"], found["seats"], found["entries"]["routes"]) == ("comb", mesh.comb_ips, 3)
+            unread = await asyncio.to_thread(run, "read", at)
+            assert unread.returncode == 2 and "no-quorum" in unread.stderr
+        finally:
+            await mesh.close()
+    asyncio.run(what())
+
+
+def test_mistakes_are_one_line_and_exit_status_2(tmp_path: Path) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text("[self]\n")
+    absent = str(tmp_path / "absent")
+    for words in (("check", str(bad)), ("show", "127.0.0.1:1"), ("show", "nowhere"), ("amend", "127.0.0.1:1", absent)):
+        ended = run(*words)
+        assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1, (words, ended.stderr)
--- a/tests/hive/test_mesh.py
+++ b/tests/hive/test_mesh.py
@@ -50,6 +50,8 @@
                 await asyncio.sleep(0.05)  # until the seats can be reached anew
         assert (again[0], again[2]) == (200, first[2])
         assert sum(len([t for t in backend.ran if t.startswith("t")]) for backend in mesh.backends) == 1
+        logs = mesh.log(one) + mesh.log(other)
+        assert not [ip for ip in mesh.forager_ips if f"source={ip}" in logs]  # only combs tell news
     play(tmp_path, what)
 
 
