Judge each route by its own pace and breaker, so that short calls are not refused for long ones

The gate judged calls of 15 ms by the pace of all routes and callers refused them for orders that had been turned away; each refused call failed its parent. A pace and a breaker for each route, and half of the time left may be spent waiting.

--- a/lugspur/hive/forager.py
+++ b/lugspur/hive/forager.py
@@ -7,6 +7,8 @@
 from random import Random, random
 from typing import Protocol
 
+from cachetools import LRUCache
+
 from jaspershelf.breaker import Breaker
 from jaspershelf.budget import Budget
 from lugspur.hive.claims import Known, Settled, Taken, Won
@@ -28,6 +30,7 @@
 BUDGET_PART = 0.5  # of the retry budget that is used: nested calls of what runs twice count too, and views lag
 FAR = 1.6  # times its score that a backend of another zone counts with: bytes between zones cost...
 FAR_BYTES = 16 << 10  # ...and once more for so many bytes of a body
+BREAKERS_MOST = 256  # routes with a breaker of their own for one backend, those used last
 ROUNDS = 4  # backends that may turn one request away before it is given up
 HEDGE = 3.0  # times a route's pace after which a safe request is sent to a second backend...
 HEDGE_AIM = 0.6  # ...and not before this part of its aim
@@ -37,16 +40,25 @@
 class Rank:
     """What this process knows of one life of one backend."""
 
-    __slots__ = ("berths", "breaker", "cold_until", "id", "inflight", "ip", "latency", "rests_until", "service", "zone")
+    __slots__ = ("berths", "breakers", "cold_until", "id", "inflight", "ip", "latency", "rests_until", "service",
+                 "zone")
 
     def __init__(self, ident: str, service: str, ip: str, zone: str) -> None:
         self.id, self.service, self.ip, self.zone = ident, service, ip, zone
         self.berths = 1
-        self.breaker = Breaker()
+        # One for each route: a gate that turns away what may wait says nothing of what may not.
+        self.breakers: LRUCache[str, Breaker] = LRUCache(BREAKERS_MOST)
         self.latency = 0.0  # in units of the route's pace; failures count as LATE
         self.inflight = 0
         self.cold_until = self.rests_until = 0.0
 
+    def breaker(self, route: str) -> Breaker:
+        """The breaker of a route's calls to this backend."""
+        found = self.breakers.get(route)
+        if found is None:
+            found = self.breakers[route] = Breaker()
+        return found
+
     def learn(self, latency: float) -> None:
         """Move the latency that picks follow."""
         self.latency += (latency - self.latency) / 4.0 if self.latency > 0.0 else latency
@@ -237,7 +249,7 @@
         timeout = self.way.deadline / pace if pace else 0.0
         far = FAR + len(self.request.body) / FAR_BYTES
         for rank in sorted(two, key=lambda rank: rank.score(now) * (1.0 if rank.zone == zone else far)):
-            if not rank.breaker.refuses(now, timeout, rng):
+            if not rank.breaker(self.way.name).refuses(now, timeout, rng):
                 return rank
         self.forager.count("breaker-refused" if two else "none-ready")
         return None
@@ -257,7 +269,7 @@
             self._lines = self._write_lines()
         forward = Forward(
             0, rank.id, request.method, request.target, self._lines, request.body, self.deadline - now,
-            request.arrived + way.target - now, self.attempt, way.priority, way.safe, self.key,
+            request.arrived + way.target - now, self.attempt, way.priority, way.safe, way.name, self.key,
             self.attempt if self.key else b"")
         rank.inflight += 1
         self.sends += 1
@@ -302,8 +314,9 @@
             if reply.answer.status < 500:
                 way.pace += (took - way.pace) * (PACE_WEIGHT if way.pace else 1.0)
                 relative = took / way.pace
-                rank.breaker.accepted(now)
-                rank.breaker.sample(relative)
+                breaker = rank.breaker(way.name)
+                breaker.accepted(now)
+                breaker.sample(relative)
                 rank.learn(relative)
             else:
                 self._failed(now, rank)
@@ -320,7 +333,7 @@
             self.rounds += 1
             if not reply.sent:
                 self.sends -= 1  # no backend was offered it
-            rank.breaker.failed(now)
+            rank.breaker(way.name).failed(now)
             rank.rests_until = now + REST * (0.5 + self.forager.rng.random())
         else:
             self._failed(now, rank)
@@ -331,7 +344,7 @@
             self._finish_failed()
 
     def _failed(self, now: float, rank: Rank) -> None:
-        rank.breaker.failed(now)
+        rank.breaker(self.way.name).failed(now)
         rank.learn(LATE)
 
     def _again(self, now: float) -> bool:
--- a/lugspur/hive/gate.py
+++ b/lugspur/hive/gate.py
@@ -8,6 +8,8 @@
 import itertools
 from collections.abc import Callable
 
+from cachetools import LRUCache
+
 from jaspershelf.model import Outcome
 from lugspur.hive.wire import Answer, Forward, Reply
 from lugspur.http1.upstream import Backend, Exchange, Upstream
@@ -20,9 +22,10 @@
 EXTRA = 1  # requests at the backend beyond its berths: the next one is there when a berth gets free
 QUEUE_BERTHS = 2  # requests that wait here, for each berth
 WAIT_PART = 0.7  # of the time that its answer is worth most in, for waiting here
-WAIT_LATE = 0.25  # ...and of the time that is left, where that is more
+WAIT_LATE = 0.5  # ...and of the time that is left, where that is more: a late answer is worth something
 HOPELESS = 0.3  # of the pace: with less time left nothing is begun
 RANK_PART = 0.25  # of its aim by which a request waits longer, for each step of priority
+PACES_MOST = 256  # routes whose pace is known, those used last
 PACE_WEIGHT = 1 / 16  # of one answer in the pace
 GRACE = 0.03  # seconds behind the deadline in which the backend's own word on it may come
 DIAL_WITHIN = 0.5  # seconds: the backend is on this machine
@@ -90,7 +93,9 @@
         self._count = itertools.count()
         self._waiting: list[tuple[float, int, Ticket]] = []  # by what is due first
         self._at_work = 0
-        self._pace = 0.0  # seconds that an answer takes, from when the backend is offered the request
+        # Seconds that an answer takes from when the backend is offered the request, by route, and of all.
+        self._paces: LRUCache[str, float] = LRUCache(PACES_MOST)
+        self._pace = 0.0
         self.turned = self.evicted = self.hopeless = 0  # for lack of room, for others, for lack of time
 
     @property
@@ -133,16 +138,20 @@
         if free > 0:
             return True
         rank = self._rank(self._loop.time(), forward)
-        ahead = sum(1 for row in self._waiting if row[0] <= rank and not row[2].over)
-        wait = (ahead + 1) * self._pace / max(1, local.berths)
-        fits = wait <= max(WAIT_PART * (forward.aim - self._pace), WAIT_LATE * forward.left)
-        if not fits or ahead >= QUEUE_BERTHS * local.berths:
+        before = [row[2].forward.route for row in self._waiting if row[0] <= rank and not row[2].over]
+        pace = self._pace_of(forward.route)
+        wait = (sum(map(self._pace_of, before)) + self._pace) / max(1, local.berths)
+        fits = wait <= max(WAIT_PART * (forward.aim - pace), WAIT_LATE * (forward.left - pace))
+        if not fits or len(before) >= QUEUE_BERTHS * local.berths:
             self.turned += 1
             return False
         if len(self._waiting) >= QUEUE_BERTHS * local.berths:
             self._evict()
         return True
 
+    def _pace_of(self, route: str) -> float:
+        return self._paces.get(route, self._pace)
+
     def _evict(self) -> None:
         """Whoever would be last makes room: a queue without end serves nobody in time."""
         last = max(self._waiting)
@@ -169,7 +178,8 @@
             if ticket.over:
                 continue
             now = self._loop.time()
-            if not self.takes_waiting(now, ticket) or now + HOPELESS * self._pace >= ticket.until:
+            ends = now + HOPELESS * self._pace_of(ticket.forward.route)
+            if not self.takes_waiting(now, ticket) or ends >= ticket.until:
                 self.hopeless += 1
                 self._end(ticket, End.NOT_RUN, None)
             else:
@@ -205,7 +215,10 @@
         self._at_work -= 1
         if outcome is Outcome.OK and response is not None:
             took = self._loop.time() - ticket.sent_at
+            route = ticket.forward.route
             self._pace += (took - self._pace) * (PACE_WEIGHT if self._pace else 1.0)
+            pace = self._paces.get(route, took)
+            self._paces[route] = pace + (took - pace) * PACE_WEIGHT
             if self._sound(ticket.forward, response):
                 answer = Answer(response.status, response.head, response.body)
                 if ticket.forward.key:
--- a/lugspur/hive/hand.py
+++ b/lugspur/hive/hand.py
@@ -331,7 +331,8 @@
                                                    "berths": local.berths, "down": local.down},
             "backends": [{"id": r.id, "service": r.service, "ip": r.ip, "zone": r.zone, "reached": self.ready(r.ip),
                           "in_flight": r.inflight, "latency": round(r.latency, 3),
-                          "refuses": round(r.breaker.error_ratio(now), 3)} for r in ranks],
+                          "refuses": {name: round(b.error_ratio(now), 3) for name, b in r.breakers.items()}}
+                         for r in ranks],
         }
 
     # ---- time -----------------------------------------------------------------------------------
--- a/lugspur/hive/wire.py
+++ b/lugspur/hive/wire.py
@@ -211,6 +211,7 @@
     attempt: bytes
     priority: int
     safe: bool
+    route: str
     key: bytes = b""
     by: bytes = b""
 
--- a/tests/hive/test_forager.py
+++ b/tests/hive/test_forager.py
@@ -189,7 +189,7 @@
             if rig.forager.flights:
                 rig.reply(End.MAYBE)
             for rank in rig.forager.services["s"].values():
-                rank.breaker = type(rank.breaker)()  # what is tried here is the budget alone
+                rank.breakers.clear()  # what is tried here is the budget alone
         further = len(rig.sent) - 100
         assert 10 <= further <= 0.5 * (0.2 * 100 + 20.0 / 2) + 1  # its part of half of what the rules allow
     play(what, tries=2)
@@ -276,11 +276,13 @@
             counts[rig.sent[-1][0]] += 1
             rig.reply(End.ANSWERED, OK)
             for rank in rig.forager.services["s"].values():
-                rank.latency, rank.breaker = 1.0, type(rank.breaker)()
+                rank.latency = 1.0
+                rank.breakers.clear()
         assert counts["10.0.0.0"] == 60  # alike but for the zone
         for _ in range(60):
             for rank in rig.forager.services["s"].values():
-                rank.latency, rank.breaker = 4.0 if rank.id == "i-0" else 1.0, type(rank.breaker)()
+                rank.latency = 4.0 if rank.id == "i-0" else 1.0
+                rank.breakers.clear()
             rig.ask()
             counts[rig.sent[-1][0]] += 1
             rig.reply(End.ANSWERED, OK)
@@ -295,3 +297,20 @@
         rig.forager.members("s", {})
         assert rig.ask().answers[0][0] == 503
     play(what)
+
+
+def test_a_route_that_is_turned_away_costs_another_route_nothing() -> None:
+    def what(rig: Rig) -> None:
+        for entry in read_call(call(route("urgent"))):
+            rig.forager.table.change(entry)
+        for _ in range(100):
+            rig.ask()
+            while rig.forager.flights:
+                rig.reply(End.NOT_RUN, sent=False)
+        assert rig.forager.ended["breaker-refused"] > 20  # those that may wait are refused here by now
+        before = len(rig.sent)
+        for _ in range(20):
+            rig.ask(b"/urgent/1")
+            rig.reply(End.ANSWERED, OK)
+        assert len(rig.sent) == before + 20
+    play(what, slack=0.0)
--- a/tests/hive/test_gate.py
+++ b/tests/hive/test_gate.py
@@ -52,10 +52,10 @@
 
 
 def forward(n: int, attempt: bytes = b"", left: float = 2.0, aim: float = 1.0, safe: bool = False,
-            key: bytes = b"", priority: int = 0, body: bytes = b"") -> Forward:
+            key: bytes = b"", priority: int = 0, body: bytes = b"", route: str = "r") -> Forward:
     attempt = attempt or b"a%d" % n
     lines = [b"Host: h\r\n", b"Lugspur-Attempt-Id: %b\r\n" % attempt]
-    return Forward(n, "i-1", b"POST", b"/p?q=1", lines, body, left, aim, attempt, priority, safe, key, attempt)
+    return Forward(n, "i-1", b"POST", b"/p?q=1", lines, body, left, aim, attempt, priority, safe, route, key, attempt)
 
 
 class Rig:
@@ -190,3 +190,21 @@
         assert reply.how == End.ANSWERED and [attempt_of(h) for h in backend.heads] == [b"a1", b"a2", b"a4"]
         assert rig.gate.busy == 0
     play(lambda a: GOOD % a, what)
+
+
+def test_a_short_call_is_judged_by_its_own_route() -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        backend.hold = asyncio.Event()
+        rig.local.berths = 1
+        slow = [rig.run(forward(n, route="slow", left=9.0, aim=9.0)) for n in (1, 2)]
+        await asyncio.sleep(0.15)  # what the slow route takes
+        backend.hold.set()
+        await asyncio.gather(*slow, rig.run(forward(3, route="short")))
+        backend.hold = asyncio.Event()
+        running = [rig.run(forward(n, route="short")) for n in (4, 5)]
+        waits = [rig.run(forward(6, route="short", left=0.2, aim=0.06)), rig.run(forward(7, route="slow", left=0.2, aim=0.1))]
+        assert (await waits[1]).how == End.NOT_RUN and not waits[0].done()
+        backend.hold.set()
+        await asyncio.gather(*running)
+        assert (await waits[0]).how == End.ANSWERED
+    play(lambda a: GOOD % a, what)
