--- a/lugspur/hive/gate.py
+++ b/lugspur/hive/gate.py
@@ -24,13 +24,15 @@
 WAIT_PART = 0.7  # of the time that its answer is worth most in, for waiting here
 WAIT_LATE = 0.5  # ...and of the time that is left, where that is more: a late answer is worth something
 HOPELESS = 0.3  # of the pace: with less time left nothing is begun
-RANK_PART = 0.25  # of its aim by which a request waits longer, for each step of priority
 PACES_MOST = 256  # routes whose pace is known, those used last
 PACE_WEIGHT = 1 / 16  # of one answer in the pace
 GRACE = 0.03  # seconds behind the deadline in which the backend's own word on it may come
 DIAL_WITHIN = 0.5  # seconds: the backend is on this machine
 
 
+Rank = tuple[int, float]  # an operators' priority, and the loop's time at which an answer loses its worth
+
+
 class End(enum.IntEnum):
     """How a request ended here."""
 
@@ -91,7 +93,7 @@
             Shares(files, {}), "", 20.0, DIAL_WITHIN, memory // 4, memory // 8, judge, proof=b"lugspur-not-delivered",
             echo=b"lugspur-attempt-id", keeps=64)
         self._count = itertools.count()
-        self._waiting: list[tuple[float, int, Ticket]] = []  # by what is due first
+        self._waiting: list[tuple[Rank, int, Ticket]] = []  # the first one first
         self._at_work = 0
         # Seconds that an answer takes from when the backend is offered the request, by route, and of all.
         self._paces: LRUCache[str, float] = LRUCache(PACES_MOST)
@@ -125,12 +127,12 @@
         return ticket
 
     @staticmethod
-    def _rank(now: float, forward: Forward) -> float:
-        """Who is first: whose answer loses its worth soonest, the dearer ones sooner.
+    def _rank(now: float, forward: Forward) -> Rank:
+        """Who is first: by the operators' priority, then whose answer loses its worth soonest.
 
         Guards the work of parents: their calls have short aims, and a parent holds its berth until they are answered.
         """
-        return now + forward.aim * (1.0 + RANK_PART * forward.priority)
+        return forward.priority, now + forward.aim
 
     def _room(self, local: Local, forward: Forward) -> bool:
         """Whether it would get its turn while its answer is still worth something."""
--- a/tests/hive/test_gate.py
+++ b/tests/hive/test_gate.py
@@ -150,14 +150,16 @@
         backend.hold = asyncio.Event()
         rig.local.berths = 1
         running = [rig.run(forward(n)) for n in (1, 2)]  # one at work and one ready beside it
-        patient = [rig.run(forward(n, aim=1.0)) for n in (3, 4)]
-        urgent = rig.run(forward(5, aim=0.1))
+        patient = [rig.run(forward(n, aim=1.0, priority=1)) for n in (3, 4)]
+        urgent = rig.run(forward(5, aim=0.1, priority=1))
         assert (await patient[1]).how == End.NOT_RUN  # the queue is full: whoever is due last goes
-        late = await rig.run(forward(6, aim=1.0))
+        late = await rig.run(forward(6, aim=1.0, priority=1))
         assert (late.how, late.sent) == (End.NOT_RUN, False)
+        highest = rig.run(forward(7, aim=1.9, priority=0))  # however long it may take
+        assert (await patient[0]).how == End.NOT_RUN
         backend.hold.set()
-        await asyncio.gather(*running, urgent, patient[0])
-        assert [attempt_of(head) for head in backend.heads] == [b"a1", b"a2", b"a5", b"a3"]
+        await asyncio.gather(*running, urgent, highest)
+        assert [attempt_of(head) for head in backend.heads] == [b"a1", b"a2", b"a7", b"a5"]
     play(lambda a: GOOD % a, what)
 
 
@@ -198,11 +200,12 @@
         rig.local.berths = 1
         slow = [rig.run(forward(n, route="slow", left=9.0, aim=9.0)) for n in (1, 2)]
         await asyncio.sleep(0.15)  # what the slow route takes
+        rig.gate._paces["slow"], rig.gate._pace = 0.15, 0.08
         backend.hold.set()
         await asyncio.gather(*slow, rig.run(forward(3, route="short")))
         backend.hold = asyncio.Event()
         running = [rig.run(forward(n, route="short")) for n in (4, 5)]
-        waits = [rig.run(forward(6, route="short", left=0.2, aim=0.06)), rig.run(forward(7, route="slow", left=0.2, aim=0.1))]
+        waits = [rig.run(forward(n, route=route, left=0.2, aim=0.06)) for n, route in ((6, "short"), (7, "slow"))]
         assert (await waits[1]).how == End.NOT_RUN and not waits[0].done()
         backend.hold.set()
         await asyncio.gather(*running)
