Keep idle links and news quiet in a fleet that seeks its sources

By reckoning for 86 foragers that all know each other: keep-alive probes every 2 s on 170 links each would be some 90 kbit/s of 2.3 Mbit/s, and while the core is unsettled each forager would send a new edition of its word every 0.8 s to all. Probes after 10 s (what is sent finds a dark machine in 1.5 s by the user time-out), and a new edition every 2 s at most; under the same one it is no news.

--- a/lugspur/hive/hand.py
+++ b/lugspur/hive/hand.py
@@ -30,6 +30,7 @@
 LEAVE_TAKES = 0.35  # of the time that a process has to end, in which callers are still served anew
 LEAVE_ENDS = 0.9  # ...and by which all ends
 TELL_EVERY = 2.0  # seconds between lines on how requests ended
+SAY_AGAIN = 2.0  # seconds between editions of the same word to another source
 BEAT_MOST = 4096  # bytes of a beat
 
 
@@ -73,7 +74,7 @@
         self._stale_services: set[str] = set()
         self._carried: dict[str, dict[int, Callable[[Reply], None]]] = {}  # by machine, what waits for a reply
         self._n = 0
-        self._told_at = 0.0
+        self._told_at = self._again_at = 0.0
         self._tickets: dict[tuple[Link, int], Ticket] = {}
         super().__init__(settings, path, False)
         self.forager = Forager(self.table, self, self, self.rng, bounds.retry_ratio, bounds.retry_slack,
@@ -193,7 +194,11 @@
         self.report()
 
     def own_entries(self, again: bool) -> list[Entry]:
-        if self._said is not None and again:
+        now = self.loop.time()
+        # Guards news against a fleet that seeks sources all the time while the core is unsettled: by the same edition
+        # it is no news. The former source may drop it when the lease ends there, and is then told otherwise.
+        if self._said is not None and again and now >= self._again_at:
+            self._again_at = now + SAY_AGAIN
             self._said = Entry("backend", self.ip, self.edition("backend", self.ip), self._said.value)
             self.ledger.merge([self._said])
         return [] if self._said is None else [self._said]
--- a/lugspur/hive/link.py
+++ b/lugspur/hive/link.py
@@ -15,7 +15,9 @@
 FRAME_MOST = 96 << 20  # bytes of one frame: the largest body that operators allow is 64 MiB, and heads beside it
 UNSENT_MOST = 48 << 20  # bytes that may wait for a peer that does not read: then it counts as gone
 USER_TIMEOUT = 1500  # ms without an acknowledgement after which a connection is dead: a cut says nothing
-KEEP_IDLE, KEEP_EVERY, KEEP_COUNT = 2, 1, 2  # s, s, probes: where nothing is sent, a dark machine shows in 4 s
+# s, s, probes. Where something is sent the time above finds a dark machine, so that these may be few: in a fleet of
+# foragers that all know each other they would be most of what idle links carry.
+KEEP_IDLE, KEEP_EVERY, KEEP_COUNT = 10, 1, 2
 
 
 def alert(sock: socket.socket) -> None:
