--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -22,10 +22,10 @@
 def main() -> int:
     """Play, print a table, and draw it where that is asked for."""
     parser = argparse.ArgumentParser(description="Tries designs in virtual time.")
-    parser.add_argument("what", choices=["joining", "fleet", "members", "duties"])
+    parser.add_argument("what", choices=["joining", "fleet", "members", "duties", "hive"])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--reads", type=int, default=joining.READS, help="at each load")
-    parser.add_argument("--seeds", type=int, default=1000, help="of duties")
+    parser.add_argument("--seeds", type=int, default=1000, help="of duties and hive")
     parser.add_argument("--plot", default="", metavar="FILE", help="an SVG")
     given = parser.parse_args()
     if given.what == "fleet":
@@ -45,6 +45,13 @@
         for count in members.SIZES:
             print(members.play(count, given.seed).row(), flush=True)
         return 0
+    if given.what == "hive":
+        # Imported only here: it needs the extra `hive`.
+        from lugspur.emulator import hive
+
+        for line in hive.report(given.seed, given.seeds):
+            print(line, flush=True)
+        return 0
     if given.what == "duties":
         from lugspur.emulator import duties
 
--- a/lugspur/emulator/hive.py
+++ b/lugspur/emulator/hive.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -33,7 +34,6 @@
     Roster,
     Said,
     Seat,
-    State,
     Verdict,
 )
 
@@ -404,4 +404,20 @@
     return world.figures
 
 
-__all__ = ["Figures", "Process", "State", "World", "Wrong", "play"]
+
+def report(first: int, seeds: int) -> Iterator[str]:
+    """A row for each size of the core: what so many plays brought about, and how many broke a promise."""
+    yield "| combs | may be lost | plays | claims won | runs | changes | power lost | disks lost | messages | wrong |"
+    yield "|---|---|---|---|---|---|---|---|---|---|"
+    for combs, machines in ((3, 1), (4, 1), (5, 1), (7, 2)):
+        total, wrong = Figures(), 0
+        for seed in range(first, first + seeds):
+            try:
+                found = play(seed, 3000, combs, machines)
+            except Wrong:
+                wrong += 1
+                continue
+            for name in ("won", "runs", "acknowledged", "lost", "wiped", "messages"):
+                setattr(total, name, getattr(total, name) + getattr(found, name))
+        yield (f"| {combs} | {machines} | {seeds} | {total.won} | {total.runs} | {total.acknowledged} | {total.lost} | "
+               f"{total.wiped} | {total.messages} | {wrong} |")
--- /dev/null
+++ b/tests/hive/test_link.py
@@ -0,0 +1,130 @@
+"""Connections between processes: frames in pieces, and what ends a connection without harm to others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from lugspur.hive import link as link_module
+from lugspur.hive.link import Dialler, Link
+from lugspur.hive.wire import Claim, Hello, Message, Pong, encode
+
+
+def play(what: Callable[[Server], Awaitable[None]]) -> None:
+    async def run() -> None:
+        server = Server()
+        async with asyncio.timeout(10.0):
+            await server.begin()
+            await what(server)
+        server.listening.close()
+    asyncio.run(run())
+
+
+class Server:
+    """One that listens, and what it heard."""
+
+    def __init__(self) -> None:
+        self.heard: list[Message] = []
+        self.links: list[Link] = []
+        self.ended: list[Link] = []
+        self.turn = asyncio.Event()
+
+    async def begin(self) -> None:
+        def accepted() -> Link:
+            self.links.append(Link(self._heard, self._over))
+            return self.links[-1]
+        self.listening = await asyncio.get_running_loop().create_server(accepted, "127.0.0.1", 0)
+        self.port = self.listening.sockets[0].getsockname()[1]
+
+    def _heard(self, link: Link, message: Message) -> None:
+        self.heard.append(message)
+        self.turn.set()
+
+    def _over(self, link: Link) -> None:
+        self.ended.append(link)
+        self.turn.set()
+
+    async def until(self, is_so: Callable[[], bool]) -> None:
+        while not is_so():
+            self.turn.clear()
+            await self.turn.wait()
+
+
+def test_frames_come_whole_and_in_order_however_they_are_cut() -> None:
+    async def what(server: Server) -> None:
+        sent: list[Message] = [Hello("10.0.0.1", "life", False), Claim(b"k", b"b", 3, 1.5), Pong()]
+        data = b"".join(map(encode, sent))
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        for n in range(len(data)):
+            writer.write(data[n:n + 1])
+            await writer.drain()
+        await server.until(lambda: len(server.heard) == 3)
+        assert server.heard == sent
+        writer.close()
+        await server.until(lambda: len(server.ended) == 1)
+    play(what)
+
+
+@pytest.mark.parametrize("data", [
+    (200 << 20).to_bytes(4, "big"), b"\0\0\0\3abc", b"\0\0\0\2\x91\x63", b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\0"])
+def test_what_is_no_message_ends_its_connection_and_no_other(data: bytes) -> None:
+    async def what(server: Server) -> None:
+        _, good = await asyncio.open_connection("127.0.0.1", server.port)
+        _, bad = await asyncio.open_connection("127.0.0.1", server.port)
+        bad.write(data + encode(Pong()))
+        await server.until(lambda: len(server.ended) == 1)
+        assert server.heard == []
+        good.write(encode(Pong()))
+        await server.until(lambda: server.heard == [Pong()])
+        bad.close()
+        good.close()
+    play(what)
+
+
+def test_a_peer_that_does_not_read_is_dropped_before_it_fills_the_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(link_module, "UNSENT_MOST", 1 << 20)
+
+    async def what(server: Server) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await server.until_link()  # type: ignore[attr-defined]
+        link = server.links[0]
+        for _ in range(1000):
+            link.send(Claim(bytes(100_000), b"b", 1, 1.0))
+            await asyncio.sleep(0)
+            if not link.open:
+                break
+        assert not link.open and server.ended == [link]
+        link.send(Pong())  # to nobody
+        writer.close()
+
+    async def until_link(self: Server) -> None:
+        while not self.links or self.links[0]._transport is None:
+            await asyncio.sleep(0)
+    monkeypatch.setattr(Server, "until_link", until_link, raising=False)
+    play(what)
+
+
+def test_who_dials_dials_again_until_it_is_closed() -> None:
+    async def what(server: Server) -> None:
+        ups: list[Dialler] = []
+        downs: list[Dialler] = []
+
+        def up(dialler: Dialler) -> None:
+            ups.append(dialler)
+            server.turn.set()
+
+        def down(dialler: Dialler) -> None:
+            downs.append(dialler)
+            server.turn.set()
+        dialler = Dialler("127.0.0.1", server.port, "127.0.0.1", lambda link, message: None, up, down)
+        await server.until(lambda: len(ups) == 1 and bool(server.links))
+        server.links[0].close()
+        await server.until(lambda: len(ups) == 2)
+        assert len(downs) == 1 and dialler.link is not None
+        dialler.close()
+        await server.until(lambda: len(server.ended) == 2)
+        assert len(downs) == 1
+    play(what)
