Let combs and their emulator share one dispatch of what seats are asked

keeper.py and emulator/hive.py held the same chain of messages, so that one could be changed without the other and plays would no longer try what runs. It is Comb.judge now.

--- a/lugspur/emulator/hive.py
+++ b/lugspur/emulator/hive.py
@@ -19,17 +19,12 @@
 from lugspur.hive.sitting import Sitting
 from lugspur.hive.steward import Presence, Steward, target
 from lugspur.hive.wire import (
-    Accept,
     Answer,
     Ask,
-    Claim,
     Delta,
     Done,
     Entry,
-    Fetch,
     Message,
-    Prepare,
-    Put,
     Release,
     Roster,
     Said,
@@ -122,30 +117,16 @@
 
     def heard(self, ip: str, message: Message) -> None:
         comb, now = self.comb, self.world.now
-        if isinstance(message, Claim):
-            self.do(comb.claim(now, ip, message))
-        elif isinstance(message, Done):
-            self.do(comb.done(now, message))
-        elif isinstance(message, Release):
-            self.do(comb.release(message))
-        elif isinstance(message, Ask):
-            # What it has goes ahead of the answer.
-            self.world.post(self.ip, ip, Delta("", 0, 0.0, comb.full, list(self.ledger.all())))
-            self.do(comb.ask(ip, message))
-        elif isinstance(message, Put):
-            self.do(comb.put(ip, message))
-        elif isinstance(message, Prepare):
-            self.do(comb.prepare(ip, message))
-        elif isinstance(message, Accept):
-            self.do(comb.accept(ip, message))
-        elif isinstance(message, Fetch):
-            self.do(comb.fetch(now, ip, message))
-        elif isinstance(message, Delta):
+        if isinstance(message, Delta):
             if message.full:
                 self.heard_at[ip] = now
             self.do(comb.heard(self.ledger.merge(message.entries)))
-        else:
-            self.do(self.sitting.heard(now, ip, message))
+            return
+        if isinstance(message, Ask):
+            # What it has goes ahead of the answer.
+            self.world.post(self.ip, ip, Delta("", 0, 0.0, comb.full, list(self.ledger.all())))
+        self.do(comb.judge(now, ip, message))
+        self.do(self.sitting.heard(now, ip, message))
 
     def look(self) -> None:
         world = self.world
--- a/lugspur/hive/comb.py
+++ b/lugspur/hive/comb.py
@@ -162,6 +162,28 @@
         assert self.roster is not None
         return [(ROSTER, _pack(self.roster)), (FULL, _pack((self.roster.epoch, self.full)))]
 
+    # ---- what seats are asked --------------------------------------------------------------
+
+    def judge(self, now: float, peer: Peer, message: Message) -> Effects:
+        """Something for this comb as a seat; what changed has to go ahead of the answer to Ask."""
+        if isinstance(message, Claim):
+            return self.claim(now, peer, message)
+        if isinstance(message, Done):
+            return self.done(now, message)
+        if isinstance(message, Release):
+            return self.release(message)
+        if isinstance(message, Ask):
+            return self.ask(peer, message)
+        if isinstance(message, Put):
+            return self.put(peer, message)
+        if isinstance(message, Prepare):
+            return self.prepare(peer, message)
+        if isinstance(message, Accept):
+            return self.accept(peer, message)
+        if isinstance(message, Fetch):
+            return self.fetch(now, peer, message)
+        return Effects()  # nothing that a seat is asked
+
     # ---- the roster ----------------------------------------------------------------------
 
     def adopt(self, roster: Roster) -> Effects:
--- a/lugspur/hive/keeper.py
+++ b/lugspur/hive/keeper.py
@@ -19,19 +19,12 @@
 from lugspur.hive.sitting import Sitting
 from lugspur.hive.steward import Presence, Steward, target
 from lugspur.hive.wire import (
-    Accept,
     Ask,
-    Claim,
     Delta,
-    Done,
     Entry,
-    Fetch,
     Hello,
     Message,
     Pong,
-    Prepare,
-    Put,
-    Release,
     Report,
     Seat,
     Sync,
@@ -156,24 +149,9 @@
 
     def _judge(self, peer: Any, message: Message) -> None:
         """Something for this comb as a seat."""
-        now, comb = self.loop.time(), self.comb
-        if isinstance(message, Claim):
-            self.do(comb.claim(now, peer, message))
-        elif isinstance(message, Done):
-            self.do(comb.done(now, message))
-        elif isinstance(message, Release):
-            self.do(comb.release(message))
-        elif isinstance(message, Ask):
+        if isinstance(message, Ask):
             self._flush()  # what changed goes ahead of the answer
-            self.do(comb.ask(peer, message))
-        elif isinstance(message, Put):
-            self.do(comb.put(peer, message))
-        elif isinstance(message, Prepare):
-            self.do(comb.prepare(peer, message))
-        elif isinstance(message, Accept):
-            self.do(comb.accept(peer, message))
-        elif isinstance(message, Fetch):
-            self.do(comb.fetch(now, peer, message))
+        self.do(self.comb.judge(self.loop.time(), peer, message))
 
     def do(self, effects: Effects) -> None:
         """Send, write, and send the rest once that is on disk."""
--- a/tests/features/steps/keys.py
+++ b/tests/features/steps/keys.py
@@ -44,8 +44,7 @@
 
 @then("a later claim is told who has it")
 def later(context: Any) -> None:
-    if not any(isinstance(how, Won) for how in context.how):
-        return  # none had a majority, and all gave back what they had
+    assert any(isinstance(how, Won) for how in context.how)
     how: list[Settled] = []
     ask(context.world, "p5", how)
     run(context.world)
