--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 .PHONY: check demo bench
 check: $(DEVELOPED)
 	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m mypy
 	$(PYTHON) -m pytest -n 4 --dist worksteal
 	$(PYTHON) -m behave --format progress --no-capture tests/features
--- a/jaspershelf/__init__.py
+++ b/jaspershelf/__init__.py
@@ -25,7 +25,25 @@
 )
 
 __all__ = [
-    "Action", "Balancer", "Breaker", "Cancel", "Discovery", "Fail", "Group", "Limits", "ListKind",
-    "Outcome", "Refuse", "Repeat", "RequestClass", "Rules", "Send", "ServerRow",
-    "Settings", "State", "Subscribe", "Tenant", "Timer",
+    "Action",
+    "Balancer",
+    "Breaker",
+    "Cancel",
+    "Discovery",
+    "Fail",
+    "Group",
+    "Limits",
+    "ListKind",
+    "Outcome",
+    "Refuse",
+    "Repeat",
+    "RequestClass",
+    "Rules",
+    "Send",
+    "ServerRow",
+    "Settings",
+    "State",
+    "Subscribe",
+    "Tenant",
+    "Timer",
 ]
--- a/jaspershelf/breaker.py
+++ b/jaspershelf/breaker.py
@@ -26,7 +26,14 @@
     """The design's chance of refusing locally: a call to one server, or any request of a pool."""
 
     __slots__ = (
-        "_accepts", "_failing", "_failures", "_requests", "_ring", "_width", "baseline", "current",
+        "_accepts",
+        "_failing",
+        "_failures",
+        "_requests",
+        "_ring",
+        "_width",
+        "baseline",
+        "current",
         "last_pass",
     )
 
@@ -66,7 +73,8 @@
         self.baseline, self.current = learned.baseline, learned.current
         self._ring = deque([list(bucket) for bucket in learned.window[-BUCKETS:]])
         _, self._requests, self._accepts, self._failures = (
-            [sum(column) for column in zip(*self._ring, strict=True)] if self._ring else [0, 0, 0, 0])
+            [sum(column) for column in zip(*self._ring, strict=True)] if self._ring else [0, 0, 0, 0]
+        )
         self._failing = 0
 
     def refused(self, now: float) -> None:
--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -107,7 +107,7 @@
             if request.kind >= len(after) or after[request.kind] != before[request.kind]:
                 raise ValueError(f"classes[{request.kind}]: a request of it is open")
         fresh = Balancer(settings, 0)
-        for kind, row in enumerate(before[:len(after)]):
+        for kind, row in enumerate(before[: len(after)]):
             if row == after[kind]:
                 fresh.lengths[kind], fresh.usual[kind] = self.lengths[kind], self.usual[kind]
         self.settings = settings
@@ -130,15 +130,31 @@
             among = tuple(self.servers)
         found = (self.servers[server] for server in among if server in self.servers)
         return Learned(
-            tuple(LearnedServer(
-                s.row.server, s.row.started, s.latency, s.seen, s.downs, s.down_until,
-                s.cold_credit, s.cold_seen, s.breaker.save() if s.breaker is not None else None,
-            ) for s in found),
-            tuple(LearnedPool(
-                (p.rate.save(), p.sent.save(), p.served.save()), p.born if p.born < float("inf") else None,
-                p.breaker.save(),
-            ) for p in self.pools),
-            self.pooled, self.pace, self.paced,
+            tuple(
+                LearnedServer(
+                    s.row.server,
+                    s.row.started,
+                    s.latency,
+                    s.seen,
+                    s.downs,
+                    s.down_until,
+                    s.cold_credit,
+                    s.cold_seen,
+                    s.breaker.save() if s.breaker is not None else None,
+                )
+                for s in found
+            ),
+            tuple(
+                LearnedPool(
+                    (p.rate.save(), p.sent.save(), p.served.save()),
+                    p.born if p.born < float("inf") else None,
+                    p.breaker.save(),
+                )
+                for p in self.pools
+            ),
+            self.pooled,
+            self.pace,
+            self.paced,
         )
 
     def recall(self, now: float, learned: Learned) -> None:
@@ -256,8 +272,15 @@
     # ---- requests ------------------------------------------------------------------------
 
     def request(
-        self, now: float, rid: RequestId, kind: int = 0, tenant: int = 0, deadline: float | None = None,
-        cost: float = 0.0, retry: bool = False, partial: bool = False,
+        self,
+        now: float,
+        rid: RequestId,
+        kind: int = 0,
+        tenant: int = 0,
+        deadline: float | None = None,
+        cost: float = 0.0,
+        retry: bool = False,
+        partial: bool = False,
     ) -> list[Action]:
         """A new request; exactly one final answer is owed from here on.
 
@@ -293,9 +316,7 @@
             self._answer(now, request, out)
         return out
 
-    def _send(
-        self, now: float, request: Request, among: list[Server], first: bool, out: list[Action]
-    ) -> bool:
+    def _send(self, now: float, request: Request, among: list[Server], first: bool, out: list[Action]) -> bool:
         """Send an attempt to the best candidate whose breaker does not refuse; False if there is none."""
         timeout = self.settings.classes[request.kind].aim
         for server in self._offers(now, request, among, first):
--- a/jaspershelf/model.py
+++ b/jaspershelf/model.py
@@ -196,7 +196,6 @@
         self.limits.check("limits")
         self.rules.check("rules")
 
-
     def check_request(self, kind: int, tenant: int, deadline: float | None, cost: float) -> None:
         """Raise ValueError naming the argument of a request that makes no sense."""
         _index("kind", kind, len(self.classes))
--- a/jaspershelf/servers.py
+++ b/jaspershelf/servers.py
@@ -18,7 +18,15 @@
     """What an instance knows of one server of the next tier."""
 
     __slots__ = (
-        "breaker", "cold_credit", "cold_seen", "down_until", "downs", "latency", "out", "row", "seen",
+        "breaker",
+        "cold_credit",
+        "cold_seen",
+        "down_until",
+        "downs",
+        "latency",
+        "out",
+        "row",
+        "seen",
     )
 
     def __init__(self, row: ServerRow) -> None:
@@ -88,8 +96,19 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "attempts", "begun", "bound", "cost", "counted", "deadline", "done", "id", "kind", "most", "open",
-        "partial", "until",
+        "attempts",
+        "begun",
+        "bound",
+        "cost",
+        "counted",
+        "deadline",
+        "done",
+        "id",
+        "kind",
+        "most",
+        "open",
+        "partial",
+        "until",
     )
 
     def __init__(self, rid: RequestId, kind: int, deadline: float, most: int) -> None:
@@ -118,8 +137,24 @@
     Guards placement: every pick, first or further, comes from a list that holds open servers alone.
     """
 
-    __slots__ = ("begin", "born", "breaker", "ends", "groups", "kinds", "owed", "rate", "ready", "sent",
-                 "served", "warm_from", "warm_part", "width", "working", "zones")
+    __slots__ = (
+        "begin",
+        "born",
+        "breaker",
+        "ends",
+        "groups",
+        "kinds",
+        "owed",
+        "rate",
+        "ready",
+        "sent",
+        "served",
+        "warm_from",
+        "warm_part",
+        "width",
+        "working",
+        "zones",
+    )
 
     def __init__(self, kinds: Sequence[int] | None, zones: Sequence[int] | None) -> None:
         self.kinds = kinds
@@ -138,8 +173,7 @@
 
     def opens(self, row: ServerRow) -> bool:
         """Whether the classes of this pool may go to this server."""
-        return (self.kinds is None or row.kind in self.kinds) and (
-            self.zones is None or row.zone in self.zones)
+        return (self.kinds is None or row.kind in self.kinds) and (self.zones is None or row.zone in self.zones)
 
     def part_rate(self, now: float) -> float:
         """What each server of the slice gets from here, in calls a second.
--- a/lugspur/bench/compiled.py
+++ b/lugspur/bench/compiled.py
@@ -14,9 +14,17 @@
 ROOT = Path(__file__).parent.parent.parent
 PACKAGES = ("jaspershelf", "lugspur")
 HOT = (  # what each request runs through, but for classes that asyncio calls by its own protocols
-    "jaspershelf/decide.py", "jaspershelf/admission.py", "jaspershelf/pick.py", "jaspershelf/servers.py",
-    "jaspershelf/breaker.py", "jaspershelf/budget.py", "jaspershelf/model.py", "lugspur/daemon/pool.py",
-    "lugspur/http1/intake.py", "lugspur/http1/upstream.py", "lugspur/routing/shares.py",
+    "jaspershelf/decide.py",
+    "jaspershelf/admission.py",
+    "jaspershelf/pick.py",
+    "jaspershelf/servers.py",
+    "jaspershelf/breaker.py",
+    "jaspershelf/budget.py",
+    "jaspershelf/model.py",
+    "lugspur/daemon/pool.py",
+    "lugspur/http1/intake.py",
+    "lugspur/http1/upstream.py",
+    "lugspur/routing/shares.py",
 )
 
 
--- a/lugspur/bench/explore.py
+++ b/lugspur/bench/explore.py
@@ -144,8 +144,11 @@
             part = self.get(number)
             found = self._act(part, how, clock, message)
             out = part.elector.take() if isinstance(part, Kept) else part.take()
-            sent = tuple(self.message(PLACES[to], at, word) for to, word in out if isinstance(word, Grant | No)
-                         or not isinstance(part, Kept))
+            sent = tuple(
+                self.message(PLACES[to], at, word)
+                for to, word in out
+                if isinstance(word, Grant | No) or not isinstance(part, Kept)
+            )
             known = self._known[key] = self.part(part), sent, found
         return known
 
@@ -156,7 +159,10 @@
                 assert isinstance(message, Grant | No)
                 return part.epoch if part.reply(clock, NAMES[origin], message) is Ended.WON else 0
             acts: dict[str, Callable[[float], Any]] = {
-                "asks": part.ask, "gives its round up": part.give_up, "lays down": lambda _: part.lay_down()}
+                "asks": part.ask,
+                "gives its round up": part.give_up,
+                "lays down": lambda _: part.lay_down(),
+            }
             acts[how](clock)
             return 0
         elector = part.elector
@@ -234,8 +240,15 @@
         self._parts = parts = Parts(limits)
         electors = [Kept(Elector(LEASE, -LEASE, [] if limits.memory else None, 0)) for _ in NAMES]
         terms = [Term(DUTY, NAMES, LEASE, 0) for _ in WANTING]
-        self.first = World((*map(parts.part, electors), *map(parts.part, terms)), (), limits.steps, limits.twice,
-                           limits.restarts, limits.downs, (0, -1))
+        self.first = World(
+            (*map(parts.part, electors), *map(parts.part, terms)),
+            (),
+            limits.steps,
+            limits.twice,
+            limits.restarts,
+            limits.downs,
+            (0, -1),
+        )
 
     def _clock(self, world: World, place: int) -> float:
         """Each one's own: the first that wants it has a slow one, everybody else a fast one."""
@@ -285,7 +298,7 @@
             how, twice = "hears", twice - 1
         elif message >= 0:
             at = flight.index(message)
-            flight = flight[:at] + flight[at + 1:]
+            flight = flight[:at] + flight[at + 1 :]
         if how == "never hears":
             return self._checked(world._replace(flight=flight))
         restarts -= how.startswith("restarts")
@@ -295,7 +308,7 @@
             if epoch < office[0] or (epoch == office[0] and office[1] not in (-1, place)):
                 raise Broken(f"{EVERYBODY[place]} comes into office under {epoch} after {office[0]} was used")
             office = epoch, place
-        parts = (*world.parts[:place], number, *world.parts[place + 1:])
+        parts = (*world.parts[:place], number, *world.parts[place + 1 :])
         if sent:
             flight = tuple(sorted(flight + sent))
         if place >= len(NAMES):  # what comes for a round that is over does nothing, whenever it comes
@@ -303,8 +316,11 @@
         return self._checked(World(parts, flight, world.steps, twice, restarts, downs, office))
 
     def _checked(self, world: World) -> World:
-        inside = [EVERYBODY[place] for place in range(len(NAMES), len(EVERYBODY))
-                  if self._parts.inside(world.parts[place], self._clock(world, place)) & 1]
+        inside = [
+            EVERYBODY[place]
+            for place in range(len(NAMES), len(EVERYBODY))
+            if self._parts.inside(world.parts[place], self._clock(world, place)) & 1
+        ]
         if len(inside) > 1:
             raise Broken(f"{' and '.join(inside)} are in office")
         return min(self._orders(world))
@@ -323,7 +339,9 @@
                 continue
             yield World(
                 (*[world.parts[place] for place in order], parts.renamed(one, order), parts.renamed(two, order)),
-                tuple(sorted([parts.told(message, order) for message in world.flight])), *world[2:])
+                tuple(sorted([parts.told(message, order) for message in world.flight])),
+                *world[2:],
+            )
 
     def run(self, most: int) -> tuple[int, bool]:
         """How many states were seen, and whether that is all of them; raises Broken where one must not be."""
@@ -408,9 +426,19 @@
 BROKEN: dict[str, tuple[float, Any, str, Any, Limits]] = {
     "no margin for clocks": (0.0, Term, "take", Term.take, Limits(rounds=2, steps=2, memory=False, prompt=True)),
     "no silence after a start": (
-        APART, Elector, "__init__", _no_quiet, Limits(rounds=2, restarts=1, steps=0, memory=False, prompt=True)),
+        APART,
+        Elector,
+        "__init__",
+        _no_quiet,
+        Limits(rounds=2, restarts=1, steps=0, memory=False, prompt=True),
+    ),
     "promises given back in office": (
-        APART, Term, "give_up", _always_back, Limits(rounds=2, steps=0, memory=False, prompt=True)),
+        APART,
+        Term,
+        "give_up",
+        _always_back,
+        Limits(rounds=2, steps=0, memory=False, prompt=True),
+    ),
 }
 
 
--- a/lugspur/bench/fleet.py
+++ b/lugspur/bench/fleet.py
@@ -1,9 +1,9 @@
 """A fleet of real processes, each link through a relay that loses and cuts, and a checker of what they held.
 
-    python -m lugspur.bench.fleet faults --rounds 100      # stops, kills, cuts, losses by seed; exit 1 if two held it
-    python -m lugspur.bench.fleet hands --rounds 300       # a duty is handed on so often
-    python -m lugspur.bench.fleet views --processes 50     # what views cost, and how soon they agree after faults
-    python -m lugspur.bench.fleet probing --processes 40   # dials to boxes that are gone, with a prober and without
+python -m lugspur.bench.fleet faults --rounds 100      # stops, kills, cuts, losses by seed; exit 1 if two held it
+python -m lugspur.bench.fleet hands --rounds 300       # a duty is handed on so often
+python -m lugspur.bench.fleet views --processes 50     # what views cost, and how soon they agree after faults
+python -m lugspur.bench.fleet probing --processes 40   # dials to boxes that are gone, with a prober and without
 """
 
 from __future__ import annotations
@@ -99,8 +99,15 @@
     """So many members, the first of them electors. Use as an async context manager."""
 
     def __init__(
-        self, folder: Path, count: int, seed: int = 1, lease: float = 1.0, period: float = 0.2, electors: int = 3,
-        memory: bool = True, more: str = "",
+        self,
+        folder: Path,
+        count: int,
+        seed: int = 1,
+        lease: float = 1.0,
+        period: float = 0.2,
+        electors: int = 3,
+        memory: bool = True,
+        more: str = "",
     ) -> None:
         self.more = more  # text of all files
         self.lease, self.period, self.electors, self.memory = lease, period, electors, memory
@@ -161,15 +168,27 @@
         member = self.members[number]
         folder = 'folder = "promises"' if self.memory and number < self.electors else ""
         file = member.folder / "file.toml"
-        file.write_text(FILE.format(
-            management=member.management, name=member.name, host=member.host, bound=BOUND, advertised=ADVERTISED,
-            seeds=", ".join(f'"{one.host}:{ADVERTISED}"' for one in self.members[:3]), period=self.period,
-            electors=", ".join(f'"{one.name}"' for one in self.members[:self.electors]), lease=self.lease, duty=DUTY,
-            folder=folder) + self.more)
+        file.write_text(
+            FILE.format(
+                management=member.management,
+                name=member.name,
+                host=member.host,
+                bound=BOUND,
+                advertised=ADVERTISED,
+                seeds=", ".join(f'"{one.host}:{ADVERTISED}"' for one in self.members[:3]),
+                period=self.period,
+                electors=", ".join(f'"{one.name}"' for one in self.members[: self.electors]),
+                lease=self.lease,
+                duty=DUTY,
+                folder=folder,
+            )
+            + self.more
+        )
         command = ["-m", "lugspur"] if member.rate == 1.0 else ["-c", SKEWED.format(rate=member.rate)]
         with open(member.folder / "log", "ab") as log:
             member.process = await asyncio.create_subprocess_exec(
-                sys.executable, *command, "run", str(file), stderr=log, stdout=log)
+                sys.executable, *command, "run", str(file), stderr=log, stdout=log
+            )
 
     def port(self, number: int) -> int:
         """Where a member's callers connect."""
@@ -195,6 +214,7 @@
 
     async def call(self, number: int, method: str, path: str, body: str = "") -> tuple[int, dict[str, Any]]:
         """One call of the second address; status 0 where nobody answers."""
+
         def ask() -> tuple[int, dict[str, Any]]:
             connection = http.client.HTTPConnection("127.0.0.1", self.members[number].management, timeout=2.0)
             try:
@@ -285,9 +305,11 @@
                     say(f"{number + 1} faults, {hands} times to another, {len(wrong)} wrong")
             wrong, hands = rig.check()
             vacant.sort()
-            say(f"{rounds} faults on {count} processes: {hands} times to another, {len(wrong)} wrong; after a fault "
+            say(
+                f"{rounds} faults on {count} processes: {hands} times to another, {len(wrong)} wrong; after a fault "
                 f"somebody held it within {vacant[len(vacant) // 2]:.2f} s (median), {vacant[-1]:.2f} s (longest), "
-                f"lease {rig.lease:g} s")
+                f"lease {rig.lease:g} s"
+            )
             for line in wrong[:10]:
                 say(line)
             return len(wrong)
@@ -314,14 +336,16 @@
             began = now()
             await rig.agree(left)
             killed = now() - began
-            side = set(left[:len(left) // 2])
+            side = set(left[: len(left) // 2])
             rig.cut = lambda a, b: (a in side) != (b in side)
             await asyncio.sleep(30.0)
             rig.cut = lambda origin, to: False
             began = now()
             await rig.agree(left)
-            say(f"| {count} | {joined:.1f} | {killed:.1f} | {now() - began:.1f} | {size:.0f} | "
-                f"{1e3 * used[count // 2] / seconds:.1f} | {1e3 * used[-1] / seconds:.1f} | {memory:.0f} |")
+            say(
+                f"| {count} | {joined:.1f} | {killed:.1f} | {now() - began:.1f} | {size:.0f} | "
+                f"{1e3 * used[count // 2] / seconds:.1f} | {1e3 * used[-1] / seconds:.1f} | {memory:.0f} |"
+            )
 
 
 async def _sent(rig: Rig) -> int:
@@ -345,9 +369,11 @@
                 await rig.call(holder, "POST", "/undrain")
             wrong, count = rig.check()
             took.sort()
-            say(f"{rounds} times handed on among 5 processes, {count} times to another, {len(wrong)} wrong: "
+            say(
+                f"{rounds} times handed on among 5 processes, {count} times to another, {len(wrong)} wrong: "
                 f"{1e3 * took[rounds // 2]:.0f} ms (median), {1e3 * took[int(0.99 * rounds)]:.0f} ms (99%), "
-                f"{1e3 * took[-1]:.0f} ms (longest), with the calls that ask; lease {rig.lease:g} s")
+                f"{1e3 * took[-1]:.0f} ms (longest), with the calls that ask; lease {rig.lease:g} s"
+            )
             return len(wrong)
 
 
@@ -368,6 +394,7 @@
 
 async def probing(count: int, lease: float, say: Callable[[str], None]) -> None:
     """Dials in vain with a tenth of the boxes gone; with a lease of an hour nobody comes into office."""
+
     async def work(_: Asked) -> Answer:
         await asyncio.sleep(WORK)
         return 200, b"done"
@@ -409,8 +436,10 @@
             dials = await vain(rig) - before
             over = True
             await asyncio.gather(*callers)
-            say(f"| {count} | {len(boxes)} | {'by one for all' if lease < AFTER else 'each by itself'} | {asked} | "
-                f"{served / asked:.2%} | {dials} ({dials / asked:.2%}) |")
+            say(
+                f"| {count} | {len(boxes)} | {'by one for all' if lease < AFTER else 'each by itself'} | {asked} | "
+                f"{served / asked:.2%} | {dials} ({dials / asked:.2%}) |"
+            )
 
 
 async def _fault(rig: Rig, rng: Random, at: int) -> None:
@@ -433,8 +462,11 @@
         rig.loss = 0.0
     else:
         side = set(rng.sample(range(len(rig.members)), rng.randrange(1, len(rig.members))))
-        rig.cut = {"cut": lambda a, b: (a in side) != (b in side), "mute": lambda a, b: a == at,
-                   "deaf": lambda a, b: b == at}[kind]
+        rig.cut = {
+            "cut": lambda a, b: (a in side) != (b in side),
+            "mute": lambda a, b: a == at,
+            "deaf": lambda a, b: b == at,
+        }[kind]
         await asyncio.sleep(2.0 * rig.lease * rng.random())
         rig.cut = lambda origin, to: False
 
--- a/lugspur/bench/followers.py
+++ b/lugspur/bench/followers.py
@@ -21,8 +21,11 @@
 
 
 def _whole(nodes: int, begun: float) -> None:
-    print(f"whole {nodes} {time.monotonic() - begun:.4f} {time.process_time():.4f} {_memory():.1f} "
-          f"{threading.active_count()}", flush=True)
+    print(
+        f"whole {nodes} {time.monotonic() - begun:.4f} {time.process_time():.4f} {_memory():.1f} "
+        f"{threading.active_count()}",
+        flush=True,
+    )
 
 
 async def ours(hosts: str, folder: str) -> None:
--- a/lugspur/bench/grpc.py
+++ b/lugspur/bench/grpc.py
@@ -31,7 +31,9 @@
 from lugspur.standins.grpc.box import Box
 from lugspur.standins.grpc.caller import Caller
 
-FILE = CLASSES + """[limits]
+FILE = (
+    CLASSES
+    + """[limits]
 sockets = 4096
 [listeners.main]
 address = "127.0.0.1:{port}"
@@ -53,12 +55,24 @@
 pool = "main"
 class = "book"
 """
+)
 SIZE = 200  # bytes of a message
 CALLERS, BOXES, ROUNDS = 16, 3, 3
 STREAMS = (1, 100, 1000)  # on one connection
 WITHIN = 30.0  # seconds that a call may take
-FAULTS = ("reset head", "reset message", "reset answer 8", "reset body", "above", "goaway", "refuse", "unseen",
-          "stall answer", "stall body", "cut message")
+FAULTS = (
+    "reset head",
+    "reset message",
+    "reset answer 8",
+    "reset body",
+    "above",
+    "goaway",
+    "refuse",
+    "unseen",
+    "stall answer",
+    "stall body",
+    "cut message",
+)
 FAULTY = 0.05  # of all calls for each of resets, GOAWAYs (and refusals) and stalls
 KINDS = {"reset": FAULTS[:4], "goaway": FAULTS[4:8], "stall": FAULTS[8:10], "cut": FAULTS[10:]}
 
@@ -125,8 +139,10 @@
     with TemporaryDirectory() as name, ExitStack() as stack:
         plain = [stack.enter_context(standin("lugspur.standins.backend", "--size", str(SIZE))) for _ in range(BOXES)]
         speaking = [stack.enter_context(standin("lugspur.standins.grpc.echo")) for _ in range(BOXES)]
-        over = {"http": [member(f"{each.host}:{each.port}", "http") for each in plain],
-                "grpc": [member(f"{each.host}:{each.port}", "grpc") for each in speaking]}
+        over = {
+            "http": [member(f"{each.host}:{each.port}", "http") for each in plain],
+            "grpc": [member(f"{each.host}:{each.port}", "grpc") for each in speaking],
+        }
         contestants = {"a bare h2 echo": (speaking[0], True)}
         for box in ("http", "grpc"):
             process = stack.enter_context(daemon(Path(name), over[box]))
@@ -139,8 +155,10 @@
                 seconds = _round(process, over_grpc, count if turn else count // 4)
                 if turn:
                     found[each].append(((process.cpu() - before) / count, seconds[len(seconds) // 2]))
-        return [Cost(each, median(cpu for cpu, _ in rows), median(half for _, half in rows),
-                     contestants[each][0].memory()) for each, rows in found.items()]
+        return [
+            Cost(each, median(cpu for cpu, _ in rows), median(half for _, half in rows), contestants[each][0].memory())
+            for each, rows in found.items()
+        ]
 
 
 @dataclass(slots=True)
@@ -208,8 +226,11 @@
 
 def passing(megabytes: int) -> float:
     """MiB that the daemon grows by while so many MB pass through it on one stream, each way."""
-    with TemporaryDirectory() as name, standin("lugspur.standins.grpc") as box, \
-            daemon(Path(name), [member(f"{box.host}:{box.port}", "grpc")]) as process:
+    with (
+        TemporaryDirectory() as name,
+        standin("lugspur.standins.grpc") as box,
+        daemon(Path(name), [member(f"{box.host}:{box.port}", "grpc")]) as process,
+    ):
         asyncio.run(_pass(process.host, process.port, 1))
         before = process.memory()
         asyncio.run(_pass(process.host, process.port, megabytes))
@@ -315,8 +336,10 @@
         method, kind = self._random.choice((("POST", "book"), ("GET", "read")))
         rid = f"{kind}-{number}"
         length = "Content-Length: 0\r\n" if method == "POST" else ""
-        text = (f"{method} /k HTTP/1.1\r\nHost: h\r\nX-Request-ID: {rid}\r\nX-Script: {self._script()}\r\n"
-                f"X-Timeout: 1\r\n{length}\r\n")
+        text = (
+            f"{method} /k HTTP/1.1\r\nHost: h\r\nX-Request-ID: {rid}\r\nX-Script: {self._script()}\r\n"
+            f"X-Timeout: 1\r\n{length}\r\n"
+        )
         got = await caller.ask(text.encode(), WITHIN)
         self._count_one(rid, f"HTTP {got.status}", got.status == 0, got.status == 503)
 
@@ -387,8 +410,11 @@
     print("| through | CPU us a call | x bare h2 echo | x HTTP/1.1 path | p50 ms | MiB |")
     print("| --- | --- | --- | --- | --- | --- |")
     for row in rows:
-        print(f"| {row.name} | {row.cpu * 1e6:.0f} | {row.cpu / bare:.1f} | {row.cpu / plain:.1f} | "
-              f"{row.half * 1e3:.2f} | {row.memory:.1f} |", flush=True)
+        print(
+            f"| {row.name} | {row.cpu * 1e6:.0f} | {row.cpu / bare:.1f} | {row.cpu / plain:.1f} | "
+            f"{row.half * 1e3:.2f} | {row.memory:.1f} |",
+            flush=True,
+        )
     print("\n| streams on a connection | CPU us a call | p50 ms | KiB a stream |\n| --- | --- | --- | --- |")
     for load in loads(count):
         print(f"| {load.streams} | {load.cpu * 1e6:.0f} | {load.half * 1e3:.2f} | {load.held:.1f} |", flush=True)
--- a/lugspur/bench/guard.py
+++ b/lugspur/bench/guard.py
@@ -272,14 +272,18 @@
 # ---- reports -------------------------------------------------------------------------------------
 
 
-HEAD = ("| guard | load | worth in time | booking-new | availability | rate-push | refusals, 99th | no answer |\n"
-        "|---|---|---|---|---|---|---|---|")
+HEAD = (
+    "| guard | load | worth in time | booking-new | availability | rate-push | refusals, 99th | no answer |\n"
+    "|---|---|---|---|---|---|---|---|"
+)
 
 
 def _row(on: bool, load: str, found: Found) -> str:
     parts = " | ".join(f"{found.part(kind.name):.1%}" for kind in MIX)
-    return (f"| {'on' if on else 'off'} | {load} | {found.worth():.0f} | {parts} | "
-            f"{1e3 * found.refused_within(0.99):.0f} ms ({len(found.refusals)}) | {found.unanswered} |")
+    return (
+        f"| {'on' if on else 'off'} | {load} | {found.worth():.0f} | {parts} | "
+        f"{1e3 * found.refused_within(0.99):.0f} ms ({len(found.refusals)}) | {found.unanswered} |"
+    )
 
 
 def _report_worth(seed: int) -> None:
--- a/lugspur/bench/hive.py
+++ b/lugspur/bench/hive.py
@@ -81,20 +81,31 @@
         comb = at < 0
         listen = {"dispatch": f"{ip}:{self.dispatch}"}
         own: dict[str, Any] = {
-            "node_name": f"{'comb' if comb else 'forager'}-{ip.rsplit('.', 1)[1]}", "ip": ip, "zone": f"z{ip[-1]}",
-            "serves": ["dispatch"] if comb else ["courier"], "first_start": ip not in self.started}
+            "node_name": f"{'comb' if comb else 'forager'}-{ip.rsplit('.', 1)[1]}",
+            "ip": ip,
+            "zone": f"z{ip[-1]}",
+            "serves": ["dispatch"] if comb else ["courier"],
+            "first_start": ip not in self.started,
+        }
         if comb:
             own["data_dir"] = str(self.folder / ip)
         else:
             own |= {"app_address": f"{ip}:{self.app}", "service": self.services[at]}
             listen |= {"outgoing": f"{ip}:{self.outgoing}", "readiness": f"{ip}:{self.ready}"}
-        tables = {"self": own, "self.limits": {"memory_mb": 200, "file_handles": 1024, "disk_mb": 64,
-                                                       "link_mbps": 8},
-                  "network": {"inner_ports": [self.inner, self.inner],
-                              "seed_nodes": [f"{seed}:{self.dispatch}" for seed in self.comb_ips[:3]]},
-                  "network.listen": listen, "tariffs.tolerate": {"machines": 1}}
-        return "".join(f"[{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in table.items())
-                       for name, table in tables.items())
+        tables = {
+            "self": own,
+            "self.limits": {"memory_mb": 200, "file_handles": 1024, "disk_mb": 64, "link_mbps": 8},
+            "network": {
+                "inner_ports": [self.inner, self.inner],
+                "seed_nodes": [f"{seed}:{self.dispatch}" for seed in self.comb_ips[:3]],
+            },
+            "network.listen": listen,
+            "tariffs.tolerate": {"machines": 1},
+        }
+        return "".join(
+            f"[{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in table.items())
+            for name, table in tables.items()
+        )
 
     def start(self, ip: str) -> None:
         """Start one machine's process."""
@@ -104,8 +115,11 @@
         self.started.add(ip)
         with (self.folder / f"{ip}.log").open("ab") as log:
             self.processes[ip] = subprocess.Popen(
-                [sys.executable, "-m", "lugspur.hive", "serve"], cwd=ROOT, stderr=log,
-                env=os.environ | {"LUGSPUR_NODE_FILE": str(path)})
+                [sys.executable, "-m", "lugspur.hive", "serve"],
+                cwd=ROOT,
+                stderr=log,
+                env=os.environ | {"LUGSPUR_NODE_FILE": str(path)},
+            )
 
     def end(self, ip: str, how: signal.Signals = signal.SIGKILL) -> int:
         """End one; returns its exit status."""
@@ -126,8 +140,15 @@
             await backend.serve()
             self.backends.append(backend)
         routes = [self.route("look", "safe"), self.route("book", "tracked")]
-        await self.amend({"routes": routes, "services": [
-            {"name": name, "checkup_path": "/checkup", "edition": "00000001"} for name in sorted(set(self.services))]})
+        await self.amend(
+            {
+                "routes": routes,
+                "services": [
+                    {"name": name, "checkup_path": "/checkup", "edition": "00000001"}
+                    for name in sorted(set(self.services))
+                ],
+            }
+        )
         for ip in self.forager_ips:
             await self.until(ip, self.ready, "/readiness", 200)
         await self.served(self.forager_ips[0], "/look/1", "warm")
@@ -135,9 +156,18 @@
     @staticmethod
     def route(name: str, kind: str, edition: str = "00000001", **other: Any) -> dict[str, Any]:
         """A route of the first service."""
-        return {"name": name, "office": "mesh.example", "path_prefix": f"/{name}/", "mail_class": kind,
-                "deadline_ms": 5000, "target_ms": 500, "priority": 1, "service": "rooms", "tries": 2,
-                "edition": edition} | other
+        return {
+            "name": name,
+            "office": "mesh.example",
+            "path_prefix": f"/{name}/",
+            "mail_class": kind,
+            "deadline_ms": 5000,
+            "target_ms": 500,
+            "priority": 1,
+            "service": "rooms",
+            "tries": 2,
+            "edition": edition,
+        } | other
 
     async def until(self, ip: str, port: int, path: str, status: int) -> None:
         """Ask until that status comes; raises TimeoutError."""
@@ -154,8 +184,7 @@
         async with asyncio.timeout(READY_WITHIN):
             while True:
                 with suppress(OSError, IndexError, ValueError):
-                    status, _, found = await call(
-                        f"{self.comb_ips[at]}:{self.dispatch}", "POST", "/config/amend", body)
+                    status, _, found = await call(f"{self.comb_ips[at]}:{self.dispatch}", "POST", "/config/amend", body)
                     if status == expect:
                         return found
                 await asyncio.sleep(TRY_EVERY)
@@ -167,11 +196,20 @@
         found: dict[str, Any] = json.loads(body)
         return found
 
-    async def ask(self, ip: str, path: str, attempt: str, body: bytes = b"",
-                  **headers: str) -> tuple[int, bytes, bytes]:
+    async def ask(
+        self, ip: str, path: str, attempt: str, body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes, bytes]:
         """One try of a client."""
-        return await call(f"{ip}:{self.outgoing}", "POST" if body else "GET", path, body, Host="mesh.example",
-                          Lugspur_Attempt_Id=attempt, Lugspur_Deliver_By_Ms="5000", **headers)
+        return await call(
+            f"{ip}:{self.outgoing}",
+            "POST" if body else "GET",
+            path,
+            body,
+            Host="mesh.example",
+            Lugspur_Attempt_Id=attempt,
+            Lugspur_Deliver_By_Ms="5000",
+            **headers,
+        )
 
     async def served(self, ip: str, path: str, attempt: str) -> bytes:
         """A safe request, again until it is served."""
--- a/lugspur/bench/joining.py
+++ b/lugspur/bench/joining.py
@@ -98,8 +98,12 @@
 
 
 async def within(
-    boxes: list[Backend], join: str, body: Callable[[World], Awaitable[None]], joined: int = 1000,
-    aim: float = 1.0, deadline: float = 2.0,
+    boxes: list[Backend],
+    join: str,
+    body: Callable[[World], Awaitable[None]],
+    joined: int = 1000,
+    aim: float = 1.0,
+    deadline: float = 2.0,
 ) -> None:
     """Run the body with a daemon before these boxes."""
     async with AsyncExitStack() as stack:
@@ -315,8 +319,10 @@
     good = True
     for name, join in (("joined", JOIN), ("each its own", "")):
         found = asyncio.run(burst(count, join))
-        print(f"| {name} | {found.calls} | {found.tally.statuses.get(200, 0)} | {found.late} | "
-              f"{1e3 * found.tally.part(0.5):.0f} ms | {1e3 * found.tally.part(1.0):.0f} ms |")
+        print(
+            f"| {name} | {found.calls} | {found.tally.statuses.get(200, 0)} | {found.late} | "
+            f"{1e3 * found.tally.part(0.5):.0f} ms | {1e3 * found.tally.part(1.0):.0f} ms |"
+        )
         good = good and (not join or (found.late == 0 and found.tally.statuses == {200: count} and found.calls < 10))
     return good
 
@@ -327,8 +333,10 @@
         for who, tally in asyncio.run(busy(join, seconds)).items():
             asked = sum(tally.statuses.values())
             timely = sum(each <= 0.41 for each in tally.seconds)
-            print(f"| {name} | {who} | {asked} | {tally.statuses.get(200, 0) / asked:.1%} | {timely / asked:.1%} | "
-                  f"{1e3 * tally.part(0.5):.0f} ms | {1e3 * tally.part(0.99):.0f} ms |")
+            print(
+                f"| {name} | {who} | {asked} | {tally.statuses.get(200, 0) / asked:.1%} | {timely / asked:.1%} | "
+                f"{1e3 * tally.part(0.5):.0f} ms | {1e3 * tally.part(0.99):.0f} ms |"
+            )
     return True
 
 
@@ -357,7 +365,8 @@
     given = parser.parse_args()
     begun = time.monotonic()
     reports: dict[str, Callable[[], bool]] = {
-        "burst": lambda: _report_burst(given.count or 200), "busy": lambda: _report_busy(5.0),
+        "burst": lambda: _report_burst(given.count or 200),
+        "busy": lambda: _report_busy(5.0),
         "faults": lambda: _report_faults(given.count or 10_000, given.seed),
         "cost": lambda: _report_cost(given.count or 3000),
     }
--- a/lugspur/bench/main.py
+++ b/lugspur/bench/main.py
@@ -38,12 +38,16 @@
 
 def request(kind: str) -> Callable[[int], bytes]:
     """Requests that the platform's proxy, the daemon and a backend all take."""
+
     def make(number: int) -> bytes:
         body = b"" if kind == "read" else b"x" * SIZE
         method, length = (b"GET", b"") if kind == "read" else (b"POST", b"Content-Length: %d\r\n" % SIZE)
-        return (b"%b /api/k%d HTTP/1.1\r\nHost: bench.local\r\nX-Request-ID: %b-%d-%d\r\nX-Priority-Class: %b\r\n"
-                b"X-Timeout: 30\r\nContent-Type: application/json\r\n%b\r\n%b"
-                % (method, number, kind.encode(), time.monotonic_ns(), number, kind.encode(), length, body))
+        return (
+            b"%b /api/k%d HTTP/1.1\r\nHost: bench.local\r\nX-Request-ID: %b-%d-%d\r\nX-Priority-Class: %b\r\n"
+            b"X-Timeout: 30\r\nContent-Type: application/json\r\n%b\r\n%b"
+            % (method, number, kind.encode(), time.monotonic_ns(), number, kind.encode(), length, body)
+        )
+
     return make
 
 
@@ -59,19 +63,22 @@
                 raise RuntimeError(f"{name}: answers by status {tally.statuses}, wanted {count} times 200")
             if turn:
                 passed, used = time.monotonic() - begun, process.cpu() - before
-                found[name].append(Row(name, count / passed, tally.part(0.5), tally.part(0.99), used / count,
-                                       process.memory()))
+                found[name].append(
+                    Row(name, count / passed, tally.part(0.5), tally.part(0.99), used / count, process.memory())
+                )
     figures = ("rate", "half", "late", "cpu", "memory")
-    return [Row(name, *(median(getattr(row, figure) for row in rows) for figure in figures))
-            for name, rows in found.items()]
+    return [
+        Row(name, *(median(getattr(row, figure) for row in rows) for figure in figures)) for name, rows in found.items()
+    ]
 
 
 def compare(requests: int, against: str | None) -> dict[str, list[Row]]:
     """All contestants over the same backends, by kind of request; `against` is another checkout."""
     with TemporaryDirectory() as name, ExitStack() as stack:
         folder = Path(name)
-        backends = [stack.enter_context(standin("lugspur.standins.backend", "--size", str(SIZE)))
-                    for _ in range(BACKENDS)]
+        backends = [
+            stack.enter_context(standin("lugspur.standins.backend", "--size", str(SIZE))) for _ in range(BACKENDS)
+        ]
         first = f"{backends[0].host}:{backends[0].port}"
         contestants = {
             "relay": stack.enter_context(standin("lugspur.standins.relay", first)),
@@ -86,8 +93,16 @@
 def routes(count: int) -> list[Route]:
     """So many routes of a hundred hosts, as a large installation has them."""
     to = Forward((("main", 1.0),))
-    return [Route(f"r{n}", read_pattern(f"/svc{n // 100}/hotels/{{id}}/rooms/*"), to, (f"h{n % 100}.example",),
-                  frozenset({"GET"})) for n in range(count)]
+    return [
+        Route(
+            f"r{n}",
+            read_pattern(f"/svc{n // 100}/hotels/{{id}}/rooms/*"),
+            to,
+            (f"h{n % 100}.example",),
+            frozenset({"GET"}),
+        )
+        for n in range(count)
+    ]
 
 
 def lookups() -> list[tuple[int, float]]:
@@ -115,7 +130,9 @@
         for count in (0, *COUNTS):
             text = "".join(
                 f'[routes.r{n}]\npath = "/svc{n // 100}/hotels/{{id}}/rooms/*"\nhosts = ["h{n % 100}.example"]\n'
-                f'methods = ["GET"]\npool = "main"\n' for n in range(count))
+                f'methods = ["GET"]\npool = "main"\n'
+                for n in range(count)
+            )
             with daemon(Path(name), [backend], text) as process:
                 [file] = Path(name).glob(f"run-{process.port}.toml")
                 begun = time.perf_counter()
@@ -132,8 +149,10 @@
     for kind, rows in compare(requests, against).items():
         base = rows[0].cpu
         for row in rows:
-            say(f"| {kind} | {row.name} | {row.rate:.0f} | {row.half * 1e3:.2f} | {row.late * 1e3:.2f} | "
-                f"{row.cpu * 1e6:.0f} | {row.cpu / base:.1f} | {row.memory:.1f} |")
+            say(
+                f"| {kind} | {row.name} | {row.rate:.0f} | {row.half * 1e3:.2f} | {row.late * 1e3:.2f} | "
+                f"{row.cpu * 1e6:.0f} | {row.cpu / base:.1f} | {row.memory:.1f} |"
+            )
         say(f"| {kind} | run / platform | | | | | {rows[2].cpu / rows[1].cpu:.2f} | |")
         if against is not None:
             say(f"| {kind} | platform / other checkout | | | | | {rows[1].cpu / rows[3].cpu:.2f} | |")
--- a/lugspur/bench/operations.py
+++ b/lugspur/bench/operations.py
@@ -44,12 +44,29 @@
         self.port = free_port()
         self._folder = folder
         self._raw = {
-            "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{free_port()}", "seed": "1",
+            "name": "n0",
+            "listen": f"{HOST}:{self.port}",
+            "discovery": f"{HOST}:{free_port()}",
+            "seed": "1",
             "limits": {"sockets": 1024, "memory_mb": MEMORY_MB},
-            "known": {"index": 1, "endpoints": [
-                {"name": one.name, "address": one.address, "zone": "", "type": "", "group": 0, "weight": 1.0,
-                 "status": "in_service", "since_ms": 0} for one in backends]},
-            "settings": {"Instances": 1, "Services": SERVICES, "Bounds": {"Cancel": True}}}
+            "known": {
+                "index": 1,
+                "endpoints": [
+                    {
+                        "name": one.name,
+                        "address": one.address,
+                        "zone": "",
+                        "type": "",
+                        "group": 0,
+                        "weight": 1.0,
+                        "status": "in_service",
+                        "since_ms": 0,
+                    }
+                    for one in backends
+                ],
+            },
+            "settings": {"Instances": 1, "Services": SERVICES, "Bounds": {"Cancel": True}},
+        }
         self.processes: list[asyncio.subprocess.Process] = []
         self.management = 0
 
@@ -60,8 +77,11 @@
         path.write_text(json.dumps(self._raw | {"management": f"{HOST}:{self.management}"}))
         environment = os.environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(self._folder)}
         begun = time.monotonic()
-        self.processes.append(await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lugspur", env=environment, stderr=asyncio.subprocess.DEVNULL))
+        self.processes.append(
+            await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lugspur", env=environment, stderr=asyncio.subprocess.DEVNULL
+            )
+        )
         async with asyncio.timeout(WITHIN):
             while not await self.ready():
                 await asyncio.sleep(0.01)
@@ -127,8 +147,12 @@
                     caller.close()
                 await asyncio.sleep(0.005)
 
-        asking = [asyncio.create_task(ask(kind, keeps, mine)) for mine, (kind, keeps) in enumerate(
-            [("read", True), ("book", True), ("read", False), ("book", False)] * (CALLERS // 4))]
+        asking = [
+            asyncio.create_task(ask(kind, keeps, mine))
+            for mine, (kind, keeps) in enumerate(
+                [("read", True), ("book", True), ("read", False), ("book", False)] * (CALLERS // 4)
+            )
+        ]
         took = []
         alone = Usage(proxy.processes[0].pid).memory()
         peak = sockets = 0.0
@@ -144,11 +168,15 @@
         proxy.kill()
     ran = sum((backend.ran for backend in backends), Counter[str]())
     asked = sum(statuses.values())
-    print("| replacements | requests | served | refused | lost | run twice | slowest ready, s | MiB, alone and both | "
-          "descriptors of both |")
+    print(
+        "| replacements | requests | served | refused | lost | run twice | slowest ready, s | MiB, alone and both | "
+        "descriptors of both |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-    print(f"| {count} | {asked} | {statuses[200]} | {statuses[429] + statuses[503]} | {statuses[0]} | "
-          f"{sum(n > 1 for n in ran.values())} | {max(took):.2f} | {alone:.0f}, {peak:.0f} | {sockets:.0f} |")
+    print(
+        f"| {count} | {asked} | {statuses[200]} | {statuses[429] + statuses[503]} | {statuses[0]} | "
+        f"{sum(n > 1 for n in ran.values())} | {max(took):.2f} | {alone:.0f}, {peak:.0f} | {sockets:.0f} |"
+    )
 
 
 async def calls(folder: Path) -> None:
@@ -225,8 +253,10 @@
                 peak = max(peak, usage.memory())
                 await asyncio.sleep(0.02)
             through = max(await asking)
-            print(f"| {pace or 'all'} | {EACH} | {alone:.1f} | {through:.1f} | {peak:.0f} | "
-                  f"{(peak - before) * (1 << 20) / (EACH * LARGE):.2f} |")
+            print(
+                f"| {pace or 'all'} | {EACH} | {alone:.1f} | {through:.1f} | {peak:.0f} | "
+                f"{(peak - before) * (1 << 20) / (EACH * LARGE):.2f} |"
+            )
     finally:
         proxy.kill()
 
@@ -239,8 +269,11 @@
     given = parser.parse_args()
     with TemporaryDirectory() as name:
         folder = Path(name)
-        asyncio.run(replace(folder, given.count) if given.what == "replace" else (
-            calls(folder) if given.what == "calls" else streams(folder)))
+        asyncio.run(
+            replace(folder, given.count)
+            if given.what == "replace"
+            else (calls(folder) if given.what == "calls" else streams(folder))
+        )
 
 
 if __name__ == "__main__":
--- a/lugspur/bench/processes.py
+++ b/lugspur/bench/processes.py
@@ -28,7 +28,9 @@
 aim = "30s"
 deadline = "30s"
 """
-FILE = CLASSES + """[limits]
+FILE = (
+    CLASSES
+    + """[limits]
 sockets = 4096
 [listeners.main]
 address = "127.0.0.1:{port}"
@@ -45,6 +47,7 @@
 pool = "main"
 class = "book"
 """
+)
 
 
 class Usage:
@@ -110,11 +113,26 @@
 def platform(folder: Path, backends: list[Process], root: str | None = None) -> Iterator[Process]:
     """The platform's proxy, from this checkout or the one at `root`."""
     port = free_port()
-    entries = [{"name": f"b{n}", "address": f"127.0.0.1:{b.port}", "zone": "", "type": "", "group": 0, "weight": 1.0,
-                "status": "in_service", "since_ms": 0} for n, b in enumerate(backends)]
+    entries = [
+        {
+            "name": f"b{n}",
+            "address": f"127.0.0.1:{b.port}",
+            "zone": "",
+            "type": "",
+            "group": 0,
+            "weight": 1.0,
+            "status": "in_service",
+            "since_ms": 0,
+        }
+        for n, b in enumerate(backends)
+    ]
     config = {
-        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1",
-        "limits": {"sockets": 4096, "memory_mb": 256}, "known": {"index": 1, "endpoints": entries},
+        "name": "n0",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{free_port()}",
+        "seed": "1",
+        "limits": {"sockets": 4096, "memory_mb": 256},
+        "known": {"index": 1, "endpoints": entries},
         "settings": {"Instances": 1, "Services": SERVICES, "Bounds": {"Cancel": True}},
     }
     file = folder / f"platform-{port}.json"
--- a/lugspur/bench/registry.py
+++ b/lugspur/bench/registry.py
@@ -163,8 +163,12 @@
 
 
 FAULTS = {
-    "stalled": Fault(stalled, 0.2, 5.0), "gone": Fault(gone, 0.5, 60.0), "restored": Fault(restored, 0.2, 5.0),
-    "expired": Fault(expired, 2.2, 10.0), "suspended": Fault(suspended, 2.5, 10.0), "noise": Fault(noise, 1.0, 20.0),
+    "stalled": Fault(stalled, 0.2, 5.0),
+    "gone": Fault(gone, 0.5, 60.0),
+    "restored": Fault(restored, 0.2, 5.0),
+    "expired": Fault(expired, 2.2, 10.0),
+    "suspended": Fault(suspended, 2.5, 10.0),
+    "noise": Fault(noise, 1.0, 20.0),
 }
 
 
@@ -228,8 +232,18 @@
             if count == 1:
                 base = process.cpu(), process.memory()
                 continue
-            size = Size(count, seconds, server.bytes_out / 1024.0, server.asked[Op.GET_DATA], 0.0,
-                        process.cpu() - base[0], process.memory() - base[1], 0.0, 0.0, telling(count))
+            size = Size(
+                count,
+                seconds,
+                server.bytes_out / 1024.0,
+                server.asked[Op.GET_DATA],
+                0.0,
+                process.cpu() - base[0],
+                process.memory() - base[1],
+                0.0,
+                0.0,
+                telling(count),
+            )
             await _churn(trial, size, process, changes, per_second)
             found.append(size)
     return found
@@ -277,8 +291,14 @@
             cluster.write(f"{FOLDER}/box-{at}", _entry(at, 0))
         for kind in kinds:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lugspur.bench.followers", kind, cluster.hosts, FOLDER,
-                stdout=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "lugspur.bench.followers",
+                kind,
+                cluster.hosts,
+                FOLDER,
+                stdout=asyncio.subprocess.PIPE,
+            )
             assert process.stdout is not None
             words = (await process.stdout.readline()).decode().split()
             lags: list[float] = []
@@ -290,8 +310,11 @@
                 await asyncio.sleep(0.005)
             process.kill()
             await process.wait()
-            found.append(Follower(kind, int(words[1]), float(words[2]), float(words[3]), float(words[4]),
-                                  int(words[5]), median(lags)))
+            found.append(
+                Follower(
+                    kind, int(words[1]), float(words[2]), float(words[3]), float(words[4]), int(words[5]), median(lags)
+                )
+            )
     return found
 
 
@@ -302,8 +325,10 @@
     """The distribution of lags, as Markdown."""
     lags, counts = await expiries(count, rate)
     at = {part: lags[min(len(lags) - 1, int(part * len(lags)))] * 1e3 for part in (0.5, 0.9, 0.99)}
-    print(f"{count} expiries at {rate:g} requests a second; from removal to the last new request, ms: "
-          f"median {at[0.5]:.2f}, p90 {at[0.9]:.2f}, p99 {at[0.99]:.2f}, most {lags[-1] * 1e3:.2f}; {counts}")
+    print(
+        f"{count} expiries at {rate:g} requests a second; from removal to the last new request, ms: "
+        f"median {at[0.5]:.2f}, p90 {at[0.9]:.2f}, p99 {at[0.99]:.2f}, most {lags[-1] * 1e3:.2f}; {counts}"
+    )
 
 
 async def report_faults(names: list[str], rate: float) -> None:
@@ -316,18 +341,28 @@
 
 async def report_nodes() -> None:
     """By the number of nodes, and both clients beside each other."""
-    print("| nodes | s to the whole list | KiB | getData | requests a change | CPU s | MiB | CPU of 1,000 changes/s "
-          "| s to the last | ms to decide a removal |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    print(
+        "| nodes | s to the whole list | KiB | getData | requests a change | CPU s | MiB | CPU of 1,000 changes/s "
+        "| s to the last | ms to decide a removal |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    )
     for size in await sizes((10, 100, 1_000, 10_000), 5_000, 1_000):
-        print(f"| {size.nodes} | {size.seconds:.2f} | {size.kib:.0f} | {size.reads} | {size.asked:.2f} | "
-              f"{size.cpu:.2f} | {size.memory:.1f} | {size.churn:.2f} | {size.lag:.3f} | "
-              f"{size.telling * 1e3:.2f} |", flush=True)
-    print("\n| client | nodes | s to the whole list | CPU s | MiB | threads | ms to a new node |\n"
-          "| --- | --- | --- | --- | --- | --- | --- |")
+        print(
+            f"| {size.nodes} | {size.seconds:.2f} | {size.kib:.0f} | {size.reads} | {size.asked:.2f} | "
+            f"{size.cpu:.2f} | {size.memory:.1f} | {size.churn:.2f} | {size.lag:.3f} | "
+            f"{size.telling * 1e3:.2f} |",
+            flush=True,
+        )
+    print(
+        "\n| client | nodes | s to the whole list | CPU s | MiB | threads | ms to a new node |\n"
+        "| --- | --- | --- | --- | --- | --- | --- |"
+    )
     for count in (10, 10_000):
         for row in await followers(count):
-            print(f"| {row.kind} | {row.nodes} | {row.seconds:.2f} | {row.cpu:.2f} | {row.memory:.1f} | "
-                  f"{row.threads} | {row.lag * 1e3:.2f} |", flush=True)
+            print(
+                f"| {row.kind} | {row.nodes} | {row.seconds:.2f} | {row.cpu:.2f} | {row.memory:.1f} | "
+                f"{row.threads} | {row.lag * 1e3:.2f} |",
+                flush=True,
+            )
 
 
 def main() -> None:
--- a/lugspur/bench/state.py
+++ b/lugspur/bench/state.py
@@ -80,8 +80,14 @@
     async def start(self) -> None:
         """Until it takes connections."""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lugspur", "run", str(self._file), stderr=asyncio.subprocess.DEVNULL,
-            env=os.environ | {"PYTHONUNBUFFERED": "1"})
+            sys.executable,
+            "-m",
+            "lugspur",
+            "run",
+            str(self._file),
+            stderr=asyncio.subprocess.DEVNULL,
+            env=os.environ | {"PYTHONUNBUFFERED": "1"},
+        )
         async with asyncio.timeout(WITHIN):
             while True:
                 with suppress(ConnectionError):
@@ -129,6 +135,7 @@
 
 def worker(place: int, rng: Random) -> Callable[[Asked], Awaitable[Answer]]:
     """A box's work: the first are slow, the next ones fail most calls."""
+
     async def work(_: Asked) -> Answer:
         await asyncio.sleep(LATE if place < SLOW else QUICK)
         return (500, b"oh") if SLOW <= place < SLOW + BAD and rng.random() < FAILS else (200, b"done")
@@ -166,7 +173,10 @@
             await daemon.end()
             total = totals[name]
             total.asked, total.failed, total.late = (
-                total.asked + loss.asked, total.failed + loss.failed, total.late + loss.late)
+                total.asked + loss.asked,
+                total.failed + loss.failed,
+                total.late + loss.late,
+            )
     for name, total in totals.items():
         beyond = total.failed + total.late - usual * total.asked
         print(f"| {name} | {total.asked} | {total.failed} | {total.late} | {beyond:.0f} |")
@@ -176,6 +186,7 @@
 
 async def cost(base: Path) -> None:
     """What keeping costs the requests that come meanwhile, beside the same daemon that keeps nothing."""
+
     async def quick(_: Asked) -> Answer:
         return 200, b"done"
 
@@ -185,9 +196,24 @@
     print("| --- | --- | --- | --- | --- | --- |")
     for size in SIZES:
         listed = base / f"{size}.json"
-        listed.write_text(json.dumps({"endpoints": [
-            {"name": f"box-{number:06}", "address": box.address, "zone": "", "group": 0, "status": "in_service",
-             "weight": 1.0, "since_ms": 0} for number in range(size)]}))
+        listed.write_text(
+            json.dumps(
+                {
+                    "endpoints": [
+                        {
+                            "name": f"box-{number:06}",
+                            "address": box.address,
+                            "zone": "",
+                            "group": 0,
+                            "status": "in_service",
+                            "weight": 1.0,
+                            "since_ms": 0,
+                        }
+                        for number in range(size)
+                    ]
+                }
+            )
+        )
         rows: list[list[float]] = []
         written = bytes_ = 0
         for keeps in (False, True):
@@ -217,8 +243,10 @@
                 assert len(read(data).pools["main"].endpoints) == size
         shutil.rmtree(base / f"{size}-True")
         (half, late, most), (half_, late_, most_) = rows
-        print(f"| {size} | {bytes_} | {written} | {half:.2f}, {half_:.2f} | {late:.2f}, {late_:.2f} | "
-              f"{most:.1f}, {most_:.1f} |")
+        print(
+            f"| {size} | {bytes_} | {written} | {half:.2f}, {half_:.2f} | {late:.2f}, {late_:.2f} | "
+            f"{most:.1f}, {most_:.1f} |"
+        )
     box.kill()
 
 
--- a/lugspur/bench/trial.py
+++ b/lugspur/bench/trial.py
@@ -24,7 +24,9 @@
 WIDE = 30.0  # seconds that anything may take to begin
 CONNECTIONS = 16
 
-FILE = CLASSES + """[listeners.main]
+FILE = (
+    CLASSES
+    + """[listeners.main]
 address = "127.0.0.1:0"
 [registries.main]
 ensemble = {ensemble}
@@ -41,6 +43,7 @@
 pool = "channel"
 class = "book"
 """
+)
 
 
 @dataclass(slots=True)
@@ -154,7 +157,8 @@
     async def start(self) -> None:
         """Start the daemon, and wait until it serves."""
         self.daemon = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lugspur", "run", str(self.write()), stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "lugspur", "run", str(self.write()), stderr=asyncio.subprocess.PIPE
+        )
         self._reading = self._loop.create_task(self._read())
         await self.until(lambda: any(" at " in line for line in self.lines))
         self._port = int(next(line for line in self.lines if " at " in line).rpartition(":")[2])
@@ -210,5 +214,6 @@
             for rid, count in box.backend.ran.items():
                 ran[rid] = ran.get(rid, 0) + count
         doubled = sum(count - 1 for rid, count in ran.items() if rid.startswith("book") and count > 1)
-        return Counts(self.sent, self.tally.statuses.get(0, 0), doubled, sum(box.late for box in boxes),
-                      dict(self.tally.statuses))
+        return Counts(
+            self.sent, self.tally.statuses.get(0, 0), doubled, sum(box.late for box in boxes), dict(self.tally.statuses)
+        )
--- a/lugspur/cli/fleet.py
+++ b/lugspur/cli/fleet.py
@@ -53,15 +53,18 @@
 def _members(console: Console, told: dict[str, Any]) -> None:
     rows = told["members"]
     there = sum(row["state"] in ("alive", "suspect") for row in rows)
-    table = Table(title=f"fleet {told['fleet']}, as {told['member']} sees it: {there} of {len(rows)} are there",
-                  title_justify="left")
+    table = Table(
+        title=f"fleet {told['fleet']}, as {told['member']} sees it: {there} of {len(rows)} are there",
+        title_justify="left",
+    )
     for column in ("member", "address", "state", "zone", "version", "since", "notes"):
         table.add_column(column)
     for row in rows:
         notes = [word for word in ("elector", "draining") if row[word]]
         since = datetime.fromtimestamp(row["started"], UTC).strftime("%Y-%m-%d %H:%M:%S")
-        table.add_row(row["name"], row["address"], row["state"], row["zone"] or "-", row["version"], since,
-                      ", ".join(notes))
+        table.add_row(
+            row["name"], row["address"], row["state"], row["zone"] or "-", row["version"], since, ", ".join(notes)
+        )
     console.print(table)
 
 
@@ -70,8 +73,9 @@
     for column in ("duty", "holder", "epoch", "left s"):
         table.add_column(column)
     for row in told["duties"]:
-        table.add_row(row["duty"], row["holder"] or "(nobody known)", str(row["epoch"]),
-                      str(row["left"]) if row["ours"] else "-")
+        table.add_row(
+            row["duty"], row["holder"] or "(nobody known)", str(row["epoch"]), str(row["left"]) if row["ours"] else "-"
+        )
     console.print(table)
     for pool, boxes in told["down"].items():
         if boxes:
--- a/lugspur/cli/main.py
+++ b/lugspur/cli/main.py
@@ -74,10 +74,15 @@
     parts = plan.file
     for line in warnings(parts):
         click.echo(f"{file}: {line}", err=True)
-    counts = [(len(parts.listeners), "listener"), (len(parts.classes), "class"), (len(parts.pools), "pool"),
-              (len(parts.routes), "route")]
-    said = ", ".join(f"{count} {what if count == 1 else what + ('es' if what.endswith('s') else 's')}"
-                     for count, what in counts)
+    counts = [
+        (len(parts.listeners), "listener"),
+        (len(parts.classes), "class"),
+        (len(parts.pools), "pool"),
+        (len(parts.routes), "route"),
+    ]
+    said = ", ".join(
+        f"{count} {what if count == 1 else what + ('es' if what.endswith('s') else 's')}" for count, what in counts
+    )
     click.echo(f"{file}: no fault; {said}")
 
 
@@ -104,7 +109,7 @@
         for verdict in matching[1:]:
             assert verdict.rank is not None and matching[0].rank is not None
             click.echo(f"  beats {verdict.route.name}: by {decided_by(matching[0].rank, verdict.rank)}")
-    others = verdicts[len(matching):]
+    others = verdicts[len(matching) :]
     shown = others if everything else others[:10]
     for verdict in shown:
         click.echo(f"  not {verdict.route.name}: {verdict.against}")
@@ -140,8 +145,10 @@
     action = route.action
     if isinstance(action, Forward):
         kind = plan.classes[plan.kinds[action.kind]]
-        click.echo(f"  class {kind.name}: {kind.repeat.value}, given up after "
-                   f"{min(kind.deadline, action.deadline or kind.deadline):g}s")
+        click.echo(
+            f"  class {kind.name}: {kind.repeat.value}, given up after "
+            f"{min(kind.deadline, action.deadline or kind.deadline):g}s"
+        )
         if action.rewrite is not None:
             click.echo(f"  backends see {action.rewrite.fill(captured) or '/'}")
         if action.join is not None:
@@ -156,8 +163,9 @@
     if not isinstance(action, Forward):
         return f"answered here with {action.status}"
     total = sum(weight for _, weight in action.splits)
-    pools = ", ".join(name if len(action.splits) == 1 else f"{name} {100 * weight / total:g}%"
-                      for name, weight in action.splits)
+    pools = ", ".join(
+        name if len(action.splits) == 1 else f"{name} {100 * weight / total:g}%" for name, weight in action.splits
+    )
     return f"pool {pools}" + (f"; then {', '.join(action.fallback)}" if action.fallback else "")
 
 
@@ -167,16 +175,30 @@
 @click.argument("path")
 @click.option("--name", required=True, help="The node's name; with --sequential the beginning of it.")
 @click.option("--address", required=True, metavar="HOST:PORT", help="Where the box is reached.")
-@click.option("--check", "url", metavar="URL", help="http://HOST:PORT/PATH answers below 400, or tcp://HOST:PORT takes "
-              "connections, while the box is well; by default tcp:// at its address.")
+@click.option(
+    "--check",
+    "url",
+    metavar="URL",
+    help="http://HOST:PORT/PATH answers below 400, or tcp://HOST:PORT takes "
+    "connections, while the box is well; by default tcp:// at its address.",
+)
 @click.option("--every", default="1s", show_default=True, help="Time between two checks.")
 @click.option("--zone", default="", help="The box's zone.")
 @click.option("--cell", default=0, help="The box's cell.")
 @click.option("--weight", default=1.0, show_default=True, help="The box's size against the others'.")
 @click.option("--sequential", is_flag=True, help="Let the registry number the node.")
 def register(
-    file: str, registry: str, path: str, name: str, address: str, url: str | None, every: str, zone: str, cell: int,
-    weight: float, sequential: bool,
+    file: str,
+    registry: str,
+    path: str,
+    name: str,
+    address: str,
+    url: str | None,
+    every: str,
+    zone: str,
+    cell: int,
+    weight: float,
+    sequential: bool,
 ) -> None:
     """Keep the node of a box in PATH of a REGISTRY that FILE names, while the box is well.
 
--- a/lugspur/cli/register.py
+++ b/lugspur/cli/register.py
@@ -30,8 +30,17 @@
 
 
 def wished(
-    plan: Plan, registry: str, path: str, name: str, address: str, url: str | None, every: str, zone: str, cell: int,
-    weight: float, sequential: bool,
+    plan: Plan,
+    registry: str,
+    path: str,
+    name: str,
+    address: str,
+    url: str | None,
+    every: str,
+    zone: str,
+    cell: int,
+    weight: float,
+    sequential: bool,
 ) -> Wish:
     """The command line's words, checked; raises ValueError that says what to write instead."""
     known = plan.file.registries
@@ -43,8 +52,12 @@
         host, port = read_place(address)
         box = Box(node(name), f"{host}:{port}", zone, cell, weight)
         wish = Wish(
-            servers(known[registry]), folder(path), box, uuid.uuid4().hex if sequential else "",
-            url or f"tcp://{address}", duration(0.01, 3600.0)(every),
+            servers(known[registry]),
+            folder(path),
+            box,
+            uuid.uuid4().hex if sequential else "",
+            url or f"tcp://{address}",
+            duration(0.01, 3600.0)(every),
         )
     except Wrong as fault:
         raise ValueError(str(fault)) from fault
--- a/lugspur/cli/state.py
+++ b/lugspur/cli/state.py
@@ -56,10 +56,13 @@
         window = () if breaker is None else breaker.window
         host, port = endpoint.address
         yield {
-            "backend": server_name(row.server), "address": f"{host}:{port}", "state": row.state.name.lower(),
+            "backend": server_name(row.server),
+            "address": f"{host}:{port}",
+            "state": row.state.name.lower(),
             "latency_ms": None if known is None or not known.latency else round(known.latency * 1e3, 3),
             "seen_s": None if known is None or not known.seen else round(pool.at - known.seen, 1),
-            "calls": sum(bucket[1] for bucket in window), "failed": sum(bucket[3] for bucket in window),
+            "calls": sum(bucket[1] for bucket in window),
+            "failed": sum(bucket[3] for bucket in window),
             "turned_away": 0 if known is None else known.downs,
         }
 
@@ -72,9 +75,15 @@
     snapshot = _read(file)
     age = time.time() - snapshot.written
     if as_json:
-        click.echo(json.dumps({
-            "written": snapshot.written, "age_s": round(age, 1),
-            "pools": {name: list(_rows(pool)) for name, pool in snapshot.pools.items()}}))
+        click.echo(
+            json.dumps(
+                {
+                    "written": snapshot.written,
+                    "age_s": round(age, 1),
+                    "pools": {name: list(_rows(pool)) for name, pool in snapshot.pools.items()},
+                }
+            )
+        )
         return
     click.echo(f"written {age:.0f} s ago")
     console = Console(width=None if sys.stdout.isatty() else 120)
--- a/lugspur/config/build.py
+++ b/lugspur/config/build.py
@@ -34,8 +34,22 @@
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "PATCH", "DELETE", "POST")
 TOKEN = re.compile(r"[!#$%&'*+.^`|~0-9A-Za-z-]+")  # RFC 9110 5.6.2, but for `_`, which intake drops
 OURS = frozenset(  # header lines that are set here or belong to one connection (RFC 9110 7.6.1)
-    {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
-     "expect", "host", "x-timeout", "via", "x-forwarded-for", "x-forwarded-proto"}
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        "host",
+        "x-timeout",
+        "via",
+        "x-forwarded-for",
+        "x-forwarded-proto",
+    }
 )
 PLAIN = "(no class)"  # the class of routes that name none...
 NOBODY = "(no tenant)"  # ...and the tenant of those that tell none apart
@@ -45,7 +59,8 @@
 ORIGINS = ("members", "file", "watch", "registry")
 FORWARD_ONLY = ("fallback", "kind", "deadline", "tenant", "key", "rewrite", "request", "response", "join")
 NEVER_IGNORED = frozenset(  # by which answers differ, whatever the file says
-    {"authorization", "cookie", "proxy-authorization", "host", "range", "content-type", "content-encoding"})
+    {"authorization", "cookie", "proxy-authorization", "host", "range", "content-type", "content-encoding"}
+)
 KEYS = {"kind": "class"}
 NO_H2 = 'HTTP/2 needs a library that is not installed; run pip install "lugspur[grpc]"'
 CONFLICTS_MOST = 100  # named in one run of the check
@@ -65,11 +80,20 @@
         """What the decision module of one pool is told."""
         daemon, cold, retries = self.file.daemon, pool.cold, pool.retries
         return Settings(
-            classes=self.classes, tenants=self.tenants, balancers=daemon.instances, me=daemon.instance,
+            classes=self.classes,
+            tenants=self.tenants,
+            balancers=daemon.instances,
+            me=daemon.instance,
             limits=Limits(cancel=True, max_attempts=pool.attempts),
             rules=Rules(
-                drain_grace=0.5, cold_from=cold.part, cold_for=cold.warm_after, fall_multiple=cold.multiple,
-                fall_after=cold.over, extra_free=retries.free, extra_share=retries.part, extra_span=retries.span,
+                drain_grace=0.5,
+                cold_from=cold.part,
+                cold_for=cold.warm_after,
+                fall_multiple=cold.multiple,
+                fall_after=cold.over,
+                extra_free=retries.free,
+                extra_share=retries.part,
+                extra_span=retries.span,
             ),
         )
 
@@ -82,14 +106,16 @@
     classes = [RequestClass(name=PLAIN, late_worth=1.0)]
     for name, row in file.classes.items():
         _check_class(row, place.at("classes", name))
-        classes.append(RequestClass(
-            name, row.aim, row.deadline, row.repeat, row.group, row.window, row.worth, row.late_worth))
+        classes.append(
+            RequestClass(name, row.aim, row.deadline, row.repeat, row.group, row.window, row.worth, row.late_worth)
+        )
     tenants = [Tenant(NOBODY), *(Tenant(name, quota=row.quota) for name, row in file.tenants.items())]
     if not raw.get("listeners"):
         place.wrong('there is no listener; write [listeners.NAME] with address = "127.0.0.1:8080"')
     if file.daemon.instance >= file.daemon.instances:
         place.at("daemon", "instance").wrong(
-            f"{file.daemon.instance} is not below instances = {file.daemon.instances}; count from 0")
+            f"{file.daemon.instance} is not below instances = {file.daemon.instances}; count from 0"
+        )
     _check_fleet(file.fleet, place.at("fleet"))
     registries = _named(raw, "registries")
     _check_listeners(file, registries, place.at("listeners"))
@@ -99,7 +125,8 @@
         if pool.check is not None:
             if not file.fleet.electors:
                 place.at("pools", name, "check").wrong(
-                    "nobody can hold that duty; write [fleet] with electors, or leave it out")
+                    "nobody can hold that duty; write [fleet] with electors, or leave it out"
+                )
             if not POOL.fullmatch(name):
                 place.at("pools", name).wrong(f"a checked pool has a name of 1 to 64 characters, not {len(name)}")
     routes = _Routes(file, raw, place.at("routes"))
@@ -109,9 +136,13 @@
             break
         place.at("routes", two.name).wrong(
             f'route "{two.name}" and route "{one.name}" take the same requests with equal precedence; '
-            "tell them apart by a condition, or give one a priority")
+            "tell them apart by a condition, or give one a priority"
+        )
     return Plan(
-        file, table, tuple(classes), tuple(tenants),
+        file,
+        table,
+        tuple(classes),
+        tuple(tenants),
         {row.name: at for at, row in enumerate(classes)},
     )
 
@@ -151,8 +182,10 @@
     """What is no fault, and yet promises less than it may seem to."""
     fleet = file.fleet
     if fleet.member in fleet.electors and not fleet.folder:
-        return [f'fleet: elector "{fleet.member}" has no folder: when most electors restart at once, epochs go back if '
-                'their wall clocks do, and nothing is promised for a lease\'s time; write folder = "..."']
+        return [
+            f'fleet: elector "{fleet.member}" has no folder: when most electors restart at once, epochs go back if '
+            'their wall clocks do, and nothing is promised for a lease\'s time; write folder = "..."'
+        ]
     return []
 
 
@@ -199,8 +232,10 @@
     given = [name for name in ORIGINS if getattr(pool, name)]
     if len(given) != 1 and given != ["members", "registry"]:
         said = f"{' and '.join(given)} are both given" if given else "no backends are given"
-        place.wrong(f'{said}; write exactly one of members = [{{ address = "127.0.0.1:9001" }}], '
-                    f"{', '.join(ORIGINS[1:-1])} and {ORIGINS[-1]}")
+        place.wrong(
+            f'{said}; write exactly one of members = [{{ address = "127.0.0.1:9001" }}], '
+            f"{', '.join(ORIGINS[1:-1])} and {ORIGINS[-1]}"
+        )
     if pool.registry is not None:
         _known(pool.registry.name, registries, "registry", place.at("registry", "name"))
     seen: set[str] = set()
@@ -236,7 +271,7 @@
             _check_host(host, place.at("hosts", at))
         for at, method in enumerate(row.methods):
             if method not in METHODS:
-                place.at("methods", at).wrong(f'method {shown(method)} is not served{nearest(method.upper(), METHODS)}')
+                place.at("methods", at).wrong(f"method {shown(method)} is not served{nearest(method.upper(), METHODS)}")
         headers = _conditions(row.headers, place.at("headers"), header=True)
         query = _conditions(row.query, place.at("query"), header=False)
         action = None if pattern is None else self._action(row, pattern, place)
@@ -279,9 +314,16 @@
             if not row.rewrite.startswith("/") or set(row.rewrite) & set("?;"):
                 place.at("rewrite").wrong(f'{shown(row.rewrite)} is no path; begin with "/", without a query')
         return Forward(
-            splits, row.fallback, row.kind or PLAIN, row.deadline, _source(row.tenant, pattern, place.at("tenant")),
-            _source(row.key, pattern, place.at("key")), rewrite, _changes(row.request, place.at("request")),
-            _changes(row.response, place.at("response")), self._join(row, place.at("join")),
+            splits,
+            row.fallback,
+            row.kind or PLAIN,
+            row.deadline,
+            _source(row.tenant, pattern, place.at("tenant")),
+            _source(row.key, pattern, place.at("key")),
+            rewrite,
+            _changes(row.request, place.at("request")),
+            _changes(row.response, place.at("response")),
+            self._join(row, place.at("join")),
         )
 
     def _join(self, row: model.Route, place: Place) -> Join | None:
@@ -290,25 +332,31 @@
             return None
         kind = self._file.classes.get(row.kind)
         if not row.kind:
-            place.wrong('a route without a class is not safe to repeat, and only reads are joined; '
-                        'give it a class with repeat = "safe"')
+            place.wrong(
+                "a route without a class is not safe to repeat, and only reads are joined; "
+                'give it a class with repeat = "safe"'
+            )
         elif kind is not None and kind.repeat is not Repeat.SAFE:
-            place.wrong(f'class "{row.kind}" is {kind.repeat.value}, and only what is safe to repeat is joined; '
-                        'leave "join" out')
+            place.wrong(
+                f'class "{row.kind}" is {kind.repeat.value}, and only what is safe to repeat is joined; '
+                'leave "join" out'
+            )
         ignored = set()
         for at, name in enumerate(join.ignore):
             if not TOKEN.fullmatch(name):
                 place.at("ignore", at).wrong(f"{shown(name)} is no name of a header; write one such as User-Agent")
             elif name.lower() in NEVER_IGNORED:
                 place.at("ignore", at).wrong(
-                    f"answers differ by {shown(name)}, so reads that differ in it are never the same; leave it out")
+                    f"answers differ by {shown(name)}, so reads that differ in it are never the same; leave it out"
+                )
             ignored.add(name.lower().encode())
         if join.across_tenants:
             if row.tenant is None:
                 place.at("across-tenants").wrong("this route tells no tenants apart; leave it out")
             elif row.tenant.header.lower() in NEVER_IGNORED:
                 place.at("across-tenants").wrong(
-                    f"tenants are told apart by {shown(row.tenant.header)}, and answers differ by that; leave it out")
+                    f"tenants are told apart by {shown(row.tenant.header)}, and answers differ by that; leave it out"
+                )
             elif row.tenant.header:
                 ignored.add(row.tenant.header.lower().encode())
         ignored |= {name.lower().encode() for name in row.request.remove}  # backends never see them
@@ -370,8 +418,10 @@
         if not isinstance(value, Mapping):
             return Condition(name, Test.EXACT, text(value))
         if len(value) != 1 or not set(value) <= {"prefix", "present", "absent"}:
-            raise Wrong(f'{shown(value)} is no condition; write "text", {{ prefix = "text" }}, {{ present = true }} '
-                        "or { absent = true }")
+            raise Wrong(
+                f'{shown(value)} is no condition; write "text", {{ prefix = "text" }}, {{ present = true }} '
+                "or { absent = true }"
+            )
         [(test, wanted)] = value.items()
         if test == "prefix":
             if not text(wanted):
@@ -445,5 +495,3 @@
         place.at("to").wrong(f'{shown(to)} leads nowhere; begin with "/" or "https://host"')
     template = _tried(place.at("to"), lambda: read_template(to, pattern))
     return Redirect(status, template) if template else None
-
-
--- a/lugspur/config/load.py
+++ b/lugspur/config/load.py
@@ -53,8 +53,12 @@
             return plan
     lines = Lines(text)
     found = [(lines.line(fault.path), ".".join(map(str, fault.path)), fault.message) for fault in place.faults]
-    raise FileFaults([f"{path}:{line}: {where}: {said}" if where else f"{path}:{line}: {said}"
-                      for line, where, said in sorted(set(found))])
+    raise FileFaults(
+        [
+            f"{path}:{line}: {where}: {said}" if where else f"{path}:{line}: {said}"
+            for line, where, said in sorted(set(found))
+        ]
+    )
 
 
 def parse(text: str) -> dict[str, Any]:
--- a/lugspur/config/model.py
+++ b/lugspur/config/model.py
@@ -67,22 +67,30 @@
     """What the process may use, and what a caller or backend may send."""
 
     sockets: int = option(whole(64, 1 << 20), "descriptors of the process, half of them for callers", 1024)
-    memory: int = option(size(16 << 20, MEMORY_MOST), "memory that bodies in transit are kept within parts of",
-                         256 << 20)
+    memory: int = option(
+        size(16 << 20, MEMORY_MOST), "memory that bodies in transit are kept within parts of", 256 << 20
+    )
     head: int = option(size(1 << 10, 1 << 20), "a request's head: 431 beyond it", 16 << 10)
     body: int = option(size(0, 64 << 20), "a request's body: 413 beyond it", 1 << 20)
     answer: int = option(size(1 << 10, 256 << 20), "a backend's body: a spoilt answer beyond it", 8 << 20)
     hold: int = option(
-        size(1 << 10, 64 << 20), "bodies and answers up to here are held whole, so that another attempt can be made; "
-        "larger ones are passed on as they come, but to gRPC boxes", 1 << 20)
+        size(1 << 10, 64 << 20),
+        "bodies and answers up to here are held whole, so that another attempt can be made; "
+        "larger ones are passed on as they come, but to gRPC boxes",
+        1 << 20,
+    )
     read: float = option(
-        duration(0.1, 600.0), "time for a request to come in, but for what of a body is beyond hold: 408 beyond it",
-        10.0)
+        duration(0.1, 600.0),
+        "time for a request to come in, but for what of a body is beyond hold: 408 beyond it",
+        10.0,
+    )
     idle: float = option(duration(2.0, 3600.0), "time that a caller may keep a connection between requests", 60.0)
     joined: int = option(
-        whole(0, 1 << 20), "reads that wait for others' calls; beyond it 503, the tenant with the most first", 1000)
+        whole(0, 1 << 20), "reads that wait for others' calls; beyond it 503, the tenant with the most first", 1000
+    )
     drain: float = option(
-        duration(0.0, 3600.0), "time that open HTTP/2 streams may go on after SIGTERM, or without their listener", 10.0)
+        duration(0.0, 3600.0), "time that open HTTP/2 streams may go on after SIGTERM, or without their listener", 10.0
+    )
 
 
 @dataclass(slots=True)
@@ -91,7 +99,8 @@
 
     on: bool = option(flag, "whether it guards itself", False)
     memory: int = option(
-        size(0, MEMORY_MOST), "what the process may hold: from 90% of it less is let in; 0: no limit is known", 0)
+        size(0, MEMORY_MOST), "what the process may hold: from 90% of it less is let in; 0: no limit is known", 0
+    )
 
 
 @dataclass(slots=True)
@@ -118,14 +127,16 @@
 
     name: str = option(mark, "the fleet's name: others' datagrams are dropped; none: this daemon is in no fleet", "")
     member: str = option(mark, "this daemon's name in it, which no other has; an elector's stays over restarts", "")
-    bind: Address | None = option(address, "where it takes datagrams (UDP): a numeric address and a port", None,
-                                  key="address")
+    bind: Address | None = option(
+        address, "where it takes datagrams (UDP): a numeric address and a port", None, key="address"
+    )
     advertise: Address | None = option(address, "where others reach that, if elsewhere", None)
     seeds: tuple[Address, ...] = option(addresses, "members to begin with; those that are gone do no harm", ())
     key: str = option(text, "a file of 16 to 64 bytes that all members share: datagrams carry a tag by it", "")
     period: float = option(duration(0.05, 60.0), "time between two looks at another member", 1.0)
     electors: tuple[str, ...] = option(
-        words, "the members, 3 or 5, who promise duties by majority; the same list at all; none: no duties", ())
+        words, "the members, 3 or 5, who promise duties by majority; the same list at all; none: no duties", ()
+    )
     lease: float = option(duration(0.5, 3600.0), "time for which a duty is promised, the same at all", 10.0)
     folder: str = option(text, "where an elector keeps what it promised; without one epochs go by the wall clock", "")
     duties: tuple[str, ...] = option(words, "duties of your own: one member at a time holds each of them", ())
@@ -161,12 +172,12 @@
     """An address that callers connect to."""
 
     address: Address = option(address, 'where to listen, as "127.0.0.1:8080"; port 0 takes a free one')
-    http2: bool = option(
-        flag, "whether HTTP/2 with prior knowledge, and with it gRPC, is taken beside HTTP/1.1", False)
+    http2: bool = option(flag, "whether HTTP/2 with prior knowledge, and with it gRPC, is taken beside HTTP/1.1", False)
     streams: int = option(whole(1, 10_000), "HTTP/2 streams that one connection may have open", 100)
     register: Register | None = part(Register, "its node in a registry", None)
     trust_forwarded: bool = option(
-        flag, "whether callers' X-Forwarded-For and X-Forwarded-Proto are kept and added to", False)
+        flag, "whether callers' X-Forwarded-For and X-Forwarded-Proto are kept and added to", False
+    )
 
 
 @dataclass(slots=True)
@@ -178,10 +189,11 @@
     worth: float = option(number(0.0, 1e6), "what an answer is worth against other classes'", 1.0)
     late_worth: float = option(number(0.0, 1.0), "the part of the worth that an answer after the aim keeps", 1.0)
     repeat: Repeat = option(
-        choice(Repeat), "safe: may run again; keyed: by its Idempotency-Key; unsafe: never twice", Repeat.UNSAFE)
+        choice(Repeat), "safe: may run again; keyed: by its Idempotency-Key; unsafe: never twice", Repeat.UNSAFE
+    )
     group: Group = option(
-        choice(Group), "which backends drop each other's keyed repeats: all, those of a zone, or of a cell",
-        Group.CELL)
+        choice(Group), "which backends drop each other's keyed repeats: all, those of a zone, or of a cell", Group.CELL
+    )
     window: float = option(duration(), "how long they remember a key", 0.0)
 
 
@@ -232,7 +244,8 @@
     path: str = option(folder, 'the folder, as "/services/channel"')
     format: str = option(one_of(*FORMATS), f"how nodes are written: {', '.join(FORMATS)}", "auto")
     stale_after: float = option(
-        duration(0.1), "time without a word of the registry after which the log shows the list as stale", 30.0)
+        duration(0.1), "time without a word of the registry after which the log shows the list as stale", 30.0
+    )
 
 
 @dataclass(slots=True)
@@ -256,7 +269,8 @@
     file: str = option(text, "a file with the list, in the form of the HTTP watch; it is read when it changes", "")
     watch: Address | None = option(address, "the address of a discovery that serves the HTTP watch", None)
     protocol: str = option(
-        one_of(*PROTOCOLS), "what backends speak that don't say: http (HTTP/1.1) or grpc (over HTTP/2)", "http")
+        one_of(*PROTOCOLS), "what backends speak that don't say: http (HTTP/1.1) or grpc (over HTTP/2)", "http"
+    )
     attempts: int = option(whole(1, 10), "attempts for a request at most", 3)
     connect: float = option(duration(0.001, 60.0), "time for a connection to come up", 0.25)
     keep: float = option(duration(0.1, 3600.0), "time after which its backends close idle connections", 15.0)
@@ -307,11 +321,14 @@
     """Reads that are the same share one call, while it runs. The route's class must be safe to repeat."""
 
     within: float = option(
-        duration(0.001, WITHIN_MOST), "how old a call may be that a further read joins; beyond it another begins", 0.1)
+        duration(0.001, WITHIN_MOST), "how old a call may be that a further read joins; beyond it another begins", 0.1
+    )
     ignore: tuple[str, ...] = option(
-        words, "headers that say nothing of what is asked; any other that differs makes another read", ())
+        words, "headers that say nothing of what is asked; any other that differs makes another read", ()
+    )
     across_tenants: bool = option(
-        flag, "whether reads of several tenants may share; the header that names the tenant is ignored then", False)
+        flag, "whether reads of several tenants may share; the header that names the tenant is ignored then", False
+    )
 
 
 @dataclass(slots=True)
@@ -322,7 +339,8 @@
     hosts: tuple[str, ...] = option(words, 'hosts: "a.example", "*.example", or "*" for any', ("*",))
     methods: tuple[str, ...] = option(words, "methods; none: any", ())
     headers: dict[str, Any] = option(
-        any_of, 'headers: { name = "value" }, or a table of one of prefix, present, absent', {})
+        any_of, 'headers: { name = "value" }, or a table of one of prefix, present, absent', {}
+    )
     query: dict[str, Any] = option(any_of, "parameters of the query, in the same way", {})
     priority: int = option(whole(0, 1000), "the higher wins where two routes are equal otherwise", 0)
     pool: str = option(text, "the pool that serves it", "")
@@ -330,7 +348,8 @@
     reply: Reply | None = part(Reply, "an answer given here", None)
     redirect: Redirect | None = part(Redirect, "where callers are sent to", None)
     fallback: tuple[str, ...] = option(
-        words, "pools that take over, for requests that never ran, where those before have no usable backend", ())
+        words, "pools that take over, for requests that never ran, where those before have no usable backend", ()
+    )
     kind: str = option(text, "its class; without one a request must never run twice", "", key="class")
     deadline: float | None = option(duration(0.001, 3600.0), "time after which it is given up, if sooner", None)
     tenant: Source | None = part(Source, "where its tenant is named", None)
--- a/lugspur/config/units.py
+++ b/lugspur/config/units.py
@@ -13,8 +13,7 @@
 
 E = TypeVar("E", bound=Enum)
 SECONDS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0}
-BYTES = {"B": 1, "kB": 1000, "KB": 1000, "MB": 1000**2, "GB": 1000**3, "KiB": 1 << 10, "MiB": 1 << 20,
-         "GiB": 1 << 30}
+BYTES = {"B": 1, "kB": 1000, "KB": 1000, "MB": 1000**2, "GB": 1000**3, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
 MEASURE = re.compile(r"(\d+(?:\.\d+)?) ?([A-Za-z]*)")
 
 
@@ -51,43 +50,51 @@
 
 def duration(low: float = 0.0, high: float = 86400.0) -> Callable[[object], float]:
     """A reader of times, in seconds."""
+
     def read(value: object) -> float:
         seconds = _measure(value, SECONDS, '"410ms" or "1.5s"')
         if not low <= seconds <= high:
             raise Wrong(f"{shown(value)} is not from {low:g}s to {high:g}s")
         return seconds
+
     return read
 
 
 def size(low: int = 0, high: int = 1 << 40) -> Callable[[object], int]:
     """A reader of sizes, in bytes."""
+
     def read(value: object) -> int:
         count = int(_measure(value, BYTES, '"64KiB" or "1MiB"'))
         if not low <= count <= high:
             raise Wrong(f"{shown(value)} is not from {low} B to {high} B")
         return count
+
     return read
 
 
 def number(low: float = 0.0, high: float = math.inf) -> Callable[[object], float]:
     """A reader of numbers without a unit."""
+
     def read(value: object) -> float:
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             raise Wrong(f"{shown(value)} is no number; write one without quotes, such as 2.5")
         if not (low <= value <= high and math.isfinite(value)):
             raise Wrong(f"{shown(value)} is not from {low:g} to {high:g}")
         return float(value)
+
     return read
 
 
 def whole(low: int = 0, high: int = 1 << 31) -> Callable[[object], int]:
     """A reader of whole numbers."""
+
     def read(value: object) -> int:
         if isinstance(value, bool) or not isinstance(value, int):
             raise Wrong(f"{shown(value)} is no whole number; write one without quotes, such as {max(low, 3)}")
         if not low <= value <= high:
             raise Wrong(f"{shown(value)} is not from {low} to {high}")
         return value
+
     return read
 
 
@@ -119,18 +126,22 @@
 
 def one_of(*known: str) -> Callable[[object], str]:
     """A reader of one of a few words that stay texts."""
+
     def read(value: object) -> str:
         if value not in known:
             hint = nearest(value, known) if isinstance(value, str) else ""
             raise Wrong(f"{shown(value)} is none of {', '.join(known)}{hint if 'mean' in hint else ''}")
         return str(value)
+
     return read
 
 
 def choice(kind: type[E]) -> Callable[[object], E]:
     """A reader of one of a few words."""
+
     def read(value: object) -> E:
         return kind(one_of(*(str(item.value) for item in kind))(value))
+
     return read
 
 
--- a/lugspur/daemon/announcers.py
+++ b/lugspur/daemon/announcers.py
@@ -43,7 +43,8 @@
             box = Box(register.name, f"{host}:{port}", zone, register.cell, register.weight)
             ident = uuid.uuid4().hex if register.sequential else ""
             announcer = Announcer(
-                self._registries.get(servers(ensemble)), register.path, box, ident, lambda: self._began)
+                self._registries.get(servers(ensemble)), register.path, box, ident, lambda: self._began
+            )
             self._known[name] = wish, announcer
             announcer.open()
             announcer.checked(Checked.WELL)
--- a/lugspur/daemon/company.py
+++ b/lugspur/daemon/company.py
@@ -71,8 +71,9 @@
             host, port = row.bind
             raise OSError(f"fleet can't have {host}:{port}: {fault.strerror or fault}") from fault
         host, port = row.advertise or sock.getsockname()[:2]
-        fleet = Fleet(wire, row.member, (host, port), self._facts, list(row.seeds), clock.now(), time.time, self._rng,
-                      row.period)
+        fleet = Fleet(
+            wire, row.member, (host, port), self._facts, list(row.seeds), clock.now(), time.time, self._rng, row.period
+        )
         self.transport = Transport(sock, fleet, self._heard, self._woken, self._dues)
         if row.history:
             path = resolved(row.history, self._beside)
@@ -231,8 +232,12 @@
 
     def _changed(self, event: Changed) -> None:
         record, former = event.record, event.former
-        if former is None or former.status is not record.status or former.address != record.address or (
-                former.life != record.life):
+        if (
+            former is None
+            or former.status is not record.status
+            or former.address != record.address
+            or (former.life != record.life)
+        ):
             host, port = record.address
             self.say(f"member {record.name} {SAID[Status(record.status)]} ({event.cause}) at {host}:{port}")
             for claim in self.claims.values():
@@ -289,13 +294,19 @@
             bodies[name].append(message)
         for name, words in bodies.items():
             for at in range(0, len(words), BODY_MESSAGES):
-                self.fleet.post(clock.now(), name, LEASES, pack(words[at:at + BODY_MESSAGES]))
+                self.fleet.post(clock.now(), name, LEASES, pack(words[at : at + BODY_MESSAGES]))
 
     def _turned(self, turned: Turned | Won) -> None:
         if self._history is not None and (isinstance(turned, Won) or not turned.holds):
             left = self.claims[turned.duty].term.left(clock.now()) if isinstance(turned, Won) else 0.0
-            row = {"at": time.clock_gettime(time.CLOCK_BOOTTIME), "member": self._row.member,
-                   "life": self.fleet.me.life, "duty": turned.duty, "epoch": turned.epoch, "left": left}
+            row = {
+                "at": time.clock_gettime(time.CLOCK_BOOTTIME),
+                "member": self._row.member,
+                "life": self.fleet.me.life,
+                "duty": turned.duty,
+                "epoch": turned.epoch,
+                "left": left,
+            }
             self._history.write(json.dumps(row) + "\n")
         if isinstance(turned, Won):
             return
@@ -338,17 +349,39 @@
         """All members that are known, as one line of JSON."""
         fleet = self.fleet
         rows = [fleet.me, *(member.record for member in fleet.members.values())]
-        return json.dumps({"fleet": self._row.name, "member": self._row.member, "digest": fleet.digest, "members": [
-            {"name": row.name, "address": f"{row.host}:{row.port}", "state": Status(row.status).name.lower(),
-             "zone": row.facts.zone, "version": row.facts.version, "started": row.facts.started,
-             "draining": row.facts.draining, "elector": row.name in self._row.electors}
-            for row in sorted(rows, key=lambda row: row.name)], "counts": dict(sorted(fleet.counts.items()))})
+        return json.dumps(
+            {
+                "fleet": self._row.name,
+                "member": self._row.member,
+                "digest": fleet.digest,
+                "members": [
+                    {
+                        "name": row.name,
+                        "address": f"{row.host}:{row.port}",
+                        "state": Status(row.status).name.lower(),
+                        "zone": row.facts.zone,
+                        "version": row.facts.version,
+                        "started": row.facts.started,
+                        "draining": row.facts.draining,
+                        "elector": row.name in self._row.electors,
+                    }
+                    for row in sorted(rows, key=lambda row: row.name)
+                ],
+                "counts": dict(sorted(fleet.counts.items())),
+            }
+        )
 
     def view(self) -> str:
         """How many are there, and a number that is the same for all that see the same: a line for scripts."""
         fleet = self.fleet
-        return json.dumps({"member": self._row.member, "there": fleet.count, "digest": fleet.digest,
-                           "bytes": fleet.counts["bytes sent"]})
+        return json.dumps(
+            {
+                "member": self._row.member,
+                "there": fleet.count,
+                "digest": fleet.digest,
+                "bytes": fleet.counts["bytes sent"],
+            }
+        )
 
     def duties(self) -> str:
         """All duties that this daemon wants, as one line of JSON."""
@@ -357,8 +390,15 @@
         for duty, claim in sorted(self.claims.items()):
             term = claim.term
             held = claim.epoch(now) is not None
-            rows.append({"duty": duty, "ours": held, "epoch": term.epoch if held else term.heard,
-                         "holder": self._row.member if held else term.holder, "left": round(term.left(now), 3)})
+            rows.append(
+                {
+                    "duty": duty,
+                    "ours": held,
+                    "epoch": term.epoch if held else term.heard,
+                    "holder": self._row.member if held else term.holder,
+                    "left": round(term.left(now), 3),
+                }
+            )
         down, vain = ({}, 0) if self.probers is None else (self.probers.down(), self.probers.vain)
         return json.dumps({"member": self._row.member, "duties": rows, "down": down, "vain": vain})
 
--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -83,12 +83,10 @@
             if station is None:
                 if self.remembering is not None:
                     kept, age = self.remembering.of(name)
-                station = self.stations[name] = Station(
-                    name, self._sockets, self, self._epoch, self.registries)
+                station = self.stations[name] = Station(name, self._sockets, self, self._epoch, self.registries)
                 for other in self.stations.values():  # what operators have taken out is out of every pool
                     station.maintenance.banned.update(other.maintenance.banned)
-            station.apply(
-                row, plan.settings(row), int(held * row.share), limits, path, plan.file.registries, kept, age)
+            station.apply(row, plan.settings(row), int(held * row.share), limits, path, plan.file.registries, kept, age)
         standings = {name: station.standing for name, station in self.stations.items()}
         self.joins.tune(limits.joined, limits.memory)
         self._guard(plan)
@@ -115,6 +113,7 @@
 
     def front(self, row: model.Listener) -> Front:
         """A front for one listener of the plan."""
+
         def handle(request: Request, caller: Answerable) -> None:
             self._handle(row, request, caller)
 
@@ -143,8 +142,12 @@
         else:
             front.came = front.work = None
         front.tune(
-            max(1, int(CALLERS_PART * sockets) // count), limits.memory // count,
-            Sizes(limits.head, limits.body, ordinary=True, hold=limits.hold), limits.read, limits.idle, limits.drain,
+            max(1, int(CALLERS_PART * sockets) // count),
+            limits.memory // count,
+            Sizes(limits.head, limits.body, ordinary=True, hold=limits.hold),
+            limits.read,
+            limits.idle,
+            limits.drain,
         )
 
     def _serves(self, front: Front, name: str) -> bool | None:
@@ -182,7 +185,13 @@
             self._forward(row, regime, match, match.route.action, request, target, caller)
 
     def _forward(
-        self, row: model.Listener, regime: Regime, match: Match, forward: Forward, request: Request, target: Target,
+        self,
+        row: model.Listener,
+        regime: Regime,
+        match: Match,
+        forward: Forward,
+        request: Request,
+        target: Target,
         caller: Answerable,
     ) -> None:
         kind = regime.plan.classes[regime.plan.kinds[forward.kind]]
@@ -241,6 +250,7 @@
 
     def _stream(self, ticket: Ticket, stream: Body, timeout: float, caller: Answerable) -> None:
         """Pass on a body as it comes; its request's time counts from its last byte."""
+
         def whole() -> None:
             deadline = self._loop.time() + timeout - ANSWER_EARLY
             ticket.deadline, ticket.expected = deadline, float("inf")
@@ -387,5 +397,3 @@
     if target.query is not None:
         to += (b"&" if b"?" in to else b"?") + target.query
     caller.answer(redirect.status, b"Location: %b\r\n" % to, b"")
-
-
--- a/lugspur/daemon/joins.py
+++ b/lugspur/daemon/joins.py
@@ -82,6 +82,7 @@
 
     def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
         """Pass on the one final answer to all who wait for it."""
+
         def write(reader: Reader) -> None:
             reader.caller.answer(status, worded_for(head, reader.rid()), body, length)
 
@@ -89,6 +90,7 @@
 
     def finish(self, head: bytes, body: bytes, trailers: bytes) -> None:
         """Pass on the answer of a gRPC box, or what of it has not been passed on."""
+
         def write(reader: Reader) -> None:
             reader.caller.gone = None
             _form(reader).finish(worded_for(head, reader.rid()), body, trailers)
@@ -168,8 +170,11 @@
             return
         reader = self._readers[self._count] = Reader(self._count, ticket, caller)
         caller.gone = lambda: self._gone(reader)
-        self._perform(self.desk.ask(
-            self._loop.time(), reader.number, key, join.within, tenant, ticket.deadline, told_of(came, tenant, join)))
+        self._perform(
+            self.desk.ask(
+                self._loop.time(), reader.number, key, join.within, tenant, ticket.deadline, told_of(came, tenant, join)
+            )
+        )
 
     def wrote(self, tenant: str) -> None:
         """A request that may have changed something has its answer."""
@@ -286,4 +291,3 @@
             reader.caller.answer(504, b"", b"the time is up\n")
         else:
             write(reader)
-
--- a/lugspur/daemon/operated.py
+++ b/lugspur/daemon/operated.py
@@ -18,8 +18,11 @@
     """The daemon's second address; it moves with the file. It acts on what is there when it is called."""
 
     def __init__(
-        self, fronts: Callable[[], list[Front]], stations: Callable[[], Mapping[str, Station]],
-        more: Mapping[tuple[str, str], Act], drains: Callable[[bool], None],
+        self,
+        fronts: Callable[[], list[Front]],
+        stations: Callable[[], Mapping[str, Station]],
+        more: Mapping[tuple[str, str], Act],
+        drains: Callable[[bool], None],
     ) -> None:
         self._fronts, self._stations = fronts, stations
         self._more = more  # calls beside those that every proxy has
--- a/lugspur/daemon/outgoing.py
+++ b/lugspur/daemon/outgoing.py
@@ -55,8 +55,20 @@
         VIA,
     )
     more = [f"{key}: {value}\r\n".encode() for key, value in forward.request.set]
-    return Request(request.method, path, request.headers, [*lines, added, *more], request.body, request.arrived,
-                   request.keep_alive, request.terms, request.form, request.stream, request.ended, request.old)
+    return Request(
+        request.method,
+        path,
+        request.headers,
+        [*lines, added, *more],
+        request.body,
+        request.arrived,
+        request.keep_alive,
+        request.terms,
+        request.form,
+        request.stream,
+        request.ended,
+        request.old,
+    )
 
 
 @lru_cache(maxsize=1024)
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -53,8 +53,20 @@
 class Call:
     """A request that a final answer is owed for, or that still has attempts out."""
 
-    __slots__ = ("bound", "caller", "context", "deadline", "exchanges", "facts", "last", "may_have_run", "request",
-                 "response", "rid", "timer")
+    __slots__ = (
+        "bound",
+        "caller",
+        "context",
+        "deadline",
+        "exchanges",
+        "facts",
+        "last",
+        "may_have_run",
+        "request",
+        "response",
+        "rid",
+        "timer",
+    )
 
     def __init__(
         self, rid: str, request: Request, facts: Facts, caller: Answerable, deadline: float, context: object
@@ -79,11 +91,19 @@
         length = b"Content-Length: %d\r\n" % len(request.body) if framed else b""
         stream = request.stream
         if stream is not None:
-            length = b"Transfer-Encoding: chunked\r\n" if stream.length is None else (
-                b"Content-Length: %d\r\n" % stream.length)
+            length = (
+                b"Transfer-Encoding: chunked\r\n"
+                if stream.length is None
+                else (b"Content-Length: %d\r\n" % stream.length)
+            )
             left = self.facts.timeout  # counted from its last byte, whenever that comes
         return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
-            request.method, request.target, b"".join(request.lines), max(left, 0.001), length, request.body
+            request.method,
+            request.target,
+            b"".join(request.lines),
+            max(left, 0.001),
+            length,
+            request.body,
         )
 
 
@@ -149,8 +169,14 @@
     """One instance of the decision module, its backends, and the requests that it has in hand."""
 
     def __init__(
-        self, settings: Settings, seed: int, connections: upstream.Upstream, owner: Owner, epoch: float,
-        subscribe: Callable[[], None] = lambda: None, lane: Callable[[], Lane] | None = None,
+        self,
+        settings: Settings,
+        seed: int,
+        connections: upstream.Upstream,
+        owner: Owner,
+        epoch: float,
+        subscribe: Callable[[], None] = lambda: None,
+        lane: Callable[[], Lane] | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._epoch = epoch  # seconds from the loop's time to the time that lists use
@@ -180,9 +206,7 @@
         """The time that lists use."""
         return self._loop.time() + self._epoch
 
-    def _decide(
-        self, method: Callable[..., list[Action]], *args: object, call: Call | None = None
-    ) -> list[Action]:
+    def _decide(self, method: Callable[..., list[Action]], *args: object, call: Call | None = None) -> list[Action]:
         """Ask the module; an exception there fails the request that it was about, and nothing else."""
         try:
             return method(self.now(), *args)
@@ -234,7 +258,12 @@
     # ---- requests ------------------------------------------------------------------------------
 
     def submit(
-        self, request: Request, facts: Facts, caller: Answerable, deadline: float, context: object = None,
+        self,
+        request: Request,
+        facts: Facts,
+        caller: Answerable,
+        deadline: float,
+        context: object = None,
         expected: float = float("inf"),
     ) -> Call:
         """Take up a request; `deadline` is in the loop's time, and an answer is owed until then.
@@ -246,10 +275,19 @@
         self.calls[call.rid] = call
         caller.gone = lambda: self._gone(call)
         call.timer = self._loop.call_at(deadline, self._overdue, call)
-        self._perform(self._decide(
-            self.balancer.request, call.rid, facts.kind, facts.tenant, min(deadline, expected) + self._epoch,
-            facts.cost, facts.retry, expected < deadline, call=call,
-        ))
+        self._perform(
+            self._decide(
+                self.balancer.request,
+                call.rid,
+                facts.kind,
+                facts.tenant,
+                min(deadline, expected) + self._epoch,
+                facts.cost,
+                facts.retry,
+                expected < deadline,
+                call=call,
+            )
+        )
         return call
 
     def retime(self, call: Call, deadline: float) -> None:
@@ -299,7 +337,12 @@
             exchange.end(Outcome.CANCELLED)
 
     def answer(
-        self, call: Call, status: int, head: bytes, body: bytes, length: int | None = None,
+        self,
+        call: Call,
+        status: int,
+        head: bytes,
+        body: bytes,
+        length: int | None = None,
         trailers: bytes | None = None,
     ) -> None:
         """Write the one final answer of a request; with trailers it goes back as gRPC as it came."""
@@ -371,7 +414,14 @@
             call.exchanges.append(backend.lane.start(backend, call.request, until, watcher, repeatable, timed))
             return
         exchange = upstream.Exchange(
-            backend, now, until, call.bytes_for, watcher.ended, repeatable, call.request.method == b"HEAD", timed,
+            backend,
+            now,
+            until,
+            call.bytes_for,
+            watcher.ended,
+            repeatable,
+            call.request.method == b"HEAD",
+            timed,
         )
         if self.streams and call.caller is not None and call.caller.passing() is not None:
             exchange.begin = watcher.begun
@@ -380,9 +430,7 @@
         call.exchanges.append(exchange)
         self.upstream.start(exchange)
 
-    def _stream(
-        self, call: Call, body: Body, exchange: upstream.Exchange, number: int, timeout: float
-    ) -> None:
+    def _stream(self, call: Call, body: Body, exchange: upstream.Exchange, number: int, timeout: float) -> None:
         """Its body is passed on as it comes; the attempt is waited for from its last byte on."""
         exchange.body, exchange.timed, exchange.until = body, False, call.deadline
 
@@ -410,9 +458,7 @@
         if call.caller is not None:
             self._owner.begun(call, response, body)
 
-    def outcome(
-        self, call: Call, number: int, exchange: Attempt, outcome: Outcome, response: Response | None
-    ) -> None:
+    def outcome(self, call: Call, number: int, exchange: Attempt, outcome: Outcome, response: Response | None) -> None:
         """An attempt has ended."""
         now = self._loop.time()
         call.last, call.response = outcome, response
@@ -428,7 +474,14 @@
             else:  # Guards the client's deadline against a late timer.
                 outcome = Outcome.TIMEOUT
         self._forget(call)
-        self._perform(self._decide(
-            self.balancer.outcome, call.rid, number, outcome, exchange.latency(now), call.caller is None,
-            call=call,
-        ))
+        self._perform(
+            self._decide(
+                self.balancer.outcome,
+                call.rid,
+                number,
+                outcome,
+                exchange.latency(now),
+                call.caller is None,
+                call=call,
+            )
+        )
--- a/lugspur/daemon/probers.py
+++ b/lugspur/daemon/probers.py
@@ -71,8 +71,11 @@
     def down(self) -> dict[str, list[str]]:
         """By pools: the boxes that are left out here on a prober's word."""
         stations = self._stations()
-        return {name: sorted(server_name(server) for server in stations[name].maintenance.absent)
-                for name in self._pools if name in stations}
+        return {
+            name: sorted(server_name(server) for server in stations[name].maintenance.absent)
+            for name in self._pools
+            if name in stations
+        }
 
     def close(self) -> None:
         """Look at nothing any more."""
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -83,7 +83,10 @@
         callers = int(CALLERS_PART * sockets)
         self._sockets, self._sockets_most = Shares(sockets - callers, {}), sockets - callers
         connections = Upstream(
-            self._sockets, "", config.conn_idle, config.dial_timeout,
+            self._sockets,
+            "",
+            config.conn_idle,
+            config.dial_timeout,
             int(HELD_PART * config.memory),
         )
         connections.flow_most = int(FLOW_PART * config.memory)
@@ -165,8 +168,12 @@
         from lugspur.handover.messages import Estate
 
         return Estate(
-            self._discovery.index, list(self.maintenance.told.values()), self.maintenance.save(),
-            self.front.drained_at is not None, [*self._open, *self._elsewhere], self.pool.balancer.learned(),
+            self._discovery.index,
+            list(self.maintenance.told.values()),
+            self.maintenance.save(),
+            self.front.drained_at is not None,
+            [*self._open, *self._elsewhere],
+            self.pool.balancer.learned(),
         )
 
     def inherit(self) -> None:
@@ -279,7 +286,7 @@
     def _request(self, request: Request, caller: Caller) -> None:
         absolute = ABSOLUTE.match(request.target)
         if absolute is not None:  # RFC 9112 3.2.2
-            request.target = request.target[absolute.end():] or b"/"
+            request.target = request.target[absolute.end() :] or b"/"
         path = request.target.partition(b"?")[0]
         if path == b"/healthz" and request.method == b"GET":
             healthy = self.front.healthy()
--- a/lugspur/daemon/remembering.py
+++ b/lugspur/daemon/remembering.py
@@ -179,7 +179,7 @@
     for endpoint in told:
         yield fact("backend", name, forms.entry(endpoint))
     for at in range(0, len(told), EACH):
-        among = [endpoint.row.server for endpoint in told[at:at + EACH]]
+        among = [endpoint.row.server for endpoint in told[at : at + EACH]]
         for row in pool.balancer.learned(among).servers:
             yield fact("learned", name, forms.server(row))
     yield fact("tier", name, forms.tier(pool.balancer.learned(())))
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -133,8 +133,9 @@
     async def _apply(self, plan: Plan) -> None:
         """Take the new listeners' addresses first: what can fail comes before anything is changed."""
         rows = plan.file.listeners
-        kept = {name for name, row in rows.items()
-                if name in self.listeners and _terms(self._rows[name]) == _terms(row)}
+        kept = {
+            name for name, row in rows.items() if name in self.listeners and _terms(self._rows[name]) == _terms(row)
+        }
         taken = {sock.getsockname()[:2]: sock for _, sock in self.listeners.values()}
         bound: dict[str, socket.socket] = {}
         door = None
@@ -143,8 +144,11 @@
                 from lugspur.daemon.operated import Operators
 
                 self.operators = Operators(
-                    lambda: [front for front, _ in self.listeners.values()], lambda: self.daemon.stations,
-                    self._fleet_calls(), self._drains)
+                    lambda: [front for front, _ in self.listeners.values()],
+                    lambda: self.daemon.stations,
+                    self._fleet_calls(),
+                    self._drains,
+                )
             if self.operators is not None:
                 door = await self.operators.prepare(plan.file.management)
             for name, row in rows.items():
--- a/lugspur/daemon/station.py
+++ b/lugspur/daemon/station.py
@@ -68,8 +68,15 @@
         self.shown: Callable[[str], None] | None = None  # told when the list has changed
 
     def apply(
-        self, row: model.Pool, settings: Settings, held_most: int, limits: model.Limits, beside: str,
-        registries: Mapping[str, model.Registry], kept: Kept | None = None, age: float | None = None,
+        self,
+        row: model.Pool,
+        settings: Settings,
+        held_most: int,
+        limits: model.Limits,
+        beside: str,
+        registries: Mapping[str, model.Registry],
+        kept: Kept | None = None,
+        age: float | None = None,
     ) -> None:
         """Begin, or go on, by this row of the file `beside`; what was learned of backends stays.
 
@@ -79,8 +86,9 @@
             self._begin(row, settings)
         else:
             held = {call.facts.kind for call in self.pool.calls.values()}
-            self.pool.adopt(replace(settings, classes=tuple(
-                places(self.pool.settings.classes, settings.classes, held))))
+            self.pool.adopt(
+                replace(settings, classes=tuple(places(self.pool.settings.classes, settings.classes, held)))
+            )
         self._row = row
         self._tenants = {tenant.name: at for at, tenant in enumerate(settings.tenants)}
         answer_most = limits.answer
@@ -121,9 +129,7 @@
         return self._tenants.get(name, 0)
 
     def _begin(self, row: model.Pool, settings: Settings) -> None:
-        connections = Upstream(
-            self._sockets, self.name, row.keep, row.connect, 0, judge=judge, dialled=self._dialled
-        )
+        connections = Upstream(self._sockets, self.name, row.keep, row.connect, 0, judge=judge, dialled=self._dialled)
         seed = int.from_bytes(os.urandom(8), "big")
         self.pool = Pool(settings, seed, connections, self._owner, self._epoch, lane=self._lane)
         self.pool.streams = True
@@ -172,8 +178,14 @@
             follow, known = row.registry, bool(self.pool.backends)
             # Guards a pool whose registry has moved: its last list is better than the fixed one.
             return Followed(
-                self._registries, servers(ensemble), follow.path, Nodes(follow.format, row.protocol),
-                follow.stale_after, [] if known else fixed, self._members, self.name,
+                self._registries,
+                servers(ensemble),
+                follow.path,
+                Nodes(follow.format, row.protocol),
+                follow.stale_after,
+                [] if known else fixed,
+                self._members,
+                self.name,
             )
         return FixedList(fixed, self._members)
 
@@ -181,8 +193,10 @@
         if not endpoints and kind is ListKind.PATCH:
             return
         if any(endpoint.grpc for endpoint in endpoints):
-            endpoints = [replace(endpoint, row=replace(endpoint.row, kind=GRPC)) if endpoint.grpc else endpoint
-                         for endpoint in endpoints]
+            endpoints = [
+                replace(endpoint, row=replace(endpoint.row, kind=GRPC)) if endpoint.grpc else endpoint
+                for endpoint in endpoints
+            ]
         self._show(kind, self.maintenance.lay(kind, endpoints))
 
     def ban(self, server: int, on: bool, now: float) -> None:
@@ -246,6 +260,10 @@
 def _entry(member: model.Member) -> dict[str, Any]:
     protocol = {"protocol": member.protocol} if member.protocol else {}
     return protocol | {
-        "name": member_name(member), "address": f"{member.address[0]}:{member.address[1]}", "zone": member.zone,
-        "group": member.cell, "weight": member.weight, "status": "terminating" if member.drain else "in_service",
+        "name": member_name(member),
+        "address": f"{member.address[0]}:{member.address[1]}",
+        "zone": member.zone,
+        "group": member.cell,
+        "weight": member.weight,
+        "status": "terminating" if member.drain else "in_service",
     }
--- a/lugspur/daemon/terms.py
+++ b/lugspur/daemon/terms.py
@@ -19,8 +19,7 @@
 def between(former: RequestClass, new: RequestClass) -> RequestClass:
     """What both classes allow; both may be repeated in the same way."""
     group = min(former.group, new.group, key=NARROW.index)
-    return replace(new, group=group, window=min(former.window, new.window),
-                   deadline=max(former.deadline, new.deadline))
+    return replace(new, group=group, window=min(former.window, new.window), deadline=max(former.deadline, new.deadline))
 
 
 class Terms:
@@ -65,9 +64,13 @@
     def placed(self, settings: Settings) -> None:
         """The module has taken up these classes, at these places."""
         known = {row: at for at, row in enumerate(settings.classes)}
-        self._now, self._changing = ({
-            name: [(known[row], row) for row in rows if row in known] for name, rows in self._candidates(change).items()
-        } for change in (False, True))
+        self._now, self._changing = (
+            {
+                name: [(known[row], row) for row in rows if row in known]
+                for name, rows in self._candidates(change).items()
+            }
+            for change in (False, True)
+        )
 
     def _candidates(self, changing: bool) -> dict[str, list[RequestClass]]:
         found = {row.name: [row] for row in self._settings.classes}
--- a/lugspur/demo/main.py
+++ b/lugspur/demo/main.py
@@ -18,8 +18,12 @@
 RATE = 60.0  # requests a second
 KILLED, DRAINED = "channel-core-2", "inventory-store-1"
 LOOK_EVERY = 0.25  # seconds between two pictures
-STATES = {"in_service": "[green]up", "killed": "[red]killed, still listed", "unlisted": "[red]killed",
-          "terminating": "[yellow]draining"}
+STATES = {
+    "in_service": "[green]up",
+    "killed": "[red]killed, still listed",
+    "unlisted": "[red]killed",
+    "terminating": "[yellow]draining",
+}
 
 
 async def play(world: World, seconds: float, show: Callable[[World, str], Awaitable[None]]) -> None:
@@ -54,8 +58,9 @@
     for heading in ("tier", "backend", "state", "ran", "open connections"):
         boxes.add_column(heading, justify="right" if heading in ("ran", "open connections") else "left")
     for name, box in world.boxes.items():
-        boxes.add_row(box.tier, name, STATES[box.status], str(box.backend.ran.total()),
-                      str(len(box.backend.connections)))
+        boxes.add_row(
+            box.tier, name, STATES[box.status], str(box.backend.ran.total()), str(len(box.backend.connections))
+        )
     return Group(boxes, outcomes(world), Text(f"{world.sent} sent; {said}"))
 
 
@@ -67,8 +72,16 @@
     for kind, tally in world.tally.items():
         seen = tally.statuses
         failed = sum(count for status, count in seen.items() if status not in (0, 200, 503))
-        table.add_row(kind, KINDS[kind][1], str(seen.get(200, 0)), str(seen.get(503, 0)), str(failed),
-                      str(seen.get(0, 0)), f"{tally.part(0.5) * 1e3:.1f}", f"{tally.part(0.99) * 1e3:.1f}")
+        table.add_row(
+            kind,
+            KINDS[kind][1],
+            str(seen.get(200, 0)),
+            str(seen.get(503, 0)),
+            str(failed),
+            str(seen.get(0, 0)),
+            f"{tally.part(0.5) * 1e3:.1f}",
+            f"{tally.part(0.99) * 1e3:.1f}",
+        )
     return table
 
 
@@ -80,6 +93,7 @@
             await world.start()
             if console.is_terminal:
                 with Live(console=console, refresh_per_second=8, transient=True) as live:
+
                     async def draw(world: World, said: str) -> None:
                         live.update(picture(world, said))
 
--- a/lugspur/demo/world.py
+++ b/lugspur/demo/world.py
@@ -60,7 +60,8 @@
         file = self.folder / "demo.toml"
         file.write_text(demo_file())
         self._daemon = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lugspur", "run", str(file), stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "lugspur", "run", str(file), stderr=asyncio.subprocess.PIPE
+        )
         assert self._daemon.stderr is not None
         async with asyncio.timeout(READY):
             line = (await self._daemon.stderr.readline()).decode()
@@ -83,8 +84,11 @@
 
     def tell(self, tier: str) -> None:
         """Write a tier's list anew, in one step."""
-        entries = [{"name": name, "address": box.backend.address, "status": box.status}
-                   for name, box in self.boxes.items() if box.tier == tier and box.status != "unlisted"]
+        entries = [
+            {"name": name, "address": box.backend.address, "status": box.status}
+            for name, box in self.boxes.items()
+            if box.tier == tier and box.status != "unlisted"
+        ]
         fresh = self.folder / f"{tier}.new"
         fresh.write_text(json.dumps({"endpoints": entries}))
         fresh.rename(self.folder / f"{tier}.json")
@@ -123,8 +127,10 @@
     async def _ask(self, tier: str, kind: str, key: str, rid: str, within: float) -> Outcome:
         caller = self._idle.pop() if self._idle else Caller("127.0.0.1", self._port)
         method = KINDS[kind][0]
-        request = (f"{method} /{tier}/{kind}/{key} HTTP/1.1\r\nHost: demo.local\r\nX-Request-ID: {rid}\r\n"
-                   f"X-Timeout: {max(within, 0.001):.3f}\r\nContent-Length: 4\r\n\r\nbody").encode()
+        request = (
+            f"{method} /{tier}/{kind}/{key} HTTP/1.1\r\nHost: demo.local\r\nX-Request-ID: {rid}\r\n"
+            f"X-Timeout: {max(within, 0.001):.3f}\r\nContent-Length: 4\r\n\r\nbody"
+        ).encode()
         outcome = await caller.ask(request, max(within, 0.001) + SLACK)
         self._idle.append(caller)
         return outcome
@@ -160,6 +166,8 @@
     for tier in TIERS:
         text += f'[pools.{tier}]\nfile = "{tier}.json"\n'
         for kind, (method, _) in KINDS.items():
-            text += (f'[routes.{tier}-{kind}]\npath = "/{tier}/{kind}/{{key}}"\nmethods = ["{method}"]\n'
-                     f'pool = "{tier}"\nclass = "{kind}"\n')
+            text += (
+                f'[routes.{tier}-{kind}]\npath = "/{tier}/{kind}/{{key}}"\nmethods = ["{method}"]\n'
+                f'pool = "{tier}"\nclass = "{kind}"\n'
+            )
     return text
--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -13,8 +13,13 @@
     """Draw what is served in time by load; needs the extra `emulator`."""
     import pygal
 
-    chart = pygal.XY(title="Reads served in time, by load", x_title="load, of what the boxes can do",
-                     y_title="part of all reads", range=(0.0, 1.0), explicit_size=True)
+    chart = pygal.XY(
+        title="Reads served in time, by load",
+        x_title="load, of what the boxes can do",
+        y_title="part of all reads",
+        range=(0.0, 1.0),
+        explicit_size=True,
+    )
     for name, row in found.items():
         chart.add(name, [(load, one.timely) for load, one in row.items()])
     chart.render_to_file(file)
@@ -41,8 +46,10 @@
         # Imported only here: it needs the extra `fleet`.
         from lugspur.emulator import members
 
-        print("| members | datagrams/s | bytes/s | CPU us/s | all joined s | one killed s | two halves s | "
-              "a fifth stopped s | wrong doubts |")
+        print(
+            "| members | datagrams/s | bytes/s | CPU us/s | all joined s | one killed s | two halves s | "
+            "a fifth stopped s | wrong doubts |"
+        )
         print("|---|---|---|---|---|---|---|---|---|")
         for count in members.SIZES:
             print(members.play(count, given.seed).row(), flush=True)
@@ -70,8 +77,10 @@
     print("| way | load | calls a read | in time | failed | turned away | oldest call |\n|---|---|---|---|---|---|---|")
     for name, row in found.items():
         for load, one in row.items():
-            print(f"| {name} | {load:g} | {one.calls:.2f} | {one.timely:.1%} | {one.failed:.1%} | {one.turned:.1%} | "
-                  f"{1e3 * one.oldest:.0f} ms |")
+            print(
+                f"| {name} | {load:g} | {one.calls:.2f} | {one.timely:.1%} | {one.failed:.1%} | {one.turned:.1%} | "
+                f"{1e3 * one.oldest:.0f} ms |"
+            )
     if given.plot:
         _plot(found, given.plot)
     return 0
--- a/lugspur/emulator/combs.py
+++ b/lugspur/emulator/combs.py
@@ -96,7 +96,7 @@
             if ip in FIRST:
                 self.do(ip, comb.begin(OLD.seats))
                 self.sync(ip)
-        self.claimants = {name: Claimant(name) for name in ("x", "y")[:limits.claimants]}
+        self.claimants = {name: Claimant(name) for name in ("x", "y")[: limits.claimants]}
         self.wires: dict[tuple[str, str], list[Message]] = {}
         self.powers, self.breaks = limits.powers, limits.breaks
         self.decided = self.fetched = False
@@ -176,8 +176,9 @@
         else:
             who.state = "told" if what == "tell" else "back"
             for seat in who.roster.seats:
-                who.sent.append((seat.ip, Done(KEY, who.by, Answer(200, b"", who.by)) if what == "tell"
-                                 else Release(KEY, who.by)))
+                who.sent.append(
+                    (seat.ip, Done(KEY, who.by, Answer(200, b"", who.by)) if what == "tell" else Release(KEY, who.by))
+                )
         self._collect(who)
 
     def _collect(self, who: Claimant) -> None:
@@ -260,16 +261,28 @@
     def key(self) -> Any:
         """What makes this state another one."""
         places = tuple(
-            (ip, p.comb.epoch, p.comb.full, tuple((h.by, h.answer is not None) for h in p.comb._claims.values()),
-             tuple(sorted(p.disk.items())),
-             tuple((tuple(rows), tuple((peer, encode(m)) for peer, m in then)) for rows, then in p.queue),
-             tuple((peer, tuple(map(encode, parts))) for peer, parts in sorted(p.sitting._states.items())))
-            for ip, p in self.places.items())
+            (
+                ip,
+                p.comb.epoch,
+                p.comb.full,
+                tuple((h.by, h.answer is not None) for h in p.comb._claims.values()),
+                tuple(sorted(p.disk.items())),
+                tuple((tuple(rows), tuple((peer, encode(m)) for peer, m in then)) for rows, then in p.queue),
+                tuple((peer, tuple(map(encode, parts))) for peer, parts in sorted(p.sitting._states.items())),
+            )
+            for ip, p in self.places.items()
+        )
         claimants = tuple(
-            (w.state, w.roster.epoch, tuple(
-                (o.roster.epoch if o.roster is not None else 0, tuple(sorted(o.granted)), tuple(sorted(o.others)))
-                for o in w.claims._open.values()))
-            for w in self.claimants.values())
+            (
+                w.state,
+                w.roster.epoch,
+                tuple(
+                    (o.roster.epoch if o.roster is not None else 0, tuple(sorted(o.granted)), tuple(sorted(o.others)))
+                    for o in w.claims._open.values()
+                ),
+            )
+            for w in self.claimants.values()
+        )
         wires = tuple((pair, tuple(map(encode, self.wires[pair]))) for pair in sorted(self.wires))
         return places, claimants, wires, self.powers, self.breaks, self.decided, self.fetched
 
--- a/lugspur/emulator/duties.py
+++ b/lugspur/emulator/duties.py
@@ -158,8 +158,11 @@
 
     def holders(self) -> list[Node]:
         """Who is in office by its own clock; one that stands still is, too."""
-        return [node for address, node in self.nodes().items()
-                if node.claim is not None and node.claim.term.holds(self.network.clock(address))]
+        return [
+            node
+            for address, node in self.nodes().items()
+            if node.claim is not None and node.claim.term.holds(self.network.clock(address))
+        ]
 
     def turned(self, node: Node, holds: bool, epoch: int) -> None:
         """Somebody comes into office, or leaves it: only a coming can make it two."""
@@ -276,8 +279,12 @@
         offices += world.offices
         vacant += world.vacancies[1:]  # the first one is the start
     vacant.sort()
-    yield (f"{seeds} seeds: {offices} times in office, never two; nobody for {vacant[len(vacant) // 2]:.1f} s "
-           f"(median of {len(vacant)}), {vacant[int(0.99 * len(vacant))]:.1f} s (99%), leases of {LEASE:g} s")
+    yield (
+        f"{seeds} seeds: {offices} times in office, never two; nobody for {vacant[len(vacant) // 2]:.1f} s "
+        f"(median of {len(vacant)}), {vacant[int(0.99 * len(vacant))]:.1f} s (99%), leases of {LEASE:g} s"
+    )
     killed = sorted(after_kill(seed) for seed in range(first, first + KILLS))
-    yield (f"after {KILLS} kills of the holder nobody in office for {killed[KILLS // 2]:.1f} s (median), "
-           f"{killed[int(0.95 * KILLS)]:.1f} s (95%), {killed[-1]:.1f} s (longest)")
+    yield (
+        f"after {KILLS} kills of the holder nobody in office for {killed[KILLS // 2]:.1f} s (median), "
+        f"{killed[int(0.95 * KILLS)]:.1f} s (95%), {killed[-1]:.1f} s (longest)"
+    )
--- a/lugspur/emulator/fleet.py
+++ b/lugspur/emulator/fleet.py
@@ -40,8 +40,10 @@
 
     def row(self) -> str:
         """A line of the table."""
-        return (f"| {self.proxies} | {self.day} | {self.timely:.1%} | {self.turned:.1%} | {self.vain} "
-                f"({self.vain / self.asked:.2%}) | {self.busiest:.2f} | {1e6 * self.cpu:.0f} us |")
+        return (
+            f"| {self.proxies} | {self.day} | {self.timely:.1%} | {self.turned:.1%} | {self.vain} "
+            f"({self.vain / self.asked:.2%}) | {self.busiest:.2f} | {1e6 * self.cpu:.0f} us |"
+        )
 
 
 def settings(proxies: int, me: int) -> Settings:
@@ -70,7 +72,7 @@
         rng.choice(worlds).call(0, 0, asked + DEADLINE, done)
 
     def vanish() -> None:
-        for box in boxes[:max(1, len(boxes) // 10)]:
+        for box in boxes[: max(1, len(boxes) // 10)]:
             box.dead = day == DEAD
 
     when = 0.0
@@ -82,5 +84,13 @@
     clock.run()
     cpu = time.process_time() - began
     asked, ran = sum(ends.values()), [box.ran for box in boxes]
-    return Found(proxies, day, asked, (ends[SERVED] - late) / asked, ends[TURNED] / asked, sum(b.vain for b in boxes),
-                 max(ran) * len(ran) / sum(ran), cpu / asked)
+    return Found(
+        proxies,
+        day,
+        asked,
+        (ends[SERVED] - late) / asked,
+        ends[TURNED] / asked,
+        sum(b.vain for b in boxes),
+        max(ran) * len(ran) / sum(ran),
+        cpu / asked,
+    )
--- a/lugspur/emulator/hive.py
+++ b/lugspur/emulator/hive.py
@@ -405,7 +405,6 @@
     return world.figures
 
 
-
 def report(first: int, seeds: int) -> Iterator[str]:
     """A row for each size of the core: what so many plays brought about, and how many broke a promise."""
     yield "| combs | may be lost | plays | claims won | runs | changes | power lost | disks lost | messages | wrong |"
@@ -420,5 +419,7 @@
                 continue
             for name in ("won", "runs", "acknowledged", "lost", "wiped", "messages"):
                 setattr(total, name, getattr(total, name) + getattr(found, name))
-        yield (f"| {combs} | {machines} | {seeds} | {total.won} | {total.runs} | {total.acknowledged} | {total.lost} | "
-               f"{total.wiped} | {total.messages} | {wrong} |")
+        yield (
+            f"| {combs} | {machines} | {seeds} | {total.won} | {total.runs} | {total.acknowledged} | {total.lost} | "
+            f"{total.wiped} | {total.messages} | {wrong} |"
+        )
--- a/lugspur/emulator/joining.py
+++ b/lugspur/emulator/joining.py
@@ -108,7 +108,8 @@
             if isinstance(action, Start):
                 read, flight = self._reads[action.member], action.flight
                 rid = self._world.call(
-                    0, read.tenant, action.deadline, lambda how, flight=flight: self._landed(flight, how))  # type: ignore[misc]
+                    0, read.tenant, action.deadline, lambda how, flight=flight: self._landed(flight, how)
+                )  # type: ignore[misc]
                 if flight in self.desk.flights:
                     self._calls[flight] = rid
             elif isinstance(action, Extend):
@@ -164,8 +165,11 @@
 def settings() -> Settings:
     """What the decision module is told."""
     reads = RequestClass("read", aim=AIM, deadline=DEADLINE, repeat=Repeat.SAFE, late_worth=1.0)
-    return Settings(classes=(reads,), tenants=tuple(Tenant(f"t{n}") for n in range(TENANTS)),
-                    limits=Limits(cancel=True, max_attempts=3))
+    return Settings(
+        classes=(reads,),
+        tenants=tuple(Tenant(f"t{n}") for n in range(TENANTS)),
+        limits=Limits(cancel=True, max_attempts=3),
+    )
 
 
 def play(way: Callable[[World], Way], load: float, seed: int, count: int = READS) -> Found:
@@ -173,7 +177,7 @@
     clock, rng = Clock(), Random(seed)
     world = World(clock, settings(), BOXES, KIND, seed)
     joining = way(world)
-    popular = list(accumulate(1.0 / rank ** SKEW for rank in range(1, HOTELS + 1)))
+    popular = list(accumulate(1.0 / rank**SKEW for rank in range(1, HOTELS + 1)))
     reads: list[Read] = []
     when = 0.0
     for _ in range(count):
--- a/lugspur/emulator/members.py
+++ b/lugspur/emulator/members.py
@@ -38,8 +38,10 @@
 
     def row(self) -> str:
         """A line of the table."""
-        return (f"| {self.members} | {self.sent:.1f} | {self.size:.0f} | {self.cpu:.0f} | {self.joined:.1f} | "
-                f"{self.killed:.1f} | {self.healed:.1f} | {self.woken:.1f} | {self.doubts:.2f} |")
+        return (
+            f"| {self.members} | {self.sent:.1f} | {self.size:.0f} | {self.cpu:.0f} | {self.joined:.1f} | "
+            f"{self.killed:.1f} | {self.healed:.1f} | {self.woken:.1f} | {self.doubts:.2f} |"
+        )
 
 
 class Members:
@@ -55,8 +57,9 @@
             self.start(number)
 
     def _after(self, address: Address, machine: Fleet) -> None:
-        self.changes += [(self.network.now, machine.me.name, event) for event in machine.events()
-                         if isinstance(event, Changed)]
+        self.changes += [
+            (self.network.now, machine.me.name, event) for event in machine.events() if isinstance(event, Changed)
+        ]
 
     @staticmethod
     def address(number: int) -> Address:
@@ -69,8 +72,15 @@
         rng = Random(f"{self.seed} {number} {network.now}")
         seeds = [self.address(0), self.address(1)]
         machine = Fleet(
-            Wire(fleet), name or f"m{number}", address, Facts("z", "1", network.now), seeds, network.clock(address),
-            lambda: EPOCH + network.now - behind, rng)
+            Wire(fleet),
+            name or f"m{number}",
+            address,
+            Facts("z", "1", network.now),
+            seeds,
+            network.clock(address),
+            lambda: EPOCH + network.now - behind,
+            rng,
+        )
         network.add(address, machine)
         return machine
 
@@ -89,8 +99,13 @@
 
     def doubts(self, since: float, but: Iterable[str] = ()) -> int:
         """Members that others doubted first-hand, though they ran."""
-        return sum(when >= since and change.record.status is Status.SUSPECT and change.record.by == who
-                   and change.record.name not in but for when, who, change in self.changes)
+        return sum(
+            when >= since
+            and change.record.status is Status.SUSPECT
+            and change.record.by == who
+            and change.record.name not in but
+            for when, who, change in self.changes
+        )
 
     def total(self, what: str) -> int:
         """A count of all machines."""
@@ -109,11 +124,11 @@
     sent, size, cpu = fleet.total("sent") - sent, fleet.total("bytes sent") - size, time.process_time() - cpu
     network.kill(fleet.address(count - 1))
     killed = fleet.settle()
-    network.cut = halves(list(fleet.all())[:count // 2])
+    network.cut = halves(list(fleet.all())[: count // 2])
     network.run(CUT)
     network.cut = lambda origin, to: False
     healed = fleet.settle()
-    for address in list(fleet.all())[:max(1, count // 5)]:
+    for address in list(fleet.all())[: max(1, count // 5)]:
         network.stop(address, STOP)
     network.run(STOP)
     woken = fleet.settle()
--- a/lugspur/fleet/machine.py
+++ b/lugspur/fleet/machine.py
@@ -143,8 +143,16 @@
     """This process among the others. `now`: seconds of a clock that never steps; `wall`: of one that tells the date."""
 
     def __init__(
-        self, wire: Wire, name: str, address: Address, facts: Facts, seeds: list[Address], now: float,
-        wall: Callable[[], float], rng: random.Random, period: float = 1.0,
+        self,
+        wire: Wire,
+        name: str,
+        address: Address,
+        facts: Facts,
+        seeds: list[Address],
+        now: float,
+        wall: Callable[[], float],
+        rng: random.Random,
+        period: float = 1.0,
     ) -> None:
         self.wire, self.period, self.seeds = wire, period, seeds
         self._wall, self._rng = wall, rng
@@ -331,8 +339,9 @@
 
     def _begin(self, now: float, record: Record, slower: int) -> None:
         number, span = self._count(), self.period * slower
-        self._probe = _Probe(record.name, number, now, [now + part * span for part in AGAIN], now + THROUGH * span,
-                             now + span)
+        self._probe = _Probe(
+            record.name, number, now, [now + part * span for part in AGAIN], now + THROUGH * span, now + span
+        )
         self._ping(now, record, number)
 
     def _count(self) -> int:
@@ -357,8 +366,7 @@
         """What goes along to a member: our own record, what is thought of it unless that is good, and news."""
         found = [self.me]
         member = self.members.get(name)
-        if member is not None and (
-                member.record.status is not Status.ALIVE or life not in (None, member.record.life)):
+        if member is not None and (member.record.status is not Status.ALIVE or life not in (None, member.record.life)):
             found.append(member.record)  # Guards it against never hearing what it has to refute
         room = self.wire.room - 100 - sum(size_of(record) for record in found)
         return found + self._rumours.take(room, self.count, name)
@@ -368,8 +376,9 @@
         helpers = [name for name in drawn if name != record.name and name not in self._doubted][:HELPERS]
         probe.helpers = max(1, len(helpers))
         for name in helpers:
-            self._send(now, self.members[name].record.address,
-                       Help(probe.number, record.name, record.host, record.port), name)
+            self._send(
+                now, self.members[name].record.address, Help(probe.number, record.name, record.host, record.port), name
+            )
 
     def _unanswered(self, now: float, probe: _Probe, member: Member) -> None:
         # Guards others against one that hears nobody, neither helpers nor those who ask it: the fault may be here.
@@ -423,15 +432,27 @@
     # ---- what is said of this process -----------------------------------------------------------------
 
     def _speak(
-        self, now: float, incarnation: int = 0, facts: Facts | None = None, status: Status = Status.ALIVE,
+        self,
+        now: float,
+        incarnation: int = 0,
+        facts: Facts | None = None,
+        status: Status = Status.ALIVE,
         address: Address | None = None,
     ) -> None:
         """A new word of this process on itself."""
         me = self.me
         host, port = address or me.address
         self._mark ^= digest_of(me)
-        self.me = Record(me.name, me.life, max(me.incarnation + 1, incarnation), host, port, status,
-                         me.name if status is Status.LEFT else "", facts or me.facts)
+        self.me = Record(
+            me.name,
+            me.life,
+            max(me.incarnation + 1, incarnation),
+            host,
+            port,
+            status,
+            me.name if status is Status.LEFT else "",
+            facts or me.facts,
+        )
         self._mark ^= digest_of(self.me)
         self._rumours.put(self.me)
         self._changed_at = now
@@ -524,8 +545,11 @@
             return
         known = member.record
         if (record.incarnation, record.status) <= (known.incarnation, known.status):
-            if record.incarnation == known.incarnation and record.status is Status.SUSPECT and (
-                    record.name in self._doubted and self._doubted[record.name].confirm(record.by)):
+            if (
+                record.incarnation == known.incarnation
+                and record.status is Status.SUSPECT
+                and (record.name in self._doubted and self._doubted[record.name].confirm(record.by))
+            ):
                 self._rumours.put(record)
             return
         if record.status is Status.DEAD and known.there and known.status is not Status.SUSPECT:
@@ -664,8 +688,9 @@
 
 def _names(packet: Packet) -> bool:
     """Whether a datagram has its sender's own record: it may be another process of that name."""
-    return any(record.name == packet.me and record.life == packet.life
-               for record in getattr(packet.message, "news", ()))
+    return any(
+        record.name == packet.me and record.life == packet.life for record in getattr(packet.message, "news", ())
+    )
 
 
 def _cause(former: Record, record: Record) -> str:
--- a/lugspur/fleet/transport.py
+++ b/lugspur/fleet/transport.py
@@ -29,8 +29,12 @@
     """Runs one machine; `heard` is told of what happens, and `also` are further times at which `woken` is wanted."""
 
     def __init__(
-        self, sock: socket.socket, fleet: Fleet, heard: Callable[[Event], None],
-        woken: Callable[[float], None] = lambda now: None, also: Callable[[], Iterable[float]] = tuple,
+        self,
+        sock: socket.socket,
+        fleet: Fleet,
+        heard: Callable[[Event], None],
+        woken: Callable[[float], None] = lambda now: None,
+        also: Callable[[], Iterable[float]] = tuple,
     ) -> None:
         self._sock, self.fleet = sock, fleet
         self._heard, self._woken, self._also = heard, woken, also
--- a/lugspur/fleet/wire.py
+++ b/lugspur/fleet/wire.py
@@ -1,7 +1,7 @@
 """The fleet's datagrams: one versioned form, checked whole before anything in it counts. No I/O.
 
-    2 bytes "LG", 1 byte version, 8 bytes of the fleet's name (BLAKE2b), with a key 16 bytes of tag (keyed BLAKE2b over
-    all the rest), then msgpack.
+2 bytes "LG", 1 byte version, 8 bytes of the fleet's name (BLAKE2b), with a key 16 bytes of tag (keyed BLAKE2b over
+all the rest), then msgpack.
 """
 
 from __future__ import annotations
@@ -185,8 +185,8 @@
             raise Foreign("another version")
         if data[:HEAD] != self._head:
             raise Foreign("another fleet")
-        body = data[self._from:]
-        if self._key and not hmac.compare_digest(data[HEAD:self._from], self._tag(body)):
+        body = data[self._from :]
+        if self._key and not hmac.compare_digest(data[HEAD : self._from], self._tag(body)):
             raise Foreign("another key")
         try:
             packet = _decoder.decode(body)
--- a/lugspur/grpc/health.py
+++ b/lugspur/grpc/health.py
@@ -29,7 +29,7 @@
         elif kind == 2:
             size, at = _varint(message, at)
             if key >> 3 == 1:
-                service = message[at:at + size]
+                service = message[at : at + size]
             at += size
         else:
             raise ValueError(f"a field of the unknown kind {kind}")
@@ -47,7 +47,7 @@
             raise ValueError("the message is cut")
         byte = data[at]
         at += 1
-        value |= (byte & 0x7f) << shift
+        value |= (byte & 0x7F) << shift
         if byte < 0x80:
             return value, at
     raise ValueError("a number is too long")
--- a/lugspur/grpc/mapping.py
+++ b/lugspur/grpc/mapping.py
@@ -30,12 +30,29 @@
 NAMES = {b"proto": b"x-protobuf"}  # what a message format is called outside gRPC, where it is not the same
 FORMATS = {name: kind for kind, name in NAMES.items()}
 CONNECTION = frozenset(  # of one connection or one message's framing, and never passed on (RFC 9113 8.2.2)
-    {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-     b"content-length", b"expect", b"host", b"x-timeout", b"grpc-timeout"}
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"x-timeout",
+        b"grpc-timeout",
+    }
 )
 ANSWERED = frozenset({b"grpc-status", b"grpc-message", b"x-not-processed", b"x-server-load"})  # read here
-OURS = CONNECTION | {b"content-type", b"content-encoding", b"grpc-encoding", b"accept-encoding",
-                     b"grpc-accept-encoding"}
+OURS = CONNECTION | {
+    b"content-type",
+    b"content-encoding",
+    b"grpc-encoding",
+    b"accept-encoding",
+    b"grpc-accept-encoding",
+}
 SECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 NEVER = b"-1"  # a pushback that forbids to try again (gRFC A6)
 HARMLESS = (501, 503)  # say that nothing ran
@@ -44,7 +61,7 @@
 def is_grpc(content_type: bytes) -> bool:
     """Whether a content type is gRPC's: application/grpc, alone or with + or ; behind it."""
     kind = content_type.lower()
-    return kind.startswith(GRPC) and kind[len(GRPC):len(GRPC) + 1] in (b"", b"+", b";")
+    return kind.startswith(GRPC) and kind[len(GRPC) : len(GRPC) + 1] in (b"", b"+", b";")
 
 
 def lines_of(fields: Iterable[tuple[bytes, bytes]], without: frozenset[bytes] = frozenset()) -> bytes:
@@ -69,8 +86,12 @@
 def request_fields(request: Request, left: float) -> Fields:
     """The head of a request that came as gRPC, on its way to a gRPC box that is waited for so many seconds."""
     came = fields_of(request.lines, CONNECTION - {b"host"})
-    return [*_pseudo(request.target, dict(came)), (b"te", b"trailers"), (b"grpc-timeout", write_timeout(left)),
-            *(field for field in came if field[0] != b"host")]
+    return [
+        *_pseudo(request.target, dict(came)),
+        (b"te", b"trailers"),
+        (b"grpc-timeout", write_timeout(left)),
+        *(field for field in came if field[0] != b"host"),
+    ]
 
 
 def wrapped(request: Request, left: float) -> tuple[Fields, bytes]:
@@ -85,8 +106,13 @@
     accepted = told.get(b"accept-encoding", b"")
     fields = [field for field in came if field[0] not in OURS]
     fields += [(b"te", b"trailers"), (b"grpc-timeout", write_timeout(left)), (b"content-type", _grpc_type(kind))]
-    for name, value in ((b"x-http-method", request.method), (b"x-http-query", query), (b"x-http-content-type", kind),
-                        (b"grpc-encoding", encoding), (b"grpc-accept-encoding", accepted)):
+    for name, value in (
+        (b"x-http-method", request.method),
+        (b"x-http-query", query),
+        (b"x-http-content-type", kind),
+        (b"grpc-encoding", encoding),
+        (b"grpc-accept-encoding", accepted),
+    ):
         if value:
             fields.append((name, value))
     compressed = bool(encoding) and encoding.lower() != b"identity"
@@ -121,13 +147,13 @@
     name = kind.lower().partition(b";")[0].strip()
     if not name.startswith(b"application/"):
         return GRPC
-    name = name[len(b"application/"):]
+    name = name[len(b"application/") :]
     return b"%b+%b" % (GRPC, FORMATS.get(name, name))
 
 
 def _plain_type(kind: bytes) -> bytes:
     """The plain content type that a gRPC one is told as."""
-    name = kind.lower().partition(b";")[0].strip()[len(GRPC) + 1:] or b"proto"
+    name = kind.lower().partition(b";")[0].strip()[len(GRPC) + 1 :] or b"proto"
     return b"application/%b" % NAMES.get(name, name)
 
 
@@ -156,8 +182,11 @@
     lines = lines_of(fields)
     if code is not Status.OK:
         text = decode_message(told.get(b"grpc-message", b""))[:MESSAGE_MOST]
-        return Response(http_status(2 if code is None else int(code)), lines + b"Content-Type: text/plain\r\n",
-                        text + b"\n" if text else b"")
+        return Response(
+            http_status(2 if code is None else int(code)),
+            lines + b"Content-Type: text/plain\r\n",
+            text + b"\n" if text else b"",
+        )
     messages = unpack(body)
     if len(messages) != 1:
         raise Spoilt(f"{len(messages)} messages, where HTTP/1.1 has one body")
--- a/lugspur/grpc/messages.py
+++ b/lugspur/grpc/messages.py
@@ -23,11 +23,11 @@
             raise Spoilt("a message is cut within its prefix")
         if data[at] > 1:
             raise Spoilt(f"a message begins with the flag {data[at]}, which is neither 0 nor 1")
-        size = int.from_bytes(data[at + 1:at + PREFIX], "big")
+        size = int.from_bytes(data[at + 1 : at + PREFIX], "big")
         at += PREFIX
         if len(data) - at < size:
             raise Spoilt(f"a message of {size} bytes is cut after {len(data) - at}")
-        found.append((data[at - PREFIX] == 1, data[at:at + size]))
+        found.append((data[at - PREFIX] == 1, data[at : at + size]))
         at += size
     return found
 
@@ -50,7 +50,7 @@
                 at += step
                 self.wanted -= step
             else:
-                part = data[at:at + PREFIX - len(self._prefix)]
+                part = data[at : at + PREFIX - len(self._prefix)]
                 at += len(part)
                 self._prefix += part
                 self.open = True
--- a/lugspur/grpc/status.py
+++ b/lugspur/grpc/status.py
@@ -34,18 +34,42 @@
 
 
 HTTP = {  # by the comments of google/rpc/code.proto
-    Status.OK: 200, Status.CANCELLED: 499, Status.UNKNOWN: 500, Status.INVALID_ARGUMENT: 400,
-    Status.DEADLINE_EXCEEDED: 504, Status.NOT_FOUND: 404, Status.ALREADY_EXISTS: 409,
-    Status.PERMISSION_DENIED: 403, Status.RESOURCE_EXHAUSTED: 429, Status.FAILED_PRECONDITION: 400,
-    Status.ABORTED: 409, Status.OUT_OF_RANGE: 400, Status.UNIMPLEMENTED: 501, Status.INTERNAL: 500,
-    Status.UNAVAILABLE: 503, Status.DATA_LOSS: 500, Status.UNAUTHENTICATED: 401,
+    Status.OK: 200,
+    Status.CANCELLED: 499,
+    Status.UNKNOWN: 500,
+    Status.INVALID_ARGUMENT: 400,
+    Status.DEADLINE_EXCEEDED: 504,
+    Status.NOT_FOUND: 404,
+    Status.ALREADY_EXISTS: 409,
+    Status.PERMISSION_DENIED: 403,
+    Status.RESOURCE_EXHAUSTED: 429,
+    Status.FAILED_PRECONDITION: 400,
+    Status.ABORTED: 409,
+    Status.OUT_OF_RANGE: 400,
+    Status.UNIMPLEMENTED: 501,
+    Status.INTERNAL: 500,
+    Status.UNAVAILABLE: 503,
+    Status.DATA_LOSS: 500,
+    Status.UNAUTHENTICATED: 401,
 }
 BACK = {  # of those that are told by several, the one that says least
-    400: Status.INVALID_ARGUMENT, 401: Status.UNAUTHENTICATED, 403: Status.PERMISSION_DENIED, 404: Status.NOT_FOUND,
-    405: Status.UNIMPLEMENTED, 408: Status.DEADLINE_EXCEEDED, 409: Status.ABORTED, 412: Status.FAILED_PRECONDITION,
-    413: Status.RESOURCE_EXHAUSTED, 416: Status.OUT_OF_RANGE, 429: Status.RESOURCE_EXHAUSTED,
-    431: Status.RESOURCE_EXHAUSTED, 499: Status.CANCELLED, 500: Status.INTERNAL, 501: Status.UNIMPLEMENTED,
-    503: Status.UNAVAILABLE, 504: Status.DEADLINE_EXCEEDED,
+    400: Status.INVALID_ARGUMENT,
+    401: Status.UNAUTHENTICATED,
+    403: Status.PERMISSION_DENIED,
+    404: Status.NOT_FOUND,
+    405: Status.UNIMPLEMENTED,
+    408: Status.DEADLINE_EXCEEDED,
+    409: Status.ABORTED,
+    412: Status.FAILED_PRECONDITION,
+    413: Status.RESOURCE_EXHAUSTED,
+    416: Status.OUT_OF_RANGE,
+    429: Status.RESOURCE_EXHAUSTED,
+    431: Status.RESOURCE_EXHAUSTED,
+    499: Status.CANCELLED,
+    500: Status.INTERNAL,
+    501: Status.UNIMPLEMENTED,
+    503: Status.UNAVAILABLE,
+    504: Status.DEADLINE_EXCEEDED,
 }
 PLAIN = re.compile(rb"[\x20-\x24\x26-\x7e]*")  # what a message may hold unencoded: all that prints but %
 MESSAGE_MOST = 1 << 10  # bytes of a status message that is made here of a backend's text
@@ -78,7 +102,7 @@
     """A `grpc-message`: percent-encoded where it must be (PROTOCOL-HTTP2.md, Status-Message)."""
     if PLAIN.fullmatch(text):
         return text
-    return b"".join(bytes((c,)) if 0x20 <= c <= 0x7e and c != 0x25 else b"%%%02X" % c for c in text)
+    return b"".join(bytes((c,)) if 0x20 <= c <= 0x7E and c != 0x25 else b"%%%02X" % c for c in text)
 
 
 def decode_message(value: bytes) -> bytes:
@@ -94,8 +118,8 @@
 def varint(value: int) -> bytes:
     """A whole number as protobuf writes it."""
     out = bytearray()
-    while value > 0x7f:
-        out.append(value & 0x7f | 0x80)
+    while value > 0x7F:
+        out.append(value & 0x7F | 0x80)
         value >>= 7
     out.append(value)
     return bytes(out)
--- a/lugspur/handover/keeper.py
+++ b/lugspur/handover/keeper.py
@@ -324,8 +324,13 @@
         begun, done = self._ids
         self._ids = ([], [])
         for at in range(0, max(len(begun), len(done)), IDS_MOST):
-            self.say({"t": "ids", "begun": [name.decode() for name in begun[at:at + IDS_MOST]],
-                      "done": [name.decode() for name in done[at:at + IDS_MOST]]})
+            self.say(
+                {
+                    "t": "ids",
+                    "begun": [name.decode() for name in begun[at : at + IDS_MOST]],
+                    "done": [name.decode() for name in done[at : at + IDS_MOST]],
+                }
+            )
 
     def followed(self) -> bool:
         """Whether another process serves in this one's place, as of what has come by now."""
--- a/lugspur/handover/messages.py
+++ b/lugspur/handover/messages.py
@@ -53,18 +53,20 @@
 
 def estate_parts(estate: Estate) -> list[bytes]:
     """An estate as packets."""
-    whole = orjson.dumps({
-        "version": VERSION,
-        "index": estate.index,
-        "endpoints": [forms.entry(endpoint) for endpoint in estate.endpoints],
-        "listed": [server_name(server) for server in estate.bans.listed],
-        "banned": [server_name(server) for server in estate.bans.banned],
-        "floors": {server_name(server): at for server, at in estate.bans.floors.items()},
-        "drained": estate.drained,
-        "open": [name.decode() for name in estate.open],
-        "learned": forms.tier(estate.learned) | {"servers": [forms.server(row) for row in estate.learned.servers]},
-    }).decode()
-    parts = [whole[at:at + PART] for at in range(0, len(whole), PART)]
+    whole = orjson.dumps(
+        {
+            "version": VERSION,
+            "index": estate.index,
+            "endpoints": [forms.entry(endpoint) for endpoint in estate.endpoints],
+            "listed": [server_name(server) for server in estate.bans.listed],
+            "banned": [server_name(server) for server in estate.bans.banned],
+            "floors": {server_name(server): at for server, at in estate.bans.floors.items()},
+            "drained": estate.drained,
+            "open": [name.decode() for name in estate.open],
+            "learned": forms.tier(estate.learned) | {"servers": [forms.server(row) for row in estate.learned.servers]},
+        }
+    ).decode()
+    parts = [whole[at : at + PART] for at in range(0, len(whole), PART)]
     return [pack({"t": "estate", "n": n, "of": len(parts), "part": part}) for n, part in enumerate(parts)]
 
 
@@ -93,10 +95,15 @@
             raise Foreign(f"an estate of version {raw['version']}")
         learned = raw["learned"]
         return Estate(
-            int(raw["index"]), [forms.read_entry(row) for row in raw["endpoints"]],
-            Bans([server_id(name) for name in raw["listed"]], [server_id(name) for name in raw["banned"]],
-                 {server_id(name): float(at) for name, at in raw["floors"].items()}),
-            bool(raw["drained"]), [name.encode() for name in raw["open"]],
+            int(raw["index"]),
+            [forms.read_entry(row) for row in raw["endpoints"]],
+            Bans(
+                [server_id(name) for name in raw["listed"]],
+                [server_id(name) for name in raw["banned"]],
+                {server_id(name): float(at) for name, at in raw["floors"].items()},
+            ),
+            bool(raw["drained"]),
+            [name.encode() for name in raw["open"]],
             forms.read_learned(learned, learned["servers"]),
         )
     except forms.SENSELESS as fault:
--- a/lugspur/hive/claims.py
+++ b/lugspur/hive/claims.py
@@ -49,8 +49,9 @@
 class _Open:
     __slots__ = ("by", "ends", "granted", "key", "left", "others", "over", "roster", "busy", "until")
 
-    def __init__(self, key: bytes, by: bytes, left: float, ends: float, until: float,
-                 over: Callable[[Settled], None]) -> None:
+    def __init__(
+        self, key: bytes, by: bytes, left: float, ends: float, until: float, over: Callable[[Settled], None]
+    ) -> None:
         self.key, self.by, self.left, self.ends, self.until, self.over = key, by, left, ends, until, over
         self.granted: set[str] = set()
         self.others: set[str] = set()
@@ -70,8 +71,16 @@
     def __len__(self) -> int:
         return len(self._open)
 
-    def begin(self, now: float, roster: Roster, key: bytes, by: bytes, left: float, within: float,
-              over: Callable[[Settled], None]) -> None:
+    def begin(
+        self,
+        now: float,
+        roster: Roster,
+        key: bytes,
+        by: bytes,
+        left: float,
+        within: float,
+        over: Callable[[Settled], None],
+    ) -> None:
         """Claim a key for `by`, whose request ends in `left` seconds; settled in `within` seconds."""
         found = _Open(key, by, left, now + left, now + within, over)
         self._open[key, by] = found
--- a/lugspur/hive/comb.py
+++ b/lugspur/hive/comb.py
@@ -157,7 +157,8 @@
     def seated(self) -> bool:
         """Whether this disk is in the roster."""
         return self.roster is not None and any(
-            (s.ip, s.uid) == (self.seat.ip, self.seat.uid) for s in self.roster.seats)
+            (s.ip, s.uid) == (self.seat.ip, self.seat.uid) for s in self.roster.seats
+        )
 
     def _epoch_rows(self) -> list[tuple[bytes, bytes | None]]:
         assert self.roster is not None
@@ -237,8 +238,10 @@
             higher = self._promised[0] if message.epoch == self.epoch else 0
             return Effects(send=[(peer, Promise(message.epoch, message.ballot, False, higher=higher))])
         self._promised = message.ballot
-        return Effects(write=[self._ballot_row()], then=[
-            (peer, Promise(message.epoch, message.ballot, True, self._accepted, self._value))])
+        return Effects(
+            write=[self._ballot_row()],
+            then=[(peer, Promise(message.epoch, message.ballot, True, self._accepted, self._value))],
+        )
 
     def accept(self, peer: Peer, message: Accept) -> Effects:
         """The roster of a ballot, to be accepted unless a higher ballot has opened."""
@@ -297,8 +300,9 @@
         if held is None and len(self._claims) >= self._claims_most:
             return Effects(send=[(peer, Verdict(key, by, self.epoch, False))])
         self._hold(key, Held(by, now, now + message.left, None))
-        return Effects(write=[(b"c" + key, _pack(Kept(by, message.left)))],
-                       then=[(peer, Verdict(key, by, self.epoch, True))])
+        return Effects(
+            write=[(b"c" + key, _pack(Kept(by, message.left)))], then=[(peer, Verdict(key, by, self.epoch, True))]
+        )
 
     def done(self, now: float, message: Done) -> Effects:
         """A key's operation has run; others that hold it here never did and never will."""
--- a/lugspur/hive/folder.py
+++ b/lugspur/hive/folder.py
@@ -115,10 +115,17 @@
         dropped += entry.value is None
         kinds[entry.kind] = kinds.get(entry.kind, 0) + (entry.value is not None)
     return {
-        "uid": found.uid, "epoch": 0 if roster is None else roster.epoch, "full": found.full,
+        "uid": found.uid,
+        "epoch": 0 if roster is None else roster.epoch,
+        "full": found.full,
         "seats": {} if roster is None else {s.ip: {"uid": s.uid, "zone": s.zone} for s in roster.seats},
-        "promised": found.promised, "items": kinds, "dropped": dropped, "claims": found.claims,
-        "answers": found.answers, "bytes": found.size, "faults": found.faults,
+        "promised": found.promised,
+        "items": kinds,
+        "dropped": dropped,
+        "claims": found.claims,
+        "answers": found.answers,
+        "bytes": found.size,
+        "faults": found.faults,
     }
 
 
--- a/lugspur/hive/forager.py
+++ b/lugspur/hive/forager.py
@@ -42,8 +42,18 @@
 class Rank:
     """What this process knows of one life of one backend."""
 
-    __slots__ = ("berths", "breakers", "cold_until", "id", "inflight", "ip", "latency", "rests_until", "service",
-                 "zone")
+    __slots__ = (
+        "berths",
+        "breakers",
+        "cold_until",
+        "id",
+        "inflight",
+        "ip",
+        "latency",
+        "rests_until",
+        "service",
+        "zone",
+    )
 
     def __init__(self, ident: str, service: str, ip: str, zone: str) -> None:
         self.id, self.service, self.ip, self.zone = ident, service, ip, zone
@@ -97,8 +107,17 @@
 class Forager:
     """All requests that start on this machine."""
 
-    def __init__(self, table: Table, carrier: Carrier, keys: Keys, rng: Random, ratio: float, slack: float,
-                 span: float, zone: str) -> None:
+    def __init__(
+        self,
+        table: Table,
+        carrier: Carrier,
+        keys: Keys,
+        rng: Random,
+        ratio: float,
+        slack: float,
+        span: float,
+        zone: str,
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.table, self.carrier, self.keys, self.rng = table, carrier, keys, rng
         self._ratio, self._slack, self._span = ratio * BUDGET_PART, slack * BUDGET_PART, span
@@ -181,8 +200,17 @@
 class Flight:
     """One request."""
 
-    def __init__(self, forager: Forager, request: Request, caller: Answerable, way: Way, deadline: float,
-                 attempt: bytes, key: bytes, back: bool) -> None:
+    def __init__(
+        self,
+        forager: Forager,
+        request: Request,
+        caller: Answerable,
+        way: Way,
+        deadline: float,
+        attempt: bytes,
+        key: bytes,
+        back: bool,
+    ) -> None:
         self.forager, self.request, self.caller, self.way = forager, request, caller, way
         self.deadline, self.attempt, self.back = deadline, attempt, back
         self.key = key if way.kind == "tracked" else b""
@@ -235,8 +263,11 @@
 
     def _ready(self, now: float) -> list[Rank]:
         carrier = self.forager.carrier
-        ready = [rank for ident, rank in self.forager.services.get(self.service, {}).items()
-                 if ident not in self.tried and carrier.ready(rank.ip)]
+        ready = [
+            rank
+            for ident, rank in self.forager.services.get(self.service, {}).items()
+            if ident not in self.tried and carrier.ready(rank.ip)
+        ]
         # Those that have just turned one away come last, but before a refusal: asking a gate costs no backend anything.
         return [rank for rank in ready if now >= rank.rests_until] or ready
 
@@ -275,9 +306,22 @@
         if self._lines is None:
             self._lines = self._write_lines()
         forward = Forward(
-            0, rank.id, request.method, request.target, self._lines, request.body, self.deadline - now,
-            request.arrived + way.target - now, self.attempt, way.priority, way.safe, way.name, self.key,
-            self.attempt if self.key else b"", self.back)
+            0,
+            rank.id,
+            request.method,
+            request.target,
+            self._lines,
+            request.body,
+            self.deadline - now,
+            request.arrived + way.target - now,
+            self.attempt,
+            way.priority,
+            way.safe,
+            way.name,
+            self.key,
+            self.attempt if self.key else b"",
+            self.back,
+        )
         rank.inflight += 1
         self.sends += 1
         if self.sends > 1:
--- a/lugspur/hive/gate.py
+++ b/lugspur/hive/gate.py
@@ -83,7 +83,11 @@
     """All requests for the backend of this machine go through here."""
 
     def __init__(
-        self, memory: int, files: int, drain: float, done: Callable[[Forward, Answer], None],
+        self,
+        memory: int,
+        files: int,
+        drain: float,
+        done: Callable[[Forward, Answer], None],
         down: Callable[[Local], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
@@ -92,8 +96,17 @@
         self.local: Local | None = None
         self.leaving = False  # this process ends: nothing new
         self._upstream = Upstream(
-            Shares(files, {}), "", 20.0, DIAL_WITHIN, memory // 4, memory // 8, judge, proof=b"lugspur-not-delivered",
-            echo=b"lugspur-attempt-id", keeps=64)
+            Shares(files, {}),
+            "",
+            20.0,
+            DIAL_WITHIN,
+            memory // 4,
+            memory // 8,
+            judge,
+            proof=b"lugspur-not-delivered",
+            echo=b"lugspur-attempt-id",
+            keeps=64,
+        )
         self._count = itertools.count()
         self._waiting: list[tuple[Rank, int, Ticket]] = []  # the first one first
         self._at_work = 0
@@ -211,9 +224,14 @@
         self._at_work += 1
         ticket.sent, ticket.sent_at = True, now
         exchange = Exchange(
-            ticket.local.backend, now, ticket.until + GRACE, lambda left: self._bytes(forward, left - GRACE),
-            lambda exchange, outcome, response: self._ended(ticket, outcome, response), repeatable=forward.safe,
-            bodyless=forward.method == b"HEAD")
+            ticket.local.backend,
+            now,
+            ticket.until + GRACE,
+            lambda left: self._bytes(forward, left - GRACE),
+            lambda exchange, outcome, response: self._ended(ticket, outcome, response),
+            repeatable=forward.safe,
+            bodyless=forward.method == b"HEAD",
+        )
         exchange.echo = forward.attempt
         ticket.exchange = exchange
         self._upstream.start(exchange)
@@ -224,8 +242,14 @@
         if forward.body or forward.method in (b"POST", b"PUT", b"PATCH"):
             told = b"Content-Length: %d\r\n" % len(forward.body)
         return b"%b %b HTTP/1.1\r\n%bLugspur-Deliver-By-Ms: %d\r\nLugspur-Deliver-To: %b\r\n%b\r\n%b" % (
-            forward.method, forward.target, b"".join(forward.lines), max(1, int(left * 1000.0)),
-            forward.backend.encode(), told, forward.body)
+            forward.method,
+            forward.target,
+            b"".join(forward.lines),
+            max(1, int(left * 1000.0)),
+            forward.backend.encode(),
+            told,
+            forward.body,
+        )
 
     def _ended(self, ticket: Ticket, outcome: Outcome, response: Response | None) -> None:
         self._at_work -= 1
--- a/lugspur/hive/hand.py
+++ b/lugspur/hive/hand.py
@@ -84,12 +84,25 @@
         self.landing = Landing(self._rate, (limits.memory_mb << 20) // 4)
         self._bodies: dict[tuple[str, int], tuple[bytes, int]] = {}  # on their way in parts: all, and how far
         super().__init__(settings, path, False)
-        self.forager = Forager(self.table, self, self, self.rng, bounds.retry_ratio, bounds.retry_slack,
-                               bounds.retry_window_s, settings.own.zone)
+        self.forager = Forager(
+            self.table,
+            self,
+            self,
+            self.rng,
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s,
+            settings.own.zone,
+        )
         self.forager.sender = settings.own.service
         self.reloaded.append(self._sender)
-        self.gate = Gate(limits.memory_mb << 20, max(16, limits.file_handles // 4), bounds.drain_ms / 1000.0,
-                         self._done, self._backend_down)
+        self.gate = Gate(
+            limits.memory_mb << 20,
+            max(16, limits.file_handles // 4),
+            bounds.drain_ms / 1000.0,
+            self._done,
+            self._backend_down,
+        )
 
     def _sender(self) -> None:
         local = self.gate.local
@@ -121,8 +134,9 @@
         bounds, limits = self.table.bounds, self.settings.own.limits
         most = max(64, int((limits.file_handles - FILES_KEPT) * CALLERS_PART))
         sizes = Sizes(head=bounds.label_bytes + 1024, body=bounds.payload_bytes, ordinary=True)
-        self.front.tune(most, limits.memory_mb << 20, sizes, bounds.label_wait_ms / 1000.0,
-                        bounds.idle_ms / 1000.0, 2.0)
+        self.front.tune(
+            most, limits.memory_mb << 20, sizes, bounds.label_wait_ms / 1000.0, bounds.idle_ms / 1000.0, 2.0
+        )
 
     def _handle(self, request: Request, caller: Answerable) -> None:
         if not self.known:
@@ -190,11 +204,22 @@
             return
         now = self.loop.time()
         gone = local.state in ("gone", "silent") or local.down or self.leaving
-        spot = Spot(local.id, local.service, self.settings.own.zone, "gone" if gone else local.state, local.berths,
-                    round(max(0.0, local.warm_at - now), 1), self._rate)
+        spot = Spot(
+            local.id,
+            local.service,
+            self.settings.own.zone,
+            "gone" if gone else local.state,
+            local.berths,
+            round(max(0.0, local.warm_at - now), 1),
+            self._rate,
+        )
         said = self.spots.get(self.ip)
-        if said is not None and self._said is not None and self._said.value is not None and (
-                (said.id, said.service, said.state, said.berths) == (spot.id, spot.service, spot.state, spot.berths)):
+        if (
+            said is not None
+            and self._said is not None
+            and self._said.value is not None
+            and ((said.id, said.service, said.state, said.berths) == (spot.id, spot.service, spot.state, spot.berths))
+        ):
             return
         self._said = Entry("backend", self.ip, self.edition("backend", self.ip), _pack(spot))
         self.ledger.merge([self._said])
@@ -240,9 +265,14 @@
         """Services whose backends have changed."""
         stale, self._stale_services = self._stale_services, set()
         for service in stale:
-            self.forager.members(service, {
-                spot.id: (ip, spot.zone, spot.berths, self._cold.get(ip, 0.0))
-                for ip, spot in self.spots.items() if spot.service == service and spot.state == "accepting"})
+            self.forager.members(
+                service,
+                {
+                    spot.id: (ip, spot.zone, spot.berths, self._cold.get(ip, 0.0))
+                    for ip, spot in self.spots.items()
+                    if spot.service == service and spot.state == "accepting"
+                },
+            )
         self.forager.proxies = max(1, len(self.spots))
         self._reach()
 
@@ -285,6 +315,7 @@
             if found is not None:
                 link.send(Cancel(n))
                 found(Reply(n, End.MAYBE))
+
         return cancel
 
     def heard_more(self, now: float, ip: str, message: Message) -> None:
@@ -304,7 +335,7 @@
         if sent >= message.upto or dialler is None or dialler.link is None:
             return
         for at in range(sent, min(message.upto, len(body)), PART):
-            dialler.link.send(Part(message.n, body[at:min(at + PART, message.upto)]))
+            dialler.link.send(Part(message.n, body[at : min(at + PART, message.upto)]))
         if message.upto < len(body):
             self._bodies[ip, message.n] = (body, message.upto)
         else:
@@ -354,6 +385,7 @@
         def respond(said: Reply) -> None:
             self._tickets.pop((link, n), None)
             link.send(said)
+
         ticket = self.gate.run(forward, respond)
         if ticket is not None and not ticket.over:
             self._tickets[link, n] = ticket
@@ -392,18 +424,42 @@
         now, local = self.loop.time(), self.gate.local
         ranks = [rank for found in self.forager.services.values() for rank in found.values()]
         return {
-            "node": self.settings.own.node_name, "role": "forager", "ip": self.ip, "zone": self.settings.own.zone,
-            "sender": self.forager.sender, "leaving": self.leaving, "known": self.known,
+            "node": self.settings.own.node_name,
+            "role": "forager",
+            "ip": self.ip,
+            "zone": self.settings.own.zone,
+            "sender": self.forager.sender,
+            "leaving": self.leaving,
+            "known": self.known,
             "epoch": 0 if self.roster is None else self.roster.epoch,
             "seats": [] if self.roster is None else [seat.ip for seat in self.roster.seats],
-            "source": self.source, "age_s": round(min(1e6, now - self.source_at), 3), "routes": len(self.table),
-            "open": len(self.forager.flights), "busy": self.gate.busy,
-            "backend": None if local is None else {"id": local.id, "service": local.service, "state": local.state,
-                                                   "berths": local.berths, "down": local.down},
-            "backends": [{"id": r.id, "service": r.service, "ip": r.ip, "zone": r.zone, "reached": self.ready(r.ip),
-                          "in_flight": r.inflight, "latency": round(r.latency, 3),
-                          "refuses": {name: round(b.error_ratio(now), 3) for name, b in r.breakers.items()}}
-                         for r in ranks],
+            "source": self.source,
+            "age_s": round(min(1e6, now - self.source_at), 3),
+            "routes": len(self.table),
+            "open": len(self.forager.flights),
+            "busy": self.gate.busy,
+            "backend": None
+            if local is None
+            else {
+                "id": local.id,
+                "service": local.service,
+                "state": local.state,
+                "berths": local.berths,
+                "down": local.down,
+            },
+            "backends": [
+                {
+                    "id": r.id,
+                    "service": r.service,
+                    "ip": r.ip,
+                    "zone": r.zone,
+                    "reached": self.ready(r.ip),
+                    "in_flight": r.inflight,
+                    "latency": round(r.latency, 3),
+                    "refuses": {name: round(b.error_ratio(now), 3) for name, b in r.breakers.items()},
+                }
+                for r in ranks
+            ],
         }
 
     # ---- time -----------------------------------------------------------------------------------
@@ -416,8 +472,15 @@
         ended, self.forager.ended = self.forager.ended, {}
         gate = self.gate
         if ended or gate.turned or gate.evicted or gate.hopeless:
-            notes.note("requests", **ended, turned=gate.turned, evicted=gate.evicted, hopeless=gate.hopeless,
-                       busy=gate.busy, open=len(self.forager.flights))
+            notes.note(
+                "requests",
+                **ended,
+                turned=gate.turned,
+                evicted=gate.evicted,
+                hopeless=gate.hopeless,
+                busy=gate.busy,
+                open=len(self.forager.flights),
+            )
         gate.turned = gate.evicted = gate.hopeless = 0
 
     def look(self, now: float) -> None:
@@ -449,7 +512,8 @@
         self.front.close()
         self.gate.leaving = True
         while self.loop.time() < start + LEAVE_ENDS * grace and (
-                self.forager.flights or self.gate.busy or len(self.landing) or self.front.callers):
+            self.forager.flights or self.gate.busy or len(self.landing) or self.front.callers
+        ):
             await asyncio.sleep(0.05)
         notes.note("left", flights=len(self.forager.flights), busy=self.gate.busy, after=self.loop.time() - start)
 
--- a/lugspur/hive/keeper.py
+++ b/lugspur/hive/keeper.py
@@ -81,8 +81,12 @@
         self.here = Here(self)
         self.comb = self._comb(rows)
         bounds, tolerate = settings.tariffs.bounds, settings.tariffs.tolerate
-        self.sitting = Sitting(self.comb, Steward(own.ip, self.rng), target(tolerate.machines, tolerate.zones),
-                               bounds.contact_ms / 1000.0 + PATIENCE)
+        self.sitting = Sitting(
+            self.comb,
+            Steward(own.ip, self.rng),
+            target(tolerate.machines, tolerate.zones),
+            bounds.contact_ms / 1000.0 + PATIENCE,
+        )
         self.disk.start()
         if self.disk.damaged:  # never as at the very first start: what was promised is gone
             rows = []
@@ -125,6 +129,7 @@
                 reply(caller)
             else:
                 fail(caller, fault)
+
         self.amend(request.body, over)
 
     def _read(self, request: Request, caller: Answerable, _: list[str]) -> None:
@@ -133,6 +138,7 @@
                 fail(caller, HiveError(Kind.NO_QUORUM, "too few combs answer"))
             else:
                 reply(caller, body)
+
         self.read(over)
 
     def _ended(self, link: Link) -> None:
@@ -312,12 +318,21 @@
         kinds = {kind: len(self.ledger.standing(kind)) for kind in sorted({e.kind for e in self.ledger.all()})}
         combs = {name: _presence.decode(value) for name, value in self.ledger.standing("comb").items()}
         return {
-            "node": self.settings.own.node_name, "role": "comb", "ip": self.ip, "zone": self.settings.own.zone,
-            "uid": comb.seat.uid, "epoch": comb.epoch, "seated": comb.seated, "full": comb.full,
+            "node": self.settings.own.node_name,
+            "role": "comb",
+            "ip": self.ip,
+            "zone": self.settings.own.zone,
+            "uid": comb.seat.uid,
+            "epoch": comb.epoch,
+            "seated": comb.seated,
+            "full": comb.full,
             "seats": [] if comb.roster is None else [seat.ip for seat in comb.roster.seats],
-            "seats_wanted": self.sitting.seats, "age_s": round(min(1e6, self.age(now)), 3),
+            "seats_wanted": self.sitting.seats,
+            "age_s": round(min(1e6, self.age(now)), 3),
             "combs": {ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving} for ip, p in combs.items()},
-            "entries": kinds, "claims": comb.claims, "subscribers": len(self.subscribers),
+            "entries": kinds,
+            "claims": comb.claims,
+            "subscribers": len(self.subscribers),
             "disk": {"commits": self.disk.commits, "fault": self.disk.fault},
         }
 
--- a/lugspur/hive/link.py
+++ b/lugspur/hive/link.py
@@ -34,7 +34,9 @@
     """`heard` is given each message, `ended` is told once that nothing more comes or goes."""
 
     def __init__(
-        self, heard: Callable[[Link, Message], None], ended: Callable[[Link], None],
+        self,
+        heard: Callable[[Link, Message], None],
+        ended: Callable[[Link], None],
         begun: Callable[[Link], None] | None = None,
     ) -> None:
         self._heard, self._ended, self._begun = heard, ended, begun
@@ -61,7 +63,7 @@
         held += data
         at, end = 0, len(held)
         while end - at >= 4 and self.open:
-            size = int.from_bytes(held[at:at + 4], "big")
+            size = int.from_bytes(held[at : at + 4], "big")
             if size > FRAME_MOST:  # Guards memory against a peer that announces more than any message has.
                 notes.warn("frame", peer=self.peer, size=size)
                 self.close()
@@ -69,7 +71,7 @@
             if end - at - 4 < size:
                 break
             try:
-                message = decode(bytes(held[at + 4:at + 4 + size]))
+                message = decode(bytes(held[at + 4 : at + 4 + size]))
             except (msgspec.DecodeError, msgspec.ValidationError) as fault:
                 notes.warn("frame", peer=self.peer, fault=str(fault))
                 self.close()
@@ -119,8 +121,13 @@
     """Keeps one connection to a peer: dials, and dials again with a growing pause."""
 
     def __init__(
-        self, ip: str, port: int, own: str, heard: Callable[[Link, Message], None],
-        up: Callable[[Dialler], None], down: Callable[[Dialler], None],
+        self,
+        ip: str,
+        port: int,
+        own: str,
+        heard: Callable[[Link, Message], None],
+        up: Callable[[Dialler], None],
+        down: Callable[[Dialler], None],
     ) -> None:
         self.ip, self._port, self._own = ip, port, own
         self._heard, self._up, self._down = heard, up, down
--- a/lugspur/hive/node.py
+++ b/lugspur/hive/node.py
@@ -112,8 +112,9 @@
     def _reach(self) -> None:
         wanted = self.wanted()
         for ip in wanted - self.peers.keys():
-            self.peers[ip] = Dialler(ip, self.settings.network.inner_ports[0], self.ip, self._heard_from,
-                                     self._up, self._down)
+            self.peers[ip] = Dialler(
+                ip, self.settings.network.inner_ports[0], self.ip, self._heard_from, self._up, self._down
+            )
         for ip in [ip for ip in self.peers if ip not in wanted and not self.keep_peer(ip)]:
             self.peers.pop(ip).close()
             self.heard_at.pop(ip, None)
@@ -180,8 +181,10 @@
             return
         others = [ip for ip in able if ip != self.source] or able
         zone = self.settings.own.zone
-        self.source = min(others, key=lambda ip: (
-            self._avoid.get(ip, 0.0) > self.loop.time(), zones.get(ip) != zone, self.rng.random()))
+        self.source = min(
+            others,
+            key=lambda ip: (self._avoid.get(ip, 0.0) > self.loop.time(), zones.get(ip) != zone, self.rng.random()),
+        )
         self.source_since = self.loop.time()
         self._subscribe(self.peers[self.source])
 
@@ -358,4 +361,3 @@
     def read(self, over: Callable[[bytes | None], None]) -> None:
         """All items that stand, as a majority has them."""
         self.round(None, lambda how: over(items.read_back(self.ledger) if how == "ok" else None))
-
--- a/lugspur/hive/program.py
+++ b/lugspur/hive/program.py
@@ -41,11 +41,13 @@
     node: Node
     if settings.keeps:
         from lugspur.hive.keeper import Keeper
+
         keeper = node = Keeper(settings, path)
         await keeper.serve()
         leave = keeper.leave
     else:
         from lugspur.hive.hand import Hand
+
         hand = node = Hand(settings, path)
         await hand.serve()
         leave = hand.leave
--- a/lugspur/hive/rounds.py
+++ b/lugspur/hive/rounds.py
@@ -30,8 +30,9 @@
         self._open: dict[int, Round] = {}
         self._n = 0
 
-    def begin(self, roster: Roster, entries: list[Entry] | None, until: float,
-              over: Callable[[str], None]) -> tuple[set[str], Ask | Put]:
+    def begin(
+        self, roster: Roster, entries: list[Entry] | None, until: float, over: Callable[[str], None]
+    ) -> tuple[set[str], Ask | Put]:
         """Open one; returns whom to send what. `until`: when it ends as "no"."""
         self._n += 1
         found = Round(roster, entries, until, over)
--- a/lugspur/hive/settings.py
+++ b/lugspur/hive/settings.py
@@ -139,9 +139,14 @@
     named = {("own" if name == "self" else name): value for name, value in data.items()}
     try:
         settings = dacite.from_dict(Settings, named)
-        for address in (*settings.network.seed_nodes, settings.own.app_address, settings.network.listen.incoming,
-                        settings.network.listen.outgoing, settings.network.listen.readiness,
-                        settings.network.listen.dispatch):
+        for address in (
+            *settings.network.seed_nodes,
+            settings.own.app_address,
+            settings.network.listen.incoming,
+            settings.network.listen.outgoing,
+            settings.network.listen.readiness,
+            settings.network.listen.dispatch,
+        ):
             if address:
                 read_address(address)
     except (dacite.DaciteError, ValueError, TypeError) as fault:
--- a/lugspur/hive/steward.py
+++ b/lugspur/hive/steward.py
@@ -36,7 +36,11 @@
 
 
 def proposal(
-    roster: Roster, combs: Mapping[str, Presence], absent: Mapping[str, float], patience: float, seats: int,
+    roster: Roster,
+    combs: Mapping[str, Presence],
+    absent: Mapping[str, float],
+    patience: float,
+    seats: int,
     full: AbstractSet[str],
 ) -> Roster | None:
     """The roster that should follow, or None where this one is right.
@@ -72,7 +76,7 @@
 
 
 def _replace(roster: Roster, at: int, seat: Seat) -> Roster:
-    seats = [*roster.seats[:at], seat, *roster.seats[at + 1:]]
+    seats = [*roster.seats[:at], seat, *roster.seats[at + 1 :]]
     return Roster(roster.epoch + 1, sorted(seats, key=lambda s: s.ip), len(roster.seats))
 
 
--- a/lugspur/hive/table.py
+++ b/lugspur/hive/table.py
@@ -16,8 +16,21 @@
 class Way:
     """A route as requests use it; times in seconds."""
 
-    __slots__ = ("deadline", "edition", "host", "kind", "longest", "name", "pace", "prefix", "priority", "services",
-                 "shares", "target", "tries")
+    __slots__ = (
+        "deadline",
+        "edition",
+        "host",
+        "kind",
+        "longest",
+        "name",
+        "pace",
+        "prefix",
+        "priority",
+        "services",
+        "shares",
+        "target",
+        "tries",
+    )
 
     def __init__(self, route: Route, edition: int) -> None:
         self.name, self.edition = route.name, edition
@@ -112,5 +125,5 @@
         while way is None and at > 0:
             at = path.rfind(b"/", 0, at)
             if at >= 0:
-                way = places.get(path[:at + 1])
+                way = places.get(path[: at + 1])
         return way
--- a/lugspur/hive/wire.py
+++ b/lugspur/hive/wire.py
@@ -250,8 +250,29 @@
 
 
 Message: TypeAlias = (
-    Hello | Sync | Delta | Pong | Report | Ask | Put | Said | Claim | Verdict | Done | Release | Prepare | Promise
-    | Accept | Accepted | Fetch | State | Forward | Reply | Cancel | Grant | Part
+    Hello
+    | Sync
+    | Delta
+    | Pong
+    | Report
+    | Ask
+    | Put
+    | Said
+    | Claim
+    | Verdict
+    | Done
+    | Release
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Fetch
+    | State
+    | Forward
+    | Reply
+    | Cancel
+    | Grant
+    | Part
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/lugspur/http1/body.py
+++ b/lugspur/http1/body.py
@@ -90,7 +90,7 @@
     def read(self, at: int) -> bytes:
         """What there is from this place on, in one piece."""
         start = at - self._base
-        return bytes(self._data[start:start + PIECE])
+        return bytes(self._data[start : start + PIECE])
 
     def passed(self, at: int) -> None:
         """The attempt that is out has passed on everything before this place."""
@@ -98,7 +98,7 @@
         self._gone = at
         if at > self._keep and not self.over:
             first = not self._base
-            del self._data[:at - self._base]
+            del self._data[: at - self._base]
             self._base = at
             if first and self.dropped is not None:
                 self.dropped()
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -51,7 +51,11 @@
     """
 
     def __init__(
-        self, address: Address, most: int, memory: int, handle: Callable[[Request, Caller], None],
+        self,
+        address: Address,
+        most: int,
+        memory: int,
+        handle: Callable[[Request, Caller], None],
     ) -> None:
         self.address = address
         self.handle = handle
@@ -401,7 +405,7 @@
         data = self.front.buffer[:nbytes]
         if self._early is not None:
             begun = self._early + bytes(data)
-            if PREFACE.startswith(begun[:len(PREFACE)]):
+            if PREFACE.startswith(begun[: len(PREFACE)]):
                 self._early = begun
                 if len(begun) >= len(PREFACE):
                     self._hand_over(begun)
@@ -540,10 +544,17 @@
         size = len(body) if length is None else length
         # RFC 9110 8.6: 204 has no length; 304 tells that of another answer, which is not known here.
         told = b"" if status in (204, 304) else b"Content-Length: %d\r\n" % size
-        self._transport.write(b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b" % (
-            status, PHRASES.get(status, b"Other"), head, told,
-            b"" if keep else b"Connection: close\r\n", b"" if self._bodyless else body,
-        ))
+        self._transport.write(
+            b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b"
+            % (
+                status,
+                PHRASES.get(status, b"Other"),
+                head,
+                told,
+                b"" if keep else b"Connection: close\r\n",
+                b"" if self._bodyless else body,
+            )
+        )
 
     def reject(self, fault: Rejected) -> None:
         """Answer what is not served, for the last time: kept alive it would come again at full speed."""
@@ -627,10 +638,15 @@
             self._hold(0)
         self._keep_alive = self._keeps() and (length is not None or not self._old)
         self._chunked = length is None and not self._old
-        told = b"Transfer-Encoding: chunked\r\n" if self._chunked else (
-            b"" if length is None else b"Content-Length: %d\r\n" % length)
-        self._transport.write(b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
-            status, PHRASES.get(status, b"Other"), head, told, b"" if self._keep_alive else b"Connection: close\r\n"))
+        told = (
+            b"Transfer-Encoding: chunked\r\n"
+            if self._chunked
+            else (b"" if length is None else b"Content-Length: %d\r\n" % length)
+        )
+        self._transport.write(
+            b"HTTP/1.1 %d %b\r\n%b%b%b\r\n"
+            % (status, PHRASES.get(status, b"Other"), head, told, b"" if self._keep_alive else b"Connection: close\r\n")
+        )
         self._flow = flow
         self.move(self.front.flowing, self._loop.time() + FLOW_WITHIN)
         flow.attach(self._pass)
--- a/lugspur/http1/hops.py
+++ b/lugspur/http1/hops.py
@@ -3,6 +3,15 @@
 from __future__ import annotations
 
 HOP_BY_HOP = frozenset(
-    {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-     b"content-length", b"expect"}
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
 )
--- a/lugspur/http1/intake.py
+++ b/lugspur/http1/intake.py
@@ -20,8 +20,17 @@
     {b"host", b"x-request-id", b"x-forwarded-for", b"x-forwarded-proto"}
 )
 NAMED = frozenset(
-    {b"x-priority-class", b"x-tenant-id", b"x-timeout", b"x-request-id", b"x-retried", b"x-cost",
-     b"idempotency-key", b"host", b"expect"}
+    {
+        b"x-priority-class",
+        b"x-tenant-id",
+        b"x-timeout",
+        b"x-request-id",
+        b"x-retried",
+        b"x-cost",
+        b"idempotency-key",
+        b"host",
+        b"expect",
+    }
 )
 
 
@@ -53,8 +62,11 @@
     __deletable__ = ("_deliver", "_expected", "_parser", "_room", "_terms")  # for mypyc
 
     def __init__(
-        self, deliver: Callable[[Request], None], sizes: Sizes = PLATFORM,
-        expected: Callable[[], None] | None = None, terms: Callable[[], object] | None = None,
+        self,
+        deliver: Callable[[Request], None],
+        sizes: Sizes = PLATFORM,
+        expected: Callable[[], None] | None = None,
+        terms: Callable[[], object] | None = None,
         room: Callable[[], None] = lambda: None,
     ) -> None:
         self._room = room  # told when more of a body that is passed on may come
@@ -225,8 +237,18 @@
             self._reject(400, "the target is malformed")
         if self.fault is not None:
             return
-        self._deliver(Request(
-            self._parser.get_method(), target, self._headers, self._lines,
-            b"".join(self._body), self.arrived, self._parser.should_keep_alive(), self._judged_by,
-            stream=stream, ended=self._now, old=self._parser.get_http_version() == "1.0",
-        ))
+        self._deliver(
+            Request(
+                self._parser.get_method(),
+                target,
+                self._headers,
+                self._lines,
+                b"".join(self._body),
+                self.arrived,
+                self._parser.should_keep_alive(),
+                self._judged_by,
+                stream=stream,
+                ended=self._now,
+                old=self._parser.get_http_version() == "1.0",
+            )
+        )
