--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -35,6 +35,7 @@
 STALL = 0.1  # seconds between two pieces of an answer: it comes in one go, and a second try needs about 0.2
 OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)  # say nothing of a backend
 
+
 def judge(status: int, unseen: bool) -> Outcome:
     """What an answer by the platform's protocol says of its attempt; `unseen`: `X-Not-Processed: 1`."""
     if status == 200:
@@ -69,13 +70,37 @@
 class Exchange:
     """One attempt on the wire: from its start to its one outcome."""
 
-    __slots__ = ("backend", "begin", "bodyless", "body", "connection", "dial", "echo", "first", "flowing", "open",
-                 "repeatable", "started", "timed", "timer", "until", "write", "written", "_report")
+    __slots__ = (
+        "backend",
+        "begin",
+        "bodyless",
+        "body",
+        "connection",
+        "dial",
+        "echo",
+        "first",
+        "flowing",
+        "open",
+        "repeatable",
+        "started",
+        "timed",
+        "timer",
+        "until",
+        "write",
+        "written",
+        "_report",
+    )
 
     def __init__(
-        self, backend: Backend, started: float, until: float, write: Callable[[float], bytes],
-        report: Callable[[Exchange, Outcome, Response | None], None], repeatable: bool = True,
-        bodyless: bool = False, timed: bool = True,
+        self,
+        backend: Backend,
+        started: float,
+        until: float,
+        write: Callable[[float], bytes],
+        report: Callable[[Exchange, Outcome, Response | None], None],
+        repeatable: bool = True,
+        bodyless: bool = False,
+        timed: bool = True,
     ) -> None:
         self.body: Body | None = None  # what is passed on behind `write`'s bytes as it comes...
         self.written: Callable[[], None] | None = None  # ...and who is told that all of it is out
@@ -465,6 +490,7 @@
         exchange.flowing, exchange.first = True, self._upstream.now()
         if exchange.timer is not None:
             exchange.timer.cancel()
+
         def taken(size: int) -> None:
             self._upstream.flow_held -= size
             if flow is self._flow:  # not of an answer that has ended meanwhile
@@ -565,8 +591,12 @@
     def _stray(self) -> bool:
         """Whether it answers another request than the one in hand: a second answer, come late."""
         exchange = self.exchange
-        return (exchange is not None and exchange.echo is not None and self._echoed is not None
-                and self._echoed != exchange.echo)
+        return (
+            exchange is not None
+            and exchange.echo is not None
+            and self._echoed is not None
+            and self._echoed != exchange.echo
+        )
 
     def on_headers_complete(self) -> None:
         if self._answer is not None:
@@ -652,9 +682,17 @@
     """
 
     def __init__(
-        self, sockets: Shares, name: str, conn_idle: float, dial_timeout: float, held_most: int,
-        answer_most: int = ANSWER_MOST, judge: Callable[[int, bool], Outcome] = judge,
-        dialled: Callable[[int, bool], None] | None = None, proof: bytes = b"x-not-processed", echo: bytes = b"",
+        self,
+        sockets: Shares,
+        name: str,
+        conn_idle: float,
+        dial_timeout: float,
+        held_most: int,
+        answer_most: int = ANSWER_MOST,
+        judge: Callable[[int, bool], Outcome] = judge,
+        dialled: Callable[[int, bool], None] | None = None,
+        proof: bytes = b"x-not-processed",
+        echo: bytes = b"",
         keeps: int = 0,
     ) -> None:
         """`proof`: the header that says that a request did not run; `echo`: the one with its id, if there is one.
@@ -681,9 +719,7 @@
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._sweeping = self._loop.call_later(self._keep / 4.0, self._sweep)
 
-    def tune(
-        self, conn_idle: float, dial_timeout: float, held_most: int, answer_most: int, idle_each: int
-    ) -> None:
+    def tune(self, conn_idle: float, dial_timeout: float, held_most: int, answer_most: int, idle_each: int) -> None:
         """Go on by other limits."""
         self._idle_each = idle_each
         self._keep, self._dial_timeout = IDLE_PART * conn_idle, dial_timeout
--- a/lugspur/http2/frames.py
+++ b/lugspur/http2/frames.py
@@ -79,7 +79,7 @@
                     self._head = data[at:]
                     end = at
                     break
-                size, kind, flags = int.from_bytes(data[at:at + 3], "big"), data[at + 3], data[at + 4]
+                size, kind, flags = int.from_bytes(data[at : at + 3], "big"), data[at + 3], data[at + 4]
                 self._judge(size, kind, flags)
                 if kind != GOAWAY:
                     at += HEAD
@@ -92,7 +92,7 @@
             step = min(self._left, end - at)
             self._left -= step
             if self._leaving is not None:
-                self._leaving += data[at:at + step]
+                self._leaving += data[at : at + step]
                 begin = at + step
                 if not self._left:
                     out.append(_read_leave(self._leaving))
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -190,8 +190,11 @@
             self.gone = None
             self.connection.cut(self, INTERNAL_ERROR)
             return
-        self._write(self._first_fields(status, head, len(body) if length is None else length),
-                    b"" if self._told.get(b":method") == b"HEAD" else body, None)
+        self._write(
+            self._first_fields(status, head, len(body) if length is None else length),
+            b"" if self._told.get(b":method") == b"HEAD" else body,
+            None,
+        )
 
     def _first_fields(self, status: int, head: bytes, length: int | None) -> Fields:
         fields: Fields = [(b":status", b"%d" % status), *mapping.fields_of([head])]
--- a/lugspur/http2/machine.py
+++ b/lugspur/http2/machine.py
@@ -112,20 +112,31 @@
     """`sent` is told of bytes of a stream that have gone out: (stream, bytes)."""
 
     def __init__(
-        self, client: bool, sent: Callable[[int, int], None], head_most: int = HEAD_LIST_MOST,
+        self,
+        client: bool,
+        sent: Callable[[int, int], None],
+        head_most: int = HEAD_LIST_MOST,
         streams: int = STREAMS_MOST,
     ) -> None:
         self._sent = sent
         self._sieve = Sieve(preface=not client)
-        self._h2 = H2Connection(H2Configuration(
-            client_side=client, header_encoding=None, validate_outbound_headers=False,
-            normalize_outbound_headers=False,
-        ))
+        self._h2 = H2Connection(
+            H2Configuration(
+                client_side=client,
+                header_encoding=None,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
+        )
         # Set one by one they would count only once acknowledged, and never be sent.
-        self._h2.local_settings = Settings(client=client, initial_values={
-            SettingCodes.INITIAL_WINDOW_SIZE: WINDOW, SettingCodes.MAX_HEADER_LIST_SIZE: head_most,
-            **({SettingCodes.ENABLE_PUSH: 0} if client else {SettingCodes.MAX_CONCURRENT_STREAMS: streams}),
-        })
+        self._h2.local_settings = Settings(
+            client=client,
+            initial_values={
+                SettingCodes.INITIAL_WINDOW_SIZE: WINDOW,
+                SettingCodes.MAX_HEADER_LIST_SIZE: head_most,
+                **({SettingCodes.ENABLE_PUSH: 0} if client else {SettingCodes.MAX_CONCURRENT_STREAMS: streams}),
+            },
+        )
         self._h2.decoder.max_header_list_size = head_most
         self._h2.initiate_connection()
         # Guards the streams against each other: all their windows together fit into the connection's.
--- a/lugspur/http2/upstream.py
+++ b/lugspur/http2/upstream.py
@@ -48,12 +48,39 @@
 class Exchange:
     """One attempt on a stream."""
 
-    __slots__ = ("backend", "box", "link", "open", "repeatable", "request", "started", "stream", "tries", "until",
-                 "_bound", "_counter", "_first", "_head", "_held", "_lane", "_pipe", "_chunks", "_tail", "_timer",
-                 "_waiting", "_watcher")
+    __slots__ = (
+        "backend",
+        "box",
+        "link",
+        "open",
+        "repeatable",
+        "request",
+        "started",
+        "stream",
+        "tries",
+        "until",
+        "_bound",
+        "_counter",
+        "_first",
+        "_head",
+        "_held",
+        "_lane",
+        "_pipe",
+        "_chunks",
+        "_tail",
+        "_timer",
+        "_waiting",
+        "_watcher",
+    )
 
     def __init__(
-        self, lane: Streams, backend: Listed, request: Request, started: float, until: float, watcher: Watcher,
+        self,
+        lane: Streams,
+        backend: Listed,
+        request: Request,
+        started: float,
+        until: float,
+        watcher: Watcher,
         repeatable: bool,
     ) -> None:
         self._lane, self._watcher = lane, watcher
@@ -523,9 +550,7 @@
 class Streams:
     """All connections to one pool's gRPC boxes, within that pool's share of the sockets: its lane."""
 
-    def __init__(
-        self, sockets: Shares, name: str, judge: Judge, dialled: Callable[[int, bool], None]
-    ) -> None:
+    def __init__(self, sockets: Shares, name: str, judge: Judge, dialled: Callable[[int, bool], None]) -> None:
         self._sockets, self._name, self._dialled = sockets, name, dialled
         self._loop = asyncio.get_running_loop()
         self.judge = judge
--- a/lugspur/joining/desk.py
+++ b/lugspur/joining/desk.py
@@ -128,7 +128,13 @@
     # ---- reads ---------------------------------------------------------------------------------
 
     def ask(
-        self, now: float, number: int, key: Hashable, within: float, tenant: str, deadline: float,
+        self,
+        now: float,
+        number: int,
+        key: Hashable,
+        within: float,
+        tenant: str,
+        deadline: float,
         told: Mapping[bytes, bytes],
     ) -> list[Action]:
         """A read has come; `within` is how old a flight may be, in seconds, for it to join."""
@@ -190,8 +196,9 @@
         """A new flight for them, by the request of the one that waits longest."""
         leader = max(members, key=lambda member: member.deadline)
         self._count += 1
-        flight = Flight(self._count, key, base, now, leader.tenant, leader.told, leader.number, leader.deadline,
-                        refused=refused)
+        flight = Flight(
+            self._count, key, base, now, leader.tenant, leader.told, leader.number, leader.deadline, refused=refused
+        )
         self.flights[flight.number] = self._open[key] = flight
         for member in members:
             self._enter(flight, member)
--- a/lugspur/joining/keys.py
+++ b/lugspur/joining/keys.py
@@ -15,11 +15,27 @@
 
 #: Headers that say nothing of what is asked: they name one try, hop or trace, where it came from, or give a hint. An
 #: answer that depends on one of them is its caller's alone.
-OF_ONE_TRY = frozenset({
-    b"x-request-id", b"x-timeout", b"grpc-timeout", b"x-retried", b"x-cost", b"traceparent", b"tracestate",
-    b"x-forwarded-for", b"x-real-ip", b"forwarded", b"via", b"connection", b"keep-alive", b"te", b"expect",
-    b"content-length", b"transfer-encoding",
-})
+OF_ONE_TRY = frozenset(
+    {
+        b"x-request-id",
+        b"x-timeout",
+        b"grpc-timeout",
+        b"x-retried",
+        b"x-cost",
+        b"traceparent",
+        b"tracestate",
+        b"x-forwarded-for",
+        b"x-real-ip",
+        b"forwarded",
+        b"via",
+        b"connection",
+        b"keep-alive",
+        b"te",
+        b"expect",
+        b"content-length",
+        b"transfer-encoding",
+    }
+)
 #: Words of a request's Cache-Control by which its caller asks for a call of its own (RFC 9111 5.2.1).
 OF_ITS_OWN = frozenset({b"no-cache", b"no-store", b"max-age=0"})
 
@@ -41,7 +57,8 @@
     if len(sent.body) > BODY_MOST or cached & OF_ITS_OWN or headers.get(b"pragma", b"").lower() == b"no-cache":
         return None
     fields = frozenset(
-        field for field in headers.items() if field[0] not in OF_ONE_TRY and field[0] not in join.ignored)
+        field for field in headers.items() if field[0] not in OF_ONE_TRY and field[0] not in join.ignored
+    )
     return (route, "" if join.across else tenant, sent.method, sent.target, fields, sent.body, sent.form is not None)
 
 
--- a/lugspur/leases/claim.py
+++ b/lugspur/leases/claim.py
@@ -48,7 +48,12 @@
     """A wish for one duty. `rank`: how many that are there come before this process."""
 
     def __init__(
-        self, duty: str, electors: Sequence[str], lease: float, now: float, rng: random.Random,
+        self,
+        duty: str,
+        electors: Sequence[str],
+        lease: float,
+        now: float,
+        rng: random.Random,
         rank: Callable[[str], int],
     ) -> None:
         self.term = Term(duty, electors, lease, rng.randrange(1 << 40))
--- a/lugspur/leases/elector.py
+++ b/lugspur/leases/elector.py
@@ -80,8 +80,10 @@
 
     def promises(self) -> list[Promise]:
         """All that has to be remembered, with what is `unwritten`: its writer clears that first."""
-        found = {name: Promise(name, duty.epoch, duty.who.name if duty.who else "", duty.who.life if duty.who else 0)
-                 for name, duty in self._duties.items()}
+        found = {
+            name: Promise(name, duty.epoch, duty.who.name if duty.who else "", duty.who.life if duty.who else 0)
+            for name, duty in self._duties.items()
+        }
         return list((found | self.unwritten).values())
 
     def promised(self, duty: str, now: float) -> tuple[int, str, float]:
--- a/lugspur/leases/memory.py
+++ b/lugspur/leases/memory.py
@@ -56,8 +56,9 @@
             raise
         self.lease = lease if found is None else max(lease, found.lease)
         self.fresh = found is None  # it holds nothing: a new one, or one that was lost
-        self.promises = [] if found is None else [
-            Promise(row.duty, row.epoch, row.name, row.life) for row in found.promises]
+        self.promises = (
+            [] if found is None else [Promise(row.duty, row.epoch, row.name, row.life) for row in found.promises]
+        )
 
     def _read(self) -> _File | None:
         try:
@@ -79,7 +80,8 @@
             raise Spoilt(f"it is that of elector {found.elector[:48]!r}")
         rows = found.promises
         if len(rows) > DUTIES_MOST or any(
-                not 0 <= row.epoch < EPOCH_MOST or not 0 < len(row.duty) <= DUTY_MOST for row in rows):
+            not 0 <= row.epoch < EPOCH_MOST or not 0 < len(row.duty) <= DUTY_MOST for row in rows
+        ):
             raise Spoilt("it promises what cannot be")
         return found
 
@@ -91,7 +93,7 @@
         fd = self._disk.create(FRESH)
         try:
             while data:
-                data = data[self._disk.write(fd, data):]
+                data = data[self._disk.write(fd, data) :]
             self._disk.sync(fd)
         finally:
             self._disk.end(fd)
--- a/lugspur/membership/announce.py
+++ b/lugspur/membership/announce.py
@@ -33,10 +33,17 @@
 
     def data(self, since_ms: int) -> bytes:
         """The data of its node, in our own format."""
-        return orjson.dumps({
-            "name": self.name, "address": self.address, "status": "in_service", "zone": self.zone, "group": self.cell,
-            "weight": self.weight, "since_ms": since_ms,
-        })
+        return orjson.dumps(
+            {
+                "name": self.name,
+                "address": self.address,
+                "status": "in_service",
+                "zone": self.zone,
+                "group": self.cell,
+                "weight": self.weight,
+                "since_ms": since_ms,
+            }
+        )
 
     def same(self, data: bytes) -> bool:
         """Whether a node is this box's own: only one process can listen at an address."""
--- a/lugspur/membership/learned.py
+++ b/lugspur/membership/learned.py
@@ -25,8 +25,17 @@
     """An entry of the list."""
     row = endpoint.row
     # A zone or kind that no list names is its name as a number, which may be longer than JSON's are.
-    return [server_name(row.server), row.state.value, str(row.zone), row.cell, row.size, row.started, str(row.kind),
-            *endpoint.address, endpoint.grpc]
+    return [
+        server_name(row.server),
+        row.state.value,
+        str(row.zone),
+        row.cell,
+        row.size,
+        row.started,
+        str(row.kind),
+        *endpoint.address,
+        endpoint.grpc,
+    ]
 
 
 def read_entry(raw: list[Any]) -> Endpoint:
@@ -45,8 +54,14 @@
     """What was learned of a backend."""
     breaker = raw["breaker"]
     return LearnedServer(
-        server_id(raw["server"]), finite(raw["started"]), finite(raw["latency"]), finite(raw["seen"]),
-        int(raw["downs"]), finite(raw["down_until"]), finite(raw["cold_credit"]), finite(raw["cold_seen"]),
+        server_id(raw["server"]),
+        finite(raw["started"]),
+        finite(raw["latency"]),
+        finite(raw["seen"]),
+        int(raw["downs"]),
+        finite(raw["down_until"]),
+        finite(raw["cold_credit"]),
+        finite(raw["cold_seen"]),
         None if breaker is None else read_breaker(breaker),
     )
 
@@ -66,13 +81,20 @@
 
 def tier(learned: Learned) -> dict[str, Any]:
     """What was learned, but for the backends."""
-    return {"pools": [dataclasses.asdict(pool) for pool in learned.pools],
-            "pooled": learned.pooled, "pace": learned.pace, "paced": learned.paced}
+    return {
+        "pools": [dataclasses.asdict(pool) for pool in learned.pools],
+        "pooled": learned.pooled,
+        "pace": learned.pace,
+        "paced": learned.paced,
+    }
 
 
 def read_learned(raw: dict[str, Any], servers: list[dict[str, Any]]) -> Learned:
     """What was learned."""
     return Learned(
-        tuple(read_server(row) for row in servers), tuple(read_pool(row) for row in raw["pools"]),
-        finite(raw["pooled"]), finite(raw["pace"]), int(raw["paced"]),
+        tuple(read_server(row) for row in servers),
+        tuple(read_pool(row) for row in raw["pools"]),
+        finite(raw["pooled"]),
+        finite(raw["pace"]),
+        int(raw["paced"]),
     )
--- a/lugspur/membership/nodes.py
+++ b/lugspur/membership/nodes.py
@@ -75,8 +75,11 @@
 
 def _curator(name: str, raw: Entry) -> Entry:
     host, port = raw.get("address"), raw.get("port") or raw.get("sslPort")
-    entry = {"name": raw.get("id") or name, "address": f"{host}:{port}",
-             "status": "terminating" if raw.get("enabled") is False else "in_service"}
+    entry = {
+        "name": raw.get("id") or name,
+        "address": f"{host}:{port}",
+        "status": "terminating" if raw.get("enabled") is False else "in_service",
+    }
     if raw.get("registrationTimeUTC"):
         entry["since_ms"] = raw["registrationTimeUTC"]
     return entry | _extras(raw.get("payload"))
@@ -88,8 +91,10 @@
         raise Unreadable('its "serviceEndpoint" is no object')
     if status not in (*ALIVE, *ENDING):
         raise Unreadable(f"its status {status!r} is none of {', '.join((*ALIVE, *ENDING))}")
-    entry = {"address": f"{endpoint.get('host')}:{endpoint.get('port')}",
-             "status": "in_service" if status in ALIVE else "terminating"}
+    entry = {
+        "address": f"{endpoint.get('host')}:{endpoint.get('port')}",
+        "status": "in_service" if status in ALIVE else "terminating",
+    }
     return entry | _extras(raw.get("metadata"))
 
 
--- a/lugspur/membership/registry.py
+++ b/lugspur/membership/registry.py
@@ -90,8 +90,15 @@
     """
 
     def __init__(
-        self, registries: Registries, ensemble: Ensemble, path: str, nodes: Nodes, stale_after: float,
-        fixed: list[Endpoint], told: Told, pool: str,
+        self,
+        registries: Registries,
+        ensemble: Ensemble,
+        path: str,
+        nodes: Nodes,
+        stale_after: float,
+        fixed: list[Endpoint],
+        told: Told,
+        pool: str,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._registries, self._registry = registries, registries.get(ensemble)
@@ -221,7 +228,6 @@
         ended = self._loop.time()
         self._next = ended + min(TELL_MOST, TELL_PART * (ended - begun))
 
-
     def _tell_whole(self, rows: dict[int, Endpoint]) -> None:
         """Everything, or what of it is news: after most gaps nothing is, and telling 10,000 rows takes a while."""
         former, self._known = self._known, rows
@@ -229,8 +235,11 @@
             self._told_all = True
             self._told(ListKind.WHOLE, list(rows.values()))
             return
-        left = [replace(known, row=replace(known.row, state=State.GONE))
-                for server, known in former.items() if server not in rows]
+        left = [
+            replace(known, row=replace(known.row, state=State.GONE))
+            for server, known in former.items()
+            if server not in rows
+        ]
         changed = [endpoint for server, endpoint in rows.items() if former.get(server) != endpoint]
         if left or changed:
             self._told(ListKind.PATCH, left + changed)
--- a/lugspur/membership/watch.py
+++ b/lugspur/membership/watch.py
@@ -68,8 +68,10 @@
     async def _run(self, address: Address, index: int) -> None:
         watched = index
         while True:
-            watch = _Watch(self.line, b"GET /v1/servers?follow=1&since=%d HTTP/1.1\r\nHost: %b\r\n\r\n" % (
-                watched, address[0].encode()))
+            watch = _Watch(
+                self.line,
+                b"GET /v1/servers?follow=1&since=%d HTTP/1.1\r\nHost: %b\r\n\r\n" % (watched, address[0].encode()),
+            )
             await self._follow(address, watch)
             watched = self._index if watch.told else watched
             await asyncio.sleep(self.retry * (0.5 + random.random()))
--- a/lugspur/probing/prober.py
+++ b/lugspur/probing/prober.py
@@ -69,7 +69,7 @@
         """Boxes to look at now; `answered` ends each look."""
         out = sum(watched.out for watched in self._watched.values())
         found = [name for name, watched in self._watched.items() if not watched.out and watched.due <= now]
-        found = found[:max(0, AT_ONCE - out)]
+        found = found[: max(0, AT_ONCE - out)]
         for name in found:
             self._watched[name].out, self._watched[name].doubted = True, False
         return found
--- a/lugspur/routing/explain.py
+++ b/lugspur/routing/explain.py
@@ -47,14 +47,18 @@
 def explain(routes: Iterable[Route], asked: Asked) -> list[Verdict]:
     """Every route's verdict: the one that is taken first, then those that it beat, then the others."""
     verdicts = [judge(route, asked) for route in routes]
-    matching = sorted(
-        (v for v in verdicts if v.rank is not None), key=lambda v: (v.rank or (), v.route.name)
-    )
+    matching = sorted((v for v in verdicts if v.rank is not None), key=lambda v: (v.rank or (), v.route.name))
     return matching + [v for v in verdicts if v.rank is None]
 
 
 RULES = (
-    "host", "path", "a method given", "more header conditions", "more query conditions", "priority", "name",
+    "host",
+    "path",
+    "a method given",
+    "more header conditions",
+    "more query conditions",
+    "priority",
+    "name",
 )
 
 
--- a/lugspur/routing/model.py
+++ b/lugspur/routing/model.py
@@ -38,8 +38,7 @@
         """Whether a path's parts fit; a variable stands for one part that is not empty."""
         if len(segments) < len(self.parts) or (len(segments) > len(self.parts) and not self.rest):
             return False
-        return all(seen == part if part is not None else seen
-                   for part, seen in zip(self.parts, segments, strict=False))
+        return all(seen == part if part is not None else seen for part, seen in zip(self.parts, segments, strict=False))
 
 
 def read_pattern(text: str) -> Pattern:
@@ -277,7 +276,11 @@
     `priority`. It does not depend on the order of the file.
     """
     return (
-        host_rank(host), route.path.rank, 0 if route.methods else 1, -len(route.headers), -len(route.query),
+        host_rank(host),
+        route.path.rank,
+        0 if route.methods else 1,
+        -len(route.headers),
+        -len(route.query),
         -route.priority,
     )
 
--- a/lugspur/routing/splits.py
+++ b/lugspur/routing/splits.py
@@ -27,8 +27,9 @@
 
 def _order(targets: Sequence[tuple[str, float]], chances: list[float]) -> list[str]:
     # -ln(chance) / weight is an exponential race: the first at the line wins in proportion to its weight.
-    scored = [(-log(chance) / weight, name)
-              for (name, weight), chance in zip(targets, chances, strict=True) if weight > 0.0]
+    scored = [
+        (-log(chance) / weight, name) for (name, weight), chance in zip(targets, chances, strict=True) if weight > 0.0
+    ]
     return [name for _, name in sorted(scored)]
 
 
--- a/lugspur/routing/table.py
+++ b/lugspur/routing/table.py
@@ -102,7 +102,7 @@
         if self._suffixes and not host.startswith("["):
             rest = host
             while (dot := rest.find(".")) >= 0:
-                rest = rest[dot + 1:]
+                rest = rest[dot + 1 :]
                 yield "*." + rest
         yield ANY_HOST
 
@@ -126,7 +126,7 @@
         captured[name] = whole[at]
         captured["=" + name] = segments[at]
     if path.rest:
-        captured["*"] = "".join("/" + part for part in whole[len(path.parts):])
+        captured["*"] = "".join("/" + part for part in whole[len(path.parts) :])
     return captured
 
 
--- a/lugspur/routing/target.py
+++ b/lugspur/routing/target.py
@@ -56,7 +56,7 @@
         found = ABSOLUTE.match(target)
         if found is None:
             raise TargetError("the target is neither a path nor an http URL")
-        host, target = found[1], target[found.end():]
+        host, target = found[1], target[found.end() :]
         if not host:
             raise TargetError("the target has no host")
         if not target.startswith(b"/"):
--- a/lugspur/standins/grpc/__main__.py
+++ b/lugspur/standins/grpc/__main__.py
@@ -20,9 +20,11 @@
     """Serve until it is killed."""
     steps = "\n".join(f"  {name:20} {meaning}" for name, meaning in STEPS.items())
     parser = argparse.ArgumentParser(
-        prog="python -m lugspur.standins.grpc", formatter_class=argparse.RawDescriptionHelpFormatter,
+        prog="python -m lugspur.standins.grpc",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
         description="A stand-in gRPC box: it echoes messages.",
-        epilog=f"A call's metadata x-script holds steps, separated by commas:\n{steps}")
+        epilog=f"A call's metadata x-script holds steps, separated by commas:\n{steps}",
+    )
     parser.add_argument("--listen", default="127.0.0.1:0", metavar="HOST:PORT")
     parser.add_argument("--streams", type=int, default=100, help="streams that a connection may have open")
     parser.add_argument("--window", type=int, default=65_535, help="bytes that a stream's sender may be ahead")
--- a/lugspur/standins/grpc/box.py
+++ b/lugspur/standins/grpc/box.py
@@ -211,10 +211,13 @@
         self._transport = transport
         self._box.connections.add(self)
         self._box.accepted += 1
-        self._h2.local_settings = Settings(client=False, initial_values={
-            SettingCodes.MAX_CONCURRENT_STREAMS: self._box.streams,
-            SettingCodes.INITIAL_WINDOW_SIZE: self._box.window,
-        })
+        self._h2.local_settings = Settings(
+            client=False,
+            initial_values={
+                SettingCodes.MAX_CONCURRENT_STREAMS: self._box.streams,
+                SettingCodes.INITIAL_WINDOW_SIZE: self._box.window,
+            },
+        )
         self._h2.initiate_connection()
         self.listen()
 
--- a/lugspur/standins/grpc/caller.py
+++ b/lugspur/standins/grpc/caller.py
@@ -53,10 +53,10 @@
         """Its whole messages."""
         found, at = [], 0
         while at + PREFIX <= len(self.data):
-            size = int.from_bytes(self.data[at + 1:at + PREFIX], "big")
+            size = int.from_bytes(self.data[at + 1 : at + PREFIX], "big")
             if at + PREFIX + size > len(self.data):
                 break
-            found.append(bytes(self.data[at + PREFIX:at + PREFIX + size]))
+            found.append(bytes(self.data[at + PREFIX : at + PREFIX + size]))
             at += PREFIX + size
         return found
 
@@ -65,8 +65,14 @@
     """One connection."""
 
     def __init__(self, window: int | None = None) -> None:
-        self.h2 = H2Connection(H2Configuration(client_side=True, header_encoding="utf-8",
-                                               validate_outbound_headers=False, normalize_outbound_headers=False))
+        self.h2 = H2Connection(
+            H2Configuration(
+                client_side=True,
+                header_encoding="utf-8",
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
+        )
         if window is not None:
             self.h2.local_settings = Settings(client=True, initial_values={SettingCodes.INITIAL_WINDOW_SIZE: window})
         self.answers: dict[int, Answer] = {}
@@ -115,8 +121,15 @@
     def begin(self, path: str, *metadata: tuple[str, str], end: bool = False, method: str = "POST") -> int:
         """A call's head; gives its stream."""
         stream = int(self.h2.get_next_available_stream_id())
-        fields = [(":method", method), (":scheme", "http"), (":path", path), (":authority", "h.example"),
-                  ("te", "trailers"), ("content-type", "application/grpc"), *metadata]
+        fields = [
+            (":method", method),
+            (":scheme", "http"),
+            (":path", path),
+            (":authority", "h.example"),
+            ("te", "trailers"),
+            ("content-type", "application/grpc"),
+            *metadata,
+        ]
         self.h2.send_headers(stream, fields, end_stream=end)
         self.answers[stream] = Answer()
         self.flush()
--- a/lugspur/standins/grpc/echo.py
+++ b/lugspur/standins/grpc/echo.py
@@ -19,9 +19,14 @@
     """One connection; each call's bytes come back when it has said all."""
 
     def __init__(self) -> None:
-        self._h2 = H2Connection(H2Configuration(
-            client_side=False, header_encoding=None, validate_outbound_headers=False,
-            normalize_outbound_headers=False))
+        self._h2 = H2Connection(
+            H2Configuration(
+                client_side=False,
+                header_encoding=None,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
+        )
         self._bodies: dict[int, bytes] = {}
         self._transport: asyncio.Transport
 
--- a/lugspur/standins/grpc/script.py
+++ b/lugspur/standins/grpc/script.py
@@ -69,6 +69,7 @@
         if given:
             raise Wrong
         script.never_runs = kind
+
     return take
 
 
@@ -78,12 +79,14 @@
             raise Wrong
         setattr(script, kind, given[0])
         script.code = int(given[1]) if kind == "reset" and len(given) > 1 else script.code
+
     return take
 
 
 def _number(field: str) -> Callable[[Script, list[str]], None]:
     def take(script: Script, given: list[str]) -> None:
         setattr(script, field, int(given[0]))
+
     return take
 
 
@@ -105,7 +108,16 @@
 
 
 READERS: dict[str, Callable[[Script, list[str]], None]] = {
-    "refuse": _never("refuse"), "above": _never("above"), "unseen": _never("unseen"), "goaway": _goaway,
-    "reset": _point("reset"), "cut": _point("cut"), "stall": _point("stall"), "sleep": _sleep,
-    "status": _number("status"), "messages": _number("messages"), "size": _number("size"), "spoil": _spoil,
+    "refuse": _never("refuse"),
+    "above": _never("above"),
+    "unseen": _never("unseen"),
+    "goaway": _goaway,
+    "reset": _point("reset"),
+    "cut": _point("cut"),
+    "stall": _point("stall"),
+    "sleep": _sleep,
+    "status": _number("status"),
+    "messages": _number("messages"),
+    "size": _number("size"),
+    "spoil": _spoil,
 }
--- a/lugspur/standins/mesh.py
+++ b/lugspur/standins/mesh.py
@@ -1,6 +1,6 @@
 """A stand-in for an application backend of the mesh: it beats, answers with a stamp, and counts what it ran.
 
-    python -m lugspur.standins.mesh --listen 127.0.0.1:9001 --dispatch 127.0.0.1:8306 --service rooms
+python -m lugspur.standins.mesh --listen 127.0.0.1:9001 --dispatch 127.0.0.1:8306 --service rooms
 """
 
 from __future__ import annotations
@@ -46,13 +46,24 @@
 
     async def beat(self) -> None:
         """Say what it is; returns when that is acknowledged."""
-        body = json.dumps({
-            "service": self.service, "address": self.address, "zone": self.zone, "edition": "v1", "berths": 9,
-            "state": self.state, "warmup_left_ms": 0, "sequence": next(self._sequence)}).encode()
+        body = json.dumps(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "edition": "v1",
+                "berths": 9,
+                "state": self.state,
+                "warmup_left_ms": 0,
+                "sequence": next(self._sequence),
+            }
+        ).encode()
         host, _, port = self.dispatch.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(b"POST /backends/%b/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
-                     b"Content-Length: %d\r\nConnection: close\r\n\r\n%b" % (self.id.encode(), len(body), body))
+        writer.write(
+            b"POST /backends/%b/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\nConnection: close\r\n\r\n%b" % (self.id.encode(), len(body), body)
+        )
         status = await reader.readuntil(b"\r\n")
         self.acknowledged += b" 200 " in status
         writer.close()
@@ -77,8 +88,10 @@
         body = f"{self.id} ran {ident} for {headers.get('lugspur-sender', '')}\n"
         if sent:
             body += f"{len(sent)} bytes, {hashlib.sha256(sent).hexdigest()}\n"
-        return (f"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: {ident}\r\nLugspur-Postmark: {self.id}.{len(self.ran)}\r\n"
-                f"{told}Content-Length: {len(body)}\r\n\r\n{body}").encode()
+        return (
+            f"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: {ident}\r\nLugspur-Postmark: {self.id}.{len(self.ran)}\r\n"
+            f"{told}Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
 
 
 async def _run(given: argparse.Namespace) -> None:
--- a/lugspur/standins/zookeeper/cluster.py
+++ b/lugspur/standins/zookeeper/cluster.py
@@ -84,15 +84,24 @@
     def __init__(self, cluster: Cluster) -> None:
         self._cluster = cluster
         self._words: dict[str, Callable[..., object]] = {
-            "wait": self._wait, "expire": cluster.expire, "restore": cluster.ensemble.restore,
+            "wait": self._wait,
+            "expire": cluster.expire,
+            "restore": cluster.ensemble.restore,
             "set": lambda path, data="": cluster.write(path, data.encode()),
             "box": lambda path, data="": cluster.box(path, data.encode()),
-            "delete": cluster.delete, "help": lambda: None, "accept": self._accept,
+            "delete": cluster.delete,
+            "help": lambda: None,
+            "accept": self._accept,
         }
         for word in ("stall", "refuse", "flap", "lag", "garbage", "huge", "mend"):
             self._words[word] = partial(self._act, word)
-        for word, name in (("cut", "cut"), ("forget", "forgets"), ("old", "old"), ("read-only", "read_only"),
-                           ("overtake", "overtaking")):
+        for word, name in (
+            ("cut", "cut"),
+            ("forget", "forgets"),
+            ("old", "old"),
+            ("read-only", "read_only"),
+            ("overtake", "overtaking"),
+        ):
             self._words[word] = partial(self._fault, name)
         self._words["late"] = lambda at, span: setattr(self._server(at).faults, "late", SPAN(span))
 
--- a/lugspur/standins/zookeeper/ensemble.py
+++ b/lugspur/standins/zookeeper/ensemble.py
@@ -121,8 +121,10 @@
     def begin(self, timeout: float) -> Session:
         """A new session."""
         session = Session(
-            self._random.getrandbits(62) | 1, self._random.randbytes(16),
-            min(max(timeout, self.shortest), self.longest), self._loop.time(),
+            self._random.getrandbits(62) | 1,
+            self._random.randbytes(16),
+            min(max(timeout, self.shortest), self.longest),
+            self._loop.time(),
         )
         self.sessions[session.id] = session
         if self._timer is None or session.heard + session.timeout < self._timer.when():
--- a/lugspur/standins/zookeeper/server.py
+++ b/lugspur/standins/zookeeper/server.py
@@ -252,7 +252,7 @@
             return
         if self._server.faults.cut:
             self._server.faults.cut = False
-            self._transport.write(data[:len(data) // 2])
+            self._transport.write(data[: len(data) // 2])
             self.end()
             return
         self._server.bytes_out += len(data)
--- a/lugspur/standins/zookeeper/tree.py
+++ b/lugspur/standins/zookeeper/tree.py
@@ -35,8 +35,19 @@
 
     def stat(self) -> Stat:
         """What clients are told of it."""
-        return Stat(self.czxid, self.mzxid, self.ctime, self.mtime, self.version, self.cversion, self.aversion,
-                    self.owner, len(self.data), len(self.children), self.pzxid)
+        return Stat(
+            self.czxid,
+            self.mzxid,
+            self.ctime,
+            self.mtime,
+            self.version,
+            self.cversion,
+            self.aversion,
+            self.owner,
+            len(self.data),
+            len(self.children),
+            self.pzxid,
+        )
 
 
 @dataclass(slots=True, frozen=True)
--- a/lugspur/state/aging.py
+++ b/lugspur/state/aging.py
@@ -40,10 +40,14 @@
     if breaker is not None:
         breaker = _breaker(breaker, pooled, weight, moved, now)
     return replace(
-        row, latency=_drawn(row.latency, pooled, weight), seen=min(now, row.seen + moved), breaker=breaker,
+        row,
+        latency=_drawn(row.latency, pooled, weight),
+        seen=min(now, row.seen + moved),
+        breaker=breaker,
         down_until=row.down_until + moved if row.down_until > 0.0 else 0.0,
         # Guards cold boxes: time in which nobody watched earns nothing.
-        cold_credit=min(row.cold_credit, 1.0), cold_seen=now if row.cold_seen > 0.0 else 0.0,
+        cold_credit=min(row.cold_credit, 1.0),
+        cold_seen=now if row.cold_seen > 0.0 else 0.0,
     )
 
 
--- a/lugspur/state/store.py
+++ b/lugspur/state/store.py
@@ -79,7 +79,7 @@
         try:
             left = memoryview(data)
             while left:
-                left = left[disk.write(fd, left):]
+                left = left[disk.write(fd, left) :]
             disk.sync(fd)
         finally:
             disk.end(fd)
@@ -140,9 +140,12 @@
         """Out of the way; what the log should tell."""
         try:
             names = self._disk.names()
-            kept = sorted((int(each.rpartition(ASIDE)[2]), each) for each in names
-                          if ASIDE in each and each.rpartition(ASIDE)[2].isdigit())
-            for _, each in kept[:max(0, len(kept) - ASIDE_MOST + 1)]:
+            kept = sorted(
+                (int(each.rpartition(ASIDE)[2]), each)
+                for each in names
+                if ASIDE in each and each.rpartition(ASIDE)[2].isdigit()
+            )
+            for _, each in kept[: max(0, len(kept) - ASIDE_MOST + 1)]:
                 self._disk.remove(each)
             place = f"{NOW}{ASIDE}{kept[-1][0] + 1 if kept else 1}"
             self._disk.rename(name, place)
--- a/lugspur/zookeeper/client.py
+++ b/lugspur/zookeeper/client.py
@@ -22,7 +22,10 @@
     """
 
     def __init__(
-        self, addresses: Sequence[Address], terms: Terms, heard: Callable[[list[Event]], None],
+        self,
+        addresses: Sequence[Address],
+        terms: Terms,
+        heard: Callable[[list[Event]], None],
         chance: random.Random | None = None,
     ) -> None:
         self._chance = chance or random.Random()
--- a/lugspur/zookeeper/frames.py
+++ b/lugspur/zookeeper/frames.py
@@ -25,7 +25,7 @@
             end = at + LENGTH.size + length
             if end > len(held):
                 break
-            found.append(bytes(held[at + LENGTH.size:end]))
+            found.append(bytes(held[at + LENGTH.size : end]))
             at = end
         del held[:at]
         return found
--- a/lugspur/zookeeper/jute.py
+++ b/lugspur/zookeeper/jute.py
@@ -47,7 +47,7 @@
         end = self.at + length
         if end > len(self.data):  # Guards memory: a length is believed only where its bytes are there.
             raise Malformed(f"a length of {length} where {len(self.data) - self.at} bytes are left")
-        found = self.data[self.at:end]
+        found = self.data[self.at : end]
         self.at = end
         return found
 
--- a/lugspur/zookeeper/registration.py
+++ b/lugspur/zookeeper/registration.py
@@ -16,10 +16,18 @@
 from lugspur.zookeeper.records import Error, Happened, Mode, Op
 from lugspur.zookeeper.session import Up
 
-HOPELESS = frozenset({  # errors that the same request meets again until somebody changes something
-    Error.NO_AUTH, Error.INVALID_ACL, Error.BAD_ARGUMENTS, Error.NO_CHILDREN_FOR_EPHEMERALS, Error.UNIMPLEMENTED,
-    Error.MARSHALLING, Error.NOT_READ_ONLY, Error.SYSTEM,
-})
+HOPELESS = frozenset(
+    {  # errors that the same request meets again until somebody changes something
+        Error.NO_AUTH,
+        Error.INVALID_ACL,
+        Error.BAD_ARGUMENTS,
+        Error.NO_CHILDREN_FOR_EPHEMERALS,
+        Error.UNIMPLEMENTED,
+        Error.MARSHALLING,
+        Error.NOT_READ_ONLY,
+        Error.SYSTEM,
+    }
+)
 
 
 class Found(Enum):
@@ -46,9 +54,7 @@
     `same` tells of a node's data whether it is this box's own, from before its session was lost or it was restarted.
     """
 
-    def __init__(
-        self, folder: str, name: str, data: bytes, same: Callable[[bytes], bool], ident: str = ""
-    ) -> None:
+    def __init__(self, folder: str, name: str, data: bytes, same: Callable[[bytes], bool], ident: str = "") -> None:
         self.folder = folder.rstrip("/")
         self._prefix = f"{self.folder}/{name}-{ident}-" if ident else ""
         self.path = "" if ident else f"{self.folder}/{name}"
@@ -179,7 +185,7 @@
             self._folders.pop(0)
         elif ask.op is Op.CREATE and error == Error.NO_NODE:
             parts = self.folder.split("/")[1:]
-            self._folders = ["/" + "/".join(parts[:at + 1]) for at in range(len(parts))]
+            self._folders = ["/" + "/".join(parts[: at + 1]) for at in range(len(parts))]
         else:
             self._changed(ask, result)
         if self._doubted:
--- a/lugspur/zookeeper/session.py
+++ b/lugspur/zookeeper/session.py
@@ -174,8 +174,12 @@
         self.state, self._opened, self._floor = State.OPENING, now, self.zxid
         self._frames = Frames(FRAME_MOST)
         self._out.clear()
-        self._write(now, encode(r.ConnectRequest(
-            0, self.zxid, int(self.timeout * 1000), self.id, self._password, self.terms.read_only)))
+        self._write(
+            now,
+            encode(
+                r.ConnectRequest(0, self.zxid, int(self.timeout * 1000), self.id, self._password, self.terms.read_only)
+            ),
+        )
 
     def lost(self, reason: str) -> list[Event]:
         """The connection is over, or given up; nothing happens where it was so already."""
--- a/lugspur/zookeeper/view.py
+++ b/lugspur/zookeeper/view.py
@@ -204,7 +204,7 @@
             return
         if path == self.path:
             self._told_folder(kind)
-        elif path.startswith(self._inside) and "/" not in (name := path[len(self._inside):]):
+        elif path.startswith(self._inside) and "/" not in (name := path[len(self._inside) :]):
             if kind is Happened.DELETED:
                 self._gone(name)
                 self._check_whole()
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -64,8 +64,14 @@
 
 def test_explain_says_which_rule_decided(tmp_path: Path) -> None:
     file = tmp_path / "f.toml"
-    file.write_text(HEAD + pool("a", "h:1") + "".join(route(f"r{n}", path, 'pool = "a"') for n, path in enumerate(
-        ["/a", "/{x}", "/*", *(f"/n{n}" for n in range(20))])))
+    file.write_text(
+        HEAD
+        + pool("a", "h:1")
+        + "".join(
+            route(f"r{n}", path, 'pool = "a"')
+            for n, path in enumerate(["/a", "/{x}", "/*", *(f"/n{n}" for n in range(20))])
+        )
+    )
     status, said = command("explain", str(file), "GET", "/a")
     assert status == 0 and "beats r1: by path" in said and "and 10 more that don't fit" in said
     assert "not r22" in command("explain", str(file), "GET", "/a", "--all")[1]
@@ -75,8 +81,9 @@
     file = tmp_path / "f.toml"
     reply = route("r", "/", 'reply = { status = 200, body = "one" }')
     file.write_text(HEAD + reply)
-    process = subprocess.Popen([sys.executable, "-m", "lugspur", "run", str(file)], cwd=ROOT, text=True,
-                               stderr=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lugspur", "run", str(file)], cwd=ROOT, text=True, stderr=subprocess.PIPE
+    )
     assert process.stderr is not None
     try:
         line = process.stderr.readline()
@@ -117,8 +124,13 @@
 
 def imported(module: str) -> set[str]:
     """What a fresh interpreter has in memory after that import."""
-    said = subprocess.run([sys.executable, "-c", f"import sys, {module}; print(*sys.modules)"], cwd=ROOT, text=True,
-                          check=True, capture_output=True)
+    said = subprocess.run(
+        [sys.executable, "-c", f"import sys, {module}; print(*sys.modules)"],
+        cwd=ROOT,
+        text=True,
+        check=True,
+        capture_output=True,
+    )
     return set(said.stdout.split())
 
 
@@ -137,15 +149,23 @@
 
 
 def test_without_click_the_commands_say_what_to_install() -> None:
-    code = "import sys; sys.modules['click'] = None; sys.argv = ['lugspur', 'check']; import lugspur.__main__ as m; " \
-           "sys.exit(m.main())"
+    code = (
+        "import sys; sys.modules['click'] = None; sys.argv = ['lugspur', 'check']; import lugspur.__main__ as m; "
+        "sys.exit(m.main())"
+    )
     got = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, check=False)
     assert got.returncode == 2 and "install lugspur[cli]" in got.stderr
 
 
 def test_the_demo_ends_by_itself_with_a_table() -> None:
-    got = subprocess.run([sys.executable, "-m", "lugspur", "demo", "--seconds", "3"], cwd=ROOT, text=True,
-                         capture_output=True, check=False, env=os.environ | {"COLUMNS": "120"})
+    got = subprocess.run(
+        [sys.executable, "-m", "lugspur", "demo", "--seconds", "3"],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        check=False,
+        env=os.environ | {"COLUMNS": "120"},
+    )
     assert got.returncode == 0, got.stdout + got.stderr
     assert "0 lost, 0 doubled, 0 sent to a draining backend after the grace" in got.stdout
     assert "channel-core-2    │ killed" in got.stdout and "inventory-store-1 │ draining" in got.stdout
@@ -186,15 +206,21 @@
     assert "| 100 | " in text
 
 
-@pytest.mark.parametrize(("words", "said"), [
-    (("zoo", "/a", "--name", "n", "--address", "h:1"), 'registry "zoo" is not in the file; known are zk'),
-    (("zk", "a", "--name", "n", "--address", "h:1"), '"a" is no folder of a registry'),
-    (("zk", "/a", "--name", "n/m", "--address", "h:1"), '"n/m" is no name of a node'),
-    (("zk", "/a", "--name", "n", "--address", "h"), "is not an address of the form host:port"),
-    (("zk", "/a", "--name", "n", "--address", "h:1", "--every", "5"), '"5": it has no unit'),
-    (("zk", "/a", "--name", "n", "--address", "h:1", "--check", "ftp://x"), "write http://HOST:PORT/PATH or tcp://"),
-    (("zk", "/a", "--name", "n", "--address", "h:1", "--weight", "0"), "--weight one from 0.001"),
-])
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (("zoo", "/a", "--name", "n", "--address", "h:1"), 'registry "zoo" is not in the file; known are zk'),
+        (("zk", "a", "--name", "n", "--address", "h:1"), '"a" is no folder of a registry'),
+        (("zk", "/a", "--name", "n/m", "--address", "h:1"), '"n/m" is no name of a node'),
+        (("zk", "/a", "--name", "n", "--address", "h"), "is not an address of the form host:port"),
+        (("zk", "/a", "--name", "n", "--address", "h:1", "--every", "5"), '"5": it has no unit'),
+        (
+            ("zk", "/a", "--name", "n", "--address", "h:1", "--check", "ftp://x"),
+            "write http://HOST:PORT/PATH or tcp://",
+        ),
+        (("zk", "/a", "--name", "n", "--address", "h:1", "--weight", "0"), "--weight one from 0.001"),
+    ],
+)
 def test_register_says_what_to_write_instead(tmp_path: Path, words: tuple[str, ...], said: str) -> None:
     file = tmp_path / "f.toml"
     file.write_text(HEAD + '[registries.zk]\nensemble = ["127.0.0.1:1"]\n')
@@ -206,8 +232,20 @@
     script = tmp_path / "script"
     script.write_text("set /a/b hello  # a comment\nwait 1ms\nfrobnicate\n")
     process = subprocess.Popen(
-        [sys.executable, "-m", "lugspur.standins.zookeeper", "--listen", "127.0.0.1:0,127.0.0.1:0", "--script",
-         str(script)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        [
+            sys.executable,
+            "-m",
+            "lugspur.standins.zookeeper",
+            "--listen",
+            "127.0.0.1:0,127.0.0.1:0",
+            "--script",
+            str(script),
+        ],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     assert process.stdin and process.stdout and process.stderr
     try:
         ready = process.stdout.readline()
--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -59,93 +59,121 @@
 FLEET = '[fleet]\nname = "f"\nmember = "m"\naddress = "127.0.0.1:7946"'
 # ruff: noqa: E501
 AFTER = [  # what is added, the line of the fault, what is said of it
-    ("[routes.s]\npath = 7\npool = \"a\"", 15, 's.path: 7 is no text; write it in quotes'),
-    ("[routes.s]\npool = \"a\"", 14, 'key "path" is missing; write it: a path'),
-    ("[routes.s]\npath = \"s\"\npool = \"a\"", 15, 'does not begin with a slash; write "/s"'),
-    ("[routes.s]\npath = \"/a/*/b\"\npool = \"a\"", 15, '"*" may only stand alone at the end; write {name}'),
-    ("[routes.s]\npath = \"/{a}/{a}\"\npool = \"a\"", 15, "has {a} twice; write another name"),
-    ("[routes.s]\npath = \"/x/../y\"\npool = \"a\"", 15, "dot segment; write the path that it leads to"),
-    ("[routes.s]\npath = \"/x%2fy\"\npool = \"a\"", 15, "an encoded slash"),
-    ("[routes.s]\npath = \"/s\"\npool = \"b\"", 16, 'pool "b" is not in this file; known are a'),
-    ("[routes.s]\npath = \"/s\"\nsplit = { a = 1, aa = 2 }", 16, 'pool "aa" is not in this file'),
-    ("[routes.s]\npath = \"/s\"\nsplit = { a = 0 }", 16, "all weights are 0; give one pool a weight above 0"),
-    ("[routes.s]\npath = \"/s\"\nsplit = { a = -1 }", 16, "-1 is not from 0"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nfallback = [\"a\"]", 17, "no fallback for itself; leave it out"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nclass = \"boook\"", 17, 'did you mean "book"?'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nreply = { status = 200 }", 14, "pool and reply are both given"),
-    ("[routes.s]\npath = \"/s\"", 14, "it leads nowhere; write exactly one of pool, split, reply and redirect"),
-    ("[routes.s]\npath = \"/s\"\nreply = { status = 99 }", 16, "99 is not from 200 to 599"),
-    ("[routes.s]\npath = \"/s\"\nreply = { status = 200 }\nclass = \"book\"", 17, "no meaning beside reply"),
-    ("[routes.s]\npath = \"/s\"\nredirect = { to = \"//evil\" }", 16, 'leads nowhere; begin with "/" or'),
-    ("[routes.s]\npath = \"/{x}\"\nhosts = [\"s\"]\nredirect = { to = \"https://s{x}/\" }", 17, 'leads nowhere; begin with'),
-    ("[routes.s]\npath = \"/s\"\nredirect = { to = \"/{x}\" }", 16, "takes {x} from a path that has none"),
-    ("[routes.s]\npath = \"/s\"\nredirect = { to = \"/t\", status = 304 }", 16, "304 is no redirect"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nrewrite = \"/t/*\"", 17, "takes * from a path that does not end in"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nmethods = [\"get\"]", 17, '"get" is not served; did you mean "GET"?'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nmethods = \"GET\"", 17, '"GET" is no list; write ["GET"]'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nhosts = [\"A.example\"]", 17, 'write "a.example"'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nhosts = [\"a:80\"]", 17, 'compared without ports; write "a"'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nhosts = [\"a.*\"]", 17, 'is no host; write "a.example"'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nheaders = { x = 1 }", 17, '1 is no text; write it in quotes, as in "1"'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nheaders = { x = { like = \"1\" } }", 17, "is no condition; write"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nheaders = { x = { present = false } }", 17, "write { absent = true }"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nquery = { x = { prefix = \"\" } }", 17, "an empty prefix asks nothing"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nkey = { path = \"id\" }", 17, 'the path has no variable "id"; it has none'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nkey = {}", 17, "write exactly one of header, path, query and value"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nrequest = { set = { Via = \"x\" } }", 17, '"Via" is set by the proxy'),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nresponse = { set = { X = \"\\n\" } }", 17, "is no header's value"),
-    ("[routes.s]\npath = \"/s\"\npool = \"a\"\nfallbak = []", 17, 'key "fallbak" is unknown here; did you mean "fallback"?'),
-    ("[routes.s]\npath = \"/r/{k}\"\npool = \"a\"", 14, 'route "s" and route "r" take the same requests'),
-    ("[fleet]\nmember = \"m\"", 14, 'a fleet needs a name; write name = "edge"'),
-    ("[fleet]\nname = \"f\"\naddress = \"127.0.0.1:7946\"", 14, 'this member needs a name of its own'),
-    ("[fleet]\nname = \"f\"\nmember = \"m\"", 14, 'it takes datagrams nowhere; write address = "127.0.0.1:7946"'),
-    ("[fleet]\nname = \"f\"\nmember = \"m\"\naddress = \"0.0.0.0:7946\"", 14, 'write advertise, where others reach it'),
-    ("[fleet]\nname = \"f\"\nmember = \"m\"\naddress = \"x.example:1\"", 17, 'is no numeric address; datagrams look no'),
-    (FLEET + "\nseeds = [\"x.example:1\"]", 18, 'is no numeric address; datagrams look no names up'),
-    (FLEET + "\nelectors = [\"a\", \"b\"]", 18, "2 are no electorate; write 3 or 5 members' names"),
-    (FLEET + "\nelectors = [\"a\", \"b\", \"c d\"]", 18, '"c d" is no member\'s name'),
-    (FLEET + "\nduties = [\"d\"]", 18, "nobody promises them; write electors, 3 or 5 members' names"),
-    (FLEET + "\nelectors = [\"a\", \"b\", \"c\"]\nduties = [\"d e\"]", 19, '"d e" is no duty\'s name'),
-    ("[fleet]\nname = \"f g\"", 15, '"f g" is no name here; write up to 48 letters'),
+    ('[routes.s]\npath = 7\npool = "a"', 15, "s.path: 7 is no text; write it in quotes"),
+    ('[routes.s]\npool = "a"', 14, 'key "path" is missing; write it: a path'),
+    ('[routes.s]\npath = "s"\npool = "a"', 15, 'does not begin with a slash; write "/s"'),
+    ('[routes.s]\npath = "/a/*/b"\npool = "a"', 15, '"*" may only stand alone at the end; write {name}'),
+    ('[routes.s]\npath = "/{a}/{a}"\npool = "a"', 15, "has {a} twice; write another name"),
+    ('[routes.s]\npath = "/x/../y"\npool = "a"', 15, "dot segment; write the path that it leads to"),
+    ('[routes.s]\npath = "/x%2fy"\npool = "a"', 15, "an encoded slash"),
+    ('[routes.s]\npath = "/s"\npool = "b"', 16, 'pool "b" is not in this file; known are a'),
+    ('[routes.s]\npath = "/s"\nsplit = { a = 1, aa = 2 }', 16, 'pool "aa" is not in this file'),
+    ('[routes.s]\npath = "/s"\nsplit = { a = 0 }', 16, "all weights are 0; give one pool a weight above 0"),
+    ('[routes.s]\npath = "/s"\nsplit = { a = -1 }', 16, "-1 is not from 0"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nfallback = ["a"]', 17, "no fallback for itself; leave it out"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nclass = "boook"', 17, 'did you mean "book"?'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nreply = { status = 200 }', 14, "pool and reply are both given"),
+    ('[routes.s]\npath = "/s"', 14, "it leads nowhere; write exactly one of pool, split, reply and redirect"),
+    ('[routes.s]\npath = "/s"\nreply = { status = 99 }', 16, "99 is not from 200 to 599"),
+    ('[routes.s]\npath = "/s"\nreply = { status = 200 }\nclass = "book"', 17, "no meaning beside reply"),
+    ('[routes.s]\npath = "/s"\nredirect = { to = "//evil" }', 16, 'leads nowhere; begin with "/" or'),
+    ('[routes.s]\npath = "/{x}"\nhosts = ["s"]\nredirect = { to = "https://s{x}/" }', 17, "leads nowhere; begin with"),
+    ('[routes.s]\npath = "/s"\nredirect = { to = "/{x}" }', 16, "takes {x} from a path that has none"),
+    ('[routes.s]\npath = "/s"\nredirect = { to = "/t", status = 304 }', 16, "304 is no redirect"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nrewrite = "/t/*"', 17, "takes * from a path that does not end in"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nmethods = ["get"]', 17, '"get" is not served; did you mean "GET"?'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nmethods = "GET"', 17, '"GET" is no list; write ["GET"]'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nhosts = ["A.example"]', 17, 'write "a.example"'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nhosts = ["a:80"]', 17, 'compared without ports; write "a"'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nhosts = ["a.*"]', 17, 'is no host; write "a.example"'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nheaders = { x = 1 }', 17, '1 is no text; write it in quotes, as in "1"'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nheaders = { x = { like = "1" } }', 17, "is no condition; write"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nheaders = { x = { present = false } }', 17, "write { absent = true }"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nquery = { x = { prefix = "" } }', 17, "an empty prefix asks nothing"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nkey = { path = "id" }', 17, 'the path has no variable "id"; it has none'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nkey = {}', 17, "write exactly one of header, path, query and value"),
+    ('[routes.s]\npath = "/s"\npool = "a"\nrequest = { set = { Via = "x" } }', 17, '"Via" is set by the proxy'),
+    ('[routes.s]\npath = "/s"\npool = "a"\nresponse = { set = { X = "\\n" } }', 17, "is no header's value"),
+    (
+        '[routes.s]\npath = "/s"\npool = "a"\nfallbak = []',
+        17,
+        'key "fallbak" is unknown here; did you mean "fallback"?',
+    ),
+    ('[routes.s]\npath = "/r/{k}"\npool = "a"', 14, 'route "s" and route "r" take the same requests'),
+    ('[fleet]\nmember = "m"', 14, 'a fleet needs a name; write name = "edge"'),
+    ('[fleet]\nname = "f"\naddress = "127.0.0.1:7946"', 14, "this member needs a name of its own"),
+    ('[fleet]\nname = "f"\nmember = "m"', 14, 'it takes datagrams nowhere; write address = "127.0.0.1:7946"'),
+    ('[fleet]\nname = "f"\nmember = "m"\naddress = "0.0.0.0:7946"', 14, "write advertise, where others reach it"),
+    ('[fleet]\nname = "f"\nmember = "m"\naddress = "x.example:1"', 17, "is no numeric address; datagrams look no"),
+    (FLEET + '\nseeds = ["x.example:1"]', 18, "is no numeric address; datagrams look no names up"),
+    (FLEET + '\nelectors = ["a", "b"]', 18, "2 are no electorate; write 3 or 5 members' names"),
+    (FLEET + '\nelectors = ["a", "b", "c d"]', 18, '"c d" is no member\'s name'),
+    (FLEET + '\nduties = ["d"]', 18, "nobody promises them; write electors, 3 or 5 members' names"),
+    (FLEET + '\nelectors = ["a", "b", "c"]\nduties = ["d e"]', 19, '"d e" is no duty\'s name'),
+    ('[fleet]\nname = "f g"', 15, '"f g" is no name here; write up to 48 letters'),
     ("[classes.x]\naim = 410", 15, '410 has no unit; write a text such as "410ms"'),
-    ("[classes.x]\naim = \"410\"", 15, '"410": it has no unit; write one of us, ms, s, m, h'),
-    ("[classes.x]\naim = \"410sec\"", 15, 'unit "sec" is unknown'),
-    ("[classes.x]\naim = \"soon\"", 15, '"soon" is no amount; write one such as'),
-    ("[classes.x]\naim = \"6s\"", 15, "the aim of 6s is after the deadline of 5s"),
-    ("[classes.x]\nrepeat = \"sometimes\"", 15, '"sometimes" is none of safe, keyed, unsafe'),
-    ("[classes.x]\nrepeat = \"keyed\"", 15, "a keyed class needs a window"),
-    ("[classes.x]\nwindow = \"5s\"", 15, 'a window belongs to repeat = "keyed" alone'),
-    ("[classes.x]\nworth = \"2\"", 15, '"2" is no number; write one without quotes'),
+    ('[classes.x]\naim = "410"', 15, '"410": it has no unit; write one of us, ms, s, m, h'),
+    ('[classes.x]\naim = "410sec"', 15, 'unit "sec" is unknown'),
+    ('[classes.x]\naim = "soon"', 15, '"soon" is no amount; write one such as'),
+    ('[classes.x]\naim = "6s"', 15, "the aim of 6s is after the deadline of 5s"),
+    ('[classes.x]\nrepeat = "sometimes"', 15, '"sometimes" is none of safe, keyed, unsafe'),
+    ('[classes.x]\nrepeat = "keyed"', 15, "a keyed class needs a window"),
+    ('[classes.x]\nwindow = "5s"', 15, 'a window belongs to repeat = "keyed" alone'),
+    ('[classes.x]\nworth = "2"', 15, '"2" is no number; write one without quotes'),
     ("[limits]\nbody = 5", 15, '5 has no unit; write a text such as "64KiB"'),
     ("[limits]\nsockets = 5", 15, "5 is not from 64"),
     ("[limits]\nsockets = true", 15, "true is no whole number"),
-    ("[listeners.b]\naddress = \"8080\"", 15, 'write one such as "127.0.0.1:8080"'),
-    ("[listeners.b]\naddress = \"127.0.0.1:1\"\n[listeners.c]\naddress = \"127.0.0.1:1\"", 17, 'listener "b" has this'),
+    ('[listeners.b]\naddress = "8080"', 15, 'write one such as "127.0.0.1:8080"'),
+    ('[listeners.b]\naddress = "127.0.0.1:1"\n[listeners.c]\naddress = "127.0.0.1:1"', 17, 'listener "b" has this'),
     ("[pools.b]", 14, "no backends are given; write exactly one of members"),
-    ("[pools.b]\nfile = \"x\"\nwatch = \"127.0.0.1:1\"", 14, "file and watch are both given"),
-    ("[pools.b]\nmembers = [\n{ address = \"h:1\" },\n{ address = \"h:1\" },\n]", 17, 'there is a member "h:1" already'),
-    ("[pools.b]\nmembers = [\n{ address = \"h:1\" },\n{ adress = \"h:1\" },\n]", 17, 'did you mean "address"?'),
+    ('[pools.b]\nfile = "x"\nwatch = "127.0.0.1:1"', 14, "file and watch are both given"),
+    ('[pools.b]\nmembers = [\n{ address = "h:1" },\n{ address = "h:1" },\n]', 17, 'there is a member "h:1" already'),
+    ('[pools.b]\nmembers = [\n{ address = "h:1" },\n{ adress = "h:1" },\n]', 17, 'did you mean "address"?'),
     ("[pools.b]\nmembers = 3", 15, "3 is no list; write tables in brackets"),
     ("[daemon]\ninstance = 1", 15, "1 is not below instances = 1"),
     ("[deamon]", 14, 'key "deamon" is unknown here; did you mean "daemon"?'),
-    ("routes = 3", 14, "key \"routes\" is unknown here"),
-    ("[pools.a]\nfile = \"x\"", 14, "this table stands above already; keep one of the two"),
+    ("routes = 3", 14, 'key "routes" is unknown here'),
+    ('[pools.a]\nfile = "x"', 14, "this table stands above already; keep one of the two"),
     ("[classes.x]\nworth = 1\nworth = 2", 16, "this key stands above already; keep one of the two"),
     ("[classes.x\nworth = 1", 14, "Expected ']'"),
-    ("[classes.x]\nworth 1", 15, 'a key is followed by = and a value'),
+    ("[classes.x]\nworth 1", 15, "a key is followed by = and a value"),
     ("[classes.x]\naim = 410ms", 15, "texts are written in quotes"),
-    ("[classes.x]\naim = \"\\d\"", 15, "write \\\\ for a backslash"),
+    ('[classes.x]\naim = "\\d"', 15, "write \\\\ for a backslash"),
     ("x = " + "[" * 5000 + "]" * 5000, 1, "brackets are nested too deeply"),
     ("[registries.z]\nensemble = []", 15, 'the list is empty; write one address or more, as in ["127.0.0.1:2181"]'),
-    ("[registries.z]\nensemble = [\"zk\"]", 15, 'is not an address of the form host:port; write one such as'),
-    ("[registries.z]\nensemble = [\"h:1\"]\nauth = \"rosa\"", 16, 'it has no user and password; write one such as "user:password"'),
-    ("[registries.z]\nensemble = [\"h:1\"]\nsession = \"10ms\"", 16, '"10ms" is not from 0.5s to 600s'),
-    ("[pools.b]\nregistry = { name = \"z\", path = \"/a\" }", 15, 'registry "z" is not in this file'),
-    ("[registries.z]\nensemble = [\"h:1\"]\n[pools.b]\nregistry = { name = \"z\", path = \"a\" }", 17, '"a" is no folder of a registry; write one such as "/services/channel"'),
-    ("[registries.z]\nensemble = [\"h:1\"]\n[pools.b]\nregistry = { name = \"z\", path = \"/a\", format = \"jsn\" }", 17, '"jsn" is none of auto, own, curator, serverset'),
-    ("[registries.z]\nensemble = [\"h:1\"]\n[pools.b]\nfile = \"f\"\nregistry = { name = \"z\", path = \"/a\" }", 16, 'file and registry are both given; write exactly one of'),
-    ("[listeners.b]\naddress = \"0.0.0.0:1\"\nregister = { registry = \"z\", path = \"/a\", name = \"n\" }\n[registries.z]\nensemble = [\"h:1\"]", 16, 'nobody can call 0.0.0.0; write address = "HOST:PORT"'),
-    ("[listeners.b]\naddress = \"127.0.0.1:1\"\nregister = { registry = \"z\", path = \"/a\", name = \"n/m\" }\n[registries.z]\nensemble = [\"h:1\"]", 16, '"n/m" is no name of a node; write one such as "channel-1"'),
+    ('[registries.z]\nensemble = ["zk"]', 15, "is not an address of the form host:port; write one such as"),
+    (
+        '[registries.z]\nensemble = ["h:1"]\nauth = "rosa"',
+        16,
+        'it has no user and password; write one such as "user:password"',
+    ),
+    ('[registries.z]\nensemble = ["h:1"]\nsession = "10ms"', 16, '"10ms" is not from 0.5s to 600s'),
+    ('[pools.b]\nregistry = { name = "z", path = "/a" }', 15, 'registry "z" is not in this file'),
+    (
+        '[registries.z]\nensemble = ["h:1"]\n[pools.b]\nregistry = { name = "z", path = "a" }',
+        17,
+        '"a" is no folder of a registry; write one such as "/services/channel"',
+    ),
+    (
+        '[registries.z]\nensemble = ["h:1"]\n[pools.b]\nregistry = { name = "z", path = "/a", format = "jsn" }',
+        17,
+        '"jsn" is none of auto, own, curator, serverset',
+    ),
+    (
+        '[registries.z]\nensemble = ["h:1"]\n[pools.b]\nfile = "f"\nregistry = { name = "z", path = "/a" }',
+        16,
+        "file and registry are both given; write exactly one of",
+    ),
+    (
+        '[listeners.b]\naddress = "0.0.0.0:1"\nregister = { registry = "z", path = "/a", name = "n" }\n[registries.z]\nensemble = ["h:1"]',
+        16,
+        'nobody can call 0.0.0.0; write address = "HOST:PORT"',
+    ),
+    (
+        '[listeners.b]\naddress = "127.0.0.1:1"\nregister = { registry = "z", path = "/a", name = "n/m" }\n[registries.z]\nensemble = ["h:1"]',
+        16,
+        '"n/m" is no name of a node; write one such as "channel-1"',
+    ),
 ]
 
 
@@ -157,7 +185,7 @@
 
 
 def test_every_fault_is_named_at_once(tmp_path: Path) -> None:
-    text = GOOD.replace('"5s"', "5").replace('pool = "a"', 'pool = "b"').replace("address = \"127.0.0.1:2\"", "addr = 1")
+    text = GOOD.replace('"5s"', "5").replace('pool = "a"', 'pool = "b"').replace('address = "127.0.0.1:2"', "addr = 1")
     found = faults(tmp_path, text + "[limits]\nhead = 1\nbody = 2\n")
     assert [int(line.partition(":")[0]) for line in found] == [4, 8, 12, 15, 16]
     assert not any('"book" is not in this file' in line for line in found)  # it is, though faulty
@@ -203,8 +231,10 @@
 
 
 def test_ten_thousand_routes(tmp_path: Path) -> None:
-    rows = "".join(f'[routes.n{n}]\npath = "/s{n}/{{id}}/*"\nhosts = ["h{n % 100}.example"]\nmethods = ["GET"]\n'
-                   f'pool = "a"\n' for n in range(10_000))
+    rows = "".join(
+        f'[routes.n{n}]\npath = "/s{n}/{{id}}/*"\nhosts = ["h{n % 100}.example"]\nmethods = ["GET"]\npool = "a"\n'
+        for n in range(10_000)
+    )
     text = GOOD + rows
     assert len(text) > 800_000 and faults(tmp_path, text) == []
     last = text.count("\n") + 2
@@ -235,17 +265,30 @@
     tomllib.loads(text)
     lines = Lines(text)
     for path, line in {
-        ("a",): 2, ("b c", "d"): 3, ("e",): 6, ("e", 1): 6, ("e", 1, 1): 7, ("e", 2, "g", "h"): 7, ("e", 3): 8,
-        ("t", "u v"): 11, ("t", "u v", "k"): 12, ("t", "w", 0, "m"): 15, ("t", "w", 1): 16,
-        ("t", "w", 1, "m", "n"): 17, ("t", "w", 1, "x", "o"): 19, ("t", "w", 1, "none"): 16, ("none",): 1,
+        ("a",): 2,
+        ("b c", "d"): 3,
+        ("e",): 6,
+        ("e", 1): 6,
+        ("e", 1, 1): 7,
+        ("e", 2, "g", "h"): 7,
+        ("e", 3): 8,
+        ("t", "u v"): 11,
+        ("t", "u v", "k"): 12,
+        ("t", "w", 0, "m"): 15,
+        ("t", "w", 1): 16,
+        ("t", "w", 1, "m", "n"): 17,
+        ("t", "w", 1, "x", "o"): 19,
+        ("t", "w", 1, "none"): 16,
+        ("none",): 1,
     }.items():
         assert lines.line(path) == line, path
 
 
-KEYS = st.text("ab-é\" .#", min_size=1, max_size=3)
+KEYS = st.text('ab-é" .#', min_size=1, max_size=3)
 VALUES: st.SearchStrategy[Any] = st.recursive(
     st.one_of(st.integers(-9, 9), st.booleans(), st.text("a\"'\\#[]{}=,é", max_size=4)),
-    lambda inner: st.one_of(st.lists(inner, max_size=3), st.dictionaries(KEYS, inner, max_size=3)), max_leaves=6,
+    lambda inner: st.one_of(st.lists(inner, max_size=3), st.dictionaries(KEYS, inner, max_size=3)),
+    max_leaves=6,
 )
 
 
--- a/tests/config/test_retune.py
+++ b/tests/config/test_retune.py
@@ -16,8 +16,13 @@
 from lugspur.config.platform import ConfigError, load
 
 WHOLE: dict[str, Any] = {
-    "name": "n0", "listen": f"{HOST}:8080", "discovery": f"{HOST}:9", "seed": "1",
-    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": WIRE}
+    "name": "n0",
+    "listen": f"{HOST}:8080",
+    "discovery": f"{HOST}:9",
+    "seed": "1",
+    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+    "settings": WIRE,
+}
 
 
 def written(folder: Path, text: bytes) -> dict[str, str]:
@@ -63,12 +68,22 @@
         load(written(tmp_path, json.dumps(without(FULL, path)).encode()), FULL)
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    ({"HardLimit": 0}, "above 0"), ({"HardLimit": -1}, "not a number"), ({"HardLimit": None}, "missing"),
-    ({"HardLimit": "1"}, "not a number"), ({"HardLimit": True}, "not a number"), ({"Aim": 0}, "above 0"),
-    ({"Repeat": "often"}, "none of"), ({"Group": "town"}, "none of"), ({"Name": "c1"}, "there twice"),
-    ({"Name": 7}, "is no name"), ({"Window": -1}, "not a number"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"HardLimit": 0}, "above 0"),
+        ({"HardLimit": -1}, "not a number"),
+        ({"HardLimit": None}, "missing"),
+        ({"HardLimit": "1"}, "not a number"),
+        ({"HardLimit": True}, "not a number"),
+        ({"Aim": 0}, "above 0"),
+        ({"Repeat": "often"}, "none of"),
+        ({"Group": "town"}, "none of"),
+        ({"Name": "c1"}, "there twice"),
+        ({"Name": 7}, "is no name"),
+        ({"Window": -1}, "not a number"),
+    ],
+)
 def test_a_class_that_makes_no_sense_is_named(tmp_path: Path, change: dict[str, Any], said: str) -> None:
     raw = copy.deepcopy(FULL)
     raw["settings"]["Services"][0] |= change
--- a/tests/daemon/test_company.py
+++ b/tests/daemon/test_company.py
@@ -19,7 +19,7 @@
 electors = ["a", "b", "c"]
 duties = ["mine"]
 """
-CHECKED = pool("p", "127.0.0.1:9", more="check = { every = \"1s\" }") + route("r", "/*", 'pool = "p"\nclass = "read"')
+CHECKED = pool("p", "127.0.0.1:9", more='check = { every = "1s" }') + route("r", "/*", 'pool = "p"\nclass = "read"')
 
 
 def test_a_reload_begins_and_ends_what_a_pool_asks_for() -> None:
@@ -68,11 +68,14 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize(("more", "said"), [
-    ('key = "none"', "key .*none: No such file"),
-    ('folder = "none"', "none: No such file"),
-    ('history = "none/x"', "history .*none/x: No such file"),
-])
+@pytest.mark.parametrize(
+    ("more", "said"),
+    [
+        ('key = "none"', "key .*none: No such file"),
+        ('folder = "none"', "none: No such file"),
+        ('history = "none/x"', "history .*none/x: No such file"),
+    ],
+)
 def test_a_start_without_its_files_is_one_fault(tmp_path: Path, more: str, said: str) -> None:
     async def play() -> None:
         file = tmp_path / "f.toml"
--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -149,8 +149,9 @@
 
 def test_a_sticky_split_follows_its_weights_while_they_change_under_load() -> None:
     def split(weight: int) -> str:
-        return route("r", "/{k}", f'split = {{ a = {100 - weight}, b = {weight} }}\nkey = {{ path = "k" }}\n'
-                                  'class = "read"')
+        return route(
+            "r", "/{k}", f'split = {{ a = {100 - weight}, b = {weight} }}\nkey = {{ path = "k" }}\nclass = "read"'
+        )
 
     async def play() -> None:
         async with backend(lambda _: answer(b"a")) as one, backend(lambda _: answer(b"b")) as two:
@@ -248,8 +249,11 @@
                     said = len(capsys.readouterr().err)
                     listed.write_text(odd)
                     complaints: list[str] = []
-                    await until(lambda seen=complaints: bool(  # type: ignore[misc]
-                        seen.append(capsys.readouterr().err) or "".join(seen)))
+                    await until(
+                        lambda seen=complaints: bool(  # type: ignore[misc]
+                            seen.append(capsys.readouterr().err) or "".join(seen)
+                        )
+                    )
                     assert said == 0 and "the last list stays" in "".join(complaints)
                     assert not standing.empty()
                 client = await up.client()
--- a/tests/daemon/test_grpc.py
+++ b/tests/daemon/test_grpc.py
@@ -118,8 +118,9 @@
     play(body)
 
 
-@pytest.mark.parametrize("steps,status_,said", [("status 5", 5, "as asked"), ("status 12", 12, "as asked"),
-                                                ("status 99", 99, "as asked")])
+@pytest.mark.parametrize(
+    "steps,status_,said", [("status 5", 5, "as asked"), ("status 12", 12, "as asked"), ("status 99", 99, "as asked")]
+)
 def test_a_boxes_own_word_is_passed_on(steps: str, status_: int, said: str) -> None:
     async def body(world: World) -> None:
         caller = await world.caller()
@@ -167,9 +168,7 @@
 @pytest.mark.parametrize("point", ["head", "message", "answer", "body", "trailers"])
 @pytest.mark.parametrize("what", ["reset", "cut"])
 @pytest.mark.parametrize("code", [2, 8, 0])
-def test_what_broke_after_its_headers_went_out_is_failed_and_never_sent_again(
-    point: str, what: str, code: int
-) -> None:
+def test_what_broke_after_its_headers_went_out_is_failed_and_never_sent_again(point: str, what: str, code: int) -> None:
     async def body(world: World) -> None:
         caller = await world.caller()
         steps = f"{what} {point}" + (f" {code}" if what == "reset" else "")
@@ -181,8 +180,20 @@
     play(body, count=2)
 
 
-@pytest.mark.parametrize("steps", ["reset message", "reset answer 8", "cut body", "spoil flag", "spoil early",
-                                   "spoil frame", "spoil nothing", "status 13", "status 14"])
+@pytest.mark.parametrize(
+    "steps",
+    [
+        "reset message",
+        "reset answer 8",
+        "cut body",
+        "spoil flag",
+        "spoil early",
+        "spoil frame",
+        "spoil nothing",
+        "status 13",
+        "status 14",
+    ],
+)
 def test_what_may_run_again_is_tried_elsewhere(steps: str) -> None:
     async def body(world: World) -> None:
         caller = await world.caller()
@@ -195,6 +206,7 @@
 
 def test_a_booking_reset_half_way_is_failed_not_refused_and_ran_once() -> None:
     """The letter of the request: a stream reset half-way through a booking is never resent."""
+
     async def body(world: World) -> None:
         caller = await world.caller()
         stream = caller.begin("/book/New", ("x-request-id", "r"), ("x-script", "reset message"))
@@ -399,7 +411,7 @@
         got = await caller.call("/book/Do", b"x", metadata=script("", "r"))
         assert got.status == UNAVAILABLE and world.ran("r") == 0
 
-    play(body, more='attempts = 1')
+    play(body, more="attempts = 1")
 
 
 def test_a_box_that_drains_while_a_call_waits_for_its_ping_gets_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -488,8 +500,11 @@
         assert got.status == 0
         assert (await caller.call("/tenant/Do", b"x", metadata=[("x-tenant", "nobody")])).status == 7
 
-    text = (pool("b", "127.0.0.1:9") + ROUTES.replace('"/*"', '"/read/*"')
-            + route("t", "/tenant/*", 'pool = "a"\ntenant = { header = "X-Tenant" }'))
+    text = (
+        pool("b", "127.0.0.1:9")
+        + ROUTES.replace('"/*"', '"/read/*"')
+        + route("t", "/tenant/*", 'pool = "a"\ntenant = { header = "X-Tenant" }')
+    )
     play(body, text=text)
 
 
@@ -699,8 +714,9 @@
         stream = caller.begin("/read/Talk")
         await caller.send(stream, b"one")
         await until(lambda: caller.answers[stream].messages == [b"one"])
-        text = world.up.file.read_text().replace("listeners.main", "listeners.other").replace(
-            "127.0.0.1:0", "127.0.0.2:0")
+        text = (
+            world.up.file.read_text().replace("listeners.main", "listeners.other").replace("127.0.0.1:0", "127.0.0.2:0")
+        )
         world.up.file.write_text(text)
         world.up.running.reload()
         await soon(world.up.running.reloaded())
@@ -782,7 +798,7 @@
     if not caller.answers:
         caller.answers[1] = Answer()
         caller.raw(b"\0\0\1\1\0\0\0\0\1\x82")
-    caller.raw(b"\0\x3f\xff\x09\0\0\0\0\1" + b"\0" * 0x3fff)
+    caller.raw(b"\0\x3f\xff\x09\0\0\0\0\1" + b"\0" * 0x3FFF)
 
 
 def bombs(caller: Caller) -> None:
@@ -800,8 +816,9 @@
         caller.raw(b"\0\0\x09\1\5" + stream.to_bytes(4, "big") + b"\x83\x86\x41\x01h\x44\x02/x")
 
 
-@pytest.mark.parametrize("attack", [rapid_resets, pings, settings, empty_data, continuation, bombs, overflow,
-                                    backwards])
+@pytest.mark.parametrize(
+    "attack", [rapid_resets, pings, settings, empty_data, continuation, bombs, overflow, backwards]
+)
 def test_attacks_end_the_attackers_connection_and_harm_nobody_else(attack: Callable[[Caller], None]) -> None:
     async def body(world: World) -> None:
         bad, good = await world.caller(), await world.caller()
@@ -818,6 +835,7 @@
 
 def test_a_caller_that_asks_and_reads_nothing_is_let_go() -> None:
     """Bounds what waits for it: its PINGs are answered into a buffer that it never empties."""
+
     async def body(world: World) -> None:
         caller = await world.caller()
         caller.transport.pause_reading()
@@ -836,11 +854,13 @@
 
 
 def test_nothing_of_http2_is_imported_where_nobody_asks_for_it() -> None:
-    code = ("import sys, asyncio\nfrom lugspur.config.load import load\nfrom lugspur.daemon.run import Running\n"
-            "async def play():\n    running = Running(sys.argv[1])\n    await running.start(load(sys.argv[1]))\n"
-            "asyncio.run(play())\n"
-            "print([name for name in sys.modules if name.split('.')[0] in ('h2', 'hpack', 'hyperframe')"
-            " or name.startswith(('lugspur.http2', 'lugspur.grpc'))])\n")
+    code = (
+        "import sys, asyncio\nfrom lugspur.config.load import load\nfrom lugspur.daemon.run import Running\n"
+        "async def play():\n    running = Running(sys.argv[1])\n    await running.start(load(sys.argv[1]))\n"
+        "asyncio.run(play())\n"
+        "print([name for name in sys.modules if name.split('.')[0] in ('h2', 'hpack', 'hyperframe')"
+        " or name.startswith(('lugspur.http2', 'lugspur.grpc'))])\n"
+    )
     for text, wanted in ((HEAD, "[]\n"), (HTTP2, "")):
         with TemporaryDirectory() as folder:
             file = Path(folder) / "lugspur.toml"
@@ -871,8 +891,9 @@
 
 
 def test_the_stand_in_says_what_it_can_do() -> None:
-    said = subprocess.run([sys.executable, "-m", "lugspur.standins.grpc", "--help"], capture_output=True, text=True,
-                          timeout=60)
+    said = subprocess.run(
+        [sys.executable, "-m", "lugspur.standins.grpc", "--help"], capture_output=True, text=True, timeout=60
+    )
     assert all(step.split()[0] in said.stdout for step in STEPS)
     with pytest.raises(Wrong, match="'jump' is no step; write one of refuse"):
         read("sleep 5ms, jump")
--- a/tests/daemon/test_grpcio.py
+++ b/tests/daemon/test_grpcio.py
@@ -75,13 +75,16 @@
 
 def play(body: Callable[[Served, Box, grpc.Channel], Awaitable[None]], **options: str) -> None:
     """A daemon between a grpcio box and a grpcio channel; `body` runs on the daemon's loop."""
+
     async def run() -> None:
         box = Box()
         listed = pool("a", f"127.0.0.1:{box.port}", more='protocol = "grpc"')
         try:
             async with served(listed + ROUTES, HTTP2) as up:
-                with grpc.insecure_channel(f"127.0.0.1:{up.port()}", options=[*options.items(),
-                        ("grpc.max_receive_message_length", MESSAGE_MOST)]) as channel:
+                with grpc.insecure_channel(
+                    f"127.0.0.1:{up.port()}",
+                    options=[*options.items(), ("grpc.max_receive_message_length", MESSAGE_MOST)],
+                ) as channel:
                     await body(up, box, channel)
                 await until(lambda: not up.in_hand())
         finally:
@@ -103,16 +106,21 @@
         sent = [b"a", b"b", b"c"]
         assert await threaded(channel.unary_unary("/read.S/Unary"), b"x", timeout=WIDE) == b"x"
         assert await threaded(lambda: list(channel.unary_stream("/read.S/Server")(b"x", timeout=WIDE))) == [
-            b"x%d" % at for at in range(20)]
+            b"x%d" % at for at in range(20)
+        ]
         assert await threaded(channel.stream_unary("/read.S/Client"), iter(sent), timeout=WIDE) == b"a+b+c"
         assert await threaded(lambda: list(channel.stream_stream("/read.S/Both")(iter(sent), timeout=WIDE))) == [
-            b"a!", b"b!", b"c!"]
+            b"a!",
+            b"b!",
+            b"c!",
+        ]
 
     play(body)
 
 
 def test_a_talk_in_turns() -> None:
     """Each message waits for the answer to the one before: nothing may be held back for more."""
+
     async def body(up: Served, box: Box, channel: grpc.Channel) -> None:
         def talk() -> list[bytes]:
             said: list[bytes] = []
@@ -188,14 +196,28 @@
     play(body)
 
 
-POLICY = json.dumps({"methodConfig": [{"name": [{}], "retryPolicy": {
-    "maxAttempts": 2, "initialBackoff": "0.01s", "maxBackoff": "0.1s", "backoffMultiplier": 2,
-    "retryableStatusCodes": ["UNAVAILABLE", "UNKNOWN", "INTERNAL"]}}]})
+POLICY = json.dumps(
+    {
+        "methodConfig": [
+            {
+                "name": [{}],
+                "retryPolicy": {
+                    "maxAttempts": 2,
+                    "initialBackoff": "0.01s",
+                    "maxBackoff": "0.1s",
+                    "backoffMultiplier": 2,
+                    "retryableStatusCodes": ["UNAVAILABLE", "UNKNOWN", "INTERNAL"],
+                },
+            }
+        ]
+    }
+)
 
 
 @pytest.mark.parametrize("path,runs", [("/book/Fails", 1), ("/read.S/Fails", 2)])
 def test_a_callers_own_retry_policy_never_does_it_twice(path: str, runs: int) -> None:
     """Told to retry even UNKNOWN, grpcio keeps to the pushback that forbids it."""
+
     async def body(up: Served, box: Box, channel: grpc.Channel) -> None:
         box.failures = 100
         with pytest.raises(grpc.RpcError):
@@ -215,9 +237,11 @@
         def check(name: str) -> Any:
             return stub.Check(health_pb2.HealthCheckRequest(service=name), timeout=WIDE).status
 
-        serving, not_serving, unknown = (health_pb2.HealthCheckResponse.SERVING,
-                                         health_pb2.HealthCheckResponse.NOT_SERVING,
-                                         health_pb2.HealthCheckResponse.SERVICE_UNKNOWN)
+        serving, not_serving, unknown = (
+            health_pb2.HealthCheckResponse.SERVING,
+            health_pb2.HealthCheckResponse.NOT_SERVING,
+            health_pb2.HealthCheckResponse.SERVICE_UNKNOWN,
+        )
         assert await threaded(check, "") == serving and await threaded(check, "a") == serving
         with pytest.raises(grpc.RpcError) as error:
             await threaded(check, "b")
@@ -238,8 +262,12 @@
         listed = pool("a", f"127.0.0.1:{box.port}", more='protocol = "grpc"') + pool("b", "127.0.0.1:9")
         await up.reload(listed + ROUTES + route("b", "/b/*", 'pool = "b"'), HTTP2)
         await until(lambda: seen[1:] == [serving])
-        await up.reload(listed.replace('{ address = "127.0.0.1:9" }', '{ address = "127.0.0.1:9", drain = true }')
-                        + ROUTES + route("b", "/b/*", 'pool = "b"'), HTTP2)
+        await up.reload(
+            listed.replace('{ address = "127.0.0.1:9" }', '{ address = "127.0.0.1:9", drain = true }')
+            + ROUTES
+            + route("b", "/b/*", 'pool = "b"'),
+            HTTP2,
+        )
         await until(lambda: seen[2:] == [not_serving])
         stopping = asyncio.get_running_loop().create_task(up.running.stop())
         assert await asyncio.to_thread(ended.wait, WIDE)
--- a/tests/daemon/test_guard.py
+++ b/tests/daemon/test_guard.py
@@ -20,8 +20,11 @@
 from lugspur.guard.limiter import REST, WINDOW, Limiter, Sample
 
 GUARDED = HEAD.replace("[classes.read]", "[guard]\non = true\n[classes.cheap]\nworth = 0.1\n[classes.read]")
-ROUTES = (route("book", "/book", 'pool = "a"\nclass = "book"') + route("cheap", "/cheap", 'pool = "a"\nclass = "cheap"')
-          + route("read", "/*", 'pool = "a"\nclass = "read"'))
+ROUTES = (
+    route("book", "/book", 'pool = "a"\nclass = "book"')
+    + route("cheap", "/cheap", 'pool = "a"\nclass = "cheap"')
+    + route("read", "/*", 'pool = "a"\nclass = "read"')
+)
 
 
 def run(body: Coroutine[Any, Any, None]) -> None:
@@ -281,9 +284,11 @@
 def test_run_prints_one_line_when_it_turns_away(tmp_path: Any) -> None:
     file = tmp_path / "f.toml"
     file.write_text(GUARDED + pool("a", "127.0.0.1:9") + ROUTES)
-    code = ("import sys\nfrom lugspur.guard import limiter\n"
-            "limiter.Limiter.sample = lambda self, now, state: 'turned away: cheap: requests wait 60 ms'\n"
-            "sys.argv = ['lugspur', 'run', sys.argv[1]]\nfrom lugspur.__main__ import main\nmain()")
+    code = (
+        "import sys\nfrom lugspur.guard import limiter\n"
+        "limiter.Limiter.sample = lambda self, now, state: 'turned away: cheap: requests wait 60 ms'\n"
+        "sys.argv = ['lugspur', 'run', sys.argv[1]]\nfrom lugspur.__main__ import main\nmain()"
+    )
     process = subprocess.Popen([sys.executable, "-c", code, str(file)], stderr=subprocess.PIPE, text=True)
     assert process.stderr is not None
     try:
@@ -296,10 +301,10 @@
 
 
 def test_without_it_the_platforms_proxy_imports_nothing_of_it() -> None:
-    code = ("import sys, lugspur.daemon.service\n"
-            "ours = ('lugspur.guard', 'lugspur.joining', 'lugspur.emulator', 'lugspur.daemon.senses')\n"
-            "print([name for name in sys.modules if name.startswith(ours)])")
+    code = (
+        "import sys, lugspur.daemon.service\n"
+        "ours = ('lugspur.guard', 'lugspur.joining', 'lugspur.emulator', 'lugspur.daemon.senses')\n"
+        "print([name for name in sys.modules if name.startswith(ours)])"
+    )
     said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=True)
     assert said.stdout == "[]\n"
-
-
--- a/tests/daemon/test_joining.py
+++ b/tests/daemon/test_joining.py
@@ -19,7 +19,7 @@
 from lugspur.standins.grpc.box import Call
 from lugspur.standins.grpc.script import Script
 
-WIDE = "within = \"10s\""  # the machine may be slow
+WIDE = 'within = "10s"'  # the machine may be slow
 TENANTS = "[tenants.a]\n[tenants.b]\n[tenants.c]\n"
 ACROSS = f'join = {{ {WIDE}, ignore = ["User-Agent"], across-tenants = true }}\ntenant = {{ header = "X-Agency" }}'
 
@@ -28,9 +28,15 @@
     return route("read", "/*", f'pool = "a"\nclass = "read"\n{join}\n{more}')
 
 
-def play(text: str, body: Callable[[Served, Backend], Awaitable[None]], script: bytes | None = None,
-         head: str = HEAD, of_pool: str = "") -> None:
+def play(
+    text: str,
+    body: Callable[[Served, Backend], Awaitable[None]],
+    script: bytes | None = None,
+    head: str = HEAD,
+    of_pool: str = "",
+) -> None:
     """One backend that answers by the script, and a daemon before it by this text."""
+
     async def run() -> None:
         async with backend(lambda _: script) as one, served(pool("a", one.address, more=of_pool) + text, head) as up:
             await body(up, one)
@@ -75,8 +81,14 @@
 
 def test_other_reads_have_calls_of_their_own() -> None:
     async def body(up: Served, one: Backend) -> None:
-        await asking(up, ask(target="/h/1"), ask(target="/h/2"), ask("HEAD", target="/h/1"),
-                     ask(target="/h/1", Accept="text/x"), ask(target="/h/1", Cache_Control="no-cache"))
+        await asking(
+            up,
+            ask(target="/h/1"),
+            ask(target="/h/2"),
+            ask("HEAD", target="/h/1"),
+            ask(target="/h/1", Accept="text/x"),
+            ask(target="/h/1", Cache_Control="no-cache"),
+        )
         await until(lambda: one.got.qsize() == 5)
         reply(one, OK)
 
@@ -134,12 +146,20 @@
     play(reads(), body)
 
 
-@pytest.mark.parametrize(("script", "expected"), [
-    (answer(b"gone", "410 Gone"), 410), (answer(b"oh", "500 Oh"), 503), (CLOSE, 503), (b"nonsense cut", 503),
-    (MAY_HAVE_RUN, 503), (NEVER_RAN, 503),
-])
+@pytest.mark.parametrize(
+    ("script", "expected"),
+    [
+        (answer(b"gone", "410 Gone"), 410),
+        (answer(b"oh", "500 Oh"), 503),
+        (CLOSE, 503),
+        (b"nonsense cut", 503),
+        (MAY_HAVE_RUN, 503),
+        (NEVER_RAN, 503),
+    ],
+)
 def test_a_failure_reaches_every_caller(script: bytes, expected: int) -> None:
     """A read that may run again is refused in the end, as it is where it waits alone."""
+
     async def body(up: Served, one: Backend) -> None:
         alone = await up.client()
         if script not in (CLOSE,):
@@ -297,9 +317,14 @@
             asked.append(name)
             return [Refuse(rid)] if name == "a" else submit(now, rid, kind, tenant, *more)
 
-        clients = await asking(up, ask(User_Agent="x", X_Agency="c"),
-                               *(ask(User_Agent="y", X_Agency=name, X_Timeout=left)
-                                 for name, left in (("a", "20"), ("a", "9"), ("b", "9"))))
+        clients = await asking(
+            up,
+            ask(User_Agent="x", X_Agency="c"),
+            *(
+                ask(User_Agent="y", X_Agency=name, X_Timeout=left)
+                for name, left in (("a", "20"), ("a", "9"), ("b", "9"))
+            ),
+        )
         pool.balancer.request = refuse_a  # type: ignore[method-assign, assignment]
         one.script = by_agent
         reply(one, by_agent(await soon(one.got.get())))
@@ -440,7 +465,8 @@
         async with AsyncExitStack() as stack:
             boxes = [await stack.enter_async_context(backend(lambda sent: answer(sent.split()[1]))) for _ in range(2)]
             up = await stack.enter_async_context(
-                served(pool("a", *(box.address for box in boxes)) + reads("join = {}")))
+                served(pool("a", *(box.address for box in boxes)) + reads("join = {}"))
+            )
             clients = [await up.client() for _ in range(20)]
 
             async def work(client: Client, seed: int) -> None:
--- a/tests/daemon/test_large_bodies.py
+++ b/tests/daemon/test_large_bodies.py
@@ -14,7 +14,8 @@
 
 LARGE = HEAD.replace("sockets = 1024", 'sockets = 1024\nhold = "64KiB"\nbody = "8MiB"')
 ROUTES = route("book", "/book", 'pool = "a"\nclass = "book"\nfallback = ["b"]') + route(
-    "read", "/read", 'pool = "a"\nclass = "read"')
+    "read", "/read", 'pool = "a"\nclass = "read"'
+)
 BODY = bytes(range(256)) * 12_000  # 3 MB
 
 
@@ -47,9 +48,9 @@
             async with served(pool("a", dead) + pool("b", one.address) + ROUTES, LARGE) as up:
                 client = await up.client()
                 sent = ask("POST", "/book", BODY)
-                client.writer.write(sent[:HOLD + 3000])
+                client.writer.write(sent[: HOLD + 3000])
                 await until(lambda: bool(up.daemon.stations["b"].pool.calls))
-                client.writer.write(sent[HOLD + 3000:])
+                client.writer.write(sent[HOLD + 3000 :])
                 assert (await client.answer()).endswith(hashlib.sha256(BODY).hexdigest().encode())
 
     asyncio.run(play())
--- a/tests/daemon/test_large_http2.py
+++ b/tests/daemon/test_large_http2.py
@@ -21,7 +21,8 @@
 
 LARGE = HTTP2.replace("sockets = 1024", 'sockets = 1024\nhold = "64KiB"\nbody = "8MiB"')
 ROUTES = route("book", "/book", 'pool = "a"\nclass = "book"\nfallback = ["b"]') + route(
-    "read", "/read", 'pool = "a"\nclass = "read"')
+    "read", "/read", 'pool = "a"\nclass = "read"'
+)
 NEVER_RAN = b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -257,7 +258,7 @@
             for way in ("reset", "close"):
                 caller = await caller_of(up)
                 stream = begin(caller, "/book", ("content-length", str(len(BODY))))
-                await soon(caller.write(stream, BODY[:3 * HOLD]))
+                await soon(caller.write(stream, BODY[: 3 * HOLD]))
                 await until(lambda: up.in_hand() == 1)
                 if way == "reset":
                     caller.cancel(stream)
@@ -307,7 +308,7 @@
             got = await post(caller, "/book", bytes(9 << 20))
             assert got.head[":status"] == "413"
             stream = begin(caller, "/book")
-            await soon(caller.write(stream, BODY[:HOLD + 1]))
+            await soon(caller.write(stream, BODY[: HOLD + 1]))
             got = await soon(caller.answer(stream))  # it stops, and 24 kB a second are due
             assert got.head[":status"] == "408"
             await empty(up)
@@ -323,12 +324,13 @@
 
     async def play() -> None:
         head = LARGE.replace("[limits]", '[limits]\nread = "100ms"').replace(
-            '[classes.book]\naim = "30s"\ndeadline = "30s"', '[classes.book]\naim = "200ms"\ndeadline = "200ms"')
+            '[classes.book]\naim = "30s"\ndeadline = "30s"', '[classes.book]\naim = "200ms"\ndeadline = "200ms"'
+        )
         async with backend(digest) as one, before(one.address, head=head) as up:
             caller, body = await caller_of(up), noise(5 * HOLD)
             stream = begin(caller, "/book", ("content-length", str(len(body))))
             for at in range(0, len(body), HOLD):
-                await soon(caller.write(stream, body[at:at + HOLD], end=at + HOLD >= len(body)))
+                await soon(caller.write(stream, body[at : at + HOLD], end=at + HOLD >= len(body)))
                 await asyncio.sleep(0.08)
             got = await soon(caller.answer(stream))
             assert bytes(got.data) == hashlib.sha256(body).hexdigest().encode()
--- a/tests/daemon/test_operated.py
+++ b/tests/daemon/test_operated.py
@@ -38,7 +38,8 @@
     async with backend(lambda _: script(0)) as one, backend(lambda _: script(1)) as two:
         text = "".join(
             pool(name, one.address, two.address) + route(name, f"/{name}", f'pool = "{name}"\nclass = "read"')
-            for name in "ab")
+            for name in "ab"
+        )
         names = f'name = "one", address = "{one.address}"', f'name = "two", address = "{two.address}"'
         for address, named in zip((one.address, two.address), names, strict=True):
             text = text.replace(f'address = "{address}"', named)
@@ -56,9 +57,14 @@
             text = up.file.read_text().removeprefix(HEAD)
             for number in range(10):
                 assert status(await client.ask(ask(target=f"/{'ab'[number % 2]}"))) == 200
-            await up.reload(text + text[text.index("[pools.b]"):text.index("[management]")]
-                            .replace("[pools.b]", "[pools.c]").replace("[routes.b]", "[routes.c]")
-                            .replace('"/b"', '"/c"').replace('pool = "b"', 'pool = "c"'))
+            await up.reload(
+                text
+                + text[text.index("[pools.b]") : text.index("[management]")]
+                .replace("[pools.b]", "[pools.c]")
+                .replace("[routes.b]", "[routes.c]")
+                .replace('"/b"', '"/c"')
+                .replace('pool = "b"', 'pool = "c"')
+            )
             for _ in range(5):
                 assert status(await client.ask(ask(target="/c"))) == 200
             assert got[0] == 0
--- a/tests/daemon/test_registry.py
+++ b/tests/daemon/test_registry.py
@@ -65,8 +65,9 @@
             trial.boxes["box-2"].removed = asyncio.get_running_loop().time()
             await trial.served(50)
             if change == "ensemble":  # nobody uses the former session: it is closed
-                await trial.until(lambda: not any(session.server for session in
-                                                  trial.cluster.ensemble.sessions.values()))
+                await trial.until(
+                    lambda: not any(session.server for session in trial.cluster.ensemble.sessions.values())
+                )
             counts = await trial.stop()
             assert counts.kept and set(counts.statuses) == {200}
 
@@ -106,9 +107,11 @@
 def text(cluster: Cluster, more: str = "", follow: str = "") -> str:
     """A pool that follows /boxes."""
     ensemble = json.dumps([f"{host}:{port}" for host, port in cluster.addresses])
-    return (f'[registries.main]\nensemble = {ensemble}\nsession = "6s"\n'
-            f'[pools.a]\nregistry = {{ name = "main", path = "/boxes"{follow} }}\nconnect = "5s"\n{more}\n'
-            + route("r", "/*", 'pool = "a"\nclass = "read"'))
+    return (
+        f'[registries.main]\nensemble = {ensemble}\nsession = "6s"\n'
+        f'[pools.a]\nregistry = {{ name = "main", path = "/boxes"{follow} }}\nconnect = "5s"\n{more}\n'
+        + route("r", "/*", 'pool = "a"\nclass = "read"')
+    )
 
 
 @asynccontextmanager
@@ -204,8 +207,11 @@
                     folder.cluster.write("/boxes/three", box())
                 for server in folder.cluster.servers:
                     await server.listen()
-                await until(lambda before=before: (  # type: ignore[misc]
-                    lists() > before and source.view.phase is Phase.FOLLOWING))
+                await until(
+                    lambda before=before: (  # type: ignore[misc]
+                        lists() > before and source.view.phase is Phase.FOLLOWING
+                    )
+                )
                 if not change:
                     assert told == []
             await folder.knows(one=State.UP, two=State.UP, three=State.UP)
@@ -256,6 +262,7 @@
 
 def test_a_pool_is_held_by_hand_with_a_list_in_the_file() -> None:
     """What operators do when a registry has lost its boxes: the list of members by hand, and a reload."""
+
     async def play() -> None:
         async with backend(lambda _: OK) as one, following() as folder:
             folder.cluster.box("/boxes/one", box(one.address))
@@ -283,8 +290,14 @@
             for step in (86_400.0, -86_400.0):
                 monkeypatch.setattr(time, "time", lambda step=step: real() + step)
                 pings = sum(server.asked[Op.PING] for server in folder.cluster.servers)
-                await until(lambda pings=pings: sum(  # type: ignore[misc]
-                    server.asked[Op.PING] for server in folder.cluster.servers) > pings)
+                await until(
+                    lambda pings=pings: (
+                        sum(  # type: ignore[misc]
+                            server.asked[Op.PING] for server in folder.cluster.servers
+                        )
+                        > pings
+                    )
+                )
             assert list(folder.cluster.ensemble.sessions) == [session]
             await folder.knows(one=State.UP)
 
@@ -309,7 +322,8 @@
 
 
 REGISTERED = HEAD.replace(
-    "[listeners.main]", '[listeners.main]\nregister = { registry = "main", path = "/edge", name = "edge-1" }')
+    "[listeners.main]", '[listeners.main]\nregister = { registry = "main", path = "/edge", name = "edge-1" }'
+)
 
 
 def test_a_listener_has_a_node_as_long_as_it_listens() -> None:
@@ -321,7 +335,8 @@
             assert found["address"] == f"127.0.0.1:{folder.up.port()}" and found["status"] == "in_service"
             open_at_removal: list[bool] = []
             folder.cluster.ensemble.listeners.append(
-                lambda _: open_at_removal.append("main" in folder.up.running.listeners))
+                lambda _: open_at_removal.append("main" in folder.up.running.listeners)
+            )
             await folder.up.running.stop()
             assert "/edge/edge-1" not in nodes and open_at_removal[0]  # first the node, then the listener
             assert not folder.cluster.ensemble.sessions
@@ -340,8 +355,12 @@
             assert folder.up.port() == port
             moved = REGISTERED.replace("edge-1", "edge-2").replace("127.0.0.1:0", "127.0.0.2:0")
             await folder.up.reload(text(folder.cluster), moved)
-            await until(lambda: "/edge/edge-2" in nodes
-                        and json.loads(nodes["/edge/edge-2"].data)["address"] == f"127.0.0.2:{folder.up.port()}")
+            await until(
+                lambda: (
+                    "/edge/edge-2" in nodes
+                    and json.loads(nodes["/edge/edge-2"].data)["address"] == f"127.0.0.2:{folder.up.port()}"
+                )
+            )
             await folder.up.reload(text(folder.cluster))
             await until(lambda: not nodes["/edge"].children)
 
@@ -375,8 +394,21 @@
             await one.listen()
             host, _, port = one.address.rpartition(":")
             process = await asyncio.create_subprocess_exec(
-                *PYTHON, "register", str(file), "main", "/boxes", "--name", "one", "--address", one.address,
-                "--check", f"http://{one.address}/health", "--every", "20ms", stderr=asyncio.subprocess.PIPE)
+                *PYTHON,
+                "register",
+                str(file),
+                "main",
+                "/boxes",
+                "--name",
+                "one",
+                "--address",
+                one.address,
+                "--check",
+                f"http://{one.address}/health",
+                "--every",
+                "20ms",
+                stderr=asyncio.subprocess.PIPE,
+            )
             nodes = cluster.ensemble.tree.nodes
             try:
                 await until(lambda: "/boxes/one" in nodes)
--- a/tests/daemon/test_reload.py
+++ b/tests/daemon/test_reload.py
@@ -13,6 +13,7 @@
 @pytest.mark.parametrize("change", ["the route's", "its own"])
 def test_an_open_request_keeps_its_class_when_that_becomes_safe(change: str) -> None:
     """Its only attempt breaks after the reload: it may have run, and must not be sent again."""
+
     async def play() -> None:
         scripts: list[bytes | None] = [None]
 
@@ -107,8 +108,10 @@
                 await up.reload(pool("a", two.address) + way)
                 for _ in range(5):
                     assert (await client.ask(ask())).endswith(b"2")
-                both = f'[pools.a]\nmembers = [{{ address = "{one.address}" }}, ' \
-                       f'{{ address = "{two.address}", drain = true }}]\n'
+                both = (
+                    f'[pools.a]\nmembers = [{{ address = "{one.address}" }}, '
+                    f'{{ address = "{two.address}", drain = true }}]\n'
+                )
                 await up.reload(both + way)
                 for _ in range(5):
                     assert (await client.ask(ask())).endswith(b"1")
@@ -164,14 +167,15 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("[pools", "lugspur.toml:"),
-    (route("q", "/q", 'pool = "none"'), 'pool "none" is not in this file'),
-    ('[listeners.more]\naddress = "127.0.0.1:PORT"\n', "listener more can't have 127.0.0.1:"),
-])
-def test_a_broken_file_changes_nothing_and_says_why(
-    text: str, said: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("[pools", "lugspur.toml:"),
+        (route("q", "/q", 'pool = "none"'), 'pool "none" is not in this file'),
+        ('[listeners.more]\naddress = "127.0.0.1:PORT"\n', "listener more can't have 127.0.0.1:"),
+    ],
+)
+def test_a_broken_file_changes_nothing_and_says_why(text: str, said: str, capsys: pytest.CaptureFixture[str]) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one:
             good = pool("a", one.address) + route("r", "/", 'pool = "a"')
@@ -195,6 +199,7 @@
             def say(request: bytes) -> bytes:
                 seen[request.split(b" ", 2)[1]] += 1
                 return answer(mark)
+
             return say
 
         async with backend(script(b"1")) as one, backend(script(b"2")) as two:
@@ -204,9 +209,13 @@
                 """Pools change their names, classes their figures and the rest of the table its routes."""
                 x, y = ("a", "b") if n % 2 else ("c", "d")
                 more = "".join(route(f"m{n}x{i}", f"/m{n}/{i}", f'pool = "{x}"') for i in range(n % 5))
-                return (a.replace("pools.a", f"pools.{x}") + b.replace("pools.b", f"pools.{y}")
-                        + route("one", "/1/{k}", f'pool = "{x}"\nclass = "{("book", "read")[n % 2]}"')
-                        + route("two", "/2/{k}", f'pool = "{y}"\nclass = "book"') + more)
+                return (
+                    a.replace("pools.a", f"pools.{x}")
+                    + b.replace("pools.b", f"pools.{y}")
+                    + route("one", "/1/{k}", f'pool = "{x}"\nclass = "{("book", "read")[n % 2]}"')
+                    + route("two", "/2/{k}", f'pool = "{y}"\nclass = "book"')
+                    + more
+                )
 
             async with served(text(0)) as up:
                 stop, counts = asyncio.Event(), Counter[str]()
--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -21,9 +21,21 @@
     async def play() -> None:
         async with backend(lambda _: OK) as one, served(pool("a", one.address) + ALL) as up:
             client = await up.client()
-            got = await client.ask(ask("PUT", "/k/../a%7Eb?q=%20+", b"body", Host="H.Example.:81", X_Odd="kept",
-                                       Connection="X-Hop", X_Hop="1", X_Forwarded_For="6.6.6.6", X_Real_IP="6.6.6.6",
-                                       X_Forwarded_Proto="https", TE="trailers"))
+            got = await client.ask(
+                ask(
+                    "PUT",
+                    "/k/../a%7Eb?q=%20+",
+                    b"body",
+                    Host="H.Example.:81",
+                    X_Odd="kept",
+                    Connection="X-Hop",
+                    X_Hop="1",
+                    X_Forwarded_For="6.6.6.6",
+                    X_Real_IP="6.6.6.6",
+                    X_Forwarded_Proto="https",
+                    TE="trailers",
+                )
+            )
             assert status(got) == 200
             sent = await soon(one.got.get())
             assert sent.startswith(b"PUT /a~b?q=%20+ HTTP/1.1\r\n") and sent.endswith(b"\r\n\r\nbody")
@@ -54,8 +66,12 @@
 
 
 def test_a_header_that_ends_here_chooses_no_route() -> None:
-    text = ALL + route("beta", "/*", 'pool = "b"\nheaders = { X-Beta = "1" }') + route(
-        "of", "/of", 'pool = "a"\ntenant = { header = "X-Tenant" }') + "[tenants.acme]\n"
+    text = (
+        ALL
+        + route("beta", "/*", 'pool = "b"\nheaders = { X-Beta = "1" }')
+        + route("of", "/of", 'pool = "a"\ntenant = { header = "X-Tenant" }')
+        + "[tenants.acme]\n"
+    )
 
     async def play() -> None:
         async with backend(lambda _: answer(b"a")) as one, backend(lambda _: answer(b"b")) as two:
@@ -69,10 +85,14 @@
 
 
 def test_a_route_changes_paths_and_header_lines() -> None:
-    text = route("r", "/v1/{id}/x/*", """pool = "a"
+    text = route(
+        "r",
+        "/v1/{id}/x/*",
+        """pool = "a"
 rewrite = "/{id}/*"
 request = { set = { X-A = "1" }, remove = ["x-b"] }
-response = { set = { X-C = "2" }, remove = ["X-D"] }""")
+response = { set = { X-C = "2" }, remove = ["X-D"] }""",
+    )
 
     async def play() -> None:
         async with backend(lambda _: answer(X_C="old", X_D="d", X_E="e")) as one:
@@ -90,10 +110,20 @@
 CLOSED = route("closed", "/admin/*", 'pool = "closed"\nhosts = ["h.example"]\nclass = "read"')
 
 
-@pytest.mark.parametrize("spelling", [
-    "/admin/x", "//admin//x", "/./admin/x", "/o/../admin/x", "/%61dmin/x", "/o/%2e%2e/admin/x", "/o/%2E./admin/./x",
-    "http://h.example/admin/x", "HTTP://H.EXAMPLE:80/o/../admin/x",
-])
+@pytest.mark.parametrize(
+    "spelling",
+    [
+        "/admin/x",
+        "//admin//x",
+        "/./admin/x",
+        "/o/../admin/x",
+        "/%61dmin/x",
+        "/o/%2e%2e/admin/x",
+        "/o/%2E./admin/./x",
+        "http://h.example/admin/x",
+        "HTTP://H.EXAMPLE:80/o/../admin/x",
+    ],
+)
 def test_the_route_decided_on_is_the_one_that_the_backend_sees(spelling: str) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
@@ -108,22 +138,43 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize(("request_", "expected"), [
-    (ask(target="/a%2fb"), 400), (ask(target="/..;/admin"), 400), (ask(target="/%00"), 400),
-    (ask(target="/../x"), 400), (ask(Host="h/x"), 400), (ask(target="/a\\b"), 400), (ask("TRACE"), 501),
-    (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400), (b"GET / HTTP/1.1\r\n\r\n", 400),
-    (b"GET / HTTP/1.0\r\n\r\n", 200), (ask(X_Timeout="soon"), 400), (ask(Expect="a-miracle"), 417),
-    (ask("PUT", body=b"x" * (BODY_MOST + 1)), 200), (ask("PUT", body=b"x" * ((1 << 20) + 1)), 413),
-    (ask(X_Pad="p" * (17 << 10)), 431), (ask("POST", "/once", b"x"), 400),
-    (ask("POST", "/once", b"x", Idempotency_Key="k"), 200), (ask(target="/of"), 403),
-    (ask(target="/of", X_Tenant="acme"), 200), (ask(target="/of", X_Tenant="(no tenant)"), 403),
-    (ask("DELETE", "/only"), 405), (ask("PATCH", "/only"), 200), (ask(target="/none/at/all", Host="x"), 200),
-])
+@pytest.mark.parametrize(
+    ("request_", "expected"),
+    [
+        (ask(target="/a%2fb"), 400),
+        (ask(target="/..;/admin"), 400),
+        (ask(target="/%00"), 400),
+        (ask(target="/../x"), 400),
+        (ask(Host="h/x"), 400),
+        (ask(target="/a\\b"), 400),
+        (ask("TRACE"), 501),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.0\r\n\r\n", 200),
+        (ask(X_Timeout="soon"), 400),
+        (ask(Expect="a-miracle"), 417),
+        (ask("PUT", body=b"x" * (BODY_MOST + 1)), 200),
+        (ask("PUT", body=b"x" * ((1 << 20) + 1)), 413),
+        (ask(X_Pad="p" * (17 << 10)), 431),
+        (ask("POST", "/once", b"x"), 400),
+        (ask("POST", "/once", b"x", Idempotency_Key="k"), 200),
+        (ask(target="/of"), 403),
+        (ask(target="/of", X_Tenant="acme"), 200),
+        (ask(target="/of", X_Tenant="(no tenant)"), 403),
+        (ask("DELETE", "/only"), 405),
+        (ask("PATCH", "/only"), 200),
+        (ask(target="/none/at/all", Host="x"), 200),
+    ],
+)
 def test_what_is_served_and_what_is_not(request_: bytes, expected: int) -> None:
-    text = "[tenants.acme]\nquota = 5\n" + ALL + route("once", "/once", 'pool = "a"\nclass = "once"') + route(
-        "of", "/of", 'pool = "a"\ntenant = { header = "X-Tenant" }') + route(
-        "only", "/only", 'pool = "a"\nmethods = ["PATCH", "GET"]\nhosts = ["h.example"]') + route(
-        "no", "/only", 'reply = { status = 405 }')
+    text = (
+        "[tenants.acme]\nquota = 5\n"
+        + ALL
+        + route("once", "/once", 'pool = "a"\nclass = "once"')
+        + route("of", "/of", 'pool = "a"\ntenant = { header = "X-Tenant" }')
+        + route("only", "/only", 'pool = "a"\nmethods = ["PATCH", "GET"]\nhosts = ["h.example"]')
+        + route("no", "/only", "reply = { status = 405 }")
+    )
 
     async def play() -> None:
         async with backend(lambda _: OK) as one, served(pool("a", one.address) + text) as up:
@@ -134,9 +185,11 @@
 
 
 def test_misses_replies_and_redirects() -> None:
-    text = route("a", "/a", 'pool = "a"\nmethods = ["GET", "PUT"]') + route(
-        "r", "/old/{id}/*", 'redirect = { to = "https://new.example/{id}/*", status = 308 }') + route(
-        "t", "/text", 'reply = { status = 418, body = "tea", headers = { Content-Type = "text/plain" } }')
+    text = (
+        route("a", "/a", 'pool = "a"\nmethods = ["GET", "PUT"]')
+        + route("r", "/old/{id}/*", 'redirect = { to = "https://new.example/{id}/*", status = 308 }')
+        + route("t", "/text", 'reply = { status = 418, body = "tea", headers = { Content-Type = "text/plain" } }')
+    )
 
     async def play() -> None:
         async with backend(lambda _: OK) as one, served(pool("a", one.address) + text) as up:
@@ -154,8 +207,11 @@
 
 def test_a_head_is_answered_without_a_body_and_its_callers_connection_serves_on() -> None:
     def script(request: bytes) -> bytes:
-        return answer(b"", "200 OK").replace(b"Content-Length: 0", b"Content-Length: 12345") if request.startswith(
-            b"HEAD") else OK
+        return (
+            answer(b"", "200 OK").replace(b"Content-Length: 0", b"Content-Length: 12345")
+            if request.startswith(b"HEAD")
+            else OK
+        )
 
     async def play() -> None:
         async with backend(script) as one, served(pool("a", one.address) + ALL) as up:
@@ -202,17 +258,20 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize(("script", "safe", "unsafe", "sent"), [
-    (OK, 200, 200, 1),
-    (answer(b"no", "404 No", X_N="1"), 404, 404, 1),
-    (answer(b"", "204 None"), 204, 204, 1),
-    (answer(b"oh", "500 Oh"), 200, 500, 1),  # a safe one is tried again
-    (NEVER_RAN, 200, 200, 2),
-    (MAY_HAVE_RUN, 200, 502, 1),  # a refusal of what may have run would promise what nobody knows
-    (answer(b"", "429 Slow"), 200, 502, 1),
-    (CLOSE, 200, 502, 1),
-    (b"nonsense cut", 200, 502, 1),
-])
+@pytest.mark.parametrize(
+    ("script", "safe", "unsafe", "sent"),
+    [
+        (OK, 200, 200, 1),
+        (answer(b"no", "404 No", X_N="1"), 404, 404, 1),
+        (answer(b"", "204 None"), 204, 204, 1),
+        (answer(b"oh", "500 Oh"), 200, 500, 1),  # a safe one is tried again
+        (NEVER_RAN, 200, 200, 2),
+        (MAY_HAVE_RUN, 200, 502, 1),  # a refusal of what may have run would promise what nobody knows
+        (answer(b"", "429 Slow"), 200, 502, 1),
+        (CLOSE, 200, 502, 1),
+        (b"nonsense cut", 200, 502, 1),
+    ],
+)
 def test_what_a_backends_answer_comes_to(script: bytes, safe: int, unsafe: int, sent: int) -> None:
     text = route("r", "/r", 'pool = "a"\nclass = "read"') + route("b", "/b", 'pool = "a"\nclass = "book"')
 
--- a/tests/daemon/test_same_decisions.py
+++ b/tests/daemon/test_same_decisions.py
@@ -46,14 +46,24 @@
         self.clock += STEP
         return self.clock
 
-    def request(self, now: float, rid: str, kind: int = 0, tenant: int = 0, deadline: float | None = None,
-                cost: float = 0.0, retry: bool = False, partial: bool = False) -> list[Action]:
+    def request(
+        self,
+        now: float,
+        rid: str,
+        kind: int = 0,
+        tenant: int = 0,
+        deadline: float | None = None,
+        cost: float = 0.0,
+        retry: bool = False,
+        partial: bool = False,
+    ) -> list[Action]:
         now = self._tick()
         actions = super().request(now, rid, kind, tenant, now + 20.0, cost, retry, partial)
         return self._note("request", (rid, kind), actions)
 
-    def outcome(self, now: float, rid: str, number: int, how: Outcome, latency: float,
-                last: bool = False) -> list[Action]:
+    def outcome(
+        self, now: float, rid: str, number: int, how: Outcome, latency: float, last: bool = False
+    ) -> list[Action]:
         actions = super().outcome(self._tick(), rid, number, how, STEP, last)
         return self._note("outcome", (rid, number, how, last), actions)
 
@@ -153,7 +163,8 @@
         await box.listen()
     members = ", ".join(
         f'{{ address = "{box.address}", name = "box-{at}", protocol = "{"grpc" if grpc[at] else "http"}" }}'
-        for at, box in enumerate(boxes))
+        for at, box in enumerate(boxes)
+    )
     text = f'[pools.a]\nmembers = [{members}]\nconnect = "5s"\n{ROUTES}'
     TRACED.clear()
     served_: list[bool] = []
@@ -187,8 +198,13 @@
 
 
 PLANS = st.lists(
-    st.tuples(st.sampled_from(("read", "book", "once")), st.lists(st.sampled_from(OUTCOMES), min_size=1, max_size=4)
-              .map(tuple)), min_size=1, max_size=12)
+    st.tuples(
+        st.sampled_from(("read", "book", "once")),
+        st.lists(st.sampled_from(OUTCOMES), min_size=1, max_size=4).map(tuple),
+    ),
+    min_size=1,
+    max_size=12,
+)
 
 
 @given(PLANS)
@@ -196,24 +212,30 @@
 def test_the_same_outcomes_give_the_same_decisions_over_either_protocol(plans: Plans) -> None:
     first, served_ = asyncio.run(traced(plans, [False] * BOXES, over_grpc=False))
     assert len([each for each in first if each[0] == "request"]) == len(plans)
-    for grpc, over_grpc in (([True] * BOXES, True), ([True] * BOXES, False), ([False] * BOXES, True),
-                            ([True, False, True], True)):
+    for grpc, over_grpc in (
+        ([True] * BOXES, True),
+        ([True] * BOXES, False),
+        ([False] * BOXES, True),
+        ([True, False, True], True),
+    ):
         assert asyncio.run(traced(plans, grpc, over_grpc)) == (first, served_)
 
 
 def test_one_id_asked_over_both_protocols_at_once_is_two_requests_that_each_get_their_answer() -> None:
     """As over two HTTP/1.1 connections: an id is the caller's, and each request is its own."""
+
     async def play() -> None:
         planned = Planned([("book", ("ok", "ok"))])
         boxes: list[Plain | Box] = [speaking(planned), Plain(planned)]
         for box in boxes:
             await box.listen()
-        members = (f'{{ address = "{boxes[0].address}", protocol = "grpc" }}, {{ address = "{boxes[1].address}" }}')
+        members = f'{{ address = "{boxes[0].address}", protocol = "grpc" }}, {{ address = "{boxes[1].address}" }}'
         async with served(f"[pools.a]\nmembers = [{members}]\n{ROUTES}", HTTP2) as up:
             caller, client = await Caller().connect(HOST, up.port()), await up.client()
             over_grpc, over_http = await asyncio.gather(
                 caller.call("/book/Do", b"x", metadata=[("x-request-id", "0")]),
-                client.ask(ask("POST", "/book/Do", b"x", X_Request_ID="0")))
+                client.ask(ask("POST", "/book/Do", b"x", X_Request_ID="0")),
+            )
             assert (over_grpc.status, over_grpc.ends, status(over_http)) == (0, 1, 200)
             caller.close()
         for box in boxes:
--- a/tests/daemon/test_settings_change.py
+++ b/tests/daemon/test_settings_change.py
@@ -28,17 +28,18 @@
 def changed(**rows: dict[str, Any] | None) -> dict[str, Any]:
     """The usual settings with other classes: by name what is other in them, None to drop one."""
     wire = copy.deepcopy(WIRE)
-    kept = [row | (rows[row["Name"]] or {}) if row["Name"] in rows else row
-            for row in wire["Services"] if rows.get(row["Name"], {}) is not None]
+    kept = [
+        row | (rows[row["Name"]] or {}) if row["Name"] in rows else row
+        for row in wire["Services"]
+        if rows.get(row["Name"], {}) is not None
+    ]
     for row in WIRE["Services"]:
         rows.pop(row["Name"], None)
     kept += [WIRE["Services"][0] | {"Name": name} | (row or {}) for name, row in rows.items() if row is not None]
     return wire | {"Services": kept}
 
 
-def test_an_open_request_keeps_its_class_when_that_is_dropped(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_an_open_request_keeps_its_class_when_that_is_dropped(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def play() -> None:
         async with backend(lambda _: None) as one, running([entry("s-1", one.address)], wire=PART) as up:
             client = await up.client()
@@ -108,10 +109,18 @@
     asyncio.run(play())
 
 
-BROKEN = [b"", b"{", b"null", {}, changed(read={"HardLimit": 0}), changed(read={"HardLimit": -1}),
-          changed(book={"Aim": None}), changed(book={"Name": "read"}),
-          WIRE | {"Bounds": WIRE["Bounds"] | {"MaxAttempts": 0}},
-          {key: value for key, value in WIRE.items() if key != "Rules"}]
+BROKEN = [
+    b"",
+    b"{",
+    b"null",
+    {},
+    changed(read={"HardLimit": 0}),
+    changed(read={"HardLimit": -1}),
+    changed(book={"Aim": None}),
+    changed(book={"Name": "read"}),
+    WIRE | {"Bounds": WIRE["Bounds"] | {"MaxAttempts": 0}},
+    {key: value for key, value in WIRE.items() if key != "Rules"},
+]
 
 
 @pytest.mark.parametrize("wire", BROKEN, ids=range(len(BROKEN)))
@@ -149,5 +158,3 @@
             assert status(await client.ask(read(3, X_Priority_Class="c28"))) == 400
 
     asyncio.run(play())
-
-
--- a/tests/daemon/test_state.py
+++ b/tests/daemon/test_state.py
@@ -81,8 +81,16 @@
     async def play() -> None:
         async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, watches() as registry:
             text = f'[pools.a]\nwatch = "{HOST}:{registry.port}"\n' + ALL
-            row = {"name": "x", "address": one.address, "zone": "kingston-main-a", "type": "large-one", "group": 0,
-                   "status": "in_service", "weight": 1.0, "since_ms": 0}
+            row = {
+                "name": "x",
+                "address": one.address,
+                "zone": "kingston-main-a",
+                "type": "large-one",
+                "group": 0,
+                "status": "in_service",
+                "weight": 1.0,
+                "since_ms": 0,
+            }
             async with keeping(tmp_path, text) as up:
                 await soon(registry.asked.get())
                 registry.say(5, [row], snapshot=True)
@@ -93,9 +101,13 @@
                 assert one.got.qsize() == 6
                 await soon(registry.asked.get())
                 registry.say(6, [row | {"name": "y", "address": two.address}], snapshot=True)
-                await until(lambda: len(up.daemon.stations["a"].pool.backends) == 1
-                            and up.daemon.stations["a"].pool.backends.popitem()[1].address[1]
-                            == int(two.address.split(":")[1]))
+                await until(
+                    lambda: (
+                        len(up.daemon.stations["a"].pool.backends) == 1
+                        and up.daemon.stations["a"].pool.backends.popitem()[1].address[1]
+                        == int(two.address.split(":")[1])
+                    )
+                )
 
     asyncio.run(play())
 
@@ -263,9 +275,23 @@
     async def play() -> None:
         async with backend(lambda _: OK) as one:
             listed = tmp_path / "list.json"
-            listed.write_text(json.dumps({"endpoints": [
-                {"name": "x", "address": one.address, "zone": "", "group": 0, "status": "in_service", "weight": 1.0,
-                 "since_ms": 0}]}))
+            listed.write_text(
+                json.dumps(
+                    {
+                        "endpoints": [
+                            {
+                                "name": "x",
+                                "address": one.address,
+                                "zone": "",
+                                "group": 0,
+                                "status": "in_service",
+                                "weight": 1.0,
+                                "since_ms": 0,
+                            }
+                        ]
+                    }
+                )
+            )
             text = f'[pools.a]\nfile = "{listed}"\n' + ALL
             folder = tmp_path / "kept"
             folder.mkdir()
@@ -287,8 +313,13 @@
 def test_two_backends_with_one_name_in_two_pools_are_told_apart(tmp_path: Path) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, backend(lambda _: OK) as two:
-            text = "".join(f'[pools.{name}]\nmembers = [{{ name = "x", address = "{box.address}" }}]\n'
-                           for name, box in (("a", one), ("b", two))) + ALL
+            text = (
+                "".join(
+                    f'[pools.{name}]\nmembers = [{{ name = "x", address = "{box.address}" }}]\n'
+                    for name, box in (("a", one), ("b", two))
+                )
+                + ALL
+            )
             async with keeping(tmp_path, text) as up:
                 await asked(up, 5)
             async with keeping(tmp_path, text) as up:
@@ -307,10 +338,15 @@
             probe.bind((HOST, 0))
             port = int(probe.getsockname()[1])
         file = tmp_path / "f.toml"
-        file.write_text(HEAD.replace("127.0.0.1:0", f"{HOST}:{port}") + '[state]\nfolder = "kept"\nevery = "500ms"\n'
-                        + pool("a", one.address) + ALL)
-        return subprocess.Popen([sys.executable, "-m", "lugspur", "run", str(file)], cwd=ROOT, text=True,
-                                stderr=subprocess.PIPE), port
+        file.write_text(
+            HEAD.replace("127.0.0.1:0", f"{HOST}:{port}")
+            + '[state]\nfolder = "kept"\nevery = "500ms"\n'
+            + pool("a", one.address)
+            + ALL
+        )
+        return subprocess.Popen(
+            [sys.executable, "-m", "lugspur", "run", str(file)], cwd=ROOT, text=True, stderr=subprocess.PIPE
+        ), port
 
     async def ask_of(port: int) -> None:
         async with asyncio.timeout(20.0):
@@ -352,15 +388,20 @@
         "    await kept.open()\n"
         "    print(kept.of('a')[0] is not None, flush=True)\n"
         "    os._exit(1)\n"
-        "asyncio.run(play())\n")
+        "asyncio.run(play())\n"
+    )
 
     async def play() -> None:
         async with backend(lambda _: OK) as one, keeping(folder, pool("a", one.address) + ALL) as up:
             await asked(up, 2)
 
     asyncio.run(play())
-    told = [subprocess.run([sys.executable, "-c", program, str(tmp_path / "f.toml")], cwd=ROOT, text=True,
-                           capture_output=True).stdout.strip() for _ in range(4)]
+    told = [
+        subprocess.run(
+            [sys.executable, "-c", program, str(tmp_path / "f.toml")], cwd=ROOT, text=True, capture_output=True
+        ).stdout.strip()
+        for _ in range(4)
+    ]
     assert told == ["True", "True", "False", "False"]
 
 
@@ -371,7 +412,8 @@
         "import asyncio, sys\nfrom lugspur.config.load import load\nfrom lugspur.daemon.run import Running\n"
         "async def play():\n    running = Running(sys.argv[1])\n    await running.start(load(sys.argv[1]))\n"
         "    await running.stop()\nasyncio.run(play())\n"
-        "print([name for name in sys.modules if name.startswith('lugspur.state') or 'remembering' in name])\n")
+        "print([name for name in sys.modules if name.startswith('lugspur.state') or 'remembering' in name])\n"
+    )
     done = subprocess.run([sys.executable, "-c", program, str(file)], cwd=ROOT, text=True, capture_output=True)
     assert done.stdout.strip() == "[]"
 
--- a/tests/daemon/test_terms.py
+++ b/tests/daemon/test_terms.py
@@ -69,8 +69,14 @@
 
 
 CLASSES = st.builds(
-    RequestClass, st.sampled_from(["a", "b", "c"]), st.just(1.0), st.just(2.0), st.sampled_from(Repeat),
-    st.sampled_from(Group), st.sampled_from([1.0, 5.0]))
+    RequestClass,
+    st.sampled_from(["a", "b", "c"]),
+    st.just(1.0),
+    st.just(2.0),
+    st.sampled_from(Repeat),
+    st.sampled_from(Group),
+    st.sampled_from([1.0, 5.0]),
+)
 FILES = st.lists(CLASSES, min_size=1, max_size=3, unique_by=lambda row: row.name)
 
 
--- a/tests/daemonic.py
+++ b/tests/daemonic.py
@@ -38,7 +38,7 @@
 def pool(name: str, *addresses: str, more: str = "") -> str:
     """A pool of fixed members."""
     members = ", ".join(f'{{ address = "{address}" }}' for address in addresses)
-    return f"[pools.{name}]\nmembers = [{members}]\nconnect = \"5s\"\n{more}\n"
+    return f'[pools.{name}]\nmembers = [{members}]\nconnect = "5s"\n{more}\n'
 
 
 def route(name: str, path: str, more: str) -> str:
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -48,8 +48,14 @@
         how: Counter[str] = Counter()
         rng = Random(seed)
 
-        def ask(n: int, left: float, clock: Clock = clock, world: World = world, ends: Counter[int] = ends,
-                how: Counter[str] = how) -> None:
+        def ask(
+            n: int,
+            left: float,
+            clock: Clock = clock,
+            world: World = world,
+            ends: Counter[int] = ends,
+            how: Counter[str] = how,
+        ) -> None:
             due = clock.now + left
 
             def done(end: str) -> None:
@@ -86,7 +92,10 @@
     picture = tmp_path / "joining.svg"
     done = subprocess.run(
         [sys.executable, "-m", "lugspur.emulator", "joining", "--reads", "300", "--plot", str(picture)],
-        capture_output=True, text=True, check=True)
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     assert done.stdout.count("\n") == 2 + len(joining.WAYS) * len(joining.LOADS)
     assert "joined within 100 ms" in picture.read_text()
 
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -169,9 +169,12 @@
     fleet.settle()
     fleet.all()[fleet.address(2)].tell(fleet.network.now, Facts("z", "1", 0.0, draining=True))
     fleet.network.turn(fleet.address(2))
-    fleet.network.until(lambda: all(
-        machine.members["m2"].record.facts.draining for at, machine in fleet.all().items() if at != fleet.address(2)),
-        PERIODS)
+    fleet.network.until(
+        lambda: all(
+            machine.members["m2"].record.facts.draining for at, machine in fleet.all().items() if at != fleet.address(2)
+        ),
+        PERIODS,
+    )
 
 
 def test_dead_seeds_and_a_wrong_fleet_leave_it_alone_and_cost_little() -> None:
@@ -222,8 +225,11 @@
     for _ in range(20):
         lie()
         fleet.network.run(0.5)
-    deaths = {(change.record.name, who) for when, who, change in fleet.changes
-              if when >= began and change.record.status is Status.DEAD and change.record.by != "m7"}
+    deaths = {
+        (change.record.name, who)
+        for when, who, change in fleet.changes
+        if when >= began and change.record.status is Status.DEAD and change.record.by != "m7"
+    }
     assert not deaths
     fleet.settle(PERIODS)
 
@@ -264,8 +270,11 @@
     fleet.network.run(20.0)
     fleet.start(2)
     fleet.network.run(5.0)
-    seen = [(change.cause, Status(change.record.status)) for _, who, change in fleet.changes
-            if who == "m0" and change.record.name == "m2"]
+    seen = [
+        (change.cause, Status(change.record.status))
+        for _, who, change in fleet.changes
+        if who == "m0" and change.record.name == "m2"
+    ]
     causes = [cause for cause, _ in seen]
     assert causes[0] in ("came", "heard of") and "started anew" in causes
     assert [state for _, state in seen if state in (Status.SUSPECT, Status.DEAD)][-1] is Status.DEAD
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -18,6 +18,7 @@
     folder: Path, what: Callable[[Rig], Awaitable[None]], count: int = 4, least: int = 1, memory: bool = True
 ) -> None:
     """Let something happen in a fleet; at most one may have held the duty at a time, which changed hands so often."""
+
     async def run() -> None:
         async with Rig(folder, count, memory=memory) as rig:
             await rig.agree()
@@ -104,8 +105,11 @@
 def test_a_holder_that_is_cut_off_gives_up_before_another_begins(tmp_path: Path, way: str) -> None:
     async def what(rig: Rig) -> None:
         holder = await rig.holder()
-        rig.cut = {"both": lambda a, b: (a == holder) != (b == holder), "mute": lambda a, b: a == holder,
-                   "deaf": lambda a, b: b == holder}[way]
+        rig.cut = {
+            "both": lambda a, b: (a == holder) != (b == holder),
+            "mute": lambda a, b: a == holder,
+            "deaf": lambda a, b: b == holder,
+        }[way]
         await another(rig, holder)
         assert await rig.holders([holder]) == []
         rig.cut = lambda origin, to: False
@@ -239,8 +243,13 @@
             await rig.kill(0)
             (member.folder / "promises" / "promises").write_bytes(b"{}")
             done = await asyncio.to_thread(
-                subprocess.run, [sys.executable, "-m", "lugspur", "run", str(member.folder / "file.toml")],
-                capture_output=True, text=True, timeout=WITHIN, check=False)
+                subprocess.run,
+                [sys.executable, "-m", "lugspur", "run", str(member.folder / "file.toml")],
+                capture_output=True,
+                text=True,
+                timeout=WITHIN,
+                check=False,
+            )
             assert done.returncode == 1
             assert "promises can't be read: its checksum is wrong" in done.stderr
 
@@ -255,8 +264,13 @@
         async def command(number: int, *words: str) -> subprocess.CompletedProcess[str]:
             at = ["--at", f"127.0.0.1:{rig.members[number].management}"]
             return await asyncio.to_thread(
-                subprocess.run, [sys.executable, "-m", "lugspur", "fleet", words[0], *at, *words[1:]],
-                capture_output=True, text=True, timeout=WITHIN, check=False)
+                subprocess.run,
+                [sys.executable, "-m", "lugspur", "fleet", words[0], *at, *words[1:]],
+                capture_output=True,
+                text=True,
+                timeout=WITHIN,
+                check=False,
+            )
 
         shown = await command(holder, "show")
         assert all(f"m{number}" in shown.stdout for number in range(3)) and DUTY in shown.stdout
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -76,18 +76,44 @@
 
 
 def _raw(**changed: object) -> bytes:
-    fields = {"name": "a", "life": 1, "incarnation": 1, "host": "127.0.0.1", "port": 1, "status": 0, "by": "",
-              "facts": ["", "", 0.0, False, 0.0]} | changed
+    fields = {
+        "name": "a",
+        "life": 1,
+        "incarnation": 1,
+        "host": "127.0.0.1",
+        "port": 1,
+        "status": 0,
+        "by": "",
+        "facts": ["", "", 0.0, False, 0.0],
+    } | changed
     return msgspec.msgpack.encode(["me", 1, "", [5, [list(fields.values())]]])
 
 
-@pytest.mark.parametrize("changed", [
-    {"name": ""}, {"name": "a" * (NAME_MOST + 1)}, {"name": "a b"}, {"name": "a\n"}, {"life": -1}, {"life": 1 << 60},
-    {"incarnation": 1 << 53}, {"incarnation": 1.5}, {"host": "example.org"}, {"port": 0}, {"port": 1 << 16},
-    {"status": 4}, {"status": -1}, {"facts": ["", "", float("nan"), False, 0.0]},
-    {"facts": ["", "", 0.0, False, float("inf")]}, {"facts": ["", "", 0.0, False, float("nan")]},
-    {"facts": ["", "", 0.0, False, -1.0]}, {"facts": ["z" * 33, "", 0.0, False, 0.0]}, {"facts": []}, {"facts": None},
-])
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"name": ""},
+        {"name": "a" * (NAME_MOST + 1)},
+        {"name": "a b"},
+        {"name": "a\n"},
+        {"life": -1},
+        {"life": 1 << 60},
+        {"incarnation": 1 << 53},
+        {"incarnation": 1.5},
+        {"host": "example.org"},
+        {"port": 0},
+        {"port": 1 << 16},
+        {"status": 4},
+        {"status": -1},
+        {"facts": ["", "", float("nan"), False, 0.0]},
+        {"facts": ["", "", 0.0, False, float("inf")]},
+        {"facts": ["", "", 0.0, False, float("nan")]},
+        {"facts": ["", "", 0.0, False, -1.0]},
+        {"facts": ["z" * 33, "", 0.0, False, 0.0]},
+        {"facts": []},
+        {"facts": None},
+    ],
+)
 def test_absurd_values_are_garbage(changed: dict[str, object]) -> None:
     wire = Wire("edge")
     head = wire.encode(Packet("a", 1, "", MESSAGES[0]))[:HEAD]
--- a/tests/grpcpeers.py
+++ b/tests/grpcpeers.py
@@ -13,10 +13,13 @@
 from lugspur.standins.grpc.script import Script
 
 HTTP2 = HEAD.replace('address = "127.0.0.1:0"', 'address = "127.0.0.1:0"\nhttp2 = true')
-ROUTES = "".join((
-    route("book", "/book/*", 'pool = "a"\nclass = "book"'), route("once", "/once/*", 'pool = "a"\nclass = "once"'),
-    route("read", "/*", 'pool = "a"\nclass = "read"'),
-))
+ROUTES = "".join(
+    (
+        route("book", "/book/*", 'pool = "a"\nclass = "book"'),
+        route("once", "/once/*", 'pool = "a"\nclass = "once"'),
+        route("read", "/*", 'pool = "a"\nclass = "read"'),
+    )
+)
 Work = Callable[[Call, Script], Awaitable[None]]
 
 
@@ -41,15 +44,23 @@
 
 @asynccontextmanager
 async def boxed(
-    count: int = 1, work: Work = scripted, more: str = "", text: str = ROUTES, head: str = HTTP2, streams: int = 100,
-    window: int = 65_535, others: tuple[str, ...] = (),
+    count: int = 1,
+    work: Work = scripted,
+    more: str = "",
+    text: str = ROUTES,
+    head: str = HTTP2,
+    streams: int = 100,
+    window: int = 65_535,
+    others: tuple[str, ...] = (),
 ) -> AsyncIterator[World]:
     """A daemon whose pool `a` has so many gRPC boxes, and HTTP/1.1 ones at the addresses `others`."""
     boxes = [Box(work, streams, window) for _ in range(count)]
     for box in boxes:
         await box.listen()
-    members = [*(f'{{ address = "{box.address}", protocol = "grpc" }}' for box in boxes),
-               *(f'{{ address = "{address}" }}' for address in others)]
+    members = [
+        *(f'{{ address = "{box.address}", protocol = "grpc" }}' for box in boxes),
+        *(f'{{ address = "{address}" }}' for address in others),
+    ]
     listed = pool("a", more=more).replace("members = []", f"members = [{', '.join(members)}]")
     async with served(listed + text, head) as up:
         world = World(up, boxes)
--- a/tests/guard/test_limiter.py
+++ b/tests/guard/test_limiter.py
@@ -168,8 +168,10 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.floats(0.0, 1.0), st.floats(0.0, 2.0), st.integers(0, 40)), min_size=1, max_size=60),
-       st.floats(0.0, 1.0))
+@given(
+    st.lists(st.tuples(st.floats(0.0, 1.0), st.floats(0.0, 2.0), st.integers(0, 40)), min_size=1, max_size=60),
+    st.floats(0.0, 1.0),
+)
 def test_whatever_is_felt_changes_stay_bounded(steps: list[tuple[float, float, int]], memory: float) -> None:
     """A clock that leaps, waits of any length, bursts: the limit moves by a bounded part, and shares are parts."""
     limiter = Limiter([3.0, 1.0], 0.0)
--- a/tests/handover/test_keeper.py
+++ b/tests/handover/test_keeper.py
@@ -52,6 +52,7 @@
 
 def took(says: Any) -> tuple[bool, int]:
     """Whether an estate was taken where the old process does this; and the links that are left."""
+
     async def play() -> tuple[bool, int]:
         old = Old()
         keeper = Keeper(ADDRESS)
@@ -75,12 +76,14 @@
 
 def with_socket(packets: list[bytes]) -> Any:
     """Say these, the last with a listening socket."""
+
     def say(one: socket.socket) -> None:
         with socket.socket() as listener:
             listener.bind((HOST, 0))
             for packet in packets[:-1]:
                 one.send(packet)
             socket.send_fds(one, [packets[-1]], [listener.fileno()])
+
     return say
 
 
@@ -89,16 +92,20 @@
     assert took(with_socket(PARTS)) == (True, 1)
 
 
-@pytest.mark.parametrize("says", [
-    lambda one: one.close(),
-    lambda one: one.send(b"nonsense"),
-    lambda one: one.send(b"x" * (PACKET_MOST + 5000)),
-    lambda one: one.send(pack({"t": "no", "why": "another version"})),
-    lambda one: one.send(PARTS[0]),  # whole, and no socket comes with it
-    lambda one: one.send(pack({"t": "estate", "n": 3, "of": 9, "part": ""})),
-    lambda one: one.send(pack({"t": "estate", "n": 0, "of": 10**9, "part": ""})),
-    with_socket(NEWER),
-], ids=range(8))
+@pytest.mark.parametrize(
+    "says",
+    [
+        lambda one: one.close(),
+        lambda one: one.send(b"nonsense"),
+        lambda one: one.send(b"x" * (PACKET_MOST + 5000)),
+        lambda one: one.send(pack({"t": "no", "why": "another version"})),
+        lambda one: one.send(PARTS[0]),  # whole, and no socket comes with it
+        lambda one: one.send(pack({"t": "estate", "n": 3, "of": 9, "part": ""})),
+        lambda one: one.send(pack({"t": "estate", "n": 0, "of": 10**9, "part": ""})),
+        with_socket(NEWER),
+    ],
+    ids=range(8),
+)
 def test_what_is_no_estate_means_a_start_from_nothing(says: Any) -> None:
     assert NEWER != PARTS
     assert took(says) == (False, 0)
@@ -157,8 +164,15 @@
         async with backend(lambda _: OK) as one, running([entry("s-1", one.address)]) as up:
             keeper = await serving(up)
             folder_, name = place(ADDRESS)
-            for packet in (b"nonsense", pack({"t": "ban", "id": 7}), pack({"t": "ids", "begun": 5}), b"x" * 60_000,
-                           pack({"t": "caller"}), pack({"t": "hello", "version": 9}), pack({"t": "hello"})):
+            for packet in (
+                b"nonsense",
+                pack({"t": "ban", "id": 7}),
+                pack({"t": "ids", "begun": 5}),
+                b"x" * 60_000,
+                pack({"t": "caller"}),
+                pack({"t": "hello", "version": 9}),
+                pack({"t": "hello"}),
+            ):
                 came = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
                 with short(folder_) as path:
                     came.connect(f"{path}/{name}")
--- a/tests/handover/test_messages.py
+++ b/tests/handover/test_messages.py
@@ -45,11 +45,18 @@
 
 def estate(names: list[str], **changed: Any) -> Estate:
     servers = [server_id(name) for name in names]
-    rows = [Endpoint(ServerRow(server, State.UP, 1, 2, 1.5, 3.25, 0), ("127.0.0.1", 80 + n), n % 2 == 1)
-            for n, server in enumerate(servers)]
+    rows = [
+        Endpoint(ServerRow(server, State.UP, 1, 2, 1.5, 3.25, 0), ("127.0.0.1", 80 + n), n % 2 == 1)
+        for n, server in enumerate(servers)
+    ]
     values: dict[str, Any] = {
-        "index": 41, "endpoints": rows, "bans": Bans(servers, servers[:1], dict.fromkeys(servers[1:2], 7.5)),
-        "drained": True, "open": [b"id1", b"id2"], "learned": LEARNED}
+        "index": 41,
+        "endpoints": rows,
+        "bans": Bans(servers, servers[:1], dict.fromkeys(servers[1:2], 7.5)),
+        "drained": True,
+        "open": [b"id1", b"id2"],
+        "learned": LEARNED,
+    }
     return Estate(**(values | changed))
 
 
@@ -83,21 +90,40 @@
     return orjson.dumps(orjson.loads(text) | change).decode()
 
 
-@pytest.mark.parametrize("change", [
-    {"version": 2}, {"version": None}, {"endpoints": [["a"]]}, {"endpoints": None}, {"index": "x"}, {"learned": {}},
-    {"floors": []}, {"listed": [1]}, {"open": [7]},
-    {"endpoints": [["a", "often", 0, 0, 1.0, 0.0, 0, "h", 1, False]]},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 2},
+        {"version": None},
+        {"endpoints": [["a"]]},
+        {"endpoints": None},
+        {"index": "x"},
+        {"learned": {}},
+        {"floors": []},
+        {"listed": [1]},
+        {"open": [7]},
+        {"endpoints": [["a", "often", 0, 0, 1.0, 0.0, 0, "h", 1, False]]},
+    ],
+)
 def test_an_estate_that_makes_no_sense_is_foreign(change: dict[str, Any]) -> None:
     with pytest.raises(Foreign):
         read_estate(spoilt(change))
 
 
-@pytest.mark.parametrize("message", [
-    {}, {"n": 1, "of": 2, "part": ""}, {"n": 0, "of": PARTS_MOST + 1, "part": ""}, {"n": 0, "of": 1, "part": 5},
-    {"n": 0, "of": 1, "part": "x" * (1 << 20)}, {"n": 0, "of": 0, "part": ""}, {"n": "0", "of": 1, "part": "{}"},
-    {"n": 0, "of": 1, "part": "{}"}, {"n": 0, "of": 1, "part": "null"},
-])
+@pytest.mark.parametrize(
+    "message",
+    [
+        {},
+        {"n": 1, "of": 2, "part": ""},
+        {"n": 0, "of": PARTS_MOST + 1, "part": ""},
+        {"n": 0, "of": 1, "part": 5},
+        {"n": 0, "of": 1, "part": "x" * (1 << 20)},
+        {"n": 0, "of": 0, "part": ""},
+        {"n": "0", "of": 1, "part": "{}"},
+        {"n": 0, "of": 1, "part": "{}"},
+        {"n": 0, "of": 1, "part": "null"},
+    ],
+)
 def test_parts_that_do_not_fit_are_foreign(message: dict[str, Any]) -> None:
     with pytest.raises(Foreign):
         Parts().add(message)
--- a/tests/handover/test_replacement.py
+++ b/tests/handover/test_replacement.py
@@ -29,9 +29,14 @@
         self.ports: list[int] = []
         self.processes: list[asyncio.subprocess.Process] = []
         self.raw: dict[str, Any] = {
-            "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:9", "seed": "1",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": WIRE,
-            "known": {"index": 7, "snapshot": True, "endpoints": entries}}
+            "name": "n0",
+            "listen": f"{HOST}:{self.port}",
+            "discovery": f"{HOST}:9",
+            "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "settings": WIRE,
+            "known": {"index": 7, "snapshot": True, "endpoints": entries},
+        }
 
     async def start(self, **changed: Any) -> int:
         """One more process: its second address, once it says yes."""
@@ -43,7 +48,8 @@
         environment = os.environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(temp)}
         with open(self.folder / "log", "ab") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lugspur", cwd=ROOT, env=environment, stderr=log)
+                sys.executable, "-m", "lugspur", cwd=ROOT, env=environment, stderr=log
+            )
         self.processes.append(process)
         self.ports.append(port)
         async with asyncio.timeout(WIDE):
@@ -390,8 +396,16 @@
                     await up.end()
                 else:
                     assert await call(up.ports[0], "POST", f"/{act}") == 200
-                calls = [call(port, *what) for port in up.ports for what in (
-                    ("GET", "/ready"), ("POST", "/backends/disable", "s-9"), ("POST", "/undrain"), ("GET", "/none"))]
+                calls = [
+                    call(port, *what)
+                    for port in up.ports
+                    for what in (
+                        ("GET", "/ready"),
+                        ("POST", "/backends/disable", "s-9"),
+                        ("POST", "/undrain"),
+                        ("GET", "/none"),
+                    )
+                ]
                 assert await soon(asyncio.gather(*calls)) == [200, 404, 200, 404] * len(up.ports)
             over = True
             await soon(asyncio.gather(*clients))
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -93,9 +93,7 @@
         if (how is Outcome.OK or owed.begun) and not owed.ended:
             owed.finals += 1
             owed.ended = True
-        self.apply(
-            self.balancer.outcome(self.now, rid, number, how, self.now - attempt.sent, owed.ended)
-        )
+        self.apply(self.balancer.outcome(self.now, rid, number, how, self.now - attempt.sent, owed.ended))
 
     def leave(self, rid: str) -> None:
         owed = self.owed[rid]
@@ -114,8 +112,7 @@
     def advance(self, span: float) -> None:
         target = self.now + span
         while True:
-            due = [(t.until, 0, rid, n) for rid, o in self.owed.items()
-                   for n, t in enumerate(o.tries) if t.how is None]
+            due = [(t.until, 0, rid, n) for rid, o in self.owed.items() for n, t in enumerate(o.tries) if t.how is None]
             due += [(at, 1, "", token) for at, token in self.timers]
             due = [d for d in due if d[0] <= target]
             if not due:
--- a/tests/hive/test_cli.py
+++ b/tests/hive/test_cli.py
@@ -12,8 +12,14 @@
 
 
 def run(*words: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "lugspur.hive", *words], cwd=ROOT, capture_output=True, text=True,
-                          check=False, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "lugspur.hive", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
 
 
 def test_operators_see_and_change_a_mesh_and_see_it_without_a_majority(tmp_path: Path) -> None:
@@ -42,6 +48,7 @@
             assert unread.returncode == 2 and "no-quorum" in unread.stderr
         finally:
             await mesh.close()
+
     asyncio.run(what())
 
 
--- a/tests/hive/test_disk.py
+++ b/tests/hive/test_disk.py
@@ -68,4 +68,5 @@
         assert found[b"epoch"] == b"2" and found[b"claim"] == b"x" and b"gone" not in found
         assert found[b"a"] == b"3"
         disk.close(5.0)
+
     asyncio.run(run())
--- a/tests/hive/test_folder.py
+++ b/tests/hive/test_folder.py
@@ -27,9 +27,13 @@
 def keep(folder: Path) -> None:
     """What a seat has written after a configuration, a claim and an answer."""
     seat = Comb("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, Ledger())
-    effects = [seat.begin(SEATS), seat.put(None, Put(1, 1, read_call(CALL))),
-               seat.claim(0.0, None, Claim(b"k", b"a", 1, 2.0)), seat.claim(0.0, None, Claim(b"l", b"b", 1, 2.0)),
-               seat.done(1.0, Done(b"k", b"a", Answer(200, b"", b"hi")))]
+    effects = [
+        seat.begin(SEATS),
+        seat.put(None, Put(1, 1, read_call(CALL))),
+        seat.claim(0.0, None, Claim(b"k", b"a", 1, 2.0)),
+        seat.claim(0.0, None, Claim(b"l", b"b", 1, 2.0)),
+        seat.done(1.0, Done(b"k", b"a", Answer(200, b"", b"hi"))),
+    ]
     put(folder, [row for effect in effects for row in effect.write])
 
 
@@ -42,7 +46,8 @@
 
 
 def test_a_folder_is_shown_and_its_items_can_be_brought_to_another_mesh(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     keep(tmp_path)
     found = told(look(tmp_path))
     assert (found["uid"], found["epoch"], found["full"], found["claims"], found["answers"]) == (GENESIS, 1, True, 2, 1)
@@ -115,4 +120,5 @@
         assert again.rows() == [(b"muid", b"new")] and not again.damaged
         again.start()
         again.close(5.0)
+
     asyncio.run(run())
--- a/tests/hive/test_forager.py
+++ b/tests/hive/test_forager.py
@@ -94,6 +94,7 @@
             done = what(Rig(**settings))
             if done is not None:
                 await done
+
     asyncio.run(run())
 
 
@@ -108,19 +109,28 @@
         assert 0.25 < forward.left <= 0.3 and forward.backend == "i-" + ip[-1]
         rig.reply(End.ANSWERED, OK)
         assert caller.answers == [(200, OK.head, b"hi")] and not rig.forager.flights
+
     play(what)
 
 
-@pytest.mark.parametrize(("target", "headers", "status"), [
-    (b"/other/", {}, 404), (b"/r/1", {"host": "b.example"}, 404), (b"/r/1", {"lugspur_attempt_id": ""}, 400),
-    (b"/r/1", {"lugspur_attempt_id": "a, b"}, 400), (b"/r/1", {"lugspur_deliver_by_ms": "soon"}, 400),
-    (b"/r/1", {"lugspur_deliver_by_ms": "0"}, 504), (b"r/1", {}, 400),
-    (b"/r/1", {"lugspur_attempt_id": "x" * 300}, 400),
-])
+@pytest.mark.parametrize(
+    ("target", "headers", "status"),
+    [
+        (b"/other/", {}, 404),
+        (b"/r/1", {"host": "b.example"}, 404),
+        (b"/r/1", {"lugspur_attempt_id": ""}, 400),
+        (b"/r/1", {"lugspur_attempt_id": "a, b"}, 400),
+        (b"/r/1", {"lugspur_deliver_by_ms": "soon"}, 400),
+        (b"/r/1", {"lugspur_deliver_by_ms": "0"}, 504),
+        (b"r/1", {}, 400),
+        (b"/r/1", {"lugspur_attempt_id": "x" * 300}, 400),
+    ],
+)
 def test_what_may_not_go_on_is_answered_here(target: bytes, headers: dict[str, str], status: int) -> None:
     def what(rig: Rig) -> None:
         caller = rig.ask(target, **headers)
         assert [answer[0] for answer in caller.answers] == [status] and not rig.sent
+
     play(what)
 
 
@@ -134,6 +144,7 @@
         rig.reply(End.NOT_RUN, sent=False)
         [(status, head, _)] = caller.answers
         assert status == 503 and b"Retry-After: " in head  # at once, and when to come back
+
     play(what, kind=kind, tries=1, slack=0.0)
 
 
@@ -167,6 +178,7 @@
         rig.reply(End.MAYBE)
         rig.reply(End.NOT_RUN)
         assert [answer[0] for answer in caller.answers] == [502]
+
     play(what)
 
 
@@ -177,6 +189,7 @@
         assert len(rig.sent) == 2
         rig.reply(End.ANSWERED, BROKE)
         assert caller.answers == [(500, BROKE.head, b"no")]
+
     play(what)
 
 
@@ -192,6 +205,7 @@
                 rank.breakers.clear()  # what is tried here is the budget alone
         further = len(rig.sent) - 100
         assert 10 <= further <= 0.5 * (0.2 * 100 + 20.0 / 2) + 1  # its part of half of what the rules allow
+
     play(what, tries=2)
 
 
@@ -204,16 +218,19 @@
         assert rig.sent[0][1].key == b"k" and rig.sent[0][1].by == b"t1"
         rig.reply(End.ANSWERED, OK)
         assert caller.answers[0][0] == 200 and not rig.released
+
     play(what, kind="tracked")
 
 
-@pytest.mark.parametrize(("how", "status"), [
-    (Known(OK), 200), (Taken(True), 409), (Taken(False), 503), (Unsettled(), 503)])
+@pytest.mark.parametrize(
+    ("how", "status"), [(Known(OK), 200), (Taken(True), 409), (Taken(False), 503), (Unsettled(), 503)]
+)
 def test_a_repeat_gets_the_first_ones_answer_or_is_told_how_that_stands(how: Settled, status: int) -> None:
     def what(rig: Rig) -> None:
         caller = rig.ask(lugspur_operation_key="k")
         rig.claimed[0][1](how)
         assert caller.answers[0][0] == status and not rig.sent
+
     play(what, kind="tracked")
 
 
@@ -252,6 +269,7 @@
         assert caller.gone is not None
         caller.gone()
         assert rig.cancelled == ([] if rig.claimed else [0])
+
     play(what)
     play(what, kind="tracked")
 
@@ -265,6 +283,7 @@
         while not caller.answers:
             await asyncio.sleep(0.01)
         assert caller.answers[0][0] == 504 and len(rig.sent) == 2 and len(rig.cancelled) == 2
+
     play(what)
 
 
@@ -287,6 +306,7 @@
             counts[rig.sent[-1][0]] += 1
             rig.reply(End.ANSWERED, OK)
         assert counts["10.0.0.0"] == 60 and min(counts.values()) > 10
+
     play(what)
 
 
@@ -296,6 +316,7 @@
         assert rig.ask().answers[0][0] == 503
         rig.forager.members("s", {})
         assert rig.ask().answers[0][0] == 503
+
     play(what)
 
 
@@ -313,6 +334,7 @@
             rig.ask(b"/urgent/1")
             rig.reply(End.ANSWERED, OK)
         assert len(rig.sent) == before + 20
+
     play(what, slack=0.0)
 
 
@@ -327,6 +349,7 @@
         for _ in range(2000):  # callers give less than they did: what is usual is learned anew
             rig.ask(lugspur_deliver_by_ms="200")
         assert not rig.sent[-1][1].back
+
     play(what)
 
 
@@ -340,4 +363,5 @@
             told.append(float(caller.answers[0][1].split(b":")[1]))
         assert min(told) >= 0.09 and max(told) <= 0.168  # rounded: the route's deadline is half a second
         assert max(told) - min(told) > 0.03
+
     play(what)
--- a/tests/hive/test_gate.py
+++ b/tests/hive/test_gate.py
@@ -8,7 +8,7 @@
 from lugspur.hive.gate import End, Gate, Local
 from lugspur.hive.wire import Answer, Forward, Reply
 
-GOOD = (b"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: %b\r\nLugspur-Postmark: p\r\nContent-Length: 2\r\n\r\nhi")
+GOOD = b"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: %b\r\nLugspur-Postmark: p\r\nContent-Length: 2\r\n\r\nhi"
 
 
 class Scripted:
@@ -51,12 +51,23 @@
     return next(line[20:] for line in head.split(b"\r\n") if line.startswith(b"Lugspur-Attempt-Id: "))
 
 
-def forward(n: int, attempt: bytes = b"", left: float = 2.0, aim: float = 1.0, safe: bool = False,
-            key: bytes = b"", priority: int = 0, body: bytes = b"", route: str = "r", back: bool = False) -> Forward:
+def forward(
+    n: int,
+    attempt: bytes = b"",
+    left: float = 2.0,
+    aim: float = 1.0,
+    safe: bool = False,
+    key: bytes = b"",
+    priority: int = 0,
+    body: bytes = b"",
+    route: str = "r",
+    back: bool = False,
+) -> Forward:
     attempt = attempt or b"a%d" % n
     lines = [b"Host: h\r\n", b"Lugspur-Attempt-Id: %b\r\n" % attempt]
-    return Forward(n, "i-1", b"POST", b"/p?q=1", lines, body, left, aim, attempt, priority, safe, route, key, attempt,
-                   back)
+    return Forward(
+        n, "i-1", b"POST", b"/p?q=1", lines, body, left, aim, attempt, priority, safe, route, key, attempt, back
+    )
 
 
 class Rig:
@@ -81,6 +92,7 @@
     async def run() -> None:
         async with asyncio.timeout(10.0), Scripted(script) as backend:
             await what(Rig(backend), backend)
+
     asyncio.run(run())
 
 
@@ -95,6 +107,7 @@
         assert [key for key, _ in rig.done] == [b"k"]
         await rig.run(forward(2))
         assert backend.accepted == 1  # one connection serves what comes one after another
+
     play(lambda a: GOOD % a, what)
 
 
@@ -111,9 +124,18 @@
         b"coded": GOOD.replace(b"\r\n\r\n", b"\r\nContent-Encoding: gzip\r\n\r\n") % b"coded",
         b"nobody": b"HTTP/1.1 200 OK\r\nLugspur-Postmark: p\r\nContent-Length: 2\r\n\r\nhi",
     }
-    ends = {b"shed": End.NOT_RUN, b"other": End.NOT_RUN, b"own": End.ANSWERED, b"fails": End.ANSWERED,
-            b"cut": End.MAYBE, b"close": End.MAYBE, b"noise": End.MAYBE, b"bare": End.SPOILT, b"coded": End.SPOILT,
-            b"nobody": End.SPOILT}
+    ends = {
+        b"shed": End.NOT_RUN,
+        b"other": End.NOT_RUN,
+        b"own": End.ANSWERED,
+        b"fails": End.ANSWERED,
+        b"cut": End.MAYBE,
+        b"close": End.MAYBE,
+        b"noise": End.MAYBE,
+        b"bare": End.SPOILT,
+        b"coded": End.SPOILT,
+        b"nobody": End.SPOILT,
+    }
 
     async def what(rig: Rig, backend: Scripted) -> None:
         for n, (name, end) in enumerate(ends.items()):
@@ -126,6 +148,7 @@
         assert (reply.how, reply.sent) == (End.NOT_RUN, False) and len(rig.downs) == 1
         again = await rig.run(forward(100))  # until its next beat nobody is sent there
         assert (again.how, again.sent) == (End.NOT_RUN, False) and len(rig.downs) == 1
+
     play(lambda a: answers[a], what)
 
 
@@ -135,6 +158,7 @@
         assert reply.how == End.ANSWERED and reply.answer is not None and b"Attempt-Id: a1" in reply.answer.head
         await rig.run(forward(2))
         assert backend.accepted == 2  # a connection that brought one is not kept
+
     play(lambda a: GOOD % b"stray" + GOOD % a, what)
 
 
@@ -143,6 +167,7 @@
         for n in (1, 2, 3):
             reply = await rig.run(forward(n))
             assert reply.answer is not None and b"Attempt-Id: a%d" % n in reply.answer.head
+
     play(lambda a: GOOD % a + GOOD % b"extra", what)
 
 
@@ -161,6 +186,7 @@
         backend.hold.set()
         await asyncio.gather(*running, urgent, highest)
         assert [attempt_of(head) for head in backend.heads] == [b"a1", b"a2", b"a7", b"a5"]
+
     play(lambda a: GOOD % a, what)
 
 
@@ -175,6 +201,7 @@
         rig.gate.local = Local("i-2", "s", backend.address, now)
         assert (await rig.run(forward(3))).how == End.NOT_RUN
         assert len(backend.heads) == 1
+
     play(lambda a: GOOD % a, what)
 
 
@@ -192,6 +219,7 @@
         reply = await rig.run(forward(4))
         assert reply.how == End.ANSWERED and [attempt_of(h) for h in backend.heads] == [b"a1", b"a2", b"a4"]
         assert rig.gate.busy == 0
+
     play(lambda a: GOOD % a, what)
 
 
@@ -211,6 +239,7 @@
         backend.hold.set()
         await asyncio.gather(*running)
         assert (await waits[0]).how == End.ANSWERED
+
     play(lambda a: GOOD % a, what)
 
 
@@ -232,4 +261,5 @@
         backend.hold.set()
         ends = await asyncio.gather(*running, back, short)
         assert {reply.how for reply in ends} == {End.ANSWERED}
+
     play(lambda a: GOOD % a, what)
--- a/tests/hive/test_hand.py
+++ b/tests/hive/test_hand.py
@@ -58,6 +58,7 @@
         what(hand)
         for dialler in hand.peers.values():
             dialler.close()
+
     asyncio.run(run())
 
 
@@ -67,8 +68,18 @@
 
 def beat(hand: Hand, sequence: int, state: str = "accepting", life: str = "i-1", service: str = "rooms") -> int:
     caller = Caller()
-    body = json.dumps({"service": service, "address": "127.0.0.1:9", "zone": "z", "edition": "v1", "berths": 9,
-                       "state": state, "warmup_left_ms": 0, "sequence": sequence}).encode()
+    body = json.dumps(
+        {
+            "service": service,
+            "address": "127.0.0.1:9",
+            "zone": "z",
+            "edition": "v1",
+            "berths": 9,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": sequence,
+        }
+    ).encode()
     hand._heartbeat(request(body), caller, [life])
     return caller.status
 
@@ -90,6 +101,7 @@
         assert hand._said is edition  # nor is the hive told again
         assert beat(hand, 2) == 200 and told(hand) == ("i-1", "closing")  # a late one
         assert beat(hand, 5) == 200 and told(hand) == ("i-1", "closing")  # a life that leaves does not come back
+
     play(tmp_path, what)
 
 
@@ -106,6 +118,7 @@
         assert told(hand) == ("i-2", "gone")
         now = hand.loop.time()
         assert not hand.gate.takes(now + 9.0, "i-2") and not hand.gate.takes(now, "i-1")
+
     play(tmp_path, what)
 
 
@@ -125,6 +138,7 @@
             hand.look(now + step * 0.1)
         assert told(hand)[1] == "gone"
         assert beat(hand, 4) == 200 and told(hand)[1] == "closing"  # it had said so
+
     play(tmp_path, what)
 
 
@@ -138,18 +152,29 @@
         for step in range(100):
             hand.look(now + 30.0 + step * 0.1)
         assert told(hand)[1] == "gone"
+
     play(tmp_path, what)
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"{", b"[]", b'{"service": 1}', b'{"service":"s","state":"accepting","sequence":1}',
-    b'{"service":"s","address":"no","state":"accepting","sequence":1}', b"x" * 9000])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"service": 1}',
+        b'{"service":"s","state":"accepting","sequence":1}',
+        b'{"service":"s","address":"no","state":"accepting","sequence":1}',
+        b"x" * 9000,
+    ],
+)
 def test_a_beat_that_is_none_changes_nothing(tmp_path: Path, body: bytes) -> None:
     def what(hand: Hand) -> None:
         beat(hand, 1)
         with pytest.raises(HiveError):
             hand._heartbeat(request(body), Caller(), ["i-1"])
         assert told(hand) == ("i-1", "accepting")
+
     play(tmp_path, what)
 
 
@@ -165,7 +190,8 @@
 
 @pytest.mark.parametrize(("granted", "how"), [(0, End.NOT_RUN), (PART, End.NOT_RUN), (50_000, End.MAYBE)])
 def test_a_body_whose_end_was_not_sent_has_not_run_and_a_whole_one_may_have(
-        tmp_path: Path, granted: int, how: End) -> None:
+    tmp_path: Path, granted: int, how: End
+) -> None:
     def what(hand: Hand) -> None:
         ip, wire, replies = "127.0.0.2", Wire(), list[Reply]()
         dialler = Dialler(ip, 1, "127.0.0.1", lambda *_: None, lambda _: None, lambda _: None)
@@ -185,4 +211,5 @@
         assert hand._bodies == {}
         dialler.link = None
         dialler.close()
+
     play(tmp_path, what)
--- a/tests/hive/test_items.py
+++ b/tests/hive/test_items.py
@@ -29,11 +29,20 @@
 
 
 def test_a_first_call_is_taken_and_read_back_as_it_was_sent() -> None:
-    body = json.dumps({
-        "upsert": {"routes": [route(note="kept", split=[{"service": "s", "share": 90}, {"service": "t", "share": 10}],
-                                    service=None)],
-                   "services": [service(), service("t")], "limits": {"label_bytes": 100, "edition": "0000000a"}},
-        "withdraw": {"routes": []}}).encode()
+    body = json.dumps(
+        {
+            "upsert": {
+                "routes": [
+                    route(
+                        note="kept", split=[{"service": "s", "share": 90}, {"service": "t", "share": 10}], service=None
+                    )
+                ],
+                "services": [service(), service("t")],
+                "limits": {"label_bytes": 100, "edition": "0000000a"},
+            },
+            "withdraw": {"routes": []},
+        }
+    ).encode()
     entries = read_call(body)
     check(entries, Ledger())
     ledger = Ledger()
@@ -41,19 +50,44 @@
     assert json.loads(read_back(ledger)) == json.loads(body)["upsert"]
 
 
-@pytest.mark.parametrize("change", [
-    {"deadline_ms": 0}, {"deadline_ms": 600_001}, {"deadline_ms": -1}, {"path_prefix": "r/"}, {"service": "unknown"},
-    {"mail_class": "fast"}, {"service": None}, {"edition": "7"}, {"edition": "0000000g"}, {"tries": 0}, {"office": ""},
-    {"split": [{"service": "s", "share": 0}], "service": None}, {"deadline_ms": "500"}, {"name": ""},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"deadline_ms": 0},
+        {"deadline_ms": 600_001},
+        {"deadline_ms": -1},
+        {"path_prefix": "r/"},
+        {"service": "unknown"},
+        {"mail_class": "fast"},
+        {"service": None},
+        {"edition": "7"},
+        {"edition": "0000000g"},
+        {"tries": 0},
+        {"office": ""},
+        {"split": [{"service": "s", "share": 0}], "service": None},
+        {"deadline_ms": "500"},
+        {"name": ""},
+    ],
+)
 def test_what_is_invalid_is_refused_whole(change: dict[str, Any]) -> None:
     assert refused(call(route("good"), route() | change)) is Kind.BAD_CONFIG
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"upsert": 1}', b'{"upsert": {"routes": [1]}}', b"\xff",
-                                  b'{"upsert": {"backend": []}}', b'{"withdraw": {"roster": []}}',
-                                  call(route())[:-9],
-                                  b'{"upsert": {"routes": [{"name": "x", "edition": "00000001"}]}}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"upsert": 1}',
+        b'{"upsert": {"routes": [1]}}',
+        b"\xff",
+        b'{"upsert": {"backend": []}}',
+        b'{"withdraw": {"roster": []}}',
+        call(route())[:-9],
+        b'{"upsert": {"routes": [{"name": "x", "edition": "00000001"}]}}',
+    ],
+)
 def test_what_cant_be_read_whole_is_refused(body: bytes) -> None:
     assert refused(body) is Kind.BAD_CONFIG
 
@@ -95,8 +129,13 @@
     assert refused(call(route(edition="00000008"), drop=drop)) is Kind.BAD_CONFIG
 
 
-entries = st.builds(Entry, st.just("routes"), st.sampled_from("ab"), st.integers(1, 4),
-                    st.one_of(st.none(), st.sampled_from([b"x", b"y"])))
+entries = st.builds(
+    Entry,
+    st.just("routes"),
+    st.sampled_from("ab"),
+    st.integers(1, 4),
+    st.one_of(st.none(), st.sampled_from([b"x", b"y"])),
+)
 
 
 @given(st.lists(entries), st.randoms())
--- a/tests/hive/test_keys.py
+++ b/tests/hive/test_keys.py
@@ -128,13 +128,19 @@
     assert caught(3000, 60, 20)
 
 
-@pytest.mark.parametrize(("where", "name", "wrong"), [
-    (Comb, "claim", grants_twice),  # a seat that forgets whom it granted a key
-    (claims_module, "majority", lambda count: 1),  # one grant is enough
-    (Comb, "sweep", None),  # control: this one changes nothing
-])
+@pytest.mark.parametrize(
+    ("where", "name", "wrong"),
+    [
+        (Comb, "claim", grants_twice),  # a seat that forgets whom it granted a key
+        (claims_module, "majority", lambda count: 1),  # one grant is enough
+        (Comb, "sweep", None),  # control: this one changes nothing
+    ],
+)
 def test_a_guard_that_is_taken_out_is_caught(
-    monkeypatch: pytest.MonkeyPatch, where: Any, name: str, wrong: Any,
+    monkeypatch: pytest.MonkeyPatch,
+    where: Any,
+    name: str,
+    wrong: Any,
 ) -> None:
     if wrong is None:
         monkeypatch.setattr(where, name, getattr(where, name))
--- a/tests/hive/test_landing.py
+++ b/tests/hive/test_landing.py
@@ -16,8 +16,16 @@
     return Forward(0, "i-1", b"POST", b"/p", [], b"", left, aim, b"a", 1, False, "r", back=back, size=size)
 
 
-def offer(landing: Landing, n: int, size: int, now: float = 0.0, aim: float = 1.7, left: float = 10.0,
-          back: bool = False, pace: float = 0.2) -> bool:
+def offer(
+    landing: Landing,
+    n: int,
+    size: int,
+    now: float = 0.0,
+    aim: float = 1.7,
+    left: float = 10.0,
+    back: bool = False,
+    pace: float = 0.2,
+) -> bool:
     return landing.offer(now, ("x", n), forward(size, aim, left, back), (1, now + aim), pace)
 
 
@@ -80,10 +88,14 @@
         landing.part(0.0, ("x", 4), b"unasked")
 
 
-@given(st.lists(st.tuples(st.integers(0, 3), st.integers(1, 200_000), st.floats(0.1, 9.0), st.floats(0.0, 0.5)),
-                max_size=40))
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(1, 200_000), st.floats(0.1, 9.0), st.floats(0.0, 0.5)), max_size=40
+    )
+)
 def test_over_any_order_all_that_is_taken_arrives_and_the_link_is_never_granted_more(
-        steps: list[tuple[int, int, float, float]]) -> None:
+    steps: list[tuple[int, int, float, float]],
+) -> None:
     landing, now, sent = Landing(RATE, 1 << 20), 0.0, dict[Key, int]()
     due, granted = dict[Key, int](), dict[Key, int]()
     for n, (what, size, aim, gap) in enumerate(steps):
--- a/tests/hive/test_link.py
+++ b/tests/hive/test_link.py
@@ -19,6 +19,7 @@
             await server.begin()
             await what(server)
         server.listening.close()
+
     asyncio.run(run())
 
 
@@ -35,6 +36,7 @@
         def accepted() -> Link:
             self.links.append(Link(self._heard, self._over))
             return self.links[-1]
+
         self.listening = await asyncio.get_running_loop().create_server(accepted, "127.0.0.1", 0)
         self.port = self.listening.sockets[0].getsockname()[1]
 
@@ -58,17 +60,20 @@
         data = b"".join(map(encode, sent))
         _, writer = await asyncio.open_connection("127.0.0.1", server.port)
         for n in range(len(data)):
-            writer.write(data[n:n + 1])
+            writer.write(data[n : n + 1])
             await writer.drain()
         await server.until(lambda: len(server.heard) == 3)
         assert server.heard == sent
         writer.close()
         await server.until(lambda: len(server.ended) == 1)
+
     play(what)
 
 
-@pytest.mark.parametrize("data", [
-    (200 << 20).to_bytes(4, "big"), b"\0\0\0\3abc", b"\0\0\0\2\x91\x63", b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\0"])
+@pytest.mark.parametrize(
+    "data",
+    [(200 << 20).to_bytes(4, "big"), b"\0\0\0\3abc", b"\0\0\0\2\x91\x63", b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\0"],
+)
 def test_what_is_no_message_ends_its_connection_and_no_other(data: bytes) -> None:
     async def what(server: Server) -> None:
         _, good = await asyncio.open_connection("127.0.0.1", server.port)
@@ -80,6 +85,7 @@
         await server.until(lambda: server.heard == [Pong()])
         bad.close()
         good.close()
+
     play(what)
 
 
@@ -103,6 +109,7 @@
     async def until_link(self: Server) -> None:
         while not self.links or self.links[0]._transport is None:
             await asyncio.sleep(0)
+
     monkeypatch.setattr(Server, "until_link", until_link, raising=False)
     play(what)
 
@@ -119,6 +126,7 @@
         def down(dialler: Dialler) -> None:
             downs.append(dialler)
             server.turn.set()
+
         dialler = Dialler("127.0.0.1", server.port, "127.0.0.1", lambda link, message: None, up, down)
         await server.until(lambda: len(ups) == 1 and bool(server.links))
         server.links[0].close()
@@ -127,4 +135,5 @@
         dialler.close()
         await server.until(lambda: len(server.ended) == 2)
         assert len(downs) == 1
+
     play(what)
--- a/tests/hive/test_mesh.py
+++ b/tests/hive/test_mesh.py
@@ -16,8 +16,12 @@
 from lugspur.bench.hive import ROOT, Mesh
 
 
-def play(folder: Path, what: Callable[[Mesh], Awaitable[None]], combs: int = 3,
-         services: tuple[str, ...] = ("rooms", "rooms")) -> None:
+def play(
+    folder: Path,
+    what: Callable[[Mesh], Awaitable[None]],
+    combs: int = 3,
+    services: tuple[str, ...] = ("rooms", "rooms"),
+) -> None:
     async def run() -> None:
         mesh = Mesh(folder, combs, services)
         try:
@@ -30,6 +34,7 @@
             raise
         finally:
             await mesh.close()
+
     asyncio.run(run())
 
 
@@ -56,12 +61,14 @@
         assert sum(len([t for t in backend.ran if t.startswith("t")]) for backend in mesh.backends) == 1
         logs = mesh.log(one) + mesh.log(other)
         assert not [ip for ip in mesh.forager_ips if f"source={ip}" in logs]  # only combs tell news
+
     play(tmp_path, what)
 
 
 @pytest.mark.parametrize("damaged", [False, True])
 def test_a_comb_with_an_empty_disk_or_a_damaged_one_is_a_newcomer_that_catches_up(
-        tmp_path: Path, damaged: bool) -> None:
+    tmp_path: Path, damaged: bool
+) -> None:
     async def what(mesh: Mesh) -> None:
         await mesh.ask(mesh.forager_ips[0], "/book/1", "t0", Lugspur_Operation_Key="k")
         wiped = mesh.comb_ips[0]
@@ -80,6 +87,7 @@
         repeat = await mesh.ask(mesh.forager_ips[1], "/book/1", "t1", Lugspur_Operation_Key="k")
         assert repeat[0] == 200 and b"t0" in repeat[2]
         assert len((await mesh.read(0))["routes"]) == 2
+
     play(tmp_path, what)
 
 
@@ -92,6 +100,7 @@
         mesh.end(mesh.comb_ips[1])  # of the first three one is left
         await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 3)
         await mesh.served(mesh.forager_ips[0], "/late/1", "l1")
+
     play(tmp_path, what, combs=4)
 
 
@@ -113,6 +122,7 @@
         assert "flights=0 busy=0" in mesh.log(one)
         mesh.start(one)
         await mesh.until(one, mesh.ready, "/readiness", 200)
+
     play(tmp_path, what)
 
 
@@ -126,6 +136,7 @@
         for n in range(10):
             await mesh.served(mesh.forager_ips[n % 2], "/look/1", f"c{n}")
         assert len(closing.ran) == ran and len(mesh.backends[1].ran) >= 10
+
     play(tmp_path, what)
 
 
@@ -135,20 +146,26 @@
         await mesh.amend({"routes": [mesh.route("upload", "upload", service="desk")]})
         await mesh.served(one, "/upload/1", "first")
         bodies = [os.urandom(100_000 + n) for n in range(6)]
-        answers = await asyncio.gather(*(
-            mesh.ask(one, "/upload/1", f"u{n}", body) for n, body in enumerate(bodies)))
+        answers = await asyncio.gather(*(mesh.ask(one, "/upload/1", f"u{n}", body) for n, body in enumerate(bodies)))
         taken = [n for n, (status, _, _) in enumerate(answers) if status == 200]
         assert taken and {status for status, _, _ in answers} <= {200, 503}
         for n in taken:
             assert f"{len(bodies[n])} bytes, {hashlib.sha256(bodies[n]).hexdigest()}".encode() in answers[n][2]
         ran = mesh.backends[1].ran
         assert sorted(ran) == sorted(["first", *(f"u{n}" for n in taken)])  # 503: it has not run
+
     play(tmp_path, what, services=("rooms", "desk"))
 
 
 def test_a_bad_settings_file_is_one_line_and_exit_status_2(tmp_path: Path) -> None:
     path = tmp_path / "bad.toml"
     path.write_text("[self]\nip = 7\n")
-    ended = subprocess.run([sys.executable, "-m", "lugspur.hive", "serve"], cwd=ROOT, capture_output=True, check=False,
-                           env=os.environ | {"LUGSPUR_NODE_FILE": str(path)}, timeout=30)
+    ended = subprocess.run(
+        [sys.executable, "-m", "lugspur.hive", "serve"],
+        cwd=ROOT,
+        capture_output=True,
+        check=False,
+        env=os.environ | {"LUGSPUR_NODE_FILE": str(path)},
+        timeout=30,
+    )
     assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1 and b"event=settings" in ended.stderr
--- a/tests/hive/test_settings.py
+++ b/tests/hive/test_settings.py
@@ -55,11 +55,18 @@
     assert settings.tariffs.bounds.stamp_window_s == 60.0  # not in the file
 
 
-@pytest.mark.parametrize(("table", "key", "value", "said"), [
-    ("self", "ip", None, "ip"), ("self", "serves", "dispatch", "serves"), ("network", "inner_ports", [], "inner_ports"),
-    ("network", "seed_nodes", ["10.1.0.13"], "10.1.0.13"), ("network", "inner_ports", ["x"], "inner_ports"),
-    ("tariffs", "bounds", {"grace_s": 0}, "grace_s"), ("tariffs", "bounds", {"edition_ms": "soon"}, "edition_ms"),
-])
+@pytest.mark.parametrize(
+    ("table", "key", "value", "said"),
+    [
+        ("self", "ip", None, "ip"),
+        ("self", "serves", "dispatch", "serves"),
+        ("network", "inner_ports", [], "inner_ports"),
+        ("network", "seed_nodes", ["10.1.0.13"], "10.1.0.13"),
+        ("network", "inner_ports", ["x"], "inner_ports"),
+        ("tariffs", "bounds", {"grace_s": 0}, "grace_s"),
+        ("tariffs", "bounds", {"edition_ms": "soon"}, "edition_ms"),
+    ],
+)
 def test_a_bad_file_gives_one_error_that_names_what_is_wrong(table: str, key: str, value: Any, said: str) -> None:
     data = good()
     if value is None:
--- a/tests/hive/test_steward.py
+++ b/tests/hive/test_steward.py
@@ -14,8 +14,12 @@
 SPARE = {"10.0.0.4": Presence("u4", "z1"), "10.0.0.5": Presence("u5", "z2")}
 
 
-def follows(combs: dict[str, Presence], absent: dict[str, float] | None = None, seats: int = 3,
-            full: tuple[int, ...] = (1, 2, 3)) -> set[str] | None:
+def follows(
+    combs: dict[str, Presence],
+    absent: dict[str, float] | None = None,
+    seats: int = 3,
+    full: tuple[int, ...] = (1, 2, 3),
+) -> set[str] | None:
     found = proposal(ROSTER, combs, absent or {}, 5.0, seats, {f"10.0.0.{n}" for n in full})
     if found is None:
         return None
@@ -25,8 +29,9 @@
     return {f"{s.ip}/{s.uid}" for s in found.seats} - {f"{s.ip}/{s.uid}" for s in ROSTER.seats}
 
 
-@pytest.mark.parametrize(("machines", "zones", "seats"), [
-    (0, 0, 3), (1, 0, 3), (2, 0, 5), (3, 0, 7), (0, 1, 3), (0, 2, 5)])
+@pytest.mark.parametrize(
+    ("machines", "zones", "seats"), [(0, 0, 3), (1, 0, 3), (2, 0, 5), (3, 0, 7), (0, 1, 3), (0, 2, 5)]
+)
 def test_as_many_seats_as_the_losses_ask_for(machines: int, zones: int, seats: int) -> None:
     assert target(machines, zones) == seats
 
--- a/tests/hive/test_ways.py
+++ b/tests/hive/test_ways.py
@@ -24,8 +24,12 @@
 
 
 def test_the_longest_prefix_of_the_host_wins() -> None:
-    routes = table(route("short", path_prefix="/a/"), route("long", path_prefix="/a/b/"),
-                   route("other", path_prefix="/a/b/c/", office="b.example"), route("all", path_prefix="/"))
+    routes = table(
+        route("short", path_prefix="/a/"),
+        route("long", path_prefix="/a/b/"),
+        route("other", path_prefix="/a/b/c/", office="b.example"),
+        route("all", path_prefix="/"),
+    )
     assert name(routes, b"/a/b/c/1") == "long"
     assert name(routes, b"/a/b/") == "long"
     assert name(routes, b"/a/b") == "short"  # the prefix has a slash at its end that this path lacks
@@ -53,8 +57,13 @@
 
 
 def test_a_split_goes_by_its_shares() -> None:
-    routes = table(route("r", service=None, split=[{"service": "s", "share": 90}, {"service": "t", "share": 10},
-                                                   {"service": "u", "share": 0}]))
+    routes = table(
+        route(
+            "r",
+            service=None,
+            split=[{"service": "s", "share": 90}, {"service": "t", "share": 10}, {"service": "u", "share": 0}],
+        )
+    )
     way, rng = routes.find(b"a.example", b"/r/"), Random(1)
     assert way is not None
     drawn = [way.service(rng) for _ in range(2000)]
--- a/tests/http2/test_machine.py
+++ b/tests/http2/test_machine.py
@@ -30,9 +30,14 @@
     def __init__(self, client: bool = False, **options: Any) -> None:
         self.sent: list[tuple[int, int]] = []
         self.ours = Machine(client, lambda *gone: self.sent.append(gone), **options)
-        self.theirs = H2Connection(H2Configuration(
-            client_side=not client, header_encoding=None, validate_outbound_headers=False,
-            normalize_outbound_headers=False))
+        self.theirs = H2Connection(
+            H2Configuration(
+                client_side=not client,
+                header_encoding=None,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
+        )
         self.theirs.initiate_connection()
         self.now = 0.0
         self.turn()
@@ -107,8 +112,12 @@
     pair.theirs.send_data(stream, b"y")
     pair.theirs.send_headers(stream, [(b"grpc-status", b"0")], end_stream=True)
     found, _ = pair.turn()
-    assert found == [Head(stream, ANSWER, False), Data(stream, b"y", 1), Tail(stream, [(b"grpc-status", b"0")]),
-                     Ended(stream)]
+    assert found == [
+        Head(stream, ANSWER, False),
+        Data(stream, b"y", 1),
+        Tail(stream, [(b"grpc-status", b"0")]),
+        Ended(stream),
+    ]
     assert not pair.ours.open
 
 
@@ -124,10 +133,14 @@
     machine = Machine(False, lambda *_: None)
     at = 0
     for cut in [*cuts, len(whole)]:
-        found += machine.received(0.0, whole[at:at + cut])
+        found += machine.received(0.0, whole[at : at + cut])
         at += cut
     assert [each for each in found if isinstance(each, Head | Data | Ended | Leave)] == [
-        Head(1, REQUEST, False), Data(1, b"x" * 30, 30), Ended(1), Leave(7, 0, b"bye")]
+        Head(1, REQUEST, False),
+        Data(1, b"x" * 30, 30),
+        Ended(1),
+        Leave(7, 0, b"bye"),
+    ]
 
 
 # ---- flow control (RFC 9113 5.2, 6.9) ------------------------------------------------------------
@@ -228,8 +241,13 @@
     pair.theirs.send_data(stream, b"x", end_stream=True)
     after = pair.theirs.data_to_send()
     found = pair.raw(goaway((1 << 31) - 1, 0), between, goaway(stream, 0, b"why"), after)
-    assert found == [Leave((1 << 31) - 1, 0), Head(stream, ANSWER, False), Leave(stream, 0, b"why"),
-                     Data(stream, b"x", 1), Ended(stream)]
+    assert found == [
+        Leave((1 << 31) - 1, 0),
+        Head(stream, ANSWER, False),
+        Leave(stream, 0, b"why"),
+        Data(stream, b"x", 1),
+        Ended(stream),
+    ]
 
 
 def test_our_own_goaway_leaves_streams_open() -> None:
@@ -356,8 +374,10 @@
     assert over(pair.raw(b"\xff\xff\xff\0\0\0\0\0\1")).code == frames.FRAME_SIZE_ERROR
 
 
-@given(st.lists(st.sampled_from([ping, settings, empty, priority, unknown]), max_size=30),
-       st.lists(st.integers(1, 25), max_size=30))
+@given(
+    st.lists(st.sampled_from([ping, settings, empty, priority, unknown]), max_size=30),
+    st.lists(st.integers(1, 25), max_size=30),
+)
 def test_the_sieve_loses_nothing_and_makes_nothing_up(kinds: list[Callable[[], bytes]], cuts: list[int]) -> None:
     whole, wanted = b"", b""
     for at, kind in enumerate(kinds):
@@ -368,7 +388,7 @@
     out: list[bytes | Leave] = []
     at = 0
     for cut in itertools.chain(cuts, [len(whole)]):
-        out += sieve.feed(0.0, whole[at:at + cut])
+        out += sieve.feed(0.0, whole[at : at + cut])
         at += cut
     assert b"".join(each for each in out if isinstance(each, bytes)) == wanted
     assert [each.last for each in out if isinstance(each, Leave)] == list(range(0, len(kinds), 3))
@@ -434,7 +454,9 @@
     "6.5.2 a frame size below the least": ([_settings(5, 16_383)], {PROTOCOL}),
     "6.5.2 a frame size above the largest": ([_settings(5, 1 << 24)], {PROTOCOL}),
     "6.6 PUSH_PROMISE from a client": (
-        [headers(1), _raw(5, 4, 1, b"\0\0\0\2" + Encoder().encode(REQUEST))], {PROTOCOL}),
+        [headers(1), _raw(5, 4, 1, b"\0\0\0\2" + Encoder().encode(REQUEST))],
+        {PROTOCOL},
+    ),
     "6.7 PING on a stream": ([_raw(6, 0, 1, b"\0" * 8)], {PROTOCOL}),
     "6.7 PING of seven bytes": ([_raw(6, 0, 0, b"\0" * 7)], {SIZE}),
     "6.9 an increment of 0 for the connection": ([_raw(8, 0, 0, b"\0" * 4)], {PROTOCOL}),
--- a/tests/joining/test_desk.py
+++ b/tests/joining/test_desk.py
@@ -79,9 +79,15 @@
     assert asks.desk.ended(0.3, 2, EVERYONE, 100) == [Give(3), Give(4), Give(5)]
 
 
-@pytest.mark.parametrize(("writer", "reader", "joins"), [
-    ("a", "a", False), ("b", "a", True), ("", "a", False), ("b", "", False),
-])
+@pytest.mark.parametrize(
+    ("writer", "reader", "joins"),
+    [
+        ("a", "a", False),
+        ("b", "a", True),
+        ("", "a", False),
+        ("b", "", False),
+    ],
+)
 def test_a_read_after_a_write_of_its_tenant_gets_no_answer_from_before(writer: str, reader: str, joins: bool) -> None:
     asks = Asks()
     asks.ask(0.0, "c")
@@ -140,8 +146,7 @@
     asks = Asks()
     for agent, deadline in ((b"x", 9.0), (b"y", 3.0), (b"x", 9.0), (b"y", 4.0), (b"z", 9.0)):
         asks.ask(0.0, agent=agent, deadline=deadline)
-    assert asks.desk.ended(0.1, 1, frozenset({AGENT}), 100) == [
-        Give(1), Give(3), Start(2, 4, 4.0), Start(3, 5, 9.0)]
+    assert asks.desk.ended(0.1, 1, frozenset({AGENT}), 100) == [Give(1), Give(3), Start(2, 4, 4.0), Start(3, 5, 9.0)]
     assert asks.ask(0.11, agent=b"y", deadline=4.0) == []  # it is known now, and joins its kind
     assert asks.ask(0.11, agent=b"x") == [Start(4, 7, 9.0)]
     assert asks.desk.due(3.0) == [Expire(2)]  # behind the one that waits longer
@@ -180,7 +185,10 @@
     assert asks.ask(0.0, "c") == [Turn(3)]
     assert asks.ask(0.0, "c", key="l") == [Start(2, 9, 9.0)]  # who waits for nobody needs no place
     assert asks.desk.joined == 3 and {name: len(own) for name, own in asks.desk.waiting.items()} == {
-        "a": 1, "b": 1, "c": 1}
+        "a": 1,
+        "b": 1,
+        "c": 1,
+    }
 
 
 def test_a_newcomer_whose_flight_ends_as_room_is_made_leads_one_of_its_own() -> None:
@@ -302,8 +310,12 @@
 
     # ---- what happens --------------------------------------------------------------------------
 
-    @rule(key=st.sampled_from("kl"), tenant=st.sampled_from(TENANTS), agent=st.sampled_from([b"", b"x", b"y"]),
-          left=st.sampled_from([0.05, 0.2, 1.0, 3.0]))
+    @rule(
+        key=st.sampled_from("kl"),
+        tenant=st.sampled_from(TENANTS),
+        agent=st.sampled_from([b"", b"x", b"y"]),
+        left=st.sampled_from([0.05, 0.2, 1.0, 3.0]),
+    )
     def ask(self, key: str, tenant: str, agent: bytes, left: float) -> None:
         self.count += 1
         number = self.count
@@ -344,8 +356,11 @@
         self.follow(self.desk.gone(number))
 
     @precondition(lambda self: self.calls)
-    @rule(data=st.data(), among=st.sampled_from([EVERYONE, NOBODY, frozenset({AGENT}), frozenset({TENANT}),
-                                                 frozenset({AGENT, TENANT})]), most=st.integers(1, 5))
+    @rule(
+        data=st.data(),
+        among=st.sampled_from([EVERYONE, NOBODY, frozenset({AGENT}), frozenset({TENANT}), frozenset({AGENT, TENANT})]),
+        most=st.integers(1, 5),
+    )
     def end(self, data: st.DataObject, among: Depends, most: int) -> None:
         number = data.draw(st.sampled_from(sorted(self.calls)))
         call = self.calls.pop(number)
--- a/tests/joining/test_reads.py
+++ b/tests/joining/test_reads.py
@@ -29,11 +29,19 @@
     assert key(request({name: b"1"})) == key(request({name: b"2"})) == key(request())
 
 
-@pytest.mark.parametrize("other", [
-    request({b"accept": b"text/html"}), request({b"authorization": b"Bearer x"}), request({b"cookie": b"a=b"}),
-    request({b"range": b"bytes=0-9"}), request({b"if-none-match": b'"x"'}), request({b"host": b"g.example"}),
-    request(body=b"q"), request(target=b"/h/1?x"),
-])
+@pytest.mark.parametrize(
+    "other",
+    [
+        request({b"accept": b"text/html"}),
+        request({b"authorization": b"Bearer x"}),
+        request({b"cookie": b"a=b"}),
+        request({b"range": b"bytes=0-9"}),
+        request({b"if-none-match": b'"x"'}),
+        request({b"host": b"g.example"}),
+        request(body=b"q"),
+        request(target=b"/h/1?x"),
+    ],
+)
 def test_whatever_else_differs_makes_another_read(other: Request) -> None:
     assert key(other) != key(request())
 
@@ -61,10 +69,15 @@
     assert key_of(came, sent, "r", "a", JOIN) == key(sent)
 
 
-@pytest.mark.parametrize("headers", [
-    {b"cache-control": b"No-Cache"}, {b"cache-control": b"a=b, no-store"}, {b"cache-control": b"max-age=0"},
-    {b"pragma": b"no-cache"},
-])
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {b"cache-control": b"No-Cache"},
+        {b"cache-control": b"a=b, no-store"},
+        {b"cache-control": b"max-age=0"},
+        {b"pragma": b"no-cache"},
+    ],
+)
 def test_who_asks_for_a_call_of_its_own_gets_one(headers: dict[bytes, bytes]) -> None:
     assert key(request(headers)) is None
     assert key(request({b"cache-control": b"max-age=5"})) is not None
@@ -81,26 +94,29 @@
 VARY = frozenset({b"user-agent"})
 
 
-@pytest.mark.parametrize(("status", "head", "trailers", "among"), [
-    (200, b"", b"", EVERYONE),
-    (404, b"Content-Type: a\r\n", b"", EVERYONE),
-    (503, b"", b"", EVERYONE),
-    (200, b"Cache-Control: max-age=5, no-cache\r\n", b"", EVERYONE),
-    (200, b"cache-control: Private\r\n", b"", NOBODY),
-    (200, b'Cache-Control: private="x-a"\r\n', b"", NOBODY),
-    (200, b"Cache-Control: public\r\nCache-Control: no-store\r\n", b"", NOBODY),
-    (200, b"Set-Cookie: a=b\r\n", b"", NOBODY),
-    (200, b"Vary: *\r\n", b"", NOBODY),
-    (200, b"Vary: X-Request-ID\r\n", b"", NOBODY),
-    (200, b"Vary: Accept, User-Agent\r\n", b"", VARY),
-    (200, b"Vary: Accept\r\nVary: user-agent\r\n", b"", VARY),
-    (200, b"Vary: Accept-Language\r\n", b"", EVERYONE),
-    (403, b"", b"", frozenset({TENANT})),
-    (429, b"Vary: User-Agent\r\n", b"", VARY | {TENANT}),
-    (200, b"", b"grpc-status: 0\r\n", EVERYONE),
-    (200, b"", b"grpc-status: 7\r\n", frozenset({TENANT})),
-    (200, b"", b"cache-control: private\r\n", NOBODY),
-])
+@pytest.mark.parametrize(
+    ("status", "head", "trailers", "among"),
+    [
+        (200, b"", b"", EVERYONE),
+        (404, b"Content-Type: a\r\n", b"", EVERYONE),
+        (503, b"", b"", EVERYONE),
+        (200, b"Cache-Control: max-age=5, no-cache\r\n", b"", EVERYONE),
+        (200, b"cache-control: Private\r\n", b"", NOBODY),
+        (200, b'Cache-Control: private="x-a"\r\n', b"", NOBODY),
+        (200, b"Cache-Control: public\r\nCache-Control: no-store\r\n", b"", NOBODY),
+        (200, b"Set-Cookie: a=b\r\n", b"", NOBODY),
+        (200, b"Vary: *\r\n", b"", NOBODY),
+        (200, b"Vary: X-Request-ID\r\n", b"", NOBODY),
+        (200, b"Vary: Accept, User-Agent\r\n", b"", VARY),
+        (200, b"Vary: Accept\r\nVary: user-agent\r\n", b"", VARY),
+        (200, b"Vary: Accept-Language\r\n", b"", EVERYONE),
+        (403, b"", b"", frozenset({TENANT})),
+        (429, b"Vary: User-Agent\r\n", b"", VARY | {TENANT}),
+        (200, b"", b"grpc-status: 0\r\n", EVERYONE),
+        (200, b"", b"grpc-status: 7\r\n", frozenset({TENANT})),
+        (200, b"", b"cache-control: private\r\n", NOBODY),
+    ],
+)
 def test_an_answer_says_who_may_have_it(status: int, head: bytes, trailers: bytes, among: Depends) -> None:
     assert depends(status, head, JOIN, trailers) == among
 
--- a/tests/leases/test_explore.py
+++ b/tests/leases/test_explore.py
@@ -7,11 +7,14 @@
 from lugspur.bench.explore import BROKEN, Limits, caught, explore, told_apart
 
 
-@pytest.mark.parametrize("limits", [
-    Limits(rounds=1, steps=2, memory=False, prompt=True),
-    Limits(rounds=1, steps=0, restarts=1, memory=False, prompt=True),
-    Limits(rounds=1, steps=1, downs=1, memory=False, prompt=True),
-])
+@pytest.mark.parametrize(
+    "limits",
+    [
+        Limits(rounds=1, steps=2, memory=False, prompt=True),
+        Limits(rounds=1, steps=0, restarts=1, memory=False, prompt=True),
+        Limits(rounds=1, steps=1, downs=1, memory=False, prompt=True),
+    ],
+)
 def test_never_two_in_office_and_no_epoch_goes_back(limits: Limits) -> None:
     with told_apart():
         states, whole = explore(limits)
--- a/tests/leases/test_memory.py
+++ b/tests/leases/test_memory.py
@@ -43,7 +43,7 @@
     first.close()
     whole = (tmp_path / NAME).read_bytes()
     spoilt = [whole[:at] for at in range(len(whole))]
-    spoilt += [whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1:] for at in range(len(whole))]
+    spoilt += [whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :] for at in range(len(whole))]
     for data in spoilt:
         (tmp_path / NAME).write_bytes(data)
         with pytest.raises(Spoilt):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -32,7 +32,9 @@
     "Orgs": [{"Name": "acme", "Share": 1.0}],
     "Bounds": {"Cancel": True, "MaxAttempts": 5, "ConnIdle": 60.0, "DialTimeout": WIDE},
     "Rules": {"DrainGrace": 0.5, "ColdFrom": 0.5, "Cold": 0.0, "FallMultiple": 3.0, "TipAfter": 3.0},
-    "Tiers": ["one"], "Zones": ["here", "there"], "HostTypes": ["k"],
+    "Tiers": ["one"],
+    "Zones": ["here", "there"],
+    "HostTypes": ["k"],
 }
 
 
@@ -142,19 +144,36 @@
 
 def entry(name: str, address: str, status: str = "in_service", since_ms: int = 0) -> dict[str, Any]:
     """One entry of the list."""
-    return {"name": name, "address": address, "zone": "here", "type": "k", "group": 0, "status": status,
-            "weight": 1.0, "since_ms": since_ms}
+    return {
+        "name": name,
+        "address": address,
+        "zone": "here",
+        "type": "k",
+        "group": 0,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": since_ms,
+    }
 
 
 def config(entries: list[dict[str, Any]], discovery: int = 9, **changed: Any) -> Config:
     """A proxy's configuration; by default nobody is at discovery's port."""
     settings: Settings = read_settings(WIRE)
     values: dict[str, Any] = {
-        "name": "n0", "listen": (HOST, 0), "discovery": (HOST, discovery), "seed": 1,
-        "sockets": 1024, "memory": 64 << 20,
-        "known": {"index": 7, "snapshot": True, "endpoints": entries}, "settings": settings,
-        "classes": {"read": 0, "book": 1, "once": 2}, "tenants": {"acme": 0},
-        "zones": {"here": 0, "there": 1}, "types": {"k": 0}, "conn_idle": 60.0, "dial_timeout": WIDE,
+        "name": "n0",
+        "listen": (HOST, 0),
+        "discovery": (HOST, discovery),
+        "seed": 1,
+        "sockets": 1024,
+        "memory": 64 << 20,
+        "known": {"index": 7, "snapshot": True, "endpoints": entries},
+        "settings": settings,
+        "classes": {"read": 0, "book": 1, "once": 2},
+        "tenants": {"acme": 0},
+        "zones": {"here": 0, "there": 1},
+        "types": {"k": 0},
+        "conn_idle": 60.0,
+        "dial_timeout": WIDE,
     }
     return Config(**(values | changed))
 
@@ -216,8 +235,13 @@
 def _request(
     method: str, kind: str, number: int, timeout: str, target: str, body: bytes, headers: dict[str, str]
 ) -> bytes:
-    fields = {"X-Request-ID": f"id{number}", "X-Priority-Class": kind, "X-Tenant-Id": "acme",
-              "X-Timeout": timeout, "Content-Length": str(len(body))}
+    fields = {
+        "X-Request-ID": f"id{number}",
+        "X-Priority-Class": kind,
+        "X-Tenant-Id": "acme",
+        "X-Timeout": timeout,
+        "Content-Length": str(len(body)),
+    }
     fields |= {name.replace("_", "-"): value for name, value in headers.items()}
     lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items() if value)
     return f"{method} {target} HTTP/1.1\r\nHost: h\r\n{lines}\r\n".encode() + body
