--- a/tests/management/test_calls.py
+++ b/tests/management/test_calls.py
@@ -14,7 +14,10 @@
 
 
 ACTS: dict[tuple[str, str], Act] = {
-    ("GET", "/ready"): echo, ("POST", "/drain"): echo, ("POST", "/backends/disable"): echo}
+    ("GET", "/ready"): echo,
+    ("POST", "/drain"): echo,
+    ("POST", "/backends/disable"): echo,
+}
 
 
 def answer(*pieces: bytes) -> bytes | None:
@@ -28,26 +31,30 @@
     return b"POST %b HTTP/1.1\r\nHost: h\r\n%bContent-Length: %d\r\n\r\n%b" % (path, head, len(body), body)
 
 
-CHUNKED = b"POST /backends/disable HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" \
-    b"2\r\ns-\r\n2\r\n5b\r\n0\r\n\r\n"
-
-
-@pytest.mark.parametrize(("call", "status", "part"), [
-    (b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n", 200, b"did"),
-    (b"GET /ready?now HTTP/1.0\r\n\r\n", 200, b"did"),
-    (post(b" s-1\n"), 200, b"did s-1\n"),
-    (CHUNKED, 200, b"did s-5b"),
-    (post(b"", b"/drain"), 200, b"did"),
-    (post(b"x", b"/none"), 404, b"no such call"),
-    (b"POST /ready HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 405, b"Allow: GET\r\n"),
-    (b"GET /drain HTTP/1.1\r\nHost: h\r\n\r\n", 405, b"Allow: POST\r\n"),
-    (b"nonsense\r\n\r\n", 400, b"malformed"),
-    (post(b"x").replace(b"Content-Length: 1", b"Content-Length: -1"), 400, b"malformed"),
-    (post(b"\xff\xfe"), 400, b"not text"),
-    (post(b"i" * (BODY_MOST + 1)), 413, b"too large"),
-    (b"GET /ready HTTP/1.1\r\nX-Pad: " + b"p" * (2 * HEAD_MOST), 431, b"too large"),
-    (b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n" * 5, 200, b"did"),
-])
+CHUNKED = (
+    b"POST /backends/disable HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ns-\r\n2\r\n5b\r\n0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("call", "status", "part"),
+    [
+        (b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n", 200, b"did"),
+        (b"GET /ready?now HTTP/1.0\r\n\r\n", 200, b"did"),
+        (post(b" s-1\n"), 200, b"did s-1\n"),
+        (CHUNKED, 200, b"did s-5b"),
+        (post(b"", b"/drain"), 200, b"did"),
+        (post(b"x", b"/none"), 404, b"no such call"),
+        (b"POST /ready HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 405, b"Allow: GET\r\n"),
+        (b"GET /drain HTTP/1.1\r\nHost: h\r\n\r\n", 405, b"Allow: POST\r\n"),
+        (b"nonsense\r\n\r\n", 400, b"malformed"),
+        (post(b"x").replace(b"Content-Length: 1", b"Content-Length: -1"), 400, b"malformed"),
+        (post(b"\xff\xfe"), 400, b"not text"),
+        (post(b"i" * (BODY_MOST + 1)), 413, b"too large"),
+        (b"GET /ready HTTP/1.1\r\nX-Pad: " + b"p" * (2 * HEAD_MOST), 431, b"too large"),
+        (b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n" * 5, 200, b"did"),
+    ],
+)
 def test_every_call_gets_one_answer(call: bytes, status: int, part: bytes) -> None:
     got = answer(call)
     assert got is not None
--- a/tests/management/test_management.py
+++ b/tests/management/test_management.py
@@ -206,13 +206,25 @@
     async def play() -> None:
         taken = await asyncio.start_server(lambda _, writer: writer.close(), HOST, 0)
         port = taken.sockets[0].getsockname()[1]
-        raw = {"name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:9", "seed": "1",
-               "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": WIRE,
-               "management": f"{HOST}:{port}"}
+        raw = {
+            "name": "n0",
+            "listen": f"{HOST}:0",
+            "discovery": f"{HOST}:9",
+            "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "settings": WIRE,
+            "management": f"{HOST}:{port}",
+        }
         path = tmp_path / "config.json"
         path.write_text(json.dumps(raw))
-        done = await asyncio.to_thread(subprocess.run, [sys.executable, "-m", "lugspur"], cwd=ROOT, text=True,
-                                       env=os.environ | {"RELAY_CONFIG": str(path)}, capture_output=True)
+        done = await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-m", "lugspur"],
+            cwd=ROOT,
+            text=True,
+            env=os.environ | {"RELAY_CONFIG": str(path)},
+            capture_output=True,
+        )
         taken.close()
         assert done.returncode == 1
         assert done.stderr.startswith(f"lugspur: management {HOST}:{port}: ")
@@ -273,7 +285,7 @@
             callers = [await asyncio.open_connection(HOST, port) for _ in range(12)]
             for at in range(len(said)):
                 for _, writer in callers:
-                    writer.write(said[at:at + 1])
+                    writer.write(said[at : at + 1])
                 if at % 16 == 0:
                     assert await call(port, "GET", "/ready") == 200
                 await asyncio.sleep(0)
--- a/tests/membership/test_doubt.py
+++ b/tests/membership/test_doubt.py
@@ -37,8 +37,7 @@
 def test_silence_goes_from_doubt_to_lost_to_stale_and_a_whole_read_ends_it() -> None:
     doubt, log = followed()
     doubt.down(107.0, 100.0, "it says nothing")
-    assert log.taken() == [
-        "not heard, session may live: a server is left: it says nothing; the last list stays"]
+    assert log.taken() == ["not heard, session may live: a server is left: it says nothing; the last list stays"]
     assert doubt.standing(107.0) is Standing.DOUBT and doubt.age(107.0) == 7.0
     assert doubt.standing(110.0) is Standing.LOST
     doubt.down(112.0, 100.0, "it says nothing")
--- a/tests/membership/test_maintenance.py
+++ b/tests/membership/test_maintenance.py
@@ -86,8 +86,11 @@
     assert len(over.floors) == FLOORS_MOST
 
 
-@given(st.lists(st.tuples(
-    st.sampled_from(["ban", "back", "up", "gone", "terminating", "whole", "process"]), st.integers(1, 3))))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["ban", "back", "up", "gone", "terminating", "whole", "process"]), st.integers(1, 3))
+    )
+)
 @settings(deadline=None)  # a loaded machine is no fault
 def test_no_sequence_lets_a_banned_backend_serve(steps: list[tuple[str, int]]) -> None:
     over, seen, banned = Maintenance(), dict[int, State](), set[int]()
--- a/tests/membership/test_nodes.py
+++ b/tests/membership/test_nodes.py
@@ -16,12 +16,23 @@
 from lugspur.membership.rows import Endpoint, server_id
 
 CURATOR = {
-    "name": "channel", "id": "c-1", "address": "127.0.0.1", "port": 9001, "sslPort": None, "payload": None,
-    "registrationTimeUTC": 1_700_000_000_000, "serviceType": "DYNAMIC", "uriSpec": None, "enabled": True,
+    "name": "channel",
+    "id": "c-1",
+    "address": "127.0.0.1",
+    "port": 9001,
+    "sslPort": None,
+    "payload": None,
+    "registrationTimeUTC": 1_700_000_000_000,
+    "serviceType": "DYNAMIC",
+    "uriSpec": None,
+    "enabled": True,
 }
 SERVERSET = {
-    "serviceEndpoint": {"host": "127.0.0.1", "port": 9001}, "additionalEndpoints": {"http": {"host": "h", "port": 1}},
-    "status": "ALIVE", "shard": 3, "metadata": {"zone": "b", "weight": "2.5"},
+    "serviceEndpoint": {"host": "127.0.0.1", "port": 9001},
+    "additionalEndpoints": {"http": {"host": "h", "port": 1}},
+    "status": "ALIVE",
+    "shard": 3,
+    "metadata": {"zone": "b", "weight": "2.5"},
 }
 OWN = {"address": "127.0.0.1:9001"}
 
@@ -44,19 +55,39 @@
 def test_each_format_is_read_as_what_it_is() -> None:
     assert entry(OWN) == {"name": "n", "address": "127.0.0.1:9001", "status": "in_service", "since_ms": 5000}
     assert entry(OWN | {"name": "x", "weight": 2, "group": 4, "status": "terminating", "since_ms": 7, "other": 1}) == {
-        "name": "x", "address": "127.0.0.1:9001", "status": "terminating", "since_ms": 7, "weight": 2, "group": 4}
+        "name": "x",
+        "address": "127.0.0.1:9001",
+        "status": "terminating",
+        "since_ms": 7,
+        "weight": 2,
+        "group": 4,
+    }
     assert entry(CURATOR) == {
-        "name": "c-1", "address": "127.0.0.1:9001", "status": "in_service", "since_ms": 1_700_000_000_000}
+        "name": "c-1",
+        "address": "127.0.0.1:9001",
+        "status": "in_service",
+        "since_ms": 1_700_000_000_000,
+    }
     assert entry(SERVERSET, name="member_0000000001") == {
-        "name": "member_0000000001", "address": "127.0.0.1:9001", "status": "in_service", "since_ms": 5000,
-        "zone": "b", "weight": 2.5}
-
-
-@pytest.mark.parametrize("data, status", [
-    (CURATOR | {"enabled": False}, "terminating"), (SERVERSET | {"status": "STOPPING"}, "terminating"),
-    (SERVERSET | {"status": "STARTING"}, "terminating"), (SERVERSET | {"status": "WARNING"}, "in_service"),
-    (OWN | {"status": "terminated"}, "terminated"),
-])
+        "name": "member_0000000001",
+        "address": "127.0.0.1:9001",
+        "status": "in_service",
+        "since_ms": 5000,
+        "zone": "b",
+        "weight": 2.5,
+    }
+
+
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (CURATOR | {"enabled": False}, "terminating"),
+        (SERVERSET | {"status": "STOPPING"}, "terminating"),
+        (SERVERSET | {"status": "STARTING"}, "terminating"),
+        (SERVERSET | {"status": "WARNING"}, "in_service"),
+        (OWN | {"status": "terminated"}, "terminated"),
+    ],
+)
 def test_a_box_that_is_not_to_be_called_drains(data: dict[str, Any], status: str) -> None:
     found = entry(data)
     assert found is not None and found["status"] == status
@@ -71,28 +102,46 @@
     assert entry({"vector": []}, "serverset", "vector_0000000001") is None
 
 
-@pytest.mark.parametrize("data, said", [
-    (b"\xff\x00", "it holds no JSON"), (b"[]", "its JSON is no object"), ({}, 'it has no "address"'),
-    ({"address": None}, 'it has no "address"'),
-    ({"address": "nowhere"}, "is not an address"), ({"address": 7}, 'its "address" is no text'),
-    ({"address": "127.0.0.1:0"}, "is not an address"), (OWN | {"status": "asleep"}, "its status 'asleep'"),
-    (OWN | {"weight": 0}, 'its "weight" is no number'), (OWN | {"weight": True}, 'its "weight" is no number'),
-    (OWN | {"group": 1.5}, 'its "group" is no whole number'), (OWN | {"since_ms": -1}, 'its "since_ms"'),
-    (OWN | {"name": "x" * 2000}, 'its "name" is longer'), (b" " * (DATA_MOST + 1), "bytes; at most"),
-    (CURATOR | {"address": None}, "is not an address"), (CURATOR | {"port": None}, "is not an address"),
-    (SERVERSET | {"status": "NAPPING"}, "its status 'NAPPING'"), (SERVERSET | {"serviceEndpoint": 1}, "no object"),
-])
+@pytest.mark.parametrize(
+    "data, said",
+    [
+        (b"\xff\x00", "it holds no JSON"),
+        (b"[]", "its JSON is no object"),
+        ({}, 'it has no "address"'),
+        ({"address": None}, 'it has no "address"'),
+        ({"address": "nowhere"}, "is not an address"),
+        ({"address": 7}, 'its "address" is no text'),
+        ({"address": "127.0.0.1:0"}, "is not an address"),
+        (OWN | {"status": "asleep"}, "its status 'asleep'"),
+        (OWN | {"weight": 0}, 'its "weight" is no number'),
+        (OWN | {"weight": True}, 'its "weight" is no number'),
+        (OWN | {"group": 1.5}, 'its "group" is no whole number'),
+        (OWN | {"since_ms": -1}, 'its "since_ms"'),
+        (OWN | {"name": "x" * 2000}, 'its "name" is longer'),
+        (b" " * (DATA_MOST + 1), "bytes; at most"),
+        (CURATOR | {"address": None}, "is not an address"),
+        (CURATOR | {"port": None}, "is not an address"),
+        (SERVERSET | {"status": "NAPPING"}, "its status 'NAPPING'"),
+        (SERVERSET | {"serviceEndpoint": 1}, "no object"),
+    ],
+)
 def test_what_is_no_entry_says_why(data: Any, said: str) -> None:
     with pytest.raises(Unreadable, match=said.replace('"', ".").replace("'", ".")):
         entry(data)
 
 
-@given(st.binary(max_size=100) | st.recursive(
-    st.none() | st.booleans() | st.integers(-(2**53), 2**53) | st.floats(allow_nan=False) | st.text(max_size=20),
-    lambda inner: st.dictionaries(
-        st.sampled_from([*OWN, *CURATOR, *SERVERSET, "weight", "status", "group", "since_ms", "zone", "host"]), inner),
-    max_leaves=20,
-).map(orjson.dumps), st.sampled_from(FORMATS))
+@given(
+    st.binary(max_size=100)
+    | st.recursive(
+        st.none() | st.booleans() | st.integers(-(2**53), 2**53) | st.floats(allow_nan=False) | st.text(max_size=20),
+        lambda inner: st.dictionaries(
+            st.sampled_from([*OWN, *CURATOR, *SERVERSET, "weight", "status", "group", "since_ms", "zone", "host"]),
+            inner,
+        ),
+        max_leaves=20,
+    ).map(orjson.dumps),
+    st.sampled_from(FORMATS),
+)
 def test_no_data_of_a_node_does_more_than_be_left_out(data: bytes, form: str) -> None:
     Nodes(form).present("member_1", node(data))
 
--- a/tests/membership/test_watch.py
+++ b/tests/membership/test_watch.py
@@ -16,8 +16,10 @@
 
 
 def line(index: int, snapshot: str, name: str, status: str) -> bytes:
-    text = (f'{{"index":{index},"snapshot":{snapshot},"endpoints":[{{"name":"{name}","address":"127.0.0.1:9",'
-            f'"status":"{status}"}}]}}\n').encode()
+    text = (
+        f'{{"index":{index},"snapshot":{snapshot},"endpoints":[{{"name":"{name}","address":"127.0.0.1:9",'
+        f'"status":"{status}"}}]}}\n'
+    ).encode()
     return b"%x\r\n%b\r\n" % (len(text), text)
 
 
--- a/tests/probing/test_one_prober.py
+++ b/tests/probing/test_one_prober.py
@@ -50,6 +50,7 @@
 @asynccontextmanager
 async def listening(port: int, seen: Counter[bytes], answer: bytes) -> AsyncIterator[None]:
     """A box that comes up at a port and counts what it is asked."""
+
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         line = await reader.readline()
         seen[line.split()[1] if line.split() else b""] += 1
--- a/tests/probing/test_prober.py
+++ b/tests/probing/test_prober.py
@@ -110,8 +110,14 @@
 def test_messages_are_bounded_and_others_malformed() -> None:
     for message in (Doubt("p", "a"), Verdict("p", 1, 2, ["a", "b"])):
         assert unpack(pack(message)) == message
-    for body in (b"", b"\xc1", pack(Verdict("p", 1, 1, ["a"] * (DOWN_MOST + 1))), pack(Doubt("p", "a" * 200)),
-                 pack(Doubt("", "a")), pack(Verdict("p", -1, 1, []))):
+    for body in (
+        b"",
+        b"\xc1",
+        pack(Verdict("p", 1, 1, ["a"] * (DOWN_MOST + 1))),
+        pack(Doubt("p", "a" * 200)),
+        pack(Doubt("", "a")),
+        pack(Verdict("p", -1, 1, [])),
+    ):
         with pytest.raises(Malformed):
             unpack(body)
     assert len(fitting(["x" * 100] * 100)) == 7 and len(fitting(["x"] * 1000)) == DOWN_MOST
--- a/tests/routing/test_splits.py
+++ b/tests/routing/test_splits.py
@@ -37,8 +37,12 @@
     assert len(moved) / len(KEYS) <= 0.11 and all(after[key] == "new" for key in moved)
 
 
-@given(st.lists(st.floats(0.0, 100.0), min_size=2, max_size=5), st.integers(0, 4), st.floats(0.0, 100.0),
-       st.binary(max_size=20))
+@given(
+    st.lists(st.floats(0.0, 100.0), min_size=2, max_size=5),
+    st.integers(0, 4),
+    st.floats(0.0, 100.0),
+    st.binary(max_size=20),
+)
 def test_one_weight_moves_keys_to_or_from_its_pool_alone(
     weights: list[float], at: int, weight: float, key: bytes
 ) -> None:
@@ -89,9 +93,7 @@
 
 
 @given(st.integers(1, 40), st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=80))
-def test_what_one_is_sure_of_is_there_whatever_the_others_do(
-    total: int, steps: list[tuple[str, bool]]
-) -> None:
+def test_what_one_is_sure_of_is_there_whatever_the_others_do(total: int, steps: list[tuple[str, bool]]) -> None:
     parts = even(total, {"a": 1.0, "b": 2.0})
     shares, held = Shares(total, parts), Counter[str]()
     for name, takes in steps:
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -44,11 +44,19 @@
     route("exact host", "/a/b", hosts=("x.example",)),
     route("longer suffix", "/a/b", hosts=("*.x.example",)),
     route("suffix", "/a/b", hosts=("*.example",)),
-    route("three conditions", "/a/b", methods=frozenset({"GET"}),
-          headers=(Condition("h", Test.EXACT, "1"), Condition("i", Test.PRESENT)),
-          query=(Condition("q", Test.EXACT, "1"),)),
-    route("headers", "/a/b", methods=frozenset({"GET"}),
-          headers=(Condition("h", Test.PREFIX, "1"), Condition("i", Test.PRESENT))),
+    route(
+        "three conditions",
+        "/a/b",
+        methods=frozenset({"GET"}),
+        headers=(Condition("h", Test.EXACT, "1"), Condition("i", Test.PRESENT)),
+        query=(Condition("q", Test.EXACT, "1"),),
+    ),
+    route(
+        "headers",
+        "/a/b",
+        methods=frozenset({"GET"}),
+        headers=(Condition("h", Test.PREFIX, "1"), Condition("i", Test.PRESENT)),
+    ),
     route("header", "/a/b", methods=frozenset({"GET"}), headers=(Condition("h", Test.EXACT, "1"),)),
     route("query", "/a/b", methods=frozenset({"GET"}), query=(Condition("q", Test.EXACT, "1"),)),
     route("priority", "/a/b", methods=frozenset({"GET"}), priority=1),
@@ -82,12 +90,27 @@
 @pytest.mark.parametrize(
     ("path", "target", "matches"),
     [
-        ("/a", "/a", True), ("/a", "/a/", False), ("/a/", "/a", False), ("/a", "/ab", False),
-        ("/a/*", "/a", True), ("/a/*", "/a/", True), ("/a/*", "/a/b/c", True), ("/a/*", "/ab", False),
-        ("/*", "/", True), ("/", "/", True), ("/", "/a", False), ("/{x}", "/", False), ("/{x}", "/a/", False),
-        ("/hotels/{id}/rooms/*", "/hotels/7/rooms", True), ("/hotels/{id}/rooms/*", "/hotels//rooms", False),
-        ("/admin", "/%61dmin", True), ("/admin", "/x/../admin", True), ("/admin", "/admin;x=1", True),
-        ("/admin", "//admin", True), ("/Admin", "/admin", False), ("/caf\u00e9", "/caf%c3%a9", True),
+        ("/a", "/a", True),
+        ("/a", "/a/", False),
+        ("/a/", "/a", False),
+        ("/a", "/ab", False),
+        ("/a/*", "/a", True),
+        ("/a/*", "/a/", True),
+        ("/a/*", "/a/b/c", True),
+        ("/a/*", "/ab", False),
+        ("/*", "/", True),
+        ("/", "/", True),
+        ("/", "/a", False),
+        ("/{x}", "/", False),
+        ("/{x}", "/a/", False),
+        ("/hotels/{id}/rooms/*", "/hotels/7/rooms", True),
+        ("/hotels/{id}/rooms/*", "/hotels//rooms", False),
+        ("/admin", "/%61dmin", True),
+        ("/admin", "/x/../admin", True),
+        ("/admin", "/admin;x=1", True),
+        ("/admin", "//admin", True),
+        ("/Admin", "/admin", False),
+        ("/caf\u00e9", "/caf%c3%a9", True),
     ],
 )
 def test_which_paths_fit(path: str, target: str, matches: bool) -> None:
@@ -98,14 +121,25 @@
 
 def test_no_spelling_reaches_what_the_plain_form_would_not() -> None:
     routes = [route("closed", "/admin/*"), route("open", "/*")]
-    for spelling in ("/admin/x", "//admin/x", "/./admin/x", "/%61dmin/x", "/o/%2e%2e/admin/x", "/admin;a/x",
-                     "/admin%3ba/x", "/admin/../admin/x", "/admin"):
+    for spelling in (
+        "/admin/x",
+        "//admin/x",
+        "/./admin/x",
+        "/%61dmin/x",
+        "/o/%2e%2e/admin/x",
+        "/admin;a/x",
+        "/admin%3ba/x",
+        "/admin/../admin/x",
+        "/admin",
+    ):
         assert taken(routes, asked(spelling)) == "closed"
 
 
 def test_a_parameter_that_comes_twice_chooses_no_route() -> None:
-    routes = [route("one", "/", query=(Condition("d", Test.EXACT, "1"),)),
-              route("none", "/", query=(Condition("d", Test.ABSENT),))]
+    routes = [
+        route("one", "/", query=(Condition("d", Test.EXACT, "1"),)),
+        route("none", "/", query=(Condition("d", Test.ABSENT),)),
+    ]
     assert taken(routes, asked("/?d=1")) == "one" and taken(routes, asked("/?e=1")) == "none"
     assert taken(routes, asked("/?%64=1")) == "one"
     assert taken(routes, asked("/?d=1&d=1")) == taken(routes, asked("/?d=2&d=1")) == "-"
@@ -144,27 +178,39 @@
 
 VALUES = st.sampled_from(["1", "2", "12"])
 CONDITIONS = st.lists(
-    st.builds(Condition, st.sampled_from("ab"), st.sampled_from(Test), VALUES), max_size=2,
+    st.builds(Condition, st.sampled_from("ab"), st.sampled_from(Test), VALUES),
+    max_size=2,
     unique_by=lambda c: c.name,
 ).map(tuple)
-PATHS = st.lists(st.sampled_from(["a", "b", "{x}"]), min_size=1, max_size=3).flatmap(
-    lambda parts: st.sampled_from([parts, [*parts, "*"], ["*"]])
-).map(lambda parts: "/" + "/".join(f"{{x{n}}}" if p == "{x}" else p for n, p in enumerate(parts)))
+PATHS = (
+    st.lists(st.sampled_from(["a", "b", "{x}"]), min_size=1, max_size=3)
+    .flatmap(lambda parts: st.sampled_from([parts, [*parts, "*"], ["*"]]))
+    .map(lambda parts: "/" + "/".join(f"{{x{n}}}" if p == "{x}" else p for n, p in enumerate(parts)))
+)
 HOSTS = st.lists(st.sampled_from(["*", "h", "x.h", "*.h", "*.x.h"]), min_size=1, max_size=2, unique=True)
 ROUTES = st.lists(
     st.builds(
         lambda path, hosts, methods, headers, query, priority: (
-            path, dict(hosts=tuple(hosts), methods=frozenset(methods), headers=headers, query=query,
-                       priority=priority)),
-        PATHS, HOSTS, st.sets(st.sampled_from(["GET", "POST"]), max_size=1), CONDITIONS, CONDITIONS,
+            path,
+            dict(hosts=tuple(hosts), methods=frozenset(methods), headers=headers, query=query, priority=priority),
+        ),
+        PATHS,
+        HOSTS,
+        st.sets(st.sampled_from(["GET", "POST"]), max_size=1),
+        CONDITIONS,
+        CONDITIONS,
         st.integers(0, 1),
-    ), max_size=8,
+    ),
+    max_size=8,
 ).map(lambda rows: [route(f"r{n}", path, **more) for n, (path, more) in enumerate(rows)])
 REQUESTS = st.builds(
     lambda parts, host, method, headers, query: Asked(
-        method, read_target(("/" + "/".join(parts)).encode(), host.encode()), headers, query),
-    st.lists(st.sampled_from(["a", "b", "c"]), max_size=4), st.sampled_from(["h", "x.h", "y.x.h", "z"]),
-    st.sampled_from(["GET", "POST"]), st.dictionaries(st.sampled_from("ab"), VALUES),
+        method, read_target(("/" + "/".join(parts)).encode(), host.encode()), headers, query
+    ),
+    st.lists(st.sampled_from(["a", "b", "c"]), max_size=4),
+    st.sampled_from(["h", "x.h", "y.x.h", "z"]),
+    st.sampled_from(["GET", "POST"]),
+    st.dictionaries(st.sampled_from("ab"), VALUES),
     st.dictionaries(st.sampled_from("ab"), VALUES),
 )
 
@@ -179,9 +225,11 @@
             assert best is not None and best.route is found.route
         else:
             assert best is None
-            allowed = [m for m in ("GET", "POST")
-                       if any(v.rank for v in explain(routes, Asked(m, request.target, request.headers,
-                                                                    request.query)))]
+            allowed = [
+                m
+                for m in ("GET", "POST")
+                if any(v.rank for v in explain(routes, Asked(m, request.target, request.headers, request.query)))
+            ]
             assert sorted(found.allow) == allowed
 
 
--- a/tests/routing/test_target.py
+++ b/tests/routing/test_target.py
@@ -45,10 +45,37 @@
 @pytest.mark.parametrize(
     "target",
     [
-        b"/..", b"/a/../../b", b"/%2e%2e/a", b"/a%2fb", b"/a%5Cb", b"/a\\b", b"/a%00", b"/a%0d%0aX:1", b"/a%",
-        b"/a%zz", b"/a%4", b"/..;/a", b"/a/..;x=1/b", b"/.;/a", b"/;x/a", b"/%3b/a", b"/..%3B/a", b"/a\x00",
-        b"/a\x7f", b"/caf\xe9", b"/a b", b"a/b", b"*", b"", b"ftp://h/a", b"http:///a", b"http://u@h/a",
-        b"http://h:99999/a", b"/a?b c", b"/a?b\x00", b"/x" * (SEGMENTS_MOST + 1),
+        b"/..",
+        b"/a/../../b",
+        b"/%2e%2e/a",
+        b"/a%2fb",
+        b"/a%5Cb",
+        b"/a\\b",
+        b"/a%00",
+        b"/a%0d%0aX:1",
+        b"/a%",
+        b"/a%zz",
+        b"/a%4",
+        b"/..;/a",
+        b"/a/..;x=1/b",
+        b"/.;/a",
+        b"/;x/a",
+        b"/%3b/a",
+        b"/..%3B/a",
+        b"/a\x00",
+        b"/a\x7f",
+        b"/caf\xe9",
+        b"/a b",
+        b"a/b",
+        b"*",
+        b"",
+        b"ftp://h/a",
+        b"http:///a",
+        b"http://u@h/a",
+        b"http://h:99999/a",
+        b"/a?b c",
+        b"/a?b\x00",
+        b"/x" * (SEGMENTS_MOST + 1),
     ],
 )
 def test_what_servers_read_in_different_ways_is_refused(target: bytes) -> None:
@@ -92,8 +119,29 @@
 
 
 PIECES = st.lists(
-    st.sampled_from([b"a", b"%61", b"admin", b"", b".", b"..", b"%2e", b"%2E%2e", b"..;", b";x", b"a;b", b"%2f",
-                     b"%3b", b"a%3Bb", b"~", b"%C3%A9", b"*", b"{id}"]), max_size=6,
+    st.sampled_from(
+        [
+            b"a",
+            b"%61",
+            b"admin",
+            b"",
+            b".",
+            b"..",
+            b"%2e",
+            b"%2E%2e",
+            b"..;",
+            b";x",
+            b"a;b",
+            b"%2f",
+            b"%3b",
+            b"a%3Bb",
+            b"~",
+            b"%C3%A9",
+            b"*",
+            b"{id}",
+        ]
+    ),
+    max_size=6,
 )
 
 
--- a/tests/rpc/test_grpc_rules.py
+++ b/tests/rpc/test_grpc_rules.py
@@ -29,9 +29,21 @@
 # ---- time ----------------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("text,seconds", [
-    (b"1H", 3600.0), (b"1M", 60.0), (b"1S", 1.0), (b"1m", 0.001), (b"1u", 1e-6), (b"1n", 1e-9), (b"00000001S", 1.0),
-    (b"0n", 0.0), (b"99999999H", LONGEST), (b"99999999S", 99_999_999.0)])
+@pytest.mark.parametrize(
+    "text,seconds",
+    [
+        (b"1H", 3600.0),
+        (b"1M", 60.0),
+        (b"1S", 1.0),
+        (b"1m", 0.001),
+        (b"1u", 1e-6),
+        (b"1n", 1e-9),
+        (b"00000001S", 1.0),
+        (b"0n", 0.0),
+        (b"99999999H", LONGEST),
+        (b"99999999S", 99_999_999.0),
+    ],
+)
 def test_time_outs_are_read_in_every_unit(text: bytes, seconds: float) -> None:
     assert read_timeout(text) == pytest.approx(seconds)
 
@@ -67,7 +79,7 @@
 @given(st.binary(max_size=80))
 def test_messages_of_statuses_come_back_as_they_were(text: bytes) -> None:
     told = encode_message(text)
-    assert decode_message(told) == text and all(0x20 <= c <= 0x7e for c in told)
+    assert decode_message(told) == text and all(0x20 <= c <= 0x7E for c in told)
 
 
 @given(st.integers(0, 10**6), st.integers(0, 999))
@@ -79,7 +91,8 @@
     info = error_details_pb2.RetryInfo()
     assert (status.code, status.message) == (14, "come back") and status.details[0].Unpack(info)
     assert info.retry_delay.seconds * 1000 + info.retry_delay.nanos // 1_000_000 == pytest.approx(
-        seconds * 1000 + millis, abs=1)
+        seconds * 1000 + millis, abs=1
+    )
 
 
 def test_only_what_is_certain_proves_that_nothing_ran() -> None:
@@ -144,8 +157,17 @@
 
 
 def test_an_http_request_on_its_way_to_a_grpc_box() -> None:
-    came = request(b"Host: h:1", b"Content-Type: application/json", b"Content-Encoding: gzip", b"X-A: 1", b"TE: x",
-                   b"Accept-Encoding: br", method=b"PUT", target=b"/a/b?c=d", body=b"zipped")
+    came = request(
+        b"Host: h:1",
+        b"Content-Type: application/json",
+        b"Content-Encoding: gzip",
+        b"X-A: 1",
+        b"TE: x",
+        b"Accept-Encoding: br",
+        method=b"PUT",
+        target=b"/a/b?c=d",
+        body=b"zipped",
+    )
     fields, body = mapping.wrapped(came, 1.5)
     told = dict(fields)
     assert fields[:4] == [(b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/a/b"), (b":authority", b"h:1")]
@@ -156,21 +178,38 @@
 
 
 def test_a_grpc_request_on_its_way_to_an_http_box() -> None:
-    came = request(b"Host: h:1", b"content-type: application/grpc+json", b"grpc-encoding: gzip", b"a_b: 1", b"x-a: 1",
-                   b"grpc-accept-encoding: gzip", body=b"\1\0\0\0\6zipped")
+    came = request(
+        b"Host: h:1",
+        b"content-type: application/grpc+json",
+        b"grpc-encoding: gzip",
+        b"a_b: 1",
+        b"x-a: 1",
+        b"grpc-accept-encoding: gzip",
+        body=b"\1\0\0\0\6zipped",
+    )
     went = mapping.unwrapped(came)
     told = dict(mapping.fields_of(went.lines, frozenset()))
     assert went.body == b"zipped" and told == {
-        b"host": b"h:1", b"content-type": b"application/json", b"content-encoding": b"gzip",
-        b"accept-encoding": b"gzip", b"x-a": b"1"}
+        b"host": b"h:1",
+        b"content-type": b"application/json",
+        b"content-encoding": b"gzip",
+        b"accept-encoding": b"gzip",
+        b"x-a": b"1",
+    }
     with pytest.raises(Spoilt, match="2 messages"):
         mapping.unwrapped(request(body=b"\0\0\0\0\0" * 2))
 
 
-@pytest.mark.parametrize("plain,grpc", [
-    (b"application/json", b"application/grpc+json"), (b"application/x-protobuf", b"application/grpc+proto"),
-    (b"application/json; charset=utf-8", b"application/grpc+json"), (b"text/plain", b"application/grpc"),
-    (b"", b"application/grpc")])
+@pytest.mark.parametrize(
+    "plain,grpc",
+    [
+        (b"application/json", b"application/grpc+json"),
+        (b"application/x-protobuf", b"application/grpc+proto"),
+        (b"application/json; charset=utf-8", b"application/grpc+json"),
+        (b"text/plain", b"application/grpc"),
+        (b"", b"application/grpc"),
+    ],
+)
 def test_content_types(plain: bytes, grpc: bytes) -> None:
     fields, _ = mapping.wrapped(request(b"content-type: " + plain, b"host: h"), 1.0)
     assert dict(fields)[b"content-type"] == grpc and mapping.is_grpc(grpc)
@@ -187,7 +226,11 @@
     got = mapping.plain_answer(head, tail, b"\0\0\0\0\4done")
     assert (got.status, got.body) == (200, b"done")
     assert mapping.fields_of([got.head], frozenset()) == [
-        (b"x-a", b"1"), (b"x-b", b"2"), (b"grpc-status", b"0"), (b"content-type", b"application/x-protobuf")]
+        (b"x-a", b"1"),
+        (b"x-b", b"2"),
+        (b"grpc-status", b"0"),
+        (b"content-type", b"application/x-protobuf"),
+    ]
     got = mapping.plain_answer(head, [(b"grpc-status", b"5"), (b"grpc-message", b"no %C3%B6")], b"")
     assert (got.status, got.body) == (404, "no ö\n".encode()) and b"grpc-status: 5\r\n" in got.head
     with pytest.raises(Spoilt):
--- a/tests/state/kept.py
+++ b/tests/state/kept.py
@@ -15,8 +15,12 @@
 
 
 def endpoints(count: int = 3, started: float = 0.0) -> list[Endpoint]:
-    return [Endpoint(ServerRow(server_id(f"s-{n}"), started=started, zone=server_id("kingston-main-a")),
-                     ("127.0.0.1", 9000 + n)) for n in range(count)]
+    return [
+        Endpoint(
+            ServerRow(server_id(f"s-{n}"), started=started, zone=server_id("kingston-main-a")), ("127.0.0.1", 9000 + n)
+        )
+        for n in range(count)
+    ]
 
 
 def taught(rows: list[Endpoint], now: float = 1000.0, slow: int = 0, bad: int = 0, rounds: int = 60) -> Balancer:
--- a/tests/state/test_aging.py
+++ b/tests/state/test_aging.py
@@ -85,7 +85,12 @@
 
 
 def after(
-    rows: list[Endpoint], learned: Learned | None, now: float, count: int = 40, slow: int = 0, bad: int = 0,
+    rows: list[Endpoint],
+    learned: Learned | None,
+    now: float,
+    count: int = 40,
+    slow: int = 0,
+    bad: int = 0,
     seed: int = 3,
 ) -> Counter[int]:
     """What a module that begins with this sends, by the boxes' places; the first are slow, the next ones fail."""
@@ -181,6 +186,7 @@
         if known is not None:
             balancer.recall(AT + age, known)
         now = AT + age
-        taken[name] = sum(isinstance(balancer.request(now + 0.001 * n, f"q{n}", deadline=now + 1.0)[0], Send)
-                          for n in range(40))
+        taken[name] = sum(
+            isinstance(balancer.request(now + 0.001 * n, f"q{n}", deadline=now + 1.0)[0], Send) for n in range(40)
+        )
     assert taken["kept"] >= taken["none"] > 20
--- a/tests/state/test_file.py
+++ b/tests/state/test_file.py
@@ -47,9 +47,14 @@
             read(data[:end])
 
 
-@pytest.mark.parametrize("line", [
-    b"lugspur state 2 1000.000\n", b"lugspur state 99999999999999999999 1.0\n", b"lugspur state 0 1.0\n",
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"lugspur state 2 1000.000\n",
+        b"lugspur state 99999999999999999999 1.0\n",
+        b"lugspur state 0 1.0\n",
+    ],
+)
 def test_another_version_is_named(line: bytes) -> None:
     with pytest.raises(Unreadable, match="it is of version"):
         read(signed(line))
@@ -59,15 +64,25 @@
 ROW = ["s", "up", "0", 0, 1.0, 0.0, "0", "h", 1, False]
 
 
-@pytest.mark.parametrize("facts", [
-    fact("backend", "a", ROW),  # of a pool that is not there
-    POOL + fact("backend", "a", ROW[:-1]), POOL + fact("backend", "a", [*ROW[:1], "maybe", *ROW[2:]]),
-    POOL + fact("rumour", "a", {}), POOL + fact("tier", "a", {"pools": []}), POOL + b"[1,2]\n", POOL + b"{}\n",
-    POOL + b"nonsense\n", fact("pool", "a", {"at": "soon"}), fact("pool", "a", {"at": "nan"}),
-    fact("pool", "a", {"at": "inf"}), fact("pool", "a", {}), POOL + fact("tier", "a", {
-        "pools": [], "pooled": "nan", "pace": 0.0, "paced": 0}),
-    POOL + fact("backend", "a", [*ROW[:4], float("1e400"), *ROW[5:]]),
-])
+@pytest.mark.parametrize(
+    "facts",
+    [
+        fact("backend", "a", ROW),  # of a pool that is not there
+        POOL + fact("backend", "a", ROW[:-1]),
+        POOL + fact("backend", "a", [*ROW[:1], "maybe", *ROW[2:]]),
+        POOL + fact("rumour", "a", {}),
+        POOL + fact("tier", "a", {"pools": []}),
+        POOL + b"[1,2]\n",
+        POOL + b"{}\n",
+        POOL + b"nonsense\n",
+        fact("pool", "a", {"at": "soon"}),
+        fact("pool", "a", {"at": "nan"}),
+        fact("pool", "a", {"at": "inf"}),
+        fact("pool", "a", {}),
+        POOL + fact("tier", "a", {"pools": [], "pooled": "nan", "pace": 0.0, "paced": 0}),
+        POOL + fact("backend", "a", [*ROW[:4], float("1e400"), *ROW[5:]]),
+    ],
+)
 def test_what_is_whole_and_makes_no_sense_is_noticed(facts: bytes) -> None:
     with pytest.raises(Unreadable, match="makes no sense"):
         read(signed(b"lugspur state 1 5.000\n" + facts))
--- a/tests/state/test_store.py
+++ b/tests/state/test_store.py
@@ -55,7 +55,7 @@
         return call
 
     def write(self, fd: int, data: memoryview) -> int:
-        return super().write(fd, data[:self.piece])
+        return super().write(fd, data[: self.piece])
 
 
 def saved(folder: Path, *texts: bytes) -> None:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -25,16 +25,23 @@
         {"Name": "y", "Aim": 1.0, "HardLimit": 4.0, "Repeat": "fragile", "Credit": 5.0, "LateWorth": 0.8},
     ],
     "Bounds": {"Cancel": True, "MaxAttempts": 3, "Unheard": 1},
-    "Orgs": [{"Name": "o", "Share": 1.0, "AllowancePerS": 9.0}], "HostTypes": ["k"],
-    "Tiers": ["one"], "Zones": ["here"], "Novelty": {"a": 1},
+    "Orgs": [{"Name": "o", "Share": 1.0, "AllowancePerS": 9.0}],
+    "HostTypes": ["k"],
+    "Tiers": ["one"],
+    "Zones": ["here"],
+    "Novelty": {"a": 1},
 }
 ROWS: list[Message] = [{"Backend": 70 + i, "Readiness": "U", "Units": 1} for i in range(6)]
 
 
 def opened(instance: int, settings: Message = SETTINGS) -> list[Message]:
     return [
-        {"m": "OpenInstance", "ProxyId": instance, "Entropy": 11 + instance,
-         "Settings": {**settings, "Ordinal": instance}},
+        {
+            "m": "OpenInstance",
+            "ProxyId": instance,
+            "Entropy": 11 + instance,
+            "Settings": {**settings, "Ordinal": instance},
+        },
         {"m": "Register", "List": 0, "Rows": ROWS},
         {"m": "Members", "ProxyId": instance, "Mode": "stale_copy", "Version": 1, "List": 0},
     ]
@@ -47,8 +54,14 @@
 
 def converse(text: str, **env: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "jaspershelf.adapter"], input=text, capture_output=True, text=True,
-        cwd=ROOT, env={**os.environ, **env}, timeout=60, check=False,
+        [sys.executable, "-m", "jaspershelf.adapter"],
+        input=text,
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={**os.environ, **env},
+        timeout=60,
+        check=False,
     )
 
 
@@ -76,10 +89,21 @@
     """Start, list, calls, outcomes, a drain, a restart."""
     text = batch(9.0, []) + batch(10.0, [e for i in instances for e in opened(i)])
     text += batch(10.1, [e for i in instances for e in calls(i, 0, 3)])
-    text += batch(10.2, [
-        {"m": "Returned", "ProxyId": i, "Ref": f"c{i}_0", "RoundNo": 0, "Backend": 70, "CostTime": 0.1,
-         "How": "overloaded"} for i in instances
-    ])
+    text += batch(
+        10.2,
+        [
+            {
+                "m": "Returned",
+                "ProxyId": i,
+                "Ref": f"c{i}_0",
+                "RoundNo": 0,
+                "Backend": 70,
+                "CostTime": 0.1,
+                "How": "overloaded",
+            }
+            for i in instances
+        ],
+    )
     drained = [{"m": "Register", "List": 3, "Rows": [{"Backend": 70, "Readiness": "L"}]}]
     told = [{"m": "Members", "ProxyId": i, "Mode": "patch", "Version": 2, "List": 3} for i in instances]
     text += batch(10.3, [*drained, *told, *(e for i in instances for e in calls(i, 3, 40))])
@@ -147,7 +171,8 @@
         (
             batch(1.0, opened(0))
             + batch(2.0, [{"m": "Members", "ProxyId": 0, "Mode": "whole", "Version": 2, "List": 9}]),
-            7, "unknown list number 9",
+            7,
+            "unknown list number 9",
         ),
         ('{"m":"Tick","Time":1}\n', 1, "the input ended inside a batch"),
     ],
@@ -167,8 +192,11 @@
 
 def test_a_reader_that_is_gone_ends_it_quietly() -> None:
     process = subprocess.Popen(
-        [sys.executable, "-m", "jaspershelf.adapter"], cwd=ROOT, stdin=subprocess.PIPE,
-        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+        [sys.executable, "-m", "jaspershelf.adapter"],
+        cwd=ROOT,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
     )
     assert process.stdin and process.stdout and process.stderr
     process.stdout.close()
@@ -183,11 +211,16 @@
 
 
 def test_settings_of_the_wire() -> None:
-    settings = adapter.read_settings({
-        **SETTINGS, "RegistryMode": "on_request", "Report": {"Via": "pull", "Fields": ["rif", "x9"]},
-        "Penalties": {"Waste": 0.25, "Unheard": 1}, "FamilyInfo": {"PassesDeadline": False},
-        "ClientHabits": {"MarksRetry": True},
-    })
+    settings = adapter.read_settings(
+        {
+            **SETTINGS,
+            "RegistryMode": "on_request",
+            "Report": {"Via": "pull", "Fields": ["rif", "x9"]},
+            "Penalties": {"Waste": 0.25, "Unheard": 1},
+            "FamilyInfo": {"PassesDeadline": False},
+            "ClientHabits": {"MarksRetry": True},
+        }
+    )
     assert settings.classes[1].repeat is Repeat.UNSAFE and settings.classes[1].worth == 5.0
     assert settings.discovery is Discovery.ON_REQUEST
     assert settings.marks_retry
--- a/tests/test_adopt.py
+++ b/tests/test_adopt.py
@@ -97,13 +97,14 @@
     assert one.bind(1.4, "bound", 0) == [] and one.begun(1.4, "begun", 0) == []
 
 
-CLASSES = st.lists(st.integers(0, 6).map(lambda n: RequestClass(f"c{n % 3}", worth=n)), min_size=1, max_size=4,
-                   unique=True)
+CLASSES = st.lists(
+    st.integers(0, 6).map(lambda n: RequestClass(f"c{n % 3}", worth=n)), min_size=1, max_size=4, unique=True
+)
 
 
 @given(st.lists(st.tuples(CLASSES, st.sets(st.integers(0, 12))), min_size=1, max_size=6))
 def test_places_of_open_requests_stay_and_the_list_does_not_grow_for_ever(
-    steps: list[tuple[list[RequestClass], set[int]]]
+    steps: list[tuple[list[RequestClass], set[int]]],
 ) -> None:
     known: list[RequestClass] = []
     for wanted, open_ in steps:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -83,10 +83,15 @@
 @pytest.mark.parametrize(
     ("name", "values"),
     [
-        ("kind", {"kind": 1}), ("kind", {"kind": -1}), ("kind", {"kind": "0"}),
-        ("tenant", {"tenant": 1}), ("tenant", {"tenant": -1}),
-        ("deadline", {"deadline": math.nan}), ("deadline", {"deadline": "soon"}),
-        ("cost", {"cost": -1.0}), ("cost", {"cost": math.inf}),
+        ("kind", {"kind": 1}),
+        ("kind", {"kind": -1}),
+        ("kind", {"kind": "0"}),
+        ("tenant", {"tenant": 1}),
+        ("tenant", {"tenant": -1}),
+        ("deadline", {"deadline": math.nan}),
+        ("deadline", {"deadline": "soon"}),
+        ("cost", {"cost": -1.0}),
+        ("cost", {"cost": math.inf}),
         ("rid", {"rid": "open"}),
     ],
 )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,9 @@
 from jaspershelf.model import Limits, Repeat, RequestClass
 
 UNSAFE = Settings(
-    classes=(RequestClass(aim=0.4, deadline=1.0, repeat=Repeat.UNSAFE),), tier=1, tiers=2,
+    classes=(RequestClass(aim=0.4, deadline=1.0, repeat=Repeat.UNSAFE),),
+    tier=1,
+    tiers=2,
     limits=Limits(cancel=True, max_attempts=5),
 )
 
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -45,9 +45,7 @@
 
 
 @pytest.mark.parametrize(("late_worth", "timeout"), [(0.0, 0.98), (0.3, 0.98), (0.5, 0.98), (0.8, 0.0)])
-def test_attempts_run_to_the_deadline_where_late_answers_keep_most_worth(
-    late_worth: float, timeout: float
-) -> None:
+def test_attempts_run_to_the_deadline_where_late_answers_keep_most_worth(late_worth: float, timeout: float) -> None:
     late = RequestClass("a", aim=1.0, deadline=4.0, repeat=Repeat.SAFE, late_worth=late_worth)
     [send] = balancer(Settings(classes=(late,))).request(100.0, "r", 0, 0, 104.0)
     assert isinstance(send, Send) and send.timeout == pytest.approx(timeout)
@@ -70,9 +68,7 @@
 
 
 @pytest.mark.parametrize(("marks", "repeats", "answer"), [(True, False, Send), (True, True, Refuse)])
-def test_a_short_try_is_a_repeat_only_where_no_mark_says_otherwise(
-    marks: bool, repeats: bool, answer: type
-) -> None:
+def test_a_short_try_is_a_repeat_only_where_no_mark_says_otherwise(marks: bool, repeats: bool, answer: type) -> None:
     b = balancer(Settings(classes=(SAFE,), marks_retry=marks))
     tries(b, [3.0] * 5)
     assert isinstance(b.request(300.0, "s", 0, 0, 301.5, 0.0, repeats)[0], answer)
@@ -198,9 +194,7 @@
     return now
 
 
-@pytest.mark.parametrize(
-    ("fifth", "answer"), [(Outcome.OK, Send), (Outcome.ERROR, Send), (Outcome.TIMEOUT, Refuse)]
-)
+@pytest.mark.parametrize(("fifth", "answer"), [(Outcome.OK, Send), (Outcome.ERROR, Send), (Outcome.TIMEOUT, Refuse)])
 def test_room_shrinks_where_load_makes_requests_fail(fifth: Outcome, answer: type) -> None:
     b = balancer(Settings(classes=(DEAR,)))
     now = calls(b, 0, fifth)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -99,9 +99,7 @@
         (b"HTTP/1.1 429 Slow\r\nContent-Length: 0\r\n\r\n", 502, 1),
     ],
 )
-def test_an_unsafe_request_is_sent_again_only_if_it_never_ran(
-    answer: bytes, expected: int, sent: int
-) -> None:
+def test_an_unsafe_request_is_sent_again_only_if_it_never_ran(answer: bytes, expected: int, sent: int) -> None:
     async def play() -> None:
         script = first(answer)
         async with backend(script) as one, backend(script) as two:
@@ -212,9 +210,7 @@
 
 
 @pytest.mark.parametrize("change", ["drained", "left", "late"])
-def test_nothing_is_sent_when_the_world_moved_on_while_dialling(
-    change: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_nothing_is_sent_when_the_world_moved_on_while_dialling(change: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
             loop = asyncio.get_running_loop()
@@ -339,6 +335,7 @@
 
     def start(self, data: bytes = b"") -> Exchange:
         """Start one."""
+
         def report(exchange: Exchange, outcome: Outcome, response: Response | None) -> None:
             self.ended.put_nowait(outcome)
 
@@ -635,9 +632,7 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize(
-    ("request_bytes", "begins"), [(book(), OK[:-2]), (read(), b"HTTP/1.1 102 Processing\r\n\r\n")]
-)
+@pytest.mark.parametrize(("request_bytes", "begins"), [(book(), OK[:-2]), (read(), b"HTTP/1.1 102 Processing\r\n\r\n")])
 def test_a_slow_answer_is_waited_for(request_bytes: bytes, begins: bytes) -> None:
     async def play() -> None:
         async with backend(lambda _: begins) as one, running([entry("a", one.address)]) as up:
@@ -673,9 +668,7 @@
 
 
 @pytest.mark.parametrize("how", ["unknown", "cancelled"])
-def test_a_name_that_is_not_found_or_no_longer_wanted_leaves_nothing(
-    how: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_name_that_is_not_found_or_no_longer_wanted_leaves_nothing(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def play() -> None:
         asked = asyncio.Event()
 
@@ -703,6 +696,7 @@
 
 def test_a_connection_that_never_comes_up_is_given_up_in_time() -> None:
     """A full accept queue answers nothing, as a machine that is cut off does."""
+
     async def play() -> None:
         with socket.socket() as full:
             full.bind((HOST, 0))
--- a/tests/test_put_back.py
+++ b/tests/test_put_back.py
@@ -12,7 +12,8 @@
 
 SETTINGS = Settings(
     classes=(RequestClass("read", 0.4, 1.0, Repeat.SAFE), RequestClass("book", 0.4, 1.0, Repeat.UNSAFE)),
-    rules=Rules(cold_from=0.31, cold_for=8.9, fall_multiple=3.0, fall_after=3.0))
+    rules=Rules(cold_from=0.31, cold_for=8.9, fall_multiple=3.0, fall_after=3.0),
+)
 
 
 def first_call(seed: int, kind: int, told: bool, servers: int = 18, rate: float = 3.0) -> float:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,14 +86,24 @@
     servers=st.integers(0, 14),
 )
 def test_rules_hold(
-    steps: list[tuple[int, int, int]], seed: int, flags: tuple[bool, bool, bool, bool], attempts: int,
+    steps: list[tuple[int, int, int]],
+    seed: int,
+    flags: tuple[bool, bool, bool, bool],
+    attempts: int,
     servers: int,
 ) -> None:
     second, cancel, asks, budget = flags
     rules = BUDGETED if budget else RULES
     config = Settings(
-        classes=KINDS, tenants=(Tenant("a", 0.6, 5.0), Tenant("b", 0.4, 3.0)), zones=2, rules=rules,
-        balancers=3, me=seed % 3, tier=seed % 2, tiers=2, over_share_worth=0.1,
+        classes=KINDS,
+        tenants=(Tenant("a", 0.6, 5.0), Tenant("b", 0.4, 3.0)),
+        zones=2,
+        rules=rules,
+        balancers=3,
+        me=seed % 3,
+        tier=seed % 2,
+        tiers=2,
+        over_share_worth=0.1,
         discovery=Discovery.ON_REQUEST if asks else Discovery.PUSHED,
         limits=Limits(cancel=cancel, second_copies=second, max_attempts=attempts),
     )
@@ -240,9 +250,7 @@
     steps = [(0, 1, 250), (4, 0, 1), (0, 4, 250), (4, 0, 1), (0, 3, 250), (4, 0, 1)] * 12
     rows = [ServerRow(1000 + i, State.UP, i % 2, i // 3) for i in range(9)]
     tenants = (Tenant("a"), Tenant("b"))
-    config = Settings(
-        classes=KINDS, zones=2, rules=RULES, limits=Limits(max_attempts=4), tenants=tenants
-    )
+    config = Settings(classes=KINDS, zones=2, rules=RULES, limits=Limits(max_attempts=4), tenants=tenants)
     play(Checker(config, 1, rows), steps)
     with monkeypatch.context() as patch:
         patch.setattr(decide.Balancer, "_among", lambda self, now, request: self.pool_of[request.kind].ready)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -105,7 +105,7 @@
 def test_split_kept_and_back_to_back_requests_are_answered_in_order() -> None:
     async def play() -> None:
         def script(request: bytes) -> bytes:
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + request[request.index(b"id") + 2:][:1]
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + request[request.index(b"id") + 2 :][:1]
 
         async with backend(script) as one, running([entry("a", one.address)]) as up:
             client = await up.client()
@@ -113,7 +113,7 @@
             client.writer.write(whole)
             assert [(await client.answer())[-1:] for _ in range(3)] == [b"1", b"2", b"3"]
             for at in range(len(whole)):
-                client.writer.write(whole[at:at + 1])
+                client.writer.write(whole[at : at + 1])
                 await asyncio.sleep(0)
             assert [(await client.answer())[-1:] for _ in range(3)] == [b"1", b"2", b"3"]
             last = await client.ask(book(4, Connection="close"))
@@ -267,11 +267,19 @@
 
 
 def environment(path: Path, listen: str, discovery: str, known: list[dict[str, object]]) -> dict[str, str]:
-    path.write_text(json.dumps({
-        "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"index": 3, "snapshot": True, "endpoints": known}, "settings": WIRE,
-    }))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": listen,
+                "discovery": discovery,
+                "seed": "8c1f30d27a5be964",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": {"index": 3, "snapshot": True, "endpoints": known},
+                "settings": WIRE,
+            }
+        )
+    )
     return {**os.environ, "RELAY_CONFIG": str(path), "RELAY_LISTEN": listen, "RELAY_DISCOVERY": discovery}
 
 
@@ -296,8 +304,9 @@
     async def play() -> None:
         async with watches() as registry, backend(lambda _: None) as one:
             port = free_port()
-            env = environment(tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:{registry.port}",
-                              [entry("a", one.address)])
+            env = environment(
+                tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:{registry.port}", [entry("a", one.address)]
+            )
             process = await asyncio.create_subprocess_exec(sys.executable, "-m", "lugspur", cwd=ROOT, env=env)
             await up_and_ready(port)
             idle, early = await connect(port), await connect(port)
@@ -324,7 +333,8 @@
             port, path = free_port(), tmp_path / "c.json"
             env = environment(path, f"{HOST}:{port}", f"{HOST}:{old.port}", [])
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lugspur", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+                sys.executable, "-m", "lugspur", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+            )
             assert process.stderr is not None
             await soon(old.asked.get())
             old.say(4, [entry("b", f"{HOST}:9", "terminating")])
@@ -375,8 +385,13 @@
 
 
 ODD_LIST = {
-    "name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:9", "seed": "1", "limits": {"sockets": 64},
-    "known": {"index": 1, "endpoints": [{"name": "a"}]}, "settings": WIRE,
+    "name": "n0",
+    "listen": f"{HOST}:0",
+    "discovery": f"{HOST}:9",
+    "seed": "1",
+    "limits": {"sockets": 64},
+    "known": {"index": 1, "endpoints": [{"name": "a"}]},
+    "settings": WIRE,
 }
 
 
@@ -419,8 +434,15 @@
     path.write_text(text)
     env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
     for more in ({"RELAY_CONFIG": str(path)}, {"RELAY_CONFIG": str(path / "none")}, {}):
-        done = subprocess.run([sys.executable, "-m", "lugspur"], cwd=ROOT, env=env | more, timeout=WIDE,
-                              capture_output=True, text=True, check=False)
+        done = subprocess.run(
+            [sys.executable, "-m", "lugspur"],
+            cwd=ROOT,
+            env=env | more,
+            timeout=WIDE,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
         assert done.returncode == 2 and done.stdout == ""
         [line] = done.stderr.splitlines()
         assert line.startswith("lugspur: ")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -76,7 +76,7 @@
 
 
 def chunked(body: bytes, size: int) -> bytes:
-    parts = [body[at:at + size] for at in range(0, len(body), size)]
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
     framed = b"".join(b"%x;note=1\r\n%b\r\n" % (len(part), part) for part in parts)
     head = book(Content_Length="", Transfer_Encoding="chunked", body=b"")
     return head + framed + b"0\r\nX-Trailer: a\r\n\r\n"
@@ -106,7 +106,7 @@
             client = await up.client()
             sent = book(body=body, timeout="0.3")
             for at in range(0, len(sent), 4096):
-                client.writer.write(sent[at:at + 4096])
+                client.writer.write(sent[at : at + 4096])
                 await asyncio.sleep(0.02)  # longer than the request may take, all in all
             assert (await client.answer()).endswith(hashlib.sha256(body).hexdigest().encode())
 
@@ -121,7 +121,7 @@
         async with box(digest) as address, running([entry("a", address)]) as up:
             up.proxy.front.whole_within = 0.2
             client = await up.client()
-            client.writer.write(book(body=noise(LARGE))[:HOLD + 20_000])
+            client.writer.write(book(body=noise(LARGE))[: HOLD + 20_000])
             assert status(await client.answer()) == 408
             assert not up.proxy.pool.calls
             assert up.proxy.pool.upstream.sockets() == 0  # what an unfinished upload leaves is not used again
@@ -133,7 +133,7 @@
     async def play() -> None:
         async with box(digest) as address, running([entry("a", address)]) as up:
             client = await up.client()
-            client.writer.write(book(body=noise(LARGE))[:2 * HOLD])
+            client.writer.write(book(body=noise(LARGE))[: 2 * HOLD])
             await until(lambda: bool(up.proxy.pool.calls))
             client.writer.close()
             await until(lambda: not up.proxy.pool.calls and up.proxy.pool.upstream.sockets() == 0)
@@ -177,18 +177,21 @@
         async with box(break_late) as one, box(break_late) as two:
             async with running([entry("a", one), entry("b", two)]) as up:
                 client = await up.client()
-                client.writer.write(book(body=noise(LARGE))[:KEEP + 2 * HOLD])
+                client.writer.write(book(body=noise(LARGE))[: KEEP + 2 * HOLD])
                 assert status(await client.answer()) == 503  # it never ran, for sure
                 assert len(seen) == 1
 
     asyncio.run(play())
 
 
-@pytest.mark.parametrize(("answer", "expected"), [
-    (b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", 503),
-    (b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", 503),  # before the last byte: it never ran
-    (OK, 200),
-])
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", 503),
+        (b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", 503),  # before the last byte: it never ran
+        (OK, 200),
+    ],
+)
 def test_an_answer_before_the_bodys_end_is_passed_on_and_the_rest_is_dropped(answer: bytes, expected: int) -> None:
     async def play() -> None:
         async def early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -200,9 +203,9 @@
         async with box(early) as address, running([entry("a", address)]) as up:
             client = await up.client()
             sent = book(body=noise(LARGE))
-            client.writer.write(sent[:4 * HOLD])
+            client.writer.write(sent[: 4 * HOLD])
             assert status(await client.answer()) == expected
-            client.writer.write(sent[4 * HOLD:])  # it did not know yet
+            client.writer.write(sent[4 * HOLD :])  # it did not know yet
             client.writer.write_eof()
             assert await soon(client.reader.read()) == b""
             assert not up.proxy.pool.calls
@@ -222,7 +225,7 @@
             elif head == "chunks":
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n")
                 for at in range(0, size, 50_000):
-                    part = body[at:at + 50_000]
+                    part = body[at : at + 50_000]
                     writer.write(b"%x\r\n%b\r\n" % (len(part), part))
                     await writer.drain()
                 writer.write(b"0\r\n\r\n")
@@ -268,7 +271,7 @@
 
         async with box(early) as address, running([entry("a", address)]) as up:
             client = await up.client()
-            client.writer.write(book(body=noise(LARGE))[:4 * HOLD])
+            client.writer.write(book(body=noise(LARGE))[: 4 * HOLD])
             told, body = await answer_of(client)
             assert told.startswith(b"http/1.1 200 ")
             assert body == answer
@@ -493,8 +496,11 @@
 
 
 SENT = [
-    book(body=noise(HOLD + 300)) + read(2), chunked(noise(HOLD + 999), 7000) + book(3), chunked(b"abc" * 50, 1),
-    chunked(noise(HOLD + 999), 9000).replace(b";note=1\r\n", b"\r\n", 1)[:-5] + b"zz\r\n", book(body=noise(HOLD))[:-1],
+    book(body=noise(HOLD + 300)) + read(2),
+    chunked(noise(HOLD + 999), 7000) + book(3),
+    chunked(b"abc" * 50, 1),
+    chunked(noise(HOLD + 999), 9000).replace(b";note=1\r\n", b"\r\n", 1)[:-5] + b"zz\r\n",
+    book(body=noise(HOLD))[:-1],
 ]
 
 
@@ -516,7 +522,7 @@
     got: list[Request] = []
     intake = Intake(got.append, sizes)
     for at in range(0, 4 * HOLD, 5000):
-        piece = chunked(noise(4 * HOLD), 5000)[at:at + 5000]
+        piece = chunked(noise(4 * HOLD), 5000)[at : at + 5000]
         intake.feed(memoryview(piece), 1.0)
         for request in got:
             assert request.stream is not None
@@ -538,13 +544,13 @@
             sent += piece
             body.put(piece)
         piece = body.read(at)[:go]
-        assert piece == bytes(sent[at:at + len(piece)])
+        assert piece == bytes(sent[at : at + len(piece)])
         at += len(piece)
         body.passed(at)
         assert body.came == len(sent)
         assert body.held <= KEEP + WINDOW + 90_000
         assert body.bound == (at > KEEP)
         if not body.bound:
-            assert body.read(0)[:at] == bytes(sent[:min(at, 64 << 10)])
+            assert body.read(0)[:at] == bytes(sent[: min(at, 64 << 10)])
     body.drop()
     assert body.held == 0
--- a/tests/zookeeper/test_client.py
+++ b/tests/zookeeper/test_client.py
@@ -75,8 +75,10 @@
 
 
 @pytest.mark.parametrize(
-    "hurt", [stall, Server.refuse, Server.flap, Server.garbage, Server.huge, cut],
-    ids=["stall", "refuse", "flap", "garbage", "frame of 1 GB", "cut in mid-frame"])
+    "hurt",
+    [stall, Server.refuse, Server.flap, Server.garbage, Server.huge, cut],
+    ids=["stall", "refuse", "flap", "garbage", "frame of 1 GB", "cut in mid-frame"],
+)
 def test_the_session_goes_on_elsewhere_whatever_happens_to_its_server(hurt: Callable[[Server], None]) -> None:
     async def play() -> None:
         async with world() as w:
@@ -214,9 +216,16 @@
             for server in servers:
                 server.mend()
             nodes = cluster.ensemble.tree.nodes
-            await until(lambda: follower.nodes == {
-                path[len("/boxes/"):]: (node.data, node.czxid) for path, node in nodes.items()
-                if path.startswith("/boxes/")})
+            await until(
+                lambda: (
+                    follower.nodes
+                    == {
+                        path[len("/boxes/") :]: (node.data, node.czxid)
+                        for path, node in nodes.items()
+                        if path.startswith("/boxes/")
+                    }
+                )
+            )
 
     asyncio.run(play())
 
--- a/tests/zookeeper/test_kazoo.py
+++ b/tests/zookeeper/test_kazoo.py
@@ -46,6 +46,7 @@
 
     def run(self, act: Callable[[], Any]) -> Any:
         """Do something in the stand-in's loop."""
+
         async def there() -> Any:
             done = act()
             return await done if asyncio.iscoroutine(done) else done
@@ -168,7 +169,8 @@
     other.create("/w/below")
     heard.until(lambda events: len(events) == 3)
     assert heard.events == [
-        WatchedEvent("CREATED", "CONNECTED", "/w"), WatchedEvent("CHANGED", "CONNECTED", "/w"),
+        WatchedEvent("CREATED", "CONNECTED", "/w"),
+        WatchedEvent("CHANGED", "CONNECTED", "/w"),
         WatchedEvent("CHILD", "CONNECTED", "/w"),
     ]
 
--- a/tests/zookeeper/test_registration.py
+++ b/tests/zookeeper/test_registration.py
@@ -25,7 +25,8 @@
         super().__init__()
         self.link.remove(self.view)
         self.registration = Registration(
-            FOLDER, "box", b"ours", lambda data: data.startswith(b"ours"), "f00" if sequential else "")
+            FOLDER, "box", b"ours", lambda data: data.startswith(b"ours"), "f00" if sequential else ""
+        )
         self.link.add(self.registration, self.now)
         self.most = 0  # nodes of ours at one time
         self.cluster.ensemble.listeners.append(lambda _: self.count())
@@ -54,9 +55,21 @@
 
     def step(self) -> None:
         act = self.chance.choices(
-            [self.send, self.receive, self.part, self.cut, self.expire, self.toggle, self.stall, self.mend,
-             self.remove, self.write, self.lag],
-            [20, 20, 10, 4, 2, 6, 1, 4, 1, 2, 2])[0]
+            [
+                self.send,
+                self.receive,
+                self.part,
+                self.cut,
+                self.expire,
+                self.toggle,
+                self.stall,
+                self.mend,
+                self.remove,
+                self.write,
+                self.lag,
+            ],
+            [20, 20, 10, 4, 2, 6, 1, 4, 1, 2, 2],
+        )[0]
         act()
 
     def part(self) -> None:
--- a/tests/zookeeper/test_session.py
+++ b/tests/zookeeper/test_session.py
@@ -57,16 +57,19 @@
 # ---- the records, by another's reading of them --------------------------------------------------
 
 
-@pytest.mark.parametrize("ours, theirs", [
-    (r.ConnectRequest(0, 7, 10_000, 99, b"p" * 16, False), kazoo.Connect(0, 7, 10_000, 99, b"p" * 16, False)),
-    (r.Watching("/ä", True), kazoo.GetData("/ä", True)),
-    (r.Watching("/a", False), kazoo.GetChildren2("/a", False)),
-    (r.Delete("/a", 3), kazoo.Delete("/a", 3)),
-    (r.SetData("/a", b"x", -1), kazoo.SetData("/a", b"x", -1)),
-    (r.Create("/a", b"x", r.OPEN, 3), kazoo.Create("/a", b"x", [ACL(31, Id("world", "anyone"))], 3)),
-    (r.Auth(0, "digest", b"u:p"), kazoo.Auth(0, "digest", "u:p")),
-    (r.Path("/a"), kazoo.Sync("/a")),
-])
+@pytest.mark.parametrize(
+    "ours, theirs",
+    [
+        (r.ConnectRequest(0, 7, 10_000, 99, b"p" * 16, False), kazoo.Connect(0, 7, 10_000, 99, b"p" * 16, False)),
+        (r.Watching("/ä", True), kazoo.GetData("/ä", True)),
+        (r.Watching("/a", False), kazoo.GetChildren2("/a", False)),
+        (r.Delete("/a", 3), kazoo.Delete("/a", 3)),
+        (r.SetData("/a", b"x", -1), kazoo.SetData("/a", b"x", -1)),
+        (r.Create("/a", b"x", r.OPEN, 3), kazoo.Create("/a", b"x", [ACL(31, Id("world", "anyone"))], 3)),
+        (r.Auth(0, "digest", b"u:p"), kazoo.Auth(0, "digest", "u:p")),
+        (r.Path("/a"), kazoo.Sync("/a")),
+    ],
+)
 def test_requests_have_the_bytes_that_kazoo_gives_them(ours: object, theirs: object) -> None:
     assert encode(ours) == bytes(theirs.serialize())  # type: ignore[attr-defined]
 
@@ -134,8 +137,11 @@
         world.cluster.write("/boxes")
         up(world)
         first = world.session.id
-        for op, row in ((Op.GET_DATA, r.Watching("/w", True)), (Op.EXISTS, r.Watching("/new", True)),
-                        (Op.GET_CHILDREN2, r.Watching("/", True))):
+        for op, row in (
+            (Op.GET_DATA, r.Watching("/w", True)),
+            (Op.EXISTS, r.Watching("/new", True)),
+            (Op.GET_CHILDREN2, r.Watching("/", True)),
+        ):
             world.session.ask(world.now, op, row)
         world.settle()
         world.disconnect()
@@ -164,12 +170,12 @@
     while sent:
         length = int.from_bytes(sent[:4], "big")
         assert length < WATCHES_MOST + 300
-        source = Input(sent[4:4 + length])
+        source = Input(sent[4 : 4 + length])
         assert decode(r.RequestHeader, source).xid == r.WATCHES_XID
         row = decode(r.SetWatches, source)
         assert row.since == 9
         paths.update(row.exists)
-        sent = sent[4 + length:]
+        sent = sent[4 + length :]
     assert len(paths) == 3000
 
 
@@ -255,11 +261,19 @@
 # ---- what peers can send ------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("data", [
-    (1 << 30).to_bytes(4, "big"), b"\xff\xff\xff\xff", (FRAME_MOST + 1).to_bytes(4, "big"),
-    buffer(b""), buffer(b"short"), buffer(encode(r.ReplyHeader(77, 1, 0))),
-    buffer(encode(r.ReplyHeader(1, 1, 0)) + b"\x7f\xff\xff\xff"),
-], ids=["1 GB", "negative", "one byte too many", "empty", "short", "no such request", "a list of 2 billion"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        (1 << 30).to_bytes(4, "big"),
+        b"\xff\xff\xff\xff",
+        (FRAME_MOST + 1).to_bytes(4, "big"),
+        buffer(b""),
+        buffer(b"short"),
+        buffer(encode(r.ReplyHeader(77, 1, 0))),
+        buffer(encode(r.ReplyHeader(1, 1, 0)) + b"\x7f\xff\xff\xff"),
+    ],
+    ids=["1 GB", "negative", "one byte too many", "empty", "short", "no such request", "a list of 2 billion"],
+)
 def test_what_is_no_zookeepers_costs_that_connection_and_no_memory(data: bytes) -> None:
     session = accepted()
     session.ask(0.0, Op.GET_CHILDREN2, r.Watching("/", False))
@@ -280,19 +294,24 @@
 @given(st.lists(st.integers(min_value=0, max_value=400), max_size=8))
 def test_where_the_bytes_are_cut_makes_no_difference(cuts: list[int]) -> None:
     stat = r.Stat(*range(1, 12))
-    data = b"".join(buffer(frame) for frame in (
-        encode(r.ReplyHeader(1, 9, 0)) + encode(r.Data(b"x" * 50, stat)),
-        encode(r.ReplyHeader(r.EVENT_XID, -1, 0)) + encode(r.Event(Happened.CHANGED, 3, "/a")),
-        encode(r.ReplyHeader(2, 9, Error.NO_NODE)),
-    ))
+    data = b"".join(
+        buffer(frame)
+        for frame in (
+            encode(r.ReplyHeader(1, 9, 0)) + encode(r.Data(b"x" * 50, stat)),
+            encode(r.ReplyHeader(r.EVENT_XID, -1, 0)) + encode(r.Event(Happened.CHANGED, 3, "/a")),
+            encode(r.ReplyHeader(2, 9, Error.NO_NODE)),
+        )
+    )
     session = accepted()
     session.ask(0.0, Op.GET_DATA, r.Watching("/a", True))
     session.ask(0.0, Op.GET_DATA, r.Watching("/b", True))
     places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
-    events = [event for one, two in pairwise(places)
-              for event in session.received(0.0, data[one:two])]
-    assert events == [Reply(1, Op.GET_DATA, 0, r.Data(b"x" * 50, stat)), Told(Happened.CHANGED, "/a"),
-                      Reply(2, Op.GET_DATA, Error.NO_NODE, None)]
+    events = [event for one, two in pairwise(places) for event in session.received(0.0, data[one:two])]
+    assert events == [
+        Reply(1, Op.GET_DATA, 0, r.Data(b"x" * 50, stat)),
+        Told(Happened.CHANGED, "/a"),
+        Reply(2, Op.GET_DATA, Error.NO_NODE, None),
+    ]
 
 
 def test_no_request_goes_out_without_a_server() -> None:
--- a/tests/zookeeper/test_view.py
+++ b/tests/zookeeper/test_view.py
@@ -28,9 +28,23 @@
         world.cluster.write("/boxes")
         world.cluster.ensemble.listeners.append(self.removals)
         self.steps: list[tuple[int, Callable[[], None]]] = [
-            (30, self.write), (15, self.delete), (10, self.box), (8, self.expire_box), (12, self.send),
-            (12, self.receive), (12, self.part), (6, self.settle), (2, self.cut), (1, self.expire_own), (1, self.stall),
-            (1, self.lag), (4, self.late), (6, self.mend), (1, self.folder), (1, self.forget), (1, self.restore),
+            (30, self.write),
+            (15, self.delete),
+            (10, self.box),
+            (8, self.expire_box),
+            (12, self.send),
+            (12, self.receive),
+            (12, self.part),
+            (6, self.settle),
+            (2, self.cut),
+            (1, self.expire_own),
+            (1, self.stall),
+            (1, self.lag),
+            (4, self.late),
+            (6, self.mend),
+            (1, self.folder),
+            (1, self.forget),
+            (1, self.restore),
         ]
 
     def removals(self, change: object) -> None:
--- a/tests/zookeeper/wire.py
+++ b/tests/zookeeper/wire.py
@@ -133,8 +133,11 @@
         """What the folder really holds."""
         nodes = self.cluster.ensemble.tree.nodes
         inside = self.view.path.rstrip("/") + "/"
-        return {path[len(inside):]: (node.data, node.czxid) for path, node in nodes.items()
-                if path.startswith(inside) and "/" not in path[len(inside):] and path != "/"}
+        return {
+            path[len(inside) :]: (node.data, node.czxid)
+            for path, node in nodes.items()
+            if path.startswith(inside) and "/" not in path[len(inside) :] and path != "/"
+        }
 
     def whole(self) -> int:
         """How often the whole folder was told."""
