--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 bench: $(DEVELOPED)
 	$(PYTHON) -m lugspur bench
 
-.venv/developed: requirements.txt requirements-hive.txt requirements-dev.txt
+.venv/developed: requirements.txt requirements-mesh.txt requirements-dev.txt
 	python3 -m venv .venv
 	.venv/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	cp requirements.txt .venv/built
--- a/jaspershelf/adapter.py
+++ b/jaspershelf/adapter.py
@@ -206,7 +206,9 @@
     @staticmethod
     def _returned(b: Balancer, now: float, e: dict[str, Any]) -> list[Action]:
         how = OUTCOMES[e["How"]]
-        return b.outcome(now, e["Ref"], e.get("RoundNo", 0), how, e.get("CostTime", 0.0), e.get("Last", False))
+        return b.outcome(
+            now, e["Ref"], e.get("RoundNo", 0), how, e.get("CostTime", 0.0), e.get("Last", False)
+        )
 
     def event(self, now: float, e: dict[str, Any]) -> list[Action]:
         """Hand one event to its instance; returns the instance's actions."""
--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -316,7 +316,9 @@
             self._answer(now, request, out)
         return out
 
-    def _send(self, now: float, request: Request, among: list[Server], first: bool, out: list[Action]) -> bool:
+    def _send(
+        self, now: float, request: Request, among: list[Server], first: bool, out: list[Action]
+    ) -> bool:
         """Send an attempt to the best candidate whose breaker does not refuse; False if there is none."""
         timeout = self.settings.classes[request.kind].aim
         for server in self._offers(now, request, among, first):
--- a/jaspershelf/servers.py
+++ b/jaspershelf/servers.py
@@ -173,7 +173,9 @@
 
     def opens(self, row: ServerRow) -> bool:
         """Whether the classes of this pool may go to this server."""
-        return (self.kinds is None or row.kind in self.kinds) and (self.zones is None or row.zone in self.zones)
+        return (self.kinds is None or row.kind in self.kinds) and (
+            self.zones is None or row.zone in self.zones
+        )
 
     def part_rate(self, now: float) -> float:
         """What each server of the slice gets from here, in calls a second.
--- a/lugspur/bench/hive.py
+++ b/lugspur/bench/mesh.py
@@ -1,10 +1,10 @@
-"""A whole mesh on loopback: combs and foragers as processes, backends as stand-ins.
+"""A whole mesh on loopback: replicas and proxies as processes, backends as stand-ins.
 
-    python -m lugspur.bench.hive
+    python -m lugspur.bench.mesh
 
 Each machine is an address of 127/8, so that all may use the same ports, as machines do. What it shows: a configuration
 is taken and kept, requests are served, a keyed operation runs once wherever it is repeated, a backend that closes gets
-nothing new, and all of it again with a comb killed.
+nothing new, and all of it again with a replica killed.
 """
 
 from __future__ import annotations
@@ -61,15 +61,15 @@
 
 
 class Mesh:
-    """So many combs and foragers; each forager has one stand-in backend."""
+    """So many replicas and proxies; each proxy has one stand-in backend."""
 
-    def __init__(self, folder: Path, combs: int = 3, services: Iterable[str] = ("rooms", "rooms")) -> None:
+    def __init__(self, folder: Path, replicas: int = 3, services: Iterable[str] = ("rooms", "rooms")) -> None:
         self.folder = folder
         self.services = list(services)
         base = 16 + os.getpid() % 200  # other meshes of this machine have other addresses
-        self.comb_ips = [f"127.{base}.1.{n + 1}" for n in range(combs)]
-        self.forager_ips = [f"127.{base}.2.{n + 1}" for n in range(len(self.services))]
-        everyone = [*self.comb_ips, *self.forager_ips]
+        self.replica_ips = [f"127.{base}.1.{n + 1}" for n in range(replicas)]
+        self.proxy_ips = [f"127.{base}.2.{n + 1}" for n in range(len(self.services))]
+        everyone = [*self.replica_ips, *self.proxy_ips]
         self.inner, self.dispatch, self.outgoing, self.ready, self.app = free_ports(everyone, 5)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.backends: list[MeshBackend] = []
@@ -77,17 +77,17 @@
 
     def settings(self, ip: str) -> str:
         """One machine's settings file."""
-        at = self.forager_ips.index(ip) if ip in self.forager_ips else -1
-        comb = at < 0
+        at = self.proxy_ips.index(ip) if ip in self.proxy_ips else -1
+        replica = at < 0
         listen = {"dispatch": f"{ip}:{self.dispatch}"}
         own: dict[str, Any] = {
-            "node_name": f"{'comb' if comb else 'forager'}-{ip.rsplit('.', 1)[1]}",
+            "node_name": f"{'replica' if replica else 'proxy'}-{ip.rsplit('.', 1)[1]}",
             "ip": ip,
             "zone": f"z{ip[-1]}",
-            "serves": ["dispatch"] if comb else ["courier"],
+            "serves": ["dispatch"] if replica else ["courier"],
             "first_start": ip not in self.started,
         }
-        if comb:
+        if replica:
             own["data_dir"] = str(self.folder / ip)
         else:
             own |= {"app_address": f"{ip}:{self.app}", "service": self.services[at]}
@@ -97,7 +97,7 @@
             "self.limits": {"memory_mb": 200, "file_handles": 1024, "disk_mb": 64, "link_mbps": 8},
             "network": {
                 "inner_ports": [self.inner, self.inner],
-                "seed_nodes": [f"{seed}:{self.dispatch}" for seed in self.comb_ips[:3]],
+                "seed_nodes": [f"{seed}:{self.dispatch}" for seed in self.replica_ips[:3]],
             },
             "network.listen": listen,
             "tariffs.tolerate": {"machines": 1},
@@ -115,7 +115,7 @@
         self.started.add(ip)
         with (self.folder / f"{ip}.log").open("ab") as log:
             self.processes[ip] = subprocess.Popen(
-                [sys.executable, "-m", "lugspur.hive", "serve"],
+                [sys.executable, "-m", "lugspur.mesh", "serve"],
                 cwd=ROOT,
                 stderr=log,
                 env=os.environ | {"LUGSPUR_NODE_FILE": str(path)},
@@ -133,9 +133,9 @@
 
     async def begin(self) -> None:
         """All processes and backends, and the first configuration."""
-        for ip in (*self.comb_ips, *self.forager_ips):
+        for ip in (*self.replica_ips, *self.proxy_ips):
             self.start(ip)
-        for ip, service in zip(self.forager_ips, self.services, strict=True):
+        for ip, service in zip(self.proxy_ips, self.services, strict=True):
             backend = MeshBackend(service, f"{ip}:{self.app}", f"{ip}:{self.dispatch}", f"z{ip[-1]}")
             await backend.serve()
             self.backends.append(backend)
@@ -149,9 +149,9 @@
                 ],
             }
         )
-        for ip in self.forager_ips:
+        for ip in self.proxy_ips:
             await self.until(ip, self.ready, "/readiness", 200)
-        await self.served(self.forager_ips[0], "/look/1", "warm")
+        await self.served(self.proxy_ips[0], "/look/1", "warm")
 
     @staticmethod
     def route(name: str, kind: str, edition: str = "00000001", **other: Any) -> dict[str, Any]:
@@ -179,20 +179,22 @@
                 await asyncio.sleep(TRY_EVERY)
 
     async def amend(self, upsert: dict[str, Any], at: int = 0, expect: int = 200) -> bytes:
-        """Change the configuration at one comb, again until it answers as expected."""
+        """Change the configuration at one replica, again until it answers as expected."""
         body, found = json.dumps({"upsert": upsert}).encode(), b""
         async with asyncio.timeout(READY_WITHIN):
             while True:
                 with suppress(OSError, IndexError, ValueError):
-                    status, _, found = await call(f"{self.comb_ips[at]}:{self.dispatch}", "POST", "/config/amend", body)
+                    status, _, found = await call(
+                        f"{self.replica_ips[at]}:{self.dispatch}", "POST", "/config/amend", body
+                    )
                     if status == expect:
                         return found
                 await asyncio.sleep(TRY_EVERY)
 
     async def read(self, at: int = 0) -> dict[str, Any]:
-        """The configuration as a comb reads it."""
-        await self.until(self.comb_ips[at], self.dispatch, "/config/read", 200)
-        _, _, body = await call(f"{self.comb_ips[at]}:{self.dispatch}", "GET", "/config/read")
+        """The configuration as a replica reads it."""
+        await self.until(self.replica_ips[at], self.dispatch, "/config/read", 200)
+        _, _, body = await call(f"{self.replica_ips[at]}:{self.dispatch}", "GET", "/config/read")
         found: dict[str, Any] = json.loads(body)
         return found
 
@@ -235,24 +237,24 @@
         mesh = Mesh(Path(folder))
         try:
             await mesh.begin()
-            print("three combs, two foragers, two backends; the configuration is taken and in force")
+            print("three replicas, two proxies, two backends; the configuration is taken and in force")
             for n in range(6):
-                body = await mesh.served(mesh.forager_ips[n % 2], "/look/1", f"look-{n}")
+                body = await mesh.served(mesh.proxy_ips[n % 2], "/look/1", f"look-{n}")
             print(f"a request: {body.decode().strip()}")
-            first = await mesh.ask(mesh.forager_ips[0], "/book/7", "try-1", Lugspur_Operation_Key="k-7")
-            again = await mesh.ask(mesh.forager_ips[1], "/book/7", "try-2", Lugspur_Operation_Key="k-7")
+            first = await mesh.ask(mesh.proxy_ips[0], "/book/7", "try-1", Lugspur_Operation_Key="k-7")
+            again = await mesh.ask(mesh.proxy_ips[1], "/book/7", "try-2", Lugspur_Operation_Key="k-7")
             print(f"a booking, and its repeat elsewhere: {first[0]} {first[2]!r}, {again[0]} {again[2]!r}")
-            mesh.end(mesh.comb_ips[0])
+            mesh.end(mesh.replica_ips[0])
             await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 1)
-            body = await mesh.served(mesh.forager_ips[0], "/late/1", "late-1")
-            print(f"with a comb killed, a new route: {body.decode().strip()}")
-            for ip in mesh.comb_ips[1:]:
+            body = await mesh.served(mesh.proxy_ips[0], "/late/1", "late-1")
+            print(f"with a replica killed, a new route: {body.decode().strip()}")
+            for ip in mesh.replica_ips[1:]:
                 mesh.end(ip)
-            for ip in mesh.comb_ips:
+            for ip in mesh.replica_ips:
                 mesh.start(ip)
             names = [route["name"] for route in (await mesh.read(2))["routes"]]
-            third = await mesh.ask(mesh.forager_ips[1], "/book/7", "try-3", Lugspur_Operation_Key="k-7")
-            print(f"after all combs were killed: routes {', '.join(sorted(names))}; the booking again: {third[0]}")
+            third = await mesh.ask(mesh.proxy_ips[1], "/book/7", "try-3", Lugspur_Operation_Key="k-7")
+            print(f"after all replicas were killed: routes {', '.join(sorted(names))}; the booking again: {third[0]}")
             ran = sum(backend.ran.count(t) for backend in mesh.backends for t in ("try-1", "try-2", "try-3"))
             print(f"the booking ran {ran} time{'s' * (ran != 1)}")
         finally:
--- a/lugspur/hive/claims.py
+++ b/lugspur/control/claims.py
@@ -1,8 +1,8 @@
-"""The claimant's side of operation keys, without I/O: who may run an operation, by a majority of the seats.
+"""The claimant's side of operation keys, without I/O: who may run an operation, by a majority of the voters.
 
-A claim is won when a majority of one roster's seats has it on disk, each granting a key to one claimant at a time. Two
-claimants can't both win: majorities meet. One who can't win any more gives back what it was granted, which is safe: it
-never ran.
+A claim is won when a majority of one membership's voters has it on disk, each granting a key to one claimant at a
+time. Two claimants can't both win: majorities meet. One who can't win any more gives back what it
+was granted, which is safe: it never ran.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 
 from cachetools import TTLCache
 
-from lugspur.hive.comb import majority
-from lugspur.hive.wire import Answer, Claim, Release, Roster, Verdict
+from lugspur.control.messages import Answer, Claim, Membership, Release, Verdict
+from lugspur.control.replica import majority
 
 CLAIMS_MOST = 10_000  # open or won lately, at once
 WON_KEPT = 30.0  # seconds for which late grants of what was won are told from those that came too late
@@ -40,14 +40,14 @@
 
 @dataclass(slots=True)
 class Unsettled:
-    """Too few seats answered."""
+    """Too few voters answered."""
 
 
 Settled = Won | Known | Taken | Unsettled
 
 
 class _Open:
-    __slots__ = ("by", "ends", "granted", "key", "left", "others", "over", "roster", "busy", "until")
+    __slots__ = ("by", "ends", "granted", "key", "left", "others", "over", "membership", "busy", "until")
 
     def __init__(
         self, key: bytes, by: bytes, left: float, ends: float, until: float, over: Callable[[Settled], None]
@@ -56,11 +56,11 @@
         self.granted: set[str] = set()
         self.others: set[str] = set()
         self.busy = False
-        self.roster: Roster | None = None
+        self.membership: Membership | None = None
 
 
 class Claims:
-    """The claims of one process that are not settled. `send` gives a message to a seat by its IP number."""
+    """The claims of one process that are not settled. `send` gives a message to a voter by its IP number."""
 
     def __init__(self, send: Callable[[str, Claim | Release], None]) -> None:
         self._send = send
@@ -74,7 +74,7 @@
     def begin(
         self,
         now: float,
-        roster: Roster,
+        membership: Membership,
         key: bytes,
         by: bytes,
         left: float,
@@ -84,51 +84,55 @@
         """Claim a key for `by`, whose request ends in `left` seconds; settled in `within` seconds."""
         found = _Open(key, by, left, now + left, now + within, over)
         self._open[key, by] = found
-        self._ask(now, found, roster)
+        self._ask(now, found, membership)
 
-    def _ask(self, now: float, found: _Open, roster: Roster) -> None:
-        found.roster = roster
+    def _ask(self, now: float, found: _Open, membership: Membership) -> None:
+        found.membership = membership
         found.granted.clear()
         found.others.clear()
-        for seat in roster.seats:
-            self._send(seat.ip, Claim(found.key, found.by, roster.epoch, max(0.0, found.ends - now)))
+        for voter in membership.voters:
+            self._send(voter.ip, Claim(found.key, found.by, membership.epoch, max(0.0, found.ends - now)))
 
-    def again(self, now: float, roster: Roster) -> None:
-        """The roster has changed: what was granted under another one counts no more, and is asked for anew."""
+    def again(self, now: float, membership: Membership) -> None:
+        """The membership has changed: what was granted under another one counts no more, and is asked for anew."""
         for found in list(self._open.values()):
-            self._ask(now, found, roster)
+            self._ask(now, found, membership)
 
     def reach(self, now: float, ip: str) -> None:
-        """A seat can be reached anew: what it may not have heard is said again."""
+        """A voter can be reached anew: what it may not have heard is said again."""
         for found in self._open.values():
-            roster = found.roster
-            if roster is not None and ip in {s.ip for s in roster.seats} and ip not in found.granted | found.others:
-                self._send(ip, Claim(found.key, found.by, roster.epoch, max(0.0, found.ends - now)))
+            membership = found.membership
+            if (
+                membership is not None
+                and ip in {s.ip for s in membership.voters}
+                and ip not in found.granted | found.others
+            ):
+                self._send(ip, Claim(found.key, found.by, membership.epoch, max(0.0, found.ends - now)))
 
     def verdict(self, now: float, ip: str, message: Verdict) -> None:
-        """A seat's answer."""
+        """A voter's answer."""
         found = self._open.get((message.key, message.by))
         if found is None:
             if message.granted and (message.key, message.by) not in self._won:
                 # It came too late and was not run: nobody else shall wait for it.
                 self._send(ip, Release(message.key, message.by))
             return
-        roster = found.roster
-        assert roster is not None
+        membership = found.membership
+        assert membership is not None
         if message.answer is not None:
             self._settle(found, Known(message.answer))
             return
-        if message.epoch != roster.epoch or ip not in {seat.ip for seat in roster.seats}:
+        if message.epoch != membership.epoch or ip not in {voter.ip for voter in membership.voters}:
             return
         if message.granted:
             found.granted.add(ip)
-            if len(found.granted) >= majority(len(roster.seats)) and now < found.until:
+            if len(found.granted) >= majority(len(membership.voters)) and now < found.until:
                 self._won[message.key, message.by] = None
                 self._settle(found, Won())
         elif message.other:
             found.others.add(ip)
             found.busy = found.busy or message.busy
-            if len(roster.seats) - len(found.others) < majority(len(roster.seats)):
+            if len(membership.voters) - len(found.others) < majority(len(membership.voters)):
                 self._settle(found, Taken(found.busy))
 
     def look(self, now: float) -> None:
@@ -146,9 +150,9 @@
     def _settle(self, found: _Open, how: Settled) -> None:
         del self._open[found.key, found.by]
         if not isinstance(how, Won):
-            for seat in found.roster.seats if found.roster is not None else ():
-                if seat.ip not in found.others:
-                    self._send(seat.ip, Release(found.key, found.by))
+            for voter in found.membership.voters if found.membership is not None else ():
+                if voter.ip not in found.others:
+                    self._send(voter.ip, Release(found.key, found.by))
         found.over(how)
 
 
--- a/lugspur/hive/errors.py
+++ b/lugspur/control/errors.py
@@ -16,8 +16,8 @@
     NO_CALL = "no-call"  # no call of that method and path
     NOT_READY = "not-ready"  # nothing is known yet
     NO_BACKEND = "no-backend"  # nobody who could run it would take it
-    NO_QUORUM = "no-quorum"  # too few combs answered
-    UNCLEAR = "unclear"  # too few combs answered, and something may have been written
+    NO_QUORUM = "no-quorum"  # too few replicas answered
+    UNCLEAR = "unclear"  # too few replicas answered, and something may have been written
     KEY_BUSY = "key-busy"  # the key's first request is still at work
     KEY_SPENT = "key-spent"  # the key's first request ended in a way that nobody knows
     MAYBE_RAN = "maybe-ran"  # it was sent, and how it ended is not known
@@ -64,7 +64,7 @@
 }
 
 
-class HiveError(Exception):
+class MeshError(Exception):
     """Something of the closed list; `code` is its kind's name."""
 
     def __init__(self, kind: Kind, detail: str = "") -> None:
--- a/lugspur/hive/items.py
+++ b/lugspur/control/items.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from lugspur.hive.errors import HiveError, Kind
-from lugspur.hive.ledger import Ledger, newer
-from lugspur.hive.wire import Entry
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.messages import Entry
+from lugspur.control.store import Store, newer
 
 ROUTES, SERVICES, LIMITS = "routes", "services", "limits"
-SOFT = frozenset({"backend", "comb", "roster"})  # kinds of the hive's own: no call of the operator may name them
+SOFT = frozenset({"backend", "control", "membership"})  # kinds of the mesh's own: no call of the operator may name them
 DEADLINE_MOST = 600_000.0  # ms, by the protocol
 ITEMS_MOST = 20_000  # in one call: what operators send at first is some thousands at the most
 NAME_MOST = 512  # bytes of a name: lmdb takes keys of 511 with the kind
@@ -92,7 +92,7 @@
 
 def _number(edition: str) -> int:
     if not EDITION.fullmatch(edition):
-        raise HiveError(Kind.BAD_CONFIG, f"edition {edition!r} is not eight hexadecimal digits")
+        raise MeshError(Kind.BAD_CONFIG, f"edition {edition!r} is not eight hexadecimal digits")
     return int(edition, 16)
 
 
@@ -112,7 +112,7 @@
 
 
 def read_call(body: bytes) -> list[Entry]:
-    """The entries of a call, each checked by itself; raises HiveError (BAD_CONFIG)."""
+    """The entries of a call, each checked by itself; raises MeshError (BAD_CONFIG)."""
     try:
         msgspec.json.decode(body)  # Guards against bytes that Raw would pass over
         call = _call.decode(body)
@@ -121,14 +121,14 @@
             _kind(kind)
             entries += [Entry(kind, _name(d.name), _number(d.edition), None) for d in dropped]
     except (msgspec.DecodeError, msgspec.ValidationError) as fault:
-        raise HiveError(Kind.BAD_CONFIG, str(fault)) from None
+        raise MeshError(Kind.BAD_CONFIG, str(fault)) from None
     if len(entries) > ITEMS_MOST:
-        raise HiveError(Kind.BAD_CONFIG, f"more than {ITEMS_MOST} items in one call")
+        raise MeshError(Kind.BAD_CONFIG, f"more than {ITEMS_MOST} items in one call")
     seen: dict[tuple[str, str], Entry] = {}
     for entry in entries:
         before = seen.get((entry.kind, entry.name))
         if before is not None and before.edition == entry.edition and before.value != entry.value:
-            raise HiveError(Kind.BAD_CONFIG, f"{entry.kind} {entry.name!r} comes twice under one edition")
+            raise MeshError(Kind.BAD_CONFIG, f"{entry.kind} {entry.name!r} comes twice under one edition")
         if newer(entry, before):
             seen[(entry.kind, entry.name)] = entry
     return list(seen.values())
@@ -136,12 +136,12 @@
 
 def _kind(kind: str) -> None:
     if kind in SOFT or not kind.isidentifier() or len(kind) > 64:
-        raise HiveError(Kind.BAD_CONFIG, f"no items of kind {kind!r}")
+        raise MeshError(Kind.BAD_CONFIG, f"no items of kind {kind!r}")
 
 
 def _name(name: str) -> str:
     if not name or len(name.encode()) > NAME_MOST - 80:
-        raise HiveError(Kind.BAD_CONFIG, "a name is empty or too long")
+        raise MeshError(Kind.BAD_CONFIG, "a name is empty or too long")
     return name
 
 
@@ -164,33 +164,33 @@
     """What makes a route invalid by itself."""
     name = route.name
     if not 0.0 < route.deadline_ms <= DEADLINE_MOST:
-        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: deadline_ms {route.deadline_ms:g} is not in (0, 600000]")
+        raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: deadline_ms {route.deadline_ms:g} is not in (0, 600000]")
     if not route.path_prefix.startswith("/"):
-        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: path_prefix does not begin with a slash")
+        raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: path_prefix does not begin with a slash")
     if route.mail_class not in CLASSES:
-        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: mail_class {route.mail_class!r} is unknown")
+        raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: mail_class {route.mail_class!r} is unknown")
     if not route.services() or (route.split and route.service):
-        raise HiveError(Kind.BAD_CONFIG, f"route {name!r} needs a service or a split")
+        raise MeshError(Kind.BAD_CONFIG, f"route {name!r} needs a service or a split")
     if route.split and (min(p.share for p in route.split) < 0.0 or not any(p.share > 0.0 for p in route.split)):
-        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: the shares of its split say nothing")
+        raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: the shares of its split say nothing")
     if not route.office or route.tries < 1:
-        raise HiveError(Kind.BAD_CONFIG, f"route {name!r}: office is empty or tries is under 1")
+        raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: office is empty or tries is under 1")
 
 
-def check(entries: list[Entry], ledger: Ledger) -> None:
-    """Whether what would come into force may stand beside the rest; raises HiveError.
+def check(entries: list[Entry], store: Store) -> None:
+    """Whether what would come into force may stand beside the rest; raises MeshError.
 
     Only what takes effect is held against the rest: an old change that arrives again changes nothing.
     """
     taking = {}
     for entry in entries:
-        standing = ledger.get(entry.kind, entry.name)
+        standing = store.get(entry.kind, entry.name)
         if standing is not None and standing.edition == entry.edition and standing.value != entry.value:
-            raise HiveError(Kind.CONFLICT, f"{entry.kind} {entry.name!r} has another content under that edition")
+            raise MeshError(Kind.CONFLICT, f"{entry.kind} {entry.name!r} has another content under that edition")
         if newer(entry, standing):
             taking[(entry.kind, entry.name)] = entry
-    services = set(ledger.standing(SERVICES))
-    routes = ledger.standing(ROUTES)
+    services = set(store.standing(SERVICES))
+    routes = store.standing(ROUTES)
     for (kind, name), entry in taking.items():
         if kind == SERVICES:
             (services.discard if entry.value is None else services.add)(name)
@@ -207,16 +207,16 @@
         touched = (ROUTES, name) in taking
         for service in route.services():
             if service not in services and (touched or service in gone):
-                raise HiveError(Kind.BAD_CONFIG, f"route {name!r} names the unknown service {service!r}")
+                raise MeshError(Kind.BAD_CONFIG, f"route {name!r} names the unknown service {service!r}")
         others = [other for other in places[route.office.lower(), route.path_prefix] if other != name]
         if touched and others:
-            raise HiveError(Kind.BAD_CONFIG, f"routes {name!r} and {others[0]!r} share host and prefix")
+            raise MeshError(Kind.BAD_CONFIG, f"routes {name!r} and {others[0]!r} share host and prefix")
 
 
-def read_back(ledger: Ledger) -> bytes:
+def read_back(store: Store) -> bytes:
     """All items that stand, as they were sent."""
     kinds: dict[str, Any] = {ROUTES: [], SERVICES: []}
-    for entry in ledger.all():
+    for entry in store.all():
         if entry.kind in SOFT or entry.value is None:
             continue
         if entry.kind == LIMITS:
--- a/lugspur/hive/wire.py
+++ b/lugspur/control/messages.py
@@ -1,4 +1,4 @@
-"""What processes of the hive say to each other: msgspec structs, one frame each."""
+"""What processes of the mesh say to each other: msgspec structs, one frame each."""
 
 from __future__ import annotations
 
@@ -121,19 +121,19 @@
     by: bytes
 
 
-class Seat(msgspec.Struct, array_like=True, frozen=True):
-    """One comb of the roster: a disk, not only an address."""
+class Voter(msgspec.Struct, array_like=True, frozen=True):
+    """One replica of the membership: a disk, not only an address."""
 
     ip: str
     uid: str
     zone: str
 
 
-class Roster(msgspec.Struct, array_like=True, frozen=True):
-    """Whose majority decides, from this epoch on; `before`: how many seats the epoch before had."""
+class Membership(msgspec.Struct, array_like=True, frozen=True):
+    """Whose majority decides, from this epoch on; `before`: how many voters the epoch before had."""
 
     epoch: int
-    seats: list[Seat]
+    voters: list[Voter]
     before: int = 0
 
 
@@ -151,16 +151,16 @@
     ballot: tuple[int, str]
     ok: bool
     accepted: tuple[int, str] | None = None
-    value: Roster | None = None
+    value: Membership | None = None
     higher: int = 0  # the number of the ballot that stands in the way
 
 
 class Accept(msgspec.Struct, tag=15, array_like=True):
-    """Let this roster follow."""
+    """Let this membership follow."""
 
     epoch: int
     ballot: tuple[int, str]
-    value: Roster
+    value: Membership
 
 
 class Accepted(msgspec.Struct, tag=16, array_like=True):
@@ -172,9 +172,9 @@
 
 
 class Fetch(msgspec.Struct, tag=17, array_like=True):
-    """I have a seat in this roster and nothing on my disk: tell me all, and grant nothing under an older one."""
+    """I have a voter in this membership and nothing on my disk: tell me all, and grant nothing under an older one."""
 
-    roster: Roster
+    membership: Membership
 
 
 class Kept(msgspec.Struct, array_like=True):
@@ -223,7 +223,7 @@
     """How it ended."""
 
     n: int
-    how: int  # a value of lugspur.hive.gate.End
+    how: int  # a value of lugspur.dataplane.gate.End
     answer: Answer | None = None
     sent: bool = True  # whether the backend was offered it
     busy: int = 0  # requests in hand there
--- a/lugspur/hive/comb.py
+++ b/lugspur/control/replica.py
@@ -1,4 +1,4 @@
-"""What one comb keeps and promises, without I/O: items, claims of keys, the roster and the ballots on the next one.
+"""What one replica keeps and promises, without I/O: items, claims of keys, the membership and ballots on the next.
 
 Every method takes inputs and returns what to send at once, what to write, and what to send once that is on disk.
 Nothing is promised before it is synced.
@@ -12,9 +12,8 @@
 
 import msgspec
 
-from lugspur.hive.items import SOFT
-from lugspur.hive.ledger import Ledger
-from lugspur.hive.wire import (
+from lugspur.control.items import SOFT
+from lugspur.control.messages import (
     ENTRIES_PAGE,
     Accept,
     Accepted,
@@ -25,24 +24,25 @@
     Entry,
     Fetch,
     Kept,
+    Membership,
     Message,
     Prepare,
     Promise,
     Put,
     Release,
-    Roster,
     Said,
-    Seat,
     State,
     Verdict,
+    Voter,
 )
+from lugspur.control.store import Store
 
 MARGIN = 10.0  # seconds that a claim is kept beyond its window: a first try may be long on its way to here
 ANSWER_MOST = 64 << 10  # bytes of an answer that is kept for repeats
 ANSWERS_PART = 0.15  # of the memory limit, for all of them: the oldest go first, their claims stay
 CLAIMS_PART = 0.15  # of the memory limit, for claims, at CLAIM_BYTES each; beyond it none is granted
 CLAIM_BYTES = 600
-GENESIS = "genesis"  # the uid of a seat that the first roster has
+GENESIS = "genesis"  # the uid of a voter that the first membership has
 NOBODY = b""  # holds a key of which others told two claimants: either may have won, so that neither is granted it
 
 Peer = Any  # whoever a message came from; only handed back
@@ -69,8 +69,8 @@
 _pack = msgspec.msgpack.Encoder().encode
 _entry = msgspec.msgpack.Decoder(Entry)
 _kept = msgspec.msgpack.Decoder(Kept)
-_roster = msgspec.msgpack.Decoder(Roster)
-_ballot = msgspec.msgpack.Decoder(tuple[int, tuple[int, str], tuple[int, str] | None, Roster | None])
+_membership = msgspec.msgpack.Decoder(Membership)
+_ballot = msgspec.msgpack.Decoder(tuple[int, tuple[int, str], tuple[int, str] | None, Membership | None])
 _flag = msgspec.msgpack.Decoder(tuple[int, bool])
 
 UID, ROSTER, FULL, BALLOT = b"muid", b"mroster", b"mfull", b"mballot"
@@ -81,14 +81,14 @@
     return b"i" + entry.kind.encode() + b"\0" + entry.name.encode()
 
 
-def roster_entry(roster: Roster) -> Entry:
-    """The roster as an entry like others: that is how all hear of it."""
-    return Entry("roster", "", roster.epoch, _pack(roster))
+def membership_entry(membership: Membership) -> Entry:
+    """The membership as an entry like others: that is how all hear of it."""
+    return Entry("membership", "", membership.epoch, _pack(membership))
 
 
-def read_roster(value: bytes) -> Roster:
-    """The roster of its entry."""
-    return _roster.decode(value)
+def read_membership(value: bytes) -> Membership:
+    """The membership of its entry."""
+    return _membership.decode(value)
 
 
 def majority(count: int) -> int:
@@ -96,14 +96,14 @@
     return count // 2 + 1
 
 
-class Comb:
-    """One comb's state. `window`: seconds for which a key runs once; `memory`: bytes that the process may use."""
+class Replica:
+    """One replica's state. `window`: seconds for which a key runs once; `memory`: bytes that the process may use."""
 
-    def __init__(self, ip: str, uid: str, zone: str, window: float, memory: int, ledger: Ledger) -> None:
-        self.seat = Seat(ip, uid, zone)
-        self.ledger = ledger
-        self.roster: Roster | None = None
-        self.full = False  # it has all that a seat of this epoch must have
+    def __init__(self, ip: str, uid: str, zone: str, window: float, memory: int, store: Store) -> None:
+        self.voter = Voter(ip, uid, zone)
+        self.store = store
+        self.membership: Membership | None = None
+        self.full = False  # it has all that a voter of this epoch must have
         self._window = window + MARGIN
         self._claims: dict[bytes, Held] = {}  # the longest kept first
         self._claims_most = int(memory * CLAIMS_PART / CLAIM_BYTES)
@@ -111,16 +111,16 @@
         self._answers = 0  # bytes
         self._promised: tuple[int, str] = (0, "")
         self._accepted: tuple[int, str] | None = None
-        self._value: Roster | None = None
+        self._value: Membership | None = None
 
     # ---- start ---------------------------------------------------------------------------
 
-    def begin(self, seeds: Iterable[Seat]) -> Effects:
-        """The very first start of the whole system: the seeds are the roster, and there is nothing to catch up with."""
-        self.roster = Roster(1, sorted(seeds, key=lambda seat: seat.ip), 0)
-        self.full = self.seated
-        self.ledger.merge([roster_entry(self.roster)])
-        return Effects(write=[(UID, self.seat.uid.encode()), *self._epoch_rows()])
+    def begin(self, seeds: Iterable[Voter]) -> Effects:
+        """The very first start of the whole system: the seeds are the voters, and there is nothing to catch up with."""
+        self.membership = Membership(1, sorted(seeds, key=lambda voter: voter.ip), 0)
+        self.full = self.is_voter
+        self.store.merge([membership_entry(self.membership)])
+        return Effects(write=[(UID, self.voter.uid.encode()), *self._epoch_rows()])
 
     def restore(self, rows: Iterable[tuple[bytes, bytes]], now: float) -> None:
         """Take up what is on disk."""
@@ -134,40 +134,40 @@
                 kept = _kept.decode(value)
                 self._hold(key[1:], Held(kept.by, now, now + kept.left, kept.answer))
             elif key == ROSTER:
-                self.roster = _roster.decode(value)
+                self.membership = _membership.decode(value)
             elif key == FULL:
                 full = _flag.decode(value)
             elif key == BALLOT:
                 ballot = _ballot.decode(value)
             elif key == UID:
-                self.seat = Seat(self.seat.ip, value.decode(), self.seat.zone)
-        self.ledger.merge(entries)
-        if self.roster is not None:
-            self.ledger.merge([roster_entry(self.roster)])
-            self.full = full == (self.roster.epoch, True) and self.seated
-            if ballot is not None and ballot[0] == self.roster.epoch:
+                self.voter = Voter(self.voter.ip, value.decode(), self.voter.zone)
+        self.store.merge(entries)
+        if self.membership is not None:
+            self.store.merge([membership_entry(self.membership)])
+            self.full = full == (self.membership.epoch, True) and self.is_voter
+            if ballot is not None and ballot[0] == self.membership.epoch:
                 _, self._promised, self._accepted, self._value = ballot
 
     @property
     def epoch(self) -> int:
-        """The epoch of the roster that it goes by, 0 before any."""
-        return 0 if self.roster is None else self.roster.epoch
+        """The epoch of the membership that it goes by, 0 before any."""
+        return 0 if self.membership is None else self.membership.epoch
 
     @property
-    def seated(self) -> bool:
-        """Whether this disk is in the roster."""
-        return self.roster is not None and any(
-            (s.ip, s.uid) == (self.seat.ip, self.seat.uid) for s in self.roster.seats
+    def is_voter(self) -> bool:
+        """Whether this disk is in the membership."""
+        return self.membership is not None and any(
+            (s.ip, s.uid) == (self.voter.ip, self.voter.uid) for s in self.membership.voters
         )
 
     def _epoch_rows(self) -> list[tuple[bytes, bytes | None]]:
-        assert self.roster is not None
-        return [(ROSTER, _pack(self.roster)), (FULL, _pack((self.roster.epoch, self.full)))]
+        assert self.membership is not None
+        return [(ROSTER, _pack(self.membership)), (FULL, _pack((self.membership.epoch, self.full)))]
 
-    # ---- what seats are asked --------------------------------------------------------------
+    # ---- what voters are asked --------------------------------------------------------------
 
     def judge(self, now: float, peer: Peer, message: Message) -> Effects:
-        """Something for this comb as a seat; what changed has to go ahead of the answer to Ask."""
+        """Something for this replica as a voter; what changed has to go ahead of the answer to Ask."""
         if isinstance(message, Claim):
             return self.claim(now, peer, message)
         if isinstance(message, Done):
@@ -184,27 +184,27 @@
             return self.accept(peer, message)
         if isinstance(message, Fetch):
             return self.fetch(now, peer, message)
-        return Effects()  # nothing that a seat is asked
+        return Effects()  # nothing that a voter is asked
 
-    # ---- the roster ----------------------------------------------------------------------
+    # ---- the membership ----------------------------------------------------------------------
 
-    def adopt(self, roster: Roster) -> Effects:
-        """Go by a newer roster. What it has stays good only from one epoch to the very next one."""
-        if roster.epoch <= self.epoch:
+    def adopt(self, membership: Membership) -> Effects:
+        """Go by a newer membership. What it has stays good only from one epoch to the very next one."""
+        if membership.epoch <= self.epoch:
             return Effects()
-        follows = self.full and roster.epoch == self.epoch + 1
-        self.roster = roster
-        self.full = follows and self.seated
+        follows = self.full and membership.epoch == self.epoch + 1
+        self.membership = membership
+        self.full = follows and self.is_voter
         self._promised, self._accepted, self._value = (0, ""), None, None
-        self.ledger.merge([roster_entry(roster)])
-        return Effects(write=[(UID, self.seat.uid.encode()), *self._epoch_rows()])
+        self.store.merge([membership_entry(membership)])
+        return Effects(write=[(UID, self.voter.uid.encode()), *self._epoch_rows()])
 
     def fetch(self, now: float, peer: Peer, message: Fetch) -> Effects:
-        """One who has a seat and nothing else wants all; nothing is granted under the older roster from here on."""
-        effects = self.adopt(message.roster)
-        if not self.full or message.roster.epoch != self.epoch:
+        """A new voter wants all; nothing is granted under the older membership from here on."""
+        effects = self.adopt(message.membership)
+        if not self.full or message.membership.epoch != self.epoch:
             return effects
-        entries = [entry for entry in self.ledger.all() if entry.kind not in SOFT]
+        entries = [entry for entry in self.store.all() if entry.kind not in SOFT]
         claims = [(key, Kept(h.by, max(0.0, h.until - now), h.answer)) for key, h in self._claims.items()]
         effects.then += [(peer, page) for page in _pages(self.epoch, entries, claims)]
         if not effects.write:
@@ -212,28 +212,28 @@
         return effects
 
     def caught_up(self, now: float, epoch: int, parts: Iterable[State]) -> Effects:
-        """A majority of the epoch before has told all: from here on it counts as a seat."""
-        if epoch != self.epoch or not self.seated or self.full:
+        """A majority of the epoch before has told all: from here on it counts as a voter."""
+        if epoch != self.epoch or not self.is_voter or self.full:
             return Effects()
         effects = Effects()
         for part in parts:
-            self.ledger.merge(part.entries)
+            self.store.merge(part.entries)
             for key, kept in part.claims:
                 mine = self._claims.get(key)
                 if mine is not None and mine.answer is not None:
                     continue
                 if mine is not None and kept.answer is None and mine.by != kept.by:
-                    # Guards against a second run: one of the two may have won with seats of the epoch before.
+                    # Guards against a second run: one of the two may have won with voters of the epoch before.
                     kept = Kept(NOBODY, max(mine.until - now, kept.left, 0.0))
                 self._hold(key, Held(kept.by, now, now + kept.left, kept.answer))
                 effects.write.append((b"c" + key, _pack(kept)))
-        effects.write += [(item_key(e), _pack(e)) for e in self.ledger.all() if e.kind not in SOFT]
+        effects.write += [(item_key(e), _pack(e)) for e in self.store.all() if e.kind not in SOFT]
         self.full = True
         effects.write += self._epoch_rows()
         return effects
 
     def prepare(self, peer: Peer, message: Prepare) -> Effects:
-        """A ballot on the next roster opens."""
+        """A ballot on the next membership opens."""
         if message.epoch != self.epoch or not self.full or message.ballot <= self._promised:
             higher = self._promised[0] if message.epoch == self.epoch else 0
             return Effects(send=[(peer, Promise(message.epoch, message.ballot, False, higher=higher))])
@@ -244,7 +244,7 @@
         )
 
     def accept(self, peer: Peer, message: Accept) -> Effects:
-        """The roster of a ballot, to be accepted unless a higher ballot has opened."""
+        """The membership of a ballot, to be accepted unless a higher ballot has opened."""
         if message.epoch != self.epoch or not self.full or message.ballot < self._promised:
             return Effects(send=[(peer, Accepted(message.epoch, message.ballot, False))])
         self._promised = self._accepted = message.ballot
@@ -257,7 +257,7 @@
     # ---- items ---------------------------------------------------------------------------
 
     def ask(self, peer: Peer, message: Ask) -> Effects:
-        """Whether what went ahead on this connection is all that a seat has."""
+        """Whether what went ahead on this connection is all that a voter has."""
         return Effects(send=[(peer, Said(message.n, self.full and message.epoch == self.epoch, self.epoch))])
 
     def put(self, peer: Peer, message: Put) -> Effects:
@@ -265,23 +265,23 @@
         if not self.full or message.epoch != self.epoch:
             return Effects(send=[(peer, Said(message.n, False, self.epoch))])
         for entry in message.entries:
-            standing = self.ledger.get(entry.kind, entry.name)
+            standing = self.store.get(entry.kind, entry.name)
             if standing is not None and standing.edition == entry.edition and standing.value != entry.value:
                 return Effects(send=[(peer, Said(message.n, False, self.epoch, True))])
-        self.ledger.merge(message.entries)
+        self.store.merge(message.entries)
         rows: list[tuple[bytes, bytes | None]] = []
         for entry in message.entries:
-            standing = self.ledger.get(entry.kind, entry.name)
+            standing = self.store.get(entry.kind, entry.name)
             assert standing is not None
             rows.append((item_key(standing), _pack(standing)))
         return Effects(write=rows, then=[(peer, Said(message.n, True, self.epoch))])
 
     def heard(self, entries: Iterable[Entry]) -> Effects:
-        """What others told of came into the ledger: it is kept too, and the roster is gone by."""
+        """What others told of came into the store: it is kept too, and the membership is gone by."""
         effects = Effects()
         for entry in entries:
-            if entry.kind == "roster" and entry.value is not None:
-                effects.write += self.adopt(read_roster(entry.value)).write
+            if entry.kind == "membership" and entry.value is not None:
+                effects.write += self.adopt(read_membership(entry.value)).write
             elif entry.kind not in SOFT:
                 effects.write.append((item_key(entry), _pack(entry)))
         return effects
--- a/lugspur/hive/rounds.py
+++ b/lugspur/control/rounds.py
@@ -1,21 +1,23 @@
-"""Rounds over the roster's seats, without I/O: a read hears a majority, a write is on a majority's disks."""
+"""Rounds over the membership's voters, without I/O: a read hears a majority, a write is on a majority's disks."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from lugspur.hive.comb import majority
-from lugspur.hive.wire import Ask, Entry, Put, Roster, Said
+from lugspur.control.messages import Ask, Entry, Membership, Put, Said
+from lugspur.control.replica import majority
 
 
 class Round:
     """One round; `over` is told once: "ok", "no" (too few), "conflict"."""
 
-    __slots__ = ("entries", "need", "no", "over", "seats", "until", "yes")
+    __slots__ = ("entries", "need", "no", "over", "voters", "until", "yes")
 
-    def __init__(self, roster: Roster, entries: list[Entry] | None, until: float, over: Callable[[str], None]) -> None:
-        self.seats = {seat.ip for seat in roster.seats}
-        self.need = majority(len(self.seats))
+    def __init__(
+        self, membership: Membership, entries: list[Entry] | None, until: float, over: Callable[[str], None]
+    ) -> None:
+        self.voters = {voter.ip for voter in membership.voters}
+        self.need = majority(len(self.voters))
         self.entries = entries
         self.until = until
         self.over = over
@@ -31,19 +33,19 @@
         self._n = 0
 
     def begin(
-        self, roster: Roster, entries: list[Entry] | None, until: float, over: Callable[[str], None]
+        self, membership: Membership, entries: list[Entry] | None, until: float, over: Callable[[str], None]
     ) -> tuple[set[str], Ask | Put]:
         """Open one; returns whom to send what. `until`: when it ends as "no"."""
         self._n += 1
-        found = Round(roster, entries, until, over)
+        found = Round(membership, entries, until, over)
         self._open[self._n] = found
-        message = Ask(self._n, roster.epoch) if entries is None else Put(self._n, roster.epoch, entries)
-        return found.seats, message
+        message = Ask(self._n, membership.epoch) if entries is None else Put(self._n, membership.epoch, entries)
+        return found.voters, message
 
     def said(self, ip: str, message: Said) -> None:
-        """A seat's answer."""
+        """A voter's answer."""
         found = self._open.get(message.n)
-        if found is None or ip not in found.seats:
+        if found is None or ip not in found.voters:
             return
         if message.conflict:
             self._end(message.n, "conflict")
@@ -51,7 +53,7 @@
         (found.yes if message.ok else found.no).add(ip)
         if len(found.yes) >= found.need:
             self._end(message.n, "ok")
-        elif len(found.seats) - len(found.no) < found.need:
+        elif len(found.voters) - len(found.no) < found.need:
             self._end(message.n, "no")
 
     def look(self, now: float) -> None:
--- a/lugspur/hive/ledger.py
+++ b/lugspur/control/store.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from lugspur.hive.wire import Entry
+from lugspur.control.messages import Entry
 
 Name = tuple[str, str]  # kind and name
 
@@ -16,7 +16,7 @@
     return (entry.value or b"") > (than.value or b"")
 
 
-class Ledger:
+class Store:
     """Entries by kind and name; `changed` is told of each that took a place."""
 
     def __init__(self, changed: Callable[[Entry], None] | None = None) -> None:
--- a/lugspur/hive/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -11,7 +11,7 @@
 from cachetools import LRUCache
 
 from jaspershelf.model import Outcome
-from lugspur.hive.wire import Answer, Forward, Reply
+from lugspur.control.messages import Answer, Forward, Reply
 from lugspur.http1.upstream import Backend, Exchange, Upstream
 from lugspur.membership.rows import read_address
 from lugspur.routing.shares import Shares
--- a/lugspur/hive/forager.py
+++ b/lugspur/dataplane/proxy.py
@@ -11,11 +11,11 @@
 
 from jaspershelf.breaker import Breaker
 from jaspershelf.budget import Budget
-from lugspur.hive.claims import Known, Settled, Taken, Won
-from lugspur.hive.errors import ANSWERS, HiveError, Kind
-from lugspur.hive.gate import End
-from lugspur.hive.table import Table, Way
-from lugspur.hive.wire import Answer, Forward, Reply
+from lugspur.control.claims import Known, Settled, Taken, Won
+from lugspur.control.errors import ANSWERS, Kind, MeshError
+from lugspur.control.messages import Answer, Forward, Reply
+from lugspur.dataplane.gate import End
+from lugspur.dataplane.routes import Table, Way
 from lugspur.seams import Answerable, Request
 
 ATTEMPT, KEY, BY_MS = b"lugspur-attempt-id", b"lugspur-operation-key", b"lugspur-deliver-by-ms"
@@ -104,7 +104,7 @@
         """Nobody waits for it any more."""
 
 
-class Forager:
+class Proxy:
     """All requests that start on this machine."""
 
     def __init__(
@@ -158,7 +158,7 @@
         """Take one request; its caller gets one answer."""
         try:
             flight = self._take(request, caller)
-        except HiveError as fault:
+        except MeshError as fault:
             refuse(caller, fault.kind)
             return
         flight.begin()
@@ -168,17 +168,17 @@
         attempt, key = headers.get(ATTEMPT, b""), headers.get(KEY, b"")
         # Guards what must run once against two readings of one id: repeated headers are joined by commas.
         if not 0 < len(attempt) <= ID_MOST or b"," in attempt or len(key) > ID_MOST or not request.target[:1] == b"/":
-            raise HiveError(Kind.BAD_REQUEST)
+            raise MeshError(Kind.BAD_REQUEST)
         if not len(self.table):
-            raise HiveError(Kind.NOT_READY)
+            raise MeshError(Kind.NOT_READY)
         way = self.table.find(headers.get(b"host", b""), request.target)
         if way is None:
-            raise HiveError(Kind.NO_ROUTE)
+            raise MeshError(Kind.NO_ROUTE)
         left = way.deadline
         told = headers.get(BY_MS)
         if told is not None:
             if not told.isdigit() or len(told) > 9:
-                raise HiveError(Kind.BAD_REQUEST)
+                raise MeshError(Kind.BAD_REQUEST)
             left = min(left, int(told) / 1000.0)
         back = way.comes_back(left)
         caller.admit()
@@ -202,7 +202,7 @@
 
     def __init__(
         self,
-        forager: Forager,
+        proxy: Proxy,
         request: Request,
         caller: Answerable,
         way: Way,
@@ -211,10 +211,10 @@
         key: bytes,
         back: bool,
     ) -> None:
-        self.forager, self.request, self.caller, self.way = forager, request, caller, way
+        self.proxy, self.request, self.caller, self.way = proxy, request, caller, way
         self.deadline, self.attempt, self.back = deadline, attempt, back
         self.key = key if way.kind == "tracked" else b""
-        self.service = way.service(forager.rng)
+        self.service = way.service(proxy.rng)
         self.sends = 0  # backends that it was offered to, or may have been
         self.rounds = 0  # gates that turned it away
         self.tried: set[str] = set()
@@ -230,28 +230,28 @@
 
     def begin(self) -> None:
         """Set off."""
-        forager, loop = self.forager, self.forager.loop
+        proxy, loop = self.proxy, self.proxy.loop
         now = loop.time()
         if now >= self.deadline:
             refuse(self.caller, Kind.TOO_LATE)
             return
-        forager.flights.add(self)
-        forager.budget(self.service).take(now)
+        proxy.flights.add(self)
+        proxy.budget(self.service).take(now)
         self.caller.gone = self._gone
         self._timer = loop.call_at(self.deadline + MARGIN, self._late)
         if self.key:
             left = self.deadline - now
-            forager.keys.claim(self.key, self.attempt, left, min(CLAIM_WITHIN, left / 3.0), self._claimed)
+            proxy.keys.claim(self.key, self.attempt, left, min(CLAIM_WITHIN, left / 3.0), self._claimed)
         else:
             self._go(now)
 
     def _claimed(self, how: Settled) -> None:
         if self.over:
             if isinstance(how, Won):
-                self.forager.keys.release(self.key, self.attempt)
+                self.proxy.keys.release(self.key, self.attempt)
         elif isinstance(how, Won):
             self.won = True
-            self._go(self.forager.loop.time())
+            self._go(self.proxy.loop.time())
         elif isinstance(how, Known):
             self._answer(how.answer)
         elif isinstance(how, Taken):
@@ -262,10 +262,10 @@
     # ---- the pick ------------------------------------------------------------------------
 
     def _ready(self, now: float) -> list[Rank]:
-        carrier = self.forager.carrier
+        carrier = self.proxy.carrier
         ready = [
             rank
-            for ident, rank in self.forager.services.get(self.service, {}).items()
+            for ident, rank in self.proxy.services.get(self.service, {}).items()
             if ident not in self.tried and carrier.ready(rank.ip)
         ]
         # Those that have just turned one away come last, but before a refusal: asking a gate costs no backend anything.
@@ -274,8 +274,8 @@
     def _pick(self, now: float) -> Rank | None:
         """Two random ready backends, that with the lower current latency x (in flight + 1) first; both may refuse."""
         ready = self._ready(now)
-        rng = self.forager.rng
-        zone = self.forager.zone
+        rng = self.proxy.rng
+        zone = self.proxy.zone
         near = [rank for rank in ready if rank.zone == zone]
         two = ready
         if len(ready) > 2 and near:  # one of the own zone, one of all others: bytes between zones cost
@@ -289,7 +289,7 @@
         for rank in sorted(two, key=lambda rank: rank.score(now) * (1.0 if rank.zone == zone else far)):
             if not rank.breaker(self.way.name).refuses(now, timeout, rng):
                 return rank
-        self.forager.count("breaker-refused" if two else "none-ready")
+        self.proxy.count("breaker-refused" if two else "none-ready")
         return None
 
     def _go(self, now: float, again: bool = False) -> bool:
@@ -325,21 +325,21 @@
         rank.inflight += 1
         self.sends += 1
         if self.sends > 1:
-            self.forager.budget(self.service).spend(now)
+            self.proxy.budget(self.service).spend(now)
         self.out[number] = (rank, now, _nothing)
-        cancel = self.forager.carrier.carry(rank.ip, forward, lambda reply: self._replied(number, reply))
+        cancel = self.proxy.carrier.carry(rank.ip, forward, lambda reply: self._replied(number, reply))
         if number in self.out:
             self.out[number] = (rank, now, cancel)
             if way.safe and way.pace and self._hedge is None and self.sends < way.tries:
                 at = now + max(HEDGE * way.pace, HEDGE_AIM * way.target)
                 if at + way.pace < self.deadline:
-                    self._hedge = self.forager.loop.call_at(at, self._second)
+                    self._hedge = self.proxy.loop.call_at(at, self._second)
         return True
 
     def _second(self) -> None:
         """A safe request has been out for long: its answer may be lost."""
-        now = self.forager.loop.time()
-        if not self.over and len(self.out) == 1 and self.forager.budget(self.service).allows(now):
+        now = self.proxy.loop.time()
+        if not self.over and len(self.out) == 1 and self.proxy.budget(self.service).allows(now):
             self._go(now, True)
 
     def _write_lines(self) -> list[bytes]:
@@ -349,7 +349,7 @@
             value = request.headers.get(name)
             if value is not None:
                 lines.append(b"%b: %b\r\n" % (name.title(), value))
-        lines.append(b"Lugspur-Sender: %b\r\n" % self.forager.sender.encode())
+        lines.append(b"Lugspur-Sender: %b\r\n" % self.proxy.sender.encode())
         return lines
 
     # ---- how it ends -----------------------------------------------------------------------
@@ -357,7 +357,7 @@
     def _replied(self, number: int, reply: Reply) -> None:
         rank, since, _ = self.out.pop(number)
         rank.inflight -= 1
-        loop = self.forager.loop
+        loop = self.proxy.loop
         now = loop.time()
         took, way = now - since, self.way
         how = reply.how
@@ -385,7 +385,7 @@
             if not reply.sent:
                 self.sends -= 1  # no backend was offered it
             rank.breaker(way.name).failed(now)
-            rank.rests_until = now + REST * (0.5 + self.forager.rng.random())
+            rank.rests_until = now + REST * (0.5 + self.proxy.rng.random())
         else:
             self._failed(now, rank)
             self.maybe = True
@@ -406,7 +406,7 @@
             return False
         if self.rounds >= ROUNDS or now >= self.deadline or self.sends >= self.way.tries:
             return False
-        if self.sends and not self.forager.budget(self.service).allows(now):
+        if self.sends and not self.proxy.budget(self.service).allows(now):
             return False
         return self._go(now, True)
 
@@ -422,24 +422,24 @@
             self._refuse(Kind.MAYBE_RAN)
             return
         if self.won:
-            self.forager.keys.release(self.key, self.attempt)
+            self.proxy.keys.release(self.key, self.attempt)
         self._refuse(Kind.MAYBE_RAN if self.maybe else Kind.NO_BACKEND)
 
     def _late(self) -> None:
         if not self.over:
             if self.won and not self.out and not self.maybe:
-                self.forager.keys.release(self.key, self.attempt)
+                self.proxy.keys.release(self.key, self.attempt)
             self._refuse(Kind.TOO_LATE)
 
     def _answer(self, answer: Answer) -> None:
         self._finish()
-        self.forager.count("answered" if answer.status < 500 else "backend-failed")
+        self.proxy.count("answered" if answer.status < 500 else "backend-failed")
         self.caller.answer(answer.status, answer.head, answer.body)
 
     def _refuse(self, kind: Kind) -> None:
         self._finish()
-        self.forager.count(kind.value)
-        refuse(self.caller, kind, self.deadline - self.forager.loop.time())
+        self.proxy.count(kind.value)
+        refuse(self.caller, kind, self.deadline - self.proxy.loop.time())
 
     def _gone(self) -> None:
         """Its caller has left."""
@@ -448,12 +448,12 @@
 
     def _finish(self) -> None:
         self.over = True
-        self.forager.flights.discard(self)
+        self.proxy.flights.discard(self)
         for timer in (self._timer, self._hedge):
             if timer is not None:
                 timer.cancel()
         if self.key and not self.won:
-            self.forager.keys.drop(self.key, self.attempt)
+            self.proxy.keys.drop(self.key, self.attempt)
         if self.way.safe:
             for _, _, cancel in list(self.out.values()):
                 cancel()
--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -1,5 +1,5 @@
 """Designs in virtual time: `python -m lugspur.emulator joining [--reads N] [--plot FILE]`, `fleet`, `members`,
-`duties` or `hive [--seeds N]`, `combs [--states N]`."""
+`duties` or `control [--seeds N]`, `explore [--states N]`."""
 
 from __future__ import annotations
 
@@ -28,11 +28,11 @@
 def main() -> int:
     """Play, print a table, and draw it where that is asked for."""
     parser = argparse.ArgumentParser(description="Tries designs in virtual time.")
-    parser.add_argument("what", choices=["joining", "fleet", "members", "duties", "hive", "combs"])
+    parser.add_argument("what", choices=["joining", "fleet", "members", "duties", "control", "explore"])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--reads", type=int, default=joining.READS, help="at each load")
-    parser.add_argument("--seeds", type=int, default=1000, help="of duties and hive")
-    parser.add_argument("--states", type=int, default=100_000, help="of each world of combs at most")
+    parser.add_argument("--seeds", type=int, default=1000, help="of duties and control")
+    parser.add_argument("--states", type=int, default=100_000, help="of each world of explore at most")
     parser.add_argument("--plot", default="", metavar="FILE", help="an SVG")
     given = parser.parse_args()
     if given.what == "fleet":
@@ -54,17 +54,17 @@
         for count in members.SIZES:
             print(members.play(count, given.seed).row(), flush=True)
         return 0
-    if given.what == "hive":
-        # Imported only here: it needs the extra `hive`.
-        from lugspur.emulator import hive
+    if given.what == "control":
+        # Imported only here: it needs the extra `mesh`.
+        from lugspur.emulator import control
 
-        for line in hive.report(given.seed, given.seeds):
+        for line in control.report(given.seed, given.seeds):
             print(line, flush=True)
         return 0
-    if given.what == "combs":
-        from lugspur.emulator import combs
+    if given.what == "explore":
+        from lugspur.emulator import explorer
 
-        for line in combs.report(given.states):
+        for line in explorer.report(given.states):
             print(line, flush=True)
         return 0
     if given.what == "duties":
--- a/lugspur/emulator/hive.py
+++ b/lugspur/emulator/control.py
@@ -1,6 +1,6 @@
-"""The hive's combs and claimants in one process: every order of messages, writes, losses and returns, drawn by a seed.
+"""Replicas and claimants in one process: orders of messages, writes, losses and returns, drawn by a seed.
 
-The code that runs is that of lugspur/hive; only sockets, disks and clocks are played. Histories are checked as they
+The code that runs is that of lugspur/mesh; only sockets, disks and clocks are played. Histories are checked as they
 happen: a key runs once, and what was acknowledged is what a majority says.
 """
 
@@ -12,30 +12,30 @@
 from random import Random
 from typing import Any
 
-from lugspur.hive.claims import Claims, Settled, Won
-from lugspur.hive.comb import GENESIS, Comb, Effects
-from lugspur.hive.ledger import Ledger
-from lugspur.hive.rounds import Rounds
-from lugspur.hive.sitting import Sitting
-from lugspur.hive.steward import Presence, Steward, target
-from lugspur.hive.wire import (
+from lugspur.control.claims import Claims, Settled, Won
+from lugspur.control.membership import Presence, Steward, target
+from lugspur.control.messages import (
     Answer,
     Ask,
     Delta,
     Done,
     Entry,
+    Membership,
     Message,
     Release,
-    Roster,
     Said,
-    Seat,
     Verdict,
+    Voter,
 )
+from lugspur.control.replica import GENESIS, Effects, Replica
+from lugspur.control.rounds import Rounds
+from lugspur.control.store import Store
+from lugspur.control.voter import Sitting
 
 STEP = 0.05  # seconds that pass between two turns
 WINDOW = 60.0  # seconds for which a key runs once: longer than any play
 SYNC_MOST = 0.5  # seconds that a write waits for the disk at most
-SILENT = 1.0  # seconds without a word after which a seat counts as out of reach
+SILENT = 1.0  # seconds without a word after which a voter counts as out of reach
 PATIENCE = 2.0
 MEMORY = 64 << 20
 KEY_TRIES = 12  # claims until one more key is tried
@@ -71,7 +71,7 @@
 
 
 class Process:
-    """One comb: what it remembers goes with it, what is on its disk stays."""
+    """One replica: what it remembers goes with it, what is on its disk stays."""
 
     def __init__(self, world: World, ip: str, zone: str) -> None:
         self.world, self.ip, self.zone = world, ip, zone
@@ -85,17 +85,17 @@
         world = self.world
         self.up = True
         self.lives += 1
-        self.ledger = Ledger()
+        self.store = Store()
         uid = GENESIS if first and self.ip in world.seeds else f"{self.ip}-{self.lives}"
-        self.comb = Comb(self.ip, uid, self.zone, WINDOW, MEMORY, self.ledger)
+        self.replica = Replica(self.ip, uid, self.zone, WINDOW, MEMORY, self.store)
         if self.disk:
-            self.comb.restore(list(self.disk.items()), world.now)
+            self.replica.restore(list(self.disk.items()), world.now)
         elif first and self.ip in world.seeds:
-            self.do(self.comb.begin([Seat(ip, GENESIS, "") for ip in world.seeds]))
+            self.do(self.replica.begin([Voter(ip, GENESIS, "") for ip in world.seeds]))
             self.sync()
         else:
             self.disk[b"muid"] = uid.encode()
-        self.sitting = Sitting(self.comb, Steward(self.ip, world.rng), world.seats, PATIENCE)
+        self.sitting = Sitting(self.replica, Steward(self.ip, world.rng), world.voters, PATIENCE)
         self.heard_at: dict[str, float] = {}
 
     def stop(self, wiped: bool) -> None:
@@ -123,24 +123,24 @@
                 self.world.post(self.ip, peer, message)
 
     def heard(self, ip: str, message: Message) -> None:
-        comb, now = self.comb, self.world.now
+        replica, now = self.replica, self.world.now
         if isinstance(message, Delta):
             if message.full:
                 self.heard_at[ip] = now
-            self.do(comb.heard(self.ledger.merge(message.entries)))
+            self.do(replica.heard(self.store.merge(message.entries)))
             return
         if isinstance(message, Ask):
             # What it has goes ahead of the answer.
-            self.world.post(self.ip, ip, Delta("", 0, 0.0, comb.full, list(self.ledger.all())))
-        self.do(comb.judge(now, ip, message))
+            self.world.post(self.ip, ip, Delta("", 0, 0.0, replica.full, list(self.store.all())))
+        self.do(replica.judge(now, ip, message))
         self.do(self.sitting.heard(now, ip, message))
 
     def look(self) -> None:
         world = self.world
         there = {ip for ip, at in self.heard_at.items() if world.now - at < SILENT}
-        absent = {ip: world.now - world.silent.get(ip, world.now) for ip in world.combs if not world.combs[ip].up}
-        combs = {p.ip: Presence(p.comb.seat.uid, p.zone) for p in world.combs.values() if p.up}
-        self.do(self.sitting.look(world.now, combs, there, absent))
+        absent = {ip: world.now - world.silent.get(ip, world.now) for ip in world.replicas if not world.replicas[ip].up}
+        replicas = {p.ip: Presence(p.replica.voter.uid, p.zone) for p in world.replicas.values() if p.up}
+        self.do(self.sitting.look(world.now, replicas, there, absent))
 
 
 @dataclass(slots=True)
@@ -149,24 +149,24 @@
 
     claims: Claims
     rounds: Rounds
-    ledger: Ledger = field(default_factory=Ledger)
-    roster: Roster | None = None
+    store: Store = field(default_factory=Store)
+    membership: Membership | None = None
 
 
 class World:
-    """So many combs, of which `seeds` begin with a seat, and so many proxies."""
+    """So many replicas, of which `seeds` begin with a voter, and so many proxies."""
 
-    def __init__(self, seed: int, combs: int = 4, machines: int = 1, proxies: int = 3, keys: int = 3) -> None:
+    def __init__(self, seed: int, replicas: int = 4, machines: int = 1, proxies: int = 3, keys: int = 3) -> None:
         self.rng = Random(seed)
         self.now = 100.0
-        self.seats = target(machines, 0)
+        self.voters = target(machines, 0)
         self.machines, self.keys = machines, keys
-        ips = [f"10.0.0.{n + 1}" for n in range(combs)]
+        ips = [f"10.0.0.{n + 1}" for n in range(replicas)]
         self.seeds = ips[:3]
         self.wires: dict[tuple[str, str], deque[Message]] = {}
         self.cut: set[tuple[str, str]] = set()
         self.silent: dict[str, float] = {}
-        self.combs = {ip: Process(self, ip, f"z{n % 3}") for n, ip in enumerate(ips)}
+        self.replicas = {ip: Process(self, ip, f"z{n % 3}") for n, ip in enumerate(ips)}
         self.figures = Figures()
         self.ran: dict[bytes, bytes] = {}
         self.acknowledged: dict[str, int] = {}
@@ -174,7 +174,7 @@
         self.attempt = 0
         self.well_since = self.now
         self.proxies: dict[str, Proxy] = {}
-        for process in self.combs.values():
+        for process in self.replicas.values():
             process.start(True)
         for n in range(proxies):
             name = f"p{n}"
@@ -216,7 +216,7 @@
             self._cut()
         else:
             self._lose()
-        for process in self.combs.values():
+        for process in self.replicas.values():
             if process.queue and process.queue[0][0] < self.now - SYNC_MOST:
                 process.sync()
             if not process.up and self.now - self.silent[process.ip] > 3.0 * rng.random() + 0.2:
@@ -227,10 +227,10 @@
             self.well_since = float("inf")
 
     def _up(self) -> Process:
-        return self.rng.choice([p for p in self.combs.values() if p.up] or [self._any()])
+        return self.rng.choice([p for p in self.replicas.values() if p.up] or [self._any()])
 
     def _any(self) -> Process:
-        process = self.rng.choice(list(self.combs.values()))
+        process = self.rng.choice(list(self.replicas.values()))
         if not process.up:
             process.start(False)
         return process
@@ -238,7 +238,7 @@
     def deliver(self, pair: tuple[str, str], message: Message) -> None:
         """A message has come."""
         source, to = pair
-        process, proxy = self.combs.get(to), self.proxies.get(to)
+        process, proxy = self.replicas.get(to), self.proxies.get(to)
         if process is not None:
             if process.up:
                 process.heard(source, message)
@@ -251,28 +251,28 @@
                 self._learn(proxy, message)
 
     def _learn(self, proxy: Proxy, message: Delta) -> None:
-        proxy.ledger.merge(message.entries)
+        proxy.store.merge(message.entries)
 
     def gossip(self, process: Process) -> None:
         """Its news reaches all that it can reach."""
-        for ip in self.combs:
+        for ip in self.replicas:
             if ip != process.ip:
-                self.post(process.ip, ip, Delta("", 0, 0.0, process.comb.full, list(process.ledger.all())))
-        roster = process.comb.roster
+                self.post(process.ip, ip, Delta("", 0, 0.0, process.replica.full, list(process.store.all())))
+        membership = process.replica.membership
         for proxy in self.proxies.values():
-            if roster is not None and (proxy.roster is None or roster.epoch > proxy.roster.epoch):
-                proxy.roster = roster
-                self.figures.epochs = max(self.figures.epochs, roster.epoch)
-                proxy.claims.again(self.now, roster)
+            if membership is not None and (proxy.membership is None or membership.epoch > proxy.membership.epoch):
+                proxy.membership = membership
+                self.figures.epochs = max(self.figures.epochs, membership.epoch)
+                proxy.claims.again(self.now, membership)
 
     def _claim(self) -> None:
         name = self.rng.choice(list(self.proxies))
         proxy = self.proxies[name]
-        if proxy.roster is None or len(proxy.claims) > 6:
+        if proxy.membership is None or len(proxy.claims) > 6:
             return
         self.attempt += 1
         key, by = b"k%d" % (self.attempt // KEY_TRIES + self.rng.randrange(self.keys)), b"a%d" % self.attempt
-        if self.ran and self.rng.random() < OLD_PART:  # a repeat long after, by seats that may all be others by now
+        if self.ran and self.rng.random() < OLD_PART:  # a repeat long after, by voters that may all be others by now
             key = self.rng.choice(list(self.ran))
 
         def over(how: Settled) -> None:
@@ -290,17 +290,17 @@
             if draw < 0.7:  # else its claimant dies, or its answer is lost
                 self._tell(proxy, name, Done(key, by, Answer(200, b"", by)))
 
-        proxy.claims.begin(self.now, proxy.roster, key, by, 1.0, 2.0, over)
+        proxy.claims.begin(self.now, proxy.membership, key, by, 1.0, 2.0, over)
 
     def _tell(self, proxy: Proxy, name: str, message: Message) -> None:
-        if proxy.roster is not None:
-            for seat in proxy.roster.seats:
-                self.post(name, seat.ip, message)
+        if proxy.membership is not None:
+            for voter in proxy.membership.voters:
+                self.post(name, voter.ip, message)
 
     def _write(self) -> None:
         name = self.rng.choice(list(self.proxies))
         proxy = self.proxies[name]
-        if proxy.roster is None:
+        if proxy.membership is None:
             return
         item = f"r{self.rng.randrange(3)}"
         if self.rng.random() < 0.5:
@@ -312,36 +312,36 @@
                     self.figures.acknowledged += 1
                     self.acknowledged[item] = max(self.acknowledged.get(item, 0), entry.edition)
 
-            ips, message = proxy.rounds.begin(proxy.roster, [entry], self.now + 2.0, written)
+            ips, message = proxy.rounds.begin(proxy.membership, [entry], self.now + 2.0, written)
         else:
             due = dict(self.acknowledged)
 
             def read(how: str) -> None:
                 for wanted, edition in due.items() if how == "ok" else ():
-                    found = proxy.ledger.get("routes", wanted)
+                    found = proxy.store.get("routes", wanted)
                     if found is None or found.edition < edition:
                         raise Wrong(f"{wanted} {edition} was acknowledged, and a majority has {found}")
 
-            ips, message = proxy.rounds.begin(proxy.roster, None, self.now + 2.0, read)
+            ips, message = proxy.rounds.begin(proxy.membership, None, self.now + 2.0, read)
         for ip in ips:
             self.post(name, ip, message)
 
     # ---- losses --------------------------------------------------------------------------
 
     def well(self) -> bool:
-        """Whether every comb runs and every seat has all that it must have."""
-        up = [p for p in self.combs.values() if p.up]
-        newest = max((p.comb.epoch for p in up), default=0)
-        seats = [p for p in up if p.comb.epoch == newest and p.comb.seated]
-        # Too few seats bear too little: they grow within seconds of the first start.
-        return len(up) == len(self.combs) and len(seats) == self.seats and all(p.comb.full for p in seats)
+        """Whether every replica runs and every voter has all that it must have."""
+        up = [p for p in self.replicas.values() if p.up]
+        newest = max((p.replica.epoch for p in up), default=0)
+        voters = [p for p in up if p.replica.epoch == newest and p.replica.is_voter]
+        # Too few voters bear too little: they grow within seconds of the first start.
+        return len(up) == len(self.replicas) and len(voters) == self.voters and all(p.replica.full for p in voters)
 
     def _cut(self) -> None:
         if self.cut:
             self.cut.clear()
             return
-        one = self.rng.choice(list(self.combs))
-        others = [ip for ip in (*self.combs, *self.proxies) if ip != one]
+        one = self.rng.choice(list(self.replicas))
+        others = [ip for ip in (*self.replicas, *self.proxies) if ip != one]
         way = self.rng.randrange(3)
         breaks = self.rng.random() < BREAKS
         for other in others:
@@ -356,7 +356,7 @@
         """A connection is reset: what was on its way is lost, and both hear of it."""
         for source, to in ((one, other), (other, one)):
             self.wires.pop((source, to), None)
-            process = self.combs.get(to)
+            process = self.replicas.get(to)
             if process is not None and process.up:
                 process.sitting.lost(source)
 
@@ -365,8 +365,8 @@
         if self.now - self.well_since < LOST_AGAIN or not self.well() or self.cut:
             return
         everybody = self.rng.random() < 0.3
-        count = len(self.combs) if everybody else self.rng.randint(1, self.machines)
-        victims = self.rng.sample(list(self.combs.values()), count)
+        count = len(self.replicas) if everybody else self.rng.randint(1, self.machines)
+        victims = self.rng.sample(list(self.replicas.values()), count)
         wiped = self.rng.randint(0, self.machines)
         for n, process in enumerate(victims):
             process.stop(n < wiped)
@@ -382,12 +382,12 @@
             ready = [pair for pair, wire in self.wires.items() if wire]
             for pair in ready:
                 self.deliver(pair, self.wires[pair].popleft())
-            for process in self.combs.values():
+            for process in self.replicas.values():
                 if not process.up:
                     process.start(False)
                 process.sync()
             if self.rng.random() < 0.2:
-                for process in self.combs.values():
+                for process in self.replicas.values():
                     process.look()
                     self.gossip(process)
             if self.well():
@@ -395,9 +395,9 @@
         return False
 
 
-def play(seed: int, turns: int = 3000, combs: int = 4, machines: int = 1) -> Figures:
+def play(seed: int, turns: int = 3000, replicas: int = 4, machines: int = 1) -> Figures:
     """One play; raises Wrong where a promise is not kept, or where all is not well in the end."""
-    world = World(seed, combs, machines)
+    world = World(seed, replicas, machines)
     for _ in range(turns):
         world.turn()
     if not world.settle():
@@ -407,19 +407,19 @@
 
 def report(first: int, seeds: int) -> Iterator[str]:
     """A row for each size of the core: what so many plays brought about, and how many broke a promise."""
-    yield "| combs | may be lost | plays | claims won | runs | changes | power lost | disks lost | messages | wrong |"
+    yield "| replicas | may be lost | plays | claims won | runs | changes | power | disks | messages | wrong |"
     yield "|---|---|---|---|---|---|---|---|---|---|"
-    for combs, machines in ((3, 1), (4, 1), (5, 1), (7, 2)):
+    for replicas, machines in ((3, 1), (4, 1), (5, 1), (7, 2)):
         total, wrong = Figures(), 0
         for seed in range(first, first + seeds):
             try:
-                found = play(seed, 3000, combs, machines)
+                found = play(seed, 3000, replicas, machines)
             except Wrong:
                 wrong += 1
                 continue
             for name in ("won", "runs", "acknowledged", "lost", "wiped", "messages"):
                 setattr(total, name, getattr(total, name) + getattr(found, name))
         yield (
-            f"| {combs} | {machines} | {seeds} | {total.won} | {total.runs} | {total.acknowledged} | {total.lost} | "
+            f"| {replicas} | {machines} | {seeds} | {total.won} | {total.runs} | {total.acknowledged} | {total.lost} | "
             f"{total.wiped} | {total.messages} | {wrong} |"
         )
--- a/lugspur/emulator/combs.py
+++ b/lugspur/emulator/explorer.py
@@ -1,7 +1,7 @@
-"""Every order of events in a small hive, by the code that runs: who may run an operation while a seat is exchanged.
+"""Every order of events in a small mesh, by the code that runs: who may run an operation while a voter is exchanged.
 
-Three seats, one newcomer that takes the place of the third at any time, two that claim the same key. Messages between
-two go in order and come at any time; connections break and lose what is on them, seats lose power before or after
+Three voters, one newcomer that takes the place of the third at any time, two that claim the same key. Messages between
+two go in order and come at any time; connections break and lose what is on them, voters lose power before or after
 what they were writing is on disk, so often as a world says. After each step at most one has run the operation.
 """
 
@@ -16,20 +16,32 @@
 from random import Random
 from typing import Any
 
-from lugspur.emulator.hive import keep
-from lugspur.hive import claims, sitting
-from lugspur.hive.claims import Claims, Settled, Won
-from lugspur.hive.comb import GENESIS, Comb, Effects, roster_entry
-from lugspur.hive.ledger import Ledger
-from lugspur.hive.sitting import Sitting
-from lugspur.hive.steward import Steward
-from lugspur.hive.wire import Answer, Claim, Done, Fetch, Message, Release, Roster, Seat, State, Verdict, encode
+from lugspur.control import claims, voter
+from lugspur.control.claims import Claims, Settled, Won
+from lugspur.control.membership import Steward
+from lugspur.control.messages import (
+    Answer,
+    Claim,
+    Done,
+    Fetch,
+    Membership,
+    Message,
+    Release,
+    State,
+    Verdict,
+    Voter,
+    encode,
+)
+from lugspur.control.replica import GENESIS, Effects, Replica, membership_entry
+from lugspur.control.store import Store
+from lugspur.control.voter import Sitting
+from lugspur.emulator.control import keep
 
 KEY = b"k"
-FIRST = ["a", "b", "c"]  # the seats of the first roster
+FIRST = ["a", "b", "c"]  # the voters of the first membership
 NEW = "d"
-OLD = Roster(1, [Seat(ip, GENESIS, "") for ip in FIRST], 0)
-NEXT = Roster(2, [Seat("a", GENESIS, ""), Seat("b", GENESIS, ""), Seat(NEW, "new", "")], 3)
+OLD = Membership(1, [Voter(ip, GENESIS, "") for ip in FIRST], 0)
+NEXT = Membership(2, [Voter("a", GENESIS, ""), Voter("b", GENESIS, ""), Voter(NEW, "new", "")], 3)
 NOW, LATE = 100.0, 200.0  # no window ends in a world; only who claims gives up
 WINDOW, MEMORY = 1e9, 64 << 20
 
@@ -46,7 +58,7 @@
 
     name: str
     claimants: int = 2
-    change: bool = False  # whether the newcomer takes the third one's seat
+    change: bool = False  # whether the newcomer takes the third one's voter
     powers: int = 0  # losses of power
     breaks: int = 0  # connections that break
     disks: bool = False  # whether a write takes its time: else it is there at once
@@ -56,9 +68,9 @@
 
 @dataclass(slots=True)
 class Place:
-    """One seat, its disk, and what it is writing."""
+    """One voter, its disk, and what it is writing."""
 
-    comb: Comb
+    replica: Replica
     sitting: Sitting
     disk: dict[bytes, bytes] = field(default_factory=dict)
     queue: list[tuple[list[tuple[bytes, bytes | None]], list[tuple[Any, Message]]]] = field(default_factory=list)
@@ -71,7 +83,7 @@
         self.name = name
         self.by = name.encode()
         self.state = "idle"  # asking, won, ran, told, back, lost
-        self.roster = OLD
+        self.membership = OLD
         self.sent: list[tuple[str, Message]] = []
         self.claims = Claims(self.send)
         self.claims._won = {}  # type: ignore[assignment]  # no time passes here
@@ -91,10 +103,10 @@
         self.places: dict[str, Place] = {}
         for ip in [*FIRST, *([NEW] if limits.change else [])]:
             uid = GENESIS if ip in FIRST else "new"
-            comb = Comb(ip, uid, "", WINDOW, MEMORY, Ledger())
-            self.places[ip] = Place(comb, Sitting(comb, Steward(ip, Random(1)), 3, 1.0))
+            replica = Replica(ip, uid, "", WINDOW, MEMORY, Store())
+            self.places[ip] = Place(replica, Sitting(replica, Steward(ip, Random(1)), 3, 1.0))
             if ip in FIRST:
-                self.do(ip, comb.begin(OLD.seats))
+                self.do(ip, replica.begin(OLD.voters))
                 self.sync(ip)
         self.claimants = {name: Claimant(name) for name in ("x", "y")[: limits.claimants]}
         self.wires: dict[tuple[str, str], list[Message]] = {}
@@ -112,14 +124,14 @@
                 yield "sync", ip
             if self.powers:
                 yield "power", ip
-            if self.decided and place.comb.epoch < 2:
+            if self.decided and place.replica.epoch < 2:
                 yield "learn", ip
         for name, who in self.claimants.items():
             if who.state == "idle":
                 yield "begin", name
             elif who.state == "asking":
                 yield "give-up", name
-                if self.decided and who.roster.epoch < 2:
+                if self.decided and who.membership.epoch < 2:
                     yield "hear", name
             elif who.state == "won":
                 yield "run", name
@@ -128,9 +140,9 @@
             elif who.state == "ran":
                 yield "tell", name
         places = self.places
-        if limits.change and not self.decided and all(places[ip].comb.full for ip in ("a", "b")):
+        if limits.change and not self.decided and all(places[ip].replica.full for ip in ("a", "b")):
             yield ("decide",)
-        if self.decided and not self.fetched and places[NEW].comb.epoch == 2:
+        if self.decided and not self.fetched and places[NEW].replica.epoch == 2:
             yield ("fetch",)
         if self.breaks:
             for pair in self.wires:
@@ -147,8 +159,8 @@
         elif what in ("learn", "decide"):
             ip = who[0] if who else "a"  # whoever's ballot it was goes by it first
             self.decided = True
-            comb = self.places[ip].comb
-            self.do(ip, comb.heard(comb.ledger.merge([roster_entry(NEXT)])))
+            replica = self.places[ip].replica
+            self.do(ip, replica.heard(replica.store.merge([membership_entry(NEXT)])))
         elif what == "fetch":
             self.fetched = True
             for ip in ("a", "b"):
@@ -162,12 +174,12 @@
         if what == "begin":
             who.state = "asking"
             if self.decided:
-                who.roster = NEXT
-            who.claims.begin(NOW, who.roster, KEY, who.by, 1.0, 1.0, who.over)
+                who.membership = NEXT
+            who.claims.begin(NOW, who.membership, KEY, who.by, 1.0, 1.0, who.over)
         elif what == "give-up":
             who.claims.look(LATE)
         elif what == "hear":
-            who.roster = NEXT
+            who.membership = NEXT
             who.claims.again(NOW, NEXT)
         elif what == "run":
             if any(other.state in ("ran", "told") for other in self.claimants.values()):
@@ -175,9 +187,9 @@
             who.state = "ran"
         else:
             who.state = "told" if what == "tell" else "back"
-            for seat in who.roster.seats:
+            for voter in who.membership.voters:
                 who.sent.append(
-                    (seat.ip, Done(KEY, who.by, Answer(200, b"", who.by)) if what == "tell" else Release(KEY, who.by))
+                    (voter.ip, Done(KEY, who.by, Answer(200, b"", who.by)) if what == "tell" else Release(KEY, who.by))
                 )
         self._collect(who)
 
@@ -215,7 +227,7 @@
             del self.wires[source, to]
         if to in self.places:
             place = self.places[to]
-            self.do(to, place.comb.judge(NOW, source, message))
+            self.do(to, place.replica.judge(NOW, source, message))
             self.do(to, place.sitting.heard(NOW, source, message))
         else:
             self._judged(source, to, message)
@@ -231,9 +243,9 @@
         place = self.places[ip]
         uid = GENESIS if ip in FIRST else "new"
         place.queue.clear()
-        place.comb = Comb(ip, uid, "", WINDOW, MEMORY, Ledger())
-        place.comb.restore(list(place.disk.items()), NOW)
-        place.sitting = Sitting(place.comb, Steward(ip, Random(1)), 3, 1.0)
+        place.replica = Replica(ip, uid, "", WINDOW, MEMORY, Store())
+        place.replica.restore(list(place.disk.items()), NOW)
+        place.sitting = Sitting(place.replica, Steward(ip, Random(1)), 3, 1.0)
         if ip == NEW:
             self.fetched = False
         for pair in [pair for pair in self.wires if ip in pair]:
@@ -251,9 +263,9 @@
             self.places[to].sitting.lost(source)
         if NEW in (source, to):
             self.fetched = False
-        for name, seat in ((source, to), (to, source)):
-            if name in self.claimants and seat in self.places:  # it is reached anew
-                self.claimants[name].claims.reach(NOW, seat)
+        for name, ip in ((source, to), (to, source)):
+            if name in self.claimants and ip in self.places:  # it is reached anew
+                self.claimants[name].claims.reach(NOW, ip)
                 self._collect(self.claimants[name])
 
     # ---- telling states apart --------------------------------------------------------------
@@ -263,9 +275,9 @@
         places = tuple(
             (
                 ip,
-                p.comb.epoch,
-                p.comb.full,
-                tuple((h.by, h.answer is not None) for h in p.comb._claims.values()),
+                p.replica.epoch,
+                p.replica.full,
+                tuple((h.by, h.answer is not None) for h in p.replica._claims.values()),
                 tuple(sorted(p.disk.items())),
                 tuple((tuple(rows), tuple((peer, encode(m)) for peer, m in then)) for rows, then in p.queue),
                 tuple((peer, tuple(map(encode, parts))) for peer, parts in sorted(p.sitting._states.items())),
@@ -275,9 +287,13 @@
         claimants = tuple(
             (
                 w.state,
-                w.roster.epoch,
+                w.membership.epoch,
                 tuple(
-                    (o.roster.epoch if o.roster is not None else 0, tuple(sorted(o.granted)), tuple(sorted(o.others)))
+                    (
+                        o.membership.epoch if o.membership is not None else 0,
+                        tuple(sorted(o.granted)),
+                        tuple(sorted(o.others)),
+                    )
                     for o in w.claims._open.values()
                 ),
             )
@@ -288,11 +304,11 @@
 
 
 WORLDS = [
-    Limits("one claims, verdicts are late, a seat is exchanged", claimants=1, change=True, prompt=False),
+    Limits("one claims, verdicts are late, a voter is exchanged", claimants=1, change=True, prompt=False),
     Limits("two claim", back=True),
     Limits("two claim, a connection breaks", breaks=1),
     Limits("two claim, power is lost", powers=1, disks=True),
-    Limits("two claim, a seat is exchanged", change=True),
+    Limits("two claim, a voter is exchanged", change=True),
 ]
 
 
@@ -325,20 +341,20 @@
     return len(seen), True
 
 
-def last_word(comb: Comb, now: float, epoch: int, parts: Iterable[State]) -> Effects:
-    """A seat that goes by what it was told last."""
+def last_word(replica: Replica, now: float, epoch: int, parts: Iterable[State]) -> Effects:
+    """A voter that goes by what it was told last."""
     told = list(parts)
     last = {key: kept for part in told for key, kept in part.claims}
     entries = [entry for part in told for entry in part.entries]
-    return _caught_up(comb, now, epoch, [State(epoch, entries, list(last.items()), True)])
+    return _caught_up(replica, now, epoch, [State(epoch, entries, list(last.items()), True)])
 
 
-_caught_up = Comb.caught_up
+_caught_up = Replica.caught_up
 
 #: Builds that are wrong on purpose: where, which name, and what stands there instead.
 BROKEN: dict[str, tuple[Any, str, Any]] = {
-    "a new seat that goes by the last word on a key": (Comb, "caught_up", last_word),
-    "a new seat that takes one other's word for all": (sitting, "majority", lambda count: 1),
+    "a new voter that goes by the last word on a key": (Replica, "caught_up", last_word),
+    "a new voter that takes one other's word for all": (voter, "majority", lambda count: 1),
     "one grant is enough": (claims, "majority", lambda count: 1),
 }
 
--- a/lugspur/emulator/joining.py
+++ b/lugspur/emulator/joining.py
@@ -8,6 +8,7 @@
 from bisect import bisect
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from itertools import accumulate
 from random import Random
 from typing import Protocol
@@ -107,9 +108,7 @@
         for action in actions:
             if isinstance(action, Start):
                 read, flight = self._reads[action.member], action.flight
-                rid = self._world.call(
-                    0, read.tenant, action.deadline, lambda how, flight=flight: self._landed(flight, how)
-                )  # type: ignore[misc]
+                rid = self._world.call(0, read.tenant, action.deadline, partial(self._landed, flight))
                 if flight in self.desk.flights:
                     self._calls[flight] = rid
             elif isinstance(action, Extend):
--- a/lugspur/hive/cli.py
+++ b/lugspur/mesh/cli.py
@@ -11,21 +11,21 @@
 
 import cyclopts
 
-from lugspur.hive.errors import HiveError, Kind
-from lugspur.hive.folder import export, look, told
-from lugspur.hive.settings import load
+from lugspur.control.errors import Kind, MeshError
 from lugspur.membership.rows import read_address
+from lugspur.mesh.folder import export, look, told
+from lugspur.mesh.settings import load
 
 WITHIN = 10.0  # seconds for one call
-app = cyclopts.App(name="python -m lugspur.hive", help="The mesh: foragers carry requests, combs keep the state.")
+app = cyclopts.App(name="python -m lugspur.mesh", help="The mesh: proxies carry requests, replicas keep the state.")
 
 
-comb = cyclopts.App(name="comb", help="The folder of a comb that does not run; nothing is written.")
-app.command(comb)
+replica = cyclopts.App(name="replica", help="The folder of a replica that does not run; nothing is written.")
+app.command(replica)
 
 
 def call(address: str, method: str, path: str, body: bytes | None = None) -> bytes:
-    """One call at a `dispatch` address; raises HiveError where it can't be made or is not taken."""
+    """One call at a `dispatch` address; raises MeshError where it can't be made or is not taken."""
     try:
         host, port = read_address(address)
         connection = http.client.HTTPConnection(host, port, timeout=WITHIN)
@@ -33,9 +33,9 @@
         answer = connection.getresponse()
         found = answer.read()
     except (OSError, ValueError, http.client.HTTPException) as fault:
-        raise HiveError(Kind.NOT_READY, f"{address}: {fault}") from None
+        raise MeshError(Kind.NOT_READY, f"{address}: {fault}") from None
     if answer.status != 200:
-        raise HiveError(Kind.BAD_REQUEST, f"{address}: {answer.status} {found.decode('utf-8', 'replace').strip()}")
+        raise MeshError(Kind.BAD_REQUEST, f"{address}: {answer.status} {found.decode('utf-8', 'replace').strip()}")
     return found
 
 
@@ -43,13 +43,13 @@
 def check(path: Path) -> None:
     """Check a settings file; one line of what is wrong, and exit status 2, where it can't be used."""
     settings = load(path)
-    print(f"{settings.own.node_name}: {'comb' if settings.keeps else 'forager'} in {settings.own.zone}")
+    print(f"{settings.own.node_name}: {'replica' if settings.keeps else 'proxy'} in {settings.own.zone}")
 
 
 @app.command
 def serve() -> None:
-    """Run a process of the hive by the settings file that LUGSPUR_NODE_FILE names."""
-    from lugspur.hive.program import serve as run
+    """Run a process of the mesh by the settings file that LUGSPUR_NODE_FILE names."""
+    from lugspur.mesh.program import serve as run
 
     sys.exit(run())
 
@@ -58,7 +58,7 @@
 def show(address: str, *, as_json: bool = False, watch: float = 0.0) -> None:
     """What a process knows and goes by; it needs no majority. `watch`: again every so many seconds."""
     while True:
-        found = call(address, "GET", "/hive/status")
+        found = call(address, "GET", "/mesh/status")
         print(found.decode() if as_json else "\n".join(lines(json.loads(found))), flush=True)
         if watch <= 0.0:
             return
@@ -86,7 +86,7 @@
 
 @app.command
 def read(address: str) -> None:
-    """The newest configuration, as a majority of the seats has it."""
+    """The newest configuration, as a majority of the voters has it."""
     print(call(address, "GET", "/config/read").decode())
 
 
@@ -96,29 +96,29 @@
     try:
         body = path.read_bytes()
     except OSError as fault:
-        raise HiveError(Kind.BAD_REQUEST, f"{path}: {fault.strerror}") from None
+        raise MeshError(Kind.BAD_REQUEST, f"{path}: {fault.strerror}") from None
     call(address, "POST", "/config/amend", body)
     print("taken, and on the disks of a majority")
 
 
-@comb.command(name="check")
-def comb_check(folder: Path) -> None:
-    """Whether a comb could start with this `data_dir`; a line for each fault, and exit status 2 where there is one."""
+@replica.command(name="check")
+def replica_check(folder: Path) -> None:
+    """Whether a replica could start with this `data_dir`; a line for each fault, and exit status 2 for any."""
     found = look(folder)
     if found.faults:
-        raise HiveError(Kind.STATE, "; ".join(found.faults))
+        raise MeshError(Kind.STATE, "; ".join(found.faults))
     print(f"{folder}: {found.size} bytes, no fault")
 
 
-@comb.command(name="show")
-def comb_show(folder: Path, *, as_json: bool = False) -> None:
-    """What is in a `data_dir`: its name, roster, items by kind, claims."""
+@replica.command(name="show")
+def replica_show(folder: Path, *, as_json: bool = False) -> None:
+    """What is in a `data_dir`: its name, membership, items by kind, claims."""
     found = told(look(folder))
     print(json.dumps(found) if as_json else "\n".join(lines(found)))
 
 
-@comb.command(name="export")
-def comb_export(folder: Path) -> None:
+@replica.command(name="export")
+def replica_export(folder: Path) -> None:
     """All items that stand in a `data_dir`, as a file for `amend`."""
     print(export(look(folder)).decode())
 
@@ -127,6 +127,6 @@
     """Run the command line; what goes wrong is one line, and exit status 2."""
     try:
         app()
-    except HiveError as fault:
+    except MeshError as fault:
         print(fault, file=sys.stderr)
         sys.exit(2)
--- a/lugspur/hive/keeper.py
+++ b/lugspur/mesh/control_node.py
@@ -1,4 +1,4 @@
-"""A comb's process: it keeps the hive's state, tells all who subscribe, and takes operators' calls."""
+"""A replica's process: it keeps the mesh's state, tells all who subscribe, and takes operators' calls."""
 
 from __future__ import annotations
 
@@ -8,17 +8,9 @@
 
 import msgspec
 
-from lugspur.hive import notes
-from lugspur.hive.calls import Desk, fail, reply
-from lugspur.hive.comb import GENESIS, Comb, Effects
-from lugspur.hive.disk import Disk
-from lugspur.hive.errors import HiveError, Kind
-from lugspur.hive.link import Link
-from lugspur.hive.node import LOOK, Node
-from lugspur.hive.settings import Settings
-from lugspur.hive.sitting import Sitting
-from lugspur.hive.steward import Presence, Steward, target
-from lugspur.hive.wire import (
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.membership import Presence, Steward, target
+from lugspur.control.messages import (
     Ask,
     Delta,
     Entry,
@@ -26,16 +18,24 @@
     Message,
     Pong,
     Report,
-    Seat,
     Sync,
+    Voter,
 )
+from lugspur.control.replica import GENESIS, Effects, Replica
+from lugspur.control.voter import Sitting
+from lugspur.mesh import events
+from lugspur.mesh.disk import Disk
+from lugspur.mesh.http_api import Desk, fail, reply
+from lugspur.mesh.link import Link
+from lugspur.mesh.node import LOOK, Node
+from lugspur.mesh.settings import Settings
 from lugspur.seams import Answerable, Request
 
 LEASE = 4.0  # seconds without a word after which what a process said of itself is dropped
 SWEEP_EVERY = 1.0  # seconds between looks at claims whose window is over
 LAZY = 0.1  # seconds for which rows that nobody waits for may wait for others
-PATIENCE = 2.0  # seconds beyond the time in which machines count as in touch, until a silent seat is replaced
-LEAVE_PART = 0.5  # of the time that a process has to end, for handing its seat on
+PATIENCE = 2.0  # seconds beyond the time in which machines count as in touch, until a silent voter is replaced
+LEAVE_PART = 0.5  # of the time that a process has to end, for handing its voter on
 
 _json = msgspec.json.Encoder().encode
 _pack = msgspec.msgpack.Encoder().encode
@@ -43,7 +43,7 @@
 
 
 class Here:
-    """This process as a peer of its own comb."""
+    """This process as a peer of its own replica."""
 
     def __init__(self, node: Keeper) -> None:
         self._node = node
@@ -65,7 +65,7 @@
 
 
 class Keeper(Node):
-    """One comb's process."""
+    """One replica's process."""
 
     def __init__(self, settings: Settings, path: str) -> None:
         limits, own = settings.own.limits, settings.own
@@ -79,10 +79,10 @@
         self._said: Entry | None = None
         super().__init__(settings, path, True)
         self.here = Here(self)
-        self.comb = self._comb(rows)
+        self.replica = self._replica(rows)
         bounds, tolerate = settings.tariffs.bounds, settings.tariffs.tolerate
         self.sitting = Sitting(
-            self.comb,
+            self.replica,
             Steward(own.ip, self.rng),
             target(tolerate.machines, tolerate.zones),
             bounds.contact_ms / 1000.0 + PATIENCE,
@@ -91,40 +91,42 @@
         if self.disk.damaged:  # never as at the very first start: what was promised is gone
             rows = []
         if not rows and own.first_start and own.ip in settings.seeds and not self.disk.damaged:
-            self.comb.seat = Seat(own.ip, GENESIS, own.zone)
-            self.do(self.comb.begin([Seat(ip, GENESIS, "") for ip in settings.seeds]))
+            self.replica.voter = Voter(own.ip, GENESIS, own.zone)
+            self.do(self.replica.begin([Voter(ip, GENESIS, "") for ip in settings.seeds]))
         elif not rows:
-            self.disk.write([(b"muid", self.comb.seat.uid.encode())], lambda: None)
-        notes.note("comb", uid=self.comb.seat.uid, epoch=self.comb.epoch, full=self.comb.full, rows=len(rows))
+            self.disk.write([(b"muid", self.replica.voter.uid.encode())], lambda: None)
+        events.info(
+            "control", uid=self.replica.voter.uid, epoch=self.replica.epoch, full=self.replica.full, rows=len(rows)
+        )
         self.announce()
 
-    def _comb(self, rows: list[tuple[bytes, bytes]]) -> Comb:
+    def _replica(self, rows: list[tuple[bytes, bytes]]) -> Replica:
         """What is on disk, or a newcomer's state where that can't be used."""
         own, window = self.settings.own, self.settings.tariffs.bounds.stamp_window_s
         for found in (rows, []):
-            comb = Comb(own.ip, os.urandom(8).hex(), own.zone, window, own.limits.memory_mb << 20, self.ledger)
+            replica = Replica(own.ip, os.urandom(8).hex(), own.zone, window, own.limits.memory_mb << 20, self.store)
             try:
-                comb.restore(found, self.loop.time())
+                replica.restore(found, self.loop.time())
                 break
             except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
                 self.disk.set_aside(str(fault))
-        return comb
+        return replica
 
     # ---- serving its kind ------------------------------------------------------------------
 
     async def serve(self) -> None:
-        """Listen to the hive, and to operators."""
+        """Listen to the mesh, and to operators."""
         ip, port = self.settings.inner
         await self.loop.create_server(lambda: Link(self._asked, self._ended), ip, port, backlog=512)
         desk = Desk()
         desk.add("POST", "/config/amend", self._amend)
         desk.add("GET", "/config/read", self._read)
-        desk.add("GET", "/hive/status", lambda request, caller, found: reply(caller, _json(self.status())))
+        desk.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
         self.front = await desk.serve(self.settings.network.listen.dispatch, self.settings.own.limits.memory_mb << 20)
 
     def _amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
-        def over(fault: HiveError | None) -> None:
-            notes.note("amend", bytes=len(request.body), fault=fault or "none")
+        def over(fault: MeshError | None) -> None:
+            events.info("amend", bytes=len(request.body), fault=fault or "none")
             if fault is None:
                 reply(caller)
             else:
@@ -135,7 +137,7 @@
     def _read(self, request: Request, caller: Answerable, _: list[str]) -> None:
         def over(body: bytes | None) -> None:
             if body is None:
-                fail(caller, HiveError(Kind.NO_QUORUM, "too few combs answer"))
+                fail(caller, MeshError(Kind.NO_QUORUM, "too few replicas answer"))
             else:
                 reply(caller, body)
 
@@ -152,23 +154,23 @@
             if dialler is not None:
                 dialler.nudge()
         elif isinstance(message, Sync):
-            since = message.since if message.life == self.life and message.since <= self.ledger.upto else 0
+            since = message.since if message.life == self.life and message.since <= self.store.upto else 0
             self.subscribers[link] = Subscriber(link, since)
             self._tell(self.subscribers[link], True)
         elif isinstance(message, Report):
             now = self.loop.time()
             for entry in message.entries:
-                if entry.kind in ("backend", "comb"):
+                if entry.kind in ("backend", "control"):
                     self.leases[entry.kind, entry.name] = (link, entry.edition, now)
-            self.take([e for e in message.entries if e.kind in ("backend", "comb")])
+            self.take([e for e in message.entries if e.kind in ("backend", "control")])
         elif not isinstance(message, Pong):
             self._judge(link, message)
 
     def _judge(self, peer: Any, message: Message) -> None:
-        """Something for this comb as a seat."""
+        """Something for this replica as a voter."""
         if isinstance(message, Ask):
             self._flush()  # what changed goes ahead of the answer
-        self.do(self.comb.judge(self.loop.time(), peer, message))
+        self.do(self.replica.judge(self.loop.time(), peer, message))
 
     def do(self, effects: Effects) -> None:
         """Send, write, and send the rest once that is on disk."""
@@ -205,12 +207,12 @@
 
     def take(self, entries: list[Entry]) -> None:
         """Entries from others."""
-        taken = self.ledger.merge(entries)
+        taken = self.store.merge(entries)
         if taken:
             self.merged(taken)
 
     def merged(self, taken: list[Entry]) -> None:
-        self.do(self.comb.heard(taken))
+        self.do(self.replica.heard(taken))
 
     # ---- telling others --------------------------------------------------------------------
 
@@ -218,24 +220,24 @@
         if not self._flushing:
             self._flushing = True
             self.loop.call_soon(self._flush)
-        if entry.kind == "comb" and entry.name == self.ip and self._said is not None and entry != self._said:
+        if entry.kind == "control" and entry.name == self.ip and self._said is not None and entry != self._said:
             self.loop.call_soon(self.announce)  # it was dropped, or stands as an older life left it
 
     def _flush(self) -> None:
         self._flushing = False
         for subscriber in self.subscribers.values():
-            if subscriber.at < self.ledger.upto:
+            if subscriber.at < self.store.upto:
                 self._tell(subscriber)
 
     def _tell(self, subscriber: Subscriber, first: bool = False) -> None:
         now = self.loop.time()
-        entries = self.ledger.after(subscriber.at)
-        subscriber.at = self.ledger.upto
+        entries = self.store.after(subscriber.at)
+        subscriber.at = self.store.upto
         subscriber.pinged = now
-        subscriber.link.send(Delta(self.life, self.ledger.upto, min(1e6, self.age(now)), self.full(), entries))
+        subscriber.link.send(Delta(self.life, self.store.upto, min(1e6, self.age(now)), self.full(), entries))
 
     def full(self) -> bool:
-        return self.comb.full
+        return self.replica.full
 
     def follows(self, ip: str) -> bool:
         return True
@@ -244,28 +246,28 @@
         return [] if self._said is None else [self._said]
 
     def announce(self) -> None:
-        """Say what this comb is."""
-        value = _pack(Presence(self.comb.seat.uid, self.settings.own.zone, self.leaving))
-        standing = self.ledger.get("comb", self.ip)
+        """Say what this replica is."""
+        value = _pack(Presence(self.replica.voter.uid, self.settings.own.zone, self.leaving))
+        standing = self.store.get("control", self.ip)
         if standing is not None and standing == self._said and standing.value == value:
             return
-        self._said = Entry("comb", self.ip, self.edition("comb", self.ip), value)
-        self.ledger.merge([self._said])
+        self._said = Entry("control", self.ip, self.edition("control", self.ip), value)
+        self.store.merge([self._said])
         for dialler in self.peers.values():
             if dialler.link is not None:
                 dialler.link.send(Report([self._said]))
 
-    # ---- the roster -------------------------------------------------------------------------
+    # ---- the membership -------------------------------------------------------------------------
 
-    def roster_changed(self) -> None:
-        assert self.roster is not None
-        self.do(self.sitting.adopt(self.roster))
+    def membership_changed(self) -> None:
+        assert self.membership is not None
+        self.do(self.sitting.adopt(self.membership))
 
     def heard_more(self, now: float, ip: str, message: Message) -> None:
-        full = self.comb.full
+        full = self.replica.full
         self.do(self.sitting.heard(now, ip, message))
-        if self.comb.full and not full:
-            notes.note("caught-up", epoch=self.comb.epoch, claims=self.comb.claims)
+        if self.replica.full and not full:
+            events.info("caught-up", epoch=self.replica.epoch, claims=self.replica.claims)
 
     def _down(self, dialler: Any) -> None:
         self.sitting.lost(dialler.ip)
@@ -280,25 +282,25 @@
                 self._tell(subscriber)
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_EVERY
-            self.do(self.comb.sweep(now))
+            self.do(self.replica.sweep(now))
         self._sit(now)
 
     def _sit(self, now: float) -> None:
-        """Look after the seat, and after the roster."""
-        roster = self.comb.roster
-        if roster is None:
+        """Look after the voter, and after the membership."""
+        membership = self.replica.membership
+        if membership is None:
             return
         there = {ip for ip, at in self.heard_at.items() if now - at < self.stale}
         absent = {}
-        for seat in roster.seats:
-            dialler = self.peers.get(seat.ip)
-            if seat.ip != self.ip and dialler is not None:
-                absent[seat.ip] = now - (dialler.link.at if dialler.link is not None else dialler.since)
-        combs = {name: _presence.decode(value) for name, value in self.ledger.standing("comb").items()}
-        epoch = self.comb.epoch
-        self.do(self.sitting.look(now, combs, there, absent))
-        if self.comb.epoch != epoch:
-            notes.note("ballot", epoch=self.comb.epoch)
+        for voter in membership.voters:
+            dialler = self.peers.get(voter.ip)
+            if voter.ip != self.ip and dialler is not None:
+                absent[voter.ip] = now - (dialler.link.at if dialler.link is not None else dialler.since)
+        replicas = {name: _presence.decode(value) for name, value in self.store.standing("control").items()}
+        epoch = self.replica.epoch
+        self.do(self.sitting.look(now, replicas, there, absent))
+        if self.replica.epoch != epoch:
+            events.info("ballot", epoch=self.replica.epoch)
 
     def _leases(self, now: float) -> None:
         """Drop what was said by those who are silent."""
@@ -308,30 +310,30 @@
                     self.leases[kind, name] = (link, edition, max(at, link.at))
             elif now - max(at, link.at) > LEASE:
                 del self.leases[kind, name]
-                standing = self.ledger.get(kind, name)
+                standing = self.store.get(kind, name)
                 if standing is not None and standing.edition == edition and standing.value is not None:
                     self.take([Entry(kind, name, edition + 1, None)])
 
     def status(self) -> dict[str, Any]:
-        """What operators see of this comb, whether a majority can be reached or not."""
-        now, comb = self.loop.time(), self.comb
-        kinds = {kind: len(self.ledger.standing(kind)) for kind in sorted({e.kind for e in self.ledger.all()})}
-        combs = {name: _presence.decode(value) for name, value in self.ledger.standing("comb").items()}
+        """What operators see of this replica, whether a majority can be reached or not."""
+        now, replica = self.loop.time(), self.replica
+        kinds = {kind: len(self.store.standing(kind)) for kind in sorted({e.kind for e in self.store.all()})}
+        replicas = {name: _presence.decode(value) for name, value in self.store.standing("control").items()}
         return {
             "node": self.settings.own.node_name,
-            "role": "comb",
+            "role": "control",
             "ip": self.ip,
             "zone": self.settings.own.zone,
-            "uid": comb.seat.uid,
-            "epoch": comb.epoch,
-            "seated": comb.seated,
-            "full": comb.full,
-            "seats": [] if comb.roster is None else [seat.ip for seat in comb.roster.seats],
-            "seats_wanted": self.sitting.seats,
+            "uid": replica.voter.uid,
+            "epoch": replica.epoch,
+            "is_voter": replica.is_voter,
+            "full": replica.full,
+            "voters": [] if replica.membership is None else [voter.ip for voter in replica.membership.voters],
+            "voters_wanted": self.sitting.voters,
             "age_s": round(min(1e6, self.age(now)), 3),
-            "combs": {ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving} for ip, p in combs.items()},
+            "replicas": {ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving} for ip, p in replicas.items()},
             "entries": kinds,
-            "claims": comb.claims,
+            "claims": replica.claims,
             "subscribers": len(self.subscribers),
             "disk": {"commits": self.disk.commits, "fault": self.disk.fault},
         }
@@ -339,13 +341,15 @@
     # ---- the end ---------------------------------------------------------------------------
 
     async def leave(self) -> None:
-        """SIGTERM: hand the seat on where another comb can take it, then end."""
+        """SIGTERM: hand the voter on where another replica can take it, then end."""
         self.leaving = True
         self.announce()
         until = self.loop.time() + LEAVE_PART * self.settings.tariffs.bounds.grace_s
-        while self.loop.time() < until and self.comb.seated:
-            seated = {seat.ip for seat in self.comb.roster.seats} if self.comb.roster is not None else set()
-            if not set(self.ledger.standing("comb")) - seated:
+        while self.loop.time() < until and self.replica.is_voter:
+            is_voter = (
+                {voter.ip for voter in self.replica.membership.voters} if self.replica.membership is not None else set()
+            )
+            if not set(self.store.standing("control")) - is_voter:
                 break
             await asyncio.sleep(LOOK)
         await asyncio.sleep(0.3)
--- a/lugspur/hive/disk.py
+++ b/lugspur/mesh/disk.py
@@ -1,4 +1,4 @@
-"""A comb's disk: one lmdb environment, written by a thread of its own in groups, each synced before it counts."""
+"""A replica's disk: one lmdb environment, written by a thread of its own in groups, each synced before it counts."""
 
 from __future__ import annotations
 
@@ -10,16 +10,16 @@
 
 import lmdb
 
-from lugspur.hive import notes
-from lugspur.hive.errors import HiveError, Kind
+from lugspur.control.errors import Kind, MeshError
+from lugspur.mesh import events
 
 MAP_PART = 0.6  # of the disk: lmdb must not fill it, and a file that grew is never smaller again
 MAP_LEAST, MAP_MOST = 16 << 20, 1 << 30  # bytes
 AGAIN = 0.3  # seconds after a failed write in which the environment is left alone
 OWED_MOST = 50_000  # rows that are removed while nothing can be written: what is not removed is swept after a start
 
-NAME = "comb"  # of the folder in `data_dir`
-ASIDE = "comb-damaged"  # ...and of what could not be read, the latest alone
+NAME = "control"  # of the folder in `data_dir`
+ASIDE = "control-damaged"  # ...and of what could not be read, the latest alone
 DAMAGED = (lmdb.InvalidError, lmdb.CorruptedError, lmdb.PageNotFoundError)  # what is on disk, not the disk
 
 Rows = list[tuple[bytes, bytes | None]]
@@ -49,7 +49,7 @@
                 self._move(str(fault))
                 self._env = self._open()
         except (OSError, lmdb.Error) as fault:
-            raise HiveError(Kind.STATE, f"{self._folder}: {fault}") from None
+            raise MeshError(Kind.STATE, f"{self._folder}: {fault}") from None
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
 
     def _open(self) -> lmdb.Environment:
@@ -64,20 +64,20 @@
             self.set_aside(str(fault))
             return []
         except lmdb.Error as fault:
-            raise HiveError(Kind.STATE, f"{self._folder}: {fault}") from None
+            raise MeshError(Kind.STATE, f"{self._folder}: {fault}") from None
 
     def set_aside(self, why: str) -> None:
         """What is on disk can't be used: it is kept under another name, and this is an empty disk from now on.
 
         Guards against half of a state that is taken for all of it: who has lost some of its promises has to be a
-        newcomer, as with an empty disk. To be called before `start`; raises HiveError (STATE).
+        newcomer, as with an empty disk. To be called before `start`; raises MeshError (STATE).
         """
         try:
             self._env.close()
             self._move(why)
             self._env = self._open()
         except (OSError, lmdb.Error) as fault:
-            raise HiveError(Kind.STATE, f"{self._folder}: {fault}") from None
+            raise MeshError(Kind.STATE, f"{self._folder}: {fault}") from None
 
     def _move(self, why: str) -> None:
         self.damaged = why
@@ -90,7 +90,7 @@
             os.fsync(parent)
         finally:
             os.close(parent)
-        notes.warn("set-aside", fault=why, to=self._aside)
+        events.warn("set-aside", fault=why, to=self._aside)
 
     def start(self) -> None:
         """Begin to write."""
@@ -141,7 +141,7 @@
             # a failed write it refuses all.
             self.fault = str(fault)
             self._owe(rows)
-            self._post(lambda: notes.warn("disk", fault=self.fault, rows=len(rows)))
+            self._post(lambda: events.warn("disk", fault=self.fault, rows=len(rows)))
             self._reopen()
             return
         self.commits += 1
--- a/lugspur/hive/notes.py
+++ b/lugspur/mesh/events.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-_logger = logbook.Logger("hive")
+_logger = logbook.Logger("mesh")
 
 
 def start(node: str) -> None:
@@ -16,7 +16,7 @@
     handler.push_application()
 
 
-def note(event: str, **pairs: object) -> None:
+def info(event: str, **pairs: object) -> None:
     """One event; values with spaces are quoted."""
     _logger.info(_line(event, pairs))
 
--- a/lugspur/hive/calls.py
+++ b/lugspur/mesh/http_api.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from lugspur.hive.errors import ANSWERS, HiveError, Kind
+from lugspur.control.errors import ANSWERS, Kind, MeshError
 from lugspur.http1.front import Front
 from lugspur.http1.intake import Sizes
 from lugspur.membership.rows import read_address
@@ -21,7 +21,7 @@
     caller.answer(status, head + JSON, body)
 
 
-def fail(caller: Answerable, fault: HiveError) -> None:
+def fail(caller: Answerable, fault: MeshError) -> None:
     """Answer a call that came to nothing: its code, and one line of what is wrong."""
     row = ANSWERS[fault.kind]
     after = b"Retry-After: %.2f\r\n" % row.after if row.after else b""
@@ -50,10 +50,10 @@
                 caller.admit()
                 try:
                     call(request, caller, [s for p, s in zip(pattern, segments, strict=True) if p == "*"])
-                except HiveError as fault:
+                except MeshError as fault:
                     fail(caller, fault)
                 return
-        fail(caller, HiveError(Kind.NO_CALL, f"{method} {request.target.decode('ascii', 'replace')[:100]}"))
+        fail(caller, MeshError(Kind.NO_CALL, f"{method} {request.target.decode('ascii', 'replace')[:100]}"))
 
     async def serve(self, address: str, memory: int) -> Front:
         """Listen for calls."""
--- a/lugspur/hive/link.py
+++ b/lugspur/mesh/link.py
@@ -1,4 +1,4 @@
-"""One connection between two processes of the hive: frames in, frames out, all of one turn of the loop in one write."""
+"""One connection between two processes of the mesh: frames in, frames out, all of one turn of the loop in one write."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 
 import msgspec
 
-from lugspur.hive import notes
-from lugspur.hive.wire import Message, decode, encode
+from lugspur.control.messages import Message, decode, encode
+from lugspur.mesh import events
 
 FRAME_MOST = 96 << 20  # bytes of one frame: the largest body that operators allow is 64 MiB, and heads beside it
 UNSENT_MOST = 48 << 20  # bytes that may wait for a peer that does not read: then it counts as gone
 USER_TIMEOUT = 1500  # ms without an acknowledgement after which a connection is dead: a cut says nothing
 # s, s, probes. Where something is sent the time above finds a dark machine, so that these may be few: in a fleet of
-# foragers that all know each other they would be most of what idle links carry.
+# proxies that all know each other they would be most of what idle links carry.
 KEEP_IDLE, KEEP_EVERY, KEEP_COUNT = 10, 1, 2
 
 
@@ -65,7 +65,7 @@
         while end - at >= 4 and self.open:
             size = int.from_bytes(held[at : at + 4], "big")
             if size > FRAME_MOST:  # Guards memory against a peer that announces more than any message has.
-                notes.warn("frame", peer=self.peer, size=size)
+                events.warn("frame", peer=self.peer, size=size)
                 self.close()
                 return
             if end - at - 4 < size:
@@ -73,7 +73,7 @@
             try:
                 message = decode(bytes(held[at + 4 : at + 4 + size]))
             except (msgspec.DecodeError, msgspec.ValidationError) as fault:
-                notes.warn("frame", peer=self.peer, fault=str(fault))
+                events.warn("frame", peer=self.peer, fault=str(fault))
                 self.close()
                 return
             at += 4 + size
--- a/lugspur/hive/node.py
+++ b/lugspur/mesh/node.py
@@ -1,4 +1,4 @@
-"""What every process of the hive does: it knows the roster, hears the news, and reaches the seats."""
+"""What every process of the mesh does: it knows the membership, hears the news, and reaches the voters."""
 
 from __future__ import annotations
 
@@ -8,39 +8,40 @@
 from collections.abc import Callable
 from random import Random
 
-from lugspur.hive import items, notes
-from lugspur.hive.claims import Claims, Settled
-from lugspur.hive.comb import majority, read_roster
-from lugspur.hive.errors import HiveError, Kind
-from lugspur.hive.ledger import Ledger
-from lugspur.hive.link import Dialler, Link
-from lugspur.hive.rounds import Rounds
-from lugspur.hive.settings import Settings, load
-from lugspur.hive.wire import (
+from lugspur.control import items
+from lugspur.control.claims import Claims, Settled
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.messages import (
     Claim,
     Delta,
     Entry,
     Hello,
+    Membership,
     Message,
     Pong,
     Release,
     Report,
-    Roster,
     Said,
     Sync,
     Verdict,
 )
+from lugspur.control.replica import majority, read_membership
+from lugspur.control.rounds import Rounds
+from lugspur.control.store import Store
+from lugspur.mesh import events
+from lugspur.mesh.link import Dialler, Link
+from lugspur.mesh.settings import Settings, load
 
 LOOK = 0.1  # seconds between looks at what is due
 PING_PART = 1 / 8  # of the time in which a configuration counts: how often news says that nothing is new
 STALE_PART = 0.4  # ...and how old the news may be before it is sought elsewhere
-ROUND_WITHIN = 0.8  # seconds for one round over the seats: callers move on after a second
+ROUND_WITHIN = 0.8  # seconds for one round over the voters: callers move on after a second
 SETTINGS_EVERY = 1.0  # seconds between looks at whether the settings file has changed
 AMENDS_MOST = 64  # calls of operators in hand at once
 
 
 class Node:
-    """One process; `local` says whether a seat is this process itself, which then needs no connection."""
+    """One process; `local` says whether a voter is this process itself, which then needs no connection."""
 
     def __init__(self, settings: Settings, path: str, keeps: bool) -> None:
         self.loop = asyncio.get_running_loop()
@@ -49,10 +50,10 @@
         self.ip = settings.own.ip
         self.life = os.urandom(8).hex()
         self.rng = Random(self.life)
-        self.ledger = Ledger(self._changed)
-        self.roster: Roster | None = None
+        self.store = Store(self._changed)
+        self.membership: Membership | None = None
         self.rounds = Rounds()
-        self.claims = Claims(self._to_seat)
+        self.claims = Claims(self._to_voter)
         self.peers: dict[str, Dialler] = {}  # by IP number
         self.synced: dict[str, tuple[str, int]] = {}  # how far each peer's changes are known: its life and place
         self.heard_at: dict[str, float] = {}  # when each peer said that it is full, or had word of a majority
@@ -86,11 +87,11 @@
         self._settings_at = self._stamp()
         try:
             fresh = load(self.path)
-        except HiveError as fault:
-            notes.warn("settings", fault=fault.detail)
+        except MeshError as fault:
+            events.warn("settings", fault=fault.detail)
             return
         self.settings = fresh
-        notes.note("settings", seeds=",".join(fresh.seeds), service=fresh.own.service)
+        events.info("settings", seeds=",".join(fresh.seeds), service=fresh.own.service)
         self._reach()
         for call in self.reloaded:
             call()
@@ -98,11 +99,11 @@
     # ---- peers ---------------------------------------------------------------------------
 
     def wanted(self) -> set[str]:
-        """Whom it keeps a connection to: the seats, and the seeds until the roster is known."""
-        if self.roster is None:
+        """Whom it keeps a connection to: the voters, and the seeds until the membership is known."""
+        if self.membership is None:
             return set(self.settings.seeds) - {self.ip}
-        found = {seat.ip for seat in self.roster.seats} - {self.ip}
-        if self._cut_off():  # the roster that is known may be an old one
+        found = {voter.ip for voter in self.membership.voters} - {self.ip}
+        if self._cut_off():  # the membership that is known may be an old one
             found |= set(self.settings.seeds) - {self.ip}
         return found
 
@@ -138,7 +139,7 @@
             self._seek()
 
     def follows(self, ip: str) -> bool:
-        """Whether it follows that peer's news; a forager follows one, a comb all seats."""
+        """Whether it follows that peer's news; a proxy follows one, a replica all voters."""
         return ip == self.source
 
     def _subscribe(self, dialler: Dialler) -> None:
@@ -162,19 +163,19 @@
 
     def edition(self, kind: str, name: str) -> int:
         """A new edition of what it says: by the time of day, and above all that is known."""
-        standing = self.ledger.get(kind, name)
+        standing = self.store.get(kind, name)
         return max(time.time_ns() // 1_000_000, 0 if standing is None else standing.edition + 1)
 
     # ---- news ----------------------------------------------------------------------------
 
     def _seek(self) -> None:
-        """Follow another's news: seats of the own zone first, each process another one."""
+        """Follow another's news: voters of the own zone first, each process another one."""
         if self.keeps:
             return
         up = {ip for ip, dialler in self.peers.items() if dialler.link is not None}
-        zones = {seat.ip: seat.zone for seat in self.roster.seats} if self.roster is not None else {}
+        zones = {voter.ip: voter.zone for voter in self.membership.voters} if self.membership is not None else {}
         able = [ip for ip in up if ip in zones]
-        if not able or self._cut_off():  # the roster that is known may be an old one; foragers tell no news
+        if not able or self._cut_off():  # the membership that is known may be an old one; proxies tell no news
             able += [ip for ip in up if ip in self.settings.seeds and ip not in zones]
         if not able:
             self.source = ""
@@ -192,7 +193,7 @@
         self.heard(link.peer, message)
 
     def heard(self, ip: str, message: Message) -> None:
-        """Something from a peer that this process dialled, or from its own comb."""
+        """Something from a peer that this process dialled, or from its own replica."""
         now = self.loop.time()
         if isinstance(message, Delta):
             self._delta(now, ip, message)
@@ -207,7 +208,7 @@
         """What only some processes understand."""
 
     def _delta(self, now: float, ip: str, message: Delta) -> None:
-        taken = self.ledger.merge(message.entries)
+        taken = self.store.merge(message.entries)
         self.synced[ip] = (message.life, message.upto)
         if message.full:
             self.heard_at[ip] = now
@@ -226,39 +227,41 @@
         """News has come."""
 
     def _changed(self, entry: Entry) -> None:
-        if entry.kind == "roster" and entry.value is not None:
-            roster = read_roster(entry.value)
-            if self.roster is None or roster.epoch > self.roster.epoch:
-                self.roster = roster
-                notes.note("roster", epoch=roster.epoch, seats=",".join(seat.ip for seat in roster.seats))
-                self.loop.call_soon(self._new_roster)
+        if entry.kind == "membership" and entry.value is not None:
+            membership = read_membership(entry.value)
+            if self.membership is None or membership.epoch > self.membership.epoch:
+                self.membership = membership
+                events.info(
+                    "membership", epoch=membership.epoch, voters=",".join(voter.ip for voter in membership.voters)
+                )
+                self.loop.call_soon(self._new_membership)
         self.changed(entry)
 
-    def _new_roster(self) -> None:
-        assert self.roster is not None
+    def _new_membership(self) -> None:
+        assert self.membership is not None
         self._reach()
-        self.claims.again(self.loop.time(), self.roster)
+        self.claims.again(self.loop.time(), self.membership)
         if self.source not in self.peers:
             self._seek()
-        self.roster_changed()
+        self.membership_changed()
 
-    def roster_changed(self) -> None:
-        """Another roster stands."""
+    def membership_changed(self) -> None:
+        """Another membership stands."""
 
     def changed(self, entry: Entry) -> None:
-        """An entry has taken its place in the ledger."""
+        """An entry has taken its place in the store."""
 
     def age(self, now: float) -> float:
         """Seconds since word of a majority: what was acknowledged before then is known here."""
-        if self.roster is None:
+        if self.membership is None:
             return 1e9
-        seats = {seat.ip for seat in self.roster.seats}
-        ages = sorted([now - at for ip, at in self.heard_at.items() if ip in seats] + ([0.0] if self.full() else []))
-        need = majority(len(seats))
+        voters = {voter.ip for voter in self.membership.voters}
+        ages = sorted([now - at for ip, at in self.heard_at.items() if ip in voters] + ([0.0] if self.full() else []))
+        need = majority(len(voters))
         return ages[need - 1] if len(ages) >= need else 1e9
 
     def full(self) -> bool:
-        """Whether this process is a seat that has all."""
+        """Whether this process is a voter that has all."""
         return False
 
     def _look(self) -> None:
@@ -275,7 +278,7 @@
             due = max(self.source_at, self.source_since) + self.stale
             if not self.source or now > due:
                 if self.source:
-                    notes.note("news-lost", source=self.source, age=now - self.source_at)
+                    events.info("news-lost", source=self.source, age=now - self.source_at)
                     self._avoid[self.source] = now + 2.0
                 self._seek()
         self.look(now)
@@ -283,38 +286,38 @@
     def look(self, now: float) -> None:
         """What is due from time to time."""
 
-    # ---- the seats -----------------------------------------------------------------------
+    # ---- the voters -----------------------------------------------------------------------
 
-    def _to_seat(self, ip: str, message: Claim | Release) -> None:
+    def _to_voter(self, ip: str, message: Claim | Release) -> None:
         self.to(ip, message)
 
     def to(self, ip: str, message: Message) -> None:
-        """Send it to a seat, if it can be reached."""
+        """Send it to a voter, if it can be reached."""
         dialler = self.peers.get(ip)
         if dialler is not None and dialler.link is not None:
             dialler.link.send(message)
 
     def round(self, entries: list[Entry] | None, over: Callable[[str], None]) -> None:
-        """A round over the seats: a read, or a write of entries."""
-        if self.roster is None:
+        """A round over the voters: a read, or a write of entries."""
+        if self.membership is None:
             over("no")
             return
-        ips, message = self.rounds.begin(self.roster, entries, self.loop.time() + ROUND_WITHIN, over)
+        ips, message = self.rounds.begin(self.membership, entries, self.loop.time() + ROUND_WITHIN, over)
         for ip in ips:
             self.to(ip, message)
 
-    # ---- keys (see forager.Keys) ---------------------------------------------------------
+    # ---- keys (see proxy.Keys) ---------------------------------------------------------
 
     def claim(self, key: bytes, by: bytes, left: float, within: float, over: Callable[[Settled], None]) -> None:
         """Ask for the right to run an operation."""
-        assert self.roster is not None
-        self.claims.begin(self.loop.time(), self.roster, key, by, left, within, over)
+        assert self.membership is not None
+        self.claims.begin(self.loop.time(), self.membership, key, by, left, within, over)
 
     def release(self, key: bytes, by: bytes) -> None:
         """Give it back."""
-        if self.roster is not None:
-            for seat in self.roster.seats:
-                self.to(seat.ip, Release(key, by))
+        if self.membership is not None:
+            for voter in self.membership.voters:
+                self.to(voter.ip, Release(key, by))
 
     def drop(self, key: bytes, by: bytes) -> None:
         """Nobody waits for it any more."""
@@ -322,29 +325,29 @@
 
     # ---- calls of operators ----------------------------------------------------------------
 
-    def amend(self, body: bytes, over: Callable[[HiveError | None], None]) -> None:
+    def amend(self, body: bytes, over: Callable[[MeshError | None], None]) -> None:
         """Take a change: checked against what a majority has, then on a majority's disks."""
         try:
             entries = items.read_call(body)
-        except HiveError as fault:
+        except MeshError as fault:
             over(fault)
             return
         if self._amends >= AMENDS_MOST:  # Guards memory and disks against a flood of calls.
-            over(HiveError(Kind.NO_QUORUM, "too many calls in hand"))
+            over(MeshError(Kind.NO_QUORUM, "too many calls in hand"))
             return
         self._amends += 1
 
-        def end(fault: HiveError | None) -> None:
+        def end(fault: MeshError | None) -> None:
             self._amends -= 1
             over(fault)
 
         def read(how: str) -> None:
             if how != "ok":
-                end(HiveError(Kind.NO_QUORUM, "too few combs answer"))
+                end(MeshError(Kind.NO_QUORUM, "too few replicas answer"))
                 return
             try:
-                items.check(entries, self.ledger)
-            except HiveError as fault:
+                items.check(entries, self.store)
+            except MeshError as fault:
                 end(fault)
                 return
             self.round(entries, written)
@@ -354,10 +357,10 @@
                 end(None)
             else:
                 kind = Kind.CONFLICT if how == "conflict" else Kind.UNCLEAR
-                end(HiveError(kind, "the change is not on enough disks"))
+                end(MeshError(kind, "the change is not on enough disks"))
 
         self.round(None, read)
 
     def read(self, over: Callable[[bytes | None], None]) -> None:
         """All items that stand, as a majority has them."""
-        self.round(None, lambda how: over(items.read_back(self.ledger) if how == "ok" else None))
+        self.round(None, lambda how: over(items.read_back(self.store) if how == "ok" else None))
--- a/lugspur/hive/program.py
+++ b/lugspur/mesh/program.py
@@ -9,10 +9,10 @@
 
 import uvloop
 
-from lugspur.hive import notes
-from lugspur.hive.errors import HiveError
-from lugspur.hive.node import Node
-from lugspur.hive.settings import DEFAULT, VARIABLE, Settings, load
+from lugspur.control.errors import MeshError
+from lugspur.mesh import events
+from lugspur.mesh.node import Node
+from lugspur.mesh.settings import DEFAULT, VARIABLE, Settings, load
 
 GC_YOUNG = 20_000  # objects made until the youngest are looked at: requests leave few cycles behind
 
@@ -22,15 +22,15 @@
     path = os.environ.get(VARIABLE, DEFAULT)
     try:
         settings = load(path)
-    except HiveError as fault:
-        notes.start("unknown")
-        notes.warn("settings", fault=fault.detail)
+    except MeshError as fault:
+        events.start("unknown")
+        events.warn("settings", fault=fault.detail)
         return 2
-    notes.start(settings.own.node_name)
+    events.start(settings.own.node_name)
     try:
         return uvloop.run(_run(settings, path))
-    except HiveError as fault:
-        notes.warn("stopped", code=fault.code, fault=fault.detail)
+    except MeshError as fault:
+        events.warn("stopped", code=fault.code, fault=fault.detail)
         return 1
 
 
@@ -40,13 +40,13 @@
     # Imported only where it is run: starting counts, and on a small machine each module takes its time.
     node: Node
     if settings.keeps:
-        from lugspur.hive.keeper import Keeper
+        from lugspur.mesh.control_node import Keeper
 
         keeper = node = Keeper(settings, path)
         await keeper.serve()
         leave = keeper.leave
     else:
-        from lugspur.hive.hand import Hand
+        from lugspur.mesh.sidecar import Hand
 
         hand = node = Hand(settings, path)
         await hand.serve()
@@ -57,8 +57,8 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG, 20, 50)
-    notes.note("serving", ip=node.ip, keeps=settings.keeps, first=settings.own.first_start)
+    events.info("serving", ip=node.ip, keeps=settings.keeps, first=settings.own.first_start)
     await stop.wait()
-    notes.note("leaving")
+    events.info("leaving")
     await leave()
     return 0
--- a/lugspur/hive/settings.py
+++ b/lugspur/mesh/settings.py
@@ -9,7 +9,7 @@
 
 import dacite
 
-from lugspur.hive.errors import HiveError, Kind
+from lugspur.control.errors import Kind, MeshError
 from lugspur.membership.rows import Address, read_address
 
 VARIABLE = "LUGSPUR_NODE_FILE"  # names the file
@@ -130,12 +130,12 @@
 
     @property
     def keeps(self) -> bool:
-        """Whether it holds the hive's state: it serves operators and has a disk."""
+        """Whether it holds the mesh's state: it serves operators and has a disk."""
         return "dispatch" in self.own.serves and bool(self.own.data_dir)
 
 
 def parse(data: dict[str, Any]) -> Settings:
-    """Check a file's tables; unknown fields are ignored. Raises HiveError (SETTINGS)."""
+    """Check a file's tables; unknown fields are ignored. Raises MeshError (SETTINGS)."""
     named = {("own" if name == "self" else name): value for name, value in data.items()}
     try:
         settings = dacite.from_dict(Settings, named)
@@ -150,20 +150,20 @@
             if address:
                 read_address(address)
     except (dacite.DaciteError, ValueError, TypeError) as fault:
-        raise HiveError(Kind.SETTINGS, str(fault)) from None
+        raise MeshError(Kind.SETTINGS, str(fault)) from None
     if not settings.network.inner_ports:
-        raise HiveError(Kind.SETTINGS, "network.inner_ports is empty")
+        raise MeshError(Kind.SETTINGS, "network.inner_ports is empty")
     bounds = settings.tariffs.bounds
     for name in ("edition_ms", "stamp_window_s", "grace_s", "retry_window_s"):
         if getattr(bounds, name) <= 0.0:
-            raise HiveError(Kind.SETTINGS, f"tariffs.bounds.{name} is not above 0")
+            raise MeshError(Kind.SETTINGS, f"tariffs.bounds.{name} is not above 0")
     return settings
 
 
 def load(path: str | Path) -> Settings:
-    """Read the file; raises HiveError (SETTINGS) with what is wrong."""
+    """Read the file; raises MeshError (SETTINGS) with what is wrong."""
     try:
         with open(path, "rb") as file:
             return parse(tomllib.load(file))
     except (OSError, tomllib.TOMLDecodeError) as fault:
-        raise HiveError(Kind.SETTINGS, f"{path}: {fault}") from None
+        raise MeshError(Kind.SETTINGS, f"{path}: {fault}") from None
--- a/lugspur/hive/hand.py
+++ b/lugspur/mesh/sidecar.py
@@ -1,4 +1,4 @@
-"""A forager's process: requests of its machine out, requests for its backend in, and its backend's beats."""
+"""A proxy's process: requests of its machine out, requests for its backend in, and its backend's beats."""
 
 from __future__ import annotations
 
@@ -8,21 +8,21 @@
 
 import msgspec
 
-from lugspur.hive import notes
-from lugspur.hive.calls import Desk, fail, reply
-from lugspur.hive.errors import HiveError, Kind
-from lugspur.hive.forager import Forager
-from lugspur.hive.gate import End, Gate, Local, Ticket
-from lugspur.hive.items import LIMITS, ROUTES
-from lugspur.hive.landing import PART, Landing, in_parts
-from lugspur.hive.link import Dialler, Link
-from lugspur.hive.node import Node
-from lugspur.hive.settings import Settings
-from lugspur.hive.table import Table
-from lugspur.hive.wire import Answer, Cancel, Done, Entry, Forward, Grant, Hello, Message, Part, Reply
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.items import LIMITS, ROUTES
+from lugspur.control.messages import Answer, Cancel, Done, Entry, Forward, Grant, Hello, Message, Part, Reply
+from lugspur.dataplane.gate import End, Gate, Local, Ticket
+from lugspur.dataplane.proxy import Proxy
+from lugspur.dataplane.routes import Table
+from lugspur.dataplane.uploads import PART, Landing, in_parts
 from lugspur.http1.front import Front
 from lugspur.http1.intake import Sizes
 from lugspur.membership.rows import read_address
+from lugspur.mesh import events
+from lugspur.mesh.http_api import Desk, fail, reply
+from lugspur.mesh.link import Dialler, Link
+from lugspur.mesh.node import Node
+from lugspur.mesh.settings import Settings
 from lugspur.seams import Answerable, Request
 
 FILES_KEPT = 264  # descriptors for files and what is not counted here; 200 are reserved by the platform
@@ -37,7 +37,7 @@
 
 
 class Spot(msgspec.Struct, array_like=True, frozen=True):
-    """What a forager says of its backend, as a soft entry under its own IP number."""
+    """What a proxy says of its backend, as a soft entry under its own IP number."""
 
     id: str
     service: str
@@ -66,7 +66,7 @@
 
 
 class Hand(Node):
-    """One forager's process."""
+    """One proxy's process."""
 
     def __init__(self, settings: Settings, path: str) -> None:
         limits, bounds = settings.own.limits, settings.tariffs.bounds
@@ -84,7 +84,7 @@
         self.landing = Landing(self._rate, (limits.memory_mb << 20) // 4)
         self._bodies: dict[tuple[str, int], tuple[bytes, int]] = {}  # on their way in parts: all, and how far
         super().__init__(settings, path, False)
-        self.forager = Forager(
+        self.proxy = Proxy(
             self.table,
             self,
             self,
@@ -94,7 +94,7 @@
             bounds.retry_window_s,
             settings.own.zone,
         )
-        self.forager.sender = settings.own.service
+        self.proxy.sender = settings.own.service
         self.reloaded.append(self._sender)
         self.gate = Gate(
             limits.memory_mb << 20,
@@ -106,10 +106,10 @@
 
     def _sender(self) -> None:
         local = self.gate.local
-        self.forager.sender = local.service if local is not None else self.settings.own.service
+        self.proxy.sender = local.service if local is not None else self.settings.own.service
 
     async def serve(self) -> None:
-        """Listen: to the hive, to callers, to the platform, and to the backend's beats."""
+        """Listen: to the mesh, to callers, to the platform, and to the backend's beats."""
         settings = self.settings
         ip, port = settings.inner
         listen, limits = settings.network.listen, settings.own.limits
@@ -126,7 +126,7 @@
         desk.add("POST", "/backends/*/sign-off", self._sign_off)
         desk.add("POST", "/config/amend", self._elsewhere)
         desk.add("GET", "/config/read", self._elsewhere)
-        desk.add("GET", "/hive/status", lambda request, caller, found: reply(caller, _json(self.status())))
+        desk.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
         await desk.serve(listen.dispatch, limits.memory_mb << 20)
 
     def _tune(self) -> None:
@@ -142,7 +142,7 @@
         if not self.known:
             raise_not_ready(caller)
             return
-        self.forager.handle(request, caller)
+        self.proxy.handle(request, caller)
 
     # ---- calls -------------------------------------------------------------------------------
 
@@ -150,10 +150,10 @@
         if self.known and len(self.table) and not self.leaving:
             reply(caller)
         else:
-            raise HiveError(Kind.LEAVING if self.leaving else Kind.NOT_READY)
+            raise MeshError(Kind.LEAVING if self.leaving else Kind.NOT_READY)
 
     def _elsewhere(self, request: Request, caller: Answerable, _: list[str]) -> None:
-        """A call that only a comb can settle."""
+        """A call that only a replica can settle."""
         seed = self.rng.choice(self.settings.network.seed_nodes)
         reply(caller, status=307, head=b"Location: http://%b%b\r\n" % (seed.encode(), request.target))
 
@@ -162,7 +162,7 @@
             beat = _beat.decode(request.body[:BEAT_MOST])
             read_address(beat.address)
         except (msgspec.MsgspecError, ValueError) as fault:
-            raise HiveError(Kind.BAD_REQUEST, str(fault)) from None
+            raise MeshError(Kind.BAD_REQUEST, str(fault)) from None
         now, local = self.loop.time(), self.gate.local
         if local is None or local.id != found[0]:
             if local is not None and beat.state != "accepting" and beat.sequence > 0:
@@ -170,14 +170,14 @@
                 return
             local = Local(found[0], beat.service, beat.address, now)
             self.gate.local = local
-            notes.note("backend", id=local.id, service=local.service, address=beat.address, state=beat.state)
+            events.info("backend", id=local.id, service=local.service, address=beat.address, state=beat.state)
         if beat.sequence > local.sequence:
             local.sequence, local.heard, local.down = beat.sequence, now, False
             local.berths = max(1, beat.berths)
             local.warm_at = now + beat.warmup_left_ms / 1000.0
             if beat.state != "accepting" and local.closing_at == float("inf"):
                 local.closing_at = now
-                notes.note("closing", id=local.id)
+                events.info("closing", id=local.id)
             if local.state != "gone":  # one that was silent speaks again; one that signed off does not
                 local.state = "accepting" if local.closing_at == float("inf") else "closing"
             self._sender()
@@ -189,16 +189,16 @@
         if local is not None and local.id == found[0]:
             local.state = "gone"
             local.closing_at = min(local.closing_at, self.loop.time())
-            notes.note("sign-off", id=local.id)
+            events.info("sign-off", id=local.id)
             self._publish()
         reply(caller)
 
     def _backend_down(self, local: Local) -> None:
-        notes.note("backend-down", id=local.id)
+        events.info("backend-down", id=local.id)
         self._publish()
 
     def _publish(self) -> None:
-        """Tell the hive how this machine's backend is, where that has changed."""
+        """Tell the mesh how this machine's backend is, where that has changed."""
         local = self.gate.local
         if local is None:
             return
@@ -222,7 +222,7 @@
         ):
             return
         self._said = Entry("backend", self.ip, self.edition("backend", self.ip), _pack(spot))
-        self.ledger.merge([self._said])
+        self.store.merge([self._said])
         self.report()
 
     def own_entries(self, again: bool) -> list[Entry]:
@@ -232,7 +232,7 @@
         if self._said is not None and again and now >= self._again_at:
             self._again_at = now + SAY_AGAIN
             self._said = Entry("backend", self.ip, self.edition("backend", self.ip), self._said.value)
-            self.ledger.merge([self._said])
+            self.store.merge([self._said])
         return [] if self._said is None else [self._said]
 
     # ---- news --------------------------------------------------------------------------------
@@ -258,14 +258,14 @@
 
     def _say_again(self) -> None:
         if self._said is not None:
-            self.ledger.merge([self._said])
+            self.store.merge([self._said])
             self.report()
 
     def _members(self) -> None:
         """Services whose backends have changed."""
         stale, self._stale_services = self._stale_services, set()
         for service in stale:
-            self.forager.members(
+            self.proxy.members(
                 service,
                 {
                     spot.id: (ip, spot.zone, spot.berths, self._cold.get(ip, 0.0))
@@ -273,7 +273,7 @@
                     if spot.service == service and spot.state == "accepting"
                 },
             )
-        self.forager.proxies = max(1, len(self.spots))
+        self.proxy.proxies = max(1, len(self.spots))
         self._reach()
 
     def wanted(self) -> set[str]:
@@ -282,7 +282,7 @@
     def keep_peer(self, ip: str) -> bool:
         return bool(self._carried.get(ip))
 
-    # ---- carrying requests (see forager.Carrier) -----------------------------------------------
+    # ---- carrying requests (see proxy.Carrier) -----------------------------------------------
 
     def ready(self, ip: str) -> bool:
         """Whether that machine can be reached now."""
@@ -360,7 +360,7 @@
             try:
                 whole = self.landing.part(self.loop.time(), (link, message.n), message.data)
             except ValueError as fault:
-                notes.warn("part", peer=link.peer, fault=str(fault))
+                events.warn("part", peer=link.peer, fault=str(fault))
                 link.close()
                 return
             if whole is not None:
@@ -414,29 +414,29 @@
                 self.gate.cancel(ticket)
 
     def _done(self, forward: Forward, answer: Answer) -> None:
-        """A keyed operation has run: the seats keep its answer for repeats."""
-        if self.roster is not None:
-            for seat in self.roster.seats:
-                self.to(seat.ip, Done(forward.key, forward.by, answer))
+        """A keyed operation has run: the voters keep its answer for repeats."""
+        if self.membership is not None:
+            for voter in self.membership.voters:
+                self.to(voter.ip, Done(forward.key, forward.by, answer))
 
     def status(self) -> dict[str, Any]:
-        """What operators see of this forager: what it goes by, how old that is, and whom it would send to."""
+        """What operators see of this proxy: what it goes by, how old that is, and whom it would send to."""
         now, local = self.loop.time(), self.gate.local
-        ranks = [rank for found in self.forager.services.values() for rank in found.values()]
+        ranks = [rank for found in self.proxy.services.values() for rank in found.values()]
         return {
             "node": self.settings.own.node_name,
-            "role": "forager",
+            "role": "proxy",
             "ip": self.ip,
             "zone": self.settings.own.zone,
-            "sender": self.forager.sender,
+            "sender": self.proxy.sender,
             "leaving": self.leaving,
             "known": self.known,
-            "epoch": 0 if self.roster is None else self.roster.epoch,
-            "seats": [] if self.roster is None else [seat.ip for seat in self.roster.seats],
+            "epoch": 0 if self.membership is None else self.membership.epoch,
+            "voters": [] if self.membership is None else [voter.ip for voter in self.membership.voters],
             "source": self.source,
             "age_s": round(min(1e6, now - self.source_at), 3),
             "routes": len(self.table),
-            "open": len(self.forager.flights),
+            "open": len(self.proxy.flights),
             "busy": self.gate.busy,
             "backend": None
             if local is None
@@ -469,17 +469,17 @@
         if now < self._told_at + TELL_EVERY:
             return
         self._told_at = now
-        ended, self.forager.ended = self.forager.ended, {}
+        ended, self.proxy.ended = self.proxy.ended, {}
         gate = self.gate
         if ended or gate.turned or gate.evicted or gate.hopeless:
-            notes.note(
+            events.info(
                 "requests",
                 **ended,
                 turned=gate.turned,
                 evicted=gate.evicted,
                 hopeless=gate.hopeless,
                 busy=gate.busy,
-                open=len(self.forager.flights),
+                open=len(self.proxy.flights),
             )
         gate.turned = gate.evicted = gate.hopeless = 0
 
@@ -497,7 +497,7 @@
             due = BEATS_MISSED * self.settings.depot.heartbeat_ms / 1000.0 + 1.0
             if now - local.heard > due:
                 local.state = "silent"
-                notes.note("backend-silent", id=local.id)
+                events.info("backend-silent", id=local.id)
                 self._publish()
 
     async def leave(self) -> None:
@@ -512,15 +512,15 @@
         self.front.close()
         self.gate.leaving = True
         while self.loop.time() < start + LEAVE_ENDS * grace and (
-            self.forager.flights or self.gate.busy or len(self.landing) or self.front.callers
+            self.proxy.flights or self.gate.busy or len(self.landing) or self.front.callers
         ):
             await asyncio.sleep(0.05)
-        notes.note("left", flights=len(self.forager.flights), busy=self.gate.busy, after=self.loop.time() - start)
+        events.info("left", flights=len(self.proxy.flights), busy=self.gate.busy, after=self.loop.time() - start)
 
 
 def raise_not_ready(caller: Answerable) -> None:
     """Nothing is known yet."""
-    fail(caller, HiveError(Kind.NOT_READY))
+    fail(caller, MeshError(Kind.NOT_READY))
 
 
 def _nothing() -> None:
--- a/lugspur/standins/mesh.py
+++ b/lugspur/standins/mesh.py
@@ -104,7 +104,7 @@
     """Run one until it is ended."""
     parser = argparse.ArgumentParser(description="A stand-in backend of the mesh.")
     parser.add_argument("--listen", required=True)
-    parser.add_argument("--dispatch", required=True, help="where its forager takes beats")
+    parser.add_argument("--dispatch", required=True, help="where its proxy takes beats")
     parser.add_argument("--service", default="rooms")
     parser.add_argument("--zone", default="z")
     parser.add_argument("--work", type=float, default=0.0, help="seconds for each request")
--- a/tests/features/steps/keys.py
+++ b/tests/features/steps/keys.py
@@ -1,4 +1,4 @@
-"""Steps over combs and claimants in virtual time."""
+"""Steps over replicas and claimants in virtual time."""
 
 from __future__ import annotations
 
@@ -6,15 +6,15 @@
 
 from behave import given, then, when
 
-from lugspur.emulator.hive import World
-from lugspur.hive.claims import Settled, Taken, Won
+from lugspur.control.claims import Settled, Taken, Won
+from lugspur.emulator.control import World
 
 
-@given("{combs:d} combs that bear the loss of {machines:d}")
-def begin(context: Any, combs: int, machines: int) -> None:
-    context.world = World(1, combs, machines, proxies=6)
+@given("{replicas:d} replicas that bear the loss of {machines:d}")
+def begin(context: Any, replicas: int, machines: int) -> None:
+    context.world = World(1, replicas, machines, proxies=6)
     assert context.world.settle()
-    for process in context.world.combs.values():
+    for process in context.world.replicas.values():
         context.world.gossip(process)
 
 
@@ -28,10 +28,10 @@
     assert len(context.how) == proxies
 
 
-@when("the disk of one seat is lost and it comes back")
+@when("the disk of one voter is lost and it comes back")
 def lose(context: Any) -> None:
     world = context.world
-    process = world.combs[world.seeds[0]]
+    process = world.replicas[world.seeds[0]]
     process.stop(True)
     world.silent[process.ip] = world.now
     assert world.settle()
@@ -53,9 +53,9 @@
 
 def ask(world: World, name: str, how: list[Settled]) -> None:
     proxy = world.proxies[name]
-    assert proxy.roster is not None
+    assert proxy.membership is not None
     world.attempt += 1
-    proxy.claims.begin(world.now, proxy.roster, b"key", b"by%d" % world.attempt, 1.0, 2.0, how.append)
+    proxy.claims.begin(world.now, proxy.membership, b"key", b"by%d" % world.attempt, 1.0, 2.0, how.append)
 
 
 def run(world: World) -> None:
@@ -64,5 +64,5 @@
         for pair, wire in list(world.wires.items()):
             while wire:
                 world.deliver(pair, wire.popleft())
-        for process in world.combs.values():
+        for process in world.replicas.values():
             process.sync()
--- a/tests/hive/test_cli.py
+++ b/tests/mesh/test_cli.py
@@ -8,12 +8,12 @@
 import sys
 from pathlib import Path
 
-from lugspur.bench.hive import ROOT, Mesh
+from lugspur.bench.mesh import ROOT, Mesh
 
 
 def run(*words: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "lugspur.hive", *words],
+        [sys.executable, "-m", "lugspur.mesh", *words],
         cwd=ROOT,
         capture_output=True,
         text=True,
@@ -27,7 +27,7 @@
         mesh = Mesh(tmp_path)
         try:
             await mesh.begin()
-            at = f"{mesh.comb_ips[0]}:{mesh.dispatch}"
+            at = f"{mesh.replica_ips[0]}:{mesh.dispatch}"
             change = tmp_path / "change.json"
             change.write_text(json.dumps({"upsert": {"routes": [mesh.route("late", "safe", "00000002")]}}))
             taken = await asyncio.to_thread(run, "amend", at, str(change))
@@ -37,13 +37,13 @@
             assert refused.returncode == 2 and "400" in refused.stderr and len(refused.stderr.splitlines()) == 1
             names = {r["name"] for r in json.loads((await asyncio.to_thread(run, "read", at)).stdout)["routes"]}
             assert names == {"look", "book", "late"}
-            forager = await asyncio.to_thread(run, "show", f"{mesh.forager_ips[0]}:{mesh.dispatch}")
-            assert "role: forager" in forager.stdout and forager.stdout.count("reached=True") == 2
-            for ip in mesh.comb_ips[1:]:
+            proxy = await asyncio.to_thread(run, "show", f"{mesh.proxy_ips[0]}:{mesh.dispatch}")
+            assert "role: proxy" in proxy.stdout and proxy.stdout.count("reached=True") == 2
+            for ip in mesh.replica_ips[1:]:
                 mesh.end(ip)
             alone = await asyncio.to_thread(run, "show", at, "--as-json")
             found = json.loads(alone.stdout)
-            assert (found["role"], found["seats"], found["entries"]["routes"]) == ("comb", mesh.comb_ips, 3)
+            assert (found["role"], found["voters"], found["entries"]["routes"]) == ("control", mesh.replica_ips, 3)
             unread = await asyncio.to_thread(run, "read", at)
             assert unread.returncode == 2 and "no-quorum" in unread.stderr
         finally:
--- a/tests/hive/test_disk.py
+++ b/tests/mesh/test_disk.py
@@ -1,4 +1,4 @@
-"""A comb's disk that refuses writes: nothing is promised, and nothing is forgotten."""
+"""A replica's disk that refuses writes: nothing is promised, and nothing is forgotten."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 import lmdb
 import pytest
 
-from lugspur.hive import disk as module
-from lugspur.hive.disk import Disk
+from lugspur.mesh import disk as module
+from lugspur.mesh.disk import Disk
 
 
 class Refusing:
--- a/tests/hive/test_explored.py
+++ b/tests/mesh/test_explored.py
@@ -1,4 +1,4 @@
-"""Every order of events in the smallest hive, by the code that runs; larger: `python -m lugspur.emulator combs`."""
+"""Every order of events in the smallest mesh, by the code that runs; larger: `python -m lugspur.emulator replicas`."""
 
 from __future__ import annotations
 
@@ -6,10 +6,10 @@
 
 import pytest
 
-from lugspur.emulator.combs import BROKEN, WORLDS, Limits, caught, explore
+from lugspur.emulator.explorer import BROKEN, WORLDS, Limits, caught, explore
 
 
-def test_one_claimant_over_a_seat_that_is_exchanged_and_a_connection_that_breaks() -> None:
+def test_one_claimant_over_a_voter_that_is_exchanged_and_a_connection_that_breaks() -> None:
     states, whole = explore(Limits("one", claimants=1, breaks=1, back=True), 20_000)
     assert whole and states > 300
 
--- a/tests/hive/test_folder.py
+++ b/tests/mesh/test_folder.py
@@ -1,4 +1,4 @@
-"""A comb's folder: what a command says of it, and what a comb does with one that is damaged."""
+"""A replica's folder: what a command says of it, and what a replica does with one that is damaged."""
 
 from __future__ import annotations
 
@@ -9,30 +9,30 @@
 import lmdb
 import msgspec
 import pytest
-from hivecalls import call, route, service
+from meshcalls import call, route, service
 
-from lugspur.hive.cli import comb_check, comb_export, comb_show
-from lugspur.hive.comb import GENESIS, Comb
-from lugspur.hive.disk import ASIDE, NAME, Disk
-from lugspur.hive.errors import HiveError
-from lugspur.hive.folder import export, look, told
-from lugspur.hive.items import read_call
-from lugspur.hive.ledger import Ledger
-from lugspur.hive.wire import Answer, Claim, Done, Put, Seat
+from lugspur.control.errors import MeshError
+from lugspur.control.items import read_call
+from lugspur.control.messages import Answer, Claim, Done, Put, Voter
+from lugspur.control.replica import GENESIS, Replica
+from lugspur.control.store import Store
+from lugspur.mesh.cli import replica_check, replica_export, replica_show
+from lugspur.mesh.disk import ASIDE, NAME, Disk
+from lugspur.mesh.folder import export, look, told
 
 CALL = call(route("r"), services=[service()])
-SEATS = [Seat(f"10.0.0.{n}", GENESIS, "") for n in (1, 2, 3)]
+SEATS = [Voter(f"10.0.0.{n}", GENESIS, "") for n in (1, 2, 3)]
 
 
 def keep(folder: Path) -> None:
-    """What a seat has written after a configuration, a claim and an answer."""
-    seat = Comb("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, Ledger())
+    """What a voter has written after a configuration, a claim and an answer."""
+    voter = Replica("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, Store())
     effects = [
-        seat.begin(SEATS),
-        seat.put(None, Put(1, 1, read_call(CALL))),
-        seat.claim(0.0, None, Claim(b"k", b"a", 1, 2.0)),
-        seat.claim(0.0, None, Claim(b"l", b"b", 1, 2.0)),
-        seat.done(1.0, Done(b"k", b"a", Answer(200, b"", b"hi"))),
+        voter.begin(SEATS),
+        voter.put(None, Put(1, 1, read_call(CALL))),
+        voter.claim(0.0, None, Claim(b"k", b"a", 1, 2.0)),
+        voter.claim(0.0, None, Claim(b"l", b"b", 1, 2.0)),
+        voter.done(1.0, Done(b"k", b"a", Answer(200, b"", b"hi"))),
     ]
     put(folder, [row for effect in effects for row in effect.write])
 
@@ -51,11 +51,11 @@
     keep(tmp_path)
     found = told(look(tmp_path))
     assert (found["uid"], found["epoch"], found["full"], found["claims"], found["answers"]) == (GENESIS, 1, True, 2, 1)
-    assert set(found["seats"]) == {s.ip for s in SEATS} and found["faults"] == []
+    assert set(found["voters"]) == {s.ip for s in SEATS} and found["faults"] == []
     before = sorted(path.read_bytes() for path in (tmp_path / NAME).iterdir())
-    comb_check(tmp_path)
-    comb_show(tmp_path, as_json=True)
-    comb_export(tmp_path)
+    replica_check(tmp_path)
+    replica_show(tmp_path, as_json=True)
+    replica_export(tmp_path)
     checked, shown, exported = capsys.readouterr().out.splitlines()
     assert "no fault" in checked and json.loads(shown) == found
     assert {e.name for e in read_call(exported.encode())} == {e.name for e in read_call(CALL)}
@@ -69,12 +69,12 @@
     faults = look(tmp_path).faults
     assert len(faults) == 3
     assert "can't be read" in faults[0] and "holds routes 'r'" in faults[1] and "no row" in faults[2]
-    with pytest.raises(HiveError, match="no row"):
-        comb_check(tmp_path)
-    with pytest.raises(HiveError, match="no comb"):
+    with pytest.raises(MeshError, match="no row"):
+        replica_check(tmp_path)
+    with pytest.raises(MeshError, match="no replica"):
         look(tmp_path / "elsewhere")
     (tmp_path / NAME / "data.mdb").write_bytes(bytes(20_000))
-    with pytest.raises(HiveError, match="state"):
+    with pytest.raises(MeshError, match="state"):
         look(tmp_path)
 
 
@@ -86,14 +86,14 @@
 
 
 def test_what_does_not_fit_together_is_a_fault(tmp_path: Path) -> None:
-    seat = Comb("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, Ledger())
-    rows = dict(seat.begin(SEATS).write)
+    voter = Replica("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, Store())
+    rows = dict(voter.begin(SEATS).write)
     rows[b"muid"] = b"another"
     entry = next(e for e in read_call(call(route("r"))) if e.kind == "routes")
     rows[b"iroutes\0r"] = msgspec.msgpack.encode(entry)
     put(tmp_path, list(rows.items()))
     faults = look(tmp_path).faults
-    assert len(faults) == 2 and "no seat" in faults[0] and "unknown service" in faults[1]
+    assert len(faults) == 2 and "no voter" in faults[0] and "unknown service" in faults[1]
 
 
 @pytest.mark.parametrize("harm", ["head", "pages"])
--- a/tests/hive/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from lugspur.hive.gate import End, Gate, Local
-from lugspur.hive.wire import Answer, Forward, Reply
+from lugspur.control.messages import Answer, Forward, Reply
+from lugspur.dataplane.gate import End, Gate, Local
 
 GOOD = b"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: %b\r\nLugspur-Postmark: p\r\nContent-Length: 2\r\n\r\nhi"
 
--- a/tests/hive/test_items.py
+++ b/tests/mesh/test_items.py
@@ -6,25 +6,25 @@
 from typing import Any
 
 import pytest
-from hivecalls import call, route, service
 from hypothesis import given
 from hypothesis import strategies as st
+from meshcalls import call, route, service
 
-from lugspur.hive.errors import HiveError, Kind
-from lugspur.hive.items import check, read_back, read_call
-from lugspur.hive.ledger import Ledger
-from lugspur.hive.wire import Entry
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.items import check, read_back, read_call
+from lugspur.control.messages import Entry
+from lugspur.control.store import Store
 
 
-def standing(body: bytes) -> Ledger:
-    ledger = Ledger()
-    ledger.merge(read_call(body))
-    return ledger
+def standing(body: bytes) -> Store:
+    store = Store()
+    store.merge(read_call(body))
+    return store
 
 
-def refused(body: bytes, ledger: Ledger | None = None) -> Kind:
-    with pytest.raises(HiveError) as caught:
-        check(read_call(body), ledger or standing(call(services=[service()])))
+def refused(body: bytes, store: Store | None = None) -> Kind:
+    with pytest.raises(MeshError) as caught:
+        check(read_call(body), store or standing(call(services=[service()])))
     return caught.value.kind
 
 
@@ -44,10 +44,10 @@
         }
     ).encode()
     entries = read_call(body)
-    check(entries, Ledger())
-    ledger = Ledger()
-    ledger.merge(entries)
-    assert json.loads(read_back(ledger)) == json.loads(body)["upsert"]
+    check(entries, Store())
+    store = Store()
+    store.merge(entries)
+    assert json.loads(read_back(store)) == json.loads(body)["upsert"]
 
 
 @pytest.mark.parametrize(
@@ -83,7 +83,7 @@
         b'{"upsert": {"routes": [1]}}',
         b"\xff",
         b'{"upsert": {"backend": []}}',
-        b'{"withdraw": {"roster": []}}',
+        b'{"withdraw": {"membership": []}}',
         call(route())[:-9],
         b'{"upsert": {"routes": [{"name": "x", "edition": "00000001"}]}}',
     ],
@@ -94,30 +94,30 @@
 
 def test_two_routes_of_one_place_are_refused_in_one_call_and_against_what_stands() -> None:
     assert refused(call(route("a"), route("b", path_prefix="/a/"))) is Kind.BAD_CONFIG
-    ledger = standing(call(route("a"), services=[service()]))
-    assert refused(call(route("b", path_prefix="/a/")), ledger) is Kind.BAD_CONFIG
+    store = standing(call(route("a"), services=[service()]))
+    assert refused(call(route("b", path_prefix="/a/")), store) is Kind.BAD_CONFIG
     # Where the one that stands goes in the same call, its place is free.
-    check(read_call(call(route("b", path_prefix="/a/"), drop=[{"name": "a", "edition": "00000008"}])), ledger)
+    check(read_call(call(route("b", path_prefix="/a/"), drop=[{"name": "a", "edition": "00000008"}])), store)
 
 
 def test_a_service_that_routes_need_can_not_be_dropped() -> None:
-    ledger = standing(call(route(), services=[service()]))
+    store = standing(call(route(), services=[service()]))
     body = json.dumps({"withdraw": {"services": [{"name": "s", "edition": "00000009"}]}}).encode()
-    assert refused(body, ledger) is Kind.BAD_CONFIG
+    assert refused(body, store) is Kind.BAD_CONFIG
 
 
 def test_an_old_change_that_arrives_again_is_taken_and_changes_nothing() -> None:
-    ledger = standing(call(route(edition="00000009"), services=[service()]))
-    ledger.merge([Entry("services", "s", 20, None), Entry("routes", "r", 21, None)])
+    store = standing(call(route(edition="00000009"), services=[service()]))
+    store.merge([Entry("services", "s", 20, None), Entry("routes", "r", 21, None)])
     entries = read_call(call(route(edition="00000009"), services=[service()]))
-    check(entries, ledger)
-    assert ledger.merge(entries) == []
+    check(entries, store)
+    assert store.merge(entries) == []
 
 
 def test_another_content_under_an_edition_that_stands_is_a_conflict() -> None:
-    ledger = standing(call(route(), services=[service()]))
-    check(read_call(call(route())), ledger)  # the same content is a repeat
-    assert refused(call(route(deadline_ms=700)), ledger) is Kind.CONFLICT
+    store = standing(call(route(), services=[service()]))
+    check(read_call(call(route())), store)  # the same content is a repeat
+    assert refused(call(route(deadline_ms=700)), store) is Kind.CONFLICT
 
 
 def test_one_name_set_and_dropped_in_one_call() -> None:
@@ -140,7 +140,7 @@
 
 @given(st.lists(entries), st.randoms())
 def test_copies_agree_whatever_the_order_and_never_go_back(changes: list[Entry], rng: Any) -> None:
-    one, other = Ledger(), Ledger()
+    one, other = Store(), Store()
     for entry in changes:
         before = one.get(entry.kind, entry.name)
         one.merge([entry])
@@ -154,7 +154,7 @@
 
 @given(st.lists(entries), st.integers(0, 20))
 def test_what_changed_since_is_all_that_a_subscriber_lacks(changes: list[Entry], cut: int) -> None:
-    source, copy = Ledger(), Ledger()
+    source, copy = Store(), Store()
     source.merge(changes[:cut])
     copy.merge(source.all())
     place = source.upto
--- a/tests/hive/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from lugspur.emulator import hive
-from lugspur.hive import claims as claims_module
-from lugspur.hive.claims import Claims, Known, Settled, Taken, Unsettled, Won
-from lugspur.hive.comb import Comb, Effects
-from lugspur.hive.sitting import Sitting
-from lugspur.hive.wire import Answer, Claim, Release, Roster, Seat, State, Verdict
+from lugspur.control import claims as claims_module
+from lugspur.control.claims import Claims, Known, Settled, Taken, Unsettled, Won
+from lugspur.control.messages import Answer, Claim, Membership, Release, State, Verdict, Voter
+from lugspur.control.replica import Effects, Replica
+from lugspur.control.voter import Sitting
+from lugspur.emulator import control
 
-ROSTER = Roster(3, [Seat(f"10.0.0.{n}", "u", "") for n in (1, 2, 3)], 3)
+ROSTER = Membership(3, [Voter(f"10.0.0.{n}", "u", "") for n in (1, 2, 3)], 3)
 
 
 class Side:
@@ -37,7 +37,7 @@
     side = Side()
     assert [ip for ip, _ in side.sent] == ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
     side.verdict(1, True)
-    side.verdict(1, True)  # one seat is one grant
+    side.verdict(1, True)  # one voter is one grant
     assert side.how == []
     side.verdict(2, True)
     side.verdict(3, True)
@@ -54,7 +54,7 @@
     assert side.sent[-1] == ("10.0.0.1", Release(b"k", b"a"))
 
 
-def test_a_known_answer_is_enough_from_one_seat() -> None:
+def test_a_known_answer_is_enough_from_one_voter() -> None:
     side = Side()
     side.verdict(3, False, epoch=9, other=True, answer=Answer(200, b"", b"x"))
     assert side.how == [Known(Answer(200, b"", b"x"))]
@@ -70,10 +70,10 @@
     assert side.how == [Unsettled()] and side.released == {"10.0.0.1", "10.0.0.2", "10.0.0.3"}
 
 
-def test_another_roster_asks_all_anew() -> None:
+def test_another_membership_asks_all_anew() -> None:
     side = Side()
     side.verdict(1, True)
-    side.claims.again(0.2, Roster(4, ROSTER.seats, 3))
+    side.claims.again(0.2, Membership(4, ROSTER.voters, 3))
     assert [m.epoch for _, m in side.sent if isinstance(m, Claim)] == [3, 3, 3, 4, 4, 4]
     side.verdict(2, True)
     assert side.how == []
@@ -83,15 +83,15 @@
 
 
 @pytest.mark.parametrize("seed", range(12))
-@pytest.mark.parametrize(("combs", "machines"), [(3, 1), (4, 1), (7, 2)])
-def test_promises_hold_over_drawn_losses(seed: int, combs: int, machines: int) -> None:
-    hive.play(seed, 2500, combs, machines)
+@pytest.mark.parametrize(("replicas", "machines"), [(3, 1), (4, 1), (7, 2)])
+def test_promises_hold_over_drawn_losses(seed: int, replicas: int, machines: int) -> None:
+    control.play(seed, 2500, replicas, machines)
 
 
 def test_plays_bring_about_what_they_are_for() -> None:
-    total = hive.Figures()
+    total = control.Figures()
     for seed in range(12):
-        found = hive.play(seed, 2500, 4, 1)
+        found = control.play(seed, 2500, 4, 1)
         for name in ("won", "acknowledged", "lost", "wiped"):
             setattr(total, name, getattr(total, name) + getattr(found, name))
         total.epochs = max(total.epochs, found.epochs)
@@ -102,28 +102,28 @@
     """Whether some seed shows a broken promise."""
     for seed in range(first, first + seeds):
         try:
-            hive.play(seed, turns, 3, 1)
-        except hive.Wrong:
+            control.play(seed, turns, 3, 1)
+        except control.Wrong:
             return True
     return False
 
 
-def grants_twice(self: Comb, now: float, peer: Any, message: Claim) -> Effects:
+def grants_twice(self: Replica, now: float, peer: Any, message: Claim) -> Effects:
     self._drop(message.key)
     return claim(self, now, peer, message)
 
 
-claim = Comb.claim
+claim = Replica.claim
 
 
 def one_is_enough(self: Sitting, now: float, ip: str, message: State) -> Effects:
-    roster = self.comb.roster
-    if roster is None or message.epoch != self.comb.epoch or self.comb.full or not message.last:
+    membership = self.replica.membership
+    if membership is None or message.epoch != self.replica.epoch or self.replica.full or not message.last:
         return Effects()
-    return self.comb.caught_up(now, message.epoch, [message])
+    return self.replica.caught_up(now, message.epoch, [message])
 
 
-def test_a_new_seat_that_takes_one_others_word_for_all_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_new_voter_that_takes_one_others_word_for_all_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Sitting, "_state", one_is_enough)
     assert caught(3000, 60, 20)
 
@@ -131,9 +131,9 @@
 @pytest.mark.parametrize(
     ("where", "name", "wrong"),
     [
-        (Comb, "claim", grants_twice),  # a seat that forgets whom it granted a key
+        (Replica, "claim", grants_twice),  # a voter that forgets whom it granted a key
         (claims_module, "majority", lambda count: 1),  # one grant is enough
-        (Comb, "sweep", None),  # control: this one changes nothing
+        (Replica, "sweep", None),  # control: this one changes nothing
     ],
 )
 def test_a_guard_that_is_taken_out_is_caught(
--- a/tests/hive/test_link.py
+++ b/tests/mesh/test_link.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from lugspur.hive import link as link_module
-from lugspur.hive.link import Dialler, Link
-from lugspur.hive.wire import Claim, Hello, Message, Pong, encode
+from lugspur.control.messages import Claim, Hello, Message, Pong, encode
+from lugspur.mesh import link as link_module
+from lugspur.mesh.link import Dialler, Link
 
 
 def play(what: Callable[[Server], Awaitable[None]]) -> None:
--- a/tests/hive/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -13,17 +13,17 @@
 
 import pytest
 
-from lugspur.bench.hive import ROOT, Mesh
+from lugspur.bench.mesh import ROOT, Mesh
 
 
 def play(
     folder: Path,
     what: Callable[[Mesh], Awaitable[None]],
-    combs: int = 3,
+    replicas: int = 3,
     services: tuple[str, ...] = ("rooms", "rooms"),
 ) -> None:
     async def run() -> None:
-        mesh = Mesh(folder, combs, services)
+        mesh = Mesh(folder, replicas, services)
         try:
             async with asyncio.timeout(60.0):
                 await mesh.begin()
@@ -38,42 +38,42 @@
     asyncio.run(run())
 
 
-def test_an_operation_runs_once_and_a_change_stays_over_the_kill_of_all_combs(tmp_path: Path) -> None:
+def test_an_operation_runs_once_and_a_change_stays_over_the_kill_of_all_replicas(tmp_path: Path) -> None:
     async def what(mesh: Mesh) -> None:
-        one, other = mesh.forager_ips
+        one, other = mesh.proxy_ips
         tries = [mesh.ask((one, other)[n % 2], "/book/1", f"t{n}", Lugspur_Operation_Key="k") for n in range(6)]
         statuses = {status for status, _, _ in await asyncio.gather(*tries)}
         assert statuses <= {200, 409, 503}
         first = await mesh.ask(one, "/book/1", "t6", Lugspur_Operation_Key="k")
-        mesh.end(mesh.comb_ips[0])
+        mesh.end(mesh.replica_ips[0])
         await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 1)
-        for ip in mesh.comb_ips[1:]:
+        for ip in mesh.replica_ips[1:]:
             mesh.end(ip)
-        for ip in mesh.comb_ips:
+        for ip in mesh.replica_ips:
             mesh.start(ip)
         found = await mesh.read(0)
         assert {route["name"] for route in found["routes"]} == {"look", "book", "late"}
         await mesh.served(other, "/late/1", "l1")
         async with asyncio.timeout(20.0):
             while (again := await mesh.ask(other, "/book/1", "t7", Lugspur_Operation_Key="k"))[0] == 503:
-                await asyncio.sleep(0.05)  # until the seats can be reached anew
+                await asyncio.sleep(0.05)  # until the voters can be reached anew
         assert (again[0], again[2]) == (200, first[2])
         assert sum(len([t for t in backend.ran if t.startswith("t")]) for backend in mesh.backends) == 1
         logs = mesh.log(one) + mesh.log(other)
-        assert not [ip for ip in mesh.forager_ips if f"source={ip}" in logs]  # only combs tell news
+        assert not [ip for ip in mesh.proxy_ips if f"source={ip}" in logs]  # only replicas tell news
 
     play(tmp_path, what)
 
 
 @pytest.mark.parametrize("damaged", [False, True])
-def test_a_comb_with_an_empty_disk_or_a_damaged_one_is_a_newcomer_that_catches_up(
+def test_a_replica_with_an_empty_disk_or_a_damaged_one_is_a_newcomer_that_catches_up(
     tmp_path: Path, damaged: bool
 ) -> None:
     async def what(mesh: Mesh) -> None:
-        await mesh.ask(mesh.forager_ips[0], "/book/1", "t0", Lugspur_Operation_Key="k")
-        wiped = mesh.comb_ips[0]
+        await mesh.ask(mesh.proxy_ips[0], "/book/1", "t0", Lugspur_Operation_Key="k")
+        wiped = mesh.replica_ips[0]
         mesh.end(wiped)
-        for file in (tmp_path / wiped / "comb").iterdir():
+        for file in (tmp_path / wiped / "control").iterdir():
             if damaged:
                 file.write_bytes(b"\xa5" * file.stat().st_size)
             else:
@@ -83,30 +83,30 @@
             while "event=caught-up" not in mesh.log(wiped):
                 await asyncio.sleep(0.05)
         assert ("event=set-aside" in mesh.log(wiped)) is damaged
-        mesh.end(mesh.comb_ips[1])  # now it is needed, and knows what it never heard
-        repeat = await mesh.ask(mesh.forager_ips[1], "/book/1", "t1", Lugspur_Operation_Key="k")
+        mesh.end(mesh.replica_ips[1])  # now it is needed, and knows what it never heard
+        repeat = await mesh.ask(mesh.proxy_ips[1], "/book/1", "t1", Lugspur_Operation_Key="k")
         assert repeat[0] == 200 and b"t0" in repeat[2]
         assert len((await mesh.read(0))["routes"]) == 2
 
     play(tmp_path, what)
 
 
-def test_a_spare_comb_takes_the_seat_of_one_that_leaves(tmp_path: Path) -> None:
+def test_a_spare_replica_takes_the_voter_of_one_that_leaves(tmp_path: Path) -> None:
     async def what(mesh: Mesh) -> None:
-        assert mesh.end(mesh.comb_ips[0], signal.SIGTERM) == 0
+        assert mesh.end(mesh.replica_ips[0], signal.SIGTERM) == 0
         async with asyncio.timeout(20.0):
-            while "event=caught-up" not in mesh.log(mesh.comb_ips[3]):
+            while "event=caught-up" not in mesh.log(mesh.replica_ips[3]):
                 await asyncio.sleep(0.05)
-        mesh.end(mesh.comb_ips[1])  # of the first three one is left
+        mesh.end(mesh.replica_ips[1])  # of the first three one is left
         await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 3)
-        await mesh.served(mesh.forager_ips[0], "/late/1", "l1")
+        await mesh.served(mesh.proxy_ips[0], "/late/1", "l1")
 
-    play(tmp_path, what, combs=4)
+    play(tmp_path, what, replicas=4)
 
 
-def test_a_forager_that_is_stopped_ends_what_it_has_and_exits_well(tmp_path: Path) -> None:
+def test_a_proxy_that_is_stopped_ends_what_it_has_and_exits_well(tmp_path: Path) -> None:
     async def what(mesh: Mesh) -> None:
-        one, other = mesh.forager_ips
+        one, other = mesh.proxy_ips
         for backend in mesh.backends:
             backend.work = 1.0
         open_ = [asyncio.create_task(mesh.ask(ip, "/look/1", f"o{n}")) for n, ip in enumerate([one, other] * 4)]
@@ -134,7 +134,7 @@
         await asyncio.sleep(0.6)  # what the gate still takes while news gets round
         ran = len(closing.ran)
         for n in range(10):
-            await mesh.served(mesh.forager_ips[n % 2], "/look/1", f"c{n}")
+            await mesh.served(mesh.proxy_ips[n % 2], "/look/1", f"c{n}")
         assert len(closing.ran) == ran and len(mesh.backends[1].ran) >= 10
 
     play(tmp_path, what)
@@ -142,7 +142,7 @@
 
 def test_large_bodies_cross_a_slow_link_in_parts_and_arrive_whole(tmp_path: Path) -> None:
     async def what(mesh: Mesh) -> None:
-        one = mesh.forager_ips[0]  # the service's only backend is beside the other
+        one = mesh.proxy_ips[0]  # the service's only backend is beside the other
         await mesh.amend({"routes": [mesh.route("upload", "upload", service="desk")]})
         await mesh.served(one, "/upload/1", "first")
         bodies = [os.urandom(100_000 + n) for n in range(6)]
@@ -161,7 +161,7 @@
     path = tmp_path / "bad.toml"
     path.write_text("[self]\nip = 7\n")
     ended = subprocess.run(
-        [sys.executable, "-m", "lugspur.hive", "serve"],
+        [sys.executable, "-m", "lugspur.mesh", "serve"],
         cwd=ROOT,
         capture_output=True,
         check=False,
--- a/tests/hive/test_forager.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -8,14 +8,14 @@
 from typing import Any
 
 import pytest
-from hivecalls import call, route
-
-from lugspur.hive.claims import Known, Settled, Taken, Unsettled, Won
-from lugspur.hive.forager import Forager
-from lugspur.hive.gate import End
-from lugspur.hive.items import read_call
-from lugspur.hive.table import Table
-from lugspur.hive.wire import Answer, Forward, Reply
+from meshcalls import call, route
+
+from lugspur.control.claims import Known, Settled, Taken, Unsettled, Won
+from lugspur.control.items import read_call
+from lugspur.control.messages import Answer, Forward, Reply
+from lugspur.dataplane.gate import End
+from lugspur.dataplane.proxy import Proxy
+from lugspur.dataplane.routes import Table
 from lugspur.seams import Request
 
 OK = Answer(200, b"Lugspur-Postmark: p\r\n", b"hi")
@@ -42,7 +42,7 @@
 
 
 class Rig:
-    """A forager whose gates and keys are played."""
+    """A proxy whose gates and keys are played."""
 
     def __init__(self, kind: str = "safe", tries: int = 2, backends: int = 3, slack: float = 20.0) -> None:
         self.sent: list[tuple[str, Forward, Callable[[Reply], None]]] = []
@@ -53,9 +53,9 @@
         table = Table()
         for entry in read_call(call(route("r", mail_class=kind, tries=tries, deadline_ms=500, target_ms=200))):
             table.change(entry)
-        self.forager = Forager(table, self, self, Random(1), 0.2, slack, 10.0, "z0")
-        self.forager.sender = "mine"
-        self.forager.members("s", {f"i-{n}": (f"10.0.0.{n}", f"z{n}", 9, 0.0) for n in range(backends)})
+        self.proxy = Proxy(table, self, self, Random(1), 0.2, slack, 10.0, "z0")
+        self.proxy.sender = "mine"
+        self.proxy.members("s", {f"i-{n}": (f"10.0.0.{n}", f"z{n}", 9, 0.0) for n in range(backends)})
 
     # the carrier and the keys
     def ready(self, ip: str) -> bool:
@@ -80,7 +80,7 @@
         named = {b"host": b"a.example", b"lugspur-attempt-id": b"t1"}
         named |= {k.replace("_", "-").encode(): v.encode() for k, v in headers.items()}
         lines = [b"%b: %b\r\n" % (k.title(), v) for k, v in named.items() if k != b"host"]
-        self.forager.handle(Request(b"GET", target, named, lines, b"", self.forager.loop.time(), True), caller)
+        self.proxy.handle(Request(b"GET", target, named, lines, b"", self.proxy.loop.time(), True), caller)
         return caller
 
     def reply(self, how: End, answer: Answer | None = None, sent: bool = True, at: int = -1) -> None:
@@ -108,7 +108,7 @@
         assert b"Host: a.example\r\n" in head and b"Lugspur-Attempt-Id: t1\r\n" in head
         assert 0.25 < forward.left <= 0.3 and forward.backend == "i-" + ip[-1]
         rig.reply(End.ANSWERED, OK)
-        assert caller.answers == [(200, OK.head, b"hi")] and not rig.forager.flights
+        assert caller.answers == [(200, OK.head, b"hi")] and not rig.proxy.flights
 
     play(what)
 
@@ -195,13 +195,13 @@
 
 def test_all_tries_of_all_requests_keep_the_budget() -> None:
     def what(rig: Rig) -> None:
-        rig.forager.proxies = 2
+        rig.proxy.proxies = 2
         for _ in range(100):
             rig.ask()
             rig.reply(End.MAYBE)
-            if rig.forager.flights:
+            if rig.proxy.flights:
                 rig.reply(End.MAYBE)
-            for rank in rig.forager.services["s"].values():
+            for rank in rig.proxy.services["s"].values():
                 rank.breakers.clear()  # what is tried here is the budget alone
         further = len(rig.sent) - 100
         assert 10 <= further <= 0.5 * (0.2 * 100 + 20.0 / 2) + 1  # its part of half of what the rules allow
@@ -276,7 +276,7 @@
 
 def test_at_the_deadline_there_is_an_answer_and_a_second_copy_goes_out_before_it() -> None:
     async def what(rig: Rig) -> None:
-        way = rig.forager.table.find(b"a.example", b"/r/1")
+        way = rig.proxy.table.find(b"a.example", b"/r/1")
         assert way is not None
         way.pace = 0.02
         caller = rig.ask()
@@ -294,12 +294,12 @@
             rig.ask()
             counts[rig.sent[-1][0]] += 1
             rig.reply(End.ANSWERED, OK)
-            for rank in rig.forager.services["s"].values():
+            for rank in rig.proxy.services["s"].values():
                 rank.latency = 1.0
                 rank.breakers.clear()
         assert counts["10.0.0.0"] == 60  # alike but for the zone
         for _ in range(60):
-            for rank in rig.forager.services["s"].values():
+            for rank in rig.proxy.services["s"].values():
                 rank.latency = 4.0 if rank.id == "i-0" else 1.0
                 rank.breakers.clear()
             rig.ask()
@@ -314,7 +314,7 @@
     def what(rig: Rig) -> None:
         rig.unreachable = {"10.0.0.0", "10.0.0.1", "10.0.0.2"}
         assert rig.ask().answers[0][0] == 503
-        rig.forager.members("s", {})
+        rig.proxy.members("s", {})
         assert rig.ask().answers[0][0] == 503
 
     play(what)
@@ -323,12 +323,12 @@
 def test_a_route_that_is_turned_away_costs_another_route_nothing() -> None:
     def what(rig: Rig) -> None:
         for entry in read_call(call(route("urgent"))):
-            rig.forager.table.change(entry)
+            rig.proxy.table.change(entry)
         for _ in range(100):
             rig.ask()
-            while rig.forager.flights:
+            while rig.proxy.flights:
                 rig.reply(End.NOT_RUN, sent=False)
-        assert rig.forager.ended["breaker-refused"] > 20  # those that may wait are refused here by now
+        assert rig.proxy.ended["breaker-refused"] > 20  # those that may wait are refused here by now
         before = len(rig.sent)
         for _ in range(20):
             rig.ask(b"/urgent/1")
@@ -343,7 +343,7 @@
         for told, back in (("500", False), ("499", False), ("400", True), ("500", False)):
             rig.ask(lugspur_deliver_by_ms=told)
             assert rig.sent[-1][1].back is back
-        rig.forager.table.find(b"a.example", b"/r/").longest = 0.0  # type: ignore[union-attr]
+        rig.proxy.table.find(b"a.example", b"/r/").longest = 0.0  # type: ignore[union-attr]
         rig.ask(lugspur_deliver_by_ms="300")
         assert not rig.sent[-1][1].back
         for _ in range(2000):  # callers give less than they did: what is usual is learned anew
--- a/tests/hive/test_ways.py
+++ b/tests/mesh/test_route_table.py
@@ -4,11 +4,11 @@
 
 from random import Random
 
-from hivecalls import call, route
+from meshcalls import call, route
 
-from lugspur.hive.items import read_call
-from lugspur.hive.table import Table
-from lugspur.hive.wire import Entry
+from lugspur.control.items import read_call
+from lugspur.control.messages import Entry
+from lugspur.dataplane.routes import Table
 
 
 def table(*routes: dict[str, object]) -> Table:
--- a/tests/hive/test_settings.py
+++ b/tests/mesh/test_settings.py
@@ -8,20 +8,20 @@
 
 import pytest
 
-from lugspur.hive.errors import ANSWERS, HiveError, Kind
-from lugspur.hive.settings import load, parse
+from lugspur.control.errors import ANSWERS, Kind, MeshError
+from lugspur.mesh.settings import load, parse
 
 GOOD = """
 [self]
 node_name = "sorting-north-1"
-role = "comb"
+role = "control"
 machine_class = "sorting"
 serves = ["dispatch"]
 ip = "10.1.0.13"
 zone = "north"
 counted = true
 first_start = true
-data_dir = "/data/comb"
+data_dir = "/data/replica"
 [self.limits]
 cpu_share = 1
 memory_mb = 296
@@ -73,16 +73,16 @@
         del data[table][key]
     else:
         data[table][key] = value
-    with pytest.raises(HiveError) as caught:
+    with pytest.raises(MeshError) as caught:
         parse(data)
     assert caught.value.kind is Kind.SETTINGS and said in caught.value.detail
 
 
 def test_a_file_that_is_missing_or_no_toml_is_said_so(tmp_path: Path) -> None:
-    with pytest.raises(HiveError, match=r"no\.toml"):
+    with pytest.raises(MeshError, match=r"no\.toml"):
         load(tmp_path / "no.toml")
     (tmp_path / "half.toml").write_text('[self]\nip = "10.')
-    with pytest.raises(HiveError) as caught:
+    with pytest.raises(MeshError) as caught:
         load(tmp_path / "half.toml")
     assert caught.value.code == "settings"
 
--- a/tests/hive/test_hand.py
+++ b/tests/mesh/test_sidecar.py
@@ -1,4 +1,4 @@
-"""What a forager takes from its backend's beats: late ones, doubled ones, those of another life, and silence."""
+"""What a proxy takes from its backend's beats: late ones, doubled ones, those of another life, and silence."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 import pytest
 
-from lugspur.hive.errors import HiveError
-from lugspur.hive.gate import End
-from lugspur.hive.hand import Hand, Spot
-from lugspur.hive.landing import PART
-from lugspur.hive.link import Dialler
-from lugspur.hive.settings import load
-from lugspur.hive.wire import Forward, Grant, Message, Part, Reply
+from lugspur.control.errors import MeshError
+from lugspur.control.messages import Forward, Grant, Message, Part, Reply
+from lugspur.dataplane.gate import End
+from lugspur.dataplane.uploads import PART
+from lugspur.mesh.link import Dialler
+from lugspur.mesh.settings import load
+from lugspur.mesh.sidecar import Hand, Spot
 from lugspur.seams import Request
 
 FILE = """
@@ -85,7 +85,7 @@
 
 
 def told(hand: Hand) -> tuple[str, str]:
-    """What the hive is told of the machine's backend."""
+    """What the mesh is told of the machine's backend."""
     spot = hand.spots[hand.ip]
     return spot.id, spot.state
 
@@ -98,7 +98,7 @@
         assert local is not None
         since, edition = local.closing_at, hand._said
         assert beat(hand, 4, "closing") == 200 and local.closing_at == since  # its drain does not begin anew
-        assert hand._said is edition  # nor is the hive told again
+        assert hand._said is edition  # nor is the mesh told again
         assert beat(hand, 2) == 200 and told(hand) == ("i-1", "closing")  # a late one
         assert beat(hand, 5) == 200 and told(hand) == ("i-1", "closing")  # a life that leaves does not come back
 
@@ -109,7 +109,7 @@
     def what(hand: Hand) -> None:
         beat(hand, 7)
         assert beat(hand, 1, life="i-2", service="desk") == 200  # sequences are each life's own
-        assert told(hand) == ("i-2", "accepting") and hand.forager.sender == "desk"
+        assert told(hand) == ("i-2", "accepting") and hand.proxy.sender == "desk"
         assert beat(hand, 8, "closing", life="i-1") == 200 and told(hand) == ("i-2", "accepting")
         caller = Caller()
         hand._sign_off(request(b""), caller, ["i-1"])
@@ -171,7 +171,7 @@
 def test_a_beat_that_is_none_changes_nothing(tmp_path: Path, body: bytes) -> None:
     def what(hand: Hand) -> None:
         beat(hand, 1)
-        with pytest.raises(HiveError):
+        with pytest.raises(MeshError):
             hand._heartbeat(request(body), Caller(), ["i-1"])
         assert told(hand) == ("i-1", "accepting")
 
@@ -179,7 +179,7 @@
 
 
 class Wire:
-    """A connection to another forager, as far as it is used here."""
+    """A connection to another proxy, as far as it is used here."""
 
     def __init__(self) -> None:
         self.sent: list[Message] = []
--- a/tests/hive/test_landing.py
+++ b/tests/mesh/test_uploads.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lugspur.hive.landing import AHEAD, PART, STALLED, USED, Key, Landing, in_parts
-from lugspur.hive.wire import Forward
+from lugspur.control.messages import Forward
+from lugspur.dataplane.uploads import AHEAD, PART, STALLED, USED, Key, Landing, in_parts
 
 RATE = 330_000.0  # bytes a second
 
--- a/tests/hivecalls.py
+++ b/tests/meshcalls.py
@@ -1,4 +1,4 @@
-"""Calls of operators as the tests of the hive send them."""
+"""Calls of operators as the tests of the mesh send them."""
 
 from __future__ import annotations
 
