--- /dev/null
+++ b/lugspur/control/catch_up.py
@@ -0,0 +1,74 @@
+"""How a new voter becomes complete, without I/O: it reads the claims of a majority of the epoch before.
+
+It asks the voters of both epochs: one that has just lost its vote still holds what it granted.
+"""
+
+from __future__ import annotations
+
+from lugspur.control.effects import Effects
+from lugspur.control.messages import ClaimsPage, FetchClaims
+from lugspur.control.quorum import majority
+from lugspur.control.replica import Replica
+
+ASK_AGAIN = 0.3  # seconds without a page until a voter is asked again
+
+
+class ClaimsCatchUp:
+    """The pages that one replica has read in its present epoch."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._epoch = 0
+        self._pages: dict[str, list[ClaimsPage]] = {}
+        self._heard: dict[str, float] = {}  # when each was asked, or told anything
+
+    def look(self, now: float) -> Effects:
+        """Ask whoever has not told anything for a while."""
+        replica = self._replica
+        membership = replica.membership
+        if membership is None or not replica.is_voter or replica.complete:
+            self._pages.clear()
+            return Effects()
+        if membership.epoch != self._epoch:
+            self._epoch = membership.epoch
+            self._pages.clear()
+            self._heard.clear()
+        effects = Effects()
+        for voter in membership.previous:
+            told = self._pages.get(voter.ip)
+            if voter.ip == replica.voter.ip or (told and told[-1].last):
+                continue
+            if now - self._heard.get(voter.ip, float("-inf")) >= ASK_AGAIN:
+                self._heard[voter.ip] = now
+                self._pages.pop(voter.ip, None)
+                effects.send.append((voter.ip, FetchClaims(membership.epoch)))
+        return effects
+
+    def heard(self, now: float, ip: str, page: ClaimsPage) -> Effects:
+        """A page of another voter's claims."""
+        replica = self._replica
+        membership = replica.membership
+        if membership is None or page.epoch != self._epoch or page.epoch != replica.epoch or replica.complete:
+            return Effects()
+        if ip not in {voter.ip for voter in membership.previous}:
+            return Effects()
+        pages = self._pages.setdefault(ip, [])
+        if page.number != len(pages):
+            return (
+                Effects()
+            )  # of an earlier answer, of which a part was dropped, or the second one to the same question
+        pages.append(page)
+        self._heard[ip] = now
+        whole = [told for told in self._pages.values() if told and told[-1].last]
+        if len(whole) < majority(len(membership.previous)):
+            return Effects()
+        effects = replica.caught_up(now, [page for told in whole for page in told])
+        self._pages.clear()
+        return effects
+
+    def lost(self, ip: str) -> None:
+        """The connection to a voter has ended: the rest of what it was telling never comes."""
+        told = self._pages.get(ip)
+        if told and not told[-1].last:
+            del self._pages[ip]
+        self._heard.pop(ip, None)
--- a/lugspur/control/claims.py
+++ b/lugspur/control/claims.py
@@ -13,7 +13,7 @@
 from cachetools import TTLCache
 
 from lugspur.control.messages import Answer, Claim, Membership, Release, Verdict
-from lugspur.control.replica import majority
+from lugspur.control.quorum import majority
 
 CLAIMS_MOST = 10_000  # open or won lately, at once
 WON_KEPT = 30.0  # seconds for which late grants of what was won are told from those that came too late
--- /dev/null
+++ b/lugspur/control/freshness.py
@@ -0,0 +1,97 @@
+"""How old what a process knows may be, without I/O.
+
+A message that was held up on its way (by a cut, or because its receiver was frozen) says what was true when it was
+sent. So each is dated by its sender's steady clock, and the receiver estimates how long it has been under way.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lugspur.control.messages import Delta, Membership
+from lugspur.control.quorum import majority
+
+DRIFT = 5e-4  # of the time that passes, by which two steady clocks may part
+FIRST_DELAY = 0.25  # seconds that the first message of a connection may take longer than the question for it
+NEVER = float("-inf")
+
+
+class DelayEstimate:
+    """One connection's messages: when each was sent, by the receiver's clock."""
+
+    def __init__(self, asked_at: float) -> None:
+        self._asked_at = asked_at
+        self._offset: float | None = None  # the receiver's clock less the sender's
+        self._arrived_at = 0.0
+
+    def sent_at(self, now: float, sent: float) -> float:
+        """The receiver's time when a message that arrives now, and is dated `sent`, was sent."""
+        latest = now - sent
+        if self._offset is None:
+            # It answers a question: it was sent after that.
+            self._offset = min(latest, self._asked_at - sent + FIRST_DELAY)
+        else:
+            self._offset = min(latest, self._offset + DRIFT * (now - self._arrived_at))
+        self._arrived_at = now
+        return sent + self._offset
+
+
+@dataclass(slots=True, frozen=True)
+class Word:
+    """What a voter said when: nothing after change `index` had been decided with its vote."""
+
+    at: float
+    index: int
+
+
+class Freshness:
+    """The latest word of each voter, and how old this replica's state may be by them."""
+
+    def __init__(self) -> None:
+        self._words: dict[str, Word] = {}
+        self._delays: dict[str, DelayEstimate] = {}
+
+    def asked(self, now: float, ip: str) -> None:
+        """A subscription to this peer's news begins on a new connection."""
+        self._delays[ip] = DelayEstimate(now)
+        self._words.pop(ip, None)
+
+    def heard(self, now: float, ip: str, delta: Delta) -> float:
+        """News of a peer; returns when it was sent."""
+        delay = self._delays.get(ip)
+        if delay is None:
+            delay = self._delays[ip] = DelayEstimate(now)
+        at = delay.sent_at(now, delta.sent)
+        if delta.votes:
+            self._words[ip] = Word(at, delta.index + delta.pending)
+        else:
+            self._words.pop(ip, None)
+        return at
+
+    def lost(self, ip: str) -> None:
+        """The connection to a peer has ended."""
+        self._words.pop(ip, None)
+        self._delays.pop(ip, None)
+
+    def word_at(self, ip: str) -> float:
+        """When this peer sent its latest word."""
+        word = self._words.get(ip)
+        return NEVER if word is None else word.at
+
+    def known_since(self, now: float, membership: Membership, index: int, own_vote: str) -> float:
+        """Up to when all that was decided is known here, by what a majority of the voters has said.
+
+        `index`: the latest change that is known here; `own_vote`: this replica's IP number where it has a vote and has
+        accepted nothing later.
+        """
+        times = []
+        for voter in membership.voters:
+            word = self._words.get(voter.ip)
+            if voter.ip == own_vote:
+                times.append(now)
+            elif word is not None and word.index <= index:
+                times.append(word.at)
+        need = majority(len(membership.voters))
+        if len(times) < need:
+            return NEVER
+        return sorted(times, reverse=True)[need - 1]
--- a/lugspur/control/items.py
+++ b/lugspur/control/items.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import re
-from typing import Any
+from collections.abc import Iterable
+from functools import lru_cache
+from typing import Any, Protocol
 
 import msgspec
 
 from lugspur.control.errors import Kind, MeshError
 from lugspur.control.messages import Entry
-from lugspur.control.store import Store, newer
+from lugspur.control.store import Name, newer
 
 ROUTES, SERVICES, LIMITS = "routes", "services", "limits"
-SOFT = frozenset({"backend", "control", "membership"})  # kinds of the mesh's own: no call of the operator may name them
+BACKEND, CONTROL, MEMBERSHIP = "backend", "control", "membership"
+LEASED = frozenset({BACKEND, CONTROL})  # kinds that processes say of themselves, by lease
+RESERVED = LEASED | {MEMBERSHIP}  # kinds of the mesh's own: no call of the operator may name them
 DEADLINE_MOST = 600_000.0  # ms, by the protocol
 ITEMS_MOST = 20_000  # in one call: what operators send at first is some thousands at the most
 NAME_MOST = 512  # bytes of a name: lmdb takes keys of 511 with the kind
+ROUTES_READ = 4_096  # routes that are kept as read: each change is checked against all routes
 CLASSES = ("safe", "unsafe", "upload", "tracked")
 EDITION = re.compile(r"[0-9a-fA-F]{8}")
 
@@ -96,8 +101,9 @@
     return int(edition, 16)
 
 
+@lru_cache(ROUTES_READ)
 def read_route(value: bytes) -> Route:
-    """A route of an entry."""
+    """A route of an entry; not to be changed, since it is kept."""
     return _route.decode(value)
 
 
@@ -135,7 +141,7 @@
 
 
 def _kind(kind: str) -> None:
-    if kind in SOFT or not kind.isidentifier() or len(kind) > 64:
+    if kind in RESERVED or not kind.isidentifier() or len(kind) > 64:
         raise MeshError(Kind.BAD_CONFIG, f"no items of kind {kind!r}")
 
 
@@ -177,47 +183,87 @@
         raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: office is empty or tries is under 1")
 
 
-def check(entries: list[Entry], store: Store) -> None:
-    """Whether what would come into force may stand beside the rest; raises MeshError.
+class View(Protocol):
+    """Entries by kind and name."""
+
+    def get(self, kind: str, name: str) -> Entry | None:
+        """What is known of a name, withdrawn ones too."""
+
+    def standing(self, kind: str) -> dict[str, bytes]:
+        """The values of a kind, by name, of those that are not withdrawn."""
+
+
+class Draft:
+    """Another view with entries that are to take their places in it."""
+
+    def __init__(self, base: View) -> None:
+        self._base = base
+        self.taking: dict[Name, Entry] = {}
+
+    def add(self, entries: Iterable[Entry]) -> None:
+        """Let entries take their places."""
+        for entry in entries:
+            self.taking[entry.kind, entry.name] = entry
+
+    def get(self, kind: str, name: str) -> Entry | None:
+        """What is known of a name, withdrawn ones too."""
+        return self.taking.get((kind, name)) or self._base.get(kind, name)
+
+    def standing(self, kind: str) -> dict[str, bytes]:
+        """The values of a kind, by name, of those that are not withdrawn."""
+        found = dict(self._base.standing(kind))
+        for (of, name), entry in self.taking.items():
+            if of != kind:
+                continue
+            if entry.value is None:
+                found.pop(name, None)
+            else:
+                found[name] = entry.value
+        return found
+
+
+def check(entries: list[Entry], view: View) -> list[Entry]:
+    """The entries that take effect; raises MeshError where they may not stand beside the rest.
 
     Only what takes effect is held against the rest: an old change that arrives again changes nothing.
     """
-    taking = {}
+    taking = []
     for entry in entries:
-        standing = store.get(entry.kind, entry.name)
+        standing = view.get(entry.kind, entry.name)
         if standing is not None and standing.edition == entry.edition and standing.value != entry.value:
             raise MeshError(Kind.CONFLICT, f"{entry.kind} {entry.name!r} has another content under that edition")
         if newer(entry, standing):
-            taking[(entry.kind, entry.name)] = entry
-    services = set(store.standing(SERVICES))
-    routes = store.standing(ROUTES)
-    for (kind, name), entry in taking.items():
-        if kind == SERVICES:
-            (services.discard if entry.value is None else services.add)(name)
-        elif kind == ROUTES and entry.value is None:
-            routes.pop(name, None)
-        elif kind == ROUTES and entry.value is not None:
-            routes[name] = entry.value
-    read = {name: read_route(value) for name, value in routes.items()}
+            taking.append(entry)
+    if taking:
+        _check_together(taking, view)
+    return taking
+
+
+def _check_together(taking: list[Entry], view: View) -> None:
+    """Whether routes and services fit together once these entries have taken their places."""
+    draft = Draft(view)
+    draft.add(taking)
+    services = draft.standing(SERVICES)
+    routes = {name: read_route(value) for name, value in draft.standing(ROUTES).items()}
+    touched = {name for kind, name in draft.taking if kind == ROUTES}
+    gone = {name for (kind, name), entry in draft.taking.items() if kind == SERVICES and entry.value is None}
     places: dict[tuple[str, str], list[str]] = {}
-    for name, route in read.items():
+    for name, route in routes.items():
         places.setdefault((route.office.lower(), route.path_prefix), []).append(name)
-    gone = {name for (kind, name), entry in taking.items() if kind == SERVICES and entry.value is None}
-    for name, route in read.items():
-        touched = (ROUTES, name) in taking
+    for name, route in routes.items():
         for service in route.services():
-            if service not in services and (touched or service in gone):
+            if service not in services and (name in touched or service in gone):
                 raise MeshError(Kind.BAD_CONFIG, f"route {name!r} names the unknown service {service!r}")
         others = [other for other in places[route.office.lower(), route.path_prefix] if other != name]
-        if touched and others:
+        if name in touched and others:
             raise MeshError(Kind.BAD_CONFIG, f"routes {name!r} and {others[0]!r} share host and prefix")
 
 
-def read_back(store: Store) -> bytes:
+def read_back(entries: Iterable[Entry]) -> bytes:
     """All items that stand, as they were sent."""
     kinds: dict[str, Any] = {ROUTES: [], SERVICES: []}
-    for entry in store.all():
-        if entry.kind in SOFT or entry.value is None:
+    for entry in entries:
+        if entry.kind in RESERVED or entry.value is None:
             continue
         if entry.kind == LIMITS:
             kinds[LIMITS] = msgspec.Raw(entry.value)
--- /dev/null
+++ b/lugspur/control/learning.py
@@ -0,0 +1,35 @@
+"""Pages of what others know as decided, gathered until all are there."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+
+from lugspur.control.messages import Learn
+
+
+class LearnPages:
+    """The pages that are under way, by where they come from: on one connection they come in order."""
+
+    def __init__(self) -> None:
+        self._pages: dict[Hashable, list[Learn]] = {}
+
+    def add(self, source: Hashable, page: Learn) -> list[Learn]:
+        """One more page; returns all of them once the last is there, else none."""
+        pages = self._pages.setdefault(source, [])
+        if page.number == 0:
+            pages.clear()
+        elif not pages or self._next(pages[-1]) != (page.since, page.index, page.number):
+            return []  # of an answer whose beginning is missing
+        pages.append(page)
+        if not page.last:
+            return []
+        del self._pages[source]
+        return pages
+
+    @staticmethod
+    def _next(page: Learn) -> tuple[int, int, int]:
+        return page.since, page.index, page.number + 1
+
+    def lost(self, source: Hashable) -> None:
+        """The connection has ended: the rest never comes."""
+        self._pages.pop(source, None)
--- a/lugspur/control/membership.py
+++ b/lugspur/control/membership.py
@@ -1,178 +1,162 @@
-"""Who should vote in the next membership, and the ballot that decides it; without I/O.
-
-A ballot is single-decree agreement (prepare, accept) among the voters of one epoch on the next membership. The
-duty of changing the membership falls vacant with each epoch, and whoever's ballot is accepted has done it.
-"""
+"""Which replicas should vote next, without I/O. Each step changes one voter, so that majorities of two epochs meet."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
-from random import Random
 
 import msgspec
 
-from lugspur.control.messages import Accept, Accepted, Membership, Message, Prepare, Promise, Voter
-from lugspur.control.replica import majority
+from lugspur.control.messages import Membership, Voter
+from lugspur.control.quorum import majority
 
 LEAST = 3  # voters where there are so many replicas: one may always be away
-AGAIN = 0.6  # seconds until a ballot that came to nothing is followed by another, drawn anew to twice that
-SETTLED = 0.3  # seconds that a membership stands before it is changed: news of it has to get round
-RANK = 0.25  # seconds by which each voter lets the one before it go first
 
 
 class Presence(msgspec.Struct, array_like=True, frozen=True):
-    """What a replica says of itself, as a soft entry under its IP number."""
+    """What a control node says of itself, as a leased entry under its IP number."""
 
     uid: str
     zone: str
     leaving: bool = False
+    failing: bool = False  # its disk takes no writes
+
+
+@dataclass(slots=True, frozen=True)
+class Tolerance:
+    """What may be lost at once."""
 
+    machines: int
+    zones: int
 
-def target(machines: int, zones: int) -> int:
-    """How many voters bear the loss of so many machines, or of so many zones with what is in them."""
-    return max(LEAST, 2 * machines + 1, 2 * zones + 1 if not machines else 0)
+    @property
+    def voters(self) -> int:
+        """How many voters bear the loss of so many machines, or of so many zones with what is in them."""
+        return max(LEAST, 2 * self.machines + 1, 2 * self.zones + 1 if not self.machines else 0)
 
 
-def proposal(
-    membership: Membership,
-    replicas: Mapping[str, Presence],
-    absent: Mapping[str, float],
-    patience: float,
-    voters: int,
-    full: AbstractSet[str],
-) -> Membership | None:
-    """The membership that should follow, or None where this one is right.
+@dataclass(slots=True, frozen=True)
+class Situation:
+    """What one voter knows of the others when it looks for the next step.
 
-    `absent`: seconds for which each voter that is out of reach has been; `patience`: how long that may be; `voters`:
-    how many there should be; `full`: those that have all. One voter changes at a time: so every majority of one
-    membership meets every one of the next.
+    `absent`: seconds for which each voter that is out of reach has been; `patience`: how long that may be; `complete`:
+    IP numbers of voters that hold all claims, itself included; `overdue`: the present epoch has stood for so long that
+    a voter that is not complete will not be soon; `avoid`: IP numbers that were out of reach a moment ago.
     """
-    is_voter = {(voter.ip, voter.uid) for voter in membership.voters}
-    free = [Voter(ip, p.uid, p.zone) for ip, p in replicas.items() if (ip, p.uid) not in is_voter and not p.leaving]
-    need = majority(len(membership.voters))
-    # Guards against a membership that never has a majority again: who is new has to hear all from so many.
-    spared = [voter for voter in membership.voters if len(full - {voter.ip}) >= need]
-    for at, voter in enumerate(membership.voters):
-        now = replicas.get(voter.ip)
-        if voter in spared and now is not None and now.uid != voter.uid and not now.leaving:  # its disk is another one
-            return _replace(membership, at, Voter(voter.ip, now.uid, now.zone))
-    others = [voter for voter in free if voter.ip not in {s.ip for s in membership.voters}]
-    if not others:
+
+    membership: Membership
+    presences: Mapping[str, Presence]
+    absent: Mapping[str, float]
+    patience: float
+    complete: AbstractSet[str]
+    overdue: bool
+    tolerance: Tolerance
+    avoid: AbstractSet[str] = frozenset()
+
+    def zone(self, voter: Voter) -> str:
+        """The zone of a voter: those of the first membership are known by their addresses alone."""
+        presence = self.presences.get(voter.ip)
+        return presence.zone if presence is not None else voter.zone
+
+    def candidates(self) -> list[Voter]:
+        """Replicas without a vote that could have one."""
+        voters = {voter.ip for voter in self.membership.voters}
+        found = []
+        for ip, presence in self.presences.items():
+            if ip not in voters and not presence.leaving and not presence.failing:
+                found.append(Voter(ip, presence.uid, presence.zone))
+        return [voter for voter in found if voter.ip not in self.avoid] or found
+
+    def may_go(self, voter: Voter) -> bool:
+        """Whether enough of the others hold all claims: whoever is new reads them from a majority."""
+        left = len(self.complete - {voter.ip})
+        return left >= majority(len(self.membership.voters)) or self.overdue
+
+
+def next_membership(situation: Situation) -> Membership | None:
+    """The membership that should follow, or None where the present one is right."""
+    return (
+        _replace_lost_disk(situation)
+        or _replace_unfit(situation)
+        or _add_voter(situation)
+        or _spread_over_zones(situation)
+    )
+
+
+def _replace_lost_disk(situation: Situation) -> Membership | None:
+    """A voter has come back with another disk: what it had promised is gone."""
+    for voter in situation.membership.voters:
+        presence = situation.presences.get(voter.ip)
+        if presence is None or presence.uid == voter.uid or presence.leaving or presence.failing:
+            continue
+        if situation.may_go(voter):
+            return _replace(situation.membership, voter, Voter(voter.ip, presence.uid, presence.zone))
+    return None
+
+
+def _replace_unfit(situation: Situation) -> Membership | None:
+    """A voter leaves, can't write, or has been out of reach for too long, and another could take its place."""
+    candidates = situation.candidates()
+    if not candidates:
         return None
-    if len(membership.voters) < voters:
-        best = _choose(others, membership.voters)
-        return Membership(
-            membership.epoch + 1, sorted([*membership.voters, best], key=lambda s: s.ip), len(membership.voters)
-        )
-    for at, voter in enumerate(membership.voters):
-        said = replicas.get(voter.ip)
-        leaves = said is not None and said.uid == voter.uid and said.leaving
-        if voter not in spared:
+    for voter in situation.membership.voters:
+        presence = situation.presences.get(voter.ip)
+        goes = presence is not None and presence.uid == voter.uid and (presence.leaving or presence.failing)
+        if not goes and situation.absent.get(voter.ip, 0.0) <= situation.patience:
             continue
-        if leaves or absent.get(voter.ip, 0.0) > patience:
-            rest = [s for s in membership.voters if s is not voter]
-            return _replace(membership, at, _choose(others, rest))
+        if situation.may_go(voter):
+            others = [other for other in situation.membership.voters if other != voter]
+            return _replace(situation.membership, voter, _least_crowded(situation, candidates, others))
+    return None
+
+
+def _add_voter(situation: Situation) -> Membership | None:
+    """There are fewer voters than the tolerated losses ask for."""
+    voters = situation.membership.voters
+    candidates = situation.candidates()
+    if len(voters) >= situation.tolerance.voters or not candidates:
+        return None
+    if len(situation.complete) < majority(len(voters) + 1):
+        return None
+    added = _least_crowded(situation, candidates, voters)
+    return _follow(situation.membership, [*voters, added])
+
+
+def _spread_over_zones(situation: Situation) -> Membership | None:
+    """The loss of one zone would take the majority with it, and another zone could have one of its votes."""
+    voters = situation.membership.voters
+    if not situation.tolerance.zones:
+        return None
+    crowd = _crowd(situation, voters)
+    crowded = max(crowd, key=lambda zone: (crowd[zone], zone))
+    if len(voters) - crowd[crowded] >= majority(len(voters)):
+        return None
+    elsewhere = [c for c in situation.candidates() if crowd.get(c.zone, 0) + 1 < crowd[crowded]]
+    for voter in voters:
+        if elsewhere and situation.zone(voter) == crowded and situation.may_go(voter):
+            others = [other for other in voters if other != voter]
+            return _replace(situation.membership, voter, _least_crowded(situation, elsewhere, others))
     return None
 
 
-def _replace(membership: Membership, at: int, voter: Voter) -> Membership:
-    voters = [*membership.voters[:at], voter, *membership.voters[at + 1 :]]
-    return Membership(membership.epoch + 1, sorted(voters, key=lambda s: s.ip), len(membership.voters))
+def _replace(membership: Membership, voter: Voter, by: Voter) -> Membership:
+    return _follow(membership, [by if other == voter else other for other in membership.voters])
+
+
+def _follow(membership: Membership, voters: list[Voter]) -> Membership:
+    return Membership(membership.epoch + 1, sorted(voters, key=lambda voter: voter.ip), membership.voters)
 
 
-def _choose(free: Sequence[Voter], voters: Sequence[Voter]) -> Voter:
-    """One of the zone that has fewest voters: a zone that goes takes the least with it."""
+def _crowd(situation: Situation, voters: list[Voter]) -> dict[str, int]:
     crowd: dict[str, int] = {}
     for voter in voters:
-        crowd[voter.zone] = crowd.get(voter.zone, 0) + 1
-    return min(free, key=lambda s: (crowd.get(s.zone, 0), s.ip))
-
-
-@dataclass(slots=True)
-class Outcome:
-    """Messages for every voter of the membership, and the membership that has been decided."""
-
-    send: list[Message]
-    decided: Membership | None = None
-
-
-class Ballot:
-    """One ballot on what follows `membership`, by the voter `ip`."""
-
-    def __init__(self, membership: Membership, wanted: Membership, number: int, ip: str) -> None:
-        self.membership = membership
-        self.number = (number, ip)
-        self._wanted = wanted
-        self._need = majority(len(membership.voters))
-        self._promised: set[str] = set()
-        self._accepted: set[str] = set()
-        self._best: tuple[int, str] | None = None
-        self._asked = False
-        self.lost = False
-        self.higher = 0  # the number that it was refused for
-
-    def begin(self) -> Outcome:
-        """Open it."""
-        return Outcome([Prepare(self.membership.epoch, self.number)])
-
-    def promise(self, ip: str, message: Promise) -> Outcome:
-        """A voter's answer."""
-        if (message.epoch, message.ballot) != (self.membership.epoch, self.number) or self._asked:
-            return Outcome([])
-        if not message.ok:
-            self.lost = True
-            self.higher = max(self.higher, message.higher)
-            return Outcome([])
-        self._promised.add(ip)
-        # What another ballot may have decided already is the only thing that this one may ask for.
-        if message.accepted is not None and (self._best is None or message.accepted > self._best):
-            assert message.value is not None
-            self._best, self._wanted = message.accepted, message.value
-        if len(self._promised) < self._need:
-            return Outcome([])
-        self._asked = True
-        return Outcome([Accept(self.membership.epoch, self.number, self._wanted)])
-
-    def accepted(self, ip: str, message: Accepted) -> Outcome:
-        """A voter's word on the membership."""
-        if (message.epoch, message.ballot) != (self.membership.epoch, self.number):
-            return Outcome([])
-        if not message.ok:
-            self.lost = True
-            return Outcome([])
-        self._accepted.add(ip)
-        return Outcome([], self._wanted if len(self._accepted) == self._need else None)
-
-
-class Steward:
-    """When to open a ballot."""
-
-    def __init__(self, ip: str, rng: Random) -> None:
-        self._ip, self._rng = ip, rng
-        self._number = 0
-        self.ballot: Ballot | None = None
-        self._epoch = 0
-        self._since = 0.0
-        self._next = 0.0
-
-    def look(self, now: float, membership: Membership, wanted: Membership | None) -> Outcome:
-        """Open one where a change is wanted and it is this voter's turn."""
-        if membership.epoch != self._epoch:
-            self._epoch, self._since, self.ballot = membership.epoch, now, None
-            self._next = 0.0
-        if wanted is None:
-            self._next = 0.0
-            return Outcome([])
-        if not self._next:
-            rank = [voter.ip for voter in membership.voters].index(self._ip)
-            self._next = max(now, self._since + SETTLED) + RANK * rank
-        if now < self._next:
-            return Outcome([])
-        self._next = now + AGAIN * (1.0 + self._rng.random())
-        # Guards against a steady clock that began anew: what was promised by the former one is above it for long.
-        higher = self.ballot.higher if self.ballot is not None else 0
-        self._number = max(self._number + 1, higher + 1, int(now * 10.0) & 0xFFFFFFF)
-        self.ballot = Ballot(membership, wanted, self._number, self._ip)
-        return self.ballot.begin()
+        zone = situation.zone(voter)
+        crowd[zone] = crowd.get(zone, 0) + 1
+    return crowd
+
+
+def _least_crowded(situation: Situation, candidates: list[Voter], others: list[Voter]) -> Voter:
+    """One of the zone that has fewest votes: a zone that goes takes the least with it."""
+    crowd = _crowd(situation, others)
+    return min(candidates, key=lambda voter: (crowd.get(voter.zone, 0), voter.ip))
--- a/lugspur/control/messages.py
+++ b/lugspur/control/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-ENTRIES_PAGE = 512 << 10  # bytes of entries or claims in one frame: others go between the frames of a large state
+PAGE_BYTES = 512 << 10  # of items or claims in one frame: other messages go between the frames of a large state
 
 
 class Entry(msgspec.Struct, array_like=True, frozen=True):
@@ -42,12 +42,17 @@
 
 
 class Delta(msgspec.Struct, tag=3, array_like=True):
-    """What changed, up to `upto`; `age`: seconds since the sender had word of a majority; `full`: it is up to date."""
+    """What changed, up to `upto` of the sender's life; an empty one says that nothing did."""
 
     life: str
     upto: int
-    age: float
-    full: bool
+    sent: float  # by the sender's steady clock, so that the receiver can tell a message that was held up
+    age: float  # seconds since the sender had word of a majority: what was confirmed before then is known to it
+    index: int  # of the latest change of the configuration that the sender knows as decided
+    pending: bool  # whether the sender, as a voter, has accepted the next change, which may be decided already
+    votes: bool  # whether the sender has a vote by what it knows
+    complete: int  # the epoch for which the sender knows all claims that a voter must know; 0: none
+    whole: bool  # whether this is all that the sender has, and not what changed since the last time
     entries: list[Entry]
 
 
@@ -61,28 +66,101 @@
     entries: list[Entry]
 
 
-class Ask(msgspec.Struct, tag=6, array_like=True):
-    """Tell me all that you have: what changed goes ahead of the answer on the same connection."""
+class Item(msgspec.Struct, array_like=True, frozen=True):
+    """An entry that was decided, and the index of the change that brought it."""
 
-    n: int
-    epoch: int
+    entry: Entry
+    index: int
 
 
-class Put(msgspec.Struct, tag=7, array_like=True):
-    """Keep these on disk."""
+class Ballot(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """The number of one proposal; `proposer` names a process and its life, so that no two have the same ballot."""
 
-    n: int
-    epoch: int
+    number: int
+    proposer: str
+
+
+NO_BALLOT = Ballot(0, "")
+
+
+class Change(msgspec.Struct, array_like=True, frozen=True):
+    """What one decision of the register brings: entries that take their places together."""
+
+    id: str  # of the proposal, unique over all processes and their lives
     entries: list[Entry]
 
 
-class Said(msgspec.Struct, tag=8, array_like=True):
-    """The answer to Ask and Put. `ok` false: in another epoch, not up to date, or another content stands."""
+class Prepare(msgspec.Struct, tag=6, array_like=True):
+    """Accept nothing under a lower ballot for change `index`, and tell what was accepted for it so far."""
 
-    n: int
-    ok: bool
-    epoch: int
-    conflict: bool = False
+    index: int
+    ballot: Ballot
+
+
+class Promise(msgspec.Struct, tag=7, array_like=True):
+    """The answer to Prepare."""
+
+    index: int
+    ballot: Ballot
+    granted: bool
+    decided: int  # the latest change that the voter knows as decided
+    promised: Ballot  # the highest ballot that it has promised
+    accepted: Ballot | None = None
+    change: Change | None = None
+
+
+class Accept(msgspec.Struct, tag=8, array_like=True):
+    """Let this be change `index`."""
+
+    index: int
+    ballot: Ballot
+    change: Change
+
+
+class Accepted(msgspec.Struct, tag=13, array_like=True):
+    """The answer to Accept; granted: it is on the voter's disk."""
+
+    index: int
+    ballot: Ballot
+    granted: bool
+    decided: int
+    promised: Ballot
+
+
+class Query(msgspec.Struct, tag=14, array_like=True):
+    """Which change is the latest that you know?"""
+
+    number: int
+
+
+class Standing(msgspec.Struct, tag=15, array_like=True):
+    """The answer to Query; `voter`: whether the sender has a vote by what it knows."""
+
+    number: int
+    voter: bool
+    decided: int
+    pending: bool
+
+
+class CatchUp(msgspec.Struct, tag=16, array_like=True):
+    """Tell me what was decided after change `since`."""
+
+    since: int
+
+
+class Learn(msgspec.Struct, tag=24, array_like=True):
+    """A page of what was decided after change `since`, up to change `index`; all pages take effect with the last.
+
+    It is state and not history: each item as it stands at `index`, however often it was changed. `since` 0: it is all
+    that there is, and what is not in it is gone.
+    """
+
+    since: int
+    index: int
+    pruned: int  # withdrawals up to this change are forgotten
+    number: int  # of the page, from 0
+    items: list[Item]
+    last: bool
 
 
 class Claim(msgspec.Struct, tag=9, array_like=True):
@@ -122,7 +200,7 @@
 
 
 class Voter(msgspec.Struct, array_like=True, frozen=True):
-    """One replica of the membership: a disk, not only an address."""
+    """One voting replica: an address and the disk behind it, since a replica with an empty disk is another one."""
 
     ip: str
     uid: str
@@ -130,55 +208,21 @@
 
 
 class Membership(msgspec.Struct, array_like=True, frozen=True):
-    """Whose majority decides, from this epoch on; `before`: how many voters the epoch before had."""
+    """The replicas whose majority decides, from this epoch on; `previous`: those of the epoch before."""
 
     epoch: int
     voters: list[Voter]
-    before: int = 0
-
+    previous: list[Voter] = []
 
-class Prepare(msgspec.Struct, tag=13, array_like=True):
-    """A ballot opens on what follows epoch `epoch`."""
-
-    epoch: int
-    ballot: tuple[int, str]
-
-
-class Promise(msgspec.Struct, tag=14, array_like=True):
-    """The answer: no lower ballot from now on; what was accepted before, if anything. A refusal: what is too low."""
-
-    epoch: int
-    ballot: tuple[int, str]
-    ok: bool
-    accepted: tuple[int, str] | None = None
-    value: Membership | None = None
-    higher: int = 0  # the number of the ballot that stands in the way
 
-
-class Accept(msgspec.Struct, tag=15, array_like=True):
-    """Let this membership follow."""
+class FetchClaims(msgspec.Struct, tag=17, array_like=True):
+    """I am a voter of this epoch and lack claims of the epoch before: tell me all that you hold."""
 
     epoch: int
-    ballot: tuple[int, str]
-    value: Membership
 
 
-class Accepted(msgspec.Struct, tag=16, array_like=True):
-    """The answer to Accept."""
-
-    epoch: int
-    ballot: tuple[int, str]
-    ok: bool
-
-
-class Fetch(msgspec.Struct, tag=17, array_like=True):
-    """I have a voter in this membership and nothing on my disk: tell me all, and grant nothing under an older one."""
-
-    membership: Membership
-
-
-class Kept(msgspec.Struct, array_like=True):
-    """One claim as it lies on disk and goes to others; `left`: seconds for which its request may be at work.
+class KeptClaim(msgspec.Struct, array_like=True):
+    """One claim as it lies on disk and goes to other voters; `left`: seconds for which its request may be at work.
 
     No time of day: clocks are set, and a claim that is forgotten too early runs twice. Whoever reads it anew counts
     its whole window from then.
@@ -189,12 +233,12 @@
     answer: Answer | None = None
 
 
-class State(msgspec.Struct, tag=18, array_like=True):
-    """A part of the answer to Fetch; `last`: all of it has come."""
+class ClaimsPage(msgspec.Struct, tag=18, array_like=True):
+    """A page of the answer to FetchClaims."""
 
     epoch: int
-    entries: list[Entry]
-    claims: list[tuple[bytes, Kept]]
+    number: int  # of the page, from 0
+    claims: list[tuple[bytes, KeptClaim]]
     last: bool
 
 
@@ -255,19 +299,20 @@
     | Delta
     | Pong
     | Report
-    | Ask
-    | Put
-    | Said
-    | Claim
-    | Verdict
-    | Done
-    | Release
     | Prepare
     | Promise
     | Accept
     | Accepted
-    | Fetch
-    | State
+    | Query
+    | Standing
+    | CatchUp
+    | Learn
+    | Claim
+    | Verdict
+    | Done
+    | Release
+    | FetchClaims
+    | ClaimsPage
     | Forward
     | Reply
     | Cancel
--- /dev/null
+++ b/lugspur/control/orders.py
@@ -0,0 +1,60 @@
+"""Changes that wait to be decided, and how each may end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.messages import Entry
+
+
+@dataclass(slots=True, frozen=True)
+class Confirmed:
+    """It is decided, or has no effect beside what is decided."""
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """It may not stand beside what is decided, and was not proposed: it is never in force."""
+
+    fault: MeshError
+
+
+@dataclass(slots=True, frozen=True)
+class Unclear:
+    """It was proposed, and whether it is decided is not known: it may come into force."""
+
+
+@dataclass(slots=True, frozen=True)
+class NoQuorum:
+    """Too few voters answered, and it was not proposed."""
+
+
+Outcome = Confirmed | Refused | Unclear | NoQuorum
+
+
+@dataclass(slots=True, eq=False)
+class Order:
+    """One change that somebody waits for, until `until` by the steady clock; `over` is told once.
+
+    `base_epoch`: a change of the voters, which counts only as the next step after that epoch.
+    """
+
+    entries: list[Entry]
+    until: float
+    over: Callable[[Outcome], None]
+    base_epoch: int | None = None
+    offered: bool = False  # whether it has been proposed: from then on nothing proves that it is not in force
+    change_id: str = ""  # of the change that it was proposed in last
+
+
+def fault_of(outcome: Outcome) -> MeshError | None:
+    """What a caller is told; None: it is confirmed."""
+    if isinstance(outcome, Refused):
+        return outcome.fault
+    if isinstance(outcome, Unclear):
+        return MeshError(Kind.UNCLEAR, "too few voters answered, and the change may come into force")
+    if isinstance(outcome, NoQuorum):
+        return MeshError(Kind.NO_QUORUM, "too few voters answered")
+    return None
--- /dev/null
+++ b/lugspur/control/proposer.py
@@ -0,0 +1,280 @@
+"""The proposer's side of the register, without I/O: one proposal at a time, for all orders that wait.
+
+A proposal has two rounds. In the first (prepare) a majority promises to accept nothing lower and tells what it has
+accepted. If anything was, it may be decided already and is proposed again. If nothing was, the state that this replica
+knows is the latest decided one, so that orders are judged against it, and those that take effect are proposed together
+(accept). An order is refused only by a state that is known to be the latest, and never once it has been proposed
+without an outcome.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from lugspur.control.effects import Effects
+from lugspur.control.errors import MeshError
+from lugspur.control.items import Draft, check
+from lugspur.control.messages import Accept, Accepted, Ballot, CatchUp, Change, Entry, Prepare, Promise
+from lugspur.control.orders import Confirmed, NoQuorum, Order, Refused, Unclear
+from lugspur.control.quorum import majority
+from lugspur.control.register import Register
+from lugspur.control.replica import Replica
+
+ROUND_WITHIN = 0.35  # seconds for one proposal: then it is given up, and another one is made
+BACK_OFF = 0.02  # seconds before another proposal after one that met a competitor, drawn from half to one and a half...
+BACK_OFF_MOST = 0.3  # ...doubled each time up to this
+ORDERS_AT_ONCE = 64  # orders in one change
+BRING_UP_MOST = 3  # times that one voter is told within a proposal what it lacks
+
+
+class Phase(Enum):
+    """What a proposal waits for."""
+
+    PREPARE = "prepare"
+    ACCEPT = "accept"
+
+
+class RegisterView:
+    """The decided items as `items.check` reads them."""
+
+    def __init__(self, register: Register) -> None:
+        self._register = register
+
+    def get(self, kind: str, name: str) -> Entry | None:
+        """What is known of a name, withdrawn ones too."""
+        item = self._register.items.get((kind, name))
+        return None if item is None else item.entry
+
+    def standing(self, kind: str) -> dict[str, bytes]:
+        """The values of a kind, by name, of those that are not withdrawn."""
+        found = {}
+        for (of, name), item in self._register.items.items():
+            if of == kind and item.entry.value is not None:
+                found[name] = item.entry.value
+        return found
+
+
+@dataclass(slots=True)
+class Proposal:
+    """One ballot for one index; messages count only from the voters of the membership that it began with."""
+
+    index: int
+    ballot: Ballot
+    voters: frozenset[str]
+    until: float
+    phase: Phase = Phase.PREPARE
+    promises: dict[str, Promise] = field(default_factory=dict)
+    accepted: set[str] = field(default_factory=set)
+    brought_up: dict[str, int] = field(default_factory=dict)
+    change: Change | None = None
+
+    @property
+    def need(self) -> int:
+        """How many voters decide."""
+        return majority(len(self.voters))
+
+
+class Proposer:
+    """The proposals of one control node. `identity`: of the process and its life, unique among all."""
+
+    def __init__(self, replica: Replica, identity: str, rng: Random) -> None:
+        self._replica = replica
+        self._identity = identity
+        self._rng = rng
+        self._orders: list[Order] = []
+        self._proposal: Proposal | None = None
+        self._number = 0  # the highest ballot's number that was used or heard of
+        self._changes = 0
+        self._failures = 0  # proposals in a row that came to nothing
+        self._not_before = 0.0
+        self._finish = False  # something that was accepted somewhere is to be decided or given up
+
+    def __len__(self) -> int:
+        return len(self._orders)
+
+    # ---- inputs --------------------------------------------------------------------------
+
+    def submit(self, now: float, order: Order) -> Effects:
+        """Have an order decided."""
+        self._orders.append(order)
+        return self._start(now)
+
+    def withdraw(self, order: Order) -> None:
+        """Nobody waits for an order any more; what has been proposed goes on."""
+        if order in self._orders and not order.offered:
+            self._orders.remove(order)
+
+    def finish(self, now: float) -> Effects:
+        """A voter has accepted a change that nobody has decided for a while: decide it, or prove that it never is."""
+        self._finish = True
+        return self._start(now)
+
+    def advanced(self, now: float) -> Effects:
+        """The replica has learned of further changes: what is under way is for an index that is taken."""
+        proposal = self._proposal
+        if proposal is not None and proposal.index <= self._replica.index:
+            self._proposal = None
+            self._back_off(now)
+        return self._start(now)
+
+    def look(self, now: float) -> Effects:
+        """End what has gone on for too long, and begin what is due."""
+        self._expire(now)
+        if self._proposal is not None and now >= self._proposal.until:
+            self._proposal = None
+            self._back_off(now)
+        return self._start(now)
+
+    def heard(self, now: float, ip: str, message: Promise | Accepted) -> Effects:
+        """A voter's answer."""
+        proposal = self._proposal
+        if proposal is None or (message.index, message.ballot) != (proposal.index, proposal.ballot):
+            return Effects()
+        if ip not in proposal.voters or proposal.index != self._replica.index + 1:
+            return Effects()
+        if not message.granted:
+            return self._refused(now, ip, proposal, message)
+        if isinstance(message, Promise):
+            return self._promised(now, ip, proposal, message)
+        return self._accepted(now, ip, proposal)
+
+    # ---- the first round -----------------------------------------------------------------
+
+    def _start(self, now: float) -> Effects:
+        membership = self._replica.membership
+        if self._proposal is not None or membership is None or now < self._not_before:
+            return Effects()
+        if not self._orders and not self._finish:
+            return Effects()
+        self._number += 1
+        index = self._replica.index + 1
+        voters = frozenset(voter.ip for voter in membership.voters)
+        ballot = Ballot(self._number, self._identity)
+        self._proposal = Proposal(index, ballot, voters, now + ROUND_WITHIN)
+        return Effects(send=[(ip, Prepare(index, ballot)) for ip in sorted(voters)])
+
+    def _refused(self, now: float, ip: str, proposal: Proposal, message: Promise | Accepted) -> Effects:
+        self._number = max(self._number, message.promised.number)
+        if message.decided >= proposal.index:  # the voter knows more
+            return Effects(send=[(ip, CatchUp(self._replica.index))])
+        if message.promised > proposal.ballot:  # a competitor
+            self._proposal = None
+            self._back_off(now)
+            return Effects()
+        if message.decided < proposal.index - 1 and proposal.phase is Phase.PREPARE:  # the voter knows less
+            told = proposal.brought_up.get(ip, 0)
+            if told < BRING_UP_MOST:
+                proposal.brought_up[ip] = told + 1
+                effects = Effects(send=[(ip, page) for page in self._replica.register.pages(message.decided)])
+                effects.send.append((ip, Prepare(proposal.index, proposal.ballot)))
+                return effects
+        return Effects()
+
+    def _promised(self, now: float, ip: str, proposal: Proposal, message: Promise) -> Effects:
+        proposal.promises[ip] = message
+        if proposal.phase is not Phase.PREPARE or len(proposal.promises) < proposal.need:
+            return Effects()
+        self._expire(now)  # what nobody waits for any more is not proposed, as after a freeze
+        proposal.change = self._highest_accepted(proposal) or self._judge_orders()
+        if proposal.change is None and self._finish:
+            # What a minority has accepted is given up for good: an empty change takes its index.
+            proposal.change = Change(f"{self._identity}:{self._changes}", [])
+        self._finish = False
+        if proposal.change is None:
+            self._proposal = None
+            self._failures = 0
+            return Effects()
+        proposal.phase = Phase.ACCEPT
+        accept = Accept(proposal.index, proposal.ballot, proposal.change)
+        return Effects(send=[(voter, accept) for voter in sorted(proposal.voters)])
+
+    @staticmethod
+    def _highest_accepted(proposal: Proposal) -> Change | None:
+        """What may be decided already: the only change that may be proposed then."""
+        highest: Promise | None = None
+        for promise in proposal.promises.values():
+            if promise.accepted is None:
+                continue
+            if highest is None or highest.accepted is None or promise.accepted > highest.accepted:
+                highest = promise
+        return None if highest is None else highest.change
+
+    # ---- judging orders --------------------------------------------------------------------
+
+    def _judge_orders(self) -> Change | None:
+        """Answer what the latest state answers, and put what takes effect into one change."""
+        self._changes += 1
+        change_id = f"{self._identity}:{self._changes}"
+        view = RegisterView(self._replica.register)
+        draft = Draft(view)
+        for order in self._orders[:]:
+            if order.base_epoch is not None:
+                if order.base_epoch != self._replica.epoch:
+                    self._end(order, NoQuorum())  # another change of the voters came first
+                elif not draft.taking:  # a change of the voters goes alone
+                    self._offer(order, change_id)
+                    return Change(change_id, order.entries)
+                continue
+            try:
+                taking = check(order.entries, view)
+            except MeshError as fault:
+                self._end(order, Refused(fault))
+                continue
+            if not taking:
+                self._end(order, Confirmed())
+            elif self._fits(order, taking, draft) and len(draft.taking) < ORDERS_AT_ONCE:
+                draft.add(taking)
+                self._offer(order, change_id)
+        return Change(change_id, list(draft.taking.values())) if draft.taking else None
+
+    @staticmethod
+    def _fits(order: Order, taking: list[Entry], draft: Draft) -> bool:
+        """Whether an order takes the same effect beside those of the same change; else it waits for the next one."""
+        if any((entry.kind, entry.name) in draft.taking for entry in taking):
+            return False
+        try:
+            return check(order.entries, draft) == taking
+        except MeshError:
+            return False
+
+    @staticmethod
+    def _offer(order: Order, change_id: str) -> None:
+        order.offered = True
+        order.change_id = change_id
+
+    # ---- the second round ------------------------------------------------------------------
+
+    def _accepted(self, now: float, ip: str, proposal: Proposal) -> Effects:
+        if proposal.phase is not Phase.ACCEPT or proposal.change is None:
+            return Effects()
+        proposal.accepted.add(ip)
+        if len(proposal.accepted) < proposal.need:
+            return Effects()
+        self._proposal = None
+        self._failures = 0
+        since = self._replica.index
+        effects = self._replica.decide(now, proposal.change)
+        for voter in sorted(proposal.voters - {self._replica.voter.ip}):
+            effects.send += [(voter, page) for page in self._replica.register.pages(since)]
+        for order in [o for o in self._orders if o.change_id == proposal.change.id]:
+            self._end(order, Confirmed())
+        effects.add(self._start(now))
+        return effects
+
+    # ---- how orders end --------------------------------------------------------------------
+
+    def _end(self, order: Order, outcome: Confirmed | Refused | Unclear | NoQuorum) -> None:
+        self._orders.remove(order)
+        order.over(outcome)
+
+    def _expire(self, now: float) -> None:
+        for order in [order for order in self._orders if order.until <= now]:
+            self._end(order, Unclear() if order.offered else NoQuorum())
+
+    def _back_off(self, now: float) -> None:
+        """Guards against proposers that keep each other from deciding anything."""
+        pause = min(BACK_OFF_MOST, BACK_OFF * 2.0**self._failures)
+        self._failures = min(self._failures + 1, 10)
+        self._not_before = now + pause * (0.5 + self._rng.random())
--- /dev/null
+++ b/lugspur/control/reconfiguration.py
@@ -0,0 +1,86 @@
+"""When a voter proposes the next membership, without I/O; what it is, `membership` says.
+
+How long a voter may be silent until its vote goes to another follows from the settings. A machine that is replaced
+counts as lost until its successor has run for `catch_up_s`; after that another one may be lost, with its disk. By then
+the vote must have moved and the successor must hold all claims, which takes `CHANGE_TAKES`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Set as AbstractSet
+
+from lugspur.control.membership import Presence, Situation, Tolerance, next_membership
+from lugspur.control.messages import Membership
+from lugspur.control.replica import Replica
+
+CHANGE_TAKES = 1.5  # seconds: a process that starts, two rounds of agreement, claims that are read
+PATIENCE_LEAST = 1.0  # seconds: a shorter silence is an ordinary restart
+SETTLED = 0.3  # seconds that a membership stands before it is changed: news of it has to get round
+RANK = 0.25  # seconds by which each voter lets the one before it go first
+AGAIN = 1.0  # seconds until a step that was proposed is proposed again
+AVOID = 10.0  # seconds for which a replica that was silent is not given a vote again, where there is another
+
+
+def patience_of(catch_up_s: float, contact_s: float) -> float:
+    """Seconds that a voter may be out of reach, by the settings."""
+    return max(PATIENCE_LEAST, min(catch_up_s - CHANGE_TAKES, contact_s + CHANGE_TAKES))
+
+
+def leaves_time(catch_up_s: float) -> bool:
+    """Whether a lost voter can be replaced before the next loss; else two losses may meet (see docs/control.md)."""
+    return catch_up_s >= PATIENCE_LEAST + CHANGE_TAKES
+
+
+class Reconfiguration:
+    """The steps that one voter proposes."""
+
+    def __init__(self, replica: Replica, tolerance: Tolerance, patience: float) -> None:
+        self._replica = replica
+        self.tolerance = tolerance
+        self.patience = patience
+        self._epoch = 0
+        self._since = 0.0
+        self._next = 0.0
+        self._removed: dict[str, float] = {}  # voters that were silent, and when their votes were to go
+
+    def look(
+        self,
+        now: float,
+        presences: Mapping[str, Presence],
+        complete: AbstractSet[str],
+        absent: Mapping[str, float],
+    ) -> Membership | None:
+        """The step to propose now. `complete`: voters that have lately said so; `absent`: seconds out of reach."""
+        replica = self._replica
+        membership = replica.membership
+        if membership is None or not replica.is_voter:
+            return None
+        if membership.epoch != self._epoch:
+            self._epoch, self._since, self._next = membership.epoch, now, 0.0
+        voters = {voter.ip for voter in membership.voters}
+        own = {replica.voter.ip} if replica.complete else set()
+        situation = Situation(
+            membership,
+            presences,
+            absent,
+            self.patience,
+            (complete & voters) | own,
+            now - self._since > self.patience,
+            self.tolerance,
+            {ip for ip, at in self._removed.items() if now - at < AVOID},
+        )
+        step = next_membership(situation)
+        if step is None:
+            self._next = 0.0
+            return None
+        if not self._next:
+            rank = [voter.ip for voter in membership.voters].index(replica.voter.ip)
+            self._next = max(now, self._since + SETTLED) + RANK * rank
+        if now < self._next:
+            return None
+        self._next = now + AGAIN
+        for voter in membership.voters:
+            if voter not in step.voters and absent.get(voter.ip, 0.0) > self.patience:
+                self._removed[voter.ip] = now
+        return step
--- /dev/null
+++ b/lugspur/control/register.py
@@ -0,0 +1,216 @@
+"""A voter's part of the configuration's register, without I/O: decided items, and the vote on the next change.
+
+The configuration is a chain of changes, each decided by single-decree agreement (Paxos) among the voters that the
+change before it left. A voter keeps state and no history: the items as they stand after change `index`, and what it
+has promised and accepted for change `index + 1`. A change is decided once a majority of the voters has accepted it
+under one ballot; whoever proposes the same index later finds it there, and can only propose it again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lugspur.control.effects import Effects, Peer, Rows
+from lugspur.control.messages import (
+    NO_BALLOT,
+    PAGE_BYTES,
+    Accept,
+    Accepted,
+    Ballot,
+    Change,
+    Entry,
+    Item,
+    Learn,
+    Prepare,
+    Promise,
+    Query,
+    Standing,
+)
+from lugspur.control.store import Name, newer
+
+WITHDRAWN_MOST = 20_000  # withdrawals that are remembered: an older change of such a name has no effect
+WITHDRAWN_KEPT = 0.9  # of these, once they are too many: the oldest are forgotten
+
+ITEM_PREFIX = b"i"
+INDEX_ROW, VOTE_ROW = b"mindex", b"mvote"
+
+_pack = msgspec.msgpack.Encoder().encode
+_item = msgspec.msgpack.Decoder(Item)
+_index = msgspec.msgpack.Decoder(tuple[int, int])
+
+
+class Vote(msgspec.Struct, array_like=True):
+    """What a voter has promised and accepted, as it lies on disk; the latter for change `index`."""
+
+    index: int
+    promised: Ballot
+    accepted: Ballot | None
+    change: Change | None
+
+
+_vote = msgspec.msgpack.Decoder(Vote)
+
+
+def item_row(entry: Entry) -> bytes:
+    """The key under which an item lies on disk."""
+    return ITEM_PREFIX + entry.kind.encode() + b"\0" + entry.name.encode()
+
+
+@dataclass(slots=True)
+class Applied:
+    """What a decided change, or several, did to the items."""
+
+    entries: list[Entry] = field(default_factory=list)  # that took their places
+    forgotten: list[Name] = field(default_factory=list)  # that are gone without a word
+    write: Rows = field(default_factory=list)
+
+
+class Register:
+    """Items by name as they stand after change `index`, and the vote on the next one."""
+
+    def __init__(self) -> None:
+        self.items: dict[Name, Item] = {}
+        self.index = 0
+        self.pruned = 0  # withdrawals up to this change are forgotten
+        self.promised = NO_BALLOT
+        self.accepted: Ballot | None = None
+        self.change: Change | None = None
+        self._withdrawn = 0
+        self._pruned_to = 0  # as far as `pruned` has been carried out
+
+    # ---- start ---------------------------------------------------------------------------
+
+    def restore(self, rows: Iterable[tuple[bytes, bytes]]) -> None:
+        """Take up what is on disk; rows of others are passed over."""
+        vote: Vote | None = None
+        for key, value in rows:
+            if key.startswith(ITEM_PREFIX):
+                item = _item.decode(value)
+                self.items[item.entry.kind, item.entry.name] = item
+            elif key == INDEX_ROW:
+                self.index, self.pruned = _index.decode(value)
+            elif key == VOTE_ROW:
+                vote = _vote.decode(value)
+        self._pruned_to = self.pruned
+        self._withdrawn = sum(item.entry.value is None for item in self.items.values())
+        if vote is not None:
+            self.promised = vote.promised
+            if vote.index == self.index + 1:
+                self.accepted, self.change = vote.accepted, vote.change
+
+    # ---- the vote ------------------------------------------------------------------------
+
+    @property
+    def pending(self) -> bool:
+        """Whether the next change has been accepted here: it may be decided already."""
+        return self.change is not None
+
+    def prepare(self, peer: Peer, message: Prepare, voter: bool) -> Effects:
+        """A proposer wants to hear what was accepted, and that no lower ballot counts any more."""
+        granted = voter and message.index == self.index + 1 and message.ballot >= self.promised
+        if not granted:
+            refusal = Promise(message.index, message.ballot, False, self.index, self.promised)
+            return Effects(send=[(peer, refusal)])
+        self.promised = message.ballot
+        promise = Promise(message.index, message.ballot, True, self.index, self.promised, self.accepted, self.change)
+        return Effects(write=[self._vote_row()], after_sync=[(peer, promise)])
+
+    def accept(self, peer: Peer, message: Accept, voter: bool) -> Effects:
+        """A proposer wants this to be the next change."""
+        granted = voter and message.index == self.index + 1 and message.ballot >= self.promised
+        answer = Accepted(message.index, message.ballot, granted, self.index, self.promised)
+        if not granted:
+            return Effects(send=[(peer, answer)])
+        self.promised = self.accepted = message.ballot
+        self.change = message.change
+        return Effects(write=[self._vote_row()], after_sync=[(peer, answer)])
+
+    def _vote_row(self) -> tuple[bytes, bytes]:
+        return VOTE_ROW, _pack(Vote(self.index + 1, self.promised, self.accepted, self.change))
+
+    def query(self, peer: Peer, message: Query, voter: bool) -> Effects:
+        """A reader wants to know which change is the latest."""
+        return Effects(send=[(peer, Standing(message.number, voter, self.index, self.pending))])
+
+    # ---- what is decided -----------------------------------------------------------------
+
+    def decide(self, change: Change) -> Applied:
+        """This is the next change."""
+        applied = Applied()
+        index = self.index + 1
+        for entry in change.entries:
+            standing = self.items.get((entry.kind, entry.name))
+            if newer(entry, None if standing is None else standing.entry):
+                self._set(Item(entry, index), applied)
+        self._advance(index, applied)
+        return applied
+
+    def learn(self, pages: list[Learn]) -> Applied:
+        """All pages of what was decided after a change that is known here."""
+        applied = Applied()
+        first = pages[0]
+        if first.index <= self.index or first.since > self.index:
+            return applied
+        found = {(i.entry.kind, i.entry.name): i for page in pages for i in page.items}
+        if first.since == 0:
+            for name in [name for name in self.items if name not in found]:
+                self._forget(name, applied)
+        for name, item in found.items():
+            standing = self.items.get(name)
+            if standing is None or standing.index < item.index:
+                self._set(item, applied)
+        self.pruned = first.pruned
+        self._advance(first.index, applied)
+        return applied
+
+    def _set(self, item: Item, applied: Applied) -> None:
+        name = (item.entry.kind, item.entry.name)
+        standing = self.items.get(name)
+        self._withdrawn += (item.entry.value is None) - (standing is not None and standing.entry.value is None)
+        self.items[name] = item
+        applied.entries.append(item.entry)
+        applied.write.append((item_row(item.entry), _pack(item)))
+
+    def _forget(self, name: Name, applied: Applied) -> None:
+        item = self.items.pop(name)
+        self._withdrawn -= item.entry.value is None
+        applied.forgotten.append(name)
+        applied.write.append((item_row(item.entry), None))
+
+    def _advance(self, index: int, applied: Applied) -> None:
+        self.index = index
+        self.accepted = self.change = None
+        if self._withdrawn > WITHDRAWN_MOST:
+            indexes = sorted(item.index for item in self.items.values() if item.entry.value is None)
+            self.pruned = max(self.pruned, indexes[-int(WITHDRAWN_MOST * WITHDRAWN_KEPT)])
+        self._prune(applied)
+        applied.write.append((INDEX_ROW, _pack((self.index, self.pruned))))
+
+    def _prune(self, applied: Applied) -> None:
+        """Forget the oldest withdrawals: the same ones on every replica, since all hold the same items."""
+        if self.pruned == self._pruned_to:
+            return
+        self._pruned_to = self.pruned
+        old = [n for n, i in self.items.items() if i.entry.value is None and i.index <= self.pruned]
+        for name in old:
+            self._forget(name, applied)
+
+    def pages(self, since: int) -> list[Learn]:
+        """What was decided after change `since`, in frames of a bounded size."""
+        if since < self.pruned or since > self.index:
+            since = 0  # what was withdrawn since then may be forgotten: only the whole state tells
+        pages = [Learn(since, self.index, self.pruned, 0, [], False)]
+        size = 0
+        for item in self.items.values():
+            if item.index <= since:
+                continue
+            size += len(item.entry.name) + len(item.entry.value or b"") + 32
+            if size > PAGE_BYTES:
+                pages.append(Learn(since, self.index, self.pruned, len(pages), [], False))
+                size = 0
+            pages[-1].items.append(item)
+        pages[-1].last = True
+        return pages
--- a/lugspur/control/store.py
+++ b/lugspur/control/store.py
@@ -10,9 +10,18 @@
 
 
 def newer(entry: Entry, than: Entry | None) -> bool:
-    """Whether it takes the other's place. Under one edition, the same content wins everywhere: the larger one."""
+    """Whether an entry takes the other's place: the higher edition does."""
+    return than is None or entry.edition > than.edition
+
+
+def _supersedes(entry: Entry, than: Entry | None) -> bool:
+    """As `newer`, and under one edition the larger content everywhere.
+
+    Leased entries need it: who holds a lease may drop an entry while its owner says it anew, under the same edition.
+    What operators send is decided once for each edition (see `register`).
+    """
     if than is None or entry.edition != than.edition:
-        return than is None or entry.edition > than.edition
+        return newer(entry, than)
     return (entry.value or b"") > (than.value or b"")
 
 
@@ -23,18 +32,19 @@
         self._entries: dict[Name, Entry] = {}
         self._places: dict[Name, int] = {}  # in order of their latest change: popped and put again
         self.upto = 0
+        self.forgotten_at = 0  # the place at which something was forgotten last: who is behind it needs all
         self.changed = changed
 
     def get(self, kind: str, name: str) -> Entry | None:
-        """What is known of a name, dropped ones too."""
+        """What is known of a name, withdrawn ones too."""
         return self._entries.get((kind, name))
 
     def standing(self, kind: str) -> dict[str, bytes]:
-        """The values of a kind, by name, of those that are not dropped."""
+        """The values of a kind, by name, of those that are not withdrawn."""
         return {n: e.value for (k, n), e in self._entries.items() if k == kind and e.value is not None}
 
     def all(self) -> Iterable[Entry]:
-        """All entries, dropped ones too."""
+        """All entries, withdrawn ones too."""
         return self._entries.values()
 
     def merge(self, entries: Iterable[Entry]) -> list[Entry]:
@@ -42,7 +52,7 @@
         taken = []
         for entry in entries:
             name = (entry.kind, entry.name)
-            if newer(entry, self._entries.get(name)):
+            if _supersedes(entry, self._entries.get(name)):
                 self._entries[name] = entry
                 self.upto += 1
                 self._places.pop(name, None)
@@ -52,6 +62,18 @@
                     self.changed(entry)
         return taken
 
+    def forget(self, names: Iterable[Name]) -> None:
+        """Drop entries without a word to who subscribes; `changed` is told as of a withdrawal."""
+        for name in names:
+            entry = self._entries.pop(name, None)
+            if entry is None:
+                continue
+            self._places.pop(name, None)
+            self.upto += 1
+            self.forgotten_at = self.upto
+            if self.changed is not None and entry.value is not None:
+                self.changed(Entry(entry.kind, entry.name, entry.edition, None))
+
     def after(self, since: int) -> list[Entry]:
         """What changed after a place in the order, oldest first."""
         found = []
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -1,4 +1,4 @@
-"""A replica's process: it keeps the mesh's state, tells all who subscribe, and takes operators' calls."""
+"""The process of a control node: it keeps the mesh's state, tells all who subscribe, and takes operators' calls."""
 
 from __future__ import annotations
 
@@ -8,25 +8,40 @@
 
 import msgspec
 
+from lugspur.control import items
+from lugspur.control.catch_up import ClaimsCatchUp
+from lugspur.control.effects import Effects
 from lugspur.control.errors import Kind, MeshError
-from lugspur.control.membership import Presence, Steward, target
+from lugspur.control.items import CONTROL, LEASED, MEMBERSHIP
+from lugspur.control.learning import LearnPages
+from lugspur.control.membership import Presence, Tolerance
 from lugspur.control.messages import (
-    Ask,
+    Accepted,
+    CatchUp,
+    ClaimsPage,
     Delta,
     Entry,
     Hello,
+    Learn,
+    Membership,
     Message,
     Pong,
+    Promise,
     Report,
+    Standing,
     Sync,
     Voter,
 )
-from lugspur.control.replica import GENESIS, Effects, Replica
-from lugspur.control.voter import Sitting
+from lugspur.control.orders import Order, Outcome, fault_of
+from lugspur.control.proposer import Proposer
+from lugspur.control.reader import Read, Reader
+from lugspur.control.reconfiguration import Reconfiguration, leaves_time, patience_of
+from lugspur.control.replica import GENESIS, UID_ROW, Replica, membership_entry, read_membership
+from lugspur.control.store import Name
 from lugspur.mesh import events
 from lugspur.mesh.disk import Disk
 from lugspur.mesh.http_api import Desk, fail, reply
-from lugspur.mesh.link import Link
+from lugspur.mesh.link import Dialler, Link
 from lugspur.mesh.node import LOOK, Node
 from lugspur.mesh.settings import Settings
 from lugspur.seams import Answerable, Request
@@ -34,18 +49,24 @@
 LEASE = 4.0  # seconds without a word after which what a process said of itself is dropped
 SWEEP_EVERY = 1.0  # seconds between looks at claims whose window is over
 LAZY = 0.1  # seconds for which rows that nobody waits for may wait for others
-PATIENCE = 2.0  # seconds beyond the time in which machines count as in touch, until a silent voter is replaced
-LEAVE_PART = 0.5  # of the time that a process has to end, for handing its voter on
+LEAVE_PART = 0.8  # of the time that a process has to end, for handing its vote and its claims on
+DECIDE_WITHIN = 0.8  # seconds for a call of an operator: callers move on after a second
+ORDERS_MOST = 64  # calls of operators in hand at once
+BEHIND = 0.05  # seconds for which a replica waits to be told what it lacks before it asks
+PENDING_MOST = 0.1  # seconds that a change may be accepted and not decided until it is finished, for each voter's rank
+FROZEN = 1.0  # seconds between two looks after which this process has not run in between
+WOKEN = 0.5  # seconds after that in which calls are turned away: they may have waited for as long as it stood still
+FAILING = 1.0  # seconds for which a disk may refuse writes until the vote goes to another
 
 _json = msgspec.json.Encoder().encode
 _pack = msgspec.msgpack.Encoder().encode
 _presence = msgspec.msgpack.Decoder(Presence)
 
 
-class Here:
+class LocalPeer:
     """This process as a peer of its own replica."""
 
-    def __init__(self, node: Keeper) -> None:
+    def __init__(self, node: ControlNode) -> None:
         self._node = node
         self.peer = node.ip
 
@@ -57,54 +78,63 @@
 class Subscriber:
     """One who is told of changes."""
 
-    __slots__ = ("at", "entries", "link", "pinged")
+    __slots__ = ("at", "link", "pinged")
 
     def __init__(self, link: Link, at: int) -> None:
         self.link, self.at = link, at
         self.pinged = 0.0
 
 
-class Keeper(Node):
-    """One replica's process."""
+class ControlNode(Node):
+    """The process of one control node."""
 
     def __init__(self, settings: Settings, path: str) -> None:
         limits, own = settings.own.limits, settings.own
         self.disk = Disk(own.data_dir, limits.disk_mb)
         rows = self.disk.rows()
         self.subscribers: dict[Link, Subscriber] = {}
-        self.leases: dict[tuple[str, str], tuple[Link, int, float]] = {}  # who said it, its edition, heard last
+        self.leases: dict[Name, tuple[Link, int, float]] = {}  # who said it, its edition, heard last
+        self.complete_epochs: dict[str, int] = {}  # the epoch for which each peer has said that it is complete
         self._flushing = False
         self._lazy = False
         self._sweep_at = 0.0
-        self._said: Entry | None = None
+        self._announced: Entry | None = None
         super().__init__(settings, path, True)
-        self.here = Here(self)
-        self.replica = self._replica(rows)
+        self.local = LocalPeer(self)
         bounds, tolerate = settings.tariffs.bounds, settings.tariffs.tolerate
-        self.sitting = Sitting(
-            self.replica,
-            Steward(own.ip, self.rng),
-            target(tolerate.machines, tolerate.zones),
-            bounds.contact_ms / 1000.0 + PATIENCE,
-        )
+        self.replica = self._restore(rows)
+        self.pages = LearnPages()
+        self.proposer = Proposer(self.replica, f"{self.ip}/{self.life}", self.rng)
+        self.reader = Reader(self.replica)
+        self.catch_up = ClaimsCatchUp(self.replica)
+        patience = patience_of(bounds.catch_up_s, bounds.contact_ms / 1000.0)
+        self.reconfiguration = Reconfiguration(self.replica, Tolerance(tolerate.machines, tolerate.zones), patience)
+        if not leaves_time(bounds.catch_up_s):
+            events.warn("bounds", fault="catch_up_s leaves no time to replace a lost voter before the next loss")
+        self._index_seen = self.replica.index
+        self._asked_for = 0.0  # when what others know was asked for last
+        self._pending_since: float | None = None
+        self._failing_since: float | None = None
+        self._looked_at = self._woken_at = float("-inf")
         self.disk.start()
         if self.disk.damaged:  # never as at the very first start: what was promised is gone
             rows = []
         if not rows and own.first_start and own.ip in settings.seeds and not self.disk.damaged:
             self.replica.voter = Voter(own.ip, GENESIS, own.zone)
-            self.do(self.replica.begin([Voter(ip, GENESIS, "") for ip in settings.seeds]))
+            self.do(self.replica.begin(self.loop.time(), [Voter(ip, GENESIS, "") for ip in settings.seeds]))
         elif not rows:
-            self.disk.write([(b"muid", self.replica.voter.uid.encode())], lambda: None)
-        events.info(
-            "control", uid=self.replica.voter.uid, epoch=self.replica.epoch, full=self.replica.full, rows=len(rows)
-        )
+            self.disk.write([(UID_ROW, self.replica.voter.uid.encode())], lambda: None)
+        replica = self.replica
+        events.info("control", uid=replica.voter.uid, epoch=replica.epoch, index=replica.index, rows=len(rows))
         self.announce()
 
-    def _replica(self, rows: list[tuple[bytes, bytes]]) -> Replica:
+    def _restore(self, rows: list[tuple[bytes, bytes]]) -> Replica:
         """What is on disk, or a newcomer's state where that can't be used."""
         own, window = self.settings.own, self.settings.tariffs.bounds.stamp_window_s
         for found in (rows, []):
-            replica = Replica(own.ip, os.urandom(8).hex(), own.zone, window, own.limits.memory_mb << 20, self.store)
+            replica = Replica(
+                own.ip, os.urandom(8).hex(), own.zone, window, own.limits.memory_mb << 20, self._published
+            )
             try:
                 replica.restore(found, self.loop.time())
                 break
@@ -124,27 +154,9 @@
         desk.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
         self.front = await desk.serve(self.settings.network.listen.dispatch, self.settings.own.limits.memory_mb << 20)
 
-    def _amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
-        def over(fault: MeshError | None) -> None:
-            events.info("amend", bytes=len(request.body), fault=fault or "none")
-            if fault is None:
-                reply(caller)
-            else:
-                fail(caller, fault)
-
-        self.amend(request.body, over)
-
-    def _read(self, request: Request, caller: Answerable, _: list[str]) -> None:
-        def over(body: bytes | None) -> None:
-            if body is None:
-                fail(caller, MeshError(Kind.NO_QUORUM, "too few replicas answer"))
-            else:
-                reply(caller, body)
-
-        self.read(over)
-
     def _ended(self, link: Link) -> None:
         self.subscribers.pop(link, None)
+        self.pages.lost(link)
 
     def _asked(self, link: Link, message: Message) -> None:
         """Something from one who dialled."""
@@ -156,44 +168,55 @@
         elif isinstance(message, Sync):
             since = message.since if message.life == self.life and message.since <= self.store.upto else 0
             self.subscribers[link] = Subscriber(link, since)
-            self._tell(self.subscribers[link], True)
+            self._tell(self.subscribers[link])
         elif isinstance(message, Report):
-            now = self.loop.time()
-            for entry in message.entries:
-                if entry.kind in ("backend", "control"):
-                    self.leases[entry.kind, entry.name] = (link, entry.edition, now)
-            self.take([e for e in message.entries if e.kind in ("backend", "control")])
+            self._report(link, [entry for entry in message.entries if entry.kind in LEASED])
+        elif isinstance(message, Learn):
+            self._learn(link, message)
         elif not isinstance(message, Pong):
-            self._judge(link, message)
+            self.do(self.replica.handle(self.loop.time(), link, message))
 
-    def _judge(self, peer: Any, message: Message) -> None:
-        """Something for this replica as a voter."""
-        if isinstance(message, Ask):
-            self._flush()  # what changed goes ahead of the answer
-        self.do(self.replica.judge(self.loop.time(), peer, message))
+    def _report(self, link: Link, entries: list[Entry]) -> None:
+        now = self.loop.time()
+        for entry in entries:
+            self.leases[entry.kind, entry.name] = (link, entry.edition, now)
+        self.store.merge(entries)
 
     def do(self, effects: Effects) -> None:
         """Send, write, and send the rest once that is on disk."""
         for peer, message in effects.send:
-            if isinstance(peer, str):
-                self.to(peer, message)
-            else:
-                peer.send(message)
-        if not effects.write and not effects.then:
-            return
-        if effects.then:
-            then = effects.then
+            self._send(peer, message)
+        if effects.after_sync:
+            after_sync = effects.after_sync
 
             def written() -> None:
-                for peer, message in then:
-                    peer.send(message)
+                for peer, message in after_sync:
+                    self._send(peer, message)
 
             self.disk.write(effects.write, written)
-        else:
+        elif effects.write:
             self.disk.write(effects.write)
             if not self._lazy:
                 self._lazy = True
                 self.loop.call_later(LAZY, self._write_lazy)
+        self._advance()
+
+    def _send(self, peer: Any, message: Message) -> None:
+        if isinstance(peer, str):
+            self.to(peer, message)
+        else:
+            peer.send(message)
+
+    def _advance(self) -> None:
+        """Tell whoever waits for it that the replica knows of further changes."""
+        if self._index_seen == self.replica.index:
+            return
+        self._index_seen = self.index = self.replica.index
+        self._pending_since = None
+        now = self.loop.time()
+        self.do(self.proposer.advanced(now))
+        self.do(self.reader.advanced(now))
+        self._tell_soon()
 
     def _write_lazy(self) -> None:
         self._lazy = False
@@ -201,27 +224,96 @@
 
     def to(self, ip: str, message: Message) -> None:
         if ip == self.ip:
-            self.loop.call_soon(self._judge, self.here, message)
+            self.loop.call_soon(self._to_self, message)
         else:
             super().to(ip, message)
 
-    def take(self, entries: list[Entry]) -> None:
-        """Entries from others."""
-        taken = self.store.merge(entries)
-        if taken:
-            self.merged(taken)
+    def _to_self(self, message: Message) -> None:
+        self.do(self.replica.handle(self.loop.time(), self.local, message))
+
+    # ---- what others know ------------------------------------------------------------------
+
+    def _published(self, entries: list[Entry], forgotten: list[Name]) -> None:
+        """The replica has decided entries, or forgotten names."""
+        self.store.merge(entries)
+        self.store.forget(forgotten)
 
-    def merged(self, taken: list[Entry]) -> None:
-        self.do(self.replica.heard(taken))
+    def take_news(self, message: Delta) -> list[Entry]:
+        """Leased entries count from anybody; what is decided comes by the register alone."""
+        for entry in message.entries:
+            if entry.kind == MEMBERSHIP and entry.value is not None:
+                self.go_by(read_membership(entry.value))
+        return self.store.merge([entry for entry in message.entries if entry.kind in LEASED])
+
+    def heard_more(self, now: float, ip: str, message: Message) -> None:
+        if isinstance(message, Promise | Accepted):
+            self.do(self.proposer.heard(now, ip, message))
+        elif isinstance(message, Standing):
+            effects, pending = self.reader.heard(now, ip, message)
+            self.do(effects)
+            if pending:
+                self._finish_pending(now)
+        elif isinstance(message, Learn):
+            self._learn(ip, message)
+        elif isinstance(message, CatchUp):
+            self.do(self.replica.handle(now, ip, message))
+        elif isinstance(message, ClaimsPage):
+            complete = self.replica.complete
+            self.do(self.catch_up.heard(now, ip, message))
+            if self.replica.complete and not complete:
+                events.info("complete", epoch=self.replica.epoch, claims=len(self.replica.claims))
+                self._tell_soon()
+
+    def _learn(self, source: Link | str, page: Learn) -> None:
+        pages = self.pages.add(source, page)
+        if pages:
+            self.do(self.replica.learn(self.loop.time(), pages))
+
+    def _delta(self, now: float, ip: str, message: Delta) -> None:
+        super()._delta(now, ip, message)
+        self.complete_epochs[ip] = message.complete
+        if message.index > self.replica.index and now - self._asked_for > BEHIND:
+            self._asked_for = now
+            self.loop.call_later(BEHIND, self._ask_for_changes, ip, message.index)
+
+    def _ask_for_changes(self, ip: str, index: int) -> None:
+        """Learn what a peer knows, unless it has been told meanwhile."""
+        if self.replica.index < index:
+            self.to(ip, CatchUp(self.replica.index))
+
+    def _finish_pending(self, now: float) -> None:
+        """Something was accepted by a minority, or by a majority that nobody has heard of: decide it, or give it up."""
+        if self._pending_since is None:
+            self._pending_since = now
+        elif now - self._pending_since > PENDING_MOST:
+            self._pending_since = now
+            self.do(self.proposer.finish(now))
+
+    def _down(self, dialler: Dialler) -> None:
+        self.catch_up.lost(dialler.ip)
+        self.pages.lost(dialler.ip)
+        self.complete_epochs.pop(dialler.ip, None)
+        super()._down(dialler)
+
+    def wanted(self) -> set[str]:
+        found = super().wanted()
+        membership = self.replica.membership
+        if membership is not None and self.replica.is_voter and not self.replica.complete:
+            found |= {voter.ip for voter in membership.previous} - {self.ip}
+        return found
 
     # ---- telling others --------------------------------------------------------------------
 
     def changed(self, entry: Entry) -> None:
+        self._tell_soon()
+        announced = self._announced
+        if entry.kind == CONTROL and entry.name == self.ip and announced is not None and entry != announced:
+            self.loop.call_soon(self.announce)  # it was dropped, or stands as an older life left it
+
+    def _tell_soon(self) -> None:
         if not self._flushing:
             self._flushing = True
             self.loop.call_soon(self._flush)
-        if entry.kind == "control" and entry.name == self.ip and self._said is not None and entry != self._said:
-            self.loop.call_soon(self.announce)  # it was dropped, or stands as an older life left it
 
     def _flush(self) -> None:
         self._flushing = False
@@ -229,52 +321,62 @@
             if subscriber.at < self.store.upto:
                 self._tell(subscriber)
 
-    def _tell(self, subscriber: Subscriber, first: bool = False) -> None:
+    def _tell(self, subscriber: Subscriber) -> None:
         now = self.loop.time()
-        entries = self.store.after(subscriber.at)
+        replica = self.replica
+        since = subscriber.at if subscriber.at >= self.store.forgotten_at else 0
         subscriber.at = self.store.upto
         subscriber.pinged = now
-        subscriber.link.send(Delta(self.life, self.store.upto, min(1e6, self.age(now)), self.full(), entries))
+        subscriber.link.send(
+            Delta(
+                self.life,
+                self.store.upto,
+                now,
+                min(1e6, self.age(now)),
+                replica.index,
+                replica.register.pending,
+                replica.is_voter,
+                replica.complete_epoch if replica.is_voter else 0,
+                since == 0,
+                self.store.after(since),
+            )
+        )
 
-    def full(self) -> bool:
-        return self.replica.full
+    def age(self, now: float) -> float:
+        """Seconds since word of a majority: what was confirmed before then is known here."""
+        replica = self.replica
+        if replica.membership is None:
+            return 1e9
+        own = self.ip if replica.is_voter and not replica.register.pending else ""
+        return now - self.freshness.known_since(now, replica.membership, replica.index, own)
 
     def follows(self, ip: str) -> bool:
         return True
 
     def own_entries(self, again: bool) -> list[Entry]:
-        return [] if self._said is None else [self._said]
+        return [] if self._announced is None else [self._announced]
 
     def announce(self) -> None:
-        """Say what this replica is."""
-        value = _pack(Presence(self.replica.voter.uid, self.settings.own.zone, self.leaving))
-        standing = self.store.get("control", self.ip)
-        if standing is not None and standing == self._said and standing.value == value:
+        """Say what this control node is."""
+        failing = self._failing_since is not None and self.loop.time() - self._failing_since > FAILING
+        value = _pack(Presence(self.replica.voter.uid, self.settings.own.zone, self.leaving, failing))
+        standing = self.store.get(CONTROL, self.ip)
+        if standing is not None and standing == self._announced and standing.value == value:
             return
-        self._said = Entry("control", self.ip, self.edition("control", self.ip), value)
-        self.store.merge([self._said])
+        self._announced = Entry(CONTROL, self.ip, self.edition(CONTROL, self.ip), value)
+        self.store.merge([self._announced])
         for dialler in self.peers.values():
             if dialler.link is not None:
-                dialler.link.send(Report([self._said]))
-
-    # ---- the membership -------------------------------------------------------------------------
+                dialler.link.send(Report([self._announced]))
 
-    def membership_changed(self) -> None:
-        assert self.membership is not None
-        self.do(self.sitting.adopt(self.membership))
-
-    def heard_more(self, now: float, ip: str, message: Message) -> None:
-        full = self.replica.full
-        self.do(self.sitting.heard(now, ip, message))
-        if self.replica.full and not full:
-            events.info("caught-up", epoch=self.replica.epoch, claims=self.replica.claims)
-
-    def _down(self, dialler: Any) -> None:
-        self.sitting.lost(dialler.ip)
-        super()._down(dialler)
+    # ---- time ------------------------------------------------------------------------------
 
     def look(self, now: float) -> None:
-        self._leases(now)
+        if now - self._looked_at > FROZEN and self._looked_at > float("-inf"):
+            self._woken_at = now
+            events.warn("woken", after=now - self._looked_at)
+        self._looked_at = now
+        self._end_leases(now)
         for subscriber in list(self.subscribers.values()):
             if now - subscriber.link.at > LEASE:
                 subscriber.link.close()
@@ -283,26 +385,62 @@
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_EVERY
             self.do(self.replica.sweep(now))
-        self._sit(now)
+            self._look_at_disk(now)
+        self.do(self.proposer.look(now))
+        self.do(self.reader.look(now))
+        self.do(self.catch_up.look(now))
+        self._look_at_pending(now)
+        self._reconfigure(now)
+
+    def _look_at_disk(self, now: float) -> None:
+        """A disk that takes no writes for a while lets no vote count."""
+        if not self.disk.fault:
+            self._failing_since = None
+        elif self._failing_since is None:
+            self._failing_since = now
+        self.announce()
 
-    def _sit(self, now: float) -> None:
-        """Look after the voter, and after the membership."""
+    def _look_at_pending(self, now: float) -> None:
         membership = self.replica.membership
-        if membership is None:
+        if membership is None or not self.replica.is_voter or not self.replica.register.pending:
+            self._pending_since = None
             return
-        there = {ip for ip, at in self.heard_at.items() if now - at < self.stale}
-        absent = {}
+        rank = [voter.ip for voter in membership.voters].index(self.ip)
+        if self._pending_since is None:
+            self._pending_since = now + PENDING_MOST * rank  # one after the other, not all at once
+        else:
+            self._finish_pending(now)
+
+    def _presences(self) -> dict[str, Presence]:
+        return {name: _presence.decode(value) for name, value in self.store.standing(CONTROL).items()}
+
+    def _reconfigure(self, now: float) -> None:
+        """Propose the next step of the membership where one is due."""
+        membership = self.replica.membership
+        if membership is None or not self.replica.is_voter:
+            return
+        complete, absent = set(), {}
         for voter in membership.voters:
             dialler = self.peers.get(voter.ip)
-            if voter.ip != self.ip and dialler is not None:
-                absent[voter.ip] = now - (dialler.link.at if dialler.link is not None else dialler.since)
-        replicas = {name: _presence.decode(value) for name, value in self.store.standing("control").items()}
-        epoch = self.replica.epoch
-        self.do(self.sitting.look(now, replicas, there, absent))
-        if self.replica.epoch != epoch:
-            events.info("ballot", epoch=self.replica.epoch)
-
-    def _leases(self, now: float) -> None:
+            if voter.ip == self.ip or dialler is None:
+                continue
+            absent[voter.ip] = now - (dialler.link.at if dialler.link is not None else dialler.since)
+            fresh = now - self.freshness.word_at(voter.ip) < self.stale
+            if fresh and self.complete_epochs.get(voter.ip, 0) == membership.epoch:
+                complete.add(voter.ip)
+        step = self.reconfiguration.look(now, self._presences(), complete, absent)
+        if step is not None:
+            self._propose(now, step)
+
+    def _propose(self, now: float, step: Membership) -> None:
+        def over(outcome: Outcome) -> None:
+            voters = ",".join(voter.ip for voter in step.voters)
+            events.info("reconfiguration", epoch=step.epoch, voters=voters, outcome=type(outcome).__name__)
+
+        entries = [membership_entry(step)]
+        self.do(self.proposer.submit(now, Order(entries, now + DECIDE_WITHIN, over, step.epoch - 1)))
+
+    def _end_leases(self, now: float) -> None:
         """Drop what was said by those who are silent."""
         for (kind, name), (link, edition, at) in list(self.leases.items()):
             if link.open:
@@ -312,13 +450,49 @@
                 del self.leases[kind, name]
                 standing = self.store.get(kind, name)
                 if standing is not None and standing.edition == edition and standing.value is not None:
-                    self.take([Entry(kind, name, edition + 1, None)])
+                    self.store.merge([Entry(kind, name, edition + 1, None)])
+
+    # ---- calls of operators ----------------------------------------------------------------
+
+    def _amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        def over(outcome: Outcome) -> None:
+            fault = fault_of(outcome)
+            events.info("amend", bytes=len(request.body), fault=fault or "none", index=self.replica.index)
+            if fault is None:
+                reply(caller)
+            else:
+                fail(caller, fault)
+
+        now = self.loop.time()
+        entries = items.read_call(request.body)
+        self._turn_away(now)
+        order = Order(entries, now + DECIDE_WITHIN, over)
+        # Guards against what nobody waits for any more: its caller may have been refused elsewhere meanwhile.
+        caller.gone = lambda: self.proposer.withdraw(order)
+        self.do(self.proposer.submit(now, order))
+
+    def _turn_away(self, now: float) -> None:
+        """Raises MeshError where an order may not be taken up."""
+        if len(self.proposer) >= ORDERS_MOST:  # Guards memory and disks against a flood of calls.
+            raise MeshError(Kind.NO_QUORUM, "too many calls in hand")
+        if now - self._looked_at > FROZEN or now - self._woken_at < WOKEN:
+            raise MeshError(Kind.NO_QUORUM, "this process has stood still")
+
+    def _read(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        def over(latest: bool) -> None:
+            if latest:
+                entries = [item.entry for item in self.replica.register.items.values()]
+                reply(caller, items.read_back(entries))
+            else:
+                fail(caller, MeshError(Kind.NO_QUORUM, "too few voters answered"))
+
+        now = self.loop.time()
+        self.do(self.reader.submit(now, Read(now + DECIDE_WITHIN, over)))
 
     def status(self) -> dict[str, Any]:
-        """What operators see of this replica, whether a majority can be reached or not."""
+        """What operators see of this control node, whether a majority can be reached or not."""
         now, replica = self.loop.time(), self.replica
         kinds = {kind: len(self.store.standing(kind)) for kind in sorted({e.kind for e in self.store.all()})}
-        replicas = {name: _presence.decode(value) for name, value in self.store.standing("control").items()}
         return {
             "node": self.settings.own.node_name,
             "role": "control",
@@ -326,14 +500,19 @@
             "zone": self.settings.own.zone,
             "uid": replica.voter.uid,
             "epoch": replica.epoch,
-            "is_voter": replica.is_voter,
-            "full": replica.full,
+            "index": replica.index,
+            "voter": replica.is_voter,
+            "complete": replica.complete,
+            "pending": replica.register.pending,
             "voters": [] if replica.membership is None else [voter.ip for voter in replica.membership.voters],
-            "voters_wanted": self.sitting.voters,
+            "voters_wanted": self.reconfiguration.tolerance.voters,
             "age_s": round(min(1e6, self.age(now)), 3),
-            "replicas": {ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving} for ip, p in replicas.items()},
+            "replicas": {
+                ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving, "failing": p.failing}
+                for ip, p in self._presences().items()
+            },
             "entries": kinds,
-            "claims": replica.claims,
+            "claims": len(replica.claims),
             "subscribers": len(self.subscribers),
             "disk": {"commits": self.disk.commits, "fault": self.disk.fault},
         }
@@ -341,17 +520,24 @@
     # ---- the end ---------------------------------------------------------------------------
 
     async def leave(self) -> None:
-        """SIGTERM: hand the voter on where another replica can take it, then end."""
+        """SIGTERM: hand the vote and the claims on where another control node can take them, then end."""
         self.leaving = True
         self.announce()
         until = self.loop.time() + LEAVE_PART * self.settings.tariffs.bounds.grace_s
-        while self.loop.time() < until and self.replica.is_voter:
-            is_voter = (
-                {voter.ip for voter in self.replica.membership.voters} if self.replica.membership is not None else set()
-            )
-            if not set(self.store.standing("control")) - is_voter:
-                break
+        while self.loop.time() < until and not self._handed_on():
             await asyncio.sleep(LOOK)
         await asyncio.sleep(0.3)
         self.front.close()
         self.disk.close(1.0)
+
+    def _handed_on(self) -> bool:
+        """Whether nobody needs this process: others vote, and hold all claims that it held as a voter."""
+        membership = self.replica.membership
+        if membership is None:
+            return True
+        voters = {voter.ip for voter in membership.voters}
+        if self.replica.is_voter:
+            return not set(self.store.standing(CONTROL)) - voters
+        if not any(voter.ip == self.ip for voter in membership.previous):
+            return True
+        return all(self.complete_epochs.get(ip, 0) >= membership.epoch for ip in voters)
--- a/lugspur/mesh/folder.py
+++ b/lugspur/mesh/folder.py
@@ -14,17 +14,19 @@
 import msgspec
 
 from lugspur.control import items
+from lugspur.control.claim_table import CLAIM_PREFIX
 from lugspur.control.errors import Kind, MeshError
-from lugspur.control.messages import Entry, Kept, Membership
-from lugspur.control.replica import BALLOT, FULL, ROSTER, UID, item_key
+from lugspur.control.messages import Item, KeptClaim, Membership
+from lugspur.control.register import INDEX_ROW, ITEM_PREFIX, VOTE_ROW, Vote, item_row
+from lugspur.control.replica import COMPLETE_ROW, UID_ROW, read_membership
 from lugspur.control.store import Store
 from lugspur.mesh.disk import NAME
 
-_entry = msgspec.msgpack.Decoder(Entry)
-_kept = msgspec.msgpack.Decoder(Kept)
-_membership = msgspec.msgpack.Decoder(Membership)
-_full = msgspec.msgpack.Decoder(tuple[int, bool])
-_ballot = msgspec.msgpack.Decoder(tuple[int, tuple[int, str], tuple[int, str] | None, Membership | None])
+_item = msgspec.msgpack.Decoder(Item)
+_kept = msgspec.msgpack.Decoder(KeptClaim)
+_index = msgspec.msgpack.Decoder(tuple[int, int])
+_vote = msgspec.msgpack.Decoder(Vote)
+_epoch = msgspec.msgpack.Decoder(int)
 
 
 @dataclass(slots=True)
@@ -33,8 +35,10 @@
 
     uid: str = ""
     membership: Membership | None = None
-    full: bool = False
-    promised: int = 0  # the number of the highest ballot that it has promised in this epoch
+    index: int = 0  # the latest change that it knows as decided
+    complete_epoch: int = 0  # the epoch for which it holds all claims that a voter must hold
+    promised: int = 0  # the number of the highest ballot that it has promised
+    pending: bool = False  # whether it has accepted a change that it does not know as decided
     store: Store = field(default_factory=Store)
     claims: int = 0
     answers: int = 0
@@ -64,39 +68,43 @@
 def _take(found: Found, key: bytes, value: bytes) -> None:
     found.size += len(key) + len(value)
     try:
-        if key.startswith(b"i"):
-            entry = _entry.decode(value)
-            if item_key(entry) != key:
-                found.faults.append(f"{key!r} holds {entry.kind} {entry.name!r}")
-            found.store.merge([entry])
-        elif key.startswith(b"c"):
+        if key.startswith(ITEM_PREFIX):
+            _take_item(found, key, _item.decode(value))
+        elif key.startswith(CLAIM_PREFIX):
             kept = _kept.decode(value)
             found.claims += 1
             found.answers += kept.answer is not None
-        elif key == UID:
+        elif key == UID_ROW:
             found.uid = value.decode()
-        elif key == ROSTER:
-            found.membership = _membership.decode(value)
-        elif key == FULL:
-            found.full = _full.decode(value)[1]
-        elif key == BALLOT:
-            found.promised = _ballot.decode(value)[1][0]
+        elif key == INDEX_ROW:
+            found.index = _index.decode(value)[0]
+        elif key == COMPLETE_ROW:
+            found.complete_epoch = _epoch.decode(value)
+        elif key == VOTE_ROW:
+            vote = _vote.decode(value)
+            found.promised = vote.promised.number
+            found.pending = vote.change is not None
         else:
             found.faults.append(f"{key!r} is no row of a replica's")
     except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
         found.faults.append(f"{key!r} can't be read: {fault}")
 
 
+def _take_item(found: Found, key: bytes, item: Item) -> None:
+    entry = item.entry
+    if item_row(entry) != key:
+        found.faults.append(f"{key!r} holds {entry.kind} {entry.name!r}")
+    if entry.kind == items.MEMBERSHIP and entry.value is not None:
+        found.membership = read_membership(entry.value)
+    found.store.merge([entry])
+
+
 def _apart(found: Found) -> Iterator[str]:
     """What does not fit together."""
     if not found.uid:
         yield "the disk has no name"
-    if (
-        found.full
-        and found.membership is not None
-        and found.uid not in {voter.uid for voter in found.membership.voters}
-    ):
-        yield "it says that it has all that a voter must have, and has no voter"
+    if found.membership is not None and found.complete_epoch > found.membership.epoch:
+        yield "it says that it holds all claims of an epoch that it does not know"
     routes = found.store.standing(items.ROUTES)
     services = found.store.standing(items.SERVICES)
     for name, value in routes.items():
@@ -121,9 +129,11 @@
     return {
         "uid": found.uid,
         "epoch": 0 if membership is None else membership.epoch,
-        "full": found.full,
+        "index": found.index,
+        "complete_epoch": found.complete_epoch,
         "voters": {} if membership is None else {s.ip: {"uid": s.uid, "zone": s.zone} for s in membership.voters},
         "promised": found.promised,
+        "pending": found.pending,
         "items": kinds,
         "dropped": dropped,
         "claims": found.claims,
@@ -135,4 +145,4 @@
 
 def export(found: Found) -> bytes:
     """All items that stand, as a call of the operator that brings them to another mesh."""
-    return msgspec.json.encode({"upsert": msgspec.Raw(items.read_back(found.store)), "withdraw": {}})
+    return msgspec.json.encode({"upsert": msgspec.Raw(items.read_back(found.store.all())), "withdraw": {}})
--- a/lugspur/mesh/node.py
+++ b/lugspur/mesh/node.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 from random import Random
 
-from lugspur.control import items
 from lugspur.control.claims import Claims, Settled
-from lugspur.control.errors import Kind, MeshError
+from lugspur.control.errors import MeshError
+from lugspur.control.freshness import Freshness
+from lugspur.control.items import MEMBERSHIP, RESERVED
 from lugspur.control.messages import (
     Claim,
     Delta,
@@ -21,12 +22,10 @@
     Pong,
     Release,
     Report,
-    Said,
     Sync,
     Verdict,
 )
-from lugspur.control.replica import majority, read_membership
-from lugspur.control.rounds import Rounds
+from lugspur.control.replica import read_membership
 from lugspur.control.store import Store
 from lugspur.mesh import events
 from lugspur.mesh.link import Dialler, Link
@@ -35,9 +34,7 @@
 LOOK = 0.1  # seconds between looks at what is due
 PING_PART = 1 / 8  # of the time in which a configuration counts: how often news says that nothing is new
 STALE_PART = 0.4  # ...and how old the news may be before it is sought elsewhere
-ROUND_WITHIN = 0.8  # seconds for one round over the voters: callers move on after a second
 SETTINGS_EVERY = 1.0  # seconds between looks at whether the settings file has changed
-AMENDS_MOST = 64  # calls of operators in hand at once
 
 
 class Node:
@@ -52,11 +49,11 @@
         self.rng = Random(self.life)
         self.store = Store(self._changed)
         self.membership: Membership | None = None
-        self.rounds = Rounds()
         self.claims = Claims(self._to_voter)
         self.peers: dict[str, Dialler] = {}  # by IP number
         self.synced: dict[str, tuple[str, int]] = {}  # how far each peer's changes are known: its life and place
-        self.heard_at: dict[str, float] = {}  # when each peer said that it is full, or had word of a majority
+        self.freshness = Freshness()
+        self.index = 0  # the latest change of the configuration that is known here
         self.source = ""  # whose news it follows, where it follows one
         self.source_at = 0.0  # when its news was last known to be fresh
         self.source_since = 0.0
@@ -65,12 +62,11 @@
         bounds = settings.tariffs.bounds
         self.ping = max(0.1, PING_PART * bounds.edition_ms / 1000.0)
         self.stale = max(0.3, STALE_PART * bounds.edition_ms / 1000.0)
-        self._amends = 0
         self._avoid: dict[str, float] = {}  # sources that were given up, and until when
         self._settings_at = self._stamp()
         self._settings_next = 0.0
         self.reloaded: list[Callable[[], None]] = []
-        self._reach()
+        self.loop.call_soon(self._reach)  # once the subclass has all that it wants to be asked for
         self.loop.call_later(LOOK, self._look)
 
     # ---- settings ------------------------------------------------------------------------
@@ -118,7 +114,7 @@
             )
         for ip in [ip for ip in self.peers if ip not in wanted and not self.keep_peer(ip)]:
             self.peers.pop(ip).close()
-            self.heard_at.pop(ip, None)
+            self.freshness.lost(ip)
             self.synced.pop(ip, None)
 
     def keep_peer(self, ip: str) -> bool:
@@ -133,7 +129,7 @@
         self.claims.reach(self.loop.time(), dialler.ip)
 
     def _down(self, dialler: Dialler) -> None:
-        self.heard_at.pop(dialler.ip, None)
+        self.freshness.lost(dialler.ip)
         if dialler.ip == self.source:
             self.source = ""
             self._seek()
@@ -145,6 +141,7 @@
     def _subscribe(self, dialler: Dialler) -> None:
         if dialler.link is not None:
             life, since = self.synced.get(dialler.ip, ("", 0))
+            self.freshness.asked(self.loop.time(), dialler.ip)
             dialler.link.send(Sync(life, since))
             own = self.own_entries(True)
             if own:
@@ -199,8 +196,6 @@
             self._delta(now, ip, message)
         elif isinstance(message, Verdict):
             self.claims.verdict(now, ip, message)
-        elif isinstance(message, Said):
-            self.rounds.said(ip, message)
         else:
             self.heard_more(now, ip, message)
 
@@ -208,66 +203,60 @@
         """What only some processes understand."""
 
     def _delta(self, now: float, ip: str, message: Delta) -> None:
-        taken = self.store.merge(message.entries)
+        sent_at = self.freshness.heard(now, ip, message)
+        taken = self.take_news(message)
         self.synced[ip] = (message.life, message.upto)
-        if message.full:
-            self.heard_at[ip] = now
-        else:
-            self.heard_at.pop(ip, None)
         if ip == self.source:
-            self.source_at = max(self.source_at, now - message.age)
-            self.known = self.known or message.age < self.stale
+            self.source_at = max(self.source_at, sent_at - message.age)
+            self.known = self.known or now - self.source_at < self.stale
         if taken:
             self.merged(taken)
         dialler = self.peers.get(ip)
         if dialler is not None and dialler.link is not None:
             dialler.link.send(Pong())
 
+    def take_news(self, message: Delta) -> list[Entry]:
+        """Entries that a peer has told; returns those that are new here."""
+        if message.whole and message.index >= self.index:
+            self._forget_missing(message.entries)
+        self.index = max(self.index, message.index)
+        return self.store.merge(message.entries)
+
+    def _forget_missing(self, entries: list[Entry]) -> None:
+        """All that a peer has, which knows no less than this process: what is not in it was withdrawn long ago."""
+        there = {(entry.kind, entry.name) for entry in entries}
+        names = [(e.kind, e.name) for e in self.store.all() if e.kind not in RESERVED]
+        self.store.forget([name for name in names if name not in there])
+
     def merged(self, taken: list[Entry]) -> None:
         """News has come."""
 
     def _changed(self, entry: Entry) -> None:
-        if entry.kind == "membership" and entry.value is not None:
-            membership = read_membership(entry.value)
-            if self.membership is None or membership.epoch > self.membership.epoch:
-                self.membership = membership
-                events.info(
-                    "membership", epoch=membership.epoch, voters=",".join(voter.ip for voter in membership.voters)
-                )
-                self.loop.call_soon(self._new_membership)
+        if entry.kind == MEMBERSHIP and entry.value is not None:
+            self.go_by(read_membership(entry.value))
         self.changed(entry)
 
+    def go_by(self, membership: Membership) -> None:
+        """Reach the voters of a membership, unless a later one is known."""
+        if self.membership is not None and membership.epoch <= self.membership.epoch:
+            return
+        self.membership = membership
+        events.info("membership", epoch=membership.epoch, voters=",".join(voter.ip for voter in membership.voters))
+        self.loop.call_soon(self._new_membership)
+
     def _new_membership(self) -> None:
         assert self.membership is not None
         self._reach()
         self.claims.again(self.loop.time(), self.membership)
         if self.source not in self.peers:
             self._seek()
-        self.membership_changed()
-
-    def membership_changed(self) -> None:
-        """Another membership stands."""
 
     def changed(self, entry: Entry) -> None:
         """An entry has taken its place in the store."""
 
-    def age(self, now: float) -> float:
-        """Seconds since word of a majority: what was acknowledged before then is known here."""
-        if self.membership is None:
-            return 1e9
-        voters = {voter.ip for voter in self.membership.voters}
-        ages = sorted([now - at for ip, at in self.heard_at.items() if ip in voters] + ([0.0] if self.full() else []))
-        need = majority(len(voters))
-        return ages[need - 1] if len(ages) >= need else 1e9
-
-    def full(self) -> bool:
-        """Whether this process is a voter that has all."""
-        return False
-
     def _look(self) -> None:
         now = self.loop.time()
         self.loop.call_later(LOOK, self._look)
-        self.rounds.look(now)
         self.claims.look(now)
         if now >= self._settings_next:
             self._settings_next = now + SETTINGS_EVERY
@@ -297,15 +286,6 @@
         if dialler is not None and dialler.link is not None:
             dialler.link.send(message)
 
-    def round(self, entries: list[Entry] | None, over: Callable[[str], None]) -> None:
-        """A round over the voters: a read, or a write of entries."""
-        if self.membership is None:
-            over("no")
-            return
-        ips, message = self.rounds.begin(self.membership, entries, self.loop.time() + ROUND_WITHIN, over)
-        for ip in ips:
-            self.to(ip, message)
-
     # ---- keys (see proxy.Keys) ---------------------------------------------------------
 
     def claim(self, key: bytes, by: bytes, left: float, within: float, over: Callable[[Settled], None]) -> None:
@@ -322,45 +302,3 @@
     def drop(self, key: bytes, by: bytes) -> None:
         """Nobody waits for it any more."""
         self.claims.drop(key, by)
-
-    # ---- calls of operators ----------------------------------------------------------------
-
-    def amend(self, body: bytes, over: Callable[[MeshError | None], None]) -> None:
-        """Take a change: checked against what a majority has, then on a majority's disks."""
-        try:
-            entries = items.read_call(body)
-        except MeshError as fault:
-            over(fault)
-            return
-        if self._amends >= AMENDS_MOST:  # Guards memory and disks against a flood of calls.
-            over(MeshError(Kind.NO_QUORUM, "too many calls in hand"))
-            return
-        self._amends += 1
-
-        def end(fault: MeshError | None) -> None:
-            self._amends -= 1
-            over(fault)
-
-        def read(how: str) -> None:
-            if how != "ok":
-                end(MeshError(Kind.NO_QUORUM, "too few replicas answer"))
-                return
-            try:
-                items.check(entries, self.store)
-            except MeshError as fault:
-                end(fault)
-                return
-            self.round(entries, written)
-
-        def written(how: str) -> None:
-            if how == "ok":
-                end(None)
-            else:
-                kind = Kind.CONFLICT if how == "conflict" else Kind.UNCLEAR
-                end(MeshError(kind, "the change is not on enough disks"))
-
-        self.round(None, read)
-
-    def read(self, over: Callable[[bytes | None], None]) -> None:
-        """All items that stand, as a majority has them."""
-        self.round(None, lambda how: over(items.read_back(self.store) if how == "ok" else None))
--- a/lugspur/mesh/program.py
+++ b/lugspur/mesh/program.py
@@ -40,11 +40,11 @@
     # Imported only where it is run: starting counts, and on a small machine each module takes its time.
     node: Node
     if settings.keeps:
-        from lugspur.mesh.control_node import Keeper
+        from lugspur.mesh.control_node import ControlNode
 
-        keeper = node = Keeper(settings, path)
-        await keeper.serve()
-        leave = keeper.leave
+        control = node = ControlNode(settings, path)
+        await control.serve()
+        leave = control.leave
     else:
         from lugspur.mesh.sidecar import Hand
 
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -80,7 +80,7 @@
                 file.unlink()
         mesh.start(wiped)
         async with asyncio.timeout(20.0):
-            while "event=caught-up" not in mesh.log(wiped):
+            while "event=complete" not in mesh.log(wiped):
                 await asyncio.sleep(0.05)
         assert ("event=set-aside" in mesh.log(wiped)) is damaged
         mesh.end(mesh.replica_ips[1])  # now it is needed, and knows what it never heard
@@ -95,7 +95,7 @@
     async def what(mesh: Mesh) -> None:
         assert mesh.end(mesh.replica_ips[0], signal.SIGTERM) == 0
         async with asyncio.timeout(20.0):
-            while "event=caught-up" not in mesh.log(mesh.replica_ips[3]):
+            while "event=complete" not in mesh.log(mesh.replica_ips[3]):
                 await asyncio.sleep(0.05)
         mesh.end(mesh.replica_ips[1])  # of the first three one is left
         await mesh.amend({"routes": [mesh.route("late", "safe", "00000002")]}, 3)
