Refuse an order only by a proposal that began after it came

Cause: an order that came while a proposal gathered promises was judged with it. A promise that is late tells of a state from before the order: what it rests on may have been confirmed by another control node since, and it was refused (400). Change: an order remembers the proposal that was under way when it came; only a later one refuses it. A proposal that needs no change goes on with the next one for orders that came meanwhile.

--- a/lugspur/control/orders.py
+++ b/lugspur/control/orders.py
@@ -47,6 +47,7 @@
     base_epoch: int | None = None
     offered: bool = False  # whether it has been proposed: from then on nothing proves that it is not in force
     change_id: str = ""  # of the change that it was proposed in last
+    came_in: int = 0  # the proposer's latest proposal when it came: only a later one may refuse it
 
 
 def fault_of(outcome: Outcome) -> MeshError | None:
--- a/lugspur/control/proposer.py
+++ b/lugspur/control/proposer.py
@@ -87,6 +87,7 @@
         self._proposal: Proposal | None = None
         self._number = 0  # the highest ballot's number that was used or heard of
         self._changes = 0
+        self._proposals = 0
         self._failures = 0  # proposals in a row that came to nothing
         self._not_before = 0.0
         self._finish = False  # something that was accepted somewhere is to be decided or given up
@@ -98,6 +99,7 @@
 
     def submit(self, now: float, order: Order) -> Effects:
         """Have an order decided."""
+        order.came_in = self._proposals
         self._orders.append(order)
         return self._start(now)
 
@@ -149,6 +151,7 @@
         if not self._orders and not self._finish:
             return Effects()
         self._number += 1
+        self._proposals += 1
         index = self._replica.index + 1
         voters = frozenset(voter.ip for voter in membership.voters)
         ballot = Ballot(self._number, self._identity)
@@ -185,7 +188,7 @@
         if proposal.change is None:
             self._proposal = None
             self._failures = 0
-            return Effects()
+            return self._start(now)  # for orders that came meanwhile
         proposal.phase = Phase.ACCEPT
         accept = Accept(proposal.index, proposal.ballot, proposal.change)
         return Effects(send=[(voter, accept) for voter in sorted(proposal.voters)])
@@ -220,7 +223,9 @@
             try:
                 taking = check(order.entries, view)
             except MeshError as fault:
-                self._end(order, Refused(fault))
+                # Guards against a state that was the latest when voters promised, before this order came.
+                if order.came_in < self._proposals:
+                    self._end(order, Refused(fault))
                 continue
             if not taking:
                 self._end(order, Confirmed())
