Hold the register and the membership by tests of each module

Need: the tests of replicas, membership changes, items and folders used the interface of before. New: test_reader, test_freshness, test_learning, test_catch_up. A folder's check tells again of a disk that says that it is complete and has no vote: the check was lost with the register.

--- a/lugspur/mesh/folder.py
+++ b/lugspur/mesh/folder.py
@@ -105,6 +105,9 @@
         yield "the disk has no name"
     if found.membership is not None and found.complete_epoch > found.membership.epoch:
         yield "it says that it holds all claims of an epoch that it does not know"
+    if found.membership is not None and found.complete_epoch == found.membership.epoch:
+        if found.uid not in {voter.uid for voter in found.membership.voters}:
+            yield "it says that it holds all claims of an epoch in which it is no voter"
     routes = found.store.standing(items.ROUTES)
     services = found.store.standing(items.SERVICES)
     for name, value in routes.items():
--- /dev/null
+++ b/tests/mesh/test_catch_up.py
@@ -0,0 +1,75 @@
+"""A newcomer reads the claims of a majority of the voters before it, the one that left included."""
+
+from __future__ import annotations
+
+from controlparts import IPS, NEW, claim, exchange, replica, seed
+
+from lugspur.control.catch_up import ASK_AGAIN, ClaimsCatchUp
+from lugspur.control.messages import ClaimsPage, FetchClaims, KeptClaim, Membership
+from lugspur.control.replica import Replica
+
+A, B, C = IPS
+CLAIMS: list[tuple[bytes, KeptClaim]] = [(b"k", KeptClaim(b"a", 2.0))]
+
+
+def newcomer() -> tuple[Replica, ClaimsCatchUp]:
+    source, new = seed(), replica(NEW, "new")
+    source.decide(0.0, exchange())
+    new.learn(0.0, source.register.pages(0))
+    return new, ClaimsCatchUp(new)
+
+
+def page(number: int = 0, last: bool = True, epoch: int = 2) -> ClaimsPage:
+    return ClaimsPage(epoch, number, CLAIMS, last)
+
+
+def test_it_asks_the_voters_of_the_epoch_before_and_again_after_a_silence() -> None:
+    _, catch_up = newcomer()
+    assert catch_up.look(1.0).send == [(ip, FetchClaims(2)) for ip in IPS]  # C has left: it holds claims still
+    assert catch_up.look(1.0 + ASK_AGAIN / 2).send == []
+    catch_up.heard(1.2, A, page())
+    assert [ip for ip, _ in catch_up.look(1.0 + ASK_AGAIN).send] == [B, C]
+
+
+def test_a_majority_makes_it_complete_and_one_others_word_does_not() -> None:
+    new, catch_up = newcomer()
+    catch_up.look(1.0)
+    catch_up.heard(1.1, A, page())
+    catch_up.heard(1.1, A, page())
+    catch_up.heard(1.1, "10.0.0.9", page())
+    catch_up.heard(1.1, NEW, page())
+    catch_up.heard(1.1, B, page(epoch=1))
+    assert not new.complete
+    effects = catch_up.heard(1.2, C, page())
+    assert new.complete and effects.write and claim(new, b"b", epoch=2).other
+    assert catch_up.look(9.0).send == []
+
+
+def test_answers_in_parts_count_only_whole() -> None:
+    new, catch_up = newcomer()
+    catch_up.look(1.0)
+    catch_up.heard(1.1, A, page())
+    catch_up.heard(1.1, B, page(1))  # its beginning is missing
+    catch_up.heard(1.1, B, page(0, False))
+    catch_up.heard(1.1, B, page(2))
+    assert not new.complete
+    catch_up.lost(B)
+    catch_up.heard(1.2, B, page(1))
+    assert not new.complete
+    catch_up.heard(1.2, B, page(0, False))
+    catch_up.heard(1.2, B, page(1))
+    assert new.complete
+
+
+def test_what_was_read_in_one_epoch_counts_for_nothing_in_the_next() -> None:
+    new, catch_up = newcomer()
+    catch_up.look(1.0)
+    catch_up.heard(1.1, A, page())
+    voters = new.membership.voters if new.membership is not None else []
+    new.decide(1.2, exchange(Membership(3, voters, voters)))
+    catch_up.heard(1.3, B, page())
+    catch_up.look(1.3)
+    catch_up.heard(1.4, B, page(epoch=3))
+    assert not new.complete
+    catch_up.heard(1.4, A, page(epoch=3))
+    assert new.complete
--- a/tests/mesh/test_folder.py
+++ b/tests/mesh/test_folder.py
@@ -13,26 +13,25 @@
 
 from lugspur.control.errors import MeshError
 from lugspur.control.items import read_call
-from lugspur.control.messages import Answer, Claim, Done, Put, Voter
+from lugspur.control.messages import Answer, Change, Claim, Done, Item, Voter
 from lugspur.control.replica import GENESIS, Replica
-from lugspur.control.store import Store
 from lugspur.mesh.cli import replica_check, replica_export, replica_show
 from lugspur.mesh.disk import ASIDE, NAME, Disk
 from lugspur.mesh.folder import export, look, told
 
 CALL = call(route("r"), services=[service()])
-SEATS = [Voter(f"10.0.0.{n}", GENESIS, "") for n in (1, 2, 3)]
+SEEDS = [Voter(f"10.0.0.{n}", GENESIS, "") for n in (1, 2, 3)]
 
 
 def keep(folder: Path) -> None:
     """What a voter has written after a configuration, a claim and an answer."""
-    voter = Replica("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, Store())
+    voter = Replica("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, lambda entries, forgotten: None)
     effects = [
-        voter.begin(SEATS),
-        voter.put(None, Put(1, 1, read_call(CALL))),
-        voter.claim(0.0, None, Claim(b"k", b"a", 1, 2.0)),
-        voter.claim(0.0, None, Claim(b"l", b"b", 1, 2.0)),
-        voter.done(1.0, Done(b"k", b"a", Answer(200, b"", b"hi"))),
+        voter.begin(0.0, SEEDS),
+        voter.decide(0.0, Change("first", read_call(CALL))),
+        voter.handle(0.0, None, Claim(b"k", b"a", 1, 2.0)),
+        voter.handle(0.0, None, Claim(b"l", b"b", 1, 2.0)),
+        voter.handle(1.0, None, Done(b"k", b"a", Answer(200, b"", b"hi"))),
     ]
     put(folder, [row for effect in effects for row in effect.write])
 
@@ -50,8 +49,14 @@
 ) -> None:
     keep(tmp_path)
     found = told(look(tmp_path))
-    assert (found["uid"], found["epoch"], found["full"], found["claims"], found["answers"]) == (GENESIS, 1, True, 2, 1)
-    assert set(found["voters"]) == {s.ip for s in SEATS} and found["faults"] == []
+    assert (found["uid"], found["epoch"], found["complete_epoch"], found["claims"], found["answers"]) == (
+        GENESIS,
+        1,
+        1,
+        2,
+        1,
+    )
+    assert set(found["voters"]) == {s.ip for s in SEEDS} and found["faults"] == []
     before = sorted(path.read_bytes() for path in (tmp_path / NAME).iterdir())
     replica_check(tmp_path)
     replica_show(tmp_path, as_json=True)
@@ -86,11 +91,11 @@
 
 
 def test_what_does_not_fit_together_is_a_fault(tmp_path: Path) -> None:
-    voter = Replica("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, Store())
-    rows = dict(voter.begin(SEATS).write)
+    voter = Replica("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, lambda entries, forgotten: None)
+    rows = dict(voter.begin(0.0, SEEDS).write)
     rows[b"muid"] = b"another"
     entry = next(e for e in read_call(call(route("r"))) if e.kind == "routes")
-    rows[b"iroutes\0r"] = msgspec.msgpack.encode(entry)
+    rows[b"iroutes\0r"] = msgspec.msgpack.encode(Item(entry, 2))
     put(tmp_path, list(rows.items()))
     faults = look(tmp_path).faults
     assert len(faults) == 2 and "no voter" in faults[0] and "unknown service" in faults[1]
--- /dev/null
+++ b/tests/mesh/test_freshness.py
@@ -0,0 +1,80 @@
+"""How old a replica's state may be, by words of voters that are dated by when they were sent."""
+
+from __future__ import annotations
+
+import pytest
+from controlparts import FIRST, IPS
+
+from lugspur.control.freshness import FIRST_DELAY, NEVER, DelayEstimate, Freshness
+from lugspur.control.messages import Delta
+
+A, B, C = IPS
+AHEAD = 500.0  # by which the senders' clocks differ
+
+
+def delta(sent: float, index: int = 5, pending: bool = False, votes: bool = True) -> Delta:
+    return Delta("life", 1, sent + AHEAD, 0.0, index, pending, votes, 1, False, [])
+
+
+def begun(*ips: str) -> Freshness:
+    freshness = Freshness()
+    for ip in ips:
+        freshness.asked(10.0, ip)
+        freshness.heard(10.01, ip, delta(10.005))
+    return freshness
+
+
+def known(freshness: Freshness, now: float, index: int = 5, own: str = "") -> float:
+    return freshness.known_since(now, FIRST, index, own)
+
+
+def test_the_word_of_a_majority_counts_by_the_older_one() -> None:
+    freshness = begun(B, C)
+    freshness.heard(12.0, B, delta(11.995))
+    assert known(freshness, 12.0) == pytest.approx(10.01, abs=0.02)
+    assert known(freshness, 12.0, own=A) == pytest.approx(12.0, abs=0.02)
+    assert known(begun(B), 12.0) == NEVER
+
+
+def test_a_message_that_was_held_up_is_as_old_as_when_it_was_sent() -> None:
+    freshness = begun(B, C)
+    for ip in (B, C):
+        freshness.heard(40.0, ip, delta(11.0))  # 29 seconds in a buffer
+    assert known(freshness, 40.0) == pytest.approx(11.0, abs=0.05)
+
+
+def test_the_first_message_of_a_connection_is_no_newer_than_the_question_allows() -> None:
+    delay = DelayEstimate(10.0)
+    assert delay.sent_at(40.0, 500.0) <= 10.0 + FIRST_DELAY
+    prompt = DelayEstimate(10.0)
+    assert prompt.sent_at(10.02, 500.0) == pytest.approx(10.02)
+
+
+def test_clocks_may_part_slowly_and_a_faster_message_corrects_the_estimate() -> None:
+    delay = DelayEstimate(0.0)
+    delay.sent_at(0.1, 100.0)
+    assert delay.sent_at(1.01, 101.0) == pytest.approx(1.01)
+    assert delay.sent_at(2.2, 102.0) < 2.02  # 0.19 s late, and the clocks part by less than that
+
+
+def test_a_later_change_or_one_that_is_pending_is_no_word_for_what_is_known_here() -> None:
+    freshness = begun(B, C)
+    freshness.heard(11.0, C, delta(11.0, index=6))
+    assert known(freshness, 11.0) == NEVER and known(freshness, 11.0, index=6) != NEVER
+    pending = begun(B, C)
+    pending.heard(11.0, C, delta(11.0, pending=True))
+    assert known(pending, 11.0) == NEVER and known(pending, 11.0, index=6) != NEVER
+
+
+def test_the_word_of_one_without_a_vote_or_a_connection_does_not_count() -> None:
+    wiped = begun(B, C)
+    wiped.heard(11.0, C, delta(11.0, votes=False))
+    assert known(wiped, 11.0) == NEVER and wiped.word_at(C) == NEVER
+    lost = begun(B, C)
+    lost.lost(C)
+    assert known(lost, 11.0) == NEVER
+    anew = begun(B, C)
+    anew.asked(12.0, C)
+    assert known(anew, 12.0) == NEVER  # until it has answered on the new connection
+    stranger = begun(B, "10.0.0.9")
+    assert known(stranger, 11.0) == NEVER
--- a/tests/mesh/test_items.py
+++ b/tests/mesh/test_items.py
@@ -47,7 +47,7 @@
     check(entries, Store())
     store = Store()
     store.merge(entries)
-    assert json.loads(read_back(store)) == json.loads(body)["upsert"]
+    assert json.loads(read_back(store.all())) == json.loads(body)["upsert"]
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/mesh/test_learning.py
@@ -0,0 +1,38 @@
+"""Pages of what others decided take effect only once all of them are there."""
+
+from __future__ import annotations
+
+from lugspur.control.learning import LearnPages
+from lugspur.control.messages import Learn
+
+
+def page(number: int, last: bool = False, index: int = 9, since: int = 3) -> Learn:
+    return Learn(since, index, 0, number, [], last)
+
+
+def test_pages_are_gathered_until_the_last_by_where_they_come_from() -> None:
+    pages = LearnPages()
+    assert pages.add("a", page(0)) == [] and pages.add("b", page(0)) == []
+    assert pages.add("a", page(1)) == []
+    assert [p.number for p in pages.add("a", page(2, True))] == [0, 1, 2]
+    assert pages.add("a", page(1)) == []  # over
+    assert [p.number for p in pages.add("b", page(1, True))] == [0, 1]
+    assert pages.add("c", page(0, True)) == [page(0, True)]
+
+
+def test_pages_without_their_beginning_or_of_two_answers_bring_nothing() -> None:
+    pages = LearnPages()
+    assert pages.add("a", page(1)) == [] and pages.add("a", page(2, True)) == []
+    pages.add("a", page(0))
+    assert pages.add("a", page(2, True)) == []  # one is missing
+    assert pages.add("a", page(1, True, index=8)) == [] and pages.add("a", page(1, True, since=2)) == []
+    pages.add("a", page(0, index=10))  # a new answer
+    assert pages.add("a", page(1, True)) == [] and len(pages.add("a", page(1, True, index=10))) == 2
+
+
+def test_a_connection_that_ends_takes_its_pages_with_it() -> None:
+    pages = LearnPages()
+    pages.add("a", page(0))
+    pages.lost("a")
+    pages.lost("b")
+    assert pages.add("a", page(1, True)) == []
--- a/tests/mesh/test_membership_changes.py
+++ b/tests/mesh/test_membership_changes.py
@@ -1,102 +1,207 @@
-"""Who sits on the next membership."""
+"""Which replicas should vote next, and when a voter proposes it."""
 
 from __future__ import annotations
 
-from random import Random
-
 import pytest
+from controlparts import seed
+
+from lugspur.control.membership import Presence, Situation, Tolerance, next_membership
+from lugspur.control.messages import Membership, Voter
+from lugspur.control.quorum import majority
+from lugspur.control.reconfiguration import (
+    AGAIN,
+    CHANGE_TAKES,
+    PATIENCE_LEAST,
+    RANK,
+    SETTLED,
+    Reconfiguration,
+    leaves_time,
+    patience_of,
+)
 
-from lugspur.control.membership import Ballot, Presence, Steward, proposal, target
-from lugspur.control.messages import Accept, Accepted, Membership, Prepare, Promise, Voter
-
-ROSTER = Membership(4, [Voter(f"10.0.0.{n}", f"u{n}", f"z{n}") for n in (1, 2, 3)], 3)
-THERE = {voter.ip: Presence(voter.uid, voter.zone) for voter in ROSTER.voters}
+CURRENT = Membership(4, [Voter(f"10.0.0.{n}", f"u{n}", f"z{n}") for n in (1, 2, 3)])
+THERE = {voter.ip: Presence(voter.uid, voter.zone) for voter in CURRENT.voters}
 SPARE = {"10.0.0.4": Presence("u4", "z1"), "10.0.0.5": Presence("u5", "z2")}
+PATIENCE = 5.0
 
 
-def follows(
-    replicas: dict[str, Presence],
+def situation(
+    presences: dict[str, Presence],
     absent: dict[str, float] | None = None,
-    voters: int = 3,
-    full: tuple[int, ...] = (1, 2, 3),
-) -> set[str] | None:
-    found = proposal(ROSTER, replicas, absent or {}, 5.0, voters, {f"10.0.0.{n}" for n in full})
-    if found is None:
+    machines: int = 1,
+    zones: int = 0,
+    complete: tuple[int, ...] = (1, 2, 3),
+    overdue: bool = False,
+    avoid: frozenset[str] = frozenset(),
+    membership: Membership = CURRENT,
+) -> Situation:
+    return Situation(
+        membership,
+        presences,
+        absent or {},
+        PATIENCE,
+        {f"10.0.0.{n}" for n in complete},
+        overdue,
+        Tolerance(machines, zones),
+        avoid,
+    )
+
+
+def follows(found: Situation) -> set[str] | None:
+    """Who is new on the next membership, which changes one voter at the most."""
+    following = next_membership(found)
+    if following is None:
         return None
-    assert (found.epoch, found.before) == (5, 3)
-    changed = {(s.ip, s.uid) for s in found.voters} ^ {(s.ip, s.uid) for s in ROSTER.voters}
-    assert len(changed) <= 2  # one voter at a time
-    return {f"{s.ip}/{s.uid}" for s in found.voters} - {f"{s.ip}/{s.uid}" for s in ROSTER.voters}
+    before = found.membership
+    assert (following.epoch, following.previous) == (before.epoch + 1, before.voters)
+    gone = {(v.ip, v.uid) for v in before.voters} - {(v.ip, v.uid) for v in following.voters}
+    new = {(v.ip, v.uid) for v in following.voters} - {(v.ip, v.uid) for v in before.voters}
+    assert len(gone) <= 1 and len(new) == 1
+    return {f"{ip}/{uid}" for ip, uid in new}
 
 
 @pytest.mark.parametrize(
-    ("machines", "zones", "voters"), [(0, 0, 3), (1, 0, 3), (2, 0, 5), (3, 0, 7), (0, 1, 3), (0, 2, 5)]
+    ("machines", "zones", "voters"), [(0, 0, 3), (1, 0, 3), (2, 0, 5), (3, 0, 7), (0, 1, 3), (0, 2, 5), (1, 1, 3)]
 )
 def test_as_many_voters_as_the_losses_ask_for(machines: int, zones: int, voters: int) -> None:
-    assert target(machines, zones) == voters
+    assert Tolerance(machines, zones).voters == voters
 
 
 def test_nothing_changes_without_a_cause_or_without_a_candidate() -> None:
-    assert follows(THERE | SPARE) is None
-    assert follows(THERE, {"10.0.0.1": 99.0}) is None
-    assert follows(THERE | SPARE, {"10.0.0.1": 4.0}) is None
+    assert follows(situation(THERE | SPARE)) is None
+    assert follows(situation(THERE, {"10.0.0.1": 99.0})) is None
+    assert follows(situation(THERE | SPARE, {"10.0.0.1": 4.0})) is None
 
 
 def test_a_voter_that_is_out_of_reach_leaves_or_has_another_disk_is_replaced() -> None:
-    assert follows(THERE | SPARE, {"10.0.0.1": 6.0}) == {"10.0.0.4/u4"}  # the zone that has least voters then
-    assert follows(THERE | SPARE, {"10.0.0.2": 6.0}) == {"10.0.0.5/u5"}
+    # The zone that has least voters then.
+    assert follows(situation(THERE | SPARE, {"10.0.0.1": 6.0}, complete=(2, 3))) == {"10.0.0.4/u4"}
+    assert follows(situation(THERE | SPARE, {"10.0.0.2": 6.0}, complete=(1, 3))) == {"10.0.0.5/u5"}
     leaving = {"10.0.0.2": Presence("u2", "z2", True)}
-    assert follows(THERE | SPARE | leaving) == {"10.0.0.5/u5"}
-    assert follows(THERE | leaving) is None
-    assert follows(THERE | {"10.0.0.3": Presence("wiped", "z3")}) == {"10.0.0.3/wiped"}
+    assert follows(situation(THERE | SPARE | leaving)) == {"10.0.0.5/u5"}
+    assert follows(situation(THERE | leaving)) is None
+    wiped = {"10.0.0.3": Presence("wiped", "z3")}
+    assert follows(situation(THERE | wiped, complete=(1, 2))) == {"10.0.0.3/wiped"}
     gone = {"10.0.0.4": Presence("u4", "z1", True)}  # a candidate that leaves is none
-    assert follows(THERE | gone, {"10.0.0.1": 6.0}) is None
+    assert follows(situation(THERE | gone, {"10.0.0.1": 6.0}, complete=(2, 3))) is None
+
+
+def test_a_lost_disk_goes_before_one_that_leaves_and_a_failing_disk_is_no_candidate() -> None:
+    wiped, leaving = {"10.0.0.3": Presence("wiped", "z3")}, {"10.0.0.1": Presence("u1", "z1", True)}
+    assert follows(situation(THERE | SPARE | wiped | leaving, complete=(1, 2))) == {"10.0.0.3/wiped"}
+    failing = {"10.0.0.2": Presence("u2", "z2", failing=True)}
+    assert follows(situation(THERE | SPARE | failing)) == {"10.0.0.5/u5"}
+    both = {"10.0.0.4": Presence("u4", "z1", failing=True), "10.0.0.5": Presence("u5", "z2", failing=True)}
+    assert follows(situation(THERE | both | failing)) is None
+    unfit = {"10.0.0.3": Presence("wiped", "z3", failing=True)}
+    assert follows(situation(THERE | unfit, complete=(1, 2))) is None
+
+
+def test_one_that_was_silent_a_moment_ago_gets_the_vote_only_where_there_is_no_other() -> None:
+    lost, avoid = {"10.0.0.1": 6.0}, frozenset({"10.0.0.4"})
+    assert follows(situation(THERE | SPARE, lost, complete=(2, 3), avoid=avoid)) == {"10.0.0.5/u5"}
+    one = {"10.0.0.4": SPARE["10.0.0.4"]}
+    assert follows(situation(THERE | one, lost, complete=(2, 3), avoid=avoid)) == {"10.0.0.4/u4"}
 
 
 def test_nobody_goes_that_the_one_who_comes_must_learn_from() -> None:
     leaving = {"10.0.0.2": Presence("u2", "z2", True)}
-    assert follows(THERE | SPARE | leaving, full=(1, 2)) is None  # the third has not caught up: one would be left
-    assert follows(THERE | SPARE | leaving, full=(1, 3)) == {"10.0.0.5/u5"}
-    assert follows(THERE | SPARE, {"10.0.0.1": 6.0}, full=(2, 3)) == {"10.0.0.4/u4"}
-    assert follows(THERE | {"10.0.0.3": Presence("wiped", "z3")}, full=(1, 3)) is None
-    assert follows(THERE | {"10.0.0.3": Presence("wiped", "z3")}, full=(1, 2)) == {"10.0.0.3/wiped"}
+    # The third has not caught up: one would be left.
+    assert follows(situation(THERE | SPARE | leaving, complete=(1, 2))) is None
+    assert follows(situation(THERE | SPARE | leaving, complete=(1, 3))) == {"10.0.0.5/u5"}
+    assert follows(situation(THERE | SPARE, {"10.0.0.1": 6.0}, complete=(2, 3))) == {"10.0.0.4/u4"}
+    wiped = {"10.0.0.3": Presence("wiped", "z3")}
+    assert follows(situation(THERE | wiped, complete=(1, 3))) is None
+    assert follows(situation(THERE | wiped, complete=(1, 2))) == {"10.0.0.3/wiped"}
 
 
-def test_a_ballot_goes_above_the_one_it_was_refused_for() -> None:
-    steward = Steward("10.0.0.1", Random(1))
-    wanted = Membership(5, ROSTER.voters, 3)
-    steward.look(10.0, ROSTER, wanted)
-    [opened] = steward.look(20.0, ROSTER, wanted).send
-    assert isinstance(opened, Prepare) and opened.ballot[0] < 9_000_000
-    assert steward.ballot is not None
-    steward.ballot.promise("10.0.0.2", Promise(4, opened.ballot, False, higher=9_000_000))
-    [again] = steward.look(30.0, ROSTER, wanted).send
-    assert isinstance(again, Prepare) and again.ballot[0] == 9_000_001
+def test_an_epoch_that_has_stood_for_too_long_is_left_with_whoever_is_there() -> None:
+    leaving = {"10.0.0.2": Presence("u2", "z2", True)}
+    assert follows(situation(THERE | SPARE | leaving, complete=(1, 2), overdue=True)) == {"10.0.0.5/u5"}
+
+
+@pytest.mark.parametrize("voters", [3, 5, 7])
+@pytest.mark.parametrize("cause", ["silent", "leaving", "failing", "wiped"])
+def test_no_step_leaves_less_than_a_majority_that_holds_all_claims(voters: int, cause: str) -> None:
+    all_of = [Voter(f"10.0.0.{n}", f"u{n}", f"z{n}") for n in range(1, voters + 1)]
+    presences = {v.ip: Presence(v.uid, v.zone) for v in all_of} | {"10.0.0.9": Presence("u9", "z9")}
+    went = {
+        "silent": Presence("u1", "z1"),
+        "leaving": Presence("u1", "z1", leaving=True),
+        "failing": Presence("u1", "z1", failing=True),
+        "wiped": Presence("wiped", "z1"),
+    }[cause]
+    for count in range(voters + 1):
+        complete = tuple(range(1, count + 1))
+        found = situation(
+            presences | {"10.0.0.1": went},
+            {"10.0.0.1": 6.0} if cause == "silent" else None,
+            (voters - 1) // 2,
+            complete=complete,
+            membership=Membership(4, all_of),
+        )
+        step = next_membership(found)
+        left = len(set(complete) - {1})
+        assert (step is not None) == (left >= majority(voters)), (count, step)
 
 
 def test_too_few_voters_are_filled_one_by_one() -> None:
-    assert follows(THERE | SPARE, voters=5) in ({"10.0.0.4/u4"}, {"10.0.0.5/u5"})
-
-
-def test_a_ballot_asks_for_what_another_may_have_decided() -> None:
-    mine, other = Membership(5, ROSTER.voters, 3), Membership(5, ROSTER.voters[:2], 3)
-    ballot = Ballot(ROSTER, mine, 7, "10.0.0.1")
-    ballot.begin()
-    assert ballot.promise("10.0.0.1", Promise(4, (7, "10.0.0.1"), True)).send == []
-    assert ballot.promise("10.0.0.1", Promise(4, (7, "10.0.0.1"), True)).send == []  # one voter is one promise
-    [asked] = ballot.promise("10.0.0.2", Promise(4, (7, "10.0.0.1"), True, (3, "x"), other)).send
-    assert isinstance(asked, Accept) and asked.value == other
-    assert ballot.accepted("10.0.0.1", Accepted(4, (7, "10.0.0.1"), True)).decided is None
-    assert ballot.accepted("10.0.0.3", Accepted(3, (7, "10.0.0.1"), True)).decided is None  # of another epoch
-    assert ballot.accepted("10.0.0.3", Accepted(4, (7, "10.0.0.1"), True)).decided == other
-
-
-def test_stewards_take_turns_and_try_again_under_a_higher_number() -> None:
-    first, second = Steward("10.0.0.1", Random(1)), Steward("10.0.0.3", Random(1))
-    wanted = Membership(5, ROSTER.voters, 3)
-    assert first.look(0.1, ROSTER, wanted).send == []  # the membership has to get round first
-    assert first.look(0.45, ROSTER, wanted).send and not second.look(0.45, ROSTER, wanted).send
-    assert first.ballot is not None
-    number = first.ballot.number
-    assert first.look(0.5, ROSTER, wanted).send == []
-    assert first.look(2.0, ROSTER, wanted).send and first.ballot.number > number
+    assert follows(situation(THERE | SPARE, machines=2)) == {"10.0.0.4/u4"}
+    assert follows(situation(THERE | SPARE, machines=2, complete=(1, 2))) is None  # four would need three
+    assert follows(situation(THERE, machines=2)) is None
+
+
+def test_votes_are_spread_over_zones_where_one_zone_could_take_the_majority() -> None:
+    crowded = {ip: Presence(p.uid, "z1" if ip != "10.0.0.3" else "z3") for ip, p in THERE.items()}
+    elsewhere = {"10.0.0.4": Presence("u4", "z2"), "10.0.0.5": Presence("u5", "z1")}
+    assert follows(situation(crowded | elsewhere, zones=1)) == {"10.0.0.4/u4"}
+    assert follows(situation(crowded | elsewhere)) is None  # no zone is to be lost
+    assert follows(situation(crowded | {"10.0.0.5": Presence("u5", "z1")}, zones=1)) is None
+    assert follows(situation(THERE | SPARE, zones=1)) is None
+
+
+def test_patience_follows_from_the_settings_and_it_is_said_where_they_leave_no_time() -> None:
+    assert patience_of(4.0, 3.0) == pytest.approx(4.0 - CHANGE_TAKES)  # before the next loss
+    assert patience_of(60.0, 3.0) == pytest.approx(3.0 + CHANGE_TAKES)
+    assert patience_of(1.0, 3.0) == PATIENCE_LEAST  # a shorter silence is an ordinary restart
+    assert leaves_time(PATIENCE_LEAST + CHANGE_TAKES) and not leaves_time(PATIENCE_LEAST + CHANGE_TAKES - 0.1)
+
+
+def watcher(ip: str) -> Reconfiguration:
+    return Reconfiguration(seed(ip), Tolerance(1, 0), PATIENCE)
+
+
+PRESENT = {f"10.0.0.{n}": Presence("genesis", "z") for n in (1, 2, 3)} | {"10.0.0.4": Presence("u4", "z")}
+ALL = {"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+LOST = {"10.0.0.2": 6.0}
+
+
+def test_voters_propose_one_after_the_other_and_again_until_it_is_decided() -> None:
+    first, third = watcher("10.0.0.1"), watcher("10.0.0.3")
+    for one in (first, third):
+        assert one.look(10.0, PRESENT, ALL, LOST) is None  # the membership has to get round first
+    assert first.look(10.0 + SETTLED, PRESENT, ALL, LOST) is not None
+    assert third.look(10.0 + SETTLED, PRESENT, ALL, LOST) is None
+    assert third.look(10.0 + SETTLED + 2 * RANK, PRESENT, ALL, LOST) is not None
+    assert first.look(10.1 + SETTLED, PRESENT, ALL, LOST) is None
+    step = first.look(10.0 + SETTLED + AGAIN, PRESENT, ALL, LOST)
+    assert step is not None and [v.ip for v in step.voters] == ["10.0.0.1", "10.0.0.3", "10.0.0.4"]
+
+
+def test_who_has_no_vote_proposes_nothing_and_a_cause_that_passes_is_forgotten() -> None:
+    without = Reconfiguration(seed("10.0.0.7"), Tolerance(1, 0), PATIENCE)
+    assert without.look(10.0, PRESENT, ALL, LOST) is None and without.look(20.0, PRESENT, ALL, LOST) is None
+    one = watcher("10.0.0.1")
+    assert one.look(10.0, PRESENT, ALL, LOST) is None
+    assert one.look(11.0, PRESENT, ALL, {}) is None
+    assert one.look(20.0, PRESENT, ALL, LOST) is not None  # long settled: at once
+
+
+def test_own_completeness_is_what_the_replica_knows_and_others_what_they_said() -> None:
+    one = watcher("10.0.0.1")
+    for now in (10.0, 11.0):
+        assert one.look(now, PRESENT, set(), LOST) is None  # itself alone is no majority
+    assert one.look(12.0, PRESENT, {"10.0.0.3", "10.0.0.9"}, LOST) is not None
+    late = watcher("10.0.0.1")
+    assert late.look(10.0, PRESENT, set(), LOST) is None
+    assert late.look(10.0 + PATIENCE + 1.0, PRESENT, set(), LOST) is not None  # overdue
--- /dev/null
+++ b/tests/mesh/test_reader.py
@@ -0,0 +1,94 @@
+"""Reads: over only once a majority knows nothing later and has accepted nothing."""
+
+from __future__ import annotations
+
+from controlparts import IPS, NEW, change, item, seed
+
+from lugspur.control.messages import CatchUp, Query, Standing
+from lugspur.control.reader import ASK_AGAIN, Read, Reader
+
+A, B, C = IPS
+
+
+class Asked:
+    """A reader on the first of three voters, which know change 1, and how a read of it ended."""
+
+    def __init__(self) -> None:
+        self.replica = seed(A)
+        self.reader = Reader(self.replica)
+        self.how: list[bool] = []
+
+    def read(self, until: float = 0.8) -> list[tuple[str, object]]:
+        return list(self.reader.submit(0.0, Read(until, self.how.append)).send)
+
+    def says(self, ip: str, number: int = 1, voter: bool = True, decided: int = 1, pending: bool = False) -> bool:
+        """Returns whether something has to be finished."""
+        self.effects, finish = self.reader.heard(0.1, ip, Standing(number, voter, decided, pending))
+        return finish
+
+
+def test_a_majority_that_knows_nothing_later_ends_it() -> None:
+    asked = Asked()
+    assert asked.read() == [(ip, Query(1)) for ip in IPS]
+    asked.says(A)
+    asked.says(A)  # one voter is one answer
+    asked.says(NEW)
+    asked.says(B, number=7)
+    asked.says(B, voter=False)  # its disk was lost
+    assert asked.how == []
+    asked.says(C)
+    assert asked.how == [True]
+
+
+def test_what_is_pending_counts_for_nothing_and_has_to_be_finished() -> None:
+    asked = Asked()
+    asked.read()
+    asked.says(A)
+    assert asked.says(B, pending=True) and asked.says(C, pending=True) and asked.how == []
+    behind = Asked()
+    behind.replica.decide(0.0, change(item("r", 1)))
+    behind.read()
+    assert not behind.says(B, pending=True)  # what it has accepted is decided and known here
+    behind.says(C, decided=2)
+    assert behind.how == [True]
+
+
+def test_a_later_change_is_learned_first_and_the_question_asked_anew() -> None:
+    asked = Asked()
+    asked.read()
+    asked.says(A)
+    asked.says(B, decided=2)
+    assert asked.effects.send == [(B, CatchUp(1))] and asked.how == []
+    asked.replica.decide(0.1, change(item("r", 1)))
+    assert asked.reader.advanced(0.1).send == [(ip, Query(2)) for ip in IPS]
+    asked.says(C)  # to the first question
+    asked.says(A, number=2, decided=2)
+    assert asked.how == []
+    asked.says(B, number=2, decided=2)
+    assert asked.how == [True]
+
+
+def test_a_read_that_came_after_the_question_waits_for_the_next_one() -> None:
+    asked = Asked()
+    asked.read()
+    assert asked.read() == []
+    asked.says(A)
+    asked.says(B)
+    assert asked.how == [True] and asked.effects.send == [(ip, Query(2)) for ip in IPS]
+    asked.says(A, number=2)
+    asked.says(B, number=2)
+    assert asked.how == [True, True]
+
+
+def test_a_question_without_answers_is_asked_again_and_a_read_ends_by_its_time() -> None:
+    asked = Asked()
+    asked.read()
+    assert asked.reader.look(ASK_AGAIN / 2).send == []
+    assert asked.reader.look(ASK_AGAIN).send == [(ip, Query(2)) for ip in IPS]
+    asked.reader.look(0.9)
+    assert asked.how == [False]
+    late = Asked()
+    late.read(until=0.05)
+    late.says(A)
+    late.says(B)  # as after a freeze
+    assert late.how == [False]
--- /dev/null
+++ b/tests/mesh/test_register.py
@@ -0,0 +1,135 @@
+"""A voter's vote: what is on disk first, what a higher ballot ends, and state in place of history."""
+
+from __future__ import annotations
+
+import pytest
+from controlparts import IPS, SEEDS, change, item, only, replica, seed
+
+from lugspur.control import register as register_module
+from lugspur.control.messages import Accept, Accepted, Ballot, Prepare, Promise, Query, Standing
+from lugspur.control.register import Register
+
+LOW, MIDDLE, HIGH = Ballot(2, "c"), Ballot(5, "a"), Ballot(6, "b")
+
+
+def test_ballots_are_on_disk_before_they_are_answered_and_no_lower_one_follows() -> None:
+    voter, value = seed(), change(item("r", 7))
+    first = voter.handle(0.0, None, Prepare(2, MIDDLE))
+    assert first.write and not first.send and first.after_sync == [(None, Promise(2, MIDDLE, True, 1, MIDDLE))]
+    again = voter.handle(0.0, None, Prepare(2, MIDDLE))  # the same proposer's: it has missed the answer
+    assert again.after_sync == first.after_sync
+    taken = voter.handle(0.0, None, Accept(2, MIDDLE, value))
+    assert taken.write and not taken.send and taken.after_sync == [(None, Accepted(2, MIDDLE, True, 1, MIDDLE))]
+    later = voter.handle(0.0, None, Prepare(2, HIGH)).after_sync[0][1]
+    assert isinstance(later, Promise) and later.accepted == MIDDLE and later.change == value
+    assert only(voter.handle(0.0, None, Prepare(2, LOW))) == Promise(2, LOW, False, 1, HIGH)
+    assert only(voter.handle(0.0, None, Accept(2, MIDDLE, value))) == Accepted(2, MIDDLE, False, 1, HIGH)
+
+
+def test_a_vote_outlives_a_loss_of_power() -> None:
+    voter, value = seed(), change(item("r", 7))
+    rows = dict(replica().begin(0.0, SEEDS).write)
+    rows |= dict(voter.handle(0.0, None, Accept(2, MIDDLE, value)).write)
+    rows |= dict(voter.handle(0.0, None, Prepare(2, HIGH)).write)
+    again = replica(uid="drawn")
+    again.restore([(k, v) for k, v in rows.items() if v is not None], 0.0)
+    assert again.register.pending and only(again.handle(0.0, None, Prepare(2, MIDDLE))) == Promise(
+        2, MIDDLE, False, 1, HIGH
+    )
+    found = again.handle(0.0, None, Prepare(2, HIGH)).after_sync[0][1]
+    assert isinstance(found, Promise) and (found.accepted, found.change) == (MIDDLE, value)
+
+
+def test_only_the_next_change_is_voted_on_and_only_with_a_vote() -> None:
+    voter, wiped = seed(), replica(IPS[0], "another-disk")
+    wiped.learn(0.0, voter.register.pages(0))
+    for index in (1, 3):
+        assert only(voter.handle(0.0, None, Prepare(index, HIGH))) == Promise(index, HIGH, False, 1, Ballot(0, ""))
+        refused = only(voter.handle(0.0, None, Accept(index, HIGH, change())))
+        assert isinstance(refused, Accepted) and not refused.granted
+    assert wiped.index == 1
+    assert only(wiped.handle(0.0, None, Prepare(2, HIGH))) == Promise(2, HIGH, False, 1, Ballot(0, ""))
+    assert only(wiped.handle(0.0, None, Accept(2, HIGH, change()))) == Accepted(2, HIGH, False, 1, Ballot(0, ""))
+    assert only(wiped.handle(0.0, None, Query(4))) == Standing(4, False, 1, False)
+    assert not wiped.register.pending
+
+
+def test_what_was_accepted_is_told_as_pending_and_no_part_of_the_state_until_it_is_decided() -> None:
+    voter, value = seed(), change(item("r", 7))
+    voter.handle(0.0, None, Accept(2, MIDDLE, value))
+    assert only(voter.handle(0.0, None, Query(1))) == Standing(1, True, 1, True)
+    assert ("notes", "r") not in voter.register.items
+    voter.decide(0.0, value)
+    assert only(voter.handle(0.0, None, Query(2))) == Standing(2, True, 2, False)
+    assert voter.register.items["notes", "r"].entry.value == b"x"
+
+
+def test_a_decided_change_brings_only_what_is_newer() -> None:
+    register = Register()
+    register.decide(change(item("r", 9, b"newer")))
+    applied = register.decide(change(item("r", 5, b"older"), item("r", 9, b"zzz"), item("s", 5)))
+    assert [entry.name for entry in applied.entries] == ["s"] and register.items["notes", "r"].entry.value == b"newer"
+    assert (register.items["notes", "r"].index, register.items["notes", "s"].index) == (1, 2)
+
+
+def test_pages_are_state_and_not_history() -> None:
+    source, behind, late = Register(), Register(), Register()
+    source.decide(change(item("kept", 1)))
+    for register in (behind, late):
+        register.learn(source.pages(0))
+    for edition in range(2, 300):
+        source.decide(change(item(f"r{edition % 4}", edition)))
+    [page] = source.pages(behind.index)
+    assert (page.since, page.index, len(page.items)) == (1, 299, 4)  # not 298 changes
+    behind.learn([page])
+    assert behind.items == source.items and behind.index == 299
+    late.decide(change(item("r0", 2)))
+    late.learn([page])  # it knows more than the page begins with
+    assert late.items == source.items
+
+
+def test_pages_from_the_middle_or_of_the_past_change_nothing() -> None:
+    source, new = Register(), Register()
+    for edition in range(1, 5):
+        source.decide(change(item(f"r{edition}", edition)))
+    assert new.learn(source.pages(2)).write == [] and new.index == 0  # it lacks changes 1 and 2
+    old = source.pages(0)
+    source.decide(change(item("r1", 9)))
+    new.learn(source.pages(0))
+    assert new.learn(old).entries == [] and new.index == 5 and new.items["notes", "r1"].entry.edition == 9
+
+
+def test_the_whole_state_takes_away_what_is_not_in_it() -> None:
+    source, other = Register(), Register()
+    source.decide(change(item("r", 1)))
+    source.decide(change(item("s", 1)))
+    other.decide(change(item("gone", 1)))
+    applied = other.learn(source.pages(0))
+    assert applied.forgotten == [("notes", "gone")] and other.items == source.items
+    assert (b"inotes\0gone", None) in applied.write
+
+
+def test_a_large_state_goes_in_frames_of_a_bounded_size() -> None:
+    source, new = Register(), Register()
+    source.decide(change(*(item(f"r{n}", 1, bytes(100 << 10)) for n in range(20))))
+    pages = source.pages(0)
+    assert len(pages) > 3 and [p.last for p in pages] == [False] * (len(pages) - 1) + [True]
+    assert [p.number for p in pages] == list(range(len(pages)))
+    new.learn(pages)
+    assert new.items == source.items
+
+
+def test_withdrawals_are_bounded_and_forgotten_alike_whoever_learned_how(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(register_module, "WITHDRAWN_MOST", 20)
+    source, step_by_step, at_once = Register(), Register(), Register()
+    source.decide(change(item("stays", 1)))
+    at_once.learn(source.pages(0))
+    for n in range(100):
+        for value in (b"x", None):
+            source.decide(change(item(f"r{n}", 1 if value else 2, value)))
+            step_by_step.learn(source.pages(step_by_step.index))
+    assert 10 <= len(source.items) <= 22 and source.pruned > 0
+    pages = source.pages(at_once.index)
+    assert pages[0].since == 0  # what was withdrawn meanwhile may be forgotten: only the whole state tells
+    at_once.learn(pages)
+    assert source.items == step_by_step.items == at_once.items
