Grant a silent sender of a body no more until it brings what it owes

Found by a drawn case of test_uploads: an upload whose sender had said nothing for STALLED seconds stopped counting as owed, and was granted further bytes itself each time it had stopped counting, in the end its whole body. All of it could come at once when the sender woke, against the bound of the link. A grant also moved the time from which a sender counts as silent.

A stalled upload is passed over until it brings bytes; a grant counts as a sign of life only where nothing was owed. The found case is pinned, the drawn test also bounds what each one owes, and a test of its own holds a silent sender to its first grant. Both fail on the code before.

--- a/lugspur/dataplane/uploads.py
+++ b/lugspur/dataplane/uploads.py
@@ -39,13 +39,17 @@
     until: float
     body: bytearray
     granted: int = 0
-    at: float = 0.0  # when it was last granted anything, or brought any
+    at: float = 0.0  # when it last brought anything, or was granted some while it owed nothing
 
     @property
     def owed(self) -> int:
         """Bytes that were granted and are not here yet."""
         return self.granted - len(self.body)
 
+    def stalled(self, now: float) -> bool:
+        """Whether it owes bytes and has brought none for long."""
+        return self.owed > 0 and now - self.at >= STALLED
+
 
 class Landing:
     """All bodies that arrive in parts. `rate`: bytes a second of the link; `memory`: bytes that they may take."""
@@ -108,14 +112,17 @@
 
     def grants(self, now: float) -> list[tuple[Key, int]]:
         """Who may send up to where now: the first in rank, as far as the link has room."""
-        # Guards the link against a sender that says nothing: what it was granted holds up nobody for long.
-        owed = sum(a.owed for a in self._arriving.values() if now - a.at < STALLED)
+        # Guards the link against a sender that says nothing: what it was granted holds up nobody for long, and it is
+        # granted no more until it brings what it owes, else its whole body could come at once when it wakes.
+        sending = [a for a in self._arriving.items() if not a[1].stalled(now)]
+        owed = sum(a.owed for _, a in sending)
         found: dict[Key, int] = {}
-        for key, a in sorted(self._arriving.items(), key=lambda row: row[1].rank):
+        for key, a in sorted(sending, key=lambda row: row[1].rank):
             while a.granted < a.forward.size and owed + PART <= self._ahead:
+                if a.owed == 0:
+                    a.at = now
                 step = min(PART, a.forward.size - a.granted)
                 a.granted += step
-                a.at = now
                 owed += step
                 found[key] = a.granted
         return list(found.items())
--- a/tests/mesh/test_uploads.py
+++ b/tests/mesh/test_uploads.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from lugspur.control.messages import Forward
@@ -88,6 +88,18 @@
         landing.part(0.0, ("x", 4), b"unasked")
 
 
+def test_a_silent_sender_is_granted_no_more_until_it_brings_what_it_owes() -> None:
+    landing, now = Landing(RATE, 1 << 20), 0.0
+    assert offer(landing, 1, 200_000, left=99.0)
+    [(_, upto)] = landing.grants(now)
+    for _ in range(50):
+        now += STALLED / 2
+        assert landing.grants(now) == []
+    landing.part(now, ("x", 1), bytes(upto))
+    assert landing.grants(now) != []
+
+
+@example(steps=[(0, 1, 1.0, 0.0), (0, 33001, 2.0, 0.0), (0, 1, 1.0, 0.5), (1, 1, 1.0, 0.0), (2, 1, 1.0, 0.5)])
 @given(
     st.lists(
         st.tuples(st.integers(0, 3), st.integers(1, 200_000), st.floats(0.1, 9.0), st.floats(0.0, 0.5)), max_size=40
@@ -116,7 +128,9 @@
         for key, upto in landing.grants(now):
             assert granted[key] < upto <= due[key]
             granted[key] = upto
-        assert sum(granted[key] - sent[key] for key in due) <= max(2 * PART, RATE * AHEAD) * (1 + len(due))
+        most = max(2 * PART, RATE * AHEAD)
+        assert all(granted[key] - sent[key] <= most for key in due)
+        assert sum(granted[key] - sent[key] for key in due) <= most * (1 + len(due))
     for _ in range(5000):
         if not due:
             break
