Give back a claim only where it is known to have come to nothing

Claims remembered for 30 s and 10,000 claims what was won, and answered each other late grant with a release. So a grant that came behind that bound, or one for a claim of the process before at the same address, was given back although its operation may have run: a repeat could then run it again. A claim was named by the attempt's id alone, which voters grant again to whom they granted it: two requests with one id and key could both win.

Each claim now has a name of its own (attempt, life of the process, number), also on the voters' disks. Only failed claims are remembered, the latest 10,000, and given back when a grant comes late; in doubt nothing is said, and the claim ends by its window. The module says why a claim that was won excludes others over changes of the membership.

--- a/lugspur/control/claims.py
+++ b/lugspur/control/claims.py
@@ -3,6 +3,23 @@
 A claim is won when a majority of one membership's voters has it on disk, each granting a key to one claimant at a
 time. Two claimants can't both win: majorities meet. One who can't win any more gives back what it
 was granted, which is safe: it never ran.
+
+`by` names one claim, of one life of one process, and is never used again (see `Proxy.claim_id`). So what is heard of
+a claim that is not known here, because it was made by a former process at this address or is too long ago, is never
+answered: only a claim that is known to have come to nothing is given back. In doubt a claim stays until its window
+ends, which costs a repeat its answer and never runs anything twice.
+
+Why a claim that was won under epoch e excludes others under e + 1 and later, also when its run begins after e + 1
+came into force or a verdict was late:
+
+- Each verdict that counts names e, and its voter wrote the claim down before it sent the verdict. A voter that goes
+  by e + 1 grants nothing under e. So the whole majority M had the claim on disk while each of them still went by e,
+  whenever the verdicts arrive here.
+- A newcomer of e + 1 counts only once a majority F of the voters of e has told it all, each having written down that
+  it goes by e + 1. M and F share a voter, which had granted before it went on, and so tells of the claim.
+- A voter that stays keeps its claims. One voter changes at a time, so that the members of M that stay, and the
+  newcomer, are a majority under e + 1, and another claimant's majority there meets them.
+- A claim that is open while the membership changes begins anew: grants of e and e + 1 are never added up.
 """
 
 from __future__ import annotations
@@ -10,13 +27,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cachetools import TTLCache
+from cachetools import LRUCache
 
 from lugspur.control.messages import Answer, Claim, Membership, Release, Verdict
 from lugspur.control.replica import majority
 
-CLAIMS_MOST = 10_000  # open or won lately, at once
-WON_KEPT = 30.0  # seconds for which late grants of what was won are told from those that came too late
+FAILED_MOST = 10_000  # claims that came to nothing, the latest: a grant of an older one is not given back
 
 
 @dataclass(slots=True)
@@ -65,8 +81,10 @@
     def __init__(self, send: Callable[[str, Claim | Release], None]) -> None:
         self._send = send
         self._open: dict[tuple[bytes, bytes], _Open] = {}
-        # Grants that come behind a majority's belong to what runs: they must not be given back.
-        self._won: TTLCache[tuple[bytes, bytes], None] = TTLCache(CLAIMS_MOST, WON_KEPT)
+        # Late grants are given back for these alone. What falls out of it is given back by nobody, and ends by its
+        # window: to forget that a claim was won, and give it back, would let its operation run twice.
+        self._failed: LRUCache[tuple[bytes, bytes], None] = LRUCache(FAILED_MOST)
+        self._won: None = None  # has no use: the emulator's explorer sets it, and goes together with that line
 
     def __len__(self) -> int:
         return len(self._open)
@@ -81,7 +99,10 @@
         within: float,
         over: Callable[[Settled], None],
     ) -> None:
-        """Claim a key for `by`, whose request ends in `left` seconds; settled in `within` seconds."""
+        """Claim a key for `by`, a name that was never used before; `left`: seconds until its request ends.
+
+        It is settled in `within` seconds.
+        """
         found = _Open(key, by, left, now + left, now + within, over)
         self._open[key, by] = found
         self._ask(now, found, membership)
@@ -113,8 +134,8 @@
         """A voter's answer."""
         found = self._open.get((message.key, message.by))
         if found is None:
-            if message.granted and (message.key, message.by) not in self._won:
-                # It came too late and was not run: nobody else shall wait for it.
+            if message.granted and (message.key, message.by) in self._failed:
+                # It came too late, and nothing ran or will: nobody else shall wait for it.
                 self._send(ip, Release(message.key, message.by))
             return
         membership = found.membership
@@ -127,7 +148,6 @@
         if message.granted:
             found.granted.add(ip)
             if len(found.granted) >= majority(len(membership.voters)) and now < found.until:
-                self._won[message.key, message.by] = None
                 self._settle(found, Won())
         elif message.other:
             found.others.add(ip)
@@ -150,6 +170,7 @@
     def _settle(self, found: _Open, how: Settled) -> None:
         del self._open[found.key, found.by]
         if not isinstance(how, Won):
+            self._failed[found.key, found.by] = None
             for voter in found.membership.voters if found.membership is not None else ():
                 if voter.ip not in found.others:
                     self._send(voter.ip, Release(found.key, found.by))
--- a/lugspur/dataplane/proxy.py
+++ b/lugspur/dataplane/proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 from collections.abc import Callable
 from random import Random, random
 from typing import Protocol
@@ -127,6 +129,8 @@
         self.budgets: dict[str, Budget] = {}
         self.sender = ""  # the service of this machine
         self.flights: set[Flight] = set()
+        self._life = os.urandom(8).hex().encode()
+        self._claims = itertools.count(1)
         self.ended: dict[str, int] = {}  # requests, by how they ended
 
     def members(self, service: str, ranks: dict[str, tuple[str, str, int, float]]) -> None:
@@ -150,6 +154,14 @@
         found.allot(self._slack / max(1, self.proxies))
         return found
 
+    def claim_id(self, attempt: bytes) -> bytes:
+        """Names one claim of an operation key: no other claim, of whatever process at whatever time, has this name.
+
+        Guards against a second run: a voter grants a key again to whom it has granted it. By the attempt's id alone
+        two requests that bear one id, or a request of a former life of this process, would count as one claim.
+        """
+        return b"%b.%b.%d" % (attempt, self._life, next(self._claims))
+
     def count(self, how: str) -> None:
         """One more that ended so."""
         self.ended[how] = self.ended.get(how, 0) + 1
@@ -214,6 +226,7 @@
         self.proxy, self.request, self.caller, self.way = proxy, request, caller, way
         self.deadline, self.attempt, self.back = deadline, attempt, back
         self.key = key if way.kind == "tracked" else b""
+        self.claim_id = proxy.claim_id(attempt) if self.key else b""
         self.service = way.service(proxy.rng)
         self.sends = 0  # backends that it was offered to, or may have been
         self.rounds = 0  # gates that turned it away
@@ -241,14 +254,14 @@
         self._timer = loop.call_at(self.deadline + MARGIN, self._late)
         if self.key:
             left = self.deadline - now
-            proxy.keys.claim(self.key, self.attempt, left, min(CLAIM_WITHIN, left / 3.0), self._claimed)
+            proxy.keys.claim(self.key, self.claim_id, left, min(CLAIM_WITHIN, left / 3.0), self._claimed)
         else:
             self._go(now)
 
     def _claimed(self, how: Settled) -> None:
         if self.over:
             if isinstance(how, Won):
-                self.proxy.keys.release(self.key, self.attempt)
+                self.proxy.keys.release(self.key, self.claim_id)
         elif isinstance(how, Won):
             self.won = True
             self._go(self.proxy.loop.time())
@@ -319,7 +332,7 @@
             way.safe,
             way.name,
             self.key,
-            self.attempt if self.key else b"",
+            self.claim_id,
             self.back,
         )
         rank.inflight += 1
@@ -422,13 +435,13 @@
             self._refuse(Kind.MAYBE_RAN)
             return
         if self.won:
-            self.proxy.keys.release(self.key, self.attempt)
+            self.proxy.keys.release(self.key, self.claim_id)
         self._refuse(Kind.MAYBE_RAN if self.maybe else Kind.NO_BACKEND)
 
     def _late(self) -> None:
         if not self.over:
             if self.won and not self.out and not self.maybe:
-                self.proxy.keys.release(self.key, self.attempt)
+                self.proxy.keys.release(self.key, self.claim_id)
             self._refuse(Kind.TOO_LATE)
 
     def _answer(self, answer: Answer) -> None:
@@ -453,7 +466,7 @@
             if timer is not None:
                 timer.cancel()
         if self.key and not self.won:
-            self.proxy.keys.drop(self.key, self.attempt)
+            self.proxy.keys.drop(self.key, self.claim_id)
         if self.way.safe:
             for _, _, cancel in list(self.out.values()):
                 cancel()
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -54,6 +54,31 @@
     assert side.sent[-1] == ("10.0.0.1", Release(b"k", b"a"))
 
 
+def test_a_won_claim_is_never_given_back_however_many_came_after_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claims_module, "FAILED_MOST", 4)
+    side = Side()
+    side.verdict(1, True)
+    side.verdict(2, True)
+    for n in range(20):  # each of these comes to nothing
+        by = b"later%d" % n
+        side.claims.begin(0.2, ROSTER, b"k%d" % n, by, 2.0, 0.5, side.how.append)
+        side.claims.drop(b"k%d" % n, by)
+    side.sent.clear()
+    side.verdict(3, True, now=1e6)
+    assert side.sent == []  # it may run, or have run
+    side.claims.verdict(1e6, "10.0.0.1", Verdict(b"k0", b"later0", 3, True))
+    assert side.sent == []  # forgotten: it ends by its window
+    side.claims.verdict(1e6, "10.0.0.1", Verdict(b"k19", b"later19", 3, True))
+    assert side.sent == [("10.0.0.1", Release(b"k19", b"later19"))]
+
+
+def test_a_grant_for_a_former_process_at_this_address_is_not_given_back() -> None:
+    side = Side()
+    side.claims.verdict(0.1, "10.0.0.1", Verdict(b"k", b"of-another-life", 3, True))
+    side.claims.verdict(0.1, "10.0.0.1", Verdict(b"other", b"a", 3, True))
+    assert not side.released
+
+
 def test_a_known_answer_is_enough_from_one_voter() -> None:
     side = Side()
     side.verdict(3, False, epoch=9, other=True, answer=Answer(200, b"", b"x"))
