Take no reset for an answer's end, and no nameless refusal for proof, on kept connections

Found by reading the path of an answer from the backend, in lugspur/http1/upstream.py, which the proxy in service uses as well:

- A reset behind a part of an answer that has neither length nor chunks counted as its end: a cut answer went back as a whole one.
Concerns the proxy in service too.
A reset now breaks the exchange.
- A refusal without the request's id on a kept connection proved that this request had not run, although it could be a late answer to the one before.
Where answers bear an id (the mesh alone), such a refusal proves nothing, and the connection is not kept after any answer without one.
- Lugspur-Not-Delivered in an interim answer (1xx) counted for the final one.
Concerns the proxy in service with its own header.

In the gate: an answer was this request's own if the name of the id's header stood anywhere in its head; names are now read line by line, the id must be the request's, and once. What is over when it comes (held up on its way, or a body whose last part came late) is turned away, never sent.

In test_gate one scripted 421 now bears the id, as backends' answers do: on a kept connection without it, it is no proof any more. That it still is on a new connection has a test. Seen to fail before: the tests on refusals, reset, interim answers, three of four heads, and late requests. tests/mesh/test_gate.py, tests/test_proxy.py and tests/test_streams.py pass; tests/mesh/test_mesh.py as a whole not run on this.

--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -30,6 +30,7 @@
 PACE_WEIGHT = 1 / 16  # of one answer in the pace
 GRACE = 0.03  # seconds behind the deadline in which the backend's own word on it may come
 DIAL_WITHIN = 0.5  # seconds: the backend is on this machine
+ATTEMPT = b"lugspur-attempt-id"  # answers bear that of their request
 
 
 Rank = tuple[int, float]  # an operators' priority, and the loop's time at which an answer loses its worth
@@ -104,7 +105,7 @@
             memory // 8,
             judge,
             proof=b"lugspur-not-delivered",
-            echo=b"lugspur-attempt-id",
+            echo=ATTEMPT,
             keeps=64,
         )
         self._count = itertools.count()
@@ -131,7 +132,9 @@
         """Have the backend run it; the answer comes once. None: it is turned away."""
         now = self._loop.time()
         local = self.local
-        if local is None or not self.takes(now, forward.backend) or not self._room(local, forward):
+        # Guards against a request that was held up on its way, or whose body was, until its caller had given it up.
+        over = forward.left <= 0.0
+        if over or local is None or not self.takes(now, forward.backend) or not self._room(local, forward):
             respond(Reply(forward.n, End.NOT_RUN, None, False, self.busy))
             return None
         ticket = Ticket(forward, local, now, respond)
@@ -280,10 +283,16 @@
     @staticmethod
     def _sound(forward: Forward, response: Response) -> bool:
         """Whether it is this request's answer, as the backend meant it."""
-        head = response.head.lower()
-        if b"lugspur-attempt-id:" not in head or b"content-encoding:" in head:
+        names: dict[bytes, bytes] = {}
+        for line in response.head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            name = name.lower()
+            if name == ATTEMPT and name in names:  # Guards against two readings of whose answer it is.
+                return False
+            names[name] = value.strip(b" \t")
+        if names.get(ATTEMPT) != forward.attempt or b"content-encoding" in names:
             return False
-        return response.status // 100 != 2 or b"lugspur-postmark:" in head
+        return response.status // 100 != 2 or b"lugspur-postmark" in names
 
     def _end(self, ticket: Ticket, how: End, answer: Answer | None) -> None:
         if not ticket.over:
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -408,8 +408,9 @@
             count = self.sock.recv_into(self._upstream.buffer, most)
         except BlockingIOError:
             return
-        except OSError:
-            count = 0
+        except OSError:  # Guards against a reset that looks like the end of an answer: it is none, whatever has come
+            self._lost()
+            return
         if count:
             self.buffer_updated(count)
         elif not self._ended_whole():
@@ -471,10 +472,16 @@
         """An answer is whole."""
         self._answer = None
         outcome = self._upstream.judge(answer.status, self._unseen)
+        nameless = exchange.echo is not None and self._echoed is None
+        if nameless and outcome is Outcome.FULL and self.idle_since:
+            # Guards against a late refusal of a request before on this connection: where answers bear their request's
+            # id, one that bears none does not prove that this one has not run.
+            exchange.broke()
+            return
         if outcome is Outcome.ERROR and exchange.body is not None and not self.written:
             outcome = Outcome.FULL  # a backend begins at the last byte: it never ran
-        # Kept only if nothing came behind the answer: it might answer the next request.
-        if self._clean and self.written and self.usable():
+        # Kept only if nothing came behind the answer, and it is this request's: else the next one might get either.
+        if self._clean and not nameless and self.written and self.usable():
             self.exchange = exchange.connection = None
             self._begin()
             self._upstream.release(self)
@@ -664,7 +671,8 @@
             self._clean = False
             return
         if not self._headed:  # 1xx: the answer is still to come, and its head starts anew
-            self._begun = False
+            self._begun = self._unseen = self._framed = False
+            self._echoed = None
             self._head.clear()
             self._named = b""
             self._length = None
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from lugspur.control.messages import Answer, Forward, Reply
 from lugspur.dataplane.gate import End, Gate, Local
 
@@ -114,7 +118,7 @@
 def test_only_the_backends_own_word_or_no_connection_proves_that_nothing_ran() -> None:
     answers = {
         b"shed": b"HTTP/1.1 503 X\r\nLugspur-Attempt-Id: shed\r\nLugspur-Not-Delivered: 1\r\nContent-Length: 0\r\n\r\n",
-        b"other": b"HTTP/1.1 421 X\r\nLugspur-Delivered-By: i-2\r\nContent-Length: 0\r\n\r\n",
+        b"other": b"HTTP/1.1 421 X\r\nLugspur-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n",
         b"own": b"HTTP/1.1 503 X\r\nLugspur-Attempt-Id: own\r\nContent-Length: 0\r\n\r\n",
         b"fails": b"HTTP/1.1 500 X\r\nLugspur-Attempt-Id: fails\r\nContent-Length: 0\r\n\r\n",
         b"cut": b"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: cut\r\nLugspur-Postmark: p\r\nContent-Length: 9\r\n\r\nhi",
@@ -263,3 +267,82 @@
         assert {reply.how for reply in ends} == {End.ANSWERED}
 
     play(lambda a: GOOD % a, what)
+
+
+@pytest.mark.parametrize("line", [b"503 X\r\nLugspur-Not-Delivered: 1", b"421 X\r\nLugspur-Delivered-By: i-2"])
+def test_a_refusal_without_an_id_proves_something_only_on_a_new_connection(line: bytes) -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        first = await rig.run(forward(1, b"refused"))
+        assert first.how == End.NOT_RUN  # nothing else was ever asked on it
+        assert (await rig.run(forward(2))).how == End.ANSWERED and backend.accepted == 2
+        late = await rig.run(forward(3, b"refused"))
+        assert late.how == End.MAYBE and backend.accepted == 2  # it may be a late answer to one before
+        assert (await rig.run(forward(4))).how == End.ANSWERED and backend.accepted == 3
+
+    refusal = b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % line
+    play(lambda a: refusal if a == b"refused" else GOOD % a, what)
+
+
+def test_a_reset_is_not_the_end_of_an_answer_that_has_no_length() -> None:
+    async def run() -> None:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            head = await reader.readuntil(b"\r\n\r\n")
+            told = (GOOD % attempt_of(head)).replace(b"Content-Length: 2\r\n", b"")
+            writer.write(told)
+            await heard.wait()  # its bytes have been read: else the reset would take them away
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        heard = asyncio.Event()
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        gate = Gate(64 << 20, 64, 2.0, lambda f, a: None, lambda local: None)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        gate.local = Local("i-1", "s", address, asyncio.get_running_loop().time())
+        found: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        ticket = gate.run(forward(1), found.set_result)
+        assert ticket is not None
+        while ticket.exchange is None or ticket.exchange.connection is None or not ticket.exchange.connection._body:
+            await asyncio.sleep(0)
+        heard.set()
+        assert (await found).how == End.MAYBE
+        server.close()
+
+    asyncio.run(asyncio.wait_for(run(), 10.0))
+
+
+def test_what_an_interim_answer_says_counts_for_nothing() -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        reply = await rig.run(forward(1))
+        assert reply.how == End.ANSWERED
+        other = await rig.run(forward(2, b"nameless"))
+        assert other.how == End.SPOILT
+
+    interim = b"HTTP/1.1 103 X\r\nLugspur-Not-Delivered: 1\r\nLugspur-Attempt-Id: %b\r\n\r\n"
+    nameless = (GOOD % b"x").replace(b"Lugspur-Attempt-Id: x\r\n", b"")
+    play(lambda a: interim % a + (nameless if a == b"nameless" else GOOD % a), what)
+
+
+@pytest.mark.parametrize(
+    ("head", "end"),
+    [
+        (b"Lugspur-Attempt-Id: a1\r\nLugspur-Postmark: p\r\n", End.ANSWERED),
+        (b"X-Told: Lugspur-Attempt-Id: a1\r\nLugspur-Postmark: p\r\n", End.SPOILT),
+        (b"Lugspur-Attempt-Id: a2\r\nLugspur-Attempt-Id: a1\r\nLugspur-Postmark: p\r\n", End.SPOILT),
+        (b"Lugspur-Attempt-Id: a1\r\nX-Told: Lugspur-Postmark: p\r\n", End.SPOILT),
+    ],
+)
+def test_an_answers_headers_are_read_by_their_names(head: bytes, end: End) -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        assert (await rig.run(forward(1))).how == end
+
+    play(lambda a: b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 2\r\n\r\nhi", what)
+
+
+def test_what_came_after_its_time_is_turned_away_and_never_sent() -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        for left in (0.0, -0.01, -30.0):
+            reply = await rig.run(forward(1, left=left))
+            assert (reply.how, reply.sent, backend.heads) == (End.NOT_RUN, False, [])
+
+    play(lambda a: GOOD % a, what)
