Rename the data plane's classes to the field's names; no change of behaviour

Hand is Sidecar, Spot BackendStatus, Beat Heartbeat, Local LocalBackend, Flight ProxiedRequest, Rank (of the proxy) Endpoint, Way RouteEntry, Table RouteTable, Landing UploadScheduler, Arriving Upload, and the names of variables with them. The log's field `flights` stays. Desk keeps its name: the control node uses it.

--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -50,7 +50,7 @@
     return Outcome.FULL if unseen or status == 421 else Outcome.OK
 
 
-class Local:
+class LocalBackend:
     """The backend of this machine, in its present life."""
 
     __slots__ = ("backend", "berths", "closing_at", "down", "heard", "id", "sequence", "service", "state", "warm_at")
@@ -71,7 +71,7 @@
 
     __slots__ = ("exchange", "forward", "local", "over", "respond", "sent", "sent_at", "since", "until")
 
-    def __init__(self, forward: Forward, local: Local, now: float, respond: Callable[[Reply], None]) -> None:
+    def __init__(self, forward: Forward, local: LocalBackend, now: float, respond: Callable[[Reply], None]) -> None:
         self.forward, self.local, self.respond = forward, local, respond
         self.since = self.sent_at = now
         self.until = now + forward.left
@@ -89,12 +89,12 @@
         files: int,
         drain: float,
         done: Callable[[Forward, Answer], None],
-        down: Callable[[Local], None],
+        down: Callable[[LocalBackend], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._drain = drain
         self._done, self._down = done, down
-        self.local: Local | None = None
+        self.local: LocalBackend | None = None
         self.leaving = False  # this process ends: nothing new
         self._upstream = Upstream(
             Shares(files, {}),
@@ -163,7 +163,7 @@
         """
         return forward.priority, now + forward.aim
 
-    def _room(self, local: Local, forward: Forward) -> bool:
+    def _room(self, local: LocalBackend, forward: Forward) -> bool:
         """Whether it would get its turn while its answer is still worth something."""
         free = local.berths + EXTRA - self._at_work
         if free > 0:
--- a/lugspur/dataplane/proxy.py
+++ b/lugspur/dataplane/proxy.py
@@ -17,7 +17,7 @@
 from lugspur.control.errors import ANSWERS, Kind, MeshError
 from lugspur.control.messages import Answer, Forward, Reply
 from lugspur.dataplane.gate import End
-from lugspur.dataplane.routes import Table, Way
+from lugspur.dataplane.routes import RouteEntry, RouteTable
 from lugspur.seams import Answerable, Request
 
 ATTEMPT, KEY, BY_MS = b"lugspur-attempt-id", b"lugspur-operation-key", b"lugspur-deliver-by-ms"
@@ -41,7 +41,7 @@
 LATE = 3.0  # how much a failure counts as, in usual latencies: a backend that fails fast must not look quick
 
 
-class Rank:
+class Endpoint:
     """What this process knows of one life of one backend."""
 
     __slots__ = (
@@ -111,7 +111,7 @@
 
     def __init__(
         self,
-        table: Table,
+        table: RouteTable,
         carrier: Carrier,
         keys: Keys,
         rng: Random,
@@ -125,22 +125,22 @@
         self._ratio, self._slack, self._span = ratio * BUDGET_PART, slack * BUDGET_PART, span
         self.zone = zone
         self.proxies = 1  # how many share the budget
-        self.services: dict[str, dict[str, Rank]] = {}  # by the backend's id
+        self.services: dict[str, dict[str, Endpoint]] = {}  # by the backend's id
         self.budgets: dict[str, Budget] = {}
         self.sender = ""  # the service of this machine
-        self.flights: set[Flight] = set()
+        self.open_requests: set[ProxiedRequest] = set()
         self._life = os.urandom(8).hex().encode()
         self._claims = itertools.count(1)
         self.ended: dict[str, int] = {}  # requests, by how they ended
 
-    def members(self, service: str, ranks: dict[str, tuple[str, str, int, float]]) -> None:
+    def members(self, service: str, endpoints: dict[str, tuple[str, str, int, float]]) -> None:
         """The backends of a service that accept work: id to machine, zone, berths, and when it is warm."""
         known = self.services.get(service, {})
-        fresh: dict[str, Rank] = {}
-        for ident, (ip, zone, berths, cold_until) in ranks.items():
-            rank = known.get(ident) or Rank(ident, service, ip, zone)
-            rank.berths, rank.cold_until = berths, cold_until
-            fresh[ident] = rank
+        fresh: dict[str, Endpoint] = {}
+        for ident, (ip, zone, berths, cold_until) in endpoints.items():
+            endpoint = known.get(ident) or Endpoint(ident, service, ip, zone)
+            endpoint.berths, endpoint.cold_until = berths, cold_until
+            fresh[ident] = endpoint
         if fresh:
             self.services[service] = fresh
         else:
@@ -169,13 +169,13 @@
     def handle(self, request: Request, caller: Answerable) -> None:
         """Take one request; its caller gets one answer."""
         try:
-            flight = self._take(request, caller)
+            proxied_request = self._take(request, caller)
         except MeshError as fault:
             refuse(caller, fault.kind)
             return
-        flight.begin()
+        proxied_request.begin()
 
-    def _take(self, request: Request, caller: Answerable) -> Flight:
+    def _take(self, request: Request, caller: Answerable) -> ProxiedRequest:
         headers = request.headers
         attempt, key = headers.get(ATTEMPT, b""), headers.get(KEY, b"")
         # Guards what must run once against two readings of one id: repeated headers are joined by commas.
@@ -183,18 +183,18 @@
             raise MeshError(Kind.BAD_REQUEST)
         if not len(self.table):
             raise MeshError(Kind.NOT_READY)
-        way = self.table.find(headers.get(b"host", b""), request.target)
-        if way is None:
+        route = self.table.find(headers.get(b"host", b""), request.target)
+        if route is None:
             raise MeshError(Kind.NO_ROUTE)
-        left = way.deadline
+        left = route.deadline
         told = headers.get(BY_MS)
         if told is not None:
             if not told.isdigit() or len(told) > 9:
                 raise MeshError(Kind.BAD_REQUEST)
             left = min(left, int(told) / 1000.0)
-        back = way.comes_back(left)
+        back = route.comes_back(left)
         caller.admit()
-        return Flight(self, request, caller, way, request.arrived + left, attempt, key, back)
+        return ProxiedRequest(self, request, caller, route, request.arrived + left, attempt, key, back)
 
 
 def refuse(caller: Answerable, kind: Kind, left: float = 0.0) -> None:
@@ -209,7 +209,7 @@
     caller.answer(row.status, head, kind.value.encode() + b"\n")
 
 
-class Flight:
+class ProxiedRequest:
     """One request."""
 
     def __init__(
@@ -217,21 +217,21 @@
         proxy: Proxy,
         request: Request,
         caller: Answerable,
-        way: Way,
+        route: RouteEntry,
         deadline: float,
         attempt: bytes,
         key: bytes,
         back: bool,
     ) -> None:
-        self.proxy, self.request, self.caller, self.way = proxy, request, caller, way
+        self.proxy, self.request, self.caller, self.route = proxy, request, caller, route
         self.deadline, self.attempt, self.back = deadline, attempt, back
-        self.key = key if way.kind == "tracked" else b""
+        self.key = key if route.kind == "tracked" else b""
         self.claim_id = proxy.claim_id(attempt) if self.key else b""
-        self.service = way.service(proxy.rng)
+        self.service = route.service(proxy.rng)
         self.sends = 0  # backends that it was offered to, or may have been
         self.rounds = 0  # gates that turned it away
         self.tried: set[str] = set()
-        self.out: dict[int, tuple[Rank, float, Callable[[], None]]] = {}  # what is under way
+        self.out: dict[int, tuple[Endpoint, float, Callable[[], None]]] = {}  # what is under way
         self.over = False
         self.maybe = False  # it may have run
         self.won = False
@@ -248,7 +248,7 @@
         if now >= self.deadline:
             refuse(self.caller, Kind.TOO_LATE)
             return
-        proxy.flights.add(self)
+        proxy.open_requests.add(self)
         proxy.budget(self.service).take(now)
         self.caller.gone = self._gone
         self._timer = loop.call_at(self.deadline + MARGIN, self._late)
@@ -274,78 +274,78 @@
 
     # ---- the pick ------------------------------------------------------------------------
 
-    def _ready(self, now: float) -> list[Rank]:
+    def _ready(self, now: float) -> list[Endpoint]:
         carrier = self.proxy.carrier
         ready = [
-            rank
-            for ident, rank in self.proxy.services.get(self.service, {}).items()
-            if ident not in self.tried and carrier.ready(rank.ip)
+            endpoint
+            for ident, endpoint in self.proxy.services.get(self.service, {}).items()
+            if ident not in self.tried and carrier.ready(endpoint.ip)
         ]
         # Those that have just turned one away come last, but before a refusal: asking a gate costs no backend anything.
-        return [rank for rank in ready if now >= rank.rests_until] or ready
+        return [endpoint for endpoint in ready if now >= endpoint.rests_until] or ready
 
-    def _pick(self, now: float) -> Rank | None:
+    def _pick(self, now: float) -> Endpoint | None:
         """Two random ready backends, that with the lower current latency x (in flight + 1) first; both may refuse."""
         ready = self._ready(now)
         rng = self.proxy.rng
         zone = self.proxy.zone
-        near = [rank for rank in ready if rank.zone == zone]
+        near = [endpoint for endpoint in ready if endpoint.zone == zone]
         two = ready
         if len(ready) > 2 and near:  # one of the own zone, one of all others: bytes between zones cost
             first = rng.choice(near)
-            two = [first, rng.choice([rank for rank in ready if rank is not first])]
+            two = [first, rng.choice([endpoint for endpoint in ready if endpoint is not first])]
         elif len(ready) > 2:
             two = rng.sample(ready, 2)
-        pace = self.way.pace
-        timeout = self.way.deadline / pace if pace else 0.0
+        pace = self.route.pace
+        timeout = self.route.deadline / pace if pace else 0.0
         far = FAR + len(self.request.body) / FAR_BYTES
-        for rank in sorted(two, key=lambda rank: rank.score(now) * (1.0 if rank.zone == zone else far)):
-            if not rank.breaker(self.way.name).refuses(now, timeout, rng):
-                return rank
+        for endpoint in sorted(two, key=lambda endpoint: endpoint.score(now) * (1.0 if endpoint.zone == zone else far)):
+            if not endpoint.breaker(self.route.name).refuses(now, timeout, rng):
+                return endpoint
         self.proxy.count("breaker-refused" if two else "none-ready")
         return None
 
     def _go(self, now: float, again: bool = False) -> bool:
         """Send it to a backend, or give it up; `again`: what is under way may still bring the answer."""
-        rank = self._pick(now)
-        if rank is None:
+        endpoint = self._pick(now)
+        if endpoint is None:
             if not again:
                 self._give_up()
             return False
-        self.tried.add(rank.id)
+        self.tried.add(endpoint.id)
         self.number += 1
         number = self.number
-        way, request = self.way, self.request
+        route, request = self.route, self.request
         if self._lines is None:
             self._lines = self._write_lines()
         forward = Forward(
             0,
-            rank.id,
+            endpoint.id,
             request.method,
             request.target,
             self._lines,
             request.body,
             self.deadline - now,
-            request.arrived + way.target - now,
+            request.arrived + route.target - now,
             self.attempt,
-            way.priority,
-            way.safe,
-            way.name,
+            route.priority,
+            route.safe,
+            route.name,
             self.key,
             self.claim_id,
             self.back,
         )
-        rank.inflight += 1
+        endpoint.inflight += 1
         self.sends += 1
         if self.sends > 1:
             self.proxy.budget(self.service).spend(now)
-        self.out[number] = (rank, now, _nothing)
-        cancel = self.proxy.carrier.carry(rank.ip, forward, lambda reply: self._replied(number, reply))
+        self.out[number] = (endpoint, now, _nothing)
+        cancel = self.proxy.carrier.carry(endpoint.ip, forward, lambda reply: self._replied(number, reply))
         if number in self.out:
-            self.out[number] = (rank, now, cancel)
-            if way.safe and way.pace and self._hedge is None and self.sends < way.tries:
-                at = now + max(HEDGE * way.pace, HEDGE_AIM * way.target)
-                if at + way.pace < self.deadline:
+            self.out[number] = (endpoint, now, cancel)
+            if route.safe and route.pace and self._hedge is None and self.sends < route.tries:
+                at = now + max(HEDGE * route.pace, HEDGE_AIM * route.target)
+                if at + route.pace < self.deadline:
                     self._hedge = self.proxy.loop.call_at(at, self._second)
         return True
 
@@ -368,25 +368,25 @@
     # ---- how it ends -----------------------------------------------------------------------
 
     def _replied(self, number: int, reply: Reply) -> None:
-        rank, since, _ = self.out.pop(number)
-        rank.inflight -= 1
+        endpoint, since, _ = self.out.pop(number)
+        endpoint.inflight -= 1
         loop = self.proxy.loop
         now = loop.time()
-        took, way = now - since, self.way
+        took, route = now - since, self.route
         how = reply.how
         if how == End.ANSWERED and reply.answer is not None:
             if reply.answer.status < 500:
-                way.pace += (took - way.pace) * (PACE_WEIGHT if way.pace else 1.0)
-                relative = took / way.pace
-                breaker = rank.breaker(way.name)
+                route.pace += (took - route.pace) * (PACE_WEIGHT if route.pace else 1.0)
+                relative = took / route.pace
+                breaker = endpoint.breaker(route.name)
                 breaker.accepted(now)
                 breaker.sample(relative)
-                rank.learn(relative)
+                endpoint.learn(relative)
             else:
-                self._failed(now, rank)
+                self._failed(now, endpoint)
             if self.over:
                 return
-            if reply.answer.status >= 500 and way.safe:
+            if reply.answer.status >= 500 and route.safe:
                 self.last = reply.answer
                 if not self._again(now):
                     self._finish_failed()
@@ -397,27 +397,27 @@
             self.rounds += 1
             if not reply.sent:
                 self.sends -= 1  # no backend was offered it
-            rank.breaker(way.name).failed(now)
-            rank.rests_until = now + REST * (0.5 + self.proxy.rng.random())
+            endpoint.breaker(route.name).failed(now)
+            endpoint.rests_until = now + REST * (0.5 + self.proxy.rng.random())
         else:
-            self._failed(now, rank)
+            self._failed(now, endpoint)
             self.maybe = True
         if self.over:
             return
         if not self._again(now):
             self._finish_failed()
 
-    def _failed(self, now: float, rank: Rank) -> None:
-        rank.breaker(self.way.name).failed(now)
-        rank.learn(LATE)
+    def _failed(self, now: float, endpoint: Endpoint) -> None:
+        endpoint.breaker(self.route.name).failed(now)
+        endpoint.learn(LATE)
 
     def _again(self, now: float) -> bool:
         """Whether it goes on: something is under way, or another backend may have it."""
         if self.out:
             return True
-        if (self.maybe or self.last is not None) and not self.way.safe:
+        if (self.maybe or self.last is not None) and not self.route.safe:
             return False
-        if self.rounds >= ROUNDS or now >= self.deadline or self.sends >= self.way.tries:
+        if self.rounds >= ROUNDS or now >= self.deadline or self.sends >= self.route.tries:
             return False
         if self.sends and not self.proxy.budget(self.service).allows(now):
             return False
@@ -431,7 +431,7 @@
 
     def _give_up(self) -> None:
         """Nobody will run it: refused where that is proven, else failed."""
-        if self.maybe and not self.way.safe:
+        if self.maybe and not self.route.safe:
             self._refuse(Kind.MAYBE_RAN)
             return
         if self.won:
@@ -461,13 +461,13 @@
 
     def _finish(self) -> None:
         self.over = True
-        self.proxy.flights.discard(self)
+        self.proxy.open_requests.discard(self)
         for timer in (self._timer, self._hedge):
             if timer is not None:
                 timer.cancel()
         if self.key and not self.won:
             self.proxy.keys.drop(self.key, self.claim_id)
-        if self.way.safe:
+        if self.route.safe:
             for _, _, cancel in list(self.out.values()):
                 cancel()
 
--- a/lugspur/dataplane/routes.py
+++ b/lugspur/dataplane/routes.py
@@ -13,7 +13,7 @@
 BACK_PART = 0.97  # of the longest time: callers round
 
 
-class Way:
+class RouteEntry:
     """A route as requests use it; times in seconds."""
 
     __slots__ = (
@@ -62,17 +62,17 @@
         return rng.choices(self.services, self.shares)[0]
 
 
-class Table:
+class RouteTable:
     """All routes, by host; each change of an item is taken up at once."""
 
     def __init__(self) -> None:
-        self._ways: dict[str, Way] = {}  # by the item's name
-        self._hosts: dict[bytes, dict[bytes, Way]] = {}  # by the prefix
-        self._claimants: dict[tuple[bytes, bytes], dict[str, Way]] = {}  # all that want a place, by their names
+        self._entries: dict[str, RouteEntry] = {}  # by the item's name
+        self._hosts: dict[bytes, dict[bytes, RouteEntry]] = {}  # by the prefix
+        self._claimants: dict[tuple[bytes, bytes], dict[str, RouteEntry]] = {}  # all that want a place, by their names
         self.bounds = Bounds()
 
     def __len__(self) -> int:
-        return len(self._ways)
+        return len(self._entries)
 
     def change(self, entry: Entry) -> bool:
         """Take up an item; returns whether it was the limits."""
@@ -81,7 +81,7 @@
             return True
         if entry.kind != ROUTES:
             return False
-        before = self._ways.pop(entry.name, None)
+        before = self._entries.pop(entry.name, None)
         if before is not None:
             self._give_up(entry.name, before)
         if entry.value is not None:
@@ -89,41 +89,41 @@
                 route = read_route(entry.value)
             except msgspec.MsgspecError:  # Guards the other routes: what was taken is checked, but by another build
                 return False
-            way = Way(route, entry.edition)
+            route_entry = RouteEntry(route, entry.edition)
             if before is not None:
-                way.pace, way.longest = before.pace, before.longest
-            self._ways[entry.name] = way
-            here = self._claimants.setdefault((way.host, way.prefix), {})
-            here[entry.name] = way
-            self._hosts.setdefault(way.host, {})[way.prefix] = self._first(here)
+                route_entry.pace, route_entry.longest = before.pace, before.longest
+            self._entries[entry.name] = route_entry
+            here = self._claimants.setdefault((route_entry.host, route_entry.prefix), {})
+            here[entry.name] = route_entry
+            self._hosts.setdefault(route_entry.host, {})[route_entry.prefix] = self._first(here)
         return False
 
-    def _give_up(self, name: str, way: Way) -> None:
-        here = self._claimants[way.host, way.prefix]
+    def _give_up(self, name: str, route_entry: RouteEntry) -> None:
+        here = self._claimants[route_entry.host, route_entry.prefix]
         del here[name]
         if here:
-            self._hosts[way.host][way.prefix] = self._first(here)
+            self._hosts[route_entry.host][route_entry.prefix] = self._first(here)
             return
-        del self._claimants[way.host, way.prefix]
-        del self._hosts[way.host][way.prefix]
-        if not self._hosts[way.host]:
-            del self._hosts[way.host]
+        del self._claimants[route_entry.host, route_entry.prefix]
+        del self._hosts[route_entry.host][route_entry.prefix]
+        if not self._hosts[route_entry.host]:
+            del self._hosts[route_entry.host]
 
     @staticmethod
-    def _first(here: dict[str, Way]) -> Way:
+    def _first(here: dict[str, RouteEntry]) -> RouteEntry:
         """Who has a place: two operators may have given it to two routes, and all proxies must choose the same."""
-        return max(here.values(), key=lambda way: (way.edition, way.name))
+        return max(here.values(), key=lambda route_entry: (route_entry.edition, route_entry.name))
 
-    def find(self, host: bytes, target: bytes) -> Way | None:
+    def find(self, host: bytes, target: bytes) -> RouteEntry | None:
         """The route of a request."""
         places = self._hosts.get(host.partition(b":")[0].lower())
         if not places:
             return None
         path = target.partition(b"?")[0]
         at = len(path)
-        way = places.get(path)
-        while way is None and at > 0:
+        route_entry = places.get(path)
+        while route_entry is None and at > 0:
             at = path.rfind(b"/", 0, at)
             if at >= 0:
-                way = places.get(path[: at + 1])
-        return way
+                route_entry = places.get(path[: at + 1])
+        return route_entry
--- a/lugspur/dataplane/uploads.py
+++ b/lugspur/dataplane/uploads.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(slots=True)
-class Arriving:
+class Upload:
     """One body on its way."""
 
     forward: Forward
@@ -51,35 +51,35 @@
         return self.owed > 0 and now - self.at >= STALLED
 
 
-class Landing:
+class UploadScheduler:
     """All bodies that arrive in parts. `rate`: bytes a second of the link; `memory`: bytes that they may take."""
 
     def __init__(self, rate: float, memory: int) -> None:
         self._rate = rate * USED
         self._memory = memory
         self._ahead = max(2 * PART, int(rate * AHEAD))
-        self._arriving: dict[Key, Arriving] = {}
+        self._uploads: dict[Key, Upload] = {}
 
     def __len__(self) -> int:
-        return len(self._arriving)
+        return len(self._uploads)
 
     def offer(self, now: float, key: Key, forward: Forward, rank: Rank, pace: float) -> bool:
         """Whether a body is taken; `pace`: seconds that the backend takes for it."""
         size = forward.size
-        total = sum(a.forward.size for a in self._arriving.values())
-        if self._rate <= 0.0 or size <= 0 or total + size > self._memory or key in self._arriving:
+        total = sum(a.forward.size for a in self._uploads.values())
+        if self._rate <= 0.0 or size <= 0 or total + size > self._memory or key in self._uploads:
             return False
-        before = sum(a.forward.size - len(a.body) for a in self._arriving.values() if a.rank <= rank)
+        before = sum(a.forward.size - len(a.body) for a in self._uploads.values() if a.rank <= rank)
         wait, takes = before / self._rate, size / self._rate + pace
         # Guards the worth of all: a queue in which everybody is late serves no more than a short one.
         fits = before == 0 or wait <= (WAIT_BACK if forward.back else WAIT_PART) * (forward.aim - takes)
         if fits:
-            self._arriving[key] = Arriving(forward, rank, now, now + forward.left, bytearray(), 0, now)
+            self._uploads[key] = Upload(forward, rank, now, now + forward.left, bytearray(), 0, now)
         return fits
 
     def part(self, now: float, key: Key, data: bytes) -> Forward | None:
         """Bytes have come; the request once they are all there. Raises ValueError for more than was granted."""
-        found = self._arriving.get(key)
+        found = self._uploads.get(key)
         if found is None:  # it was dropped while they were on their way
             return None
         if len(found.body) + len(data) > found.granted:
@@ -89,7 +89,7 @@
         forward = found.forward
         if len(found.body) < forward.size:
             return None
-        del self._arriving[key]
+        del self._uploads[key]
         forward.body = bytes(found.body)
         forward.left = found.until - now
         forward.aim -= now - found.since
@@ -97,24 +97,24 @@
 
     def drop(self, key: Key) -> bool:
         """Nobody sends it any more; whether it was on its way."""
-        return self._arriving.pop(key, None) is not None
+        return self._uploads.pop(key, None) is not None
 
     def of(self, source: Any) -> list[Key]:
         """All that come from one source."""
-        return [key for key in self._arriving if key[0] is source]
+        return [key for key in self._uploads if key[0] is source]
 
     def expired(self, now: float) -> list[Key]:
         """Those whose time is over, dropped."""
-        gone = [key for key, a in self._arriving.items() if now >= a.until]
+        gone = [key for key, a in self._uploads.items() if now >= a.until]
         for key in gone:
-            del self._arriving[key]
+            del self._uploads[key]
         return gone
 
     def grants(self, now: float) -> list[tuple[Key, int]]:
         """Who may send up to where now: the first in rank, as far as the link has room."""
         # Guards the link against a sender that says nothing: what it was granted holds up nobody for long, and it is
         # granted no more until it brings what it owes, else its whole body could come at once when it wakes.
-        sending = [a for a in self._arriving.items() if not a[1].stalled(now)]
+        sending = [a for a in self._uploads.items() if not a[1].stalled(now)]
         owed = sum(a.owed for _, a in sending)
         found: dict[Key, int] = {}
         for key, a in sorted(sending, key=lambda row: row[1].rank):
--- a/lugspur/mesh/program.py
+++ b/lugspur/mesh/program.py
@@ -46,11 +46,11 @@
         await keeper.serve()
         leave = keeper.leave
     else:
-        from lugspur.mesh.sidecar import Hand
+        from lugspur.mesh.sidecar import Sidecar
 
-        hand = node = Hand(settings, path)
-        await hand.serve()
-        leave = hand.leave
+        sidecar = node = Sidecar(settings, path)
+        await sidecar.serve()
+        leave = sidecar.leave
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -11,10 +11,10 @@
 from lugspur.control.errors import Kind, MeshError
 from lugspur.control.items import LIMITS, ROUTES
 from lugspur.control.messages import Answer, Cancel, Done, Entry, Forward, Grant, Hello, Message, Part, Reply
-from lugspur.dataplane.gate import End, Gate, Local, Ticket
+from lugspur.dataplane.gate import End, Gate, LocalBackend, Ticket
 from lugspur.dataplane.proxy import Proxy
-from lugspur.dataplane.routes import Table
-from lugspur.dataplane.uploads import PART, Landing, in_parts
+from lugspur.dataplane.routes import RouteTable
+from lugspur.dataplane.uploads import PART, UploadScheduler, in_parts
 from lugspur.http1.front import Front
 from lugspur.http1.intake import Sizes
 from lugspur.membership.rows import read_address
@@ -28,15 +28,15 @@
 FILES_KEPT = 264  # descriptors for files and what is not counted here; 200 are reserved by the platform
 CALLERS_PART = 0.5  # of the descriptors, for callers; the rest is for the backend and other proxies
 FROZEN = 1.0  # seconds between two looks after which this process has not run in between
-BEATS_MISSED = 3.0  # beats that may be missed until a backend counts as gone
+HEARTBEATS_MISSED = 3.0  # beats that may be missed until a backend counts as gone
 LEAVE_TAKES = 0.35  # of the time that a process has to end, in which callers are still served anew
 LEAVE_ENDS = 0.9  # ...and by which all ends
 TELL_EVERY = 2.0  # seconds between lines on how requests ended
 SAY_AGAIN = 2.0  # seconds between editions of the same word to another source
-BEAT_MOST = 4096  # bytes of a beat
+HEARTBEAT_MOST = 4096  # bytes of a beat
 
 
-class Spot(msgspec.Struct, array_like=True, frozen=True):
+class BackendStatus(msgspec.Struct, array_like=True, frozen=True):
     """What a proxy says of its backend, as a soft entry under its own IP number."""
 
     id: str
@@ -48,8 +48,8 @@
     rate: float = 0.0  # bytes a second of its machine's link; 0: unknown
 
 
-class Beat(msgspec.Struct):
-    """A backend's beat."""
+class Heartbeat(msgspec.Struct):
+    """A backend's heartbeat."""
 
     service: str
     address: str
@@ -59,19 +59,19 @@
     warmup_left_ms: float = 0.0
 
 
-_beat = msgspec.json.Decoder(Beat)
+_heartbeat_decoder = msgspec.json.Decoder(Heartbeat)
 _json = msgspec.json.Encoder().encode
 _pack = msgspec.msgpack.Encoder().encode
-_spot = msgspec.msgpack.Decoder(Spot)
+_status_decoder = msgspec.msgpack.Decoder(BackendStatus)
 
 
-class Hand(Node):
+class Sidecar(Node):
     """One proxy's process."""
 
     def __init__(self, settings: Settings, path: str) -> None:
         limits, bounds = settings.own.limits, settings.tariffs.bounds
-        self.table = Table()
-        self.spots: dict[str, Spot] = {}  # by the machine's IP number
+        self.table = RouteTable()
+        self.backends: dict[str, BackendStatus] = {}  # by the machine's IP number
         self._cold: dict[str, float] = {}  # when each one's backend is warm
         self._said: Entry | None = None
         self._stale_services: set[str] = set()
@@ -81,7 +81,7 @@
         self._looked_at = float("inf")  # until it has looked once
         self._tickets: dict[tuple[Link, int], Ticket] = {}
         self._rate = limits.link_mbps * 1e6 / 8.0
-        self.landing = Landing(self._rate, (limits.memory_mb << 20) // 4)
+        self.uploads = UploadScheduler(self._rate, (limits.memory_mb << 20) // 4)
         self._bodies: dict[tuple[str, int], tuple[bytes, int]] = {}  # on their way in parts: all, and how far
         super().__init__(settings, path, False)
         self.proxy = Proxy(
@@ -159,23 +159,23 @@
 
     def _heartbeat(self, request: Request, caller: Answerable, found: list[str]) -> None:
         try:
-            beat = _beat.decode(request.body[:BEAT_MOST])
-            read_address(beat.address)
+            heartbeat = _heartbeat_decoder.decode(request.body[:HEARTBEAT_MOST])
+            read_address(heartbeat.address)
         except (msgspec.MsgspecError, ValueError) as fault:
             raise MeshError(Kind.BAD_REQUEST, str(fault)) from None
         now, local = self.loop.time(), self.gate.local
         if local is None or local.id != found[0]:
-            if local is not None and beat.state != "accepting" and beat.sequence > 0:
+            if local is not None and heartbeat.state != "accepting" and heartbeat.sequence > 0:
                 reply(caller)  # a life that has gone, heard late: it must not take the present one's place
                 return
-            local = Local(found[0], beat.service, beat.address, now)
+            local = LocalBackend(found[0], heartbeat.service, heartbeat.address, now)
             self.gate.local = local
-            events.info("backend", id=local.id, service=local.service, address=beat.address, state=beat.state)
-        if beat.sequence > local.sequence:
-            local.sequence, local.heard, local.down = beat.sequence, now, False
-            local.berths = max(1, beat.berths)
-            local.warm_at = now + beat.warmup_left_ms / 1000.0
-            if beat.state != "accepting" and local.closing_at == float("inf"):
+            events.info("backend", id=local.id, service=local.service, address=heartbeat.address, state=heartbeat.state)
+        if heartbeat.sequence > local.sequence:
+            local.sequence, local.heard, local.down = heartbeat.sequence, now, False
+            local.berths = max(1, heartbeat.berths)
+            local.warm_at = now + heartbeat.warmup_left_ms / 1000.0
+            if heartbeat.state != "accepting" and local.closing_at == float("inf"):
                 local.closing_at = now
                 events.info("closing", id=local.id)
             if local.state != "gone":  # one that was silent speaks again; one that signed off does not
@@ -193,7 +193,7 @@
             self._publish()
         reply(caller)
 
-    def _backend_down(self, local: Local) -> None:
+    def _backend_down(self, local: LocalBackend) -> None:
         events.info("backend-down", id=local.id)
         self._publish()
 
@@ -204,7 +204,7 @@
             return
         now = self.loop.time()
         gone = local.state in ("gone", "silent") or local.down or self.leaving
-        spot = Spot(
+        backend_status = BackendStatus(
             local.id,
             local.service,
             self.settings.own.zone,
@@ -213,15 +213,18 @@
             round(max(0.0, local.warm_at - now), 1),
             self._rate,
         )
-        said = self.spots.get(self.ip)
+        said = self.backends.get(self.ip)
         if (
             said is not None
             and self._said is not None
             and self._said.value is not None
-            and ((said.id, said.service, said.state, said.berths) == (spot.id, spot.service, spot.state, spot.berths))
+            and (
+                (said.id, said.service, said.state, said.berths)
+                == (backend_status.id, backend_status.service, backend_status.state, backend_status.berths)
+            )
         ):
             return
-        self._said = Entry("backend", self.ip, self.edition("backend", self.ip), _pack(spot))
+        self._said = Entry("backend", self.ip, self.edition("backend", self.ip), _pack(backend_status))
         self.store.merge([self._said])
         self.report()
 
@@ -243,14 +246,14 @@
                 self._said = Entry("backend", self.ip, entry.edition + 1, self._said.value)
                 self.loop.call_soon(self._say_again)
                 return
-            before = self.spots.pop(entry.name, None)
+            before = self.backends.pop(entry.name, None)
             if before is not None:
                 self._stale_services.add(before.service)
             if entry.value is not None:
-                spot = _spot.decode(entry.value)
-                self.spots[entry.name] = spot
-                self._stale_services.add(spot.service)
-                self._cold[entry.name] = self.loop.time() + spot.cold
+                backend_status = _status_decoder.decode(entry.value)
+                self.backends[entry.name] = backend_status
+                self._stale_services.add(backend_status.service)
+                self._cold[entry.name] = self.loop.time() + backend_status.cold
             if len(self._stale_services) == 1 or before is None:
                 self.loop.call_soon(self._members)
         elif entry.kind in (ROUTES, LIMITS) and self.table.change(entry) and hasattr(self, "front"):
@@ -268,16 +271,16 @@
             self.proxy.members(
                 service,
                 {
-                    spot.id: (ip, spot.zone, spot.berths, self._cold.get(ip, 0.0))
-                    for ip, spot in self.spots.items()
-                    if spot.service == service and spot.state == "accepting"
+                    backend_status.id: (ip, backend_status.zone, backend_status.berths, self._cold.get(ip, 0.0))
+                    for ip, backend_status in self.backends.items()
+                    if backend_status.service == service and backend_status.state == "accepting"
                 },
             )
-        self.proxy.proxies = max(1, len(self.spots))
+        self.proxy.proxies = max(1, len(self.backends))
         self._reach()
 
     def wanted(self) -> set[str]:
-        return super().wanted() | (set(self.spots) - {self.ip})
+        return super().wanted() | (set(self.backends) - {self.ip})
 
     def keep_peer(self, ip: str) -> bool:
         return bool(self._carried.get(ip))
@@ -302,8 +305,8 @@
         self._n += 1
         n = forward.n = self._n
         self._carried.setdefault(ip, {})[n] = respond
-        spot = self.spots.get(ip)
-        if spot is not None and in_parts(len(forward.body), spot.rate):
+        backend_status = self.backends.get(ip)
+        if backend_status is not None and in_parts(len(forward.body), backend_status.rate):
             self._bodies[ip, n] = (forward.body, 0)
             forward.size, forward.body = len(forward.body), b""
         link.send(forward)
@@ -358,7 +361,7 @@
                 self._run(link, message)
         elif isinstance(message, Part):
             try:
-                whole = self.landing.part(self.loop.time(), (link, message.n), message.data)
+                whole = self.uploads.part(self.loop.time(), (link, message.n), message.data)
             except ValueError as fault:
                 events.warn("part", peer=link.peer, fault=str(fault))
                 link.close()
@@ -370,7 +373,7 @@
             ticket = self._tickets.pop((link, message.n), None)
             if ticket is not None:
                 self.gate.cancel(ticket)
-            elif self.landing.drop((link, message.n)):
+            elif self.uploads.drop((link, message.n)):
                 self._grant()
         elif isinstance(message, Hello):
             link.peer = message.ip
@@ -394,20 +397,20 @@
         """A request whose body would come in parts."""
         now, n = self.loop.time(), forward.n
         rank = self.gate.rank(now, forward)
-        if self.gate.room(forward) and self.landing.offer(now, (link, n), forward, rank, self.gate.pace(forward.route)):
+        if self.gate.room(forward) and self.uploads.offer(now, (link, n), forward, rank, self.gate.pace(forward.route)):
             self._grant()
         else:
             link.send(Reply(n, End.NOT_RUN, None, False, self.gate.busy))
 
     def _grant(self) -> None:
         """Let those send whose turn it is."""
-        for key, upto in self.landing.grants(self.loop.time()):
+        for key, upto in self.uploads.grants(self.loop.time()):
             link, n = key
             link.send(Grant(n, upto))
 
     def _ended(self, link: Link) -> None:
-        for key in self.landing.of(link):
-            self.landing.drop(key)
+        for key in self.uploads.of(link):
+            self.uploads.drop(key)
         for key in [key for key in self._tickets if key[0] is link]:
             ticket = self._tickets.pop(key)
             if ticket.forward.safe:  # nobody hears its answer; others' may be kept for a repeat
@@ -422,7 +425,7 @@
     def status(self) -> dict[str, Any]:
         """What operators see of this proxy: what it goes by, how old that is, and whom it would send to."""
         now, local = self.loop.time(), self.gate.local
-        ranks = [rank for found in self.proxy.services.values() for rank in found.values()]
+        endpoints = [endpoint for found in self.proxy.services.values() for endpoint in found.values()]
         return {
             "node": self.settings.own.node_name,
             "role": "proxy",
@@ -436,7 +439,7 @@
             "source": self.source,
             "age_s": round(min(1e6, now - self.source_at), 3),
             "routes": len(self.table),
-            "open": len(self.proxy.flights),
+            "open": len(self.proxy.open_requests),
             "busy": self.gate.busy,
             "backend": None
             if local is None
@@ -458,7 +461,7 @@
                     "latency": round(r.latency, 3),
                     "refuses": {name: round(b.error_ratio(now), 3) for name, b in r.breakers.items()},
                 }
-                for r in ranks
+                for r in endpoints
             ],
         }
 
@@ -479,14 +482,14 @@
                 evicted=gate.evicted,
                 hopeless=gate.hopeless,
                 busy=gate.busy,
-                open=len(self.proxy.flights),
+                open=len(self.proxy.open_requests),
             )
         gate.turned = gate.evicted = gate.hopeless = 0
 
     def look(self, now: float) -> None:
         self._tell(now)
-        if len(self.landing):
-            for link, n in self.landing.expired(now):
+        if len(self.uploads):
+            for link, n in self.uploads.expired(now):
                 link.send(Reply(n, End.NOT_RUN, None, False, self.gate.busy))
             self._grant()
         local = self.gate.local
@@ -494,7 +497,7 @@
         if local is not None and local.state not in ("gone", "silent"):
             if away > FROZEN:  # Guards against a verdict after a freeze of its own: the beats wait unread.
                 local.heard += away
-            due = BEATS_MISSED * self.settings.depot.heartbeat_ms / 1000.0 + 1.0
+            due = HEARTBEATS_MISSED * self.settings.depot.heartbeat_ms / 1000.0 + 1.0
             if now - local.heard > due:
                 local.state = "silent"
                 events.info("backend-silent", id=local.id)
@@ -512,10 +515,10 @@
         self.front.close()
         self.gate.leaving = True
         while self.loop.time() < start + LEAVE_ENDS * grace and (
-            self.proxy.flights or self.gate.busy or len(self.landing) or self.front.callers
+            self.proxy.open_requests or self.gate.busy or len(self.uploads) or self.front.callers
         ):
             await asyncio.sleep(0.05)
-        events.info("left", flights=len(self.proxy.flights), busy=self.gate.busy, after=self.loop.time() - start)
+        events.info("left", flights=len(self.proxy.open_requests), busy=self.gate.busy, after=self.loop.time() - start)
 
 
 def raise_not_ready(caller: Answerable) -> None:
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lugspur.control.messages import Answer, Forward, Reply
-from lugspur.dataplane.gate import End, Gate, Local
+from lugspur.dataplane.gate import End, Gate, LocalBackend
 
 GOOD = b"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: %b\r\nLugspur-Postmark: p\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -80,9 +80,9 @@
     def __init__(self, backend: Scripted, drain: float = 2.0) -> None:
         self.done: list[tuple[bytes, Answer]] = []
         self.replies: dict[int, asyncio.Future[Reply]] = {}
-        self.downs: list[Local] = []
+        self.downs: list[LocalBackend] = []
         self.gate = Gate(64 << 20, 64, drain, lambda f, a: self.done.append((f.key, a)), self.downs.append)
-        self.local = Local("i-1", "s", backend.address, asyncio.get_running_loop().time())
+        self.local = LocalBackend("i-1", "s", backend.address, asyncio.get_running_loop().time())
         self.gate.local = self.local
 
     def run(self, message: Forward) -> asyncio.Future[Reply]:
@@ -147,7 +147,7 @@
             assert (name, End(reply.how), reply.sent) == (name, end, True)
         backend.server.close()
         await backend.server.wait_closed()
-        rig.gate.local = Local("i-1", "s", backend.address, asyncio.get_running_loop().time())
+        rig.gate.local = LocalBackend("i-1", "s", backend.address, asyncio.get_running_loop().time())
         reply = await rig.run(forward(99))
         assert (reply.how, reply.sent) == (End.NOT_RUN, False) and len(rig.downs) == 1
         again = await rig.run(forward(100))  # until its next beat nobody is sent there
@@ -202,7 +202,7 @@
         rig.local.closing_at = now - 0.5
         reply = await rig.run(forward(2))
         assert (reply.how, reply.sent, len(backend.heads)) == (End.NOT_RUN, False, 1)
-        rig.gate.local = Local("i-2", "s", backend.address, now)
+        rig.gate.local = LocalBackend("i-2", "s", backend.address, now)
         assert (await rig.run(forward(3))).how == End.NOT_RUN
         assert len(backend.heads) == 1
 
@@ -298,7 +298,7 @@
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
         gate = Gate(64 << 20, 64, 2.0, lambda f, a: None, lambda local: None)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        gate.local = Local("i-1", "s", address, asyncio.get_running_loop().time())
+        gate.local = LocalBackend("i-1", "s", address, asyncio.get_running_loop().time())
         found: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         ticket = gate.run(forward(1), found.set_result)
         assert ticket is not None
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -15,7 +15,7 @@
 from lugspur.control.messages import Answer, Forward, Reply
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.proxy import Proxy
-from lugspur.dataplane.routes import Table
+from lugspur.dataplane.routes import RouteTable
 from lugspur.seams import Request
 
 OK = Answer(200, b"Lugspur-Postmark: p\r\n", b"hi")
@@ -51,7 +51,7 @@
         self.claim_ids: list[bytes] = []
         self.released: list[bytes] = []
         self.unreachable: set[str] = set()
-        table = Table()
+        table = RouteTable()
         for entry in read_call(call(route("r", mail_class=kind, tries=tries, deadline_ms=500, target_ms=200))):
             table.change(entry)
         self.proxy = Proxy(table, self, self, Random(1), 0.2, slack, 10.0, "z0")
@@ -110,7 +110,7 @@
         assert b"Host: a.example\r\n" in head and b"Lugspur-Attempt-Id: t1\r\n" in head
         assert 0.25 < forward.left <= 0.3 and forward.backend == "i-" + ip[-1]
         rig.reply(End.ANSWERED, OK)
-        assert caller.answers == [(200, OK.head, b"hi")] and not rig.proxy.flights
+        assert caller.answers == [(200, OK.head, b"hi")] and not rig.proxy.open_requests
 
     play(what)
 
@@ -201,7 +201,7 @@
         for _ in range(100):
             rig.ask()
             rig.reply(End.MAYBE)
-            if rig.proxy.flights:
+            if rig.proxy.open_requests:
                 rig.reply(End.MAYBE)
             for rank in rig.proxy.services["s"].values():
                 rank.breakers.clear()  # what is tried here is the budget alone
@@ -344,7 +344,7 @@
             rig.proxy.table.change(entry)
         for _ in range(100):
             rig.ask()
-            while rig.proxy.flights:
+            while rig.proxy.open_requests:
                 rig.reply(End.NOT_RUN, sent=False)
         assert rig.proxy.ended["breaker-refused"] > 20  # those that may wait are refused here by now
         before = len(rig.sent)
--- a/tests/mesh/test_route_table.py
+++ b/tests/mesh/test_route_table.py
@@ -8,19 +8,19 @@
 
 from lugspur.control.items import read_call
 from lugspur.control.messages import Entry
-from lugspur.dataplane.routes import Table
+from lugspur.dataplane.routes import RouteTable
 
 
-def table(*routes: dict[str, object]) -> Table:
-    found = Table()
+def table(*routes: dict[str, object]) -> RouteTable:
+    found = RouteTable()
     for entry in read_call(call(*routes)):
         found.change(entry)
     return found
 
 
-def name(found: Table, target: bytes, host: bytes = b"a.example") -> str | None:
-    way = found.find(host, target)
-    return None if way is None else way.name
+def name(found: RouteTable, target: bytes, host: bytes = b"a.example") -> str | None:
+    entry = found.find(host, target)
+    return None if entry is None else entry.name
 
 
 def test_the_longest_prefix_of_the_host_wins() -> None:
@@ -64,7 +64,7 @@
             split=[{"service": "s", "share": 90}, {"service": "t", "share": 10}, {"service": "u", "share": 0}],
         )
     )
-    way, rng = routes.find(b"a.example", b"/r/"), Random(1)
-    assert way is not None
-    drawn = [way.service(rng) for _ in range(2000)]
+    entry, rng = routes.find(b"a.example", b"/r/"), Random(1)
+    assert entry is not None
+    drawn = [entry.service(rng) for _ in range(2000)]
     assert 0.07 < drawn.count("t") / 2000 < 0.13 and "u" not in drawn
--- a/tests/mesh/test_sidecar.py
+++ b/tests/mesh/test_sidecar.py
@@ -15,7 +15,7 @@
 from lugspur.dataplane.uploads import PART
 from lugspur.mesh.link import Dialler
 from lugspur.mesh.settings import load
-from lugspur.mesh.sidecar import Hand, Spot
+from lugspur.mesh.sidecar import BackendStatus, Sidecar
 from lugspur.seams import Request
 
 FILE = """
@@ -50,13 +50,13 @@
         return None
 
 
-def play(folder: Path, what: Callable[[Hand], None]) -> None:
+def play(folder: Path, what: Callable[[Sidecar], None]) -> None:
     async def run() -> None:
         path = folder / "f.toml"
         path.write_text(FILE)
-        hand = Hand(load(path), str(path))
-        what(hand)
-        for dialler in hand.peers.values():
+        sidecar = Sidecar(load(path), str(path))
+        what(sidecar)
+        for dialler in sidecar.peers.values():
             dialler.close()
 
     asyncio.run(run())
@@ -66,7 +66,7 @@
     return Request(b"POST", b"/", {}, [], body, 0.0, True)
 
 
-def beat(hand: Hand, sequence: int, state: str = "accepting", life: str = "i-1", service: str = "rooms") -> int:
+def beat(sidecar: Sidecar, sequence: int, state: str = "accepting", life: str = "i-1", service: str = "rooms") -> int:
     caller = Caller()
     body = json.dumps(
         {
@@ -80,78 +80,78 @@
             "sequence": sequence,
         }
     ).encode()
-    hand._heartbeat(request(body), caller, [life])
+    sidecar._heartbeat(request(body), caller, [life])
     return caller.status
 
 
-def told(hand: Hand) -> tuple[str, str]:
+def told(sidecar: Sidecar) -> tuple[str, str]:
     """What the mesh is told of the machine's backend."""
-    spot = hand.spots[hand.ip]
-    return spot.id, spot.state
+    status = sidecar.backends[sidecar.ip]
+    return status.id, status.state
 
 
 def test_closing_counts_once_and_for_good_whatever_comes_behind_it(tmp_path: Path) -> None:
-    def what(hand: Hand) -> None:
-        assert beat(hand, 1) == 200 and told(hand) == ("i-1", "accepting")
-        assert beat(hand, 3, "closing") == 200 and told(hand) == ("i-1", "closing")
-        local = hand.gate.local
+    def what(sidecar: Sidecar) -> None:
+        assert beat(sidecar, 1) == 200 and told(sidecar) == ("i-1", "accepting")
+        assert beat(sidecar, 3, "closing") == 200 and told(sidecar) == ("i-1", "closing")
+        local = sidecar.gate.local
         assert local is not None
-        since, edition = local.closing_at, hand._said
-        assert beat(hand, 4, "closing") == 200 and local.closing_at == since  # its drain does not begin anew
-        assert hand._said is edition  # nor is the mesh told again
-        assert beat(hand, 2) == 200 and told(hand) == ("i-1", "closing")  # a late one
-        assert beat(hand, 5) == 200 and told(hand) == ("i-1", "closing")  # a life that leaves does not come back
+        since, edition = local.closing_at, sidecar._said
+        assert beat(sidecar, 4, "closing") == 200 and local.closing_at == since  # its drain does not begin anew
+        assert sidecar._said is edition  # nor is the mesh told again
+        assert beat(sidecar, 2) == 200 and told(sidecar) == ("i-1", "closing")  # a late one
+        assert beat(sidecar, 5) == 200 and told(sidecar) == ("i-1", "closing")  # a life that leaves does not come back
 
     play(tmp_path, what)
 
 
 def test_another_life_takes_the_place_and_the_former_ones_last_word_does_not_take_it_back(tmp_path: Path) -> None:
-    def what(hand: Hand) -> None:
-        beat(hand, 7)
-        assert beat(hand, 1, life="i-2", service="desk") == 200  # sequences are each life's own
-        assert told(hand) == ("i-2", "accepting") and hand.proxy.sender == "desk"
-        assert beat(hand, 8, "closing", life="i-1") == 200 and told(hand) == ("i-2", "accepting")
+    def what(sidecar: Sidecar) -> None:
+        beat(sidecar, 7)
+        assert beat(sidecar, 1, life="i-2", service="desk") == 200  # sequences are each life's own
+        assert told(sidecar) == ("i-2", "accepting") and sidecar.proxy.sender == "desk"
+        assert beat(sidecar, 8, "closing", life="i-1") == 200 and told(sidecar) == ("i-2", "accepting")
         caller = Caller()
-        hand._sign_off(request(b""), caller, ["i-1"])
-        assert caller.status == 200 and told(hand) == ("i-2", "accepting")
-        hand._sign_off(request(b""), caller, ["i-2"])
-        assert told(hand) == ("i-2", "gone")
-        now = hand.loop.time()
-        assert not hand.gate.takes(now + 9.0, "i-2") and not hand.gate.takes(now, "i-1")
+        sidecar._sign_off(request(b""), caller, ["i-1"])
+        assert caller.status == 200 and told(sidecar) == ("i-2", "accepting")
+        sidecar._sign_off(request(b""), caller, ["i-2"])
+        assert told(sidecar) == ("i-2", "gone")
+        now = sidecar.loop.time()
+        assert not sidecar.gate.takes(now + 9.0, "i-2") and not sidecar.gate.takes(now, "i-1")
 
     play(tmp_path, what)
 
 
 def test_a_backend_that_says_nothing_is_gone_until_it_speaks(tmp_path: Path) -> None:
-    def what(hand: Hand) -> None:
-        beat(hand, 1)
-        now = hand.loop.time()
+    def what(sidecar: Sidecar) -> None:
+        beat(sidecar, 1)
+        now = sidecar.loop.time()
         for step in range(40):
-            hand.look(now + step * 0.1)
-        assert told(hand)[1] == "accepting"
+            sidecar.look(now + step * 0.1)
+        assert told(sidecar)[1] == "accepting"
         for step in range(40, 42):
-            hand.look(now + step * 0.1)
-        assert told(hand)[1] == "gone"
-        assert beat(hand, 2) == 200 and told(hand)[1] == "accepting"
-        beat(hand, 3, "closing")
+            sidecar.look(now + step * 0.1)
+        assert told(sidecar)[1] == "gone"
+        assert beat(sidecar, 2) == 200 and told(sidecar)[1] == "accepting"
+        beat(sidecar, 3, "closing")
         for step in range(90):
-            hand.look(now + step * 0.1)
-        assert told(hand)[1] == "gone"
-        assert beat(hand, 4) == 200 and told(hand)[1] == "closing"  # it had said so
+            sidecar.look(now + step * 0.1)
+        assert told(sidecar)[1] == "gone"
+        assert beat(sidecar, 4) == 200 and told(sidecar)[1] == "closing"  # it had said so
 
     play(tmp_path, what)
 
 
 def test_who_was_frozen_itself_does_not_call_its_backend_silent(tmp_path: Path) -> None:
-    def what(hand: Hand) -> None:
-        beat(hand, 1)
-        now = hand.loop.time()
-        hand.look(now + 0.1)
-        hand.look(now + 30.0)
-        assert told(hand)[1] == "accepting"
+    def what(sidecar: Sidecar) -> None:
+        beat(sidecar, 1)
+        now = sidecar.loop.time()
+        sidecar.look(now + 0.1)
+        sidecar.look(now + 30.0)
+        assert told(sidecar)[1] == "accepting"
         for step in range(100):
-            hand.look(now + 30.0 + step * 0.1)
-        assert told(hand)[1] == "gone"
+            sidecar.look(now + 30.0 + step * 0.1)
+        assert told(sidecar)[1] == "gone"
 
     play(tmp_path, what)
 
@@ -169,11 +169,11 @@
     ],
 )
 def test_a_beat_that_is_none_changes_nothing(tmp_path: Path, body: bytes) -> None:
-    def what(hand: Hand) -> None:
-        beat(hand, 1)
+    def what(sidecar: Sidecar) -> None:
+        beat(sidecar, 1)
         with pytest.raises(MeshError):
-            hand._heartbeat(request(body), Caller(), ["i-1"])
-        assert told(hand) == ("i-1", "accepting")
+            sidecar._heartbeat(request(body), Caller(), ["i-1"])
+        assert told(sidecar) == ("i-1", "accepting")
 
     play(tmp_path, what)
 
@@ -192,23 +192,23 @@
 def test_a_body_whose_end_was_not_sent_has_not_run_and_a_whole_one_may_have(
     tmp_path: Path, granted: int, how: End
 ) -> None:
-    def what(hand: Hand) -> None:
+    def what(sidecar: Sidecar) -> None:
         ip, wire, replies = "127.0.0.2", Wire(), list[Reply]()
         dialler = Dialler(ip, 1, "127.0.0.1", lambda *_: None, lambda _: None, lambda _: None)
-        dialler.link, hand.peers[ip] = wire, dialler  # type: ignore[assignment]
-        hand.spots[ip] = Spot("i-9", "rooms", "z", "accepting", 9, 0.0, 330_000.0)
+        dialler.link, sidecar.peers[ip] = wire, dialler  # type: ignore[assignment]
+        sidecar.backends[ip] = BackendStatus("i-9", "rooms", "z", "accepting", 9, 0.0, 330_000.0)
         body = bytes(50_000)
         forward = Forward(0, "i-9", b"POST", b"/", [], body, 5.0, 1.0, b"a", 1, False, "r")
-        hand.carry(ip, forward, replies.append)
+        sidecar.carry(ip, forward, replies.append)
         [offer] = wire.sent
         assert isinstance(offer, Forward) and (offer.size, offer.body) == (len(body), b"")
         for upto in range(PART, granted + PART, PART):
-            hand.heard_more(0.0, ip, Grant(offer.n, min(upto, len(body))))
+            sidecar.heard_more(0.0, ip, Grant(offer.n, min(upto, len(body))))
         parts = [m for m in wire.sent[1:] if isinstance(m, Part)]
         assert b"".join(p.data for p in parts) == body[:granted]
-        hand._down(dialler)
+        sidecar._down(dialler)
         assert [(r.how, r.sent) for r in replies] == [(how, how == End.MAYBE)]
-        assert hand._bodies == {}
+        assert sidecar._bodies == {}
         dialler.link = None
         dialler.close()
 
