--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -30,6 +30,7 @@
 PACE_WEIGHT = 1 / 16  # of one answer in the pace
 GRACE = 0.03  # seconds behind the deadline in which the backend's own word on it may come
 DIAL_WITHIN = 0.5  # seconds: the backend is on this machine
+ATTEMPT = b"lugspur-attempt-id"  # answers bear that of their request
 
 
 Rank = tuple[int, float]  # an operators' priority, and the loop's time at which an answer loses its worth
@@ -49,7 +50,7 @@
     return Outcome.FULL if unseen or status == 421 else Outcome.OK
 
 
-class Local:
+class LocalBackend:
     """The backend of this machine, in its present life."""
 
     __slots__ = ("backend", "berths", "closing_at", "down", "heard", "id", "sequence", "service", "state", "warm_at")
@@ -70,7 +71,7 @@
 
     __slots__ = ("exchange", "forward", "local", "over", "respond", "sent", "sent_at", "since", "until")
 
-    def __init__(self, forward: Forward, local: Local, now: float, respond: Callable[[Reply], None]) -> None:
+    def __init__(self, forward: Forward, local: LocalBackend, now: float, respond: Callable[[Reply], None]) -> None:
         self.forward, self.local, self.respond = forward, local, respond
         self.since = self.sent_at = now
         self.until = now + forward.left
@@ -88,12 +89,12 @@
         files: int,
         drain: float,
         done: Callable[[Forward, Answer], None],
-        down: Callable[[Local], None],
+        down: Callable[[LocalBackend], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._drain = drain
         self._done, self._down = done, down
-        self.local: Local | None = None
+        self.local: LocalBackend | None = None
         self.leaving = False  # this process ends: nothing new
         self._upstream = Upstream(
             Shares(files, {}),
@@ -104,7 +105,7 @@
             memory // 8,
             judge,
             proof=b"lugspur-not-delivered",
-            echo=b"lugspur-attempt-id",
+            echo=ATTEMPT,
             keeps=64,
         )
         self._count = itertools.count()
@@ -131,7 +132,9 @@
         """Have the backend run it; the answer comes once. None: it is turned away."""
         now = self._loop.time()
         local = self.local
-        if local is None or not self.takes(now, forward.backend) or not self._room(local, forward):
+        # Guards against a request that was held up on its way, or whose body was, until its caller had given it up.
+        over = forward.left <= 0.0
+        if over or local is None or not self.takes(now, forward.backend) or not self._room(local, forward):
             respond(Reply(forward.n, End.NOT_RUN, None, False, self.busy))
             return None
         ticket = Ticket(forward, local, now, respond)
@@ -160,7 +163,7 @@
         """
         return forward.priority, now + forward.aim
 
-    def _room(self, local: Local, forward: Forward) -> bool:
+    def _room(self, local: LocalBackend, forward: Forward) -> bool:
         """Whether it would get its turn while its answer is still worth something."""
         free = local.berths + EXTRA - self._at_work
         if free > 0:
@@ -280,10 +283,16 @@
     @staticmethod
     def _sound(forward: Forward, response: Response) -> bool:
         """Whether it is this request's answer, as the backend meant it."""
-        head = response.head.lower()
-        if b"lugspur-attempt-id:" not in head or b"content-encoding:" in head:
+        names: dict[bytes, bytes] = {}
+        for line in response.head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            name = name.lower()
+            if name == ATTEMPT and name in names:  # Guards against two readings of whose answer it is.
+                return False
+            names[name] = value.strip(b" \t")
+        if names.get(ATTEMPT) != forward.attempt or b"content-encoding" in names:
             return False
-        return response.status // 100 != 2 or b"lugspur-postmark:" in head
+        return response.status // 100 != 2 or b"lugspur-postmark" in names
 
     def _end(self, ticket: Ticket, how: End, answer: Answer | None) -> None:
         if not ticket.over:
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -15,7 +15,7 @@
 from lugspur.control.messages import Answer, Forward, Reply
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.proxy import Proxy
-from lugspur.dataplane.routes import Table
+from lugspur.dataplane.routes import RouteTable
 from lugspur.seams import Request
 
 OK = Answer(200, b"Lugspur-Postmark: p\r\n", b"hi")
@@ -48,9 +48,10 @@
         self.sent: list[tuple[str, Forward, Callable[[Reply], None]]] = []
         self.cancelled: list[int] = []
         self.claimed: list[tuple[bytes, Callable[[Settled], None]]] = []
+        self.claim_ids: list[bytes] = []
         self.released: list[bytes] = []
         self.unreachable: set[str] = set()
-        table = Table()
+        table = RouteTable()
         for entry in read_call(call(route("r", mail_class=kind, tries=tries, deadline_ms=500, target_ms=200))):
             table.change(entry)
         self.proxy = Proxy(table, self, self, Random(1), 0.2, slack, 10.0, "z0")
@@ -68,6 +69,7 @@
 
     def claim(self, key: bytes, by: bytes, left: float, within: float, over: Callable[[Settled], None]) -> None:
         self.claimed.append((key, over))
+        self.claim_ids.append(by)
 
     def release(self, key: bytes, by: bytes) -> None:
         self.released.append(key)
@@ -108,7 +110,7 @@
         assert b"Host: a.example\r\n" in head and b"Lugspur-Attempt-Id: t1\r\n" in head
         assert 0.25 < forward.left <= 0.3 and forward.backend == "i-" + ip[-1]
         rig.reply(End.ANSWERED, OK)
-        assert caller.answers == [(200, OK.head, b"hi")] and not rig.proxy.flights
+        assert caller.answers == [(200, OK.head, b"hi")] and not rig.proxy.open_requests
 
     play(what)
 
@@ -199,7 +201,7 @@
         for _ in range(100):
             rig.ask()
             rig.reply(End.MAYBE)
-            if rig.proxy.flights:
+            if rig.proxy.open_requests:
                 rig.reply(End.MAYBE)
             for rank in rig.proxy.services["s"].values():
                 rank.breakers.clear()  # what is tried here is the budget alone
@@ -209,13 +211,29 @@
     play(what, tries=2)
 
 
+def test_each_claim_has_a_name_of_its_own_also_for_one_attempt_id_and_in_another_life() -> None:
+    names: list[bytes] = []
+
+    def what(rig: Rig) -> None:
+        for _ in range(3):
+            rig.ask(lugspur_operation_key="k")
+        names.extend(rig.claim_ids)
+        rig.claimed[1][1](Won())
+        [(_, forward, _)] = rig.sent
+        assert (forward.key, forward.by, forward.attempt) == (b"k", rig.claim_ids[1], b"t1")
+
+    play(what, kind="tracked")
+    play(what, kind="tracked")  # another process
+    assert len(names) == len(set(names)) == 6
+
+
 def test_an_operation_runs_only_when_its_key_is_won() -> None:
     def what(rig: Rig) -> None:
         caller = rig.ask(lugspur_operation_key="k")
         [(key, over)] = rig.claimed
         assert key == b"k" and not rig.sent
         over(Won())
-        assert rig.sent[0][1].key == b"k" and rig.sent[0][1].by == b"t1"
+        assert rig.sent[0][1].key == b"k" and rig.sent[0][1].by == rig.claim_ids[0]
         rig.reply(End.ANSWERED, OK)
         assert caller.answers[0][0] == 200 and not rig.released
 
@@ -326,7 +344,7 @@
             rig.proxy.table.change(entry)
         for _ in range(100):
             rig.ask()
-            while rig.proxy.flights:
+            while rig.proxy.open_requests:
                 rig.reply(End.NOT_RUN, sent=False)
         assert rig.proxy.ended["breaker-refused"] > 20  # those that may wait are refused here by now
         before = len(rig.sent)
