Send no second copy of a request once its route's tries are spent

Change: the tries are counted again when the copy falls due. Result: test_no_second_copy_goes_out_once_all_tries_are_spent fails without the change.

--- a/lugspur/dataplane/proxy.py
+++ b/lugspur/dataplane/proxy.py
@@ -352,7 +352,9 @@
     def _second(self) -> None:
         """A safe request has been out for long: its answer may be lost."""
         now = self.proxy.loop.time()
-        if not self.over and len(self.out) == 1 and self.proxy.budget(self.service).allows(now):
+        if self.over or len(self.out) != 1 or self.sends >= self.route.tries:
+            return  # a further try may have been sent since the hedge was set
+        if self.proxy.budget(self.service).allows(now):
             self._go(now, True)
 
     def _write_lines(self) -> list[bytes]:
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -305,6 +305,20 @@
     play(what)
 
 
+def test_no_second_copy_goes_out_once_all_tries_are_spent() -> None:
+    async def what(rig: Rig) -> None:
+        rig.ask()
+        rig.reply(End.ANSWERED, OK)  # the route's pace is known from here on
+        caller = rig.ask()
+        rig.reply(End.ANSWERED, BROKE)  # the first try fails, and the second one is sent
+        assert len(rig.sent) == 3
+        [request] = rig.proxy.open_requests
+        request._second()  # the copy that was set with the first try falls due while the second one is at work
+        assert len(rig.sent) == 3 and not caller.answers
+
+    play(what, slack=100.0)
+
+
 def test_the_pick_prefers_the_own_zone_and_what_is_quick_and_idle() -> None:
     def what(rig: Rig) -> None:
         counts = {"10.0.0.0": 0, "10.0.0.1": 0, "10.0.0.2": 0}
