Take no news for fresh that was not asked for on its connection

Cause: Freshness dated news of a peer without a known question as sent just now. News that waited in a buffer while its connection ended (a drawn history: a control node that stood still for some seconds) made a majority's word of it, so that a state six changes old counted as 0.1 s old. Change: such news tells no time and no word.

--- a/lugspur/control/freshness.py
+++ b/lugspur/control/freshness.py
@@ -57,10 +57,10 @@
         self._words.pop(ip, None)
 
     def heard(self, now: float, ip: str, delta: Delta) -> float:
-        """News of a peer; returns when it was sent."""
+        """News of a peer; returns when it was sent, `NEVER` where nothing tells."""
         delay = self._delays.get(ip)
-        if delay is None:
-            delay = self._delays[ip] = DelayEstimate(now)
+        if delay is None:  # Guards against news of a connection that has ended: it may have waited for any time.
+            return NEVER
         at = delay.sent_at(now, delta.sent)
         if delta.votes:
             self._words[ip] = Word(at, delta.index + delta.pending)
--- a/tests/mesh/test_freshness.py
+++ b/tests/mesh/test_freshness.py
@@ -78,3 +78,11 @@
     assert known(anew, 12.0) == NEVER  # until it has answered on the new connection
     stranger = begun(B, "10.0.0.9")
     assert known(stranger, 11.0) == NEVER
+
+
+def test_news_that_was_not_asked_for_on_this_connection_is_of_any_age() -> None:
+    freshness = begun(B, C)
+    for ip in (B, C):
+        freshness.lost(ip)
+        assert freshness.heard(40.0, ip, delta(11.0)) == NEVER  # it was in a buffer when the connection ended
+    assert known(freshness, 40.0) == NEVER and freshness.word_at(B) == NEVER
