Date news by its connection's first question, not by the latest one

Cause: a proxy that gives a control node up and follows it again asks anew on the connection that is there. The estimate of delays began anew with it, so that news held up from before the question counted as sent after it (up to the whole time of the cut too young); the age of a proxy's configuration never goes back from that. Change: the estimate lasts as long as the connection. Result: tests/mesh/test_freshness.py and test_sidecar.py pass; the new test fails without the change. Found by reading.

--- a/lugspur/control/freshness.py
+++ b/lugspur/control/freshness.py
@@ -52,8 +52,11 @@
         self._delays: dict[str, DelayEstimate] = {}
 
     def asked(self, now: float, ip: str) -> None:
-        """A subscription to this peer's news begins on a new connection."""
-        self._delays[ip] = DelayEstimate(now)
+        """A subscription to this peer's news begins.
+
+        On a connection that has brought news before, the estimate stays: what was held up there may still come.
+        """
+        self._delays.setdefault(ip, DelayEstimate(now))
         self._words.pop(ip, None)
 
     def heard(self, now: float, ip: str, delta: Delta) -> float:
--- a/tests/mesh/test_freshness.py
+++ b/tests/mesh/test_freshness.py
@@ -86,3 +86,12 @@
         freshness.lost(ip)
         assert freshness.heard(40.0, ip, delta(11.0)) == NEVER  # it was in a buffer when the connection ended
     assert known(freshness, 40.0) == NEVER and freshness.word_at(B) == NEVER
+
+
+def test_asking_again_on_the_same_connection_makes_nothing_younger_that_was_held_up_before() -> None:
+    freshness = begun(B, C)
+    freshness.asked(30.0, B)  # it was given up, and is followed again
+    assert freshness.heard(31.0, B, delta(11.0)) == pytest.approx(11.0, abs=0.02)
+    freshness.lost(B)
+    freshness.asked(32.0, B)
+    assert freshness.heard(33.0, B, delta(32.5)) <= 32.0 + FIRST_DELAY
