--- a/lugspur/control/freshness.py
+++ b/lugspur/control/freshness.py
@@ -52,15 +52,18 @@
         self._delays: dict[str, DelayEstimate] = {}
 
     def asked(self, now: float, ip: str) -> None:
-        """A subscription to this peer's news begins on a new connection."""
-        self._delays[ip] = DelayEstimate(now)
+        """A subscription to this peer's news begins.
+
+        On a connection that has brought news before, the estimate stays: what was held up there may still come.
+        """
+        self._delays.setdefault(ip, DelayEstimate(now))
         self._words.pop(ip, None)
 
     def heard(self, now: float, ip: str, delta: Delta) -> float:
-        """News of a peer; returns when it was sent."""
+        """News of a peer; returns when it was sent, `NEVER` where nothing tells."""
         delay = self._delays.get(ip)
-        if delay is None:
-            delay = self._delays[ip] = DelayEstimate(now)
+        if delay is None:  # Guards against news of a connection that has ended: it may have waited for any time.
+            return NEVER
         at = delay.sent_at(now, delta.sent)
         if delta.votes:
             self._words[ip] = Word(at, delta.index + delta.pending)
