Give back an answer that comes within the millisecond in which it was asked for

Seen as a flaky test (an operation runs once, over the kill of all replicas): the loop counts whole milliseconds, so that the first answer on a route could have taken 0 s, and its relative latency was divided by a pace of 0. The exception lost the answer: its caller got 504 at the deadline although the operation had run. Since the route's first such answer alone is hit, only young routes were.

An answer counts as one millisecond at least. The new test fails for all four kinds of route before.

--- a/lugspur/dataplane/proxy.py
+++ b/lugspur/dataplane/proxy.py
@@ -24,6 +24,7 @@
 OWN_LINES = (b"lugspur-sender", b"lugspur-deliver-to", BY_MS)  # set anew here, whatever was sent
 REWRITTEN = (b"host", b"x-request-id", b"x-forwarded-for", b"x-forwarded-proto")  # kept out of the lines by the reader
 ID_MOST = 256  # bytes of an id or a key
+TICK = 0.001  # seconds that an answer takes at least
 PACE_WEIGHT = 1 / 32  # of one answer in a route's pace
 CLAIM_WITHIN = 0.6  # seconds for a claim, and at most a third of the time that is left
 MARGIN = 0.02  # seconds for which the backend's word at the deadline is waited for
@@ -372,7 +373,8 @@
         endpoint.inflight -= 1
         loop = self.proxy.loop
         now = loop.time()
-        took, route = now - since, self.route
+        # Guards the first answer on a route against a division by nothing: the loop counts whole milliseconds.
+        took, route = max(TICK, now - since), self.route
         how = reply.how
         if how == End.ANSWERED and reply.answer is not None:
             if reply.answer.status < 500:
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -211,6 +211,21 @@
     play(what, tries=2)
 
 
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "upload", "tracked"])
+def test_an_answer_that_comes_at_once_goes_back(kind: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    def what(rig: Rig) -> None:
+        now = rig.proxy.loop.time()
+        monkeypatch.setattr(rig.proxy.loop, "time", lambda: now)  # as a loop does that counts milliseconds
+        caller = rig.ask(lugspur_operation_key="k")
+        if kind == "tracked":
+            rig.claimed[0][1](Won())
+        rig.reply(End.ANSWERED, OK)
+        monkeypatch.undo()
+        assert [answer[0] for answer in caller.answers] == [200]
+
+    play(what, kind=kind)
+
+
 def test_each_claim_has_a_name_of_its_own_also_for_one_attempt_id_and_in_another_life() -> None:
     names: list[bytes] = []
 
