Run nothing for a caller of another life, another connection or a time before a freeze

Times go between machines as spans. A request that lay in the socket of a frozen process, or was held up by a cut, was run when it was read, with all of its span before it, after its caller had been answered. A request that lay at the frozen proxy's own port began anew in the same way: under a key whose window had ended for all others meanwhile, a second run in its window was possible. Replies and grants were taken by the machine's address and the number alone, and a machine counted as reachable as soon as its kernel had taken the connection.

- Each request bears the sender's steady clock; the receiver tells its excess delay over the least one of the connection (delays.py: drift and moved clocks are thought of) and takes it off the time left.
What is over is turned away as not run.
- A proxy answers a Hello by its own, and is sent nothing before: a frozen one gets no requests on new connections.
The second Hello is the first stamp.
- Requests are taken only behind a Hello, under one life for each connection, by rising numbers.
Replies and grants count only on the connection of their request.
- What a proxy reads within a second of a freeze of its own counts as come when the freeze began.
- A cancel of what waits at the gate of the own machine is answered: before, it counted as under way there for ever.

New fields at the end of Hello and Forward. Guards taken out one at a time, each caught in tests/mesh/test_exchanges.py: Hello first, rising numbers, one life, the delay taken off, the stamp of the second Hello, a body that is whole too late, the request's own connection, numbers that come again, a body sent whole, drift, a moved clock.

--- a/lugspur/control/messages.py
+++ b/lugspur/control/messages.py
@@ -32,6 +32,9 @@
     ip: str
     life: str  # drawn at each start
     keeps: bool
+    # The sender's steady clock. A proxy answers a Hello without one by its own, and gets another one with it: so both
+    # know that the other one runs now, before any request goes.
+    sent: float = 0.0
 
 
 class Sync(msgspec.Struct, tag=2, array_like=True):
@@ -217,6 +220,7 @@
     by: bytes = b""
     back: bool = False  # its caller has been turned away before, or has little time for other causes
     size: int = 0  # bytes of a body that comes in parts, as they are granted
+    sent: float = 0.0  # the sender's steady clock when `left` and `aim` were true, see lugspur.dataplane.delays
 
 
 class Reply(msgspec.Struct, tag=20, array_like=True):
--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -199,7 +199,7 @@
             if ticket.exchange is not None:
                 ticket.exchange.end(Outcome.CANCELLED)
             else:
-                ticket.over = True  # it is passed over when its turn comes
+                self._end(ticket, End.MAYBE, None)  # it is passed over when its turn comes
 
     def _next(self) -> None:
         while self._waiting:
--- a/lugspur/mesh/incoming.py
+++ b/lugspur/mesh/incoming.py
@@ -4,31 +4,46 @@
 
 import asyncio
 
-from lugspur.control.messages import Cancel, Forward, Grant, Message, Part, Reply
+from lugspur.control.messages import Cancel, Forward, Grant, Hello, Message, Part, Reply
+from lugspur.dataplane.delays import ExcessDelay
 from lugspur.dataplane.gate import End, Gate, Ticket
 from lugspur.dataplane.uploads import UploadScheduler
 from lugspur.mesh import events
 from lugspur.mesh.link import Link
 
 
+class _Caller:
+    """Who dialled, on one connection."""
+
+    __slots__ = ("delay", "latest", "life")
+
+    def __init__(self, life: str) -> None:
+        self.life = life
+        self.latest = 0  # the highest number of its requests
+        self.delay = ExcessDelay()
+
+
 class IncomingExchanges:
     """All requests of others that are in hand here, by connection and number.
 
-    A connection lies between one life of a process and one of another: what came on it belongs to no other.
+    A connection lies between one life of a process and one of another: what came on it belongs to no other. Requests
+    are taken only behind a Hello, which names the life, and by rising numbers: none is taken twice.
     """
 
-    def __init__(self, gate: Gate, uploads: UploadScheduler) -> None:
+    def __init__(self, gate: Gate, uploads: UploadScheduler, hello: Hello) -> None:
+        """`hello`: what this process says of itself to who dials it."""
         self._loop = asyncio.get_running_loop()
-        self._gate, self.uploads = gate, uploads
+        self._gate, self.uploads, self._hello = gate, uploads, hello
+        self.expired = 0  # requests whose time was over when they were read
         self._tickets: dict[tuple[Link, int], Ticket] = {}
+        self._callers: dict[Link, _Caller] = {}
 
     def heard(self, link: Link, message: Message) -> None:
         """Something from one who dialled."""
-        if isinstance(message, Forward):
-            if message.size:
-                self._offered(link, message)
-            else:
-                self._run(link, message)
+        if isinstance(message, Hello):
+            self._greeted(link, message)
+        elif isinstance(message, Forward):
+            self._forwarded(link, message)
         elif isinstance(message, Part):
             self._part(link, message)
         elif isinstance(message, Cancel):
@@ -38,6 +53,37 @@
             elif self.uploads.drop((link, message.n)):
                 self._grant()
 
+    def _greeted(self, link: Link, message: Hello) -> None:
+        link.peer = message.ip
+        caller = self._callers.setdefault(link, _Caller(message.life))
+        if message.life != caller.life:
+            events.warn("life", peer=link.peer, life=message.life)
+            link.close()
+        elif message.sent:
+            caller.delay.excess(self._loop.time(), message.sent)
+        else:
+            link.send(self._hello)
+
+    def _forwarded(self, link: Link, forward: Forward) -> None:
+        """A request, or the word that one with a large body waits to be sent."""
+        caller = self._callers.get(link)
+        if caller is None or forward.n <= caller.latest:
+            events.warn("forward", peer=link.peer, n=forward.n)
+            link.close()
+            return
+        caller.latest = forward.n
+        # Guards against running what was held up on its way (a cut, or this process frozen) until nobody waits for it.
+        excess = caller.delay.excess(self._loop.time(), forward.sent)
+        forward.left -= excess
+        forward.aim -= excess
+        if forward.left <= 0.0:
+            self.expired += 1
+            self._turn_away(link, forward.n)
+        elif forward.size:
+            self._offered(link, forward)
+        else:
+            self._run(link, forward)
+
     def _run(self, link: Link, forward: Forward) -> None:
         """A whole request for this machine's backend."""
         n = forward.n
@@ -81,6 +127,7 @@
 
     def ended(self, link: Link) -> None:
         """A connection that was dialled to here has ended."""
+        self._callers.pop(link, None)
         for key in self.uploads.of(link):
             self.uploads.drop(key)
         for key in [key for key in self._tickets if key[0] is link]:
--- a/lugspur/mesh/link.py
+++ b/lugspur/mesh/link.py
@@ -47,6 +47,7 @@
         self._size = 0
         self.open = True
         self.peer = ""  # the IP number of who dialled, once it has said Hello
+        self.answered = False  # whether who was dialled has said Hello: its process runs, and takes requests
         self.at = 0.0  # the loop's time of the latest message
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/lugspur/mesh/outgoing.py
+++ b/lugspur/mesh/outgoing.py
@@ -40,7 +40,7 @@
         return bool(self._open.get(ip))
 
     def carry(
-        self, ip: str, link: Link, rate: float, forward: Forward, respond: Callable[[Reply], None]
+        self, now: float, ip: str, link: Link, rate: float, forward: Forward, respond: Callable[[Reply], None]
     ) -> Callable[[], None]:
         """Send a request; the reply comes once. `rate`: bytes a second of that machine's link, 0: unknown.
 
@@ -48,6 +48,7 @@
         """
         self._latest += 1
         number = forward.n = self._latest
+        forward.sent = now
         exchange = _Exchange(link, respond)
         self._open.setdefault(ip, {})[number] = exchange
         if in_parts(len(forward.body), rate):
@@ -62,15 +63,24 @@
             exchange.link.send(Cancel(number))
             exchange.respond(Reply(number, End.MAYBE))
 
-    def reply(self, ip: str, message: Reply) -> None:
+    def _of(self, link: Link, number: int) -> _Exchange | None:
+        """The exchange that a message on this connection is about.
+
+        Guards an exchange against what is said of its number on any other connection than its own.
+        """
+        exchange = self._open.get(link.peer, {}).get(number)
+        return exchange if exchange is not None and exchange.link is link else None
+
+    def reply(self, link: Link, message: Reply) -> None:
         """How one ended."""
-        exchange = self._open.get(ip, {}).pop(message.n, None)
+        exchange = self._of(link, message.n)
         if exchange is not None:
+            del self._open[link.peer][message.n]
             exchange.respond(message)
 
-    def grant(self, ip: str, message: Grant) -> None:
+    def grant(self, link: Link, message: Grant) -> None:
         """Send the next bytes of a body."""
-        exchange = self._open.get(ip, {}).get(message.n)
+        exchange = self._of(link, message.n)
         body = None if exchange is None else exchange.body
         if exchange is None or body is None or body.sent >= message.upto:
             return
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -11,6 +11,7 @@
 from lugspur.control.errors import Kind, MeshError
 from lugspur.control.items import LIMITS, ROUTES
 from lugspur.control.messages import Answer, Done, Entry, Forward, Grant, Hello, Message, Reply
+from lugspur.dataplane.delays import FreezeDetector
 from lugspur.dataplane.gate import Gate, LocalBackend
 from lugspur.dataplane.proxy import Proxy
 from lugspur.dataplane.routes import RouteTable
@@ -30,6 +31,7 @@
 FILES_KEPT = 264  # descriptors for files and what is not counted here; 200 are reserved by the platform
 CALLERS_PART = 0.5  # of the descriptors, for callers; the rest is for the backend and other proxies
 FROZEN = 1.0  # seconds between two looks after which this process has not run in between
+SETTLED = 1.0  # seconds behind a freeze in which all that waited meanwhile is read
 HEARTBEATS_MISSED = 3.0  # beats that may be missed until a backend counts as gone
 LEAVE_TAKES = 0.35  # of the time that a process has to end, in which callers are still served anew
 LEAVE_ENDS = 0.9  # ...and by which all ends
@@ -79,6 +81,7 @@
         self._stale_services: set[str] = set()
         self._told_at = self._again_at = 0.0
         self._looked_at = float("inf")  # until it has looked once
+        self._freezes = FreezeDetector(FROZEN, SETTLED)
         self.outgoing = OutgoingExchanges()
         self._rate = limits.link_mbps * 1e6 / 8.0
         super().__init__(settings, path, False)
@@ -101,7 +104,8 @@
             self._done,
             self._backend_down,
         )
-        self.incoming = IncomingExchanges(self.gate, UploadScheduler(self._rate, (limits.memory_mb << 20) // 4))
+        uploads = UploadScheduler(self._rate, (limits.memory_mb << 20) // 4)
+        self.incoming = IncomingExchanges(self.gate, uploads, Hello(self.ip, self.life, self.keeps))
 
     def _sender(self) -> None:
         local = self.gate.local
@@ -115,6 +119,8 @@
         await self.loop.create_server(lambda: Link(self._asked, self.incoming.ended), ip, port, backlog=512)
         most = max(64, int((limits.file_handles - FILES_KEPT) * CALLERS_PART))
         self.front = Front(read_address(listen.outgoing), most, limits.memory_mb << 20, self._handle)
+        # Guards against requests that waited unread while this process was frozen: their callers have given them up.
+        self.front.came = lambda now, transport, first: self._freezes.came(now)
         self._tune()
         self._sock = await self.front.listen()
         desk = Desk()
@@ -291,7 +297,7 @@
         if ip == self.ip:
             return True
         dialler = self.peers.get(ip)
-        return dialler is not None and dialler.link is not None
+        return dialler is not None and dialler.link is not None and dialler.link.answered
 
     def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Callable[[], None]:
         """Send it to the gate beside that machine's backend."""
@@ -302,13 +308,19 @@
         link = dialler.link
         assert link is not None
         backend_status = self.backends.get(ip)
-        return self.outgoing.carry(ip, link, 0.0 if backend_status is None else backend_status.rate, forward, respond)
+        rate = 0.0 if backend_status is None else backend_status.rate
+        return self.outgoing.carry(self.loop.time(), ip, link, rate, forward, respond)
 
-    def heard_more(self, now: float, ip: str, message: Message) -> None:
+    def _heard_from(self, link: Link, message: Message) -> None:
         if isinstance(message, Reply):
-            self.outgoing.reply(ip, message)
+            self.outgoing.reply(link, message)
         elif isinstance(message, Grant):
-            self.outgoing.grant(ip, message)
+            self.outgoing.grant(link, message)
+        elif isinstance(message, Hello):
+            link.answered = True
+            link.send(Hello(self.ip, self.life, self.keeps, self.loop.time()))
+        else:
+            super()._heard_from(link, message)
 
     def _down(self, dialler: Dialler) -> None:
         super()._down(dialler)
@@ -316,13 +328,11 @@
 
     def _asked(self, link: Link, message: Message) -> None:
         """Something from one who dialled: requests for this machine's backend."""
+        self.incoming.heard(link, message)
         if isinstance(message, Hello):
-            link.peer = message.ip
             dialler = self.peers.get(message.ip)
             if dialler is not None:
                 dialler.nudge()
-        else:
-            self.incoming.heard(link, message)
 
     def _done(self, forward: Forward, answer: Answer) -> None:
         """A keyed operation has run: the voters keep its answer for repeats."""
@@ -395,6 +405,7 @@
         gate.turned = gate.evicted = gate.hopeless = 0
 
     def look(self, now: float) -> None:
+        self._freezes.ran(now)
         self._tell(now)
         self.incoming.look(now)
         local = self.gate.local
--- /dev/null
+++ b/tests/mesh/test_exchanges.py
@@ -0,0 +1,205 @@
+"""Requests between machines over loopback: nothing of another connection, another life or another time counts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from lugspur.control.messages import Cancel, Forward, Grant, Hello, Message, Part, Reply
+from lugspur.dataplane.delays import LATE_FOR, ExcessDelay, FreezeDetector
+from lugspur.dataplane.gate import End, Gate, LocalBackend
+from lugspur.dataplane.uploads import PART, UploadScheduler
+from lugspur.mesh.incoming import IncomingExchanges
+from lugspur.mesh.outgoing import OutgoingExchanges
+
+OWN = Hello("127.0.0.9", "own", False)
+
+
+class Wire:
+    """One end of a connection: what was sent on it, and whether it is open."""
+
+    def __init__(self, peer: str = "") -> None:
+        self.peer, self.open = peer, True
+        self.sent: list[Message] = []
+
+    def send(self, message: Message) -> None:
+        if self.open:
+            self.sent.append(message)
+
+    def close(self) -> None:
+        self.open = False
+
+    @property
+    def replies(self) -> list[tuple[int, End]]:
+        return [(m.n, End(m.how)) for m in self.sent if isinstance(m, Reply)]
+
+
+class Rig:
+    """What takes requests of others, with a gate whose backend answers by hand."""
+
+    def __init__(self) -> None:
+        self.ran: list[bytes] = []
+        self.over: list[Callable[[], None]] = []
+        self.gate = Gate(64 << 20, 64, 2.0, lambda f, a: None, lambda local: None)
+        self.now = asyncio.get_running_loop().time()
+        self.gate.local = LocalBackend("i-1", "s", "127.0.0.1:9", self.now)
+        self.gate.local.berths = 99
+        self.gate._send = lambda ticket: self.ran.append(ticket.forward.attempt)  # type: ignore[method-assign]
+        self.incoming = IncomingExchanges(self.gate, UploadScheduler(330_000.0, 1 << 20), OWN)
+
+    def hear(self, wire: Wire, *messages: Message) -> None:
+        for message in messages:
+            self.incoming.heard(wire, message)  # type: ignore[arg-type]
+
+    def greeted(self, life: str = "one", sent: float | None = None) -> Wire:
+        wire = Wire()
+        self.hear(wire, Hello("127.0.0.2", life, False), Hello("127.0.0.2", life, False, self.stamp(sent or 0.0)))
+        return wire
+
+    def stamp(self, ago: float = 0.0) -> float:
+        """The clock of the peer, which has nothing to do with the one here."""
+        return asyncio.get_running_loop().time() + 5000.0 - ago
+
+
+def forward(n: int, sent: float, left: float = 2.0, size: int = 0) -> Forward:
+    attempt = b"a%d" % n
+    return Forward(n, "i-1", b"POST", b"/p", [], b"", left, left, attempt, 0, False, "r", size=size, sent=sent)
+
+
+def play(what: Callable[[Rig], Awaitable[None] | None]) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(10.0):
+            done = what(Rig())
+            if done is not None:
+                await done
+
+    asyncio.run(run())
+
+
+def test_a_request_is_taken_only_behind_a_hello_and_once() -> None:
+    def what(rig: Rig) -> None:
+        stranger = Wire()
+        rig.hear(stranger, forward(1, rig.stamp()))
+        assert not stranger.open and rig.ran == []
+        wire = rig.greeted()
+        assert wire.sent == [OWN]  # the second one, which bears a time, is not answered
+        rig.hear(wire, forward(1, rig.stamp()), forward(3, rig.stamp()))
+        assert rig.ran == [b"a1", b"a3"] and wire.open
+        for again in (3, 2):
+            wire = rig.greeted()
+            rig.hear(wire, forward(3, rig.stamp()))
+            rig.ran.clear()
+            rig.hear(wire, forward(again, rig.stamp()))
+            assert rig.ran == [] and not wire.open
+
+    play(what)
+
+
+def test_numbers_of_another_life_at_the_same_address_are_others() -> None:
+    def what(rig: Rig) -> None:
+        before, after = rig.greeted("one"), rig.greeted("two")
+        rig.hear(before, forward(1, rig.stamp(), size=20_000))
+        rig.hear(after, forward(1, rig.stamp(), size=30_000))
+        rig.hear(before, Part(1, bytes(PART)), Cancel(1))  # of its own number 1 alone
+        rig.incoming.ended(before)  # type: ignore[arg-type]
+        for n in range(4):
+            rig.hear(after, Part(1, bytes(min(PART, 30_000 - n * PART))))
+        assert rig.ran == [b"a1"] and before.replies == [] and after.open
+        rig.hear(after, Hello("127.0.0.2", "three", False))
+        assert not after.open  # one connection is of one life
+
+    play(what)
+
+
+@pytest.mark.parametrize("held", [0.0, 1.0, 1.9, 2.1, 30.0])
+def test_what_was_held_up_for_longer_than_it_had_is_turned_away_as_not_run(held: float) -> None:
+    def what(rig: Rig) -> None:
+        wire = rig.greeted()
+        rig.hear(wire, forward(1, rig.stamp(held)), forward(2, rig.stamp(held), size=50_000))
+        if held < 2.0:
+            assert rig.ran == [b"a1"] and wire.replies == []
+        else:
+            assert rig.ran == [] and wire.replies == [(1, End.NOT_RUN), (2, End.NOT_RUN)]
+        rig.hear(wire, forward(3, rig.stamp()))
+        assert rig.ran[-1] == b"a3"
+
+    play(what)
+
+
+def test_a_body_whose_end_comes_after_its_time_does_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    def what(rig: Rig) -> None:
+        loop, wire = asyncio.get_running_loop(), rig.greeted()
+        rig.hear(wire, forward(1, rig.stamp(), size=PART))
+        [grant] = [m for m in wire.sent if isinstance(m, Grant)]
+        now = loop.time()
+        monkeypatch.setattr(loop, "time", lambda: now + 30.0)  # frozen: the part waited, and no timer has run yet
+        rig.hear(wire, Part(1, bytes(grant.upto)))
+        assert rig.ran == [] and wire.replies == [(1, End.NOT_RUN)]
+        monkeypatch.undo()
+
+    play(what)
+
+
+def test_what_is_said_of_a_number_on_another_connection_counts_for_nothing() -> None:
+    async def what() -> None:
+        outgoing, replies = OutgoingExchanges(), list[tuple[str, Reply]]()
+        first, second, other = Wire("10.0.0.1"), Wire("10.0.0.1"), Wire("10.0.0.2")
+
+        def carry(name: str, wire: Wire, body: int = 0) -> int:
+            message = forward(0, 0.0)
+            message.body = bytes(body)
+            rate = 330_000.0 if body else 0.0
+            outgoing.carry(1.0, wire.peer, wire, rate, message, lambda r: replies.append((name, r)))  # type: ignore[arg-type]
+            return message.n
+
+        old = carry("old", first)
+        outgoing.lost(first.peer)
+        assert [(name, End(r.how)) for name, r in replies] == [("old", End.MAYBE)]
+        new, large = carry("new", second), carry("large", second, 50_000)
+        assert len({old, new, large}) == 3
+        replies.clear()
+        for wire in (first, other):  # a late answer on the old connection, and one of another machine
+            for n in (old, new, large):
+                outgoing.reply(wire, Reply(n, End.NOT_RUN))  # type: ignore[arg-type]
+            outgoing.grant(wire, Grant(large, PART))  # type: ignore[arg-type]
+        outgoing.reply(second, Reply(old, End.NOT_RUN))  # type: ignore[arg-type]
+        assert replies == [] and not [m for m in second.sent if isinstance(m, Part)]
+        outgoing.reply(second, Reply(new, End.ANSWERED))  # type: ignore[arg-type]
+        outgoing.reply(second, Reply(new, End.ANSWERED))  # type: ignore[arg-type]
+        assert [name for name, _ in replies] == ["new"]
+        outgoing.lost(second.peer)
+        assert [(name, End(r.how)) for name, r in replies] == [("new", End.ANSWERED), ("large", End.NOT_RUN)]
+
+    asyncio.run(what())
+
+
+def test_delays_are_told_without_clocks_that_agree() -> None:
+    delay, offset = ExcessDelay(), -4321.0
+    assert delay.excess(10.0 + offset, 10.0 - 0.03) == 0.0
+    assert delay.excess(11.0 + offset, 11.0 - 0.02) == 0.0  # less delay than ever: that is the offset now
+    assert delay.excess(12.0 + offset, 12.0 - 0.52) == pytest.approx(0.5, abs=0.01)
+    assert delay.excess(50.0 + offset, 12.1 - 0.02) == pytest.approx(37.9, abs=0.05)
+
+
+def test_clocks_that_run_apart_make_nothing_late() -> None:
+    delay = ExcessDelay()
+    assert max(delay.excess(t * 10.0, t * 10.0 * (1.0 - 5e-4)) for t in range(10_000)) < 0.01
+
+
+def test_a_clock_that_was_moved_is_found_out() -> None:
+    delay = ExcessDelay()
+    delay.excess(0.0, 0.0)
+    told = [delay.excess(60.0 + t / 10.0, t / 10.0) for t in range(100)]
+    assert told[0] == pytest.approx(60.0, abs=0.1) and told[-1] < 0.1
+    assert sum(t > 1.0 for t in told) <= 10 * LATE_FOR + 2
+
+
+def test_what_is_read_after_a_freeze_may_have_come_at_its_begin() -> None:
+    freezes = FreezeDetector(1.0, 0.5)
+    for step in range(10):
+        freezes.ran(step / 10.0)
+    assert freezes.came(1.8) == 1.8  # a loaded machine is none that was frozen
+    assert freezes.came(30.0) == 1.8 and freezes.came(30.4) == 1.8
+    assert freezes.came(40.0) == 30.4 and freezes.came(40.5) == 40.5
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -346,3 +346,17 @@
             assert (reply.how, reply.sent, backend.heads) == (End.NOT_RUN, False, [])
 
     play(lambda a: GOOD % a, what)
+
+
+def test_a_cancel_is_answered_once_also_for_what_waits() -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        backend.hold = asyncio.Event()
+        rig.local.berths = 1
+        replies: list[tuple[int, End]] = []
+        tickets = [rig.gate.run(forward(n), lambda r: replies.append((r.n, End(r.how)))) for n in (1, 2, 3)]
+        for ticket in tickets[::-1] * 2:  # the one that waits first: else it would not wait any more
+            assert ticket is not None
+            rig.gate.cancel(ticket)
+        assert sorted(replies) == [(n, End.MAYBE) for n in (1, 2, 3)]  # who sent it counts what it has under way
+
+    play(lambda a: GOOD % a, what)
--- a/tests/mesh/test_sidecar.py
+++ b/tests/mesh/test_sidecar.py
@@ -181,8 +181,9 @@
 class Wire:
     """A connection to another proxy, as far as it is used here."""
 
-    def __init__(self) -> None:
+    def __init__(self, peer: str) -> None:
         self.sent: list[Message] = []
+        self.peer = peer
 
     def send(self, message: Message) -> None:
         self.sent.append(message)
@@ -193,7 +194,8 @@
     tmp_path: Path, granted: int, how: End
 ) -> None:
     def what(sidecar: Sidecar) -> None:
-        ip, wire, replies = "127.0.0.2", Wire(), list[Reply]()
+        ip, replies = "127.0.0.2", list[Reply]()
+        wire = Wire(ip)
         dialler = Dialler(ip, 1, "127.0.0.1", lambda *_: None, lambda _: None, lambda _: None)
         dialler.link, sidecar.peers[ip] = wire, dialler  # type: ignore[assignment]
         sidecar.backends[ip] = BackendStatus("i-9", "rooms", "z", "accepting", 9, 0.0, 330_000.0)
@@ -203,7 +205,7 @@
         [offer] = wire.sent
         assert isinstance(offer, Forward) and (offer.size, offer.body) == (len(body), b"")
         for upto in range(PART, granted + PART, PART):
-            sidecar.heard_more(0.0, ip, Grant(offer.n, min(upto, len(body))))
+            sidecar._heard_from(wire, Grant(offer.n, min(upto, len(body))))  # type: ignore[arg-type]
         parts = [m for m in wire.sent[1:] if isinstance(m, Part)]
         assert b"".join(p.data for p in parts) == body[:granted]
         sidecar._down(dialler)
