--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,45 @@
+"""The days under tests/days are whole: each parses, and names only the kinds of trouble that the bench knows."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+DAYS = Path(__file__).parent / "days"
+FILES = sorted(DAYS.glob("*.toml"))
+KINDS = frozenset((DAYS / "kinds.txt").read_text().split())
+CLOSINGS = frozenset({"power_off_all", "wipe_after_ack", "kill_all"})
+DAY_FIELDS = frozenset({"name", "length_s", "closing", "plan", "faults"})
+ENTRY_FIELDS = frozenset({"at", "kind", "how", "for_s", "share", "count", "x", "gap_s", "on"})
+"""No zone, service or class among them, so that a day can be played on every deployment."""
+
+
+def test_there_are_days() -> None:
+    assert FILES
+
+
+def day_of(path: Path) -> dict[str, Any]:
+    """The one day that a file holds."""
+    days = tomllib.loads(path.read_text())["day"]
+    assert len(days) == 1
+    day: dict[str, Any] = days[0]
+    return day
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_day_can_be_played(path: Path) -> None:
+    day = day_of(path)
+    assert day["name"] == path.stem
+    assert day.keys() <= DAY_FIELDS
+    assert day["closing"]["kind"] in CLOSINGS
+    assert day["length_s"] <= 80.0
+    for entry in day["plan"] + day["faults"]:
+        assert entry.keys() <= ENTRY_FIELDS, entry
+        assert entry["kind"] in KINDS, entry
+        assert entry["at"] >= 0.0, entry
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_day_is_listed(path: Path) -> None:
+    assert f"`{path.stem}`" in (DAYS / "README.md").read_text()
