--- a/lugspur/bench/mesh.py
+++ b/lugspur/bench/mesh.py
@@ -77,6 +77,13 @@
 
     def settings(self, ip: str) -> str:
         """One machine's settings file."""
+        return "".join(
+            f"[{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in table.items())
+            for name, table in self.tables(ip).items()
+        )
+
+    def tables(self, ip: str) -> dict[str, dict[str, Any]]:
+        """The tables of one machine's settings file."""
         at = self.proxy_ips.index(ip) if ip in self.proxy_ips else -1
         replica = at < 0
         listen = {"dispatch": f"{ip}:{self.dispatch}"}
@@ -92,7 +99,7 @@
         else:
             own |= {"app_address": f"{ip}:{self.app}", "service": self.services[at]}
             listen |= {"outgoing": f"{ip}:{self.outgoing}", "readiness": f"{ip}:{self.ready}"}
-        tables = {
+        return {
             "self": own,
             "self.limits": {"memory_mb": 200, "file_handles": 1024, "disk_mb": 64, "link_mbps": 8},
             "network": {
@@ -102,10 +109,6 @@
             "network.listen": listen,
             "tariffs.tolerate": {"machines": 1},
         }
-        return "".join(
-            f"[{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in table.items())
-            for name, table in tables.items()
-        )
 
     def start(self, ip: str) -> None:
         """Start one machine's process."""
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -116,7 +116,7 @@
 
     async def serve(self) -> None:
         """Listen to the mesh, and to operators."""
-        ip, port = self.settings.inner
+        ip, port = self.settings.inner_bind
         await self.loop.create_server(lambda: Link(self._asked, self._ended), ip, port, backlog=512)
         desk = Desk()
         desk.add("POST", "/config/amend", self._amend)
--- a/lugspur/mesh/settings.py
+++ b/lugspur/mesh/settings.py
@@ -54,6 +54,7 @@
     outgoing: str = ""
     readiness: str = ""
     dispatch: str = ""
+    inner: str = ""  # where the inner protocol is bound, if not at the own IP number and the first inner port
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,9 +121,15 @@
 
     @property
     def inner(self) -> Address:
-        """Where this process listens to its own kind."""
+        """Where other processes reach this one."""
         return self.own.ip, self.network.inner_ports[0]
 
+    @property
+    def inner_bind(self) -> Address:
+        """Where this process listens to its own kind; it differs from `inner` where a relay stands in between."""
+        listen = self.network.listen.inner
+        return read_address(listen) if listen else self.inner
+
     @property
     def seeds(self) -> list[str]:
         """The seeds' IP numbers; all machines use the same ports."""
@@ -146,6 +153,7 @@
             settings.network.listen.outgoing,
             settings.network.listen.readiness,
             settings.network.listen.dispatch,
+            settings.network.listen.inner,
         ):
             if address:
                 read_address(address)
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -111,7 +111,7 @@
     async def serve(self) -> None:
         """Listen: to the mesh, to callers, to the platform, and to the backend's beats."""
         settings = self.settings
-        ip, port = settings.inner
+        ip, port = settings.inner_bind
         listen, limits = settings.network.listen, settings.own.limits
         await self.loop.create_server(lambda: Link(self._asked, self._ended), ip, port, backlog=512)
         most = max(64, int((limits.file_handles - FILES_KEPT) * CALLERS_PART))
--- /dev/null
+++ b/tests/mesh/test_process_faults.py
@@ -0,0 +1,131 @@
+"""The rig of faults: what its relay does to links, what its checker finds, and a short run over real processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from lugspur.bench.faults.links import Cut, Links, Pair
+from lugspur.bench.mesh import free_ports
+
+CLIENT, SERVER = "127.0.0.2", "127.0.0.3"
+THERE, BACK = Pair(CLIENT, SERVER), Pair(SERVER, CLIENT)
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Relayed:
+    """A server behind a relay, and connections to it."""
+
+    def __init__(self, links: Links) -> None:
+        self.links = links
+        self.accepted: asyncio.Queue[Streams] = asyncio.Queue()
+        self.kept: list[Streams] = []  # a reader that nobody keeps ends its connection
+
+    async def begin(self) -> None:
+        public, bound = free_ports([SERVER], 2)
+        self.address = (SERVER, public)
+
+        def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.kept.append((reader, writer))
+            self.accepted.put_nowait((reader, writer))
+
+        self.server = await asyncio.start_server(accept, SERVER, bound)
+        await self.links.listen(self.address, (SERVER, bound))
+
+    async def dial(self) -> Streams:
+        self.kept.append(await asyncio.open_connection(*self.address, local_addr=(CLIENT, 0)))
+        return self.kept[-1]
+
+
+def relayed(what: Callable[[Relayed], Awaitable[None]]) -> None:
+    async def run() -> None:
+        links = Links()
+        there = Relayed(links)
+        await there.begin()
+        try:
+            async with asyncio.timeout(20.0):
+                await what(there)
+        finally:
+            there.server.close()
+            await links.close()
+
+    asyncio.run(run())
+
+
+def test_a_cut_in_one_direction_holds_bytes_until_it_heals_and_the_other_direction_goes_on() -> None:
+    async def what(there: Relayed) -> None:
+        reader, writer = await there.dial()
+        far_reader, far_writer = await there.accepted.get()
+        there.links.cut(THERE, Cut.SILENT)
+        writer.write(b"held")
+        held = asyncio.create_task(far_reader.readexactly(4))
+        for _ in range(5):  # so many round trips the other way
+            far_writer.write(b"news")
+            assert await reader.readexactly(4) == b"news"
+        assert not held.done()
+        there.links.heal()
+        assert await held == b"held"
+
+    relayed(what)
+
+
+def test_a_silent_cut_holds_back_what_is_written_without_limit_at_its_sender() -> None:
+    async def what(there: Relayed) -> None:
+        _, writer = await there.dial()
+        far_reader, _ = await there.accepted.get()
+        there.links.cut(THERE, Cut.SILENT)
+        size = 32 << 20
+        writer.write(b"x" * size)
+        drained = asyncio.create_task(writer.drain())
+        done, _ = await asyncio.wait({drained}, timeout=0.3)
+        assert not done  # the relay reads no more than its bound
+        there.links.heal()
+        assert len(await far_reader.readexactly(size)) == size
+
+    relayed(what)
+
+
+def test_a_cut_with_resets_ends_connections_on_both_sides_and_new_ones_too() -> None:
+    async def what(there: Relayed) -> None:
+        reader, _ = await there.dial()
+        far_reader, _ = await there.accepted.get()
+        there.links.cut(BACK, Cut.RESET)
+        for side in (reader, far_reader):
+            with pytest.raises(ConnectionResetError):
+                await side.read()
+        fresh, _ = await there.dial()
+        with pytest.raises(ConnectionResetError):
+            await fresh.read()
+        there.links.heal()
+        again, _ = await there.dial()
+        _, far_writer = await there.accepted.get()
+        far_writer.write(b"well")
+        assert await again.readexactly(4) == b"well"
+
+    relayed(what)
+
+
+def test_refusing_new_connections_leaves_the_present_ones() -> None:
+    async def what(there: Relayed) -> None:
+        reader, _ = await there.dial()
+        _, far_writer = await there.accepted.get()
+        there.links.cut(THERE, Cut.REFUSE)
+        fresh, _ = await there.dial()
+        with pytest.raises(ConnectionResetError):
+            await fresh.read()
+        far_writer.write(b"well")
+        assert await reader.readexactly(4) == b"well"
+
+    relayed(what)
+
+
+def test_the_end_of_a_process_reaches_the_other_side() -> None:
+    async def what(there: Relayed) -> None:
+        reader, _ = await there.dial()
+        _, far_writer = await there.accepted.get()
+        far_writer.close()
+        assert await reader.read() == b""
+
+    relayed(what)
--- a/tests/mesh/test_settings.py
+++ b/tests/mesh/test_settings.py
@@ -63,6 +63,7 @@
         ("network", "inner_ports", [], "inner_ports"),
         ("network", "seed_nodes", ["10.1.0.13"], "10.1.0.13"),
         ("network", "inner_ports", ["x"], "inner_ports"),
+        ("network", "listen", {"inner": "10.1.0.13"}, "10.1.0.13"),
         ("tariffs", "bounds", {"grace_s": 0}, "grace_s"),
         ("tariffs", "bounds", {"edition_ms": "soon"}, "edition_ms"),
     ],
@@ -78,6 +79,14 @@
     assert caught.value.kind is Kind.SETTINGS and said in caught.value.detail
 
 
+def test_the_inner_protocol_may_be_bound_elsewhere_than_it_is_reached() -> None:
+    data = good()
+    assert parse(data).inner_bind == ("10.1.0.13", 7620)
+    data["network"]["listen"]["inner"] = "127.0.0.1:9000"
+    settings = parse(data)
+    assert (settings.inner, settings.inner_bind) == (("10.1.0.13", 7620), ("127.0.0.1", 9000))
+
+
 def test_a_file_that_is_missing_or_no_toml_is_said_so(tmp_path: Path) -> None:
     with pytest.raises(MeshError, match=r"no\.toml"):
         load(tmp_path / "no.toml")
