--- /dev/null
+++ b/lugspur/bench/faults/checker.py
@@ -0,0 +1,333 @@
+"""Judges a history: each rule is a pure function from what was seen to what was broken."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from lugspur.bench.faults.history import Call, History, Item, Order, OrderTry, Read
+
+TIMING_SLACK = 0.25  # seconds on top of a bound of time, for the rig's own delays on a loaded machine
+NOT_RUN = frozenset({408, 421, 429, 503})  # statuses that promise that the attempt has not run
+KEYED_STATUSES = frozenset({200, 409, 500, 502, 503, 504})
+
+
+class Rule(enum.Enum):
+    """What may be broken."""
+
+    DECIDED_ONCE = "two contents confirmed under one edition"
+    LOST = "confirmed and not read back"
+    BACKWARDS = "a read is older than an earlier one"
+    REFUSED_AFTER_CONFIRMED = "confirmed and then refused"
+    REFUSED_WITHOUT_CAUSE = "a valid order refused without a conflict"
+    REFUSED_IN_FORCE = "refused and in force"
+    INVALID = "an invalid order confirmed"
+    CUT_OFF_CONFIRMS = "a machine that is cut off confirms"
+    CUT_OFF_REFUSES = "a machine that is cut off refuses"
+    CUT_OFF_READS = "a machine that is cut off answers a read"
+    STALE = "an old configuration is used"
+    USEFUL = "not useful again in time"
+    RAN_TWICE = "ran twice"
+    ANSWERS = "a wrong answer"
+
+
+@dataclass(frozen=True)
+class Violation:
+    """One breach of a rule; `subject` is what `History.around` shows more of."""
+
+    rule: Rule
+    subject: str
+    at: float
+    detail: str
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """The settings' bounds that the rules name, in seconds."""
+
+    edition: float = 2.0
+    contact: float = 3.0
+
+
+def check(history: History, bounds: Bounds) -> list[Violation]:
+    """All breaches, in the order of time."""
+    index = _Index(history)
+    found = [
+        *_decided_once(index),
+        *_read_back(history, index),
+        *_refusals(history, index),
+        *_cut_off(history, bounds),
+        *_served(history, index, bounds),
+        *_useful(history),
+        *_runs(history),
+        *_answers(history),
+    ]
+    return sorted(found, key=lambda violation: violation.at)
+
+
+class _Index:
+    """Orders and their tries, by what the rules ask for."""
+
+    def __init__(self, history: History) -> None:
+        self.tries: dict[Order, list[OrderTry]] = defaultdict(list)
+        for sent in sorted(history.tries, key=lambda sent: sent.began):
+            self.tries[sent.order].append(sent)
+        self.by_name: dict[str, list[tuple[Item, Order]]] = defaultdict(list)
+        for order in self.tries:
+            for item in order.items:
+                self.by_name[item.name].append((item, order))
+        self.refused = {
+            order
+            for order, tries in self.tries.items()
+            if not order.valid or (any(t.refused for t in tries) and not any(t.confirmed for t in tries))
+        }
+
+    def sent_at(self, order: Order) -> float:
+        """When it was first sent."""
+        return self.tries[order][0].began
+
+    def sent(self, name: str, until: float) -> Iterator[tuple[Item, Order]]:
+        """What was sent of a name up to a time."""
+        return ((item, order) for item, order in self.by_name[name] if self.sent_at(order) <= until)
+
+    def overtaken(self, item: Item, until: float) -> bool:
+        """Whether a higher edition, which may be in force, was sent up to a time."""
+        return any(
+            other.edition > item.edition and order not in self.refused for other, order in self.sent(item.name, until)
+        )
+
+
+# ---- what was confirmed -------------------------------------------------------------------------
+
+
+def _decided_once(index: _Index) -> Iterator[Violation]:
+    confirmed: dict[tuple[str, int], dict[bytes | None, OrderTry]] = defaultdict(dict)
+    for order, tries in index.tries.items():
+        first = next((sent for sent in tries if sent.confirmed), None)
+        for item in order.items if first is not None else ():
+            assert first is not None
+            # Under a higher edition that stands an older one has no effect, and is acknowledged all the same.
+            if not index.overtaken(item, first.ended):
+                confirmed[item.name, item.edition].setdefault(item.content, first)
+    for (name, edition), contents in confirmed.items():
+        if len(contents) > 1:
+            orders = ", ".join(f"order {sent.order.ident} at {sent.machine}" for sent in contents.values())
+            at = max(sent.ended for sent in contents.values())
+            yield Violation(Rule.DECIDED_ONCE, name, at, f"edition {edition:x}: {orders}")
+
+
+@dataclass(frozen=True)
+class _Floor:
+    """What must be read of a name from now on: this, or a higher edition."""
+
+    item: Item
+    cause: str
+    rule: Rule
+
+
+def _read_back(history: History, index: _Index) -> Iterator[Violation]:
+    reads = [read for read in history.reads if read.status == 200]
+    events: list[tuple[float, int, OrderTry | Read]] = []
+    events += [(sent.ended, 0, sent) for sent in history.tries if sent.confirmed]
+    events += [(read.ended, 0, read) for read in reads]
+    events += [(read.began, 1, read) for read in reads]
+    floors: dict[str, _Floor] = {}
+    for at, kind, event in sorted(events, key=lambda row: row[:2]):
+        if isinstance(event, OrderTry):
+            for item in event.order.items:
+                _raise(floors, _Floor(item, f"order {event.order.ident} confirmed at {event.machine}", Rule.LOST))
+        elif kind == 0:
+            for item in event.items:
+                _raise(floors, _Floor(item, f"read at {event.machine} at {at:.3f}", Rule.BACKWARDS))
+        else:
+            yield from _read_above(event, floors, index)
+
+
+def _raise(floors: dict[str, _Floor], floor: _Floor) -> None:
+    standing = floors.get(floor.item.name)
+    if standing is None or floor.item.edition > standing.item.edition:
+        floors[floor.item.name] = floor
+
+
+def _read_above(read: Read, floors: dict[str, _Floor], index: _Index) -> Iterator[Violation]:
+    """One read against all that stood when it began."""
+    found = {item.name: item for item in read.items}
+    for name, floor in floors.items():
+        below = floor.item
+        item = found.get(name)
+        if item is None:
+            dropped = below.content is None or any(
+                other.content is None and other.edition > below.edition and order not in index.refused
+                for other, order in index.sent(name, read.ended)
+            )
+            if not dropped:
+                yield Violation(floor.rule, name, read.began, f"{below} ({floor.cause}) is absent at {read.machine}")
+        elif item.edition < below.edition or (item.edition == below.edition and item.content != below.content):
+            detail = f"{below} ({floor.cause}) is read as {item} at {read.machine}"
+            yield Violation(floor.rule, name, read.began, detail)
+    for item in read.items:
+        orders = [order for other, order in index.sent(item.name, read.ended) if other == item]
+        if not orders:
+            yield Violation(Rule.REFUSED_IN_FORCE, item.name, read.began, f"{item} was never sent")
+        elif all(order in index.refused for order in orders):
+            detail = f"{item} of order {orders[0].ident} was refused and is read at {read.machine}"
+            yield Violation(Rule.REFUSED_IN_FORCE, item.name, read.began, detail)
+
+
+# ---- what was refused ---------------------------------------------------------------------------
+
+
+def _refusals(history: History, index: _Index) -> Iterator[Violation]:
+    for order, tries in index.tries.items():
+        taken = next((sent for sent in tries if sent.confirmed), None)
+        if not order.valid:
+            if taken is not None:
+                yield Violation(Rule.INVALID, order.items[0].name, taken.ended, f"order {order.ident}")
+            continue
+        for sent in tries:
+            if not sent.refused:
+                continue
+            subject = order.items[0].name
+            if taken is not None and not any(index.overtaken(item, sent.ended) for item in order.items):
+                detail = f"order {order.ident}: 200 at {taken.machine}, {sent.status} at {sent.machine}"
+                yield Violation(Rule.REFUSED_AFTER_CONFIRMED, subject, sent.ended, detail)
+            elif sent.status != 409 or not _contested(order, sent.ended, index):
+                detail = f"order {order.ident}: {sent.status} at {sent.machine}"
+                yield Violation(Rule.REFUSED_WITHOUT_CAUSE, subject, sent.ended, detail)
+
+
+def _contested(order: Order, until: float, index: _Index) -> bool:
+    """Whether another content under the same edition was sent."""
+    return any(
+        other.edition == item.edition and other.content != item.content
+        for item in order.items
+        for other, rival in index.sent(item.name, until)
+        if rival.valid
+    )
+
+
+# ---- cuts ---------------------------------------------------------------------------------------
+
+
+def _cut_off(history: History, bounds: Bounds) -> Iterator[Violation]:
+    for span in history.spans:
+        since = span.began + bounds.edition + TIMING_SLACK
+
+        def inside(event: OrderTry | Read, since: float = since, until: float = span.ended) -> bool:
+            return event.began >= since and event.ended <= until
+
+        for sent in history.tries:
+            if sent.machine not in span.isolated or not inside(sent):
+                continue
+            detail = f"order {sent.order.ident}: {sent.status}, {sent.began - span.began:.2f} s into {span.kind}"
+            if sent.confirmed:
+                yield Violation(Rule.CUT_OFF_CONFIRMS, sent.machine, sent.ended, detail)
+            elif sent.refused and sent.order.valid:
+                yield Violation(Rule.CUT_OFF_REFUSES, sent.machine, sent.ended, detail)
+        for read in history.reads:
+            if read.machine in span.isolated and inside(read) and read.status == 200:
+                detail = f"{read.began - span.began:.2f} s into {span.kind}"
+                yield Violation(Rule.CUT_OFF_READS, read.machine, read.ended, detail)
+
+
+def _served(history: History, index: _Index, bounds: Bounds) -> Iterator[Violation]:
+    """Requests on operators' routes, by the service that answered; 404 shows a route that is not there."""
+    floors: dict[str, list[tuple[float, Item]]] = defaultdict(list)
+    for sent in history.tries:
+        if sent.confirmed:
+            due = _due(sent.ended, history, bounds)
+            for item in sent.order.items:
+                floors[item.name].append((due, item))
+    for call in history.calls:
+        if call.route not in index.by_name or call.status not in (200, 404):
+            continue
+        due_items = [item for due, item in floors[call.route] if due + TIMING_SLACK <= call.began]
+        if not due_items:
+            continue
+        floor = max(due_items, key=lambda item: item.edition)
+        fitting = [
+            order
+            for item, order in index.sent(call.route, call.ended)
+            if item.edition >= floor.edition and _shows(call, item)
+        ]
+        if any(order not in index.refused for order in fitting):
+            continue
+        rule = Rule.REFUSED_IN_FORCE if fitting else Rule.STALE
+        told = f"{call.status} {call.service}".strip()
+        yield Violation(rule, call.route, call.began, f"{told} at {call.sidecar} though {floor} was confirmed")
+
+
+def _shows(call: Call, item: Item) -> bool:
+    if call.status == 404:
+        return item.content is None
+    return item.content is not None and item.service == call.service
+
+
+def _due(confirmed: float, history: History, bounds: Bounds) -> float:
+    """When all proxies must go by what was confirmed: later where no majority was there in the meantime."""
+    due = confirmed + bounds.edition
+    for span in sorted(history.spans, key=lambda span: span.began):
+        if span.stalled and span.began < due and span.ended + bounds.contact > confirmed:
+            due = max(due, span.ended + bounds.contact + bounds.edition)
+    return due
+
+
+def _useful(history: History) -> Iterator[Violation]:
+    for recovery in history.recoveries:
+        if recovery.seconds > recovery.limit:
+            took = f"{recovery.seconds:.2f} s" if math.isfinite(recovery.seconds) else "never"
+            detail = f"{took} after {recovery.kind}, allowed {recovery.limit:.1f} s"
+            yield Violation(Rule.USEFUL, recovery.machine, recovery.at, detail)
+
+
+# ---- requests -----------------------------------------------------------------------------------
+
+
+def _runs(history: History) -> Iterator[Violation]:
+    by_attempt = Counter(history.runs)
+    by_key: Counter[str] = Counter()
+    first: dict[str, Call] = {}
+    for call in history.calls:
+        if call.key:
+            by_key[call.key] += by_attempt[call.attempt]
+            first.setdefault(call.key, call)
+        elif call.unsafe and by_attempt[call.attempt] > 1:
+            detail = f"attempt ran {by_attempt[call.attempt]} times"
+            yield Violation(Rule.RAN_TWICE, call.attempt, call.began, detail)
+    for key, times in by_key.items():
+        if times > 1:
+            yield Violation(Rule.RAN_TWICE, key, first[key].began, f"key ran {times} times")
+
+
+def _answers(history: History) -> Iterator[Violation]:
+    ran = set(history.runs)
+    keys = {call.attempt: call.key for call in history.calls}
+    first: dict[str, bytes] = {}
+    for call in sorted(history.calls, key=lambda call: call.ended):
+        for wrong in _wrong(call, ran, keys, first):
+            yield Violation(Rule.ANSWERS, call.attempt, call.ended, wrong)
+
+
+def _wrong(call: Call, ran: set[str], keys: dict[str, str], first: dict[str, bytes]) -> Iterator[str]:
+    """What is wrong with one answer; `first` has the answer of each key."""
+
+    def same(other: str) -> bool:
+        return other == call.attempt or (bool(call.key) and keys.get(other) == call.key)
+
+    if call.status in NOT_RUN and (call.key or call.unsafe) and call.attempt in ran:
+        yield f"{call.status}, which promises that it has not run, and it ran"
+    if call.key and call.status is not None and call.status not in KEYED_STATUSES:
+        yield f"{call.status} to a keyed operation"
+    if call.status != 200:
+        return
+    if not same(call.echoed):
+        yield f"carries the id {call.echoed!r}"
+    if not same(call.ran):
+        yield f"is the answer to {call.ran!r}"
+    elif call.ran not in ran:
+        yield f"{call.ran} never ran"
+    if call.key and first.setdefault(call.key, call.body) != call.body:
+        yield "differs from the first answer of its key"
