--- a/lugspur/bench/faults/checker.py
+++ b/lugspur/bench/faults/checker.py
@@ -42,6 +42,7 @@
     subject: str
     at: float
     detail: str
+    where: str = ""  # where it was seen first; the same elsewhere, or again, is no other violation
 
 
 @dataclass(frozen=True)
@@ -65,7 +66,10 @@
         *_runs(history),
         *_answers(history),
     ]
-    return sorted(found, key=lambda violation: violation.at)
+    first: dict[tuple[Rule, str, str], Violation] = {}
+    for violation in sorted(found, key=lambda violation: violation.at):
+        first.setdefault((violation.rule, violation.subject, violation.detail), violation)
+    return list(first.values())
 
 
 class _Index:
@@ -141,7 +145,7 @@
                 _raise(floors, _Floor(item, f"order {event.order.ident} confirmed at {event.machine}", Rule.LOST))
         elif kind == 0:
             for item in event.items:
-                _raise(floors, _Floor(item, f"read at {event.machine} at {at:.3f}", Rule.BACKWARDS))
+                _raise(floors, _Floor(item, "read before", Rule.BACKWARDS))
         else:
             yield from _read_above(event, floors, index)
 
@@ -164,17 +168,18 @@
                 for other, order in index.sent(name, read.ended)
             )
             if not dropped:
-                yield Violation(floor.rule, name, read.began, f"{below} ({floor.cause}) is absent at {read.machine}")
+                detail = f"{below} ({floor.cause}) is absent"
+                yield Violation(floor.rule, name, read.began, detail, f"at {read.machine}")
         elif item.edition < below.edition or (item.edition == below.edition and item.content != below.content):
-            detail = f"{below} ({floor.cause}) is read as {item} at {read.machine}"
-            yield Violation(floor.rule, name, read.began, detail)
+            detail = f"{below} ({floor.cause}) is read as {item}"
+            yield Violation(floor.rule, name, read.began, detail, f"at {read.machine}")
     for item in read.items:
         orders = [order for other, order in index.sent(item.name, read.ended) if other == item]
         if not orders:
             yield Violation(Rule.REFUSED_IN_FORCE, item.name, read.began, f"{item} was never sent")
         elif all(order in index.refused for order in orders):
-            detail = f"{item} of order {orders[0].ident} was refused and is read at {read.machine}"
-            yield Violation(Rule.REFUSED_IN_FORCE, item.name, read.began, detail)
+            detail = f"{item} of order {orders[0].ident} was refused and is read"
+            yield Violation(Rule.REFUSED_IN_FORCE, item.name, read.began, detail, f"at {read.machine}")
 
 
 # ---- what was refused ---------------------------------------------------------------------------
@@ -229,8 +234,9 @@
                 yield Violation(Rule.CUT_OFF_REFUSES, sent.machine, sent.ended, detail)
         for read in history.reads:
             if read.machine in span.isolated and inside(read) and read.status == 200:
-                detail = f"{read.began - span.began:.2f} s into {span.kind}"
-                yield Violation(Rule.CUT_OFF_READS, read.machine, read.ended, detail)
+                where = f"{read.began - span.began:.2f} s after its beginning"
+                detail = f"{span.kind} at {span.began:.2f}"
+                yield Violation(Rule.CUT_OFF_READS, read.machine, read.ended, detail, where)
 
 
 def _served(history: History, index: _Index, bounds: Bounds) -> Iterator[Violation]:
@@ -257,7 +263,8 @@
             continue
         rule = Rule.REFUSED_IN_FORCE if fitting else Rule.STALE
         told = f"{call.status} {call.service}".strip()
-        yield Violation(rule, call.route, call.began, f"{told} at {call.sidecar} though {floor} was confirmed")
+        detail = f"{told} though {floor} was confirmed"
+        yield Violation(rule, call.route, call.began, detail, f"at {call.sidecar}")
 
 
 def _shows(call: Call, item: Item) -> bool:
--- a/lugspur/bench/faults/history.py
+++ b/lugspur/bench/faults/history.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 RETRIED = frozenset({408, 429})  # statuses of the 4xx that are no final refusals
@@ -115,22 +114,26 @@
     spans: list[Span] = field(default_factory=list)
     recoveries: list[Recovery] = field(default_factory=list)
 
-    def around(self, subject: str, at: float, seconds: float) -> Iterable[str]:
-        """Lines of what concerns a subject (a name, a machine, an attempt or a key) around a time, in order."""
-        rows: list[tuple[float, str]] = []
+    def around(self, subject: str, since: float, until: float) -> list[str]:
+        """Lines of what concerns a subject (a name, a machine, an attempt or a key) in a time, in order."""
+        rows: list[tuple[float, float, str]] = []
         for sent in self.tries:
-            if subject in (sent.machine, str(sent.order.ident)) or any(i.name == subject for i in sent.order.items):
+            if subject == sent.machine or any(item.name == subject for item in sent.order.items):
                 what = ", ".join(str(item) for item in sent.order.items)
-                rows.append((sent.began, f"order {sent.order.ident} [{what}] at {sent.machine}: {sent.status}"))
+                line = f"order {sent.order.ident} [{what}] at {sent.machine}: {sent.status}"
+                rows.append((sent.began, sent.ended, line))
         for read in self.reads:
             found = [str(item) for item in read.items if item.name == subject]
             if found or subject == read.machine:
-                rows.append((read.began, f"read at {read.machine}: {read.status} {', '.join(found)}"))
+                rows.append((read.began, read.ended, f"read at {read.machine}: {read.status} {', '.join(found)}"))
         for call in self.calls:
             if subject in (call.attempt, call.key, call.route):
-                rows.append(
-                    (call.began, f"call {call.attempt} on {call.route} at {call.sidecar}: {call.status} {call.service}")
-                )
+                line = f"call {call.attempt} on {call.route} at {call.sidecar}: {call.status} {call.service}"
+                rows.append((call.began, call.ended, line))
         for span in self.spans:
-            rows.append((span.began, f"FAULT {span.kind} {','.join(span.machines)} until {span.ended:.2f}"))
-        return [f"{when:10.3f} {line}" for when, line in sorted(rows) if abs(when - at) <= seconds]
+            rows.append((span.began, span.ended, f"FAULT {span.kind} {','.join(span.machines)}"))
+        return [
+            f"{began:10.3f} +{ended - began:<6.3f} {line.rstrip()}"
+            for began, ended, line in sorted(rows)
+            if began <= until and ended >= since
+        ]
--- /dev/null
+++ b/lugspur/bench/faults/run.py
@@ -0,0 +1,81 @@
+"""One run: a mesh, its operators and clients, the faults, and what the checker says."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from lugspur.bench.faults.checker import Violation, check
+from lugspur.bench.faults.clients import Clients
+from lugspur.bench.faults.cluster import Cluster
+from lugspur.bench.faults.history import History
+from lugspur.bench.faults.injector import Injector
+from lugspur.bench.faults.operator import Console, Operators
+from lugspur.bench.faults.plan import Fault
+
+CALM = 3.0  # seconds without faults at the end, in which everything that was confirmed is read back at every machine
+
+Progress = Callable[[int, Fault, float], None]
+
+
+@dataclass
+class Outcome:
+    """What a run brought."""
+
+    history: History
+    violations: list[Violation]
+    injected: Counter[str]
+    exits: list[str]  # machines whose process ended by itself
+
+
+async def play(
+    folder: Path, machines: int, tolerate: int, faults: list[Fault], seed: int, progress: Progress | None = None
+) -> Outcome:
+    """Play faults one after another while operators and clients are at work."""
+    history, injected = History(), Counter[str]()
+    cluster = Cluster(folder, machines, tolerate)
+    loop = asyncio.get_running_loop()
+    try:
+        await cluster.begin()
+        console = Console(cluster, history)
+        operators = Operators(console, Random(f"operators-{seed}"))
+        clients = Clients(cluster, history, Random(f"clients-{seed}"))
+        injector = Injector(cluster, operators, history, Random(f"faults-{seed}"))
+        work: list[Awaitable[None]] = [
+            operators.work("north"),
+            operators.work("south"),
+            operators.read_on(),
+            clients.mail_on(),
+            clients.book_on(),
+            *(clients.look_on(ip) for ip in cluster.proxy_ips),
+        ]
+        tasks = [asyncio.ensure_future(one) for one in work]
+        try:
+            for number, fault in enumerate(faults):
+                began = loop.time()
+                await injector.inject(fault)
+                injected[fault.name] += 1
+                if progress is not None:
+                    progress(number, fault, loop.time() - began)
+                for task in tasks:
+                    if task.done():
+                        task.result()  # a fault of the rig itself
+        finally:
+            for task in tasks[:3]:
+                task.cancel()
+        await operators.settle()
+        await asyncio.sleep(CALM)
+        for ip in cluster.control:
+            await console.read(ip)
+        for task in tasks[3:]:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await clients.settle()
+        exits = [ip for ip, process in cluster.processes.items() if process.poll() is not None]
+    finally:
+        await cluster.close()
+    return Outcome(history, check(history, cluster.bounds), injected, exits)
--- a/tests/mesh/test_fault_checker.py
+++ b/tests/mesh/test_fault_checker.py
@@ -140,6 +140,12 @@
     assert rule in found(*events, runs=runs)
 
 
+def test_the_same_violation_is_counted_once() -> None:
+    reads = [read(3, Y7), read(4, Y7, machine="b"), read(5, Y7)]
+    history = History(tries=[sent(OX, 1, 504), sent(OY, 1, 409)], reads=reads)
+    assert [(v.rule, v.where) for v in check(history, BOUNDS)] == [(Rule.REFUSED_IN_FORCE, "at a")]
+
+
 def test_every_rule_has_a_wrong_history() -> None:
     assert {rule for rule, _, _ in WRONG.values()} == set(Rule)
 
@@ -147,10 +153,10 @@
 def test_what_led_to_a_violation_is_shown() -> None:
     history = History(tries=[sent(OX, 1), sent(OY, 1.5, 409), sent(OZ, 90)], reads=[read(3, Y7)], spans=[CUT])
     (violation,) = (v for v in check(history, BOUNDS) if v.rule is Rule.REFUSED_IN_FORCE)
-    lines = list(history.around(violation.subject, violation.at, 20.0))
-    assert [line.split(None, 1)[1].split(":")[0] for line in lines] == [
+    lines = history.around(violation.subject, 0.0, 20.0)
+    assert [line.split(None, 2)[2].split(":")[0] for line in lines] == [
         "order 0 [r@7] at a",
         "order 1 [r@7] at a",
         "read at a",
-        "FAULT cut a until 30.00",
+        "FAULT cut a",
     ]
