--- a/lugspur/bench/faults/checker.py
+++ b/lugspur/bench/faults/checker.py
@@ -139,7 +139,7 @@
     events += [(read.ended, 0, read) for read in reads]
     events += [(read.began, 1, read) for read in reads]
     floors: dict[str, _Floor] = {}
-    for at, kind, event in sorted(events, key=lambda row: row[:2]):
+    for _, kind, event in sorted(events, key=lambda row: row[:2]):
         if isinstance(event, OrderTry):
             for item in event.order.items:
                 _raise(floors, _Floor(item, f"order {event.order.ident} confirmed at {event.machine}", Rule.LOST))
--- a/lugspur/bench/faults/report.py
+++ b/lugspur/bench/faults/report.py
@@ -55,6 +55,6 @@
         shown[violation.rule] += 1
         if shown[violation.rule] > SHOWN:
             continue
-        yield f"--- {violation.rule.value}: {violation.subject} at {violation.at:.3f}: {violation.detail} {violation.where}"
-        lines = list(outcome.history.around(violation.subject, violation.at - BEFORE, violation.at + AFTER))
-        yield from lines[-LINES:]
+        yield f"--- {violation.rule.value}: {violation.subject} at {violation.at:.3f}"
+        yield f"    {violation.detail} {violation.where}".rstrip()
+        yield from outcome.history.around(violation.subject, violation.at - BEFORE, violation.at + AFTER)[-LINES:]
