--- a/lugspur/bench/faults/history.py
+++ b/lugspur/bench/faults/history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 
 RETRIED = frozenset({408, 429})  # statuses of the 4xx that are no final refusals
@@ -20,6 +21,14 @@
         return f"{self.name}@{self.edition:x}{'' if self.content is not None else ' (withdrawn)'}"
 
 
+class Invalid(enum.Enum):
+    """Why an order is invalid."""
+
+    NO = "valid"
+    ITSELF = "by itself"
+    BESIDE_OTHERS = "beside what stands"  # it can't be told from an old one that was right once, when it is overtaken
+
+
 @dataclass(frozen=True)
 class Order:
     """One call of an operator, which may be sent many times with the same bytes."""
@@ -27,7 +36,12 @@
     ident: int
     operator: str
     items: tuple[Item, ...]
-    valid: bool = True
+    invalid: Invalid = Invalid.NO
+
+    @property
+    def valid(self) -> bool:
+        """Whether it may come into force."""
+        return self.invalid is Invalid.NO
 
 
 @dataclass(frozen=True)
--- a/lugspur/bench/faults/operator.py
+++ b/lugspur/bench/faults/operator.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from lugspur.bench.faults.cluster import SERVICES, Cluster
-from lugspur.bench.faults.history import History, Item, Order, OrderTry, Read
+from lugspur.bench.faults.history import History, Invalid, Item, Order, OrderTry, Read
 from lugspur.bench.mesh import call
 
 SILENCE = 1.0  # seconds after which an operator goes on to another machine
@@ -24,6 +24,14 @@
 NAMES = tuple(f"r-{n}" for n in range(10))
 PREFIX = "r-"  # of all names that operators change while faults come
 
+#: What makes an order invalid.
+WRONG: tuple[tuple[Invalid, dict[str, Any]], ...] = (
+    (Invalid.BESIDE_OTHERS, {"service": "nowhere"}),
+    (Invalid.ITSELF, {"path_prefix": "bare"}),
+    (Invalid.ITSELF, {"deadline_ms": 0}),
+    (Invalid.ITSELF, {"deadline_ms": 10**6}),
+)
+
 _lists = msgspec.json.Decoder(dict[str, Any])
 _raws = msgspec.json.Decoder(list[msgspec.Raw])
 _tables = msgspec.json.Decoder(dict[str, msgspec.Raw])
@@ -140,7 +148,9 @@
 
     # ---- orders ------------------------------------------------------------------------------
 
-    def order(self, operator: str, items: dict[str, int], withdrawn: bool = False, **other: Any) -> Order:
+    def order(
+        self, operator: str, items: dict[str, int], withdrawn: bool = False, invalid: Invalid = Invalid.NO, **other: Any
+    ) -> Order:
         """An order of items with their editions; every order has bytes of its own."""
         ident = next(self._idents)
         service = SERVICES[ident % len(SERVICES)]
@@ -150,7 +160,7 @@
             raw = json.dumps(value).encode()
             values.append(raw)
             made.append(Item(name, edition, None if withdrawn else raw, "" if withdrawn else service))
-        order = Order(ident, operator, tuple(made), not other)
+        order = Order(ident, operator, tuple(made), invalid)
         if withdrawn:
             dropped = [{"name": item.name, "edition": f"{item.edition:08x}"} for item in made]
             self.console.bodies[order] = json.dumps({"withdraw": {"routes": dropped}}).encode()
@@ -228,7 +238,6 @@
 
     async def _invalid(self, operator: str) -> None:
         name = self.rng.choice(NAMES)
-        wrong: dict[str, Any] = self.rng.choice(
-            ({"service": "nowhere"}, {"path_prefix": "bare"}, {"deadline_ms": 0}, {"deadline_ms": 10**6})
-        )
-        await self.deliver(self.order(operator, {name: self.next_edition(name)}, **wrong))
+        invalid, wrong = self.rng.choice(WRONG)
+        order = self.order(operator, {name: self.next_edition(name)}, invalid=invalid, **wrong)
+        await self.deliver(order)
--- a/lugspur/bench/faults/run.py
+++ b/lugspur/bench/faults/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 from lugspur.bench.faults.plan import Fault
 
 CALM = 1.0  # seconds without faults at the end, in which everything that was confirmed is read back at every machine
+NEVER_MOST = 3  # machines that were never useful again, after which a run ends early: the mesh is stuck
 
 Progress = Callable[[int, Fault, float], None]
 
@@ -64,6 +66,8 @@
                 for task in tasks:
                     if task.done():
                         task.result()  # a fault of the rig itself
+                if sum(not math.isfinite(recovery.seconds) for recovery in history.recoveries) >= NEVER_MOST:
+                    break
         finally:
             for task in tasks[:3]:
                 task.cancel()
