--- a/lugspur/bench/faults/__main__.py
+++ b/lugspur/bench/faults/__main__.py
@@ -53,7 +53,7 @@
         print(f"ended early, after {outcome.injected.total()} of {len(faults)} faults: the mesh was stuck")
     for line in (*table(outcome), *details(outcome)):
         print(line)
-    return 1 if outcome.violations or outcome.exits else 0
+    return 1 if outcome.failed else 0
 
 
 if __name__ == "__main__":
--- a/lugspur/bench/faults/report.py
+++ b/lugspur/bench/faults/report.py
@@ -41,6 +41,8 @@
     )
     never = sum(not math.isfinite(recovery.seconds) for recovery in history.recoveries)
     yield f"machines not useful again at all: {never}; processes that ended by themselves: {len(outcome.exits)}"
+    yield f"exceptions that nobody caught: {outcome.exceptions.total()}"
+    yield from (f"    {times:>5} {told}" for told, times in outcome.exceptions.most_common())
     yield f"{'rule':<48} violations"
     counts = Counter(violation.rule for violation in outcome.violations)
     for rule in Rule:
--- a/lugspur/bench/faults/run.py
+++ b/lugspur/bench/faults/run.py
@@ -15,6 +15,7 @@
 from lugspur.bench.faults.cluster import Cluster
 from lugspur.bench.faults.history import History
 from lugspur.bench.faults.injector import Injector
+from lugspur.bench.faults.logs import exceptions
 from lugspur.bench.faults.operator import Console, Operators
 from lugspur.bench.faults.plan import Fault
 
@@ -32,6 +33,12 @@
     violations: list[Violation]
     injected: Counter[str]
     exits: list[str]  # machines whose process ended by itself
+    exceptions: Counter[str]  # that nobody caught
+
+    @property
+    def failed(self) -> bool:
+        """Whether anything is wrong."""
+        return bool(self.violations or self.exits or self.exceptions)
 
 
 async def play(
@@ -82,4 +89,4 @@
         exits = [ip for ip, process in cluster.processes.items() if process.poll() is not None]
     finally:
         await cluster.close()
-    return Outcome(history, check(history, cluster.bounds), injected, exits)
+    return Outcome(history, check(history, cluster.bounds), injected, exits, exceptions(folder))
--- a/tests/mesh/test_process_faults.py
+++ b/tests/mesh/test_process_faults.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import pytest
 
 from lugspur.bench.faults.links import Cut, Links, Pair
+from lugspur.bench.faults.logs import exceptions
 from lugspur.bench.mesh import free_ports
 
 CLIENT, SERVER = "127.0.0.2", "127.0.0.3"
@@ -129,3 +131,14 @@
         assert await reader.read() == b""
 
     relayed(what)
+
+
+def test_exceptions_that_nobody_caught_are_found_in_logs(tmp_path: Path) -> None:
+    (tmp_path / "a.log").write_text(
+        "12:00 event=serving\nException in callback Node._look\nTraceback (most recent call last):\n"
+        '  File "uvloop/cbhandles.pyx", line 64, in run\n'
+        '  File "/src/lugspur/mesh/node.py", line 9, in _look\n    self.look(now)\n'
+        "RuntimeError: no good <object at 0x12>; closed\n12:01 event=serving\n"
+    )
+    (tmp_path / "b.log").write_text("12:00 event=serving fault=RuntimeError: none\n")
+    assert exceptions(tmp_path) == {"RuntimeError (no good) in mesh/node.py, line 9, in _look": 1}
