--- a/tests/mesh/test_process_faults.py
+++ b/tests/mesh/test_process_faults.py
@@ -10,6 +10,9 @@
 
 from lugspur.bench.faults.links import Cut, Links, Pair
 from lugspur.bench.faults.logs import exceptions
+from lugspur.bench.faults.plan import Direction, Fault, Kind
+from lugspur.bench.faults.report import details, table
+from lugspur.bench.faults.run import play
 from lugspur.bench.mesh import free_ports
 
 CLIENT, SERVER = "127.0.0.2", "127.0.0.3"
@@ -142,3 +145,23 @@
     )
     (tmp_path / "b.log").write_text("12:00 event=serving fault=RuntimeError: none\n")
     assert exceptions(tmp_path) == {"RuntimeError (no good) in mesh/node.py, line 9, in _look": 1}
+
+
+SHORT_RUN = [
+    Fault(Kind.WIPE),
+    Fault(Kind.KILL_AFTER_ACK),
+    Fault(Kind.ISOLATE_CONTROL, 2.6, Cut.SILENT, Direction.OUT),
+    Fault(Kind.RESET_ONCE),
+    Fault(Kind.FREEZE, 2.0),
+    Fault(Kind.KILL_ALL),
+]
+
+
+def test_nothing_promised_is_broken_by_a_short_run_of_faults(tmp_path: Path) -> None:
+    outcome = asyncio.run(play(tmp_path, 3, 1, SHORT_RUN, seed=1))
+    assert outcome.injected.total() == len(SHORT_RUN)
+    tries, calls = outcome.history.tries, outcome.history.calls
+    assert sum(sent.confirmed for sent in tries) > 20 and any(sent.refused for sent in tries)
+    assert any(call.key and call.status == 200 for call in calls)
+    told = "\n".join([*table(outcome), *details(outcome)])
+    assert not outcome.failed, told
