--- a/lugspur/bench/faults/injector.py
+++ b/lugspur/bench/faults/injector.py
@@ -81,7 +81,7 @@
         self.cluster.end(gone)
         self.cluster.remove(gone)
         await asyncio.sleep(fault.seconds)
-        newcomer = await self.cluster.add()
+        newcomer = self.cluster.add()
         await self._over(fault, [newcomer], began, stalled=stalled, limit=STARTED_WITHIN)
 
     async def _leave(self, fault: Fault) -> None:
@@ -90,7 +90,7 @@
         (leaving,) = hit = self.rng.sample(self.cluster.control, 1)
         stalled = await self._stalled(hit)
         began = self._loop.time()
-        newcomer = await self.cluster.add()
+        newcomer = self.cluster.add()
         await asyncio.sleep(fault.seconds)
         await self.cluster.terminate(leaving)
         self.cluster.remove(leaving)
