--- a/lugspur/bench/faults/logs.py
+++ b/lugspur/bench/faults/logs.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 TRACEBACK = "Traceback (most recent call last):"
+CHAINED = "During handling of the above exception, another exception occurred:"  # the next one is the one that counts
 OWN = "/lugspur/"
 
 
@@ -13,7 +14,7 @@
     """How often each uncaught exception was told in a folder's logs, by its kind and the last own line of code."""
     found: Counter[str] = Counter()
     for path in sorted(folder.glob("*.log")):
-        place, inside = "", False
+        place, inside, latest = "", False, ""
         for line in path.read_text(errors="replace").splitlines():
             if line == TRACEBACK:
                 place, inside = "", True
@@ -22,6 +23,9 @@
                     place = line.rpartition(OWN)[2].replace('"', "")
             elif inside:
                 kind, _, text = line.partition(": ")
-                found[f"{kind} ({text.split('<')[0].strip()}) in {place}"] += 1
+                latest = f"{kind} ({text.split('<')[0].strip()}) in {place}"
+                found[latest] += 1
                 inside = False
-    return found
+            elif line == CHAINED:
+                found[latest] -= 1
+    return +found
