--- a/tests/mesh/test_process_faults.py
+++ b/tests/mesh/test_process_faults.py
@@ -160,7 +160,8 @@
     (tmp_path / "a.log").write_text(
         "12:00 event=serving\nException in callback Node._look\nTraceback (most recent call last):\n"
         '  File "/src/lugspur/control/items.py", line 5, in check\n'
-        "MeshError: conflict\n\nDuring handling of the above exception, another exception occurred:\n\nTraceback (most recent call last):\n"
+        "MeshError: conflict\n\nDuring handling of the above exception, another exception occurred:\n\n"
+        "Traceback (most recent call last):\n"
         '  File "uvloop/cbhandles.pyx", line 64, in run\n'
         '  File "/src/lugspur/mesh/node.py", line 9, in _look\n    self.look(now)\n'
         "RuntimeError: no good <object at 0x12>; closed\n12:01 event=serving\n"
