Count voters that granted nothing when a newcomer catches up on claims

Cause: a newcomer became complete by the claims of a majority of the epoch before, told by voters that were complete in it. Change: a voter of the epoch before that was not complete in it says so, once the new epoch is on its disk. It counts towards the majority, since it granted nothing there; at least one that was complete has to be heard, for what was won before. A newcomer that was such a voter itself counts itself.

--- a/lugspur/control/catch_up.py
+++ b/lugspur/control/catch_up.py
@@ -1,6 +1,8 @@
-"""How a new voter becomes complete, without I/O: it reads the claims of a majority of the epoch before.
+"""How a new voter becomes complete, without I/O: it hears a majority of the voters of the epoch before.
 
-It asks the voters of both epochs: one that has just lost its vote still holds what it granted.
+Each tells the claims that it holds, or that it was not complete in that epoch and has granted nothing in it. Whatever
+was won there was granted by one of those who are heard; what was won in older epochs is held by whoever was complete,
+and one of these must be heard. One that has just lost its vote still holds what it granted, and is asked too.
 """
 
 from __future__ import annotations
@@ -60,7 +62,8 @@
         pages.append(page)
         self._heard[ip] = now
         whole = [told for told in self._pages.values() if told and told[-1].last]
-        if len(whole) < majority(len(membership.previous)):
+        heard = len(whole) + replica.was_voter  # itself granted nothing then: it was not complete
+        if heard < majority(len(membership.previous)) or not any(told[0].complete for told in whole):
             return Effects()
         effects = replica.caught_up(now, [page for told in whole for page in told])
         self._pages.clear()
--- a/lugspur/control/messages.py
+++ b/lugspur/control/messages.py
@@ -240,6 +240,7 @@
     number: int  # of the page, from 0
     claims: list[tuple[bytes, KeptClaim]]
     last: bool
+    complete: bool = True  # false: the sender was not complete in the epoch before, and granted nothing in it
 
 
 class Forward(msgspec.Struct, tag=19, array_like=True):
--- a/lugspur/control/replica.py
+++ b/lugspur/control/replica.py
@@ -5,8 +5,8 @@
 
 Claims are granted by the majority of one epoch's voters. A voter grants while it is *complete*: it holds every claim
 that may have been won with the voters of earlier epochs. Who votes in two epochs, one after the other, stays complete;
-who is new becomes complete by reading the claims of a majority of the epoch before (`catch_up`), or once it has been a
-voter for longer than any claim counts. Accepting a change of the voters ends granting in the present epoch, so that
+who is new becomes complete by hearing a majority of the epoch before (`catch_up`), or once it has been a voter for
+longer than any claim counts. Accepting a change of the voters ends granting in the present epoch, so that
 nothing is won there after that change has been decided.
 """
 
@@ -132,12 +132,19 @@
         """Whether it has a vote and all claims that a voter must hold."""
         return self.is_voter and self.complete_epoch == self.epoch
 
+    @property
+    def was_voter(self) -> bool:
+        """Whether this disk had a vote in the epoch before."""
+        previous = [] if self.membership is None else self.membership.previous
+        return any((v.ip, v.uid) == (self.voter.ip, self.voter.uid) for v in previous)
+
     @property
     def was_complete(self) -> bool:
-        """Whether it was complete in the epoch before, by what it holds."""
-        if self.membership is None or self.complete_epoch < self.epoch - 1:
-            return False
-        return any((v.ip, v.uid) == (self.voter.ip, self.voter.uid) for v in self.membership.previous)
+        """Whether it was complete in the epoch before, by what it holds.
+
+        If not, it has granted nothing in that epoch: a grant is told once it is on disk, and the epoch before it.
+        """
+        return self.was_voter and self.complete_epoch >= self.epoch - 1
 
     # ---- messages ------------------------------------------------------------------------
 
@@ -218,14 +225,16 @@
         """A new voter wants all claims; this one has gone by the new epoch, and grants nothing in an older one."""
         if message.epoch > self.epoch:
             return Effects(send=[(peer, CatchUp(self.index))])
-        if message.epoch != self.epoch or not self.was_complete:
+        if message.epoch != self.epoch or not self.was_voter:
             return Effects()
-        pages: list[tuple[Peer, Message]] = [(peer, page) for page in self.claims.pages(now, self.epoch)]
+        pages: list[tuple[Peer, Message]] = [(peer, ClaimsPage(self.epoch, 0, [], True, False))]
+        if self.was_complete:
+            pages = [(peer, page) for page in self.claims.pages(now, self.epoch)]
         # The epoch has to be on disk before anybody relies on it.
         return Effects(write=[(COMPLETE_ROW, _pack(self.complete_epoch))], after_sync=pages)
 
     def caught_up(self, now: float, pages: Iterable[ClaimsPage]) -> Effects:
-        """The claims of a majority of the epoch before."""
+        """All that was won in the epochs before (see `catch_up`)."""
         if not self.is_voter or self.complete:
             return Effects()
         effects = Effects()
