--- a/tests/mesh/test_sidecar.py
+++ b/tests/mesh/test_sidecar.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lugspur.control.errors import MeshError
-from lugspur.control.messages import Forward, Grant, Message, Part, Reply
+from lugspur.control.messages import Forward, Grant, Hello, Message, Part, Reply
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.uploads import PART
 from lugspur.mesh.link import Dialler
@@ -183,7 +183,7 @@
 
     def __init__(self, peer: str) -> None:
         self.sent: list[Message] = []
-        self.peer = peer
+        self.peer, self.answered = peer, False
 
     def send(self, message: Message) -> None:
         self.sent.append(message)
@@ -215,3 +215,23 @@
         dialler.close()
 
     play(tmp_path, what)
+
+
+def test_a_machine_is_sent_requests_only_once_its_process_has_answered(tmp_path: Path) -> None:
+    def what(sidecar: Sidecar) -> None:
+        ip = "127.0.0.2"
+        dialler = Dialler(ip, 1, "127.0.0.1", lambda *_: None, lambda _: None, lambda _: None)
+        sidecar.peers[ip] = dialler
+        assert not sidecar.ready(ip)
+        wire = Wire(ip)
+        dialler.link = wire  # type: ignore[assignment]
+        assert not sidecar.ready(ip)  # its kernel took the connection: a frozen one's does as well
+        sidecar._heard_from(wire, Hello(ip, "theirs", False))  # type: ignore[arg-type]
+        assert sidecar.ready(ip)
+        [stamped] = wire.sent
+        assert isinstance(stamped, Hello) and stamped.sent > 0.0 and stamped.life == sidecar.life
+        dialler.link = None
+        assert not sidecar.ready(ip)
+        dialler.close()
+
+    play(tmp_path, what)
