Have the gate look at the clock itself before it offers a request to its backend

The loop's time stands still during one turn. A process that was frozen in the middle of one went on by the old time, and a request on a kept connection went out however late it was.

The new test fails before; tests/mesh/test_gate.py passes.

--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from time import monotonic
 
 from cachetools import LRUCache
 
@@ -224,6 +225,11 @@
 
     def _send(self, ticket: Ticket) -> None:
         forward, now = ticket.forward, self._loop.time()
+        # Guards against a freeze in the middle of a turn of the loop, whose time stands still meanwhile.
+        if monotonic() >= ticket.until + GRACE:
+            self.hopeless += 1
+            self._end(ticket, End.NOT_RUN, None)
+            return
         self._at_work += 1
         ticket.sent, ticket.sent_at = True, now
         exchange = Exchange(
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lugspur.control.messages import Answer, Forward, Reply
+from lugspur.dataplane import gate as gate_module
 from lugspur.dataplane.gate import End, Gate, LocalBackend
 
 GOOD = b"HTTP/1.1 200 OK\r\nLugspur-Attempt-Id: %b\r\nLugspur-Postmark: p\r\nContent-Length: 2\r\n\r\nhi"
@@ -348,6 +349,18 @@
     play(lambda a: GOOD % a, what)
 
 
+def test_a_freeze_in_the_middle_of_a_turn_sends_nothing_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        assert (await rig.run(forward(1))).how == End.ANSWERED  # its connection is kept: the next goes out at once
+        loop = asyncio.get_running_loop()
+        stands = loop.time()
+        monkeypatch.setattr(gate_module, "monotonic", lambda: stands + 30.0)
+        reply = await rig.run(forward(2))
+        assert (reply.how, reply.sent, len(backend.heads), rig.gate.busy) == (End.NOT_RUN, False, 1, 0)
+
+    play(lambda a: GOOD % a, what)
+
+
 def test_a_cancel_is_answered_once_also_for_what_waits() -> None:
     async def what(rig: Rig, backend: Scripted) -> None:
         backend.hold = asyncio.Event()
