--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -12,7 +12,7 @@
 from lugspur.control.items import LIMITS, ROUTES
 from lugspur.control.messages import Answer, Done, Entry, Forward, Grant, Hello, Message, Reply
 from lugspur.dataplane.delays import FreezeDetector
-from lugspur.dataplane.gate import Gate, LocalBackend
+from lugspur.dataplane.gate import Gate
 from lugspur.dataplane.proxy import Proxy
 from lugspur.dataplane.routes import RouteTable
 from lugspur.dataplane.uploads import UploadScheduler
@@ -25,47 +25,20 @@
 from lugspur.mesh.link import Dialler, Link
 from lugspur.mesh.node import Node
 from lugspur.mesh.outgoing import OutgoingExchanges
+from lugspur.mesh.registration import FROZEN, BackendRegistration, BackendStatus
 from lugspur.mesh.settings import Settings
 from lugspur.seams import Answerable, Request
 
 FILES_KEPT = 264  # descriptors for files and what is not counted here; 200 are reserved by the platform
 CALLERS_PART = 0.5  # of the descriptors, for callers; the rest is for the backend and other proxies
-FROZEN = 1.0  # seconds between two looks after which this process has not run in between
 SETTLED = 1.0  # seconds behind a freeze in which all that waited meanwhile is read
-HEARTBEATS_MISSED = 3.0  # beats that may be missed until a backend counts as gone
 LEAVE_TAKES = 0.35  # of the time that a process has to end, in which callers are still served anew
 LEAVE_ENDS = 0.9  # ...and by which all ends
 TELL_EVERY = 2.0  # seconds between lines on how requests ended
-SAY_AGAIN = 2.0  # seconds between editions of the same word to another source
-HEARTBEAT_MOST = 4096  # bytes of a beat
 
 
-class BackendStatus(msgspec.Struct, array_like=True, frozen=True):
-    """What a proxy says of its backend, as a soft entry under its own IP number."""
-
-    id: str
-    service: str
-    zone: str
-    state: str
-    berths: int
-    cold: float  # seconds for which it stays slow, from when it was said
-    rate: float = 0.0  # bytes a second of its machine's link; 0: unknown
-
-
-class Heartbeat(msgspec.Struct):
-    """A backend's heartbeat."""
-
-    service: str
-    address: str
-    state: str
-    sequence: int
-    berths: int = 1
-    warmup_left_ms: float = 0.0
-
-
-_heartbeat_decoder = msgspec.json.Decoder(Heartbeat)
+_status_decoder = msgspec.msgpack.Decoder(BackendStatus)
 _json = msgspec.json.Encoder().encode
-_pack = msgspec.msgpack.Encoder().encode
 _status_decoder = msgspec.msgpack.Decoder(BackendStatus)
 
 
@@ -77,10 +50,8 @@
         self.table = RouteTable()
         self.backends: dict[str, BackendStatus] = {}  # by the machine's IP number
         self._cold: dict[str, float] = {}  # when each one's backend is warm
-        self._said: Entry | None = None
         self._stale_services: set[str] = set()
-        self._told_at = self._again_at = 0.0
-        self._looked_at = float("inf")  # until it has looked once
+        self._told_at = 0.0
         self._freezes = FreezeDetector(FROZEN, SETTLED)
         self.outgoing = OutgoingExchanges()
         self._rate = limits.link_mbps * 1e6 / 8.0
@@ -102,8 +73,9 @@
             max(16, limits.file_handles // 4),
             bounds.drain_ms / 1000.0,
             self._done,
-            self._backend_down,
+            lambda local: self.registration.down(local),
         )
+        self.registration = BackendRegistration(self, self.gate, self.backends, self._rate)
         uploads = UploadScheduler(self._rate, (limits.memory_mb << 20) // 4)
         self.incoming = IncomingExchanges(self.gate, uploads, Hello(self.ip, self.life, self.keeps))
 
@@ -128,7 +100,7 @@
         await desk.serve(listen.readiness, limits.memory_mb << 20)
         desk = Desk()
         desk.add("POST", "/backends/*/heartbeat", self._heartbeat)
-        desk.add("POST", "/backends/*/sign-off", self._sign_off)
+        desk.add("POST", "/backends/*/sign-off", self.registration.sign_off)
         desk.add("POST", "/config/amend", self._elsewhere)
         desk.add("GET", "/config/read", self._elsewhere)
         desk.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
@@ -163,93 +135,17 @@
         reply(caller, status=307, head=b"Location: http://%b%b\r\n" % (seed.encode(), request.target))
 
     def _heartbeat(self, request: Request, caller: Answerable, found: list[str]) -> None:
-        try:
-            heartbeat = _heartbeat_decoder.decode(request.body[:HEARTBEAT_MOST])
-            read_address(heartbeat.address)
-        except (msgspec.MsgspecError, ValueError) as fault:
-            raise MeshError(Kind.BAD_REQUEST, str(fault)) from None
-        now, local = self.loop.time(), self.gate.local
-        if local is None or local.id != found[0]:
-            if local is not None and heartbeat.state != "accepting" and heartbeat.sequence > 0:
-                reply(caller)  # a life that has gone, heard late: it must not take the present one's place
-                return
-            local = LocalBackend(found[0], heartbeat.service, heartbeat.address, now)
-            self.gate.local = local
-            events.info("backend", id=local.id, service=local.service, address=heartbeat.address, state=heartbeat.state)
-        if heartbeat.sequence > local.sequence:
-            local.sequence, local.heard, local.down = heartbeat.sequence, now, False
-            local.berths = max(1, heartbeat.berths)
-            local.warm_at = now + heartbeat.warmup_left_ms / 1000.0
-            if heartbeat.state != "accepting" and local.closing_at == float("inf"):
-                local.closing_at = now
-                events.info("closing", id=local.id)
-            if local.state != "gone":  # one that was silent speaks again; one that signed off does not
-                local.state = "accepting" if local.closing_at == float("inf") else "closing"
-            self._sender()
-            self._publish()
-        reply(caller)
-
-    def _sign_off(self, request: Request, caller: Answerable, found: list[str]) -> None:
-        local = self.gate.local
-        if local is not None and local.id == found[0]:
-            local.state = "gone"
-            local.closing_at = min(local.closing_at, self.loop.time())
-            events.info("sign-off", id=local.id)
-            self._publish()
-        reply(caller)
-
-    def _backend_down(self, local: LocalBackend) -> None:
-        events.info("backend-down", id=local.id)
-        self._publish()
-
-    def _publish(self) -> None:
-        """Tell the mesh how this machine's backend is, where that has changed."""
-        local = self.gate.local
-        if local is None:
-            return
-        now = self.loop.time()
-        gone = local.state in ("gone", "silent") or local.down or self.leaving
-        backend_status = BackendStatus(
-            local.id,
-            local.service,
-            self.settings.own.zone,
-            "gone" if gone else local.state,
-            local.berths,
-            round(max(0.0, local.warm_at - now), 1),
-            self._rate,
-        )
-        said = self.backends.get(self.ip)
-        if (
-            said is not None
-            and self._said is not None
-            and self._said.value is not None
-            and (
-                (said.id, said.service, said.state, said.berths)
-                == (backend_status.id, backend_status.service, backend_status.state, backend_status.berths)
-            )
-        ):
-            return
-        self._said = Entry("backend", self.ip, self.edition("backend", self.ip), _pack(backend_status))
-        self.store.merge([self._said])
-        self.report()
-
-    def own_entries(self, again: bool) -> list[Entry]:
-        now = self.loop.time()
-        # Guards news against a fleet that seeks sources all the time while the core is unsettled: by the same edition
-        # it is no news. The former source may drop it when the lease ends there, and is then told otherwise.
-        if self._said is not None and again and now >= self._again_at:
-            self._again_at = now + SAY_AGAIN
-            self._said = Entry("backend", self.ip, self.edition("backend", self.ip), self._said.value)
-            self.store.merge([self._said])
-        return [] if self._said is None else [self._said]
+        self.registration.heartbeat(request, caller, found)
+        self._sender()
 
     # ---- news --------------------------------------------------------------------------------
 
+    def own_entries(self, again: bool) -> list[Entry]:
+        return self.registration.own_entries(again)
+
     def changed(self, entry: Entry) -> None:
         if entry.kind == "backend":
-            if entry.name == self.ip and self._said is not None and entry.edition > self._said.edition:
-                self._said = Entry("backend", self.ip, entry.edition + 1, self._said.value)
-                self.loop.call_soon(self._say_again)
+            if entry.name == self.ip and self.registration.overtaken(entry):
                 return
             before = self.backends.pop(entry.name, None)
             if before is not None:
@@ -264,11 +160,6 @@
         elif entry.kind in (ROUTES, LIMITS) and self.table.change(entry) and hasattr(self, "front"):
             self._tune()
 
-    def _say_again(self) -> None:
-        if self._said is not None:
-            self.store.merge([self._said])
-            self.report()
-
     def _members(self) -> None:
         """Services whose backends have changed."""
         stale, self._stale_services = self._stale_services, set()
@@ -408,23 +299,14 @@
         self._freezes.ran(now)
         self._tell(now)
         self.incoming.look(now)
-        local = self.gate.local
-        away, self._looked_at = now - self._looked_at, now
-        if local is not None and local.state not in ("gone", "silent"):
-            if away > FROZEN:  # Guards against a verdict after a freeze of its own: the beats wait unread.
-                local.heard += away
-            due = HEARTBEATS_MISSED * self.settings.depot.heartbeat_ms / 1000.0 + 1.0
-            if now - local.heard > due:
-                local.state = "silent"
-                events.info("backend-silent", id=local.id)
-                self._publish()
+        self.registration.look(now)
 
     async def leave(self) -> None:
         """SIGTERM: take the readiness back, serve on while callers go elsewhere, end when nothing is open."""
         self.leaving = True
         grace = self.settings.tariffs.bounds.grace_s
         start = self.loop.time()
-        self._publish()
+        self.registration.publish()
         self.front.drain(0.5)
         await asyncio.sleep(LEAVE_TAKES * grace)
         await self.front.stop_listening(self._sock)
--- a/tests/mesh/test_sidecar.py
+++ b/tests/mesh/test_sidecar.py
@@ -14,8 +14,9 @@
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.uploads import PART
 from lugspur.mesh.link import Dialler
+from lugspur.mesh.registration import BackendStatus
 from lugspur.mesh.settings import load
-from lugspur.mesh.sidecar import BackendStatus, Sidecar
+from lugspur.mesh.sidecar import Sidecar
 from lugspur.seams import Request
 
 FILE = """
@@ -96,9 +97,9 @@
         assert beat(sidecar, 3, "closing") == 200 and told(sidecar) == ("i-1", "closing")
         local = sidecar.gate.local
         assert local is not None
-        since, edition = local.closing_at, sidecar._said
+        since, edition = local.closing_at, sidecar.registration.said
         assert beat(sidecar, 4, "closing") == 200 and local.closing_at == since  # its drain does not begin anew
-        assert sidecar._said is edition  # nor is the mesh told again
+        assert sidecar.registration.said is edition  # nor is the mesh told again
         assert beat(sidecar, 2) == 200 and told(sidecar) == ("i-1", "closing")  # a late one
         assert beat(sidecar, 5) == 200 and told(sidecar) == ("i-1", "closing")  # a life that leaves does not come back
 
@@ -112,9 +113,9 @@
         assert told(sidecar) == ("i-2", "accepting") and sidecar.proxy.sender == "desk"
         assert beat(sidecar, 8, "closing", life="i-1") == 200 and told(sidecar) == ("i-2", "accepting")
         caller = Caller()
-        sidecar._sign_off(request(b""), caller, ["i-1"])
+        sidecar.registration.sign_off(request(b""), caller, ["i-1"])
         assert caller.status == 200 and told(sidecar) == ("i-2", "accepting")
-        sidecar._sign_off(request(b""), caller, ["i-2"])
+        sidecar.registration.sign_off(request(b""), caller, ["i-2"])
         assert told(sidecar) == ("i-2", "gone")
         now = sidecar.loop.time()
         assert not sidecar.gate.takes(now + 9.0, "i-2") and not sidecar.gate.takes(now, "i-1")
