--- a/tests/mesh/test_sidecar.py
+++ b/tests/mesh/test_sidecar.py
@@ -10,12 +10,13 @@
 import pytest
 
 from lugspur.control.errors import MeshError
-from lugspur.control.messages import Forward, Grant, Message, Part, Reply
+from lugspur.control.messages import Forward, Grant, Hello, Message, Part, Reply
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.uploads import PART
 from lugspur.mesh.link import Dialler
+from lugspur.mesh.registration import BackendStatus
 from lugspur.mesh.settings import load
-from lugspur.mesh.sidecar import BackendStatus, Sidecar
+from lugspur.mesh.sidecar import Sidecar
 from lugspur.seams import Request
 
 FILE = """
@@ -96,9 +97,9 @@
         assert beat(sidecar, 3, "closing") == 200 and told(sidecar) == ("i-1", "closing")
         local = sidecar.gate.local
         assert local is not None
-        since, edition = local.closing_at, sidecar._said
+        since, edition = local.closing_at, sidecar.registration.said
         assert beat(sidecar, 4, "closing") == 200 and local.closing_at == since  # its drain does not begin anew
-        assert sidecar._said is edition  # nor is the mesh told again
+        assert sidecar.registration.said is edition  # nor is the mesh told again
         assert beat(sidecar, 2) == 200 and told(sidecar) == ("i-1", "closing")  # a late one
         assert beat(sidecar, 5) == 200 and told(sidecar) == ("i-1", "closing")  # a life that leaves does not come back
 
@@ -112,9 +113,9 @@
         assert told(sidecar) == ("i-2", "accepting") and sidecar.proxy.sender == "desk"
         assert beat(sidecar, 8, "closing", life="i-1") == 200 and told(sidecar) == ("i-2", "accepting")
         caller = Caller()
-        sidecar._sign_off(request(b""), caller, ["i-1"])
+        sidecar.registration.sign_off(request(b""), caller, ["i-1"])
         assert caller.status == 200 and told(sidecar) == ("i-2", "accepting")
-        sidecar._sign_off(request(b""), caller, ["i-2"])
+        sidecar.registration.sign_off(request(b""), caller, ["i-2"])
         assert told(sidecar) == ("i-2", "gone")
         now = sidecar.loop.time()
         assert not sidecar.gate.takes(now + 9.0, "i-2") and not sidecar.gate.takes(now, "i-1")
@@ -183,7 +184,7 @@
 
     def __init__(self, peer: str) -> None:
         self.sent: list[Message] = []
-        self.peer = peer
+        self.peer, self.answered = peer, False
 
     def send(self, message: Message) -> None:
         self.sent.append(message)
@@ -215,3 +216,23 @@
         dialler.close()
 
     play(tmp_path, what)
+
+
+def test_a_machine_is_sent_requests_only_once_its_process_has_answered(tmp_path: Path) -> None:
+    def what(sidecar: Sidecar) -> None:
+        ip = "127.0.0.2"
+        dialler = Dialler(ip, 1, "127.0.0.1", lambda *_: None, lambda _: None, lambda _: None)
+        sidecar.peers[ip] = dialler
+        assert not sidecar.ready(ip)
+        wire = Wire(ip)
+        dialler.link = wire  # type: ignore[assignment]
+        assert not sidecar.ready(ip)  # its kernel took the connection: a frozen one's does as well
+        sidecar._heard_from(wire, Hello(ip, "theirs", False))  # type: ignore[arg-type]
+        assert sidecar.ready(ip)
+        [stamped] = wire.sent
+        assert isinstance(stamped, Hello) and stamped.sent > 0.0 and stamped.life == sidecar.life
+        dialler.link = None
+        assert not sidecar.ready(ip)
+        dialler.close()
+
+    play(tmp_path, what)
