Count a voter as absent by what it says, not by connections that it takes

Cause: a peer that accepts connections and resets them, or says nothing, was never counted as absent: each new connection began its silence anew, so that its vote never moved. Change: the silence of a voter runs from its latest message, and from the end of a freeze of one's own.

--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -94,6 +94,7 @@
         rows = self.disk.rows()
         self.subscribers: dict[Link, Subscriber] = {}
         self.leases: dict[Name, tuple[Link, int, float]] = {}  # who said it, its edition, heard last
+        self._heard_at: dict[str, float] = {}  # when each voter was heard last, or has begun to be listened for
         self.complete_epochs: dict[str, int] = {}  # the epoch for which each peer has said that it is complete
         self._flushing = False
         self._lazy = False
@@ -269,6 +270,10 @@
         if pages:
             self.do(self.replica.learn(self.loop.time(), pages))
 
+    def heard(self, ip: str, message: Message) -> None:
+        self._heard_at[ip] = self.loop.time()
+        super().heard(ip, message)
+
     def _delta(self, now: float, ip: str, message: Delta) -> None:
         super()._delta(now, ip, message)
         self.complete_epochs[ip] = message.complete
@@ -295,6 +300,11 @@
         self.complete_epochs.pop(dialler.ip, None)
         super()._down(dialler)
 
+    def _new_membership(self) -> None:
+        super()._new_membership()
+        voters = {voter.ip for voter in self.membership.voters} if self.membership is not None else set()
+        self._heard_at = {ip: at for ip, at in self._heard_at.items() if ip in voters}
+
     def wanted(self) -> set[str]:
         found = super().wanted()
         membership = self.replica.membership
@@ -421,10 +431,11 @@
             return
         complete, absent = set(), {}
         for voter in membership.voters:
-            dialler = self.peers.get(voter.ip)
-            if voter.ip == self.ip or dialler is None:
+            if voter.ip == self.ip:
                 continue
-            absent[voter.ip] = now - (dialler.link.at if dialler.link is not None else dialler.since)
+            # A peer that takes connections and says nothing is as absent as one that takes none.
+            heard_at = self._heard_at.setdefault(voter.ip, now)
+            absent[voter.ip] = now - max(heard_at, self._woken_at)
             fresh = now - self.freshness.word_at(voter.ip) < self.stale
             if fresh and self.complete_epochs.get(voter.ip, 0) == membership.epoch:
                 complete.add(voter.ip)
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -64,7 +64,7 @@
     side.verdict(2, True)
     for n in range(20):  # each of these comes to nothing
         by = b"later%d" % n
-        side.claims.begin(0.2, ROSTER, b"k%d" % n, by, 2.0, 0.5, side.how.append)
+        side.claims.begin(0.2, CURRENT, b"k%d" % n, by, 2.0, 0.5, side.how.append)
         side.claims.drop(b"k%d" % n, by)
     side.sent.clear()
     side.verdict(3, True, now=1e6)
