--- a/lugspur/control/messages.py
+++ b/lugspur/control/messages.py
@@ -151,6 +151,24 @@
     since: int
 
 
+class SubmitOrder(msgspec.Struct, tag=25, array_like=True):
+    """Have these entries decided; `left`: seconds for which somebody waits."""
+
+    number: int
+    left: float
+    entries: list[Entry]
+
+
+class OrderAnswer(msgspec.Struct, tag=26, array_like=True):
+    """How an order ended: confirmed, refused (the kind of its error), or neither."""
+
+    number: int
+    confirmed: bool = False
+    refused: str = ""
+    detail: str = ""
+    proposed: bool = False  # neither, and it may come into force
+
+
 class Learn(msgspec.Struct, tag=24, array_like=True):
     """A page of what was decided after change `since`, up to change `index`; all pages take effect with the last.
 
@@ -311,6 +329,8 @@
     | Query
     | Standing
     | CatchUp
+    | SubmitOrder
+    | OrderAnswer
     | Learn
     | Claim
     | Verdict
--- a/lugspur/control/proposer.py
+++ b/lugspur/control/proposer.py
@@ -24,7 +24,7 @@
 
 ROUND_WITHIN = 0.35  # seconds for one proposal: then it is given up, and another one is made
 BACK_OFF = 0.02  # seconds before another proposal after one that met a competitor, drawn from half to one and a half...
-BACK_OFF_MOST = 0.3  # ...doubled each time up to this
+BACK_OFF_MOST = 0.16  # ...doubled each time up to this
 ORDERS_AT_ONCE = 64  # orders in one change
 BRING_UP_MOST = 3  # times that one voter is told within a proposal what it lacks
 
@@ -118,7 +118,7 @@
         proposal = self._proposal
         if proposal is not None and proposal.index <= self._replica.index:
             self._proposal = None
-            self._back_off(now)
+            self._not_before = now + BACK_OFF * self._rng.random()
         return self._start(now)
 
     def look(self, now: float) -> Effects:
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -12,6 +12,7 @@
 from lugspur.control.catch_up import ClaimsCatchUp
 from lugspur.control.effects import Effects
 from lugspur.control.errors import Kind, MeshError
+from lugspur.control.forwarding import Forwarder, answer_of
 from lugspur.control.items import CONTROL, LEASED, MEMBERSHIP
 from lugspur.control.learning import LearnPages
 from lugspur.control.membership import Presence, Tolerance
@@ -25,14 +26,16 @@
     Learn,
     Membership,
     Message,
+    OrderAnswer,
     Pong,
     Promise,
     Report,
     Standing,
+    SubmitOrder,
     Sync,
     Voter,
 )
-from lugspur.control.orders import Order, Outcome, fault_of
+from lugspur.control.orders import NoQuorum, Order, Outcome, fault_of
 from lugspur.control.proposer import Proposer
 from lugspur.control.reader import Read, Reader
 from lugspur.control.reconfiguration import Reconfiguration, leaves_time, patience_of
@@ -56,6 +59,7 @@
 PENDING_MOST = 0.1  # seconds that a change may be accepted and not decided until it is finished, for each voter's rank
 FROZEN = 1.0  # seconds between two looks after which this process has not run in between
 WOKEN = 0.5  # seconds after that in which calls are turned away: they may have waited for as long as it stood still
+HEARD_WITHIN = 0.5  # seconds since the latest word of a voter to whom orders are handed
 FAILING = 1.0  # seconds for which a disk may refuse writes until the vote goes to another
 
 _json = msgspec.json.Encoder().encode
@@ -107,6 +111,7 @@
         self.pages = LearnPages()
         self.proposer = Proposer(self.replica, f"{self.ip}/{self.life}", self.rng)
         self.reader = Reader(self.replica)
+        self.forwarder = Forwarder()
         self.catch_up = ClaimsCatchUp(self.replica)
         patience = patience_of(bounds.catch_up_s, bounds.contact_ms / 1000.0)
         self.reconfiguration = Reconfiguration(self.replica, Tolerance(tolerate.machines, tolerate.zones), patience)
@@ -174,6 +179,8 @@
             self._report(link, [entry for entry in message.entries if entry.kind in LEASED])
         elif isinstance(message, Learn):
             self._learn(link, message)
+        elif isinstance(message, SubmitOrder):
+            self._submitted(link, message)
         elif not isinstance(message, Pong):
             self.do(self.replica.handle(self.loop.time(), link, message))
 
@@ -256,6 +263,8 @@
                 self._finish_pending(now)
         elif isinstance(message, Learn):
             self._learn(ip, message)
+        elif isinstance(message, OrderAnswer):
+            self.forwarder.heard(ip, message)
         elif isinstance(message, CatchUp):
             self.do(self.replica.handle(now, ip, message))
         elif isinstance(message, ClaimsPage):
@@ -299,6 +308,7 @@
         self.pages.lost(dialler.ip)
         self.complete_epochs.pop(dialler.ip, None)
         super()._down(dialler)
+        self._propose_here(self.loop.time(), self.forwarder.lost(dialler.ip))
 
     def _new_membership(self) -> None:
         super()._new_membership()
@@ -396,6 +406,7 @@
             self._sweep_at = now + SWEEP_EVERY
             self.do(self.replica.sweep(now))
             self._look_at_disk(now)
+        self._propose_here(now, self.forwarder.overdue(now))
         self.do(self.proposer.look(now))
         self.do(self.reader.look(now))
         self.do(self.catch_up.look(now))
@@ -466,37 +477,88 @@
     # ---- calls of operators ----------------------------------------------------------------
 
     def _amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        waits = True
+
         def over(outcome: Outcome) -> None:
             fault = fault_of(outcome)
             events.info("amend", bytes=len(request.body), fault=fault or "none", index=self.replica.index)
+            if not waits:
+                return
             if fault is None:
                 reply(caller)
             else:
                 fail(caller, fault)
 
+        def gone() -> None:
+            """Nobody waits for it any more, and it may have been refused elsewhere meanwhile: it is not proposed."""
+            nonlocal waits
+            waits = False
+            self.proposer.withdraw(order)
+            self.forwarder.withdraw(order)
+
         now = self.loop.time()
         entries = items.read_call(request.body)
         self._turn_away(now)
         order = Order(entries, now + DECIDE_WITHIN, over)
-        # Guards against what nobody waits for any more: its caller may have been refused elsewhere meanwhile.
-        caller.gone = lambda: self.proposer.withdraw(order)
+        caller.gone = gone
+        proposer = self._preferred_proposer(now)
+        if proposer == self.ip:
+            self.do(self.proposer.submit(now, order))
+        else:
+            self.to(proposer, self.forwarder.hand_over(now, proposer, order))
+
+    def _preferred_proposer(self, now: float) -> str:
+        """Who proposes for all: the first voter that is heard from, or this process."""
+        membership = self.replica.membership
+        for voter in membership.voters if membership is not None else ():
+            if voter.ip == self.ip or now - self.freshness.word_at(voter.ip) < HEARD_WITHIN:
+                return voter.ip
+        return self.ip
+
+    def _submitted(self, link: Link, message: SubmitOrder) -> None:
+        """Another control node hands over an order."""
+
+        def over(outcome: Outcome) -> None:
+            link.send(answer_of(message.number, outcome))
+
+        now = self.loop.time()
+        try:
+            self._turn_away(now)
+        except MeshError:
+            over(NoQuorum())
+            return
+        order = Order(message.entries, now + min(DECIDE_WITHIN, message.left), over)
         self.do(self.proposer.submit(now, order))
 
+    def _propose_here(self, now: float, orders: list[Order]) -> None:
+        """Orders that another control node has not answered."""
+        for order in orders:
+            self.do(self.proposer.submit(now, order))
+
     def _turn_away(self, now: float) -> None:
         """Raises MeshError where an order may not be taken up."""
-        if len(self.proposer) >= ORDERS_MOST:  # Guards memory and disks against a flood of calls.
+        if len(self.proposer) + len(self.forwarder) >= ORDERS_MOST:  # Guards memory and disks against a flood of calls.
             raise MeshError(Kind.NO_QUORUM, "too many calls in hand")
         if now - self._looked_at > FROZEN or now - self._woken_at < WOKEN:
             raise MeshError(Kind.NO_QUORUM, "this process has stood still")
 
     def _read(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        waits = True
+
         def over(latest: bool) -> None:
+            if not waits:
+                return
             if latest:
                 entries = [item.entry for item in self.replica.register.items.values()]
                 reply(caller, items.read_back(entries))
             else:
                 fail(caller, MeshError(Kind.NO_QUORUM, "too few voters answered"))
 
+        def gone() -> None:
+            nonlocal waits
+            waits = False
+
+        caller.gone = gone
         now = self.loop.time()
         self.do(self.reader.submit(now, Read(now + DECIDE_WITHIN, over)))
 
