--- a/lugspur/bench/faults/checker.py
+++ b/lugspur/bench/faults/checker.py
@@ -72,42 +72,56 @@
     return list(first.values())
 
 
+@dataclass(frozen=True, eq=False)
+class _Sent:
+    """One item of an order, and when that was first sent; `refused`: nothing of it may be in force."""
+
+    at: float
+    item: Item
+    order: Order
+    refused: bool
+
+
 class _Index:
     """Orders and their tries, by what the rules ask for."""
 
     def __init__(self, history: History) -> None:
-        self.tries: dict[Order, list[OrderTry]] = defaultdict(list)
+        self.tries: dict[int, list[OrderTry]] = defaultdict(list)  # by the orders' numbers
         for sent in sorted(history.tries, key=lambda sent: sent.began):
-            self.tries[sent.order].append(sent)
-        self.by_name: dict[str, list[tuple[Item, Order]]] = defaultdict(list)
-        for order in self.tries:
+            self.tries[sent.order.ident].append(sent)
+        self._by_name: dict[str, list[_Sent]] = defaultdict(list)
+        self._by_edition: dict[tuple[str, int], list[_Sent]] = defaultdict(list)
+        for tries in self.tries.values():
+            order = tries[0].order
+            refused = any(sent.refused for sent in tries) and not any(sent.confirmed for sent in tries)
             for item in order.items:
-                self.by_name[item.name].append((item, order))
-        self.read_at: dict[tuple[str, int], float] = {}  # when an edition was first read
+                found = _Sent(tries[0].began, item, order, refused or not order.valid)
+                self._by_name[item.name].append(found)
+                self._by_edition[item.name, item.edition].append(found)
+        self._read_at: dict[tuple[str, int], float] = {}  # when an edition was first read
         for read in history.reads:
             for item in read.items:
                 key = item.name, item.edition
-                self.read_at[key] = min(self.read_at.get(key, math.inf), read.began)
-        self.refused = {
-            order
-            for order, tries in self.tries.items()
-            if not order.valid or (any(t.refused for t in tries) and not any(t.confirmed for t in tries))
-        }
-
-    def sent_at(self, order: Order) -> float:
-        """When it was first sent."""
-        return self.tries[order][0].began
-
-    def sent(self, name: str, until: float) -> Iterator[tuple[Item, Order]]:
+                self._read_at[key] = min(self._read_at.get(key, math.inf), read.began)
+
+    def knows(self, name: str) -> bool:
+        """Whether any order was about this name."""
+        return name in self._by_name
+
+    def sent(self, name: str, until: float) -> Iterator[_Sent]:
         """What was sent of a name up to a time."""
-        return ((item, order) for item, order in self.by_name[name] if self.sent_at(order) <= until)
+        return (found for found in self._by_name.get(name, ()) if found.at <= until)
+
+    def sent_under(self, item: Item, until: float) -> Iterator[_Sent]:
+        """What was sent under the edition of an item up to a time."""
+        return (found for found in self._by_edition.get((item.name, item.edition), ()) if found.at <= until)
 
     def overtaken(self, item: Item, until: float) -> bool:
         """Whether a higher edition, which may be in force, was sent up to a time; or is, though it was refused."""
         return any(
-            other.edition > item.edition
-            and (order not in self.refused or self.read_at.get((other.name, other.edition), math.inf) <= until)
-            for other, order in self.sent(item.name, until)
+            found.item.edition > item.edition
+            and (not found.refused or self._read_at.get((item.name, found.item.edition), math.inf) <= until)
+            for found in self.sent(item.name, until)
         )
 
 
@@ -116,10 +130,11 @@
 
 def _decided_once(index: _Index) -> Iterator[Violation]:
     confirmed: dict[tuple[str, int], dict[bytes | None, OrderTry]] = defaultdict(dict)
-    for order, tries in index.tries.items():
+    for tries in index.tries.values():
         first = next((sent for sent in tries if sent.confirmed), None)
-        for item in order.items if first is not None else ():
-            assert first is not None
+        if first is None:
+            continue
+        for item in first.order.items:
             # Under a higher edition that stands an older one has no effect, and is acknowledged all the same.
             if not index.overtaken(item, first.ended):
                 confirmed[item.name, item.edition].setdefault(item.content, first)
@@ -171,8 +186,8 @@
         item = found.get(name)
         if item is None:
             dropped = below.content is None or any(
-                other.content is None and other.edition > below.edition and order not in index.refused
-                for other, order in index.sent(name, read.ended)
+                sent.item.content is None and sent.item.edition > below.edition and not sent.refused
+                for sent in index.sent(name, read.ended)
             )
             if not dropped:
                 detail = f"{below} ({floor.cause}) is absent"
@@ -181,11 +196,11 @@
             detail = f"{below} ({floor.cause}) is read as {item}"
             yield Violation(floor.rule, name, read.began, detail, f"at {read.machine}")
     for item in read.items:
-        orders = [order for other, order in index.sent(item.name, read.ended) if other == item]
-        if not orders:
+        same = [sent for sent in index.sent_under(item, read.ended) if sent.item == item]
+        if not same:
             yield Violation(Rule.REFUSED_IN_FORCE, item.name, read.began, f"{item} was never sent")
-        elif all(order in index.refused for order in orders):
-            detail = f"{item} of order {orders[0].ident} was refused and is read"
+        elif all(sent.refused for sent in same):
+            detail = f"{item} of order {same[0].order.ident} was refused and is read"
             yield Violation(Rule.REFUSED_IN_FORCE, item.name, read.began, detail, f"at {read.machine}")
 
 
@@ -193,7 +208,8 @@
 
 
 def _refusals(history: History, index: _Index) -> Iterator[Violation]:
-    for order, tries in index.tries.items():
+    for tries in index.tries.values():
+        order = tries[0].order
         taken = next((sent for sent in tries if sent.confirmed), None)
         if not order.valid:
             if taken is not None and not _without_effect(order, taken, index):
@@ -220,10 +236,9 @@
 def _contested(order: Order, until: float, index: _Index) -> bool:
     """Whether another content under the same edition was sent."""
     return any(
-        other.edition == item.edition and other.content != item.content
+        rival.order.valid and rival.item.content != item.content
         for item in order.items
-        for other, rival in index.sent(item.name, until)
-        if rival.valid
+        for rival in index.sent_under(item, until)
     )
 
 
@@ -261,18 +276,18 @@
             for item in sent.order.items:
                 floors[item.name].append((due, item))
     for call in history.calls:
-        if call.route not in index.by_name or call.status not in (200, 404):
+        if not index.knows(call.route) or call.status not in (200, 404):
             continue
         due_items = [item for due, item in floors[call.route] if due + TIMING_SLACK <= call.began]
         if not due_items:
             continue
         floor = max(due_items, key=lambda item: item.edition)
         fitting = [
-            order
-            for item, order in index.sent(call.route, call.ended)
-            if item.edition >= floor.edition and _shows(call, item)
+            sent
+            for sent in index.sent(call.route, call.ended)
+            if sent.item.edition >= floor.edition and _shows(call, sent.item)
         ]
-        if any(order not in index.refused for order in fitting):
+        if any(not sent.refused for sent in fitting):
             continue
         rule = Rule.REFUSED_IN_FORCE if fitting else Rule.STALE
         told = f"{call.status} {call.service}".strip()
