--- a/lugspur/bench/faults/injector.py
+++ b/lugspur/bench/faults/injector.py
@@ -17,6 +17,7 @@
 STARTED_WITHIN = 10.0  # ...where its process is new: an interpreter starts slowly on a loaded machine
 GIVEN_UP_AFTER = 20.0  # ...until it is taken as never
 POKE_EVERY = 0.3  # seconds between orders that are sent to a machine while it is cut off
+VOTERS_PART = 0.75  # of the losses of disks that hit voters alone
 PAUSE = (0.05, 0.5)  # seconds between two faults
 
 
@@ -58,7 +59,7 @@
     async def _kill(self, fault: Fault, count: int, wipe: bool = False, after_ack: bool = False) -> None:
         if wipe:
             await self._tolerable()
-        hit = self.rng.sample(self.cluster.control, count)
+        hit = await self._losable(count) if wipe else self.rng.sample(self.cluster.control, count)
         stalled = await self._stalled(hit)
         if after_ack:
             await self._acknowledged(hit[0])
@@ -75,7 +76,7 @@
     async def _replace(self, fault: Fault) -> None:
         """A machine is gone for good, and one at another address takes its place."""
         await self._tolerable()
-        (gone,) = hit = self.rng.sample(self.cluster.control, 1)
+        (gone,) = hit = await self._losable(1)
         stalled = await self._stalled(hit)
         began = self._loop.time()
         self.cluster.end(gone)
@@ -87,7 +88,7 @@
     async def _leave(self, fault: Fault) -> None:
         """Planned work: a newcomer starts, and a machine is asked to end."""
         await self._tolerable()
-        (leaving,) = hit = self.rng.sample(self.cluster.control, 1)
+        (leaving,) = hit = await self._losable(1)
         stalled = await self._stalled(hit)
         began = self._loop.time()
         newcomer = self.cluster.add()
@@ -225,6 +226,14 @@
         at = max((self._counts_at.get(ip, 0.0) for ip in self.cluster.control), default=0.0)
         await asyncio.sleep(max(0.0, at - self._loop.time()))
 
+    async def _losable(self, count: int) -> list[str]:
+        """Machines that are to lose their disks: mostly voters, which hurt most."""
+        if self.rng.random() < VOTERS_PART:
+            voters = [ip for ip in await self.cluster.voters() if ip in self.cluster.control]
+            if len(voters) >= count:
+                return self.rng.sample(voters, count)
+        return self.rng.sample(self.cluster.control, count)
+
     async def _stalled(self, hit: list[str]) -> bool:
         """Whether no majority is there without these, or none may be."""
         voters = await self.cluster.voters()
