--- a/tests/mesh/test_process_faults.py
+++ b/tests/mesh/test_process_faults.py
@@ -187,4 +187,5 @@
     assert sum(sent.confirmed for sent in tries) > 20 and any(sent.refused for sent in tries)
     assert any(call.key and call.status == 200 for call in calls)
     told = "\n".join([*table(outcome), *details(outcome)])
-    assert not outcome.failed, told
+    failed = outcome.failed
+    assert not failed, told
