--- a/lugspur/emulator/control/explorer.py
+++ b/lugspur/emulator/control/explorer.py
@@ -40,6 +40,7 @@
 
 
 COLLECT_EVERY = 500  # worlds that are thrown away until their cycles are: the collector's own pace takes half the time
+ORDINARY = {"deliver": 4, "sync": 4}  # by how much a walk goes there rather: else it spends its losses at once
 SETTLE_EVERY = 16  # states of which one is looked at for whether it settles
 
 
@@ -85,3 +86,25 @@
             if len(seen) >= most:
                 return Explored(len(seen), False)
     return Explored(len(seen), True)
+
+
+def wander(make: Callable[[], World], walks: int, rng: Random, steps: int = 150) -> int:
+    """Walks from the first state, one drawn event after the other, then let all be well; returns the steps made.
+
+    No state is kept: deep ones are reached at once. Raises Violation with the way that leads to it.
+    """
+    made = 0
+    for _ in range(walks):
+        world = make()
+        way: list[Event] = []
+        try:
+            while len(way) < steps and (events := list(world.events())):
+                weights = [ORDINARY.get(event[0], 1) for event in events]
+                way.append(rng.choices(events, weights)[0])
+                world.step(way[-1])
+            made += len(way)
+            world.settle()
+        except Violation as fault:
+            told = "; ".join(" ".join(part) for part in way)
+            raise Violation(f"{fault} (by: {told})") from None
+    return made
--- a/lugspur/emulator/control/guards.py
+++ b/lugspur/emulator/control/guards.py
@@ -1,4 +1,11 @@
-"""Each guard taken out in turn: what the control side would do without it, and which world or history catches that."""
+"""Each guard taken out in turn: what the control side would do without it, and which world or history catches that.
+
+Three are not here. Two are held by unit tests, since no history brings about what they are for: one of the voters whom
+a newcomer hears was complete (`ClaimsCatchUp.heard`), and completeness ends where epochs are missing
+(`Replica._adopt`). Nothing that is played needs the third: no claims are granted while a change of the voters is
+accepted (`Replica.grants`). A voter tells a newcomer its claims only once it goes by the new epoch, and grants nothing
+in the old one from then on, so that a claim that is won in the old epoch was granted by one whom every newcomer hears.
+"""
 
 from __future__ import annotations
 
@@ -31,10 +38,10 @@
 from lugspur.control.replica import Replica
 from lugspur.emulator.control import claims_world, histories, register_world
 from lugspur.emulator.control.checks import Violation
-from lugspur.emulator.control.explorer import explore
+from lugspur.emulator.control.explorer import wander
 
-WALK_STATES = 3000  # of one drawn walk
-WALKS = 12
+WALKS = 250  # through each world at once
+TURNS = 60
 HISTORIES = 160
 
 
@@ -125,10 +132,6 @@
     return _learn(self, pages)
 
 
-def grant_always(self: Replica) -> bool:
-    return self.complete
-
-
 def vote_by_address(self: Replica, membership: Membership) -> bool:
     return any(voter.ip == self.voter.ip for voter in membership.voters)
 
@@ -139,13 +142,6 @@
         self.complete_epoch = membership.epoch
 
 
-def complete_over_epochs(self: Replica, now: float, membership: Membership) -> None:
-    was = self.complete
-    _adopt(self, now, membership)
-    if was and self.is_voter:
-        self.complete_epoch = membership.epoch
-
-
 def ask_present_voters(self: catch_up.ClaimsCatchUp, now: float) -> Effects:
     effects = _catch_up_look(self, now)
     membership = self._replica.membership
@@ -180,12 +176,12 @@
 
 def walks(make: Callable[[Any], Any], limits: list[Any], names: tuple[str, ...]) -> str:
     """Drawn walks through small worlds; returns what one of them met, or nothing."""
-    for seed in range(WALKS):
+    for seed in range(TURNS):
         for world in [world for world in limits if world.name in names]:
             try:
-                explore(partial(make, world), WALK_STATES, Random(seed))
+                wander(partial(make, world), WALKS, Random(seed))
             except Violation as fault:
-                return f"{world.name}, walk {seed}: {fault}"
+                return f"{world.name}, walks of seed {seed}: {fault}"
     return ""
 
 
@@ -230,6 +226,7 @@
 AGAIN = "two contents, one sent again elsewhere"
 LOST_POWER = "two contents, power is lost"
 LOST_POWER_AGAIN = "two contents, power is lost, sent again"
+ONE_LIFE = "two contents of one node that has lost its power"
 BROKEN = "two contents, a connection breaks"
 LEFT = "two contents, callers that leave"
 RESTS = "one that rests on another's"
@@ -241,8 +238,8 @@
 GUARDS = [
     Guard("a promise is remembered", Register, "prepare", forget_promise, register(TWO, AGAIN)),
     Guard("nothing is accepted below a promise", Register, "accept", accept_below_promise, register(TWO, AGAIN)),
-    Guard("a vote is on disk", Register, "accept", accept_in_memory, register(LOST_POWER, LOST_POWER_AGAIN)),
-    Guard("a promise is on disk", Register, "prepare", promise_in_memory, register(LOST_POWER, LOST_POWER_AGAIN)),
+    Guard("a vote is on disk", Register, "accept", accept_in_memory, register(LOST_POWER_AGAIN, ONE_LIFE)),
+    Guard("a promise is on disk", Register, "prepare", promise_in_memory, register(LOST_POWER_AGAIN, ONE_LIFE)),
     Guard("a vote is told once it is on disk", Register, "accept", accept_before_sync, register(LOST_POWER)),
     Guard(
         "what was accepted is proposed again",
@@ -266,23 +263,15 @@
     ),
     Guard("an order that was offered is not given up", Proposer, "_expire", give_up_offered, register(LEFT)),
     Guard("an order is refused by a later proposal alone", Proposer, "_judge_orders", refuse_at_once, register(RESTS)),
-    Guard("ballots name the process's life", Proposer, "__init__", without_life, register(LOST_POWER_AGAIN)),
+    Guard("ballots name the process's life", Proposer, "__init__", without_life, register(ONE_LIFE, LOST_POWER_AGAIN)),
     Guard("a read asks a majority", reader, "majority", lambda count: 1, register(READ, TWO_READ)),
     Guard("a read waits for what is pending", reader.Reader, "heard", pass_over_pending, register(READ, TWO_READ)),
     Guard("a read learns of later changes first", reader.Reader, "heard", pass_over_index, register(READ, TWO_READ)),
     Guard("pages from the middle are not taken", Register, "learn", learn_from_the_middle, register(BROKEN)),
-    Guard(
-        "no claims while a change of the voters is accepted",
-        Replica,
-        "grants",
-        property(grant_always),
-        claims(EXCHANGED),
-    ),
     Guard("a newcomer reads a majority's claims", catch_up, "majority", lambda count: 1, claims(EXCHANGED)),
     Guard("a newcomer asks those who left", catch_up.ClaimsCatchUp, "look", ask_present_voters, claims(LOST_AFTER)),
     Guard("a newcomer reads claims before it grants", Replica, "_adopt", complete_at_once, claims(EXCHANGED)),
     Guard("a key with two holders is nobody's", ClaimTable, "merge", last_word, claims(EXCHANGED)),
-    Guard("completeness ends where epochs are missing", Replica, "_adopt", complete_over_epochs, drawn()),
     Guard("a vote goes with its disk", Replica, "_votes_in", vote_by_address, drawn()),
     Guard("a step leaves a complete majority", Situation, "may_go", anybody_may_go, drawn()),
     Guard("held-up news is old news", DelayEstimate, "sent_at", all_news_is_fresh, drawn()),
--- a/lugspur/emulator/control/register_world.py
+++ b/lugspur/emulator/control/register_world.py
@@ -51,6 +51,7 @@
     breaks: int = 0
     disks: bool = False
     standing: str = ""  # what stands at first
+    first: tuple[Event, ...] = ()  # what has happened when the world begins
 
 
 CONTENTS = {
@@ -70,11 +71,27 @@
     Limits("two contents, a connection breaks", (("x", "a"), ("y", "b")), breaks=1),
     Limits("two contents, power is lost", (("x", "a"), ("y", "b")), powers=1, disks=True),
     Limits("two contents, power is lost, sent again", (("x", "a"), ("y", "b"), ("x", "a")), powers=2),
+    Limits(
+        "two contents of one node that has lost its power", (("x", "a"), ("y", "a"), ("y", "b")), retries=2, powers=1
+    ),
     Limits("two contents, callers that leave", (("x", "a"), ("y", "b")), retries=2, expiries=1),
     Limits("three contents", (("x", "a"), ("y", "b"), ("third", "c")), retries=3),
     Limits("an older edition after a newer one", (("x", "a"), ("newer", "b"), ("x", "c"))),
     Limits("two routes of one place", (("one", "a"), ("other", "b"), ("one", "c"))),
-    Limits("one that rests on another's", (("newer", "a"), ("gone", "b"), ("other", "a")), standing="one"),
+    Limits(
+        "one that rests on another's",
+        (("newer", "a"), ("gone", "b"), ("other", "a")),
+        standing="one",
+        first=(
+            ("order", "0"),
+            ("deliver", "a", "b", "a"),  # the promise is on its way back
+            ("order", "1"),
+            ("deliver", "b", "c", "b"),
+            ("deliver", "c", "b", "b"),
+            ("deliver", "b", "c", "b"),
+            ("deliver", "c", "b", "b"),  # the second order is confirmed, and the first one's node has not heard of it
+        ),
+    ),
     Limits("an order, a read, a connection that breaks", (("x", "a"),), reads=2, breaks=1),
     Limits("two contents and a read", (("x", "a"), ("y", "b")), reads=1),
 ]
@@ -95,6 +112,8 @@
             standing = SERVICE + (CONTENTS[limits.standing] if limits.standing else [])
             node.do(self.now, node.replica.decide(self.now, Change("service", standing)))
             node.sync()
+        for event in limits.first:
+            self.step(event)
 
     def events(self) -> Iterator[Event]:
         """Orders, reads, and what time brings, beside all else."""
