--- a/lugspur/emulator/control/guards.py
+++ b/lugspur/emulator/control/guards.py
@@ -227,6 +227,8 @@
 LOST_POWER = "two contents, power is lost"
 LOST_POWER_AGAIN = "two contents, power is lost, sent again"
 ONE_LIFE = "two contents of one node that has lost its power"
+OLD_LIFE = "two contents, an older life's comes late"
+WIPED = "a disk is lost that has decided"
 BROKEN = "two contents, a connection breaks"
 LEFT = "two contents, callers that leave"
 RESTS = "one that rests on another's"
@@ -263,7 +265,7 @@
     ),
     Guard("an order that was offered is not given up", Proposer, "_expire", give_up_offered, register(LEFT)),
     Guard("an order is refused by a later proposal alone", Proposer, "_judge_orders", refuse_at_once, register(RESTS)),
-    Guard("ballots name the process's life", Proposer, "__init__", without_life, register(ONE_LIFE, LOST_POWER_AGAIN)),
+    Guard("ballots name the process's life", Proposer, "__init__", without_life, register(OLD_LIFE)),
     Guard("a read asks a majority", reader, "majority", lambda count: 1, register(READ, TWO_READ)),
     Guard("a read waits for what is pending", reader.Reader, "heard", pass_over_pending, register(READ, TWO_READ)),
     Guard("a read learns of later changes first", reader.Reader, "heard", pass_over_index, register(READ, TWO_READ)),
@@ -272,7 +274,7 @@
     Guard("a newcomer asks those who left", catch_up.ClaimsCatchUp, "look", ask_present_voters, claims(LOST_AFTER)),
     Guard("a newcomer reads claims before it grants", Replica, "_adopt", complete_at_once, claims(EXCHANGED)),
     Guard("a key with two holders is nobody's", ClaimTable, "merge", last_word, claims(EXCHANGED)),
-    Guard("a vote goes with its disk", Replica, "_votes_in", vote_by_address, drawn()),
+    Guard("a vote goes with its disk", Replica, "_votes_in", vote_by_address, register(WIPED)),
     Guard("a step leaves a complete majority", Situation, "may_go", anybody_may_go, drawn()),
     Guard("held-up news is old news", DelayEstimate, "sent_at", all_news_is_fresh, drawn()),
     Guard("a pending change is no word", Freshness, "heard", pending_is_fresh, drawn()),
--- a/lugspur/emulator/control/mesh_node.py
+++ b/lugspur/emulator/control/mesh_node.py
@@ -82,7 +82,7 @@
         self.clock_ahead = world.rng.uniform(0.0, 1e5)  # of its steady clock
         self.frozen = False
         self.disk_fails = False
-        self.arrived: list[tuple[Wire, Message]] = []  # while it was frozen
+        self.arrived: list[Callable[[], None]] = []  # what it is to hear once it is no longer frozen, in this order
 
     def start(self, now: float, seeds: Iterable[Voter] = ()) -> None:
         """A process starts on this disk."""
--- a/lugspur/emulator/control/register_world.py
+++ b/lugspur/emulator/control/register_world.py
@@ -11,7 +11,7 @@
 from lugspur.control.reader import Read
 from lugspur.emulator.control.checks import OrderBook, Sending, Violation
 from lugspur.emulator.control.explorer import Event
-from lugspur.emulator.control.small_world import PAUSE, SmallWorld
+from lugspur.emulator.control.small_world import ENDED, PAUSE, SmallWorld
 
 VOTERS = ["a", "b", "c"]
 FOREVER = float("inf")
@@ -49,6 +49,7 @@
     reads: int = 0
     powers: int = 0
     breaks: int = 0
+    wipes: int = 0  # disks that are lost
     disks: bool = False
     standing: str = ""  # what stands at first
     first: tuple[Event, ...] = ()  # what has happened when the world begins
@@ -74,8 +75,50 @@
     Limits(
         "two contents of one node that has lost its power", (("x", "a"), ("y", "a"), ("y", "b")), retries=2, powers=1
     ),
+    Limits(
+        "two contents, an older life's comes late",
+        (("x", "a"), ("y", "a"), ("y", "b")),
+        powers=1,
+        disks=True,
+        first=(
+            ("order", "0"),
+            ("sync", "a"),
+            ("deliver", "a", "b", "a"),
+            ("sync", "b"),
+            ("deliver", "b", "a", "a"),
+            ("power", "a"),  # its change is on its way to the others, and not on its own disk
+            ("order", "1"),
+            ("sync", "a"),
+            ("deliver", "a", "b", "a"),
+            ("sync", "b"),
+            ("deliver", "b", "a", "a"),
+            ("sync", "a"),
+            ("deliver", "a", "b", "a"),
+            ("sync", "b"),
+            ("deliver", "b", "a", "a"),  # its next life's change is decided, and nobody else knows
+            ("deliver", "a", "b", ENDED),
+            ("sync", "b"),
+            ("order", "2"),
+            ("sync", "b"),
+        ),
+    ),
     Limits("two contents, callers that leave", (("x", "a"), ("y", "b")), retries=2, expiries=1),
     Limits("three contents", (("x", "a"), ("y", "b"), ("third", "c")), retries=3),
+    Limits("two contents, a disk is lost", (("x", "a"), ("y", "b")), wipes=1),
+    Limits(
+        "a disk is lost that has decided",
+        (("x", "a"), ("y", "b")),
+        wipes=1,
+        first=(
+            ("order", "0"),
+            ("deliver", "a", "c", "a"),
+            ("deliver", "c", "a", "a"),
+            ("deliver", "a", "c", "a"),
+            ("deliver", "c", "a", "a"),  # confirmed by a and c, and b has not heard of it
+            ("wipe", "c"),
+            ("order", "1"),
+        ),
+    ),
     Limits("an older edition after a newer one", (("x", "a"), ("newer", "b"), ("x", "c"))),
     Limits("two routes of one place", (("one", "a"), ("other", "b"), ("one", "c"))),
     Limits(
@@ -107,6 +150,7 @@
         self.left = list(range(len(limits.orders)))
         self.open: dict[int, Order] = {}
         self.ended: dict[int, str] = {}
+        self.wipes = limits.wipes
         self.retries, self.expiries, self.reads = limits.retries, limits.expiries, limits.reads
         for node in self.nodes.values():
             standing = SERVICE + (CONTENTS[limits.standing] if limits.standing else [])
@@ -128,6 +172,9 @@
                 yield "finish", ip
             if self.reads:
                 yield "read", ip
+        if self.wipes:
+            for ip in self.nodes:
+                yield "wipe", ip
         if self.expiries:
             for number in self.open:
                 yield "expire", str(number)
@@ -143,6 +190,11 @@
             self.retries -= 1
             node = self.nodes[who[0]]
             node.do(self.now, node.proposer.finish(self.now))
+        elif what == "wipe":
+            self.wipes -= 1
+            self.lose_power(who[0])
+            self.nodes[who[0]].wipe()
+            self.nodes[who[0]].start(self.now)
         elif what == "read":
             self.reads -= 1
             self._read(who[0])
@@ -210,7 +262,7 @@
     def own_key(self) -> object:
         reads = tuple(sorted(read.over.floor for node in self.nodes.values() for read in node.reader._waiting))  # type: ignore[attr-defined]
         told = tuple(sorted(self.ended.items()))
-        budgets = (self.retries, self.expiries, self.reads)
+        budgets = (self.wipes, self.retries, self.expiries, self.reads)
         return tuple(self.left), tuple(self.open), told, budgets, reads, self.book.floor, len(self.chain.states)
 
 
