Measure what the control side costs by cause, and make docs/CAPACITY.md of it

`capacity measure` runs hollow fleets of 20 to 620 proxies, `load` one of 620 through failures, `hops` chains of 1, 4 and 12 services on real proxies; `report` fits lines and writes the page's tables and plot from the newest files in docs/measurements.

--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -1,5 +1,5 @@
 """Designs in virtual time: `python -m lugspur.emulator joining [--reads N] [--plot FILE]`, `fleet`, `members`,
-`duties` or `control [--seeds N]`, `explore [--states N]`."""
+`duties` or `control [--seeds N]`, `explore [--states N]`; in real time: `capacity measure|report`."""
 
 from __future__ import annotations
 
@@ -27,6 +27,12 @@
 
 def main() -> int:
     """Play, print a table, and draw it where that is asked for."""
+    if sys.argv[1:2] == ["capacity"]:
+        # Imported only here: it needs the extra `mesh`.
+        from lugspur.emulator.capacity.command import app
+
+        app(sys.argv[2:])
+        return 0
     parser = argparse.ArgumentParser(description="Tries designs in virtual time.")
     parser.add_argument("what", choices=["joining", "fleet", "members", "duties", "control", "explore"])
     parser.add_argument("--seed", type=int, default=1)
