--- a/lugspur/emulator/capacity/load.py
+++ b/lugspur/emulator/capacity/load.py
@@ -10,7 +10,7 @@
 
 from lugspur.emulator.capacity.fit import percentile
 from lugspur.emulator.capacity.measure import CONTROL, Tell, arrivals
-from lugspur.emulator.capacity.measurement import Load, Phase
+from lugspur.emulator.capacity.measurement import Flow, Load, Phase
 from lugspur.emulator.capacity.observer import read, window
 from lugspur.emulator.hollow.fleet import HollowFleet
 
@@ -75,6 +75,7 @@
         claim_p99_ms=percentile(milliseconds, 0.99),
         proxy_cores=used.hollow_proxy_cores,
         busiest_control_cores=max(used.control_cores),
+        news_bytes_per_proxy=used.received.get("Delta", Flow(0.0, 0.0)).bytes * used.seconds / running,
         real_proxy_memory_mb=last.real.memory_mb,
         real_proxy_wire_bytes_s=used.real_proxy_wire_bytes_s,
         recovered_s=recovered,
--- a/lugspur/emulator/capacity/measurement.py
+++ b/lugspur/emulator/capacity/measurement.py
@@ -128,6 +128,7 @@
     claim_p99_ms: float
     proxy_cores: float  # mean of all hollow proxies
     busiest_control_cores: float
+    news_bytes_per_proxy: float  # frames of news that a hollow proxy was sent, mean
     real_proxy_memory_mb: float
     real_proxy_wire_bytes_s: float
     recovered_s: float  # until all was as before; -1: nothing was to recover, or did not within the phase
--- a/lugspur/emulator/capacity/page.py
+++ b/lugspur/emulator/capacity/page.py
@@ -168,11 +168,12 @@
             "at each proxy, p50 / p99",
             "at the last proxy, p50 / most",
             "last proxy after confirmation, most",
-            "did not arrive",
+            "not told as a change",
             "keys won",
             "key p50 / p99",
             "proxy cores",
             "busiest control",
+            "news to a proxy",
             "recovered",
         ),
         (
@@ -189,6 +190,7 @@
                 f"{_figure(phase.claim_p50_ms)} / {_figure(phase.claim_p99_ms)} ms",
                 _figure(phase.proxy_cores),
                 _figure(phase.busiest_control_cores),
+                f"{_figure(phase.news_bytes_per_proxy / 1000)} KB",
                 f"{_figure(phase.recovered_s)} s" if phase.recovered_s >= 0.0 else "",
             )
             for phase in found.phases
