--- a/lugspur/emulator/capacity/command.py
+++ b/lugspur/emulator/capacity/command.py
@@ -18,6 +18,7 @@
 from lugspur.emulator.capacity.measurement import load as read
 from lugspur.emulator.capacity.page import put, tables
 from lugspur.emulator.capacity.plot import draw
+from lugspur.emulator.capacity.stages import stages
 
 ROOT = Path(__file__).parents[3]
 DATA = ROOT / ".trial"  # data folders of control machines while a measurement lasts: on a disk, as theirs are
@@ -49,7 +50,8 @@
 @app.command
 def hops(*, note: str = "", to: Path = FOLDER) -> None:
     """Measure what the mesh adds to calls of several depths, into a new file."""
-    _save("hops", to, note, hops=asyncio.run(chains.hops(DATA, _tell)))
+    found = asyncio.run(chains.hops(DATA, _tell))
+    _save("hops", to, note, hops=found, stages=asyncio.run(stages(DATA)))
 
 
 @app.command
--- a/lugspur/emulator/capacity/hops.py
+++ b/lugspur/emulator/capacity/hops.py
@@ -29,11 +29,11 @@
         fleet = HollowFleet(Path(own), 3, DEEPEST + 1)
         direct = {depth: await _straight(fleet, depth, calls) for depth, calls in DEPTHS.items()}
         try:
-            await fleet.start_real(_all_safe())
+            await fleet.start_real(all_safe())
             backends = [ChainBackend(fleet.layout, level, direct=False) for level in range(1, DEEPEST + 1)]
             for backend in backends:
                 await backend.serve()
-            await _until_served(fleet)
+            await until_served(fleet, DEEPEST)
             idle = await _idle_cores(fleet)
             found = []
             for depth, calls in DEPTHS.items():
@@ -59,19 +59,20 @@
     return found
 
 
-async def _until_served(fleet: HollowFleet) -> None:
-    """Return when a call goes all the way down."""
+async def until_served(fleet: HollowFleet, depth: int) -> None:
+    """Return when a call goes down so many levels."""
     async with asyncio.timeout(READY_WITHIN_S):
         while True:
             caller = Caller((fleet.layout.proxy_ip(0), OUTGOING))
             with suppress(OSError, asyncio.IncompleteReadError):
-                await caller.call(1, DEEPEST - 1)
+                await caller.call(1, depth - 1)
                 caller.close()
                 return
             await asyncio.sleep(0.1)
 
 
-def _all_safe() -> dict[str, object]:
+def all_safe() -> dict[str, object]:
+    """The first configuration with no route on which keys are claimed."""
     found = configuration()
     for route in found["routes"]:
         route["mail_class"] = "safe"
--- a/lugspur/emulator/capacity/measurement.py
+++ b/lugspur/emulator/capacity/measurement.py
@@ -156,6 +156,14 @@
     proxies_cpu_ms: float  # of all proxies together, for each hop of a call
 
 
+class Stage(msgspec.Struct):
+    """A part of the processor time of one of a call's two proxies, under a profile."""
+
+    proxy: str
+    name: str
+    part: float
+
+
 class Measurement(msgspec.Struct):
     """One measurement of one build."""
 
@@ -167,6 +175,7 @@
     runs: list[Run] = []
     load: Load | None = None
     hops: list[Hop] = []
+    stages: list[Stage] = []
 
 
 def save(found: Measurement, path: Path) -> None:
--- a/lugspur/emulator/capacity/page.py
+++ b/lugspur/emulator/capacity/page.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 from lugspur.emulator.capacity.fit import percentile
-from lugspur.emulator.capacity.measurement import Hop, Load, Measurement, Run
+from lugspur.emulator.capacity.measurement import Hop, Load, Measurement, Run, Stage
 from lugspur.emulator.capacity.slopes import Slope, slopes
 from lugspur.emulator.capacity.verdicts import verdicts
 
@@ -29,6 +29,7 @@
         }
     found["load"] = NOT_RUN if load is None or load.load is None else _source(load) + "\n" + _load(load.load)
     found["hops"] = NOT_RUN if hops is None or not hops.hops else _source(hops) + "\n" + _hops(hops.hops)
+    found["stages"] = NOT_RUN if hops is None or not hops.stages else _stages(hops.stages)
     return found
 
 
@@ -221,3 +222,12 @@
             for hop in found
         ),
     )
+
+
+def _stages(found: Sequence[Stage]) -> str:
+    proxies, names = list(dict.fromkeys(s.proxy for s in found)), list(dict.fromkeys(s.name for s in found))
+    parts = {(one.proxy, one.name): one.part for one in found}
+    return _table(
+        ("processor time of a proxy, parts", *proxies),
+        ((name, *(f"{parts[proxy, name]:.1%}" for proxy in proxies)) for name in names),
+    )
--- a/lugspur/emulator/hollow/fleet.py
+++ b/lugspur/emulator/hollow/fleet.py
@@ -73,9 +73,7 @@
 
     async def start(self) -> None:
         """Start all, and return when every proxy is ready and knows every backend."""
-        for index in range(self._control_count):
-            await self.start_control(index, first_start=True)
-        await self.amend(configuration())
+        await self._start_all_control(configuration())
         self.backends = await self._start_backends()
         self.real = await self._spawn("lugspur.mesh", "serve", settings=self.layout.write_proxy(0, self.seeds))
         last = self.proxies - 1
@@ -86,13 +84,27 @@
 
     async def start_real(self, first: dict[str, Any]) -> None:
         """Start all proxies as real processes, without backends, under this first configuration."""
-        for index in range(self._control_count):
-            await self.start_control(index, first_start=True)
-        await self.amend(first)
+        await self._start_all_control(first)
         for index in range(self.proxies):
             path = self.layout.write_proxy(index, self.seeds)
             self.reals.append(await self._spawn("lugspur.mesh", "serve", settings=path))
 
+    async def start_profiled(self, first: dict[str, Any]) -> list[Path]:
+        """The same under a profile (see profiled.py); returns the files that will have the times."""
+        await self._start_all_control(first)
+        files = []
+        for index in range(self.proxies):
+            path = self.layout.write_proxy(index, self.seeds)
+            files.append(path.with_suffix(".json"))
+            process = await self._spawn("lugspur.emulator.hollow.profiled", str(files[-1]), settings=path)
+            self.reals.append(process)
+        return files
+
+    async def _start_all_control(self, first: dict[str, Any]) -> None:
+        for index in range(self._control_count):
+            await self.start_control(index, first_start=True)
+        await self.amend(first)
+
     async def start_control(self, index: int, first_start: bool = False) -> None:
         """Start a control machine's process and return once it answers."""
         path = self.layout.write_control(index, self.seeds, first_start)
