Measure disk writes and subscriptions, and let a failed size not lose the others

Need: claims waited for the disk and no figure said so; messages grew faster than the fleet and no figure said why; a size that fails lost all figures before it. Change: written bytes of control machines, their subscriptions, the age of the oldest news; verdicts for what is needed at least; sizes that failed are named on the page; chains don't reuse connections that a proxy has closed (a call of a trial ended with 502 by that); a table with a short row is an error.

--- a/lugspur/emulator/capacity/command.py
+++ b/lugspur/emulator/capacity/command.py
@@ -37,7 +37,7 @@
     rates = runs.QUICK_RATES if quick else runs.RATES
     keyed = [size for size in chosen if size in runs.KEYED_SIZES] or [chosen[-1]]
     found = asyncio.run(runs.measure(DATA, chosen, keyed, rates, _tell))
-    _save("capacity", to, note, runs=found)
+    _save("capacity", to, note, sizes=chosen, runs=found)
 
 
 @app.command
--- a/lugspur/emulator/capacity/load.py
+++ b/lugspur/emulator/capacity/load.py
@@ -17,7 +17,7 @@
 CLAIMS_PER_S = 200.0
 CHANGES_EVERY_S = 1.0
 SETTLE_S = 1.5  # before a phase's end without further changes, so that the last one arrives within it
-FRESH_S = 1.0  # age of the news under which a proxy counts as told: pings come four times a second
+FRESH_S = 2.0  # age of the news under which a proxy counts as told: `edition_ms` of the settings
 SAMPLE = 2000  # of the arrivals of a phase at most are kept
 KILLED = 1  # the control machine that is killed: a voter
 Event = Callable[[HollowFleet], Awaitable[None]]
@@ -78,6 +78,7 @@
         news_bytes_per_proxy=used.received.get("Delta", Flow(0.0, 0.0)).bytes * used.seconds / running,
         real_proxy_memory_mb=last.real.memory_mb,
         real_proxy_wire_bytes_s=used.real_proxy_wire_bytes_s,
+        oldest_news_s=max(one.oldest_news_s for one in last.collected.values()),
         recovered_s=recovered,
     )
 
--- a/lugspur/emulator/capacity/measurement.py
+++ b/lugspur/emulator/capacity/measurement.py
@@ -23,6 +23,7 @@
     seconds: float
     control_cores: list[float]  # each control machine
     control_wire_bytes_s: list[float]  # both ways, headers too; of connections that stood all the while
+    control_written_bytes_s: list[float]  # sent to the disk
     hollow_proxy_cores: float  # mean of all hollow proxies
     backends_cores: float  # the process that beats for all
     real_proxy_cores: float
@@ -80,7 +81,7 @@
     p50_ms: float
     p99_ms: float
     commits_per_s: list[float]  # synced writes of each control machine
-    claims_held: int  # by one voter at the end
+    claims_held: int  # by a voter at the end
     control_memory_mb: list[float]  # at the end
 
 
@@ -104,6 +105,7 @@
     machine_load: float  # processes of the whole machine that want a core, others' too, over the last minute
     join: Join
     footprint: Footprint
+    subscriptions: int  # to the news of all control machines, theirs to each other too, when idle
     idle: Window
     changes: Changes
     restart: Restart
@@ -131,6 +133,7 @@
     news_bytes_per_proxy: float  # frames of news that a hollow proxy was sent, mean
     real_proxy_memory_mb: float
     real_proxy_wire_bytes_s: float
+    oldest_news_s: float  # age of the news at the proxy that had the oldest, at the phase's end
     recovered_s: float  # until all was as before; -1: nothing was to recover, or did not within the phase
 
 
@@ -172,6 +175,7 @@
     build: str  # commit, with + where the tree differed from it
     command: str
     note: str
+    sizes: list[int] = []  # that were asked for; one that has no run failed
     runs: list[Run] = []
     load: Load | None = None
     hops: list[Hop] = []
--- a/lugspur/emulator/capacity/observer.py
+++ b/lugspur/emulator/capacity/observer.py
@@ -61,6 +61,9 @@
         seconds=seconds,
         control_cores=[_cores(first.control[n], last.control[n], seconds) for n in control],
         control_wire_bytes_s=[_wire(first.control_network[n], last.control_network[n], seconds) for n in control],
+        control_written_bytes_s=[
+            (last.control[n].written_bytes - first.control[n].written_bytes) / seconds for n in control
+        ],
         hollow_proxy_cores=sum(_cores(first.racks[pid], last.racks[pid], seconds) for pid in pids) / proxies,
         backends_cores=_cores(first.backends, last.backends, seconds),
         real_proxy_cores=_cores(first.real, last.real, seconds),
--- a/lugspur/emulator/capacity/page.py
+++ b/lugspur/emulator/capacity/page.py
@@ -5,10 +5,11 @@
 import re
 from collections.abc import Iterable, Sequence
 
+from lugspur.emulator.capacity import size
 from lugspur.emulator.capacity.fit import percentile
-from lugspur.emulator.capacity.measurement import Hop, Load, Measurement, Run, Stage
+from lugspur.emulator.capacity.measurement import Hop, Load, Measurement, Phase, Run, Stage
 from lugspur.emulator.capacity.slopes import Slope, slopes
-from lugspur.emulator.capacity.verdicts import verdicts
+from lugspur.emulator.capacity.verdicts import holds, verdicts
 
 MARKERS = re.compile(r"(<!-- capacity:begin (\w+) -->\n).*?(<!-- capacity:end \2 -->)", re.S)
 NOT_RUN = "Not run.\n"
@@ -20,7 +21,7 @@
     if capacity is not None:
         lines = slopes(capacity.runs)
         found |= {
-            "source": _source(capacity) + _loads(capacity.runs),
+            "source": _source(capacity) + _loads(capacity.runs) + _failed(capacity),
             "verdicts": _verdicts(capacity.runs, lines),
             "slopes": _slopes(lines),
             "keyed": _keyed(capacity.runs),
@@ -40,6 +41,8 @@
 
 def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     lines = [head, ["---"] * len(head), *rows]
+    if len({len(line) for line in lines}) > 1:
+        raise ValueError(f"a row has more or fewer columns than {head}")
     return "".join(f"| {' | '.join(line)} |\n" for line in lines)
 
 
@@ -59,6 +62,11 @@
     return f"Load average of the whole machine at each run's end: {loads}.\n"
 
 
+def _failed(found: Measurement) -> str:
+    failed = [str(size) for size in found.sizes if size not in {run.proxies for run in found.runs}]
+    return f"**Failed** at {', '.join(failed)} proxies: not complete in time.\n" if failed else ""
+
+
 def _verdicts(runs: Sequence[Run], lines: Sequence[Slope]) -> str:
     return _table(
         ("role", "what", "at the size", "allowed", "holds", "from"),
@@ -111,7 +119,18 @@
 
 def _keyed(runs: Sequence[Run]) -> str:
     return _table(
-        ("proxies", "asked a second", "begun", "won", "not won", "p50", "p99", "busiest voter", "its synced writes"),
+        (
+            "proxies",
+            "asked a second",
+            "begun",
+            "won",
+            "not won",
+            "p50",
+            "p99",
+            "busiest voter",
+            "its synced writes",
+            "its disk writes",
+        ),
         (
             (
                 str(run.proxies),
@@ -123,6 +142,7 @@
                 f"{_figure(one.p99_ms)} ms",
                 f"{_figure(max(one.window.control_cores))} cores",
                 f"{_figure(max(one.commits_per_s))}/s",
+                f"{_figure(max(one.window.control_written_bytes_s) / 1e6)} MB/s",
             )
             for run in runs
             for one in run.keyed
@@ -168,6 +188,7 @@
             "confirmed, p50 / most",
             "at each proxy, p50 / p99",
             "at the last proxy, p50 / most",
+            f"in force in {size.IN_FORCE_S:g} s",
             "last proxy after confirmation, most",
             "not told as a change",
             "keys won",
@@ -175,6 +196,7 @@
             "proxy cores",
             "busiest control",
             "news to a proxy",
+            "oldest news at the end",
             "recovered",
         ),
         (
@@ -185,6 +207,7 @@
                 f"{_figure(percentile(phase.confirmed_ms, 0.5))} / {_figure(percentile(phase.confirmed_ms, 1.0))} ms",
                 f"{_figure(percentile(phase.proxy_ms, 0.5))} / {_figure(percentile(phase.proxy_ms, 0.99))} ms",
                 f"{_figure(percentile(phase.last_proxy_ms, 0.5))} / {_figure(percentile(phase.last_proxy_ms, 1.0))} ms",
+                _in_force(phase),
                 f"{_figure(percentile(phase.after_confirmation_ms, 1.0))} ms",
                 str(phase.not_arrived),
                 f"{phase.claims_won} of {phase.claims_begun}",
@@ -192,6 +215,7 @@
                 _figure(phase.proxy_cores),
                 _figure(phase.busiest_control_cores),
                 f"{_figure(phase.news_bytes_per_proxy / 1000)} KB",
+                f"{_figure(phase.oldest_news_s)} s",
                 f"{_figure(phase.recovered_s)} s" if phase.recovered_s >= 0.0 else "",
             )
             for phase in found.phases
@@ -199,6 +223,10 @@
     )
 
 
+def _in_force(phase: Phase) -> str:
+    return holds(percentile(phase.last_proxy_ms, 1.0) / 1e3, size.IN_FORCE_S)
+
+
 def _hops(found: Sequence[Hop]) -> str:
     return _table(
         (
@@ -208,6 +236,7 @@
             "through proxies, p50 / p99",
             "added to a hop, p50",
             "added, p99",
+            "CPU a hop",
         ),
         (
             (
--- a/lugspur/emulator/capacity/slopes.py
+++ b/lugspur/emulator/capacity/slopes.py
@@ -84,6 +84,14 @@
             "entries, leases, connections",
             lambda run: 1024 * max(run.footprint.control_memory_mb),
         ),
+        slope(
+            control,
+            "state",
+            "subscriptions, all machines",
+            "",
+            "one for each source that a proxy follows, and for each that it followed before",
+            lambda run: run.subscriptions,
+        ),
         slope(
             control,
             "state",
@@ -249,7 +257,7 @@
 
     control, together = "control machine", "proxies together"
     at_voter = "a claim, its verdict and the answer's copy on each of three voters"
-    held = tuple((float(one.claims_held), MEBI * one.control_memory_mb[0]) for one in keyed)
+    held = tuple((float(one.claims_held), MEBI * max(one.control_memory_mb)) for one in keyed)
     return [
         slope(control, "CPU of a voter", "us/s", at_voter, lambda one: MICRO * max(one.window.control_cores)),
         slope(control, "network of a voter", "B/s", at_voter, lambda one: max(one.window.control_wire_bytes_s)),
@@ -260,6 +268,13 @@
             "claims that wait together share one",
             lambda one: max(one.commits_per_s),
         ),
+        slope(
+            control,
+            "disk writes of a voter",
+            "B/s",
+            "a page of 4 KiB for nearly each row, since keys are drawn at random",
+            lambda one: max(one.window.control_written_bytes_s),
+        ),
         Slope(control, cause, "memory of a voter", "B", "claim held", "kept for 70 s", held),
         slope(
             together,
--- a/lugspur/emulator/capacity/verdicts.py
+++ b/lugspur/emulator/capacity/verdicts.py
@@ -21,15 +21,24 @@
     unit: str
     budget: float
     basis: str
+    at_least: bool = False  # the budget is what is needed, not what is allowed
 
     @property
     def holds(self) -> str:
         """yes or no, and by what factor."""
-        if not self.budget:
-            return "no budget set"
-        if self.value <= self.budget:
-            return f"yes, {self.budget / self.value:.3g} times" if self.value else "yes"
-        return f"**no**, {self.value / self.budget:.3g} times over"
+        return holds(self.value, self.budget, self.at_least)
+
+
+def holds(value: float, budget: float, at_least: bool = False) -> str:
+    """Whether a value keeps to what is allowed, or reaches what is needed (`at_least`), and by what factor."""
+    if not budget:
+        return "no budget set"
+    if not value:
+        return "**no**, none" if at_least else "yes"
+    spare = value / budget if at_least else budget / value
+    if spare >= 1.0:
+        return f"yes, {spare:.3g} times"
+    return f"**no**, {1.0 / spare:.3g} times {'too few' if at_least else 'over'}"
 
 
 def verdicts(runs: Sequence[Run], slopes: Iterable[Slope]) -> list[Verdict]:
@@ -59,6 +68,7 @@
     control_mb, control_cores = max(run.footprint.control_memory_mb), max(run.idle.control_cores)
     voter_mb = claims * held / (1 << 20) + control_mb
     voter_bytes = size.KEYED_PER_S * keyed(control, "network of a voter")
+    written = size.KEYED_PER_S * keyed(control, "disk writes of a voter")
     last_proxy, confirmed = run.changes.last_proxy_ms, run.changes.confirmed_ms
     own_files, voter_files = run.footprint.real_descriptors, max(run.footprint.control_descriptors)
     files = f"{at}; {size.DESCRIPTORS} is what today's settings give"
@@ -80,6 +90,15 @@
             size.CONTROL_CORES,
             "slope times the rate",
         ),
+        Verdict(
+            control,
+            f"keyed operations/s, all won, 99 in 100 within {size.KEY_P99_MS:g} ms",
+            _won_in_time(run),
+            "/s",
+            size.KEYED_PER_S,
+            f"{at}, the highest rate that was tried and met",
+            True,
+        ),
         Verdict(control, "memory, idle, largest", control_mb, "MB", size.CONTROL_MEMORY_MB, at),
         Verdict(
             control,
@@ -91,7 +110,8 @@
         ),
         Verdict(control, f"claims held {at_rate}", claims, "", _claims_most(), "the limit in `replica.py`"),
         Verdict(control, f"network of a voter {at_rate}", voter_bytes / 1e6, "MB/s", 0.0, "slope times the rate"),
-        Verdict(control, "disk, idle, largest", max(run.footprint.control_disk_mb), "MB", 0.0, at),
+        Verdict(control, f"disk writes of a voter {at_rate}", written / 1e6, "MB/s", 0.0, "slope times the rate"),
+        Verdict(control, "disk, after all runs, largest", max(run.footprint.control_disk_mb), "MB", 0.0, at),
         Verdict(control, "descriptors, busiest", voter_files, "", size.DESCRIPTORS, files),
         Verdict(operator, "order to confirmation, slowest", max(confirmed) / 1e3, "s", size.IN_FORCE_S, at),
         Verdict(
@@ -105,5 +125,10 @@
     ]
 
 
+def _won_in_time(run: Run) -> float:
+    met = [one.asked_per_s for one in run.keyed if one.won == one.begun and one.p99_ms <= size.KEY_P99_MS]
+    return max(met, default=0.0)
+
+
 def _claims_most() -> float:
     return float(int(size.CONTROL_MEMORY_MB * (1 << 20) * CLAIMS_PART / CLAIM_BYTES))
--- a/lugspur/emulator/hollow/chain.py
+++ b/lugspur/emulator/hollow/chain.py
@@ -33,7 +33,7 @@
 
     async def call(self, level: int, left: int) -> None:
         """Call the service of a level, which calls on `left` levels further; raises OSError where it fails."""
-        streams = self._idle.pop() if self._idle else await asyncio.open_connection(*self._address)
+        streams = await self._connection()
         reader, writer = streams
         writer.write(
             f"GET /path-{level}/{left} HTTP/1.1\r\nHost: host-{level}.example\r\n"
@@ -46,6 +46,14 @@
         await reader.readexactly(int(_header(head, b"content-length")))
         self._idle.append(streams)
 
+    async def _connection(self) -> Streams:
+        while self._idle:
+            streams = self._idle.pop()
+            if not streams[0].at_eof():  # proxies close connections that are idle for long
+                return streams
+            streams[1].close()
+        return await asyncio.open_connection(*self._address)
+
     def close(self) -> None:
         """Close all connections."""
         for _, writer in self._idle:
--- a/lugspur/emulator/hollow/usage.py
+++ b/lugspur/emulator/hollow/usage.py
@@ -5,6 +5,7 @@
 import os
 import re
 import subprocess
+from pathlib import Path
 
 import msgspec
 
@@ -19,6 +20,7 @@
     cpu_s: float
     memory_mb: float
     descriptors: int
+    written_bytes: int  # that it has had sent to the disk
 
 
 class NetworkUsage(msgspec.Struct):
@@ -37,7 +39,12 @@
 def of_process(pid: int) -> ProcessUsage:
     """Read it now; raises OSError where it has ended."""
     usage = Usage(pid)
-    return ProcessUsage(usage.cpu(), usage.memory(), len(os.listdir(f"/proc/{pid}/fd")))
+    return ProcessUsage(usage.cpu(), usage.memory(), len(os.listdir(f"/proc/{pid}/fd")), _written_bytes(pid))
+
+
+def _written_bytes(pid: int) -> int:
+    lines = Path(f"/proc/{pid}/io").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("write_bytes"))
 
 
 _COUNT = re.compile(r"\b(bytes_sent|bytes_received|segs_out|segs_in):(\d+)")
--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -9,6 +9,7 @@
 from lugspur.emulator.capacity.command import PAGE, PLOT, made
 from lugspur.emulator.capacity.fit import fit, percentile
 from lugspur.emulator.capacity.measurement import FOLDER, load, newest, save
+from lugspur.emulator.capacity.verdicts import holds
 
 
 def test_the_page_and_its_plot_are_what_the_newest_measurements_give() -> None:
@@ -41,6 +42,12 @@
         fit([(1.0, 1.0), (1.0, 2.0)])
 
 
+def test_a_verdict_says_by_what_factor() -> None:
+    told = [holds(2.0, 8.0), holds(8.0, 2.0), holds(2.0, 8.0, True), holds(8.0, 2.0, True), holds(0.0, 2.0, True)]
+    assert told == ["yes, 4 times", "**no**, 4 times over", "**no**, 4 times too few", "yes, 4 times", "**no**, none"]
+    assert (holds(0.0, 2.0), holds(3.0, 0.0)) == ("yes", "no budget set")
+
+
 def test_percentiles_are_by_nearest_rank() -> None:
     values = [float(n) for n in range(1, 101)]
     assert [percentile(values, part) for part in (0.0, 0.5, 0.99, 1.0)] == [1.0, 50.0, 99.0, 100.0]
