--- a/lugspur/emulator/capacity/command.py
+++ b/lugspur/emulator/capacity/command.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import shlex
 import subprocess
 import sys
 import time
@@ -77,7 +78,9 @@
 
 def _save(kind: str, folder: Path, note: str, **found: Any) -> None:
     made = time.strftime("%Y%m%dT%H%M%S", time.gmtime())
-    command = "python -m lugspur.emulator capacity " + " ".join(sys.argv[2:])
+    # The note is told beside the command.
+    command = shlex.join(["python", "-m", "lugspur.emulator", *(word for word in sys.argv[1:] if word != note)])
+    command = command.replace(" --note", "")
     path = folder / f"{made}-{kind}.json"
     save(Measurement(FORM, made, _build(), command, note, **found), path)
     print(path)
--- a/lugspur/emulator/capacity/page.py
+++ b/lugspur/emulator/capacity/page.py
@@ -236,6 +236,7 @@
             "through proxies, p50 / p99",
             "added to a hop, p50",
             "added, p99",
+            f"{size.ADDED_P99_MS:g} ms for 99 in 100",
             "CPU a hop",
         ),
         (
@@ -246,6 +247,7 @@
                 f"{_figure(hop.mesh_p50_ms)} / {_figure(hop.mesh_p99_ms)} ms",
                 f"{_figure((hop.mesh_p50_ms - hop.direct_p50_ms) / hop.depth)} ms",
                 f"{_figure(hop.mesh_p99_ms - hop.direct_p99_ms)} ms",
+                holds(hop.mesh_p99_ms - hop.direct_p99_ms, size.ADDED_P99_MS),
                 f"{_figure(hop.proxies_cpu_ms)} ms",
             )
             for hop in found
--- a/lugspur/emulator/capacity/size.py
+++ b/lugspur/emulator/capacity/size.py
@@ -8,6 +8,7 @@
 CALLS_PER_S = 71_000
 CHANGES_PER_DAY = 230
 RESTARTS_PER_DAY = 87
+ADDED_P99_MS = 1.5  # to a call
 IN_FORCE_S = 11.0  # from a change to the last proxy
 PROXY_CORES = 0.039  # what a proxy may spend on control
 PROXY_MEMORY_MB = 32.0
