--- a/lugspur/control/proposer.py
+++ b/lugspur/control/proposer.py
@@ -22,7 +22,8 @@
 from lugspur.control.register import Register
 from lugspur.control.replica import Replica
 
-ROUND_WITHIN = 0.35  # seconds for one proposal: then it is given up, and another one is made
+ROUND_WITHIN = 0.3  # seconds for one round of a proposal: then it is given up, and another one is made...
+ROUND_WITHIN_MOST = 2.0  # ...which has more time, up to this
 BACK_OFF = 0.02  # seconds before another proposal after one that met a competitor, drawn from half to one and a half...
 BACK_OFF_MOST = 0.16  # ...doubled each time up to this
 ORDERS_AT_ONCE = 64  # orders in one change
@@ -155,7 +156,7 @@
         index = self._replica.index + 1
         voters = frozenset(voter.ip for voter in membership.voters)
         ballot = Ballot(self._number, self._identity)
-        self._proposal = Proposal(index, ballot, voters, now + ROUND_WITHIN)
+        self._proposal = Proposal(index, ballot, voters, now + self._round_within())
         return Effects(send=[(ip, Prepare(index, ballot)) for ip in sorted(voters)])
 
     def _refused(self, now: float, ip: str, proposal: Proposal, message: Promise | Accepted) -> Effects:
@@ -190,6 +191,7 @@
             self._failures = 0
             return self._start(now)  # for orders that came meanwhile
         proposal.phase = Phase.ACCEPT
+        proposal.until = now + self._round_within()  # a second write to slow disks
         accept = Accept(proposal.index, proposal.ballot, proposal.change)
         return Effects(send=[(voter, accept) for voter in sorted(proposal.voters)])
 
@@ -261,8 +263,9 @@
         self._failures = 0
         since = self._replica.index
         effects = self._replica.decide(now, proposal.change)
+        pages = self._replica.register.pages(since)
         for voter in sorted(proposal.voters - {self._replica.voter.ip}):
-            effects.send += [(voter, page) for page in self._replica.register.pages(since)]
+            effects.send += [(voter, page) for page in pages]
         for order in [o for o in self._orders if o.change_id == proposal.change.id]:
             self._end(order, Confirmed())
         effects.add(self._start(now))
@@ -278,6 +281,10 @@
         for order in [order for order in self._orders if order.until <= now]:
             self._end(order, Unclear() if order.offered else NoQuorum())
 
+    def _round_within(self) -> float:
+        """Seconds for one round: longer after each proposal that came to nothing, since voters' disks may be slow."""
+        return min(ROUND_WITHIN_MOST, ROUND_WITHIN * 1.5**self._failures)
+
     def _back_off(self, now: float) -> None:
         """Guards against proposers that keep each other from deciding anything."""
         pause = min(BACK_OFF_MOST, BACK_OFF * 2.0**self._failures)
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -508,8 +508,13 @@
             self.to(proposer, self.forwarder.hand_over(now, proposer, order))
 
     def _preferred_proposer(self, now: float) -> str:
-        """Who proposes for all: the first voter that is heard from, or this process."""
+        """Who proposes for all: the first voter that is heard from, or this process.
+
+        One that has no word of a majority hands nothing on: where it is cut off it is to confirm and refuse nothing.
+        """
         membership = self.replica.membership
+        if self.age(now) > self.stale:
+            return self.ip
         for voter in membership.voters if membership is not None else ():
             if voter.ip == self.ip or now - self.freshness.word_at(voter.ip) < HEARD_WITHIN:
                 return voter.ip
