--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -1,5 +1,6 @@
 """Designs in virtual time: `python -m lugspur.emulator joining [--reads N] [--plot FILE]`, `fleet`, `members`,
-`duties` or `control [--seeds N]`, `explore [--states N]`, `guards`, `catching-up`; in real time: `capacity measure|report`.
+`duties` or `control [--seeds N]`, `explore [--states N]`, `guards`, `catching-up`; in real time: `capacity
+measure|load|hops|report`.
 """
 
 from __future__ import annotations
--- a/lugspur/emulator/hollow/proxy.py
+++ b/lugspur/emulator/hollow/proxy.py
@@ -27,7 +27,7 @@
         super().__init__(settings, path)
 
     def wanted(self) -> set[str]:
-        return Node.wanted(self) | (self._full_mesh & self.spots.keys()) - {self.ip}
+        return Node.wanted(self) | (self._full_mesh & self.backends.keys()) - {self.ip}
 
     def changed(self, entry: Entry) -> None:
         super().changed(entry)
@@ -42,6 +42,6 @@
         return self.known and len(self.table) > 0
 
     @property
-    def backends(self) -> int:
+    def accepting(self) -> int:
         """How many backends it would send to."""
-        return sum(spot.state == "accepting" for spot in self.spots.values())
+        return sum(status.state == "accepting" for status in self.backends.values())
--- a/lugspur/emulator/hollow/rack.py
+++ b/lugspur/emulator/hollow/rack.py
@@ -53,7 +53,7 @@
     def collect(self, keep: bool) -> Collected:
         """What has happened since the last time; only the state where that is to be kept."""
         now = asyncio.get_running_loop().time()
-        counts = [proxy.backends for proxy in self.proxies]
+        counts = [proxy.accepting for proxy in self.proxies]
         sources: dict[str, int] = {}
         for proxy in self.proxies:
             sources[proxy.source] = sources.get(proxy.source, 0) + 1
