Count the word of a voter only while it hears this process too

Change: a subscriber dates its Pong, and news echoes the latest one; a word whose echo is older than four pings does not count.

--- a/lugspur/control/freshness.py
+++ b/lugspur/control/freshness.py
@@ -42,14 +42,18 @@
 
     at: float
     index: int
+    heard_us_at: float  # the latest time of ours that it has heard: who can't be heard is cut off too
 
 
 class Freshness:
     """The latest word of each voter, and how old this replica's state may be by them."""
 
-    def __init__(self) -> None:
+    def __init__(self, two_way_within: float) -> None:
+        """`two_way_within`: seconds since a voter last heard of this process, for its word to count."""
+        self._two_way_within = two_way_within
         self._words: dict[str, Word] = {}
         self._delays: dict[str, DelayEstimate] = {}
+        self._asked_at: dict[str, float] = {}
 
     def asked(self, now: float, ip: str) -> None:
         """A subscription to this peer's news begins.
@@ -57,6 +61,7 @@
         On a connection that has brought news before, the estimate stays: what was held up there may still come.
         """
         self._delays.setdefault(ip, DelayEstimate(now))
+        self._asked_at[ip] = now
         self._words.pop(ip, None)
 
     def heard(self, now: float, ip: str, delta: Delta) -> float:
@@ -66,7 +71,7 @@
             return NEVER
         at = delay.sent_at(now, delta.sent)
         if delta.votes:
-            self._words[ip] = Word(at, delta.index + delta.pending)
+            self._words[ip] = Word(at, delta.index + delta.pending, max(delta.echo, self._asked_at.get(ip, NEVER)))
         else:
             self._words.pop(ip, None)
         return at
@@ -75,6 +80,7 @@
         """The connection to a peer has ended."""
         self._words.pop(ip, None)
         self._delays.pop(ip, None)
+        self._asked_at.pop(ip, None)
 
     def word_at(self, ip: str) -> float:
         """When this peer sent its latest word."""
@@ -92,7 +98,7 @@
             word = self._words.get(voter.ip)
             if voter.ip == own_vote:
                 times.append(now)
-            elif word is not None and word.index <= index:
+            elif word is not None and word.index <= index and now - word.heard_us_at <= self._two_way_within:
                 times.append(word.at)
         need = majority(len(membership.voters))
         if len(times) < need:
--- a/lugspur/control/messages.py
+++ b/lugspur/control/messages.py
@@ -57,11 +57,14 @@
     complete: int  # the epoch for which the sender knows all claims that a voter must know; 0: none
     whole: bool  # whether this is all that the sender has, and not what changed since the last time
     entries: list[Entry]
+    echo: float = 0.0  # the latest Pong's `sent`, by the receiver's own clock; 0: none has come on this connection
 
 
 class Pong(msgspec.Struct, tag=4, array_like=True):
     """The subscriber is there: its lease runs on."""
 
+    sent: float = 0.0  # by the sender's steady clock, to be echoed
+
 
 class Report(msgspec.Struct, tag=5, array_like=True):
     """What the sender says of itself; its lease covers these entries."""
--- a/lugspur/emulator/control/mesh_node.py
+++ b/lugspur/emulator/control/mesh_node.py
@@ -28,7 +28,7 @@
     SWEEP_EVERY,
     WOKEN,
 )
-from lugspur.mesh.node import LOOK, PING_PART, STALE_PART
+from lugspur.mesh.node import LOOK, PING_PART, PINGS_MISSED, STALE_PART
 
 EDITION_S = 2.0  # edition_ms of the settings
 CATCH_UP_S = 4.0
@@ -89,11 +89,12 @@
         super().start(now, seeds)
         self.frozen = self.leaving = False
         self.arrived.clear()
-        self.freshness = Freshness()
+        self.freshness = Freshness(PINGS_MISSED * PING)
         self.presences: dict[str, Presence] = {}
         self.leases: dict[str, float] = {}
         self.complete_epochs: dict[str, int] = {}
         self.subscribers: dict[str, float] = {}  # who dialled, and when it was told last
+        self.echoes: dict[str, float] = {}  # what each subscriber's latest Pong was dated by its clock
         self.heard_at: dict[str, float] = {}  # on the own connections
         self.changed_at: dict[str, float] = {}  # when an own connection went up or down
         self.reconfiguration = Reconfiguration(self.replica, self.tolerance, patience_of(CATCH_UP_S, CONTACT_S))
@@ -151,6 +152,7 @@
     def was_left(self, ip: str) -> None:
         """A connection that another dialled has ended."""
         self.subscribers.pop(ip, None)
+        self.echoes.pop(ip, None)
         self.pages.lost(Wire(ip, self.ip, ip))
 
     def _report(self) -> Report:
@@ -169,14 +171,16 @@
             self.presences[wire.source] = _presence.decode(message.entries[0].value or b"")
         elif isinstance(message, Delta):
             self._delta(now, wire, message)
-        elif not isinstance(message, Pong):
+        elif isinstance(message, Pong):
+            self.echoes[wire.source] = message.sent
+        else:
             super().heard(now, wire, message)
 
     def _delta(self, now: float, wire: Wire, message: Delta) -> None:
         ip = wire.source
         self.freshness.heard(now, ip, message)
         self.complete_epochs[ip] = message.complete
-        self.send(wire.back, Pong())
+        self.send(wire.back, Pong(now))
         if message.index > self.replica.index and now - self.asked_for > BEHIND:
             self.asked_for = now
             replica, index = self.replica, message.index
@@ -202,6 +206,7 @@
             complete,
             False,
             [],
+            self.echoes.get(ip, 0.0),
         )
         self.send(Wire(self.ip, ip, ip), delta)
 
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -82,11 +82,12 @@
 class Subscriber:
     """One who is told of changes."""
 
-    __slots__ = ("at", "link", "pinged")
+    __slots__ = ("at", "echo", "link", "pinged")
 
     def __init__(self, link: Link, at: int) -> None:
         self.link, self.at = link, at
         self.pinged = 0.0
+        self.echo = 0.0  # its latest Pong, by its own clock
 
 
 class ControlNode(Node):
@@ -181,7 +182,10 @@
             self._learn(link, message)
         elif isinstance(message, SubmitOrder):
             self._submitted(link, message)
-        elif not isinstance(message, Pong):
+        elif isinstance(message, Pong):
+            if link in self.subscribers:
+                self.subscribers[link].echo = message.sent
+        else:
             self.do(self.replica.handle(self.loop.time(), link, message))
 
     def _report(self, link: Link, entries: list[Entry]) -> None:
@@ -359,6 +363,7 @@
                 replica.complete_epoch if replica.is_voter else 0,
                 since == 0,
                 self.store.after(since),
+                subscriber.echo,
             )
         )
 
--- a/lugspur/mesh/node.py
+++ b/lugspur/mesh/node.py
@@ -34,6 +34,7 @@
 LOOK = 0.1  # seconds between looks at what is due
 PING_PART = 1 / 8  # of the time in which a configuration counts: how often news says that nothing is new
 STALE_PART = 0.4  # ...and how old the news may be before it is sought elsewhere
+PINGS_MISSED = 4.0  # pings until a peer that no longer hears of this process counts as cut off from it
 SETTINGS_EVERY = 1.0  # seconds between looks at whether the settings file has changed
 
 
@@ -52,7 +53,6 @@
         self.claims = Claims(self._to_voter)
         self.peers: dict[str, Dialler] = {}  # by IP number
         self.synced: dict[str, tuple[str, int]] = {}  # how far each peer's changes are known: its life and place
-        self.freshness = Freshness()
         self.index = 0  # the latest change of the configuration that is known here
         self.source = ""  # whose news it follows, where it follows one
         self.source_at = 0.0  # when its news was last known to be fresh
@@ -62,6 +62,7 @@
         bounds = settings.tariffs.bounds
         self.ping = max(0.1, PING_PART * bounds.edition_ms / 1000.0)
         self.stale = max(0.3, STALE_PART * bounds.edition_ms / 1000.0)
+        self.freshness = Freshness(PINGS_MISSED * self.ping)
         self._avoid: dict[str, float] = {}  # sources that were given up, and until when
         self._settings_at = self._stamp()
         self._settings_next = 0.0
@@ -213,7 +214,7 @@
             self.merged(taken)
         dialler = self.peers.get(ip)
         if dialler is not None and dialler.link is not None:
-            dialler.link.send(Pong())
+            dialler.link.send(Pong(now))
 
     def take_news(self, message: Delta) -> list[Entry]:
         """Entries that a peer has told; returns those that are new here."""
--- a/tests/mesh/test_freshness.py
+++ b/tests/mesh/test_freshness.py
@@ -12,12 +12,12 @@
 AHEAD = 500.0  # by which the senders' clocks differ
 
 
-def delta(sent: float, index: int = 5, pending: bool = False, votes: bool = True) -> Delta:
-    return Delta("life", 1, sent + AHEAD, 0.0, index, pending, votes, 1, False, [])
+def delta(sent: float, index: int = 5, pending: bool = False, votes: bool = True, echo: float = 0.0) -> Delta:
+    return Delta("life", 1, sent + AHEAD, 0.0, index, pending, votes, 1, False, [], echo)
 
 
-def begun(*ips: str) -> Freshness:
-    freshness = Freshness()
+def begun(*ips: str, two_way_within: float = 1e9) -> Freshness:
+    freshness = Freshness(two_way_within)
     for ip in ips:
         freshness.asked(10.0, ip)
         freshness.heard(10.01, ip, delta(10.005))
@@ -95,3 +95,15 @@
     freshness.lost(B)
     freshness.asked(32.0, B)
     assert freshness.heard(33.0, B, delta(32.5)) <= 32.0 + FIRST_DELAY
+
+
+def test_the_word_of_a_voter_that_no_longer_hears_this_process_does_not_count() -> None:
+    freshness = begun(B, C, two_way_within=1.0)
+    for n in range(8):  # a cut in one direction: news comes, and what is sent back does not get there
+        now = 10.25 * 1.0 + 0.25 * n
+        for ip in (B, C):
+            freshness.heard(now + 0.005, ip, delta(now, echo=10.1))
+        assert (known(freshness, now + 0.01) > NEVER) is (now + 0.01 <= 11.1)
+    for ip in (B, C):
+        freshness.heard(13.0, ip, delta(12.995, echo=12.8))  # it is healed
+    assert known(freshness, 13.0) == pytest.approx(13.0, abs=0.02)
