--- a/lugspur/bench/mesh.py
+++ b/lugspur/bench/mesh.py
@@ -181,6 +181,16 @@
                         return
                 await asyncio.sleep(TRY_EVERY)
 
+    async def until_reached(self, ip: str, backends: int) -> None:
+        """Wait until a proxy reaches so many backends; raises TimeoutError."""
+        async with asyncio.timeout(READY_WITHIN):
+            while True:
+                with suppress(OSError, IndexError, ValueError):
+                    _, _, body = await call(f"{ip}:{self.dispatch}", "GET", "/mesh/status")
+                    if sum(backend["reached"] for backend in json.loads(body)["backends"]) >= backends:
+                        return
+                await asyncio.sleep(TRY_EVERY)
+
     async def amend(self, upsert: dict[str, Any], at: int = 0, expect: int = 200) -> bytes:
         """Change the configuration at one replica, again until it answers as expected."""
         body, found = json.dumps({"upsert": upsert}).encode(), b""
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -107,6 +107,8 @@
 def test_a_proxy_that_is_stopped_ends_what_it_has_and_exits_well(tmp_path: Path) -> None:
     async def what(mesh: Mesh) -> None:
         one, other = mesh.proxy_ips
+        for ip in mesh.proxy_ips:  # else the one that stays may not know yet whom to send to but itself
+            await mesh.until_reached(ip, 2)
         for backend in mesh.backends:
             backend.work = 1.0
         open_ = [asyncio.create_task(mesh.ask(ip, "/look/1", f"o{n}")) for n, ip in enumerate([one, other] * 4)]
