Rename the mesh's Desk to HttpApi

"Desk" is also the name of the machine that joins like reads, and says nothing of HTTP. The dispatch of calls in lugspur/mesh/http_api.py is HttpApi now, and its users' variables are `calls` and `readiness`. No behaviour changes.

Other tests were not run.

--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -43,7 +43,7 @@
 from lugspur.control.store import Name
 from lugspur.mesh import events
 from lugspur.mesh.disk import Disk
-from lugspur.mesh.http_api import Desk, fail, reply
+from lugspur.mesh.http_api import HttpApi, fail, reply
 from lugspur.mesh.link import Dialler, Link
 from lugspur.mesh.node import LOOK, Node
 from lugspur.mesh.settings import Settings
@@ -154,11 +154,11 @@
         """Listen to the mesh, and to operators."""
         ip, port = self.settings.inner_bind
         await self.loop.create_server(lambda: Link(self._asked, self._ended), ip, port, backlog=512)
-        desk = Desk()
-        desk.add("POST", "/config/amend", self._amend)
-        desk.add("GET", "/config/read", self._read)
-        desk.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
-        self.front = await desk.serve(self.settings.network.listen.dispatch, self.settings.own.limits.memory_mb << 20)
+        calls = HttpApi()
+        calls.add("POST", "/config/amend", self._amend)
+        calls.add("GET", "/config/read", self._read)
+        calls.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
+        self.front = await calls.serve(self.settings.network.listen.dispatch, self.settings.own.limits.memory_mb << 20)
 
     def _ended(self, link: Link) -> None:
         self.subscribers.pop(link, None)
--- a/lugspur/mesh/http_api.py
+++ b/lugspur/mesh/http_api.py
@@ -29,7 +29,7 @@
     reply(caller, b'{"error":"%b","detail":"%b"}' % (fault.code.encode(), detail), row.status, after)
 
 
-class Desk:
+class HttpApi:
     """The calls that a process takes, by method and path segments; `*` stands for any one segment."""
 
     def __init__(self) -> None:
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -20,7 +20,7 @@
 from lugspur.http1.intake import Sizes
 from lugspur.membership.rows import read_address
 from lugspur.mesh import events
-from lugspur.mesh.http_api import Desk, fail, reply
+from lugspur.mesh.http_api import HttpApi, fail, reply
 from lugspur.mesh.incoming import IncomingExchanges
 from lugspur.mesh.link import Dialler, Link
 from lugspur.mesh.node import Node
@@ -95,16 +95,16 @@
         self.front.came = lambda now, transport, first: self._freezes.came(now)
         self._tune()
         self._sock = await self.front.listen()
-        desk = Desk()
-        desk.add("GET", "/readiness", self._ready)
-        await desk.serve(listen.readiness, limits.memory_mb << 20)
-        desk = Desk()
-        desk.add("POST", "/backends/*/heartbeat", self._heartbeat)
-        desk.add("POST", "/backends/*/sign-off", self.registration.sign_off)
-        desk.add("POST", "/config/amend", self._elsewhere)
-        desk.add("GET", "/config/read", self._elsewhere)
-        desk.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
-        await desk.serve(listen.dispatch, limits.memory_mb << 20)
+        readiness = HttpApi()
+        readiness.add("GET", "/readiness", self._ready)
+        await readiness.serve(listen.readiness, limits.memory_mb << 20)
+        calls = HttpApi()
+        calls.add("POST", "/backends/*/heartbeat", self._heartbeat)
+        calls.add("POST", "/backends/*/sign-off", self.registration.sign_off)
+        calls.add("POST", "/config/amend", self._elsewhere)
+        calls.add("GET", "/config/read", self._elsewhere)
+        calls.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
+        await calls.serve(listen.dispatch, limits.memory_mb << 20)
 
     def _tune(self) -> None:
         """Callers are held to the operators' limits."""
