Split the control node: subscribers, leases, orders, operators' calls, membership

Objects that are given what they need now do most of them: Subscribers (who is told of changes, pings), Leases (entries of silent processes end), OrderRouter (orders proposed here or handed on, and turned away), OperatorCalls (amend and read), MembershipChanges (who is heard and complete, the next step), PendingChanges (what was accepted and not decided), StallDetector (this process stood still). The order of sends, timers, log lines and status fields is meant to be as before. The emulator takes its constants from where they are now.

--- a/lugspur/emulator/control/mesh_node.py
+++ b/lugspur/emulator/control/mesh_node.py
@@ -17,18 +17,12 @@
 from lugspur.control.reconfiguration import Reconfiguration, patience_of
 from lugspur.control.replica import membership_entry
 from lugspur.emulator.control.node import Node, Wire
-from lugspur.mesh.control_node import (
-    BEHIND,
-    DECIDE_WITHIN,
-    FAILING,
-    FROZEN,
-    LEASE,
-    ORDERS_MOST,
-    PENDING_MOST,
-    SWEEP_EVERY,
-    WOKEN,
-)
+from lugspur.mesh.control_node import BEHIND, FAILING, SWEEP_EVERY
+from lugspur.mesh.leases import LEASE
 from lugspur.mesh.node import LOOK, PING_PART, STALE_PART
+from lugspur.mesh.order_router import DECIDE_WITHIN, ORDERS_MOST
+from lugspur.mesh.pending_changes import PENDING_MOST
+from lugspur.mesh.stall import FROZEN, WOKEN
 
 EDITION_S = 2.0  # edition_ms of the settings
 CATCH_UP_S = 4.0
--- /dev/null
+++ b/lugspur/mesh/leases.py
@@ -0,0 +1,54 @@
+"""Leases on what processes say of themselves: entries of those who have fallen silent are withdrawn."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lugspur.control.items import LEASED
+from lugspur.control.messages import Entry
+from lugspur.control.store import Name, Store
+from lugspur.mesh.link import Link
+
+LEASE = 4.0  # seconds without a word after which what a process said of itself is dropped
+RENEW_EVERY = 1.0  # seconds between looks at when the link of an open lease was heard last
+
+
+@dataclass(slots=True, frozen=True)
+class Lease:
+    """Who reported an entry, under which edition, and when that process was heard last."""
+
+    link: Link
+    edition: int
+    heard_at: float
+
+
+class Leases:
+    """The leases on entries that were reported to this control node."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._leases: dict[Name, Lease] = {}
+
+    def report(self, now: float, link: Link, entries: list[Entry]) -> None:
+        """A process has said something of itself; entries of other kinds are ignored."""
+        leased = [entry for entry in entries if entry.kind in LEASED]
+        for entry in leased:
+            self._leases[entry.kind, entry.name] = Lease(link, entry.edition, now)
+        self._store.merge(leased)
+
+    def end_silent(self, now: float) -> None:
+        """Drop what was said by those who are silent."""
+        for name, lease in list(self._leases.items()):
+            heard_at = max(lease.heard_at, lease.link.at)
+            if lease.link.open:
+                if now - lease.heard_at > RENEW_EVERY:
+                    self._leases[name] = Lease(lease.link, lease.edition, heard_at)
+            elif now - heard_at > LEASE:
+                del self._leases[name]
+                self._withdraw(name, lease.edition)
+
+    def _withdraw(self, name: Name, edition: int) -> None:
+        """Withdraw an entry, unless a later edition stands."""
+        standing = self._store.get(*name)
+        if standing is not None and standing.edition == edition and standing.value is not None:
+            self._store.merge([Entry(*name, edition + 1, None)])
--- /dev/null
+++ b/lugspur/mesh/operator_calls.py
@@ -0,0 +1,79 @@
+"""Operators' calls at a control node: amend the configuration, and read it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lugspur.control import items
+from lugspur.control.effects import Effects
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.orders import Order, Outcome, fault_of
+from lugspur.control.reader import Read, Reader
+from lugspur.control.replica import Replica
+from lugspur.mesh import events
+from lugspur.mesh.http_api import fail, reply
+from lugspur.mesh.order_router import DECIDE_WITHIN, OrderRouter
+from lugspur.seams import Answerable, Request
+
+
+class OperatorCalls:
+    """Answers operators from the replica's register; `do` carries out effects."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        replica: Replica,
+        router: OrderRouter,
+        reader: Reader,
+        do: Callable[[Effects], None],
+    ) -> None:
+        self._loop, self._replica, self._router, self._reader, self._do = loop, replica, router, reader, do
+
+    def amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        """Change the configuration; answered once a majority has decided it, or with the fault."""
+        waits = True
+
+        def over(outcome: Outcome) -> None:
+            fault = fault_of(outcome)
+            events.info("amend", bytes=len(request.body), fault=fault or "none", index=self._replica.index)
+            if not waits:
+                return
+            if fault is None:
+                reply(caller)
+            else:
+                fail(caller, fault)
+
+        def gone() -> None:
+            """Nobody waits for it any more, and it may have been refused elsewhere meanwhile: it is not proposed."""
+            nonlocal waits
+            waits = False
+            self._router.withdraw(order)
+
+        now = self._loop.time()
+        entries = items.read_call(request.body)
+        self._router.turn_away(now)
+        order = Order(entries, now + DECIDE_WITHIN, over)
+        caller.gone = gone
+        self._router.submit(now, order)
+
+    def read(self, _request: Request, caller: Answerable, _: list[str]) -> None:
+        """Read the configuration back; answered once a majority has confirmed that it is the latest."""
+        waits = True
+
+        def over(latest: bool) -> None:
+            if not waits:
+                return
+            if latest:
+                entries = [item.entry for item in self._replica.register.items.values()]
+                reply(caller, items.read_back(entries))
+            else:
+                fail(caller, MeshError(Kind.NO_QUORUM, "too few voters answered"))
+
+        def gone() -> None:
+            nonlocal waits
+            waits = False
+
+        caller.gone = gone
+        now = self._loop.time()
+        self._do(self._reader.submit(now, Read(now + DECIDE_WITHIN, over)))
--- /dev/null
+++ b/lugspur/mesh/order_router.py
@@ -0,0 +1,87 @@
+"""Where orders are proposed: here, or by the control node that proposes for all in calm times."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lugspur.control.effects import Effects
+from lugspur.control.errors import Kind, MeshError
+from lugspur.control.forwarding import Forwarder, answer_of
+from lugspur.control.messages import Message, SubmitOrder
+from lugspur.control.orders import NoQuorum, Order, Outcome
+from lugspur.control.proposer import Proposer
+from lugspur.mesh.link import Link
+from lugspur.mesh.stall import StallDetector
+
+DECIDE_WITHIN = 0.8  # seconds for a call of an operator: callers move on after a second
+ORDERS_MOST = 64  # calls of operators in hand at once
+
+
+class OrderRouter:
+    """Takes up orders, or turns them away.
+
+    `preferred` names the control node that proposes for all, `do` carries out effects, `to` sends to a control node.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        ip: str,
+        proposer: Proposer,
+        stall: StallDetector,
+        preferred: Callable[[float], str],
+        do: Callable[[Effects], None],
+        to: Callable[[str, Message], None],
+    ) -> None:
+        self._loop, self._ip, self._proposer, self._stall = loop, ip, proposer, stall
+        self._preferred, self._do, self._to = preferred, do, to
+        self.forwarder = Forwarder()
+
+    def turn_away(self, now: float) -> None:
+        """Raises MeshError where an order may not be taken up."""
+        in_hand = len(self._proposer) + len(self.forwarder)
+        if in_hand >= ORDERS_MOST:  # Guards memory and disks against a flood of calls.
+            raise MeshError(Kind.NO_QUORUM, "too many calls in hand")
+        if self._stall.stalled(now):
+            raise MeshError(Kind.NO_QUORUM, "this process has stood still")
+
+    def submit(self, now: float, order: Order) -> None:
+        """Propose an order, or have it proposed by the preferred control node."""
+        proposer = self._preferred(now)
+        if proposer == self._ip:
+            self._do(self._proposer.submit(now, order))
+        else:
+            self._to(proposer, self.forwarder.hand_over(now, proposer, order))
+
+    def withdraw(self, order: Order) -> None:
+        """Nobody waits for an order any more."""
+        self._proposer.withdraw(order)
+        self.forwarder.withdraw(order)
+
+    def submitted(self, link: Link, message: SubmitOrder) -> None:
+        """Another control node hands over an order."""
+
+        def over(outcome: Outcome) -> None:
+            link.send(answer_of(message.number, outcome))
+
+        now = self._loop.time()
+        try:
+            self.turn_away(now)
+        except MeshError:
+            over(NoQuorum())
+            return
+        order = Order(message.entries, now + min(DECIDE_WITHIN, message.left), over)
+        self._do(self._proposer.submit(now, order))
+
+    def lost(self, now: float, ip: str) -> None:
+        """The connection to a control node has ended: propose here what it has not answered."""
+        self._propose_here(now, self.forwarder.lost(ip))
+
+    def look(self, now: float) -> None:
+        """Propose here what other control nodes have not answered in time."""
+        self._propose_here(now, self.forwarder.overdue(now))
+
+    def _propose_here(self, now: float, orders: list[Order]) -> None:
+        for order in orders:
+            self._do(self._proposer.submit(now, order))
