Take effects, the announcement and the status out of the control node

The order of sends, timers, log lines and status fields is meant to be as before.

All modules of the emulator's control and hollow packages and of the bench can be imported. Other tests were not run.

--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -10,7 +10,7 @@
 
 from lugspur.control.catch_up import ClaimsCatchUp
 from lugspur.control.effects import Effects
-from lugspur.control.items import CONTROL, LEASED, MEMBERSHIP
+from lugspur.control.items import LEASED, MEMBERSHIP
 from lugspur.control.learning import LearnPages
 from lugspur.control.membership import Presence, Tolerance
 from lugspur.control.messages import (
@@ -38,11 +38,14 @@
 from lugspur.control.replica import GENESIS, UID_ROW, Replica, read_membership
 from lugspur.control.store import Name
 from lugspur.mesh import events
+from lugspur.mesh.announcement import Announcement
+from lugspur.mesh.control_status import control_status
 from lugspur.mesh.disk import Disk
+from lugspur.mesh.effect_runner import EffectRunner
 from lugspur.mesh.http_api import HttpApi, reply
 from lugspur.mesh.leases import Leases
 from lugspur.mesh.link import Dialler, Link
-from lugspur.mesh.membership_changes import MembershipChanges, presences_of
+from lugspur.mesh.membership_changes import MembershipChanges
 from lugspur.mesh.node import LOOK, Node
 from lugspur.mesh.operator_calls import OperatorCalls
 from lugspur.mesh.order_router import OrderRouter
@@ -52,14 +55,12 @@
 from lugspur.mesh.subscribers import Subscribers
 
 SWEEP_EVERY = 1.0  # seconds between looks at claims whose window is over
-LAZY = 0.1  # seconds for which rows that nobody waits for may wait for others
 LEAVE_PART = 0.8  # of the time that a process has to end, for handing its vote and its claims on
 BEHIND = 0.05  # seconds for which a replica waits to be told what it lacks before it asks
 HEARD_WITHIN = 0.5  # seconds since the latest word of a voter to whom orders are handed
 FAILING = 1.0  # seconds for which a disk may refuse writes until the vote goes to another
 
 _json = msgspec.json.Encoder().encode
-_pack = msgspec.msgpack.Encoder().encode
 
 
 class LocalPeer:
@@ -81,11 +82,11 @@
         limits, own = settings.own.limits, settings.own
         self.disk = Disk(own.data_dir, limits.disk_mb)
         rows = self.disk.rows()
-        self._lazy = False
         self._sweep_at = 0.0
-        self._announced: Entry | None = None
         super().__init__(settings, path, True)
         self.local = LocalPeer(self)
+        self.effect_runner = EffectRunner(self.loop, self.disk, self.to)
+        self.announcement = Announcement(self.ip, self.store, self.edition, self._report)
         self.subscribers = Subscribers(self.loop, self.store, self.ping, self._news)
         self.leases = Leases(self.store)
         self.stall = StallDetector()
@@ -180,29 +181,9 @@
 
     def do(self, effects: Effects) -> None:
         """Send, write, and send the rest once that is on disk."""
-        for peer, message in effects.send:
-            self._send(peer, message)
-        if effects.after_sync:
-            after_sync = effects.after_sync
-
-            def written() -> None:
-                for peer, message in after_sync:
-                    self._send(peer, message)
-
-            self.disk.write(effects.write, written)
-        elif effects.write:
-            self.disk.write(effects.write)
-            if not self._lazy:
-                self._lazy = True
-                self.loop.call_later(LAZY, self._write_lazy)
+        self.effect_runner.run(effects)
         self._advance()
 
-    def _send(self, peer: Any, message: Message) -> None:
-        if isinstance(peer, str):
-            self.to(peer, message)
-        else:
-            peer.send(message)
-
     def _advance(self) -> None:
         """Tell whoever waits for it that the replica knows of further changes."""
         if self._index_seen == self.replica.index:
@@ -214,10 +195,6 @@
         self.do(self.reader.advanced(now))
         self.subscribers.tell_soon()
 
-    def _write_lazy(self) -> None:
-        self._lazy = False
-        self.disk.flush()
-
     def to(self, ip: str, message: Message) -> None:
         if ip == self.ip:
             self.loop.call_soon(self._to_self, message)
@@ -308,9 +285,8 @@
 
     def changed(self, entry: Entry) -> None:
         self.subscribers.tell_soon()
-        announced = self._announced
-        if entry.kind == CONTROL and entry.name == self.ip and announced is not None and entry != announced:
-            self.loop.call_soon(self.announce)  # it was dropped, or stands as an older life left it
+        if self.announcement.contradicted_by(entry):
+            self.loop.call_soon(self.announce)
 
     def _news(self, now: float, since: int) -> Delta:
         replica = self.replica
@@ -339,20 +315,17 @@
         return True
 
     def own_entries(self, again: bool) -> list[Entry]:
-        return [] if self._announced is None else [self._announced]
+        return self.announcement.entries()
 
     def announce(self) -> None:
         """Say what this control node is."""
         failing = self._failing_since is not None and self.loop.time() - self._failing_since > FAILING
-        value = _pack(Presence(self.replica.voter.uid, self.settings.own.zone, self.leaving, failing))
-        standing = self.store.get(CONTROL, self.ip)
-        if standing is not None and standing == self._announced and standing.value == value:
-            return
-        self._announced = Entry(CONTROL, self.ip, self.edition(CONTROL, self.ip), value)
-        self.store.merge([self._announced])
+        self.announcement.announce(Presence(self.replica.voter.uid, self.settings.own.zone, self.leaving, failing))
+
+    def _report(self, report: Report) -> None:
         for dialler in self.peers.values():
             if dialler.link is not None:
-                dialler.link.send(Report([self._announced]))
+                dialler.link.send(report)
 
     # ---- time ------------------------------------------------------------------------------
 
@@ -399,31 +372,16 @@
 
     def status(self) -> dict[str, Any]:
         """What operators see of this control node, whether a majority can be reached or not."""
-        now, replica = self.loop.time(), self.replica
-        kinds = {kind: len(self.store.standing(kind)) for kind in sorted({e.kind for e in self.store.all()})}
-        return {
-            "node": self.settings.own.node_name,
-            "role": "control",
-            "ip": self.ip,
-            "zone": self.settings.own.zone,
-            "uid": replica.voter.uid,
-            "epoch": replica.epoch,
-            "index": replica.index,
-            "voter": replica.is_voter,
-            "complete": replica.complete,
-            "pending": replica.register.pending,
-            "voters": [] if replica.membership is None else [voter.ip for voter in replica.membership.voters],
-            "voters_wanted": self.reconfiguration.tolerance.voters,
-            "age_s": round(min(1e6, self.age(now)), 3),
-            "replicas": {
-                ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving, "failing": p.failing}
-                for ip, p in presences_of(self.store).items()
-            },
-            "entries": kinds,
-            "claims": len(replica.claims),
-            "subscribers": len(self.subscribers),
-            "disk": {"commits": self.disk.commits, "fault": self.disk.fault},
-        }
+        return control_status(
+            self.settings.own,
+            self.replica,
+            self.store,
+            self.disk,
+            ip=self.ip,
+            age=self.age(self.loop.time()),
+            voters_wanted=self.reconfiguration.tolerance.voters,
+            subscribers=len(self.subscribers),
+        )
 
     # ---- the end ---------------------------------------------------------------------------
 
--- /dev/null
+++ b/lugspur/mesh/control_status.py
@@ -0,0 +1,41 @@
+"""What operators see of a control node."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lugspur.control.replica import Replica
+from lugspur.control.store import Store
+from lugspur.mesh.disk import Disk
+from lugspur.mesh.membership_changes import presences_of
+from lugspur.mesh.settings import Own
+
+
+def control_status(
+    own: Own, replica: Replica, store: Store, disk: Disk, *, ip: str, age: float, voters_wanted: int, subscribers: int
+) -> dict[str, Any]:
+    """The fields of /mesh/status; `age`: seconds since word of a majority."""
+    kinds = {kind: len(store.standing(kind)) for kind in sorted({e.kind for e in store.all()})}
+    return {
+        "node": own.node_name,
+        "role": "control",
+        "ip": ip,
+        "zone": own.zone,
+        "uid": replica.voter.uid,
+        "epoch": replica.epoch,
+        "index": replica.index,
+        "voter": replica.is_voter,
+        "complete": replica.complete,
+        "pending": replica.register.pending,
+        "voters": [] if replica.membership is None else [voter.ip for voter in replica.membership.voters],
+        "voters_wanted": voters_wanted,
+        "age_s": round(min(1e6, age), 3),
+        "replicas": {
+            ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving, "failing": p.failing}
+            for ip, p in presences_of(store).items()
+        },
+        "entries": kinds,
+        "claims": len(replica.claims),
+        "subscribers": subscribers,
+        "disk": {"commits": disk.commits, "fault": disk.fault},
+    }
