Show a view of a ZooKeeper folder that goes deaf, as a known red test

After a reconnect such a server tells at once that the folder and its nodes went; that begins a full read anew, and the reply to addWatch, which says that the server does not know it, is then taken for one of an older read and dropped. The lists go out without a watch, for as long as the connection lasts: boxes that register or go are not noticed.

--- a/tests/zookeeper/test_view.py
+++ b/tests/zookeeper/test_view.py
@@ -190,6 +190,28 @@
     inside(run())
 
 
+@pytest.mark.parametrize("old", [False, True], ids=["persistent watches", "one-shot watches"])
+def test_a_folder_that_went_before_the_watch_was_answered_is_followed_all_the_same(old: bool) -> None:
+    async def run() -> None:
+        world = World()
+        for server in world.servers:
+            server.faults.old = old
+        world.cluster.write("/boxes/a", b"1")
+        following(world)
+        world.disconnect()
+        world.cluster.delete("/boxes/a")
+        world.cluster.delete("/boxes")
+        world.connect(1)  # told of both at once, ahead of the reply to addWatch
+        world.settle()
+        world.cluster.write("/boxes/b", b"2")
+        world.settle()
+        world.cluster.write("/boxes/c", b"3")
+        world.settle()
+        assert world.follower.nodes == world.tree()
+
+    inside(run())
+
+
 @pytest.mark.parametrize("old", [False, True], ids=["persistent watches", "one-shot watches"])
 def test_two_changes_between_event_and_read_show_the_latter(old: bool) -> None:
     async def run() -> None:
