Check promises while the program runs, count violations, and fail any test that sees one

Sixteen invariants (lugspur/invariants.py), on the paths of requests (one answer, nothing sent twice that may have run, tries, claims, counts of what is under way, one exchange a connection), of the configuration (indexes, editions, epochs, one voter at a time, what is confirmed stands) and of operation keys. They are counted, told a bounded number of times, and never stop a process. Each test's fixture fails where one was violated.

--- a/lugspur/control/claim_table.py
+++ b/lugspur/control/claim_table.py
@@ -13,6 +13,7 @@
 
 from lugspur.control.effects import Effects, Peer, Rows
 from lugspur.control.messages import PAGE_BYTES, Answer, Claim, ClaimsPage, Done, KeptClaim, Release, Verdict
+from lugspur.invariants import Invariant, check
 
 MARGIN = 10.0  # seconds that a claim is kept beyond its window: a first try may be long on its way to here
 ANSWER_MOST = 64 << 10  # bytes of an answer that is kept for repeats
@@ -75,6 +76,7 @@
             return Effects(send=[(peer, Verdict(key, by, epoch, False, True, busy, held.answer))])
         if held is None and len(self._claims) >= self._claims_most:
             return Effects(send=[(peer, Verdict(key, by, epoch, False))])
+        check(held is None or held.by == by, Invariant.ONE_HOLDER, by=by)
         self._hold(key, HeldClaim(by, now, now + message.left, None))
         row = (CLAIM_PREFIX + key, _pack(KeptClaim(by, message.left)))
         return Effects(write=[row], after_sync=[(peer, Verdict(key, by, epoch, True))])
--- a/lugspur/control/proposer.py
+++ b/lugspur/control/proposer.py
@@ -21,6 +21,8 @@
 from lugspur.control.quorum import majority
 from lugspur.control.register import Register
 from lugspur.control.replica import Replica
+from lugspur.invariants import Invariant
+from lugspur.invariants import check as check_invariant
 
 ROUND_WITHIN = 0.3  # seconds for one round of a proposal: then it is given up, and another one is made...
 ROUND_WITHIN_MOST = 2.0  # ...which has more time, up to this
@@ -275,8 +277,18 @@
 
     def _end(self, order: Order, outcome: Confirmed | Refused | Unclear | NoQuorum) -> None:
         self._orders.remove(order)
+        if isinstance(outcome, Confirmed):
+            stands = all(self._stands(entry) for entry in order.entries)
+            check_invariant(stands, Invariant.CONFIRMED_STANDS, change=order.change_id, index=self._replica.index)
         order.over(outcome)
 
+    def _stands(self, entry: Entry) -> bool:
+        """Whether an entry is decided, or a later one of its name is; a withdrawal may be forgotten by now."""
+        item = self._replica.register.items.get((entry.kind, entry.name))
+        if item is None:
+            return entry.value is None
+        return item.entry.edition > entry.edition or item.entry == entry
+
     def _expire(self, now: float) -> None:
         for order in [order for order in self._orders if order.until <= now]:
             self._end(order, Unclear() if order.offered else NoQuorum())
--- a/lugspur/control/register.py
+++ b/lugspur/control/register.py
@@ -30,6 +30,7 @@
     Standing,
 )
 from lugspur.control.store import Name, newer
+from lugspur.invariants import Invariant, check
 
 WITHDRAWN_MOST = 20_000  # withdrawals that are remembered: an older change of such a name has no effect
 WITHDRAWN_KEPT = 0.9  # of these, once they are too many: the oldest are forgotten
@@ -169,6 +170,8 @@
     def _set(self, item: Item, applied: Applied) -> None:
         name = (item.entry.kind, item.entry.name)
         standing = self.items.get(name)
+        rises = standing is None or item.entry.edition > standing.entry.edition
+        check(rises, Invariant.EDITIONS_RISE, kind=name[0], name=name[1], edition=item.entry.edition)
         self._withdrawn += (item.entry.value is None) - (standing is not None and standing.entry.value is None)
         self.items[name] = item
         applied.entries.append(item.entry)
@@ -181,6 +184,7 @@
         applied.write.append((item_row(item.entry), None))
 
     def _advance(self, index: int, applied: Applied) -> None:
+        check(index > self.index, Invariant.INDEX_RISES, index=index, standing=self.index)
         self.index = index
         self.accepted = self.change = None
         if self._withdrawn > WITHDRAWN_MOST:
--- a/lugspur/control/replica.py
+++ b/lugspur/control/replica.py
@@ -39,6 +39,7 @@
 )
 from lugspur.control.register import Applied, Register
 from lugspur.control.store import Name
+from lugspur.invariants import Invariant, check
 
 GENESIS = "genesis"  # the uid of a voter of the first membership
 UID_ROW, COMPLETE_ROW = b"muid", b"mcomplete"
@@ -197,12 +198,22 @@
 
     def _adopt(self, now: float, membership: Membership) -> None:
         """Go by the next membership. What it holds stays complete only from one epoch to the very next one."""
+        self._check_step(membership)
         follows = self.complete and membership.epoch == self.epoch + 1
         self.membership = membership
         self.epoch_since = now
         if follows and self.is_voter:
             self.complete_epoch = membership.epoch
 
+    def _check_step(self, membership: Membership) -> None:
+        """What must hold before the next membership is taken up; several may follow each other unseen."""
+        check(membership.epoch > self.epoch, Invariant.EPOCHS_RISE, epoch=membership.epoch, standing=self.epoch)
+        if self.membership is None or membership.epoch != self.epoch + 1:
+            return
+        before, after = set(self.membership.voters), set(membership.voters)
+        differ = max(len(before - after), len(after - before))
+        check(differ <= 1, Invariant.ONE_VOTER_AT_A_TIME, epoch=membership.epoch, differ=differ)
+
     def _catch_up(self, peer: Peer, message: CatchUp) -> Effects:
         if message.since >= self.index:
             return Effects()
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -30,6 +30,7 @@
 )
 from lugspur.http1 import upstream
 from lugspur.http1.body import Body
+from lugspur.invariants import Invariant, check
 from lugspur.membership.rows import Address, Endpoint
 from lugspur.seams import Answerable, Attempt, Lane, Request, Response
 
@@ -405,9 +406,11 @@
         now = self._loop.time()
         until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
         number = len(call.exchanges)
-
-        watcher = Sending(self, call, number)
         repeatable = self._repeatable[call.facts.kind]
+        unrun = not call.may_have_run and not any(exchange.open for exchange in call.exchanges)
+        check(call.caller is not None, Invariant.SENT_WHILE_OPEN, request=call.rid, attempt=number)
+        check(repeatable or unrun, Invariant.RUN_ONCE, request=call.rid, attempt=number)
+        watcher = Sending(self, call, number)
         timed = until < call.deadline  # at the deadline the call's own timer ends it
         backend = self.backends[action.server]
         if backend.lane is not None:
--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -14,6 +14,7 @@
 from jaspershelf.model import Outcome
 from lugspur.control.messages import Answer, Forward, Reply
 from lugspur.http1.upstream import Backend, Exchange, Upstream
+from lugspur.invariants import Invariant, check
 from lugspur.membership.rows import read_address
 from lugspur.routing.shares import Shares
 from lugspur.seams import Response
@@ -230,6 +231,7 @@
             self.hopeless += 1
             self._end(ticket, End.NOT_RUN, None)
             return
+        check(not ticket.sent and not ticket.over, Invariant.OFFERED_ONCE, attempt=forward.attempt)
         self._at_work += 1
         ticket.sent, ticket.sent_at = True, now
         exchange = Exchange(
@@ -262,6 +264,7 @@
 
     def _ended(self, ticket: Ticket, outcome: Outcome, response: Response | None) -> None:
         self._at_work -= 1
+        check(self._at_work >= 0, Invariant.IN_FLIGHT, backend=ticket.local.id)
         if outcome is Outcome.OK and response is not None:
             took = self._loop.time() - ticket.sent_at
             route = ticket.forward.route
--- a/lugspur/dataplane/proxied_request.py
+++ b/lugspur/dataplane/proxied_request.py
@@ -13,6 +13,7 @@
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.refusal import refuse
 from lugspur.dataplane.routes import RouteEntry
+from lugspur.invariants import Invariant, check
 from lugspur.seams import Answerable, Request
 
 if TYPE_CHECKING:
@@ -84,7 +85,7 @@
     def _claimed(self, how: Settled) -> None:
         if self.over:
             if isinstance(how, Won):
-                self.proxy.keys.release(self.key, self.claim_id)
+                self._release()
         elif isinstance(how, Won):
             self.won = True
             self._go(self.proxy.loop.time())
@@ -122,6 +123,7 @@
             if not again:
                 self._give_up()
             return False
+        self._check_send()
         self.tried.add(endpoint.id)
         self.number += 1
         number = self.number
@@ -149,6 +151,7 @@
         self.sends += 1
         if self.sends > 1:
             self.proxy.budget(self.service).spend(now)
+        check(self.sends <= self.route.tries, Invariant.TRIES, attempt=self.attempt, sends=self.sends)
         self.out[number] = (endpoint, now, _nothing)
         cancel = self.proxy.carrier.carry(endpoint.ip, forward, lambda reply: self._replied(number, reply))
         if number in self.out:
@@ -159,6 +162,13 @@
                     self._hedge = self.proxy.loop.call_at(at, self._second)
         return True
 
+    def _check_send(self) -> None:
+        """What must hold before it is sent to a backend."""
+        unrun = not (self.maybe or self.out or self.last is not None)
+        check(not self.over, Invariant.SENT_WHILE_OPEN, attempt=self.attempt)
+        check(self.route.safe or unrun, Invariant.RUN_ONCE, attempt=self.attempt, route=self.route.name)
+        check(not self.key or self.won, Invariant.CLAIM_WON, attempt=self.attempt)
+
     def _second(self) -> None:
         """A safe request has been out for long: its answer may be lost."""
         now = self.proxy.loop.time()
@@ -182,6 +192,7 @@
     def _replied(self, number: int, reply: Reply) -> None:
         endpoint, since, _ = self.out.pop(number)
         endpoint.inflight -= 1
+        check(endpoint.inflight >= 0, Invariant.IN_FLIGHT, backend=endpoint.id)
         loop = self.proxy.loop
         now = loop.time()
         # Guards the first answer on a route against a division by nothing: the loop counts whole milliseconds.
@@ -248,15 +259,20 @@
             self._refuse(Kind.MAYBE_RAN)
             return
         if self.won:
-            self.proxy.keys.release(self.key, self.claim_id)
+            self._release()
         self._refuse(Kind.MAYBE_RAN if self.maybe else Kind.NO_BACKEND)
 
     def _late(self) -> None:
         if not self.over:
             if self.won and not self.out and not self.maybe:
-                self.proxy.keys.release(self.key, self.claim_id)
+                self._release()
             self._refuse(Kind.TOO_LATE)
 
+    def _release(self) -> None:
+        """Give the claim back: nothing ran under it."""
+        check(not (self.out or self.maybe), Invariant.RELEASED_UNRUN, attempt=self.attempt)
+        self.proxy.keys.release(self.key, self.claim_id)
+
     def _answer(self, answer: Answer) -> None:
         self._finish()
         self.proxy.count("answered" if answer.status < 500 else "backend-failed")
@@ -273,6 +289,7 @@
             self._finish()
 
     def _finish(self) -> None:
+        check(not self.over, Invariant.ONE_ANSWER, attempt=self.attempt)
         self.over = True
         self.proxy.open_requests.discard(self)
         for timer in (self._timer, self._hedge):
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -13,6 +13,7 @@
 
 from lugspur.http1.body import Body
 from lugspur.http1.intake import PLATFORM, Intake, Rejected, Sizes
+from lugspur.invariants import Invariant, check
 from lugspur.membership.rows import Address
 from lugspur.pipe import Pipe
 from lugspur.seams import Passing, Request
@@ -575,6 +576,7 @@
 
         `head` holds whole header lines; `length` is that of a body that a HEAD request is spared.
         """
+        check(self._busy, Invariant.ONE_ANSWER, peer=self.peer, status=status)
         if self._flow is not None:  # what was begun can't be finished
             self.cut()
             return
@@ -630,6 +632,7 @@
 
     def begin_answer(self, status: int, head: bytes, length: int | None, flow: Pipe) -> None:
         """Write the head of an answer; its body comes through the pipe, and `finish_answer` or `cut` ends it."""
+        check(self._busy and self._flow is None, Invariant.ONE_ANSWER, peer=self.peer, status=status)
         stream, self._stream = self._stream, None
         if stream is not None and not stream.ended:  # its body is wanted no more
             self._keep_alive = False
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -15,6 +15,7 @@
 from jaspershelf.model import Outcome
 from lugspur.http1.body import Body
 from lugspur.http1.hops import HOP_BY_HOP
+from lugspur.invariants import Invariant, check
 from lugspur.membership.rows import Address
 from lugspur.pipe import Pipe
 from lugspur.routing.shares import Shares
@@ -126,6 +127,8 @@
         if not self.open:
             return
         self.open = False
+        unrun = outcome is Outcome.UNREACHABLE or outcome is Outcome.VOID
+        check(not (unrun and self._may_have_run()), Invariant.PROVEN_UNRUN, outcome=outcome.name)
         if self.body is not None:
             self.body.told = None
         if self.timer is not None:
@@ -322,6 +325,7 @@
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         """Write a request, whole."""
+        check(self.exchange is None and exchange.connection is None, Invariant.ONE_EXCHANGE)
         self.exchange = exchange
         exchange.connection = self
         self.written = False
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from lugspur import invariants
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 KNOWN_RED_MOST = 3  # tests that may be listed at once
 
@@ -56,3 +59,13 @@
     if request.path.parent.name == "daemon":
         monkeypatch.setattr("lugspur.daemon.service.LISTEN_LEAST", 0.0)
         monkeypatch.setattr("lugspur.daemon.service.LISTEN_QUIET", 0.0)
+
+
+@pytest.fixture(autouse=True)
+def invariants_hold() -> Iterator[None]:
+    """No invariant is violated in a test's process; a test that violates one on purpose clears what it counted."""
+    invariants.violations.clear()
+    yield
+    violated = dict(invariants.violations)
+    invariants.violations.clear()
+    assert not violated, f"violated: {violated}"
--- a/tests/mesh/test_catch_up.py
+++ b/tests/mesh/test_catch_up.py
@@ -87,10 +87,13 @@
 def test_a_voter_that_was_not_complete_counts_itself() -> None:
     new, catch_up = newcomer()
     voters = new.membership.voters if new.membership is not None else []
-    five = [*voters, Voter("10.0.0.5", "u5", ""), Voter("10.0.0.6", "u6", "")]
-    new.decide(1.0, exchange(Membership(3, five, five)))
+    four = [*voters, Voter("10.0.0.5", "u5", "")]
+    five = [*four, Voter("10.0.0.6", "u6", "")]
+    # One voter at a time, as memberships follow each other; it is told of nothing in between.
+    for membership in (Membership(3, four, voters), Membership(4, five, four), Membership(5, five, five)):
+        new.decide(1.0, exchange(membership))
     catch_up.look(1.0)
-    catch_up.heard(1.1, A, page(epoch=3))
+    catch_up.heard(1.1, A, page(epoch=5))
     assert not new.complete
-    catch_up.heard(1.1, B, page(epoch=3))  # two of five, and itself
+    catch_up.heard(1.1, B, page(epoch=5))  # two of five, and itself
     assert new.complete
