Show an operation that never ran and can't run, as a known red test

By reading, along the paths on which 'an operation runs once wherever it is repeated' could break: a keyed request is sent, its caller leaves (or its time is up), and then the gate says that it did not run. The claim is not given back. The client's next try gets 409 and then 503 (key-spent) for the rest of the window, 70 s, though nothing ran.

--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -294,6 +294,41 @@
         play(case, kind="tracked")
 
 
+def test_a_claim_under_which_nothing_ran_is_given_back_also_when_nobody_waits_any_more() -> None:
+    def left(rig: Rig) -> None:
+        caller = rig.ask(lugspur_operation_key="k")
+        rig.claimed[0][1](Won())
+        assert caller.gone is not None
+        caller.gone()
+        assert not rig.released  # it may run yet
+        rig.reply(End.NOT_RUN, sent=False)
+        assert rig.released == [b"k"] and len(rig.sent) == 1
+
+    async def late(rig: Rig) -> None:
+        caller = rig.ask(lugspur_operation_key="k")
+        rig.claimed[0][1](Won())
+        while not caller.answers:
+            await asyncio.sleep(0.01)
+        assert caller.answers[0][0] == 504 and not rig.released
+        rig.reply(End.NOT_RUN, sent=False)
+        assert rig.released == [b"k"] and len(rig.sent) == 1
+
+    for case in (left, late):
+        play(case, kind="tracked")
+
+
+def test_a_claim_under_which_something_may_have_run_is_kept_when_nobody_waits_any_more() -> None:
+    def what(rig: Rig) -> None:
+        caller = rig.ask(lugspur_operation_key="k")
+        rig.claimed[0][1](Won())
+        assert caller.gone is not None
+        caller.gone()
+        rig.reply(End.MAYBE)
+        assert not rig.released
+
+    play(what, kind="tracked")
+
+
 def test_who_leaves_cancels_what_is_safe_and_nothing_else() -> None:
     def what(rig: Rig) -> None:
         caller = rig.ask(lugspur_operation_key="k")
