Give a claim back as soon as it is proven that nothing ran, whoever waits

Cause: ProxiedRequest gave a won claim back on the three paths that answer a caller; the proof that nothing ran was passed over once nobody waited (_replied returned first). One place decides now (_release_unrun): the request is over, nothing of it is under way, nothing ran or may have. The three former releases are gone.

Class: a resource is returned on the paths of one ending, not at the end of its use. Looked for elsewhere: endpoints' counts and berths of gates are given back before it is asked who waits; uploads end with their connection; what a gate says on a connection that has ended is lost, so that the claim stays until its window ends (said in docs/control.md: a connection between proxies ends).

--- a/lugspur/dataplane/proxied_request.py
+++ b/lugspur/dataplane/proxied_request.py
@@ -58,7 +58,8 @@
         self.out: dict[int, tuple[Endpoint, float, Callable[[], None]]] = {}  # what is under way
         self.over = False
         self.maybe = False  # it may have run
-        self.won = False
+        self.ran = False  # a backend has answered it
+        self.won = False  # it has a claim on its key, which is to be given back if nothing ran
         self.number = 0
         self.last: Answer | None = None  # a failure of the backend's own, to be passed on where nothing better comes
         self._lines: list[bytes] | None = None
@@ -83,11 +84,10 @@
             self._go(now)
 
     def _claimed(self, how: Settled) -> None:
+        self.won = isinstance(how, Won)
         if self.over:
-            if isinstance(how, Won):
-                self._release()
-        elif isinstance(how, Won):
-            self.won = True
+            self._release_unrun()
+        elif self.won:
             self._go(self.proxy.loop.time())
         elif isinstance(how, Known):
             self._answer(how.answer)
@@ -199,6 +199,7 @@
         took, route = max(TICK, now - since), self.route
         how = reply.how
         if how == End.ANSWERED and reply.answer is not None:
+            self.ran = True
             if reply.answer.status < 500:
                 route.pace += (took - route.pace) * (PACE_WEIGHT if route.pace else 1.0)
                 relative = took / route.pace
@@ -227,6 +228,7 @@
             self._failed(now, endpoint)
             self.maybe = True
         if self.over:
+            self._release_unrun()
             return
         if not self._again(now):
             self._finish_failed()
@@ -258,20 +260,22 @@
         if self.maybe and not self.route.safe:
             self._refuse(Kind.MAYBE_RAN)
             return
-        if self.won:
-            self._release()
         self._refuse(Kind.MAYBE_RAN if self.maybe else Kind.NO_BACKEND)
 
     def _late(self) -> None:
         if not self.over:
-            if self.won and not self.out and not self.maybe:
-                self._release()
             self._refuse(Kind.TOO_LATE)
 
-    def _release(self) -> None:
-        """Give the claim back: nothing ran under it."""
-        check(not (self.out or self.maybe), Invariant.RELEASED_UNRUN, attempt=self.attempt)
-        self.proxy.keys.release(self.key, self.claim_id)
+    def _release_unrun(self) -> None:
+        """Give the claim back once the request is over, nothing of it is under way, and nothing ran.
+
+        Guards an operation that never ran against being refused until its window ends, also where the proof comes
+        after its caller has left or its time is up.
+        """
+        if self.won and not (self.out or self.maybe or self.ran):
+            check(self.over, Invariant.RELEASED_UNRUN, attempt=self.attempt)
+            self.won = False
+            self.proxy.keys.release(self.key, self.claim_id)
 
     def _answer(self, answer: Answer) -> None:
         self._finish()
@@ -297,6 +301,7 @@
                 timer.cancel()
         if self.key and not self.won:
             self.proxy.keys.drop(self.key, self.claim_id)
+        self._release_unrun()
         if self.route.safe:
             for _, _, cancel in list(self.out.values()):
                 cancel()
