Explain each failed request afterwards: accounts, causes and figures of every process

Missing until now: a gate's refusal bore no reason, requests that no route took, that came before any news, or whose callers left were not counted, what the front rejected left no trace, the mesh had no metrics, and the proxy in service told nothing of a request at all.

- Replies between proxies bear a cause (dataplane/causes.py); gates count them.
GET /mesh/failures, python -m lugspur.mesh failures; GET /failures at the second address.

--- a/lugspur/control/proposer.py
+++ b/lugspur/control/proposer.py
@@ -98,6 +98,11 @@
     def __len__(self) -> int:
         return len(self._orders)
 
+    @property
+    def proposals(self) -> int:
+        """How many it has made."""
+        return self._proposals
+
     # ---- inputs --------------------------------------------------------------------------
 
     def submit(self, now: float, order: Order) -> Effects:
--- a/lugspur/daemon/operated.py
+++ b/lugspur/daemon/operated.py
@@ -6,12 +6,15 @@
 from collections.abc import Callable, Mapping
 
 from lugspur.config.model import Management
+from lugspur.daemon.service_figures import service_figures
 from lugspur.daemon.station import Station
 from lugspur.http1.front import Front
 from lugspur.management.acts import acts
 from lugspur.management.calls import Act
 from lugspur.management.door import Door
 from lugspur.membership.rows import server_id
+from lugspur.observability.failures import FailedRequest
+from lugspur.observability.metrics import Figure
 
 
 class Operators:
@@ -91,6 +94,16 @@
         for front in self._fronts():
             front.drain()
 
+    def figures(self) -> list[Figure]:
+        """What this process counts."""
+        pools = {name: station.pool for name, station in self._stations().items()}
+        return service_figures(pools, self._fronts())
+
+    def failures(self) -> list[FailedRequest]:
+        """The latest requests that failed, the latest last."""
+        found = [failed for station in self._stations().values() for failed in station.pool.failures.latest()]
+        return sorted(found, key=lambda failed: failed.at)
+
     def undrain(self) -> None:
         """Take callers again."""
         self.drained = False
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -9,6 +9,7 @@
 import sys
 import time
 import traceback
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -32,12 +33,14 @@
 from lugspur.http1.body import Body
 from lugspur.invariants import Invariant, check
 from lugspur.membership.rows import Address, Endpoint
+from lugspur.observability.failures import FailureLog, Standing, Step, keep_only
 from lugspur.seams import Answerable, Attempt, Lane, Request, Response
 
 if TYPE_CHECKING:
     from lugspur.pipe import Pipe
 
 COMPLAIN_EVERY = 1.0  # seconds between two tracebacks in the log
+FAILED_FROM = 500  # statuses of final answers that count as failures
 
 
 @dataclass(slots=True)
@@ -66,6 +69,7 @@
         "request",
         "response",
         "rid",
+        "steps",
         "timer",
     )
 
@@ -84,6 +88,7 @@
         self.last = Outcome.VOID  # how its latest attempt ended...
         self.response: Response | None = None  # ...and with what answer
         self.timer: asyncio.TimerHandle | None = None
+        self.steps: list[Step] = []  # what became of each attempt, for an account of its failure
 
     def bytes_for(self, left: float) -> bytes:
         """The request as it goes to an HTTP/1.1 backend that is waited for so many seconds."""
@@ -192,6 +197,10 @@
         self._repeatable = [row.repeat is not Repeat.UNSAFE for row in settings.classes]
         self._count = 0
         self._complaints = Complaints()
+        self.attempts: Counter[str] = Counter()  # since the start, by how they ended
+        self.answers: Counter[int] = Counter()  # final answers that were not passed on as they came, by status
+        self.left = 0  # requests whose callers went before their answer
+        self.failures = FailureLog(lambda: Standing(0, 0, 0.0), keep_only)
         self.streams = False  # whether large answers are passed on as they come
 
     def start(self) -> None:
@@ -317,6 +326,8 @@
         call.deadline = float("inf")
 
     def _gone(self, call: Call) -> None:
+        self.left += 1
+        self._keep_account(call, "gone")
         self._settle(call)
         self._perform(self._decide(self.balancer.gone, call.rid, call=call))
         if call.bound:  # the module leaves a stream to its attempt, whose box need not go on for nobody
@@ -347,6 +358,10 @@
         trailers: bytes | None = None,
     ) -> None:
         """Write the one final answer of a request; with trailers it goes back as gRPC as it came."""
+        if call.caller is not None:
+            self.answers[status] += 1
+            if status >= FAILED_FROM:
+                self._keep_account(call, str(status))
         caller, form = self.release(call), call.request.form
         if caller is None:
             return
@@ -356,6 +371,21 @@
         else:
             caller.answer(status, head, body, length)
 
+    def _keep_account(self, call: Call, how: str) -> None:
+        """Keep what is known of a request that failed."""
+        row = self.settings.classes[call.facts.kind]
+        request, now = call.request, self._loop.time()
+        self.failures.add(
+            request.headers.get(b"x-request-id", b""),
+            how,
+            route=f"class-{call.facts.kind}",
+            keyed=row.repeat is Repeat.KEYED,
+            took_s=now - request.arrived,
+            had_s=call.deadline - request.arrived,
+            sends=len(call.exchanges),
+            steps=tuple(call.steps),
+        )
+
     def release(self, call: Call) -> Answerable | None:
         """Let go of a request; who is given its caller owes the answer from then on."""
         caller = call.caller
@@ -464,6 +494,12 @@
     def outcome(self, call: Call, number: int, exchange: Attempt, outcome: Outcome, response: Response | None) -> None:
         """An attempt has ended."""
         now = self._loop.time()
+        self.attempts[outcome.value] += 1
+        name = "{}:{}".format(*exchange.backend.address)
+        status = "" if response is None else str(response.status)
+        call.steps.append(
+            Step(name, exchange.started - call.request.arrived, now - exchange.started, outcome.value, status)
+        )
         call.last, call.response = outcome, response
         call.may_have_run = call.may_have_run or outcome not in NEVER_RAN
         if response is not None and self._owner.at_fault(response.status):
--- a/lugspur/daemon/proxy.py
+++ b/lugspur/daemon/proxy.py
@@ -12,6 +12,7 @@
 from lugspur.config.platform import Config
 from lugspur.daemon.places import places
 from lugspur.daemon.pool import Call, Facts, Pool
+from lugspur.daemon.service_figures import service_figures
 from lugspur.daemon.terms import CHANGE_WITHIN, STILL_COMING, Terms
 from lugspur.http1.front import Caller, Front
 from lugspur.http1.intake import Rejected
@@ -27,6 +28,8 @@
     from collections.abc import Callable
 
     from lugspur.handover.messages import Estate
+    from lugspur.observability.failures import FailedRequest
+    from lugspur.observability.metrics import Figure
     from lugspur.pipe import Pipe
 
 MANAGEMENT_SOCKETS = 32  # descriptors set aside where there is a second address, for its listener and callers
@@ -271,6 +274,14 @@
         if self.others is not None:
             self.others.drain(False)
 
+    def figures(self) -> list[Figure]:
+        """What this process counts."""
+        return service_figures({"": self.pool}, [self.front])
+
+    def failures(self) -> list[FailedRequest]:
+        """The latest requests that failed, the latest last."""
+        return self.pool.failures.latest()
+
     def _enable(self, server: int, at: float) -> None:
         endpoints = self.maintenance.enable(server, at)
         self._patch(endpoints)
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lugspur import invariants
 from lugspur.config import model
 from lugspur.config.build import Plan
 from lugspur.config.load import FileFaults, load
@@ -236,12 +237,18 @@
     _say(f"fleet: {line}")
 
 
+def _tell_violation(invariant: invariants.Invariant, details: dict[str, object]) -> None:
+    told = " ".join(f"{key}={value}" for key, value in details.items())
+    _say(f"invariant violated: {invariant.value} {told}")
+
+
 async def serve(path: str, plan: Plan, ready: Callable[[Running], None]) -> None:
     """Run until SIGTERM or SIGINT, then finish what was taken; SIGHUP reads the file again."""
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
+    invariants.tell_to(_tell_violation)
     running = Running(path)
     await running.start(plan)
     loop.add_signal_handler(signal.SIGHUP, running.reload)
--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -10,6 +10,7 @@
 import sys
 from typing import TYPE_CHECKING
 
+from lugspur import invariants
 from lugspur.config.platform import Config, ConfigError, load
 from lugspur.daemon.proxy import Proxy
 from lugspur.http1.front import Front
@@ -116,6 +117,11 @@
         await asyncio.sleep(0.01)
 
 
+def _tell_violation(invariant: invariants.Invariant, details: dict[str, object]) -> None:
+    told = " ".join(f"{key}={value}" for key, value in details.items())
+    print(f"lugspur: invariant violated: {invariant.value} {told}", file=sys.stderr, flush=True)
+
+
 def main() -> int:
     """Run with the configuration that the environment names."""
     try:
@@ -124,6 +130,7 @@
     except (ConfigError, ValueError) as fault:
         print(f"lugspur: {fault}", file=sys.stderr)
         return 2
+    invariants.tell_to(_tell_violation)
     try:
         asyncio.run(serve(config))
     except StartError as fault:
--- /dev/null
+++ b/lugspur/daemon/service_figures.py
@@ -0,0 +1,45 @@
+"""What the proxy in service and the daemon tell of themselves in figures."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING
+
+from lugspur.observability.metrics import Figure, counter, counters, gauge, invariant_figures
+
+if TYPE_CHECKING:
+    from lugspur.daemon.pool import Pool
+    from lugspur.http1.front import Front
+
+
+def service_figures(pools: Mapping[str, Pool], fronts: Iterable[Front]) -> list[Figure]:
+    """All figures of one process at this moment; pools are added up, and told apart where that explains something."""
+    attempts, answers, rejections = Counter[str](), Counter[str](), Counter[str]()
+    callers, held = 0, 0
+    for pool in pools.values():
+        attempts.update(pool.attempts)
+        answers.update({str(status): count for status, count in pool.answers.items()})
+    for front in fronts:
+        rejections.update({str(status): count for status, count in front.rejections.items()})
+        callers += len(front.callers)
+        held += front.held
+    by_pool = {name: float(pool.taken) for name, pool in pools.items()}
+    return [
+        counters("requests_total", "Requests taken up, by pool.", "pool", by_pool),
+        counters("attempts_total", "Attempts at backends, by how they ended.", "outcome", attempts),
+        counters(
+            "answers_total", "Final answers, by status; large ones that are passed on are not here.", "status", answers
+        ),
+        counters("rejections_total", "Requests that could not be read or taken, by status.", "status", rejections),
+        counter("callers_gone_total", "Requests whose callers left first.", sum(p.left for p in pools.values())),
+        gauge(
+            "requests_open",
+            "Requests that an answer or an attempt is out for.",
+            sum(len(p.calls) for p in pools.values()),
+        ),
+        gauge("backend_connections", "Connections to backends.", sum(p.upstream.sockets() for p in pools.values())),
+        gauge("callers", "Connections of callers.", callers),
+        gauge("held_bytes", "Bytes of bodies that are not whole.", held),
+        *invariant_figures(),
+    ]
--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -6,6 +6,7 @@
 import enum
 import heapq
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from time import monotonic
 
@@ -13,6 +14,7 @@
 
 from jaspershelf.model import Outcome
 from lugspur.control.messages import Answer, Forward, Reply
+from lugspur.dataplane.causes import Cause
 from lugspur.http1.upstream import Backend, Exchange, Upstream
 from lugspur.invariants import Invariant, check
 from lugspur.membership.rows import read_address
@@ -35,6 +37,10 @@
 ATTEMPT = b"lugspur-attempt-id"  # answers bear that of their request
 
 
+#: Causes of what never ran, and of what may have.
+UNRUN = {Outcome.FULL: Cause.REFUSED, Outcome.UNREACHABLE: Cause.UNREACHABLE, Outcome.VOID: Cause.HOPELESS}
+UNKNOWN = {Outcome.TIMEOUT: Cause.TIMED_OUT, Outcome.BROKEN: Cause.BROKEN, Outcome.CANCELLED: Cause.CANCELLED}
+
 Rank = tuple[int, float]  # an operators' priority, and the loop's time at which an answer loses its worth
 
 
@@ -117,6 +123,7 @@
         self._paces: LRUCache[str, float] = LRUCache(PACES_MOST)
         self._pace = 0.0
         self.turned = self.evicted = self.hopeless = 0  # for lack of room, for others, for lack of time
+        self.causes: Counter[Cause] = Counter()  # of all that did not end with the backend's answer
 
     @property
     def busy(self) -> int:
@@ -135,9 +142,15 @@
         now = self._loop.time()
         local = self.local
         # Guards against a request that was held up on its way, or whose body was, until its caller had given it up.
-        over = forward.left <= 0.0
-        if over or local is None or not self.takes(now, forward.backend) or not self._room(local, forward):
-            respond(Reply(forward.n, End.NOT_RUN, None, False, self.busy))
+        cause = Cause.NONE
+        if forward.left <= 0.0:
+            cause = Cause.EXPIRED
+        elif local is None or not self.takes(now, forward.backend):
+            cause = Cause.NOT_TAKEN
+        elif not self._room(local, forward):
+            cause = Cause.NO_ROOM
+        if local is None or cause:
+            respond(self.turn_away(forward.n, cause))
             return None
         ticket = Ticket(forward, local, now, respond)
         if self._at_work < local.berths + EXTRA:
@@ -148,6 +161,11 @@
             heapq.heappush(self._waiting, (self.rank(now, forward), next(self._count), ticket))
         return ticket
 
+    def turn_away(self, number: int, cause: Cause) -> Reply:
+        """The reply to a request that is not taken."""
+        self.causes[cause] += 1
+        return Reply(number, End.NOT_RUN, None, False, self.busy, cause)
+
     def room(self, forward: Forward) -> bool:
         """Whether a request would be taken now."""
         local, now = self.local, self._loop.time()
@@ -193,7 +211,7 @@
         heapq.heapify(self._waiting)
         if not last[2].over:
             self.evicted += 1
-            self._end(last[2], End.NOT_RUN, None)
+            self._end(last[2], End.NOT_RUN, Cause.EVICTED)
 
     def cancel(self, ticket: Ticket) -> None:
         """Nobody waits for it any more."""
@@ -201,7 +219,7 @@
             if ticket.exchange is not None:
                 ticket.exchange.end(Outcome.CANCELLED)
             else:
-                self._end(ticket, End.MAYBE, None)  # it is passed over when its turn comes
+                self._end(ticket, End.MAYBE, Cause.CANCELLED)  # it is passed over when its turn comes
 
     def _next(self) -> None:
         while self._waiting:
@@ -213,9 +231,12 @@
                 continue
             now = self._loop.time()
             ends = now + HOPELESS * self._pace_of(ticket.forward.route)
-            if not self.takes_waiting(now, ticket) or ends >= ticket.until:
+            if not self.takes_waiting(now, ticket):
+                self.hopeless += 1
+                self._end(ticket, End.NOT_RUN, Cause.NOT_TAKEN)
+            elif ends >= ticket.until:
                 self.hopeless += 1
-                self._end(ticket, End.NOT_RUN, None)
+                self._end(ticket, End.NOT_RUN, Cause.HOPELESS)
             else:
                 self._send(ticket)
 
@@ -229,7 +250,7 @@
         # Guards against a freeze in the middle of a turn of the loop, whose time stands still meanwhile.
         if monotonic() >= ticket.until + GRACE:
             self.hopeless += 1
-            self._end(ticket, End.NOT_RUN, None)
+            self._end(ticket, End.NOT_RUN, Cause.HOPELESS)
             return
         check(not ticket.sent and not ticket.over, Invariant.OFFERED_ONCE, attempt=forward.attempt)
         self._at_work += 1
@@ -275,18 +296,18 @@
                 answer = Answer(response.status, response.head, response.body)
                 if ticket.forward.key:
                     self._done(ticket.forward, answer)
-                self._end(ticket, End.ANSWERED, answer)
+                self._end(ticket, End.ANSWERED, Cause.NONE, answer)
             else:
-                self._end(ticket, End.SPOILT, None)
+                self._end(ticket, End.SPOILT, Cause.SPOILT)
         elif outcome in (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID):
             if outcome is Outcome.UNREACHABLE and not ticket.local.down and ticket.local is self.local:
                 ticket.local.down = True
                 self._down(ticket.local)
             if outcome is not Outcome.FULL:
                 ticket.sent = False
-            self._end(ticket, End.NOT_RUN, None)
+            self._end(ticket, End.NOT_RUN, UNRUN[outcome])
         else:
-            self._end(ticket, End.MAYBE, None)
+            self._end(ticket, End.MAYBE, UNKNOWN.get(outcome, Cause.SPOILT))
         self._next()
 
     @staticmethod
@@ -303,7 +324,9 @@
             return False
         return response.status // 100 != 2 or b"lugspur-postmark" in names
 
-    def _end(self, ticket: Ticket, how: End, answer: Answer | None) -> None:
+    def _end(self, ticket: Ticket, how: End, cause: Cause, answer: Answer | None = None) -> None:
         if not ticket.over:
             ticket.over = True
-            ticket.respond(Reply(ticket.forward.n, how, answer, ticket.sent, self.busy))
+            if cause:
+                self.causes[cause] += 1
+            ticket.respond(Reply(ticket.forward.n, how, answer, ticket.sent, self.busy, cause))
--- a/lugspur/dataplane/proxied_request.py
+++ b/lugspur/dataplane/proxied_request.py
@@ -9,11 +9,13 @@
 from lugspur.control.claims import Known, Settled, Taken, Won
 from lugspur.control.errors import Kind
 from lugspur.control.messages import Answer, Forward, Reply
+from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.endpoints import Endpoint, pick
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.refusal import refuse
 from lugspur.dataplane.routes import RouteEntry
 from lugspur.invariants import Invariant, check
+from lugspur.observability.failures import Step
 from lugspur.seams import Answerable, Request
 
 if TYPE_CHECKING:
@@ -30,6 +32,8 @@
 ROUNDS = 4  # backends that may turn one request away before it is given up
 HEDGE = 3.0  # times a route's pace after which a safe request is sent to a second backend...
 HEDGE_AIM = 0.6  # ...and not before this part of its aim
+GONE = "gone"  # how a request ends whose caller has left
+BACKEND_FAILED = "backend-failed"  # ...and one whose backend answered with a failure of its own
 LATE = 3.0  # how much a failure counts as, in usual latencies: a backend that fails fast must not look quick
 
 
@@ -61,6 +65,8 @@
         self.ran = False  # a backend has answered it
         self.won = False  # it has a claim on its key, which is to be given back if nothing ran
         self.number = 0
+        self.claim = ""  # how its claim was settled
+        self.steps: list[Step] = []  # what became of each send, for an account of its failure
         self.last: Answer | None = None  # a failure of the backend's own, to be passed on where nothing better comes
         self._lines: list[bytes] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -71,6 +77,7 @@
         proxy, loop = self.proxy, self.proxy.loop
         now = loop.time()
         if now >= self.deadline:
+            self._record(Kind.TOO_LATE.value)
             refuse(self.caller, Kind.TOO_LATE)
             return
         proxy.open_requests.add(self)
@@ -84,6 +91,7 @@
             self._go(now)
 
     def _claimed(self, how: Settled) -> None:
+        self.claim = type(how).__name__.lower()
         self.won = isinstance(how, Won)
         if self.over:
             self._release_unrun()
@@ -192,6 +200,7 @@
     def _replied(self, number: int, reply: Reply) -> None:
         endpoint, since, _ = self.out.pop(number)
         endpoint.inflight -= 1
+        self._note(endpoint, since, reply)
         check(endpoint.inflight >= 0, Invariant.IN_FLIGHT, backend=endpoint.id)
         loop = self.proxy.loop
         now = loop.time()
@@ -233,6 +242,12 @@
         if not self._again(now):
             self._finish_failed()
 
+    def _note(self, endpoint: Endpoint, since: float, reply: Reply) -> None:
+        """Keep what became of one send."""
+        now, arrived = self.proxy.loop.time(), self.request.arrived
+        cause = Cause(reply.cause).name.lower() if reply.cause else ""
+        self.steps.append(Step(endpoint.id, since - arrived, now - since, End(reply.how).name.lower(), cause))
+
     def _failed(self, now: float, endpoint: Endpoint) -> None:
         endpoint.breaker(self.route.name).failed(now)
         endpoint.learn(LATE)
@@ -279,19 +294,42 @@
 
     def _answer(self, answer: Answer) -> None:
         self._finish()
-        self.proxy.count("answered" if answer.status < 500 else "backend-failed")
+        if answer.status < 500:
+            self.proxy.served(self.proxy.loop.time() - self.request.arrived)
+        else:
+            self._record(BACKEND_FAILED)
         self.caller.answer(answer.status, answer.head, answer.body)
 
     def _refuse(self, kind: Kind) -> None:
+        self._record(kind.value)
         self._finish()
-        self.proxy.count(kind.value)
         refuse(self.caller, kind, self.deadline - self.proxy.loop.time())
 
     def _gone(self) -> None:
         """Its caller has left."""
         if not self.over:
+            self._record(GONE)
             self._finish()
 
+    def _record(self, how: str) -> None:
+        """Count a failure, and keep an account of it."""
+        route, request = self.route, self.request
+        self.proxy.failed(
+            self.attempt,
+            how,
+            route=route.name,
+            service=self.service,
+            keyed=bool(self.key),
+            claim=self.claim,
+            took_s=self.proxy.loop.time() - request.arrived,
+            had_s=self.deadline - request.arrived,
+            sends=self.sends,
+            turned_away=self.rounds,
+            waited_for=tuple(endpoint.id for endpoint, _, _ in self.out.values()),
+            edition=route.edition,
+            steps=tuple(self.steps),
+        )
+
     def _finish(self) -> None:
         check(not self.over, Invariant.ONE_ANSWER, attempt=self.attempt)
         self.over = True
--- a/lugspur/dataplane/proxy.py
+++ b/lugspur/dataplane/proxy.py
@@ -5,9 +5,10 @@
 import asyncio
 import itertools
 import os
+from collections import Counter
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from jaspershelf.budget import Budget
 from lugspur.control.claims import Settled
@@ -17,6 +18,8 @@
 from lugspur.dataplane.proxied_request import BY_MS, ProxiedRequest
 from lugspur.dataplane.refusal import refuse
 from lugspur.dataplane.routes import RouteTable
+from lugspur.observability.failures import FailureLog, Standing, keep_only
+from lugspur.observability.metrics import Histogram
 from lugspur.seams import Answerable, Request
 
 ATTEMPT, KEY = b"lugspur-attempt-id", b"lugspur-operation-key"
@@ -72,7 +75,9 @@
         self.open_requests: set[ProxiedRequest] = set()
         self._life = os.urandom(8).hex().encode()
         self._claims = itertools.count(1)
-        self.ended: dict[str, int] = {}  # requests, by how they ended
+        self.ended: Counter[str] = Counter()  # requests since the start, by how they ended
+        self.seconds = Histogram("request_seconds", "Seconds from a request's first byte to its answer, if served.")
+        self.failures = FailureLog(lambda: Standing(0, 0, 0.0), keep_only)
 
     def members(self, service: str, endpoints: dict[str, tuple[str, str, int, float]]) -> None:
         """The backends of a service that accept work: id to machine, zone, berths, and when it is warm."""
@@ -104,14 +109,25 @@
         return b"%b.%b.%d" % (attempt, self._life, next(self._claims))
 
     def count(self, how: str) -> None:
-        """One more that ended so."""
-        self.ended[how] = self.ended.get(how, 0) + 1
+        """One more that ended, or could not go on, so."""
+        self.ended[how] += 1
+
+    def served(self, seconds: float) -> None:
+        """One more was answered by a backend's success."""
+        self.count("answered")
+        self.seconds.add(seconds)
+
+    def failed(self, attempt: bytes, how: str, **facts: Any) -> None:
+        """One more was not; `facts` as in `FailedRequest`."""
+        self.count(how)
+        self.failures.add(attempt, how, **facts)
 
     def handle(self, request: Request, caller: Answerable) -> None:
         """Take one request; its caller gets one answer."""
         try:
             proxied_request = self._take(request, caller)
         except MeshError as fault:
+            self.failed(request.headers.get(ATTEMPT, b"")[:ID_MOST], fault.kind.value)
             refuse(caller, fault.kind)
             return
         proxied_request.begin()
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -6,7 +6,7 @@
 import itertools
 import select
 import socket
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import cast
@@ -75,6 +75,7 @@
         self.pass_to: Callable[[int], bool] | None = None  # gives a connection to another process
         self.drained_at: float | None = None  # when operators had clients sent away
         self.held = 0  # bytes of bodies that are not whole
+        self.rejections: Counter[int] = Counter()  # requests that were answered here, by status
         self._limit(most, memory)
         self.buffer = memoryview(bytearray(READ))
         self.callers: set[Held] = set()
@@ -559,6 +560,7 @@
 
     def reject(self, fault: Rejected) -> None:
         """Answer what is not served, for the last time: kept alive it would come again at full speed."""
+        self.front.rejections[fault.status] += 1
         if self._stream is not None:
             self._let_go()
         self.gone = None
--- a/lugspur/management/acts.py
+++ b/lugspur/management/acts.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
+import orjson
+
 from lugspur.management.calls import Act
+from lugspur.observability.failures import FailedRequest
+from lugspur.observability.metrics import Figure, render
 
 ID_MOST = 128  # bytes of a backend's name
 YES, NO = 200, 404
@@ -31,6 +35,12 @@
     def undrain(self) -> None:
         """Take clients again."""
 
+    def figures(self) -> list[Figure]:
+        """What it counts."""
+
+    def failures(self) -> list[FailedRequest]:
+        """The latest requests that failed, the latest last."""
+
 
 def acts(proxy: Operated) -> Mapping[tuple[str, str], Act]:
     """The calls by method and path."""
@@ -52,8 +62,19 @@
         proxy.undrain()
         return YES, _said("drained no more: clients are taken")
 
+    def metrics(_: str) -> tuple[int, str]:
+        try:
+            return YES, render(proxy.figures()).decode().rstrip("\n")
+        except ImportError:  # the platform's proxy stays lean: the library is an extra there
+            return 501, "figures need the extra `metrics`"
+
+    def failures(_: str) -> tuple[int, str]:
+        return YES, orjson.dumps(proxy.failures()).decode()
+
     return {
         ("GET", "/ready"): ready,
+        ("GET", "/metrics"): metrics,
+        ("GET", "/failures"): failures,
         ("POST", "/backends/disable"): disable,
         ("POST", "/backends/enable"): enable,
         ("POST", "/drain"): drain,
--- a/lugspur/mesh/cli.py
+++ b/lugspur/mesh/cli.py
@@ -84,6 +84,26 @@
     return " ".join(f"{key}={value}" for key, value in row.items())
 
 
+@app.command
+def failures(address: str, *, as_json: bool = False) -> None:
+    """The latest requests that failed at a proxy: by what they were judged, where they went, what came back and why."""
+    found = call(address, "GET", "/mesh/failures")
+    if as_json:
+        print(found.decode())
+        return
+    for failed in json.loads(found):
+        steps = failed.pop("steps")
+        print(_pairs(failed))
+        for step in steps:
+            print(f"    {_pairs(step)}")
+
+
+@app.command
+def metrics(address: str) -> None:
+    """A process's figures, as Prometheus reads them."""
+    print(call(address, "GET", "/metrics").decode(), end="")
+
+
 @app.command
 def read(address: str) -> None:
     """The newest configuration, as a majority of the voters has it."""
--- /dev/null
+++ b/lugspur/mesh/control_figures.py
@@ -0,0 +1,34 @@
+"""What a control node tells of itself in figures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lugspur.observability.metrics import Figure, counter, counters, gauge, invariant_figures
+
+if TYPE_CHECKING:
+    from lugspur.mesh.control_node import ControlNode
+
+
+def control_figures(node: ControlNode) -> list[Figure]:
+    """All figures of one control node at this moment."""
+    now, replica, disk, calls = node.loop.time(), node.replica, node.disk, node.operator_calls
+    return [
+        counters("orders_total", "Operators' changes, by how they ended.", "how", calls.orders),
+        counters("reads_total", "Operators' reads, by how they ended.", "how", calls.reads),
+        counter("proposals_total", "Proposals of changes.", node.proposer.proposals),
+        counter("disk_commits_total", "Writes that were synced.", disk.commits),
+        counter("disk_failures_total", "Writes that failed.", disk.failures),
+        counter("stalls_total", "How often this process stood still for a second or more.", node.stall.stalls),
+        gauge("disk_failing", "1 while the latest write had failed.", float(bool(disk.fault))),
+        gauge("configuration_index", "The latest change that is known as decided.", replica.index),
+        gauge("membership_epoch", "The membership that this process goes by.", replica.epoch),
+        gauge("voter", "1 while this disk has a vote.", float(replica.is_voter)),
+        gauge("complete", "1 while it holds all claims that a voter must hold.", float(replica.complete)),
+        gauge("change_pending", "1 while a change is accepted and not known as decided.", replica.register.pending),
+        gauge("news_age_seconds", "Seconds since word of a majority.", min(1e6, node.age(now))),
+        gauge("claims", "Claims of operation keys that are held.", len(replica.claims)),
+        gauge("subscribers", "Processes that follow this one's news.", len(node.subscribers)),
+        gauge("peers_up", "Processes that can be reached.", sum(d.link is not None for d in node.peers.values())),
+        *invariant_figures(),
+    ]
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -40,6 +40,7 @@
 from lugspur.control.store import Name
 from lugspur.mesh import events
 from lugspur.mesh.announcement import Announcement
+from lugspur.mesh.control_figures import control_figures
 from lugspur.mesh.control_status import control_status
 from lugspur.mesh.disk import Disk
 from lugspur.mesh.effect_runner import EffectRunner
@@ -54,6 +55,8 @@
 from lugspur.mesh.settings import Settings
 from lugspur.mesh.stall import StallDetector
 from lugspur.mesh.subscribers import Subscribers
+from lugspur.observability.metrics import CONTENT_TYPE, render
+from lugspur.seams import Answerable, Request
 
 SWEEP_EVERY = 1.0  # seconds between looks at claims whose window is over
 LEAVE_PART = 0.8  # of the time that a process has to end, for handing its vote and its claims on
@@ -156,6 +159,7 @@
         calls.add("POST", "/config/amend", self.operator_calls.amend)
         calls.add("GET", "/config/read", self.operator_calls.read)
         calls.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
+        calls.add("GET", "/metrics", self._metrics)
         self.front = await calls.serve(self.settings.network.listen.dispatch, self.settings.own.limits.memory_mb << 20)
 
     def _ended(self, link: Link) -> None:
@@ -376,6 +380,10 @@
                 return voter.ip
         return self.ip
 
+    def _metrics(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        """This control node's figures."""
+        caller.answer(200, CONTENT_TYPE, render(control_figures(self)))
+
     def status(self) -> dict[str, Any]:
         """What operators see of this control node, whether a majority can be reached or not."""
         return control_status(
--- a/lugspur/mesh/disk.py
+++ b/lugspur/mesh/disk.py
@@ -40,7 +40,7 @@
         self._owed: dict[bytes, bytes | None] = {}  # rows of failed writes, for the next one that succeeds
         self.fault = ""  # what the latest write failed on
         self.damaged = ""  # why what was on disk was set aside
-        self.commits = 0
+        self.commits = self.failures = 0
         try:
             os.makedirs(self._folder, exist_ok=True)
             try:
@@ -140,6 +140,7 @@
             # rest on them, as claims rest on the epoch that they are granted in. The environment is opened anew: after
             # a failed write it refuses all.
             self.fault = str(fault)
+            self.failures += 1
             self._owe(rows)
             self._post(lambda: events.warn("disk", fault=self.fault, rows=len(rows)))
             self._reopen()
--- a/lugspur/mesh/incoming.py
+++ b/lugspur/mesh/incoming.py
@@ -5,8 +5,9 @@
 import asyncio
 
 from lugspur.control.messages import Cancel, Forward, Grant, Hello, Message, Part, Reply
+from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.delays import ExcessDelay
-from lugspur.dataplane.gate import End, Gate, Ticket
+from lugspur.dataplane.gate import Gate, Ticket
 from lugspur.dataplane.uploads import UploadScheduler
 from lugspur.mesh import events
 from lugspur.mesh.link import Link
@@ -78,7 +79,7 @@
         forward.aim -= excess
         if forward.left <= 0.0:
             self.expired += 1
-            self._turn_away(link, forward.n)
+            self._turn_away(link, forward.n, Cause.EXPIRED)
         elif forward.size:
             self._offered(link, forward)
         else:
@@ -114,10 +115,10 @@
         if self._gate.room(forward) and self.uploads.offer(now, (link, n), forward, rank, pace):
             self._grant()
         else:
-            self._turn_away(link, n)
+            self._turn_away(link, n, Cause.UPLOAD)
 
-    def _turn_away(self, link: Link, number: int) -> None:
-        link.send(Reply(number, End.NOT_RUN, None, False, self._gate.busy))
+    def _turn_away(self, link: Link, number: int, cause: Cause) -> None:
+        link.send(self._gate.turn_away(number, cause))
 
     def _grant(self) -> None:
         """Let those send whose turn it is."""
@@ -139,5 +140,5 @@
         """End bodies whose time is over."""
         if len(self.uploads):
             for link, n in self.uploads.expired(now):
-                self._turn_away(link, n)
+                self._turn_away(link, n, Cause.UPLOAD)
             self._grant()
--- a/lugspur/mesh/node.py
+++ b/lugspur/mesh/node.py
@@ -56,6 +56,7 @@
         self.synced: dict[str, tuple[str, int]] = {}  # how far each peer's changes are known: its life and place
         self.index = 0  # the latest change of the configuration that is known here
         self.source = ""  # whose news it follows, where it follows one
+        self.sources = 0  # how often it began to follow another's
         self.source_at = 0.0  # when its news was last known to be fresh
         self.source_since = 0.0
         self.known = False  # it has had all news once
@@ -178,6 +179,7 @@
         if former and former != self.source:
             self.to(former, Unsubscribe())
         if self.source:
+            self.sources += 1
             self.source_since = self.loop.time()
             self._subscribe(self.peers[self.source])
 
--- a/lugspur/mesh/operator_calls.py
+++ b/lugspur/mesh/operator_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from lugspur.control import items
@@ -29,6 +30,8 @@
         do: Callable[[Effects], None],
     ) -> None:
         self._loop, self._replica, self._router, self._reader, self._do = loop, replica, router, reader, do
+        self.orders: Counter[str] = Counter()  # since the start, by how they ended
+        self.reads: Counter[str] = Counter()
 
     def amend(self, request: Request, caller: Answerable, _: list[str]) -> None:
         """Change the configuration; answered once a majority has decided it, or with the fault."""
@@ -36,6 +39,7 @@
 
         def over(outcome: Outcome) -> None:
             fault = fault_of(outcome)
+            self.orders["confirmed" if fault is None else fault.code] += 1
             events.info("amend", bytes=len(request.body), fault=fault or "none", index=self._replica.index)
             if not waits:
                 return
@@ -62,6 +66,7 @@
         waits = True
 
         def over(latest: bool) -> None:
+            self.reads["answered" if latest else Kind.NO_QUORUM.value] += 1
             if not waits:
                 return
             if latest:
--- a/lugspur/mesh/outgoing.py
+++ b/lugspur/mesh/outgoing.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lugspur.control.messages import Cancel, Forward, Grant, Part, Reply
+from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.uploads import PART, in_parts
 from lugspur.mesh.link import Link
@@ -61,7 +62,7 @@
         exchange = self._open.get(ip, {}).pop(number, None)
         if exchange is not None:
             exchange.link.send(Cancel(number))
-            exchange.respond(Reply(number, End.MAYBE))
+            exchange.respond(Reply(number, End.MAYBE, cause=Cause.CANCELLED))
 
     def _of(self, link: Link, number: int) -> _Exchange | None:
         """The exchange that a message on this connection is about.
@@ -96,4 +97,5 @@
         for number, exchange in self._open.pop(ip, {}).items():
             # A body that was not sent to its end proves that nothing ran: the gate begins with whole requests alone.
             unsent = exchange.body is not None
-            exchange.respond(Reply(number, End.NOT_RUN if unsent else End.MAYBE, None, not unsent))
+            how = End.NOT_RUN if unsent else End.MAYBE
+            exchange.respond(Reply(number, how, sent=not unsent, cause=Cause.LINK_LOST))
--- a/lugspur/mesh/program.py
+++ b/lugspur/mesh/program.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+from lugspur import invariants
 from lugspur.control.errors import MeshError
 from lugspur.mesh import events
 from lugspur.mesh.node import Node
@@ -27,6 +28,7 @@
         events.warn("settings", fault=fault.detail)
         return 2
     events.start(settings.own.node_name)
+    invariants.tell_to(lambda invariant, details: events.warn("invariant", violated=invariant.value, **details))
     try:
         return uvloop.run(_run(settings, path))
     except MeshError as fault:
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +14,7 @@
 from lugspur.control.messages import Answer, Done, Entry, Forward, Grant, Hello, Message, Reply
 from lugspur.dataplane.delays import FreezeDetector
 from lugspur.dataplane.gate import Gate
-from lugspur.dataplane.proxy import Proxy
+from lugspur.dataplane.proxy import ATTEMPT, ID_MOST, Proxy
 from lugspur.dataplane.routes import RouteTable
 from lugspur.dataplane.uploads import UploadScheduler
 from lugspur.http1.front import Front
@@ -27,6 +28,9 @@
 from lugspur.mesh.outgoing import OutgoingExchanges
 from lugspur.mesh.registration import FROZEN, BackendRegistration, BackendStatus
 from lugspur.mesh.settings import Settings
+from lugspur.mesh.sidecar_figures import sidecar_figures, tell_failure
+from lugspur.observability.failures import FailureLog, Standing
+from lugspur.observability.metrics import CONTENT_TYPE, render
 from lugspur.seams import Answerable, Request
 
 FILES_KEPT = 264  # descriptors for files and what is not counted here; 200 are reserved by the platform
@@ -50,6 +54,7 @@
         self._cold: dict[str, float] = {}  # when each one's backend is warm
         self._stale_services: set[str] = set()
         self._told_at = 0.0
+        self._told: Counter[str] = Counter()  # ends of requests that the log has told of
         self._freezes = FreezeDetector(FROZEN, SETTLED)
         self.outgoing = OutgoingExchanges()
         self._rate = limits.link_mbps * 1e6 / 8.0
@@ -65,6 +70,7 @@
             settings.own.zone,
         )
         self.proxy.sender = settings.own.service
+        self.proxy.failures = FailureLog(self.standing, tell_failure)
         self.reloaded.append(self._sender)
         self.gate = Gate(
             limits.memory_mb << 20,
@@ -95,6 +101,7 @@
         self._sock = await self.front.listen()
         readiness = HttpApi()
         readiness.add("GET", "/readiness", self._ready)
+        readiness.add("GET", "/metrics", self._metrics)
         await readiness.serve(listen.readiness, limits.memory_mb << 20)
         calls = HttpApi()
         calls.add("POST", "/backends/*/heartbeat", self._heartbeat)
@@ -102,6 +109,8 @@
         calls.add("POST", "/config/amend", self._elsewhere)
         calls.add("GET", "/config/read", self._elsewhere)
         calls.add("GET", "/mesh/status", lambda request, caller, found: reply(caller, _json(self.status())))
+        calls.add("GET", "/mesh/failures", self._failures)
+        calls.add("GET", "/metrics", self._metrics)
         await calls.serve(listen.dispatch, limits.memory_mb << 20)
 
     def _accepted(self) -> Link:
@@ -121,6 +130,7 @@
 
     def _handle(self, request: Request, caller: Answerable) -> None:
         if not self.known:
+            self.proxy.failed(request.headers.get(ATTEMPT, b"")[:ID_MOST], Kind.NOT_READY.value)
             raise_not_ready(caller)
             return
         self.proxy.handle(request, caller)
@@ -235,6 +245,20 @@
             for voter in self.membership.voters:
                 self.to(voter.ip, Done(forward.key, forward.by, answer))
 
+    def standing(self) -> Standing:
+        """What requests are judged by at this moment."""
+        epoch = 0 if self.membership is None else self.membership.epoch
+        return Standing(self.index, epoch, round(min(1e6, self.loop.time() - self.source_at), 3))
+
+    def _failures(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        """The latest requests that failed, and why."""
+        reply(caller, _json(self.proxy.failures.latest()))
+
+    def _metrics(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        """This proxy's figures."""
+        text = render(sidecar_figures(self), [self.proxy.seconds])
+        caller.answer(200, CONTENT_TYPE, text)
+
     def status(self) -> dict[str, Any]:
         """What operators see of this proxy: what it goes by, how old that is, and whom it would send to."""
         now, local = self.loop.time(), self.gate.local
@@ -285,7 +309,8 @@
         if now < self._told_at + TELL_EVERY:
             return
         self._told_at = now
-        ended, self.proxy.ended = self.proxy.ended, {}
+        ended = self.proxy.ended - self._told
+        self._told = self.proxy.ended.copy()
         gate = self.gate
         if ended or gate.turned or gate.evicted or gate.hopeless:
             events.info(
--- /dev/null
+++ b/lugspur/mesh/sidecar_figures.py
@@ -0,0 +1,70 @@
+"""What a proxy's process tells of itself in figures, and of a failed request in its log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lugspur.mesh import events
+from lugspur.observability.failures import FailedRequest
+from lugspur.observability.metrics import Figure, counter, counters, gauge, invariant_figures
+
+if TYPE_CHECKING:
+    from lugspur.mesh.sidecar import Sidecar
+
+
+def sidecar_figures(sidecar: Sidecar) -> list[Figure]:
+    """All figures of one proxy at this moment."""
+    now, gate, proxy, front = sidecar.loop.time(), sidecar.gate, sidecar.proxy, sidecar.front
+    standing = sidecar.standing()
+    causes = {cause.name.lower(): float(count) for cause, count in gate.causes.items()}
+    rejections = {str(status): float(count) for status, count in front.rejections.items()}
+    up = sum(dialler.link is not None for dialler in sidecar.peers.values())
+    return [
+        counters("requests_total", "Requests of this machine's callers, by how they ended.", "how", proxy.ended),
+        counters("rejections_total", "Requests that could not be read or taken, by status.", "status", rejections),
+        counters("gate_unanswered_total", "Requests for the backend without its answer, by cause.", "cause", causes),
+        gauge("requests_open", "Requests of callers that are not answered yet.", len(proxy.open_requests)),
+        gauge("gate_in_hand", "Requests for the backend that run or wait.", gate.busy),
+        gauge("uploads_open", "Bodies that arrive in parts.", len(sidecar.incoming.uploads)),
+        gauge("callers", "Connections of callers.", len(front.callers)),
+        gauge("claims_open", "Claims of operation keys that are not settled.", len(sidecar.claims)),
+        gauge("routes", "Routes in force.", len(sidecar.table)),
+        gauge("backends", "Backends that the mesh tells of.", len(sidecar.backends)),
+        gauge("peers_up", "Processes that can be reached.", up),
+        gauge("configuration_index", "The latest change of the configuration that is known.", standing.change),
+        gauge("membership_epoch", "The membership that this process goes by.", standing.epoch),
+        gauge("news_age_seconds", "Seconds since word of a majority.", standing.news_age_s),
+        counter("news_sources_total", "How often another control node's news was followed.", sidecar.sources),
+        gauge("leaving", "1 while this process ends.", float(sidecar.leaving)),
+        gauge("backend_silent_seconds", "Seconds since the backend's latest heartbeat.", _silent(sidecar, now)),
+        *invariant_figures(),
+    ]
+
+
+def _silent(sidecar: Sidecar, now: float) -> float:
+    local = sidecar.gate.local
+    return 0.0 if local is None else now - local.heard
+
+
+def tell_failure(failed: FailedRequest, untold: int) -> None:
+    """One failed request as a line; `untold`: how many before it had none."""
+    steps = ";".join(f"{s.backend}@{s.sent_s:.3f}+{s.took_s:.3f}:{s.how}:{s.cause}" for s in failed.steps)
+    events.info(
+        "request-failed",
+        attempt=failed.attempt,
+        how=failed.how,
+        route=failed.route,
+        service=failed.service,
+        claim=failed.claim,
+        took=failed.took_s,
+        had=failed.had_s,
+        sends=failed.sends,
+        turned_away=failed.turned_away,
+        waited_for=",".join(failed.waited_for),
+        edition=failed.edition,
+        index=failed.index,
+        epoch=failed.epoch,
+        news_age=failed.news_age_s,
+        steps=steps,
+        untold=untold,
+    )
--- a/lugspur/mesh/stall.py
+++ b/lugspur/mesh/stall.py
@@ -14,11 +14,13 @@
     def __init__(self) -> None:
         self._looked_at = float("-inf")
         self.woken_at = float("-inf")  # when the process ran again after it had stood still
+        self.stalls = 0  # how often it has
 
     def look(self, now: float) -> None:
         """This process runs, and looks at what is due."""
         if now - self._looked_at > FROZEN and self._looked_at > float("-inf"):
             self.woken_at = now
+            self.stalls += 1
             events.warn("woken", after=now - self._looked_at)
         self._looked_at = now
 
--- a/lugspur/seams.py
+++ b/lugspur/seams.py
@@ -95,6 +95,10 @@
 
     started: float  # in the loop's time
 
+    @property
+    def backend(self) -> Listed:
+        """Who has it."""
+
     @property
     def open(self) -> bool:
         """Whether its outcome has not been reported."""
--- a/tests/management/test_management.py
+++ b/tests/management/test_management.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from loopback import HOST, OK, WIRE, Client, Running, backend, book, entry, read, running, soon, status, until
+from loopback import CLOSE, HOST, OK, WIRE, Client, Running, backend, book, entry, read, running, soon, status, until
 
 from lugspur.http1 import front as fronts
 from lugspur.management.acts import acts
@@ -295,3 +295,30 @@
                 writer.close()
 
     asyncio.run(play())
+
+
+def test_figures_and_failures_explain_a_request_that_failed() -> None:
+    async def play() -> None:
+        async with backend(lambda _: CLOSE) as closing:
+            async with running([entry("s-1", closing.address)]) as up, operated(up) as port:
+                client = await up.client()
+                assert status(await client.ask(book(1))) == 502
+                figures = (await answer_of(port, "/metrics")).decode()
+                assert 'lugspur_answers_total{status="502"} 1.0' in figures
+                assert 'lugspur_attempts_total{outcome="broken"} 1.0' in figures
+                [failed] = json.loads(await answer_of(port, "/failures"))
+                assert failed["how"] == "502" and failed["attempt"] and failed["sends"] == 1
+                [step] = failed["steps"]
+                assert step["how"] == "broken" and step["backend"] == closing.address
+
+    asyncio.run(play())
+
+
+async def answer_of(port: int, path: str) -> bytes:
+    """What a call that takes nothing answers with."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+    head, _, body = (await soon(reader.read())).partition(b"\r\n\r\n")
+    writer.close()
+    assert status(head) == 200
+    return body
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -13,6 +13,7 @@
 from lugspur.control.claims import Known, Settled, Taken, Unsettled, Won
 from lugspur.control.items import read_call
 from lugspur.control.messages import Answer, Forward, Reply
+from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.proxy import Proxy
 from lugspur.dataplane.routes import RouteTable
@@ -447,3 +448,36 @@
         assert max(told) - min(told) > 0.03
 
     play(what)
+
+
+def test_a_request_that_failed_can_be_explained_afterwards() -> None:
+    def what(rig: Rig) -> None:
+        rig.ask(lugspur_operation_key="k")
+        rig.claimed[0][1](Won())
+        _, forward, respond = rig.sent[0]
+        respond(Reply(forward.n, End.NOT_RUN, None, False, 9, Cause.NO_ROOM))
+        _, forward, respond = rig.sent[1]
+        respond(Reply(forward.n, End.MAYBE, cause=Cause.LINK_LOST))
+        [failed] = rig.proxy.failures.latest()
+        assert (failed.attempt, failed.how, failed.route, failed.service) == ("t1", "maybe-ran", "r", "s")
+        assert failed.keyed and failed.claim == "won" and failed.sends == 1 and failed.turned_away == 1
+        assert failed.edition == 7 and failed.had_s == pytest.approx(0.5, abs=0.01)
+        first, second = failed.steps
+        assert (first.backend, first.how, first.cause) == (rig.sent[0][1].backend, "not_run", "no_room")
+        assert (second.backend, second.how, second.cause) == (rig.sent[1][1].backend, "maybe", "link_lost")
+
+    play(what, kind="tracked")
+
+
+def test_who_leaves_and_what_no_route_takes_are_counted_and_kept_too() -> None:
+    def what(rig: Rig) -> None:
+        caller = rig.ask()
+        assert caller.gone is not None
+        caller.gone()
+        rig.ask(b"/nowhere")
+        left, strayed = rig.proxy.failures.latest()
+        assert left.how == "gone" and left.waited_for == (rig.sent[0][1].backend,)
+        assert strayed.how == "no-route" and strayed.attempt == "t1"
+        assert rig.proxy.ended == {"gone": 1, "no-route": 1}
+
+    play(what)
--- /dev/null
+++ b/tests/observability/test_metrics.py
@@ -0,0 +1,63 @@
+"""Figures as a scraper reads them, and what a process that is never asked does not load."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from lugspur.invariants import Invariant
+from lugspur.observability.metrics import (
+    BUCKETS,
+    Figure,
+    Histogram,
+    counter,
+    counters,
+    gauge,
+    invariant_figures,
+    render,
+)
+
+
+def samples(figures: list[Figure], histograms: tuple[Histogram, ...] = ()) -> dict[tuple[str, str], float]:
+    """Values by name and the value of their only label."""
+    text = render(figures, histograms).decode()
+    return {
+        (sample.name, next(iter(sample.labels.values()), "")): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+def test_figures_have_their_names_labels_and_values() -> None:
+    found = samples(
+        [
+            gauge("open", "Open.", 3),
+            counter("commits_total", "Commits.", 7),
+            counters("requests_total", "Requests.", "how", {"answered": 5, 'a "quoted"\nway': 1}),
+        ]
+    )
+    assert found["lugspur_open", ""] == 3 and found["lugspur_commits_total", ""] == 7
+    assert found["lugspur_requests_total", "answered"] == 5
+    assert found["lugspur_requests_total", 'a "quoted"\nway'] == 1
+
+
+def test_a_histogram_counts_what_took_no_longer_and_all() -> None:
+    histogram = Histogram("seconds", "Seconds.")
+    for seconds in (0.001, BUCKETS[0], 0.3, 99.0):
+        histogram.add(seconds)
+    found = samples([], (histogram,))
+    assert found["lugspur_seconds_bucket", str(BUCKETS[0])] == 2
+    assert found["lugspur_seconds_bucket", "0.5"] == 3 and found["lugspur_seconds_bucket", "+Inf"] == 4
+    assert found["lugspur_seconds_count", ""] == 4 and found["lugspur_seconds_sum", ""] == sum((0.001, 0.005, 0.3, 99))
+
+
+def test_each_invariant_is_shown_also_while_it_holds() -> None:
+    found = samples(invariant_figures())
+    assert found == {("lugspur_invariant_violations_total", invariant.value): 0.0 for invariant in Invariant}
+
+
+def test_a_process_that_is_never_asked_does_not_load_the_library() -> None:
+    code = "import sys, lugspur.mesh.sidecar, lugspur.mesh.control_node; print('prometheus_client' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "False\n"
