Soak real processes under troubles that overlap, with their invariants on

Judged by the checker of the faults rig (safety; no bound of time while a trouble lasts), by invariants and exceptions in logs, by what ran that nobody sent, and, once all is calm, by figures: all useful again, nothing left open.

--- a/lugspur/bench/faults/cluster.py
+++ b/lugspur/bench/faults/cluster.py
@@ -13,6 +13,7 @@
 from lugspur.bench.faults.checker import Bounds
 from lugspur.bench.faults.links import Links
 from lugspur.bench.mesh import Mesh, call, free_ports
+from lugspur.standins.mesh import MeshBackend
 
 SERVICES = ("rooms", "halls", "attic")  # one for each proxy, so that an answer shows which service its route named
 CATCH_UP = 4.0  # seconds after its return for which a machine that lost its disk counts as lost
@@ -114,6 +115,19 @@
         process.wait()
         self.links.shut(ip)
 
+    def backend_of(self, ip: str) -> MeshBackend:
+        """The present life of a proxy's backend."""
+        return next(backend for backend in reversed(self.backends) if backend.address.startswith(f"{ip}:"))
+
+    def reload(self, ip: str, content: bytes | None) -> None:
+        """Tell a process by SIGHUP to read its settings file, with this content in place; None: it is gone."""
+        path = self.folder / f"{ip}.toml"
+        if content is None:
+            path.unlink(missing_ok=True)
+        else:
+            path.write_bytes(content)
+        self.processes[ip].send_signal(signal.SIGHUP)
+
     def exchange_seeds(self, seeds: list[str]) -> None:
         """Write other seeds into all settings files, and say so by SIGHUP."""
         self.seeds = seeds
--- a/lugspur/bench/faults/links.py
+++ b/lugspur/bench/faults/links.py
@@ -11,7 +11,7 @@
 import enum
 import socket
 import struct
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from dataclasses import dataclass
 
 PROBE_EVERY = 0.02  # seconds between looks at whether a process is bound
@@ -148,6 +148,12 @@
         self._cuts.clear()
         self._notify()
 
+    def open_again(self, pairs: Iterable[Pair]) -> None:
+        """Open some links; others stay as they are."""
+        for pair in pairs:
+            self._cuts.pop(pair, None)
+        self._notify()
+
     def reset(self, pair: Pair) -> None:
         """Reset the present connections between two machines, whoever dialled."""
         for connection in list(self._connections):
--- a/lugspur/bench/mesh.py
+++ b/lugspur/bench/mesh.py
@@ -139,9 +139,7 @@
         for ip in (*self.replica_ips, *self.proxy_ips):
             self.start(ip)
         for ip, service in zip(self.proxy_ips, self.services, strict=True):
-            backend = MeshBackend(service, f"{ip}:{self.app}", f"{ip}:{self.dispatch}", f"z{ip[-1]}")
-            await backend.serve()
-            self.backends.append(backend)
+            await self.add_backend(ip, service)
         routes = [self.route("look", "safe"), self.route("book", "tracked")]
         await self.amend(
             {
@@ -156,6 +154,17 @@
             await self.until(ip, self.ready, "/readiness", 200)
         await self.served(self.proxy_ips[0], "/look/1", "warm")
 
+    async def add_backend(self, ip: str, service: str) -> MeshBackend:
+        """Start a backend beside a proxy."""
+        backend = self.new_backend(service, f"{ip}:{self.app}", f"{ip}:{self.dispatch}", f"z{ip[-1]}")
+        await backend.serve()
+        self.backends.append(backend)
+        return backend
+
+    def new_backend(self, service: str, address: str, dispatch: str, zone: str) -> MeshBackend:
+        """A life of a backend that has not begun."""
+        return MeshBackend(service, address, dispatch, zone)
+
     @staticmethod
     def route(name: str, kind: str, edition: str = "00000001", **other: Any) -> dict[str, Any]:
         """A route of the first service."""
--- /dev/null
+++ b/lugspur/bench/soak/mesh_run.py
@@ -0,0 +1,165 @@
+"""One seed of the soak of a mesh: operators, clients and troubles, then calm, and what must hold then."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from pathlib import Path
+from random import Random
+
+from lugspur.bench.faults.checker import check
+from lugspur.bench.faults.clients import Clients
+from lugspur.bench.faults.history import History
+from lugspur.bench.faults.operator import Console, Operators
+from lugspur.bench.soak.mesh_troubles import MeshTroubles, SoakCluster
+from lugspur.bench.soak.plan import MESH_WEIGHTS, Trouble, draw
+from lugspur.bench.soak.verdict import Verdict, figures
+
+CALM_WITHIN = 15.0  # seconds after the last trouble in which all must be useful again, on a loaded machine too
+QUIET_WITHIN = 8.0  # seconds after the last client's request in which nothing may be left open anywhere
+ASK_EVERY = 0.2
+EMPTY_WHEN_QUIET = (
+    "lugspur_requests_open",
+    "lugspur_gate_in_hand",
+    "lugspur_uploads_open",
+    "lugspur_claims_open",
+    "lugspur_change_pending",
+)
+CALLERS_MOST = 6  # connections of callers that may be left at a proxy: those who are let go after a while
+
+
+async def soak_mesh(folder: Path, seed: int, seconds: float, machines: int = 3) -> Verdict:
+    """Play one seed, and say what was found."""
+    return await play(folder, draw(Random(f"troubles-{seed}"), seconds, MESH_WEIGHTS), seed, machines)
+
+
+async def play(folder: Path, troubles: list[Trouble], seed: int, machines: int = 3) -> Verdict:
+    """Play these troubles."""
+    verdict, history = Verdict(), History()
+    cluster = SoakCluster(folder, machines, max(1, (machines - 1) // 2))
+    cluster.rng = Random(f"backends-{seed}")
+    try:
+        await cluster.begin()
+        console = Console(cluster, history)
+        operators = Operators(console, Random(f"operators-{seed}"))
+        clients = Clients(cluster, history, Random(f"clients-{seed}"))
+        acts = MeshTroubles(cluster, history, Random(f"acts-{seed}"), lambda name: verdict.troubles.update([name]))
+        changes: list[Awaitable[None]] = [operators.work("north"), operators.work("south"), operators.read_on()]
+        requests: list[Awaitable[None]] = [clients.mail_on(), clients.book_on()]
+        requests += [clients.look_on(ip) for ip in cluster.proxy_ips]
+        changing = [asyncio.ensure_future(one) for one in changes]
+        asking = [asyncio.ensure_future(one) for one in requests]
+        await _carry_out(troubles, acts)
+        acts.end_all()
+        await _until_useful(cluster, operators, verdict)
+        for task in changing:
+            task.cancel()
+        await operators.settle()
+        await asyncio.sleep(1.0)
+        for ip in cluster.control:
+            await console.read(ip)
+        for task in asking:
+            task.cancel()
+        rig_faults = [f for f in await asyncio.gather(*changing, *asking, return_exceptions=True) if f is not None]
+        for fault in rig_faults:
+            if not isinstance(fault, asyncio.CancelledError):
+                raise fault
+        await clients.settle()
+        await _until_quiet(cluster, verdict)
+        exits = [ip for ip, process in cluster.processes.items() if process.poll() is not None]
+    finally:
+        await cluster.close()
+    for ip in exits:
+        verdict.add("process that ended by itself", ip)
+    for violation in check(history, cluster.bounds):
+        verdict.add(violation.rule.value, f"{violation.subject} {violation.detail} {violation.where}")
+    _check_runs(history, acts, verdict)
+    verdict.read_logs(folder)
+    _count(history, verdict)
+    return verdict
+
+
+async def _carry_out(troubles: list[Trouble], acts: MeshTroubles) -> None:
+    """Begin each at its time, and wait for the end of all."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    async with asyncio.TaskGroup() as group:
+        for trouble in troubles:
+            await asyncio.sleep(max(0.0, began + trouble.at - loop.time()))
+            group.create_task(acts.carry_out(trouble))
+
+
+async def _until_useful(cluster: SoakCluster, operators: Operators, verdict: Verdict) -> None:
+    """Every control node confirms an order, every proxy serves, within the time."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + CALM_WITHIN
+    for ip in cluster.control:
+        while not (await operators.console.send(operators.fresh("calm"), ip)).confirmed:
+            if loop.time() > until:
+                verdict.add("not useful again", f"control node {ip}")
+                break
+            await asyncio.sleep(ASK_EVERY)
+    for ip in cluster.proxy_ips:
+        for number in range(1 << 30):
+            try:
+                status, _, _ = await cluster.ask(ip, "/look/1", f"calm-{ip}-{number}")
+            except (OSError, IndexError, ValueError):
+                status = 0
+            if status == 200:
+                break
+            if loop.time() > until:
+                verdict.add("not useful again", f"proxy {ip}: {status}")
+                break
+            await asyncio.sleep(ASK_EVERY)
+
+
+async def _until_quiet(cluster: SoakCluster, verdict: Verdict) -> None:
+    """Nothing is left open at any process once no client asks."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + QUIET_WITHIN
+    for ip in (*cluster.control, *cluster.proxy_ips):
+        while left := await _left_open(cluster, ip):
+            if loop.time() > until:
+                verdict.add("left open", f"at {ip}: {left}")
+                break
+            await asyncio.sleep(ASK_EVERY)
+
+
+async def _left_open(cluster: SoakCluster, ip: str) -> dict[str, float]:
+    """What is open at a process though nobody asks anything; also invariants that were violated."""
+    found = await figures(f"{ip}:{cluster.dispatch}")
+    if not found:
+        return {"no figures": 1.0}
+    left = {name: found[name] for name in EMPTY_WHEN_QUIET if found.get(name)}
+    if found.get("lugspur_callers", 0.0) > CALLERS_MOST:
+        left["lugspur_callers"] = found["lugspur_callers"]
+    status = await cluster.status(ip)
+    for backend in status.get("backends", ()):
+        if backend["in_flight"]:
+            left[f"in flight to {backend['id']}"] = backend["in_flight"]
+    return left
+
+
+def _check_runs(history: History, acts: MeshTroubles, verdict: Verdict) -> None:
+    """Only what a client sent as a whole request has run, and what may not run twice ran once."""
+    callers = acts.callers
+    sent = {call.attempt for call in history.calls} | callers.whole
+    for attempt in history.runs:
+        if attempt not in sent and not attempt.startswith(("warm", "calm-")):
+            verdict.add("ran and nobody sent it", attempt)
+    for attempt in callers.unsafe:
+        if history.runs.count(attempt) > 1:
+            verdict.add("ran twice", f"{attempt} of a misbehaving caller")
+
+
+def _count(history: History, verdict: Verdict) -> None:
+    verdict.done.update(
+        {
+            "orders confirmed": sum(sent.confirmed for sent in history.tries),
+            "reads answered": sum(read.status == 200 for read in history.reads),
+            "requests": len(history.calls),
+            "requests served": sum(call.status == 200 for call in history.calls),
+            "keyed operations": len({call.key for call in history.calls if call.key}),
+            "runs": len(history.runs),
+        }
+    )
