--- a/tests/mesh/test_settings.py
+++ b/tests/mesh/test_settings.py
@@ -100,3 +100,12 @@
     assert set(ANSWERS) == set(Kind)
     promises = {kind for kind, row in ANSWERS.items() if row.status in (408, 421, 429, 503)}
     assert not promises & {Kind.MAYBE_RAN, Kind.BAD_ANSWER, Kind.TOO_LATE, Kind.UNCLEAR}
+
+
+def test_what_is_no_text_nests_without_end_or_names_no_port_is_one_clear_error(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    for content in (b"\xff\xfe", b"a = " + b"[" * 100_000, GOOD.replace("[7620, 7635]", "[76200]").encode()):
+        path.write_bytes(content)
+        with pytest.raises(MeshError) as caught:
+            load(path)
+        assert caught.value.kind is Kind.SETTINGS and "\n" not in caught.value.detail
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import random
 import socket
@@ -742,3 +743,26 @@
         server.close()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "sent", [b"no request\r\n\r\n", b"GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n"], ids=["bad", "lost"]
+)
+def test_a_caller_that_has_gone_by_the_end_of_its_rejection_harms_nothing(
+    sent: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def not_connected(_: asyncio.Transport) -> None:  # as the system says once a reset has come
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    monkeypatch.setattr("asyncio.selector_events._SelectorSocketTransport.write_eof", not_connected)
+
+    async def play() -> None:
+        told: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: told.append(context))
+        async with running([]) as up:
+            client = await up.client()
+            assert status(await client.ask(sent)) in (400, 404)
+            await until(lambda: not up.proxy.front.callers)
+        assert not told, told
+
+    asyncio.run(play())
