--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -746,7 +746,7 @@
 
 
 @pytest.mark.parametrize(
-    "sent", [b"no request\r\n\r\n", b"GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n"], ids=["bad", "lost"]
+    "sent", [b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\nno request\r\n\r\n", b"GET /heal"], ids=["behind", "slow"]
 )
 def test_a_caller_that_has_gone_by_the_end_of_its_rejection_harms_nothing(
     sent: bytes, monkeypatch: pytest.MonkeyPatch
@@ -760,8 +760,11 @@
         told: list[dict[str, Any]] = []
         asyncio.get_running_loop().set_exception_handler(lambda _, context: told.append(context))
         async with running([]) as up:
+            up.proxy.front.first_within = up.proxy.front.whole_within = 0.1
             client = await up.client()
-            assert status(await client.ask(sent)) in (400, 404)
+            client.writer.write(sent)
+            await until(lambda: up.proxy.front.rejections.total() == 1)
+            client.writer.close()
             await until(lambda: not up.proxy.front.callers)
         assert not told, told
 
