End a caller whose connection is gone by the end of its rejection

Cause: Transport.write_eof raises where a reset has come; in Front._sweep and Caller._resume nobody caught that. Caller._end_output drops the caller then. Class: an act on a peer that may have gone, taken for one that can't fail, in a loop over many. Looked for elsewhere: write_eof of the second address (mended), transports' write and close (never raise), sockets of the backends' side (each send is guarded).

--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -571,7 +571,18 @@
         self.move(self.front.leaving, self._loop.time() + LINGER)
         # Guards the answer against a reset: what still comes is read until the caller closes.
         self._transport.resume_reading()
-        self._transport.write_eof()
+        self._end_output()
+
+    def _end_output(self) -> None:
+        """Nothing more is written; what still comes is read until the caller closes.
+
+        Guards all that goes on in the same turn of the loop, as other callers of a sweep: where the caller has gone
+        by now, the system says so here.
+        """
+        try:
+            self._transport.write_eof()
+        except OSError:
+            self.drop()
 
     def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
         """Write the one final answer of the request that is being served.
@@ -606,7 +617,7 @@
         self._write(status, head, body, False, length)
         self.move(self.front.leaving, self._loop.time() + LINGER)
         self._transport.resume_reading()
-        self._transport.write_eof()
+        self._end_output()
 
     def _after(self, keep: bool) -> None:
         """An answer is written whole."""
--- a/lugspur/management/door.py
+++ b/lugspur/management/door.py
@@ -78,7 +78,10 @@
         if self._call.answer is not None:
             self._door.waiting.pop(self, None)
             self._transport.write(self._call.answer)
-            self._transport.write_eof()
+            try:
+                self._transport.write_eof()
+            except OSError:  # the caller has gone by now
+                self.drop()
 
     def drop(self) -> None:
         """Close it at once."""
