Take every fault of reading the settings file for one line, and ports that are none too

Cause: load caught OSError and TOMLDecodeError; what is no UTF-8 or nests without end raised something else, in the signal's handler and in Node._look. A port beyond 65535 was taken and failed in the task that dials, with an error that it does not catch: that peer was never dialled again.

Class: a closed list of errors that is narrower than what is called can raise. Looked for elsewhere: config/load.py and config/platform.py (catch all of it), folder.py and control_node.py (MsgspecError, UnicodeDecodeError), watched lists (orjson says JSONDecodeError for both).

--- a/lugspur/mesh/settings.py
+++ b/lugspur/mesh/settings.py
@@ -14,6 +14,7 @@
 
 VARIABLE = "LUGSPUR_NODE_FILE"  # names the file
 DEFAULT = "/etc/lugspur/settings.toml"
+PORT_MOST = 65535
 Number = float | int  # TOML tells 1 from 1.0, operators need not
 
 
@@ -161,6 +162,8 @@
         raise MeshError(Kind.SETTINGS, str(fault)) from None
     if not settings.network.inner_ports:
         raise MeshError(Kind.SETTINGS, "network.inner_ports is empty")
+    if not all(0 < port <= PORT_MOST for port in settings.network.inner_ports):
+        raise MeshError(Kind.SETTINGS, f"network.inner_ports are not all from 1 to {PORT_MOST}")
     bounds = settings.tariffs.bounds
     for name in ("edition_ms", "stamp_window_s", "grace_s", "retry_window_s"):
         if getattr(bounds, name) <= 0.0:
@@ -173,5 +176,5 @@
     try:
         with open(path, "rb") as file:
             return parse(tomllib.load(file))
-    except (OSError, tomllib.TOMLDecodeError) as fault:
-        raise MeshError(Kind.SETTINGS, f"{path}: {fault}") from None
+    except (OSError, ValueError, RecursionError) as fault:  # what is no TOML, no UTF-8, or nests without end
+        raise MeshError(Kind.SETTINGS, f"{path}: {fault}".replace("\n", " ")) from None
