--- a/lugspur/invariants.py
+++ b/lugspur/invariants.py
@@ -33,6 +33,7 @@
     EPOCHS_RISE = "epochs-rise"  # memberships follow each other
     ONE_VOTER_AT_A_TIME = "one-voter-at-a-time"  # two memberships in a row differ in one voter at most
     CONFIRMED_STANDS = "confirmed-stands"  # what is confirmed stands, or something later does
+    ROW_FITS = "row-fits"  # no row is written whose key no disk takes
     ONE_HOLDER = "one-holder"  # an operation key has one holder until its window is over
 
 
--- a/lugspur/mesh/disk.py
+++ b/lugspur/mesh/disk.py
@@ -15,6 +15,7 @@
 
 MAP_PART = 0.6  # of the disk: lmdb must not fill it, and a file that grew is never smaller again
 MAP_LEAST, MAP_MOST = 16 << 20, 1 << 30  # bytes
+KEY_MOST = 511  # bytes of a row's key, by lmdb
 AGAIN = 0.3  # seconds after a failed write in which the environment is left alone
 OWED_MOST = 50_000  # rows that are removed while nothing can be written: what is not removed is swept after a start
 
--- a/tests/mesh/test_items.py
+++ b/tests/mesh/test_items.py
@@ -13,7 +13,9 @@
 from lugspur.control.errors import Kind, MeshError
 from lugspur.control.items import check, read_back, read_call
 from lugspur.control.messages import Entry
+from lugspur.control.register import item_row
 from lugspur.control.store import Store
+from lugspur.mesh.disk import KEY_MOST
 
 
 def standing(body: bytes) -> Store:
@@ -161,3 +163,17 @@
     source.merge(changes[cut:])
     copy.merge(source.after(place))
     assert {(e.name, e.edition, e.value) for e in copy.all()} == {(e.name, e.edition, e.value) for e in source.all()}
+
+
+def test_no_item_is_taken_whose_row_no_disk_takes() -> None:
+    """One such row would fail each write of every control node, for ever."""
+    for kind, name in (("é" * 64, "n" * 432), ("notes", "n" * 433), ("notes", "ü" * 217)):
+        body = json.dumps({"upsert": {kind: [{"name": name, "edition": "00000001"}]}}).encode()
+        with pytest.raises(MeshError) as caught:
+            read_call(body)
+        assert caught.value.kind is Kind.BAD_CONFIG
+        body = json.dumps({"withdraw": {kind: [{"name": name, "edition": "00000001"}]}}).encode()
+        with pytest.raises(MeshError):
+            read_call(body)
+    [longest] = read_call(json.dumps({"upsert": {"n" * 64: [{"name": "n" * 432, "edition": "00000001"}]}}).encode())
+    assert len(item_row(longest)) <= KEY_MOST
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -10,10 +10,12 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from lugspur.bench.mesh import ROOT, Mesh
+from lugspur.standins.mesh import MeshBackend
 
 
 def play(
@@ -171,3 +173,63 @@
         timeout=30,
     )
     assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1 and b"event=settings" in ended.stderr
+
+
+def test_a_stop_answers_what_it_can_not_finish(tmp_path: Path) -> None:
+    class Short(Mesh):
+        """Processes have little time to end, and a backend has long work."""
+
+        def tables(self, ip: str) -> dict[str, dict[str, Any]]:
+            return super().tables(ip) | {"tariffs.bounds": {"grace_s": 1.5}}
+
+        def new_backend(self, service: str, address: str, dispatch: str, zone: str) -> MeshBackend:
+            return MeshBackend(service, address, dispatch, zone, work=0.0 if not self.backends else 30.0)
+
+    async def run() -> None:
+        mesh = Short(tmp_path, 3, ("rooms", "halls"))
+        try:
+            async with asyncio.timeout(60.0):
+                await mesh.begin()
+                await mesh.amend({"routes": [mesh.route("slow", "unsafe", "00000002", service="halls")]})
+                await mesh.until_reached(mesh.proxy_ips[0], 2)
+                asked = asyncio.create_task(mesh.ask(mesh.proxy_ips[0], "/slow/1", "s1", b"x"))
+                while not any("s1" in backend.ran for backend in mesh.backends):
+                    assert not asked.done(), asked.result()
+                    await asyncio.sleep(0.01)
+                mesh.processes[mesh.proxy_ips[0]].send_signal(signal.SIGTERM)
+                status, _, body = await asked
+                assert (status, body) == (502, b"maybe-ran\n")
+        finally:
+            await mesh.close()
+
+    asyncio.run(run())
+
+
+def test_a_reload_that_is_told_while_a_process_starts_is_carried_out(tmp_path: Path) -> None:
+    """The settings file is a pipe at first, so that the start waits until it has been written."""
+
+    async def run() -> None:
+        mesh = Mesh(tmp_path, 1, ())
+        (ip,) = mesh.replica_ips
+        path = tmp_path / "settings.toml"
+        os.mkfifo(path)
+        (tmp_path / ip).mkdir()
+        with (tmp_path / "process.log").open("wb") as log:
+            command = [sys.executable, "-m", "lugspur.mesh", "serve"]
+            environ = os.environ | {"LUGSPUR_NODE_FILE": str(path)}
+            mesh.processes[ip] = process = subprocess.Popen(command, cwd=ROOT, stderr=log, env=environ)
+        try:
+            async with asyncio.timeout(30.0):
+                with await asyncio.to_thread(path.open, "w") as pipe:  # once the process reads it
+                    process.send_signal(signal.SIGHUP)
+                    (tmp_path / "next.toml").write_text(mesh.settings(ip))
+                    (tmp_path / "next.toml").rename(path)
+                    pipe.write(mesh.settings(ip))
+                await mesh.until(ip, mesh.dispatch, "/mesh/status", 200)
+                while "event=settings" not in (tmp_path / "process.log").read_text():
+                    assert process.poll() is None
+                    await asyncio.sleep(0.02)
+        finally:
+            await mesh.close()
+
+    asyncio.run(run())
