Bound an item's row by what a disk takes, and let no row fail the writes of others

Cause: items._kind counted characters of any letters where the row's key is counted in bytes. Kinds are ASCII now, and with the bounds of both parts a key has 498 bytes at most, under lmdb's 511 (tested at the bound).

The design's part: rows of a failed write go with the next one, which is right for a disk that is full and wrong for a row that no disk takes. Disk.write passes such a row over, promises nothing that waits for it, and counts a violated invariant (row-fits).

Class: input that is valid at the door and poison further in, retried for ever.

--- a/lugspur/control/items.py
+++ b/lugspur/control/items.py
@@ -19,7 +19,7 @@
 RESERVED = LEASED | {MEMBERSHIP}  # kinds of the mesh's own: no call of the operator may name them
 DEADLINE_MOST = 600_000.0  # ms, by the protocol
 ITEMS_MOST = 20_000  # in one call: what operators send at first is some thousands at the most
-NAME_MOST = 512  # bytes of a name: lmdb takes keys of 511 with the kind
+KIND_MOST, NAME_MOST = 64, 432  # bytes of a kind and of a name: with what stands between them under KEY_MOST
 ROUTES_READ = 4_096  # routes that are kept as read: each change is checked against all routes
 CLASSES = ("safe", "unsafe", "upload", "tracked")
 EDITION = re.compile(r"[0-9a-fA-F]{8}")
@@ -141,12 +141,13 @@
 
 
 def _kind(kind: str) -> None:
-    if kind in RESERVED or not kind.isidentifier() or len(kind) > 64:
+    # Guards the disks: a kind and a name make a row's key, which lmdb bounds in bytes (see `register.KEY_MOST`).
+    if kind in RESERVED or not kind.isascii() or not kind.isidentifier() or len(kind) > KIND_MOST:
         raise MeshError(Kind.BAD_CONFIG, f"no items of kind {kind!r}")
 
 
 def _name(name: str) -> str:
-    if not name or len(name.encode()) > NAME_MOST - 80:
+    if not name or len(name.encode()) > NAME_MOST:
         raise MeshError(Kind.BAD_CONFIG, "a name is empty or too long")
     return name
 
--- a/lugspur/control/register.py
+++ b/lugspur/control/register.py
@@ -35,6 +35,7 @@
 WITHDRAWN_MOST = 20_000  # withdrawals that are remembered: an older change of such a name has no effect
 WITHDRAWN_KEPT = 0.9  # of these, once they are too many: the oldest are forgotten
 
+KEY_MOST = 511  # bytes of a row's key: lmdb takes no more
 ITEM_PREFIX = b"i"
 INDEX_ROW, VOTE_ROW = b"mindex", b"mvote"
 
--- a/lugspur/mesh/disk.py
+++ b/lugspur/mesh/disk.py
@@ -11,11 +11,12 @@
 import lmdb
 
 from lugspur.control.errors import Kind, MeshError
+from lugspur.control.register import KEY_MOST
+from lugspur.invariants import Invariant, check
 from lugspur.mesh import events
 
 MAP_PART = 0.6  # of the disk: lmdb must not fill it, and a file that grew is never smaller again
 MAP_LEAST, MAP_MOST = 16 << 20, 1 << 30  # bytes
-KEY_MOST = 511  # bytes of a row's key, by lmdb
 AGAIN = 0.3  # seconds after a failed write in which the environment is left alone
 OWED_MOST = 50_000  # rows that are removed while nothing can be written: what is not removed is swept after a start
 
@@ -98,7 +99,15 @@
         self._thread.start()
 
     def write(self, rows: Rows, then: Callable[[], None] | None = None) -> None:
-        """Have rows written with all else that waits; without `then` they wait until something wakes the writer."""
+        """Have rows written with all else that waits; without `then` they wait until something wakes the writer.
+
+        What no disk takes is never written, and nothing that waits for it is promised. Guards all other rows: those of
+        a failed write go with the next one, so that one such row would fail each write from then on.
+        """
+        fitting = [row for row in rows if len(row[0]) <= KEY_MOST]
+        check(len(fitting) == len(rows), Invariant.ROW_FITS, rows=len(rows) - len(fitting))
+        if len(fitting) < len(rows):
+            rows, then = fitting, None
         with self._wake:
             self._rows += rows
             if then is not None:
--- a/tests/mesh/test_disk.py
+++ b/tests/mesh/test_disk.py
@@ -8,6 +8,8 @@
 import lmdb
 import pytest
 
+from lugspur.control.register import KEY_MOST
+from lugspur.invariants import Invariant, violations
 from lugspur.mesh import disk as module
 from lugspur.mesh.disk import Disk
 
@@ -70,3 +72,21 @@
         disk.close(5.0)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("then", [True, False], ids=["waited for", "lazy"])
+def test_a_row_that_no_disk_takes_is_never_promised_and_harms_no_other(tmp_path: Path, then: bool) -> None:
+    async def run() -> None:
+        disk = Disk(str(tmp_path), 16)
+        disk.start()
+        told: list[str] = []
+        written = asyncio.Event()
+        disk.write([(b"k" * (KEY_MOST + 1), b"v")], (lambda: told.append("too long")) if then else None)
+        disk.write([(b"k" * KEY_MOST, b"v")], written.set)
+        async with asyncio.timeout(20.0):
+            await written.wait()
+        assert not told and not disk.fault and disk.rows() == [(b"k" * KEY_MOST, b"v")]
+        assert violations.pop(Invariant.ROW_FITS) == 1
+        disk.close(1.0)
+
+    asyncio.run(run())
--- a/tests/mesh/test_items.py
+++ b/tests/mesh/test_items.py
@@ -13,9 +13,8 @@
 from lugspur.control.errors import Kind, MeshError
 from lugspur.control.items import check, read_back, read_call
 from lugspur.control.messages import Entry
-from lugspur.control.register import item_row
+from lugspur.control.register import KEY_MOST, item_row
 from lugspur.control.store import Store
-from lugspur.mesh.disk import KEY_MOST
 
 
 def standing(body: bytes) -> Store:
