Hold a reload that is told while a process starts, and carry it out

Cause: SIGHUP had its default action until the loop's handler stood, behind all imports, the disk and the listeners. It is held from the first line of each program (lugspur/reloads.py) and carried out once the handler stands. What is left: the interpreter's own start, before any line of ours runs.

Class: a signal whose default is the end of the process, before the program is ready for it. Looked for elsewhere: the daemon and the platform's proxy had the same (mended with it); SIGTERM at a start ends a process that has taken nothing.

--- a/lugspur/bench/faults/clients.py
+++ b/lugspur/bench/faults/clients.py
@@ -24,6 +24,7 @@
     def __init__(self, cluster: Cluster, history: History, rng: Random) -> None:
         self.cluster, self.history, self.rng = cluster, history, rng
         self._attempts, self._keys = itertools.count(1), itertools.count(1)
+        self.sent: set[str] = set()  # all attempt ids, also of calls that the end of a run cancels
         self._operations: set[asyncio.Task[None]] = set()
         self._ending = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -32,6 +33,7 @@
         """One try at one proxy."""
         sidecar = sidecar or self.rng.choice(self.cluster.proxy_ips)
         attempt = f"t{next(self._attempts)}"
+        self.sent.add(attempt)
         headers = {"Lugspur_Operation_Key": key} if key else {}
         began = self._loop.time()
         status, head, body = None, b"", b""
--- a/lugspur/bench/soak/mesh_run.py
+++ b/lugspur/bench/soak/mesh_run.py
@@ -66,14 +66,15 @@
                 raise fault
         await clients.settle()
         await _until_quiet(cluster, verdict)
-        exits = [ip for ip, process in cluster.processes.items() if process.poll() is not None]
+        found = {ip: process.poll() for ip, process in cluster.processes.items()}
+        exits = {ip: status for ip, status in found.items() if status is not None}
     finally:
         await cluster.close()
-    for ip in exits:
-        verdict.add("process that ended by itself", ip)
+    for ip, status in exits.items():
+        verdict.add("process that ended by itself", f"{ip}, status {status}")
     for violation in check(history, cluster.bounds):
         verdict.add(violation.rule.value, f"{violation.subject} {violation.detail} {violation.where}")
-    _check_runs(history, acts, verdict)
+    _check_runs(history, clients.sent, acts, verdict)
     verdict.read_logs(folder)
     _count(history, verdict)
     return verdict
@@ -140,10 +141,10 @@
     return left
 
 
-def _check_runs(history: History, acts: MeshTroubles, verdict: Verdict) -> None:
+def _check_runs(history: History, sent_ids: set[str], acts: MeshTroubles, verdict: Verdict) -> None:
     """Only what a client sent as a whole request has run, and what may not run twice ran once."""
     callers = acts.callers
-    sent = {call.attempt for call in history.calls} | callers.whole
+    sent = sent_ids | callers.whole
     for attempt in history.runs:
         if attempt not in sent and not attempt.startswith(("warm", "calm-")):
             verdict.add("ran and nobody sent it", attempt)
--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from lugspur import invariants
+from lugspur import invariants, reloads
 from lugspur.config import model
 from lugspur.config.build import Plan
 from lugspur.config.load import FileFaults, load
@@ -251,7 +251,7 @@
     invariants.tell_to(_tell_violation)
     running = Running(path)
     await running.start(plan)
-    loop.add_signal_handler(signal.SIGHUP, running.reload)
+    reloads.carry_out(loop, running.reload)
     gc.collect()
     gc.freeze()
     ready(running)
--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -10,7 +10,7 @@
 import sys
 from typing import TYPE_CHECKING
 
-from lugspur import invariants
+from lugspur import invariants, reloads
 from lugspur.config.platform import Config, ConfigError, load
 from lugspur.daemon.proxy import Proxy
 from lugspur.http1.front import Front
@@ -44,7 +44,7 @@
         inherited = await keeper.take()
     proxy = Proxy(config, None if inherited is None else inherited.estate)
     front = proxy.front
-    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
+    reloads.carry_out(loop, lambda: reload(proxy))
     if config.management is not None:
         from lugspur.management.acts import acts
         from lugspur.management.door import Door
--- a/lugspur/mesh/program.py
+++ b/lugspur/mesh/program.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from lugspur import invariants
+from lugspur import invariants, reloads
 from lugspur.control.errors import MeshError
 from lugspur.mesh import events
 from lugspur.mesh.node import Node
@@ -55,7 +55,7 @@
         leave = sidecar.leave
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    reloads.carry_out(loop, node.reload)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG, 20, 50)
