Answer every caller that a stopping process can't serve to the end

Cause: Sidecar.leave ended at nine tenths of grace_s whatever was open, and a control node closed its calls without waiting for those in hand. What is left is answered at once now: 503 (leaving) where nothing of a request is under way, 502 (maybe-ran) else; operators' calls have as long as they take to be decided, within grace_s.

Class: an end that closes what is open without a word. Looked for elsewhere: the daemon and the platform's proxy wait for all callers (service.drain); a gate answers what its connections still carry, and proxies count the rest as maybe.

--- a/lugspur/dataplane/proxied_request.py
+++ b/lugspur/dataplane/proxied_request.py
@@ -305,6 +305,14 @@
         self._finish()
         refuse(self.caller, kind, self.deadline - self.proxy.loop.time())
 
+    def end(self) -> None:
+        """This process ends: it is answered now, whatever is under way.
+
+        Guards its caller against a connection that ends without an answer.
+        """
+        if not self.over:
+            self._refuse(Kind.MAYBE_RAN if self.out or self.maybe or self.ran else Kind.LEAVING)
+
     def _gone(self) -> None:
         """Its caller has left."""
         if not self.over:
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -50,7 +50,7 @@
 from lugspur.mesh.membership_changes import MembershipChanges
 from lugspur.mesh.node import LOOK, Node
 from lugspur.mesh.operator_calls import OperatorCalls
-from lugspur.mesh.order_router import OrderRouter
+from lugspur.mesh.order_router import DECIDE_WITHIN, OrderRouter
 from lugspur.mesh.pending_changes import PendingChanges
 from lugspur.mesh.settings import Settings
 from lugspur.mesh.stall import StallDetector
@@ -59,7 +59,9 @@
 from lugspur.seams import Answerable, Request
 
 SWEEP_EVERY = 1.0  # seconds between looks at claims whose window is over
+ANSWERS_OUT = 0.02  # seconds in which the last answers are written
 LEAVE_PART = 0.8  # of the time that a process has to end, for handing its vote and its claims on
+LEAVE_ENDS = 0.95  # ...and by which no call is waited for any more
 BEHIND = 0.05  # seconds for which a replica waits to be told what it lacks before it asks
 HEARD_WITHIN = 0.5  # seconds since the latest word of a voter to whom orders are handed
 FAILING = 1.0  # seconds for which a disk may refuse writes until the vote goes to another
@@ -403,9 +405,15 @@
         """SIGTERM: hand the vote and the claims on where another control node can take them, then end."""
         self.leaving = True
         self.announce()
-        until = self.loop.time() + LEAVE_PART * self.settings.tariffs.bounds.grace_s
+        began, grace = self.loop.time(), self.settings.tariffs.bounds.grace_s
+        until = began + LEAVE_PART * grace
         while self.loop.time() < until and not self.membership_changes.handed_on():
             await asyncio.sleep(LOOK)
         await asyncio.sleep(0.3)
+        # Guards operators against connections that end without an answer: no call waits for longer.
+        until = min(self.loop.time() + DECIDE_WITHIN, began + LEAVE_ENDS * grace)
+        while self.loop.time() < until and self.operator_calls.waiting:
+            await asyncio.sleep(ANSWERS_OUT)
         self.front.close()
+        await asyncio.sleep(ANSWERS_OUT)
         self.disk.close(1.0)
--- a/lugspur/mesh/operator_calls.py
+++ b/lugspur/mesh/operator_calls.py
@@ -30,6 +30,7 @@
         do: Callable[[Effects], None],
     ) -> None:
         self._loop, self._replica, self._router, self._reader, self._do = loop, replica, router, reader, do
+        self.waiting: set[Answerable] = set()  # who has no answer yet
         self.orders: Counter[str] = Counter()  # since the start, by how they ended
         self.reads: Counter[str] = Counter()
 
@@ -38,6 +39,7 @@
         waits = True
 
         def over(outcome: Outcome) -> None:
+            self.waiting.discard(caller)
             fault = fault_of(outcome)
             self.orders["confirmed" if fault is None else fault.code] += 1
             events.info("amend", bytes=len(request.body), fault=fault or "none", index=self._replica.index)
@@ -52,6 +54,7 @@
             """Nobody waits for it any more, and it may have been refused elsewhere meanwhile: it is not proposed."""
             nonlocal waits
             waits = False
+            self.waiting.discard(caller)
             self._router.withdraw(order)
 
         now = self._loop.time()
@@ -59,6 +62,7 @@
         self._router.turn_away(now)
         order = Order(entries, now + DECIDE_WITHIN, over)
         caller.gone = gone
+        self.waiting.add(caller)
         self._router.submit(now, order)
 
     def read(self, _request: Request, caller: Answerable, _: list[str]) -> None:
@@ -66,6 +70,7 @@
         waits = True
 
         def over(latest: bool) -> None:
+            self.waiting.discard(caller)
             self.reads["answered" if latest else Kind.NO_QUORUM.value] += 1
             if not waits:
                 return
@@ -78,7 +83,9 @@
         def gone() -> None:
             nonlocal waits
             waits = False
+            self.waiting.discard(caller)
 
         caller.gone = gone
         now = self._loop.time()
+        self.waiting.add(caller)
         self._do(self._reader.submit(now, Read(now + DECIDE_WITHIN, over)))
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -38,6 +38,7 @@
 SETTLED = 1.0  # seconds behind a freeze in which all that waited meanwhile is read
 LEAVE_TAKES = 0.35  # of the time that a process has to end, in which callers are still served anew
 LEAVE_ENDS = 0.9  # ...and by which all ends
+ANSWERS_OUT = 0.05  # seconds in which the last answers are written
 TELL_EVERY = 2.0  # seconds between lines on how requests ended
 
 _json = msgspec.json.Encoder().encode
@@ -345,6 +346,9 @@
             self.proxy.open_requests or self.gate.busy or len(self.incoming.uploads) or self.front.callers
         ):
             await asyncio.sleep(0.05)
+        for proxied_request in list(self.proxy.open_requests):
+            proxied_request.end()
+        await asyncio.sleep(ANSWERS_OUT)
         events.info("left", flights=len(self.proxy.open_requests), busy=self.gate.busy, after=self.loop.time() - start)
 
 
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -481,3 +481,23 @@
         assert rig.proxy.ended == {"gone": 1, "no-route": 1}
 
     play(what)
+
+
+def test_who_waits_when_a_process_ends_is_told_whether_its_request_can_have_run() -> None:
+    def under_way(rig: Rig) -> None:
+        caller = rig.ask(lugspur_operation_key="k")
+        rig.claimed[0][1](Won())
+        [proxied_request] = rig.proxy.open_requests
+        proxied_request.end()
+        assert caller.answers[0][0] == 502 and not rig.released
+        rig.reply(End.ANSWERED, OK)
+        assert len(caller.answers) == 1
+
+    def waits(rig: Rig) -> None:
+        caller = rig.ask(lugspur_operation_key="k")
+        [proxied_request] = rig.proxy.open_requests
+        proxied_request.end()
+        assert caller.answers[0][0] == 503 and rig.released == [b"k"] and not rig.sent
+
+    for case in (under_way, waits):
+        play(case, kind="tracked")
