Show two orders that are valid at the door and poison further in, as known red tests

By reading, after the row that no disk takes, for the same class: shares of a split whose sum is infinite (random.choices raises for each request on that route, which ends without an answer), and an order of over 48 MiB, which each connection between control nodes closes on (UNSENT_MOST) while the call may have 64 MiB.

--- a/tests/mesh/test_items.py
+++ b/tests/mesh/test_items.py
@@ -15,6 +15,8 @@
 from lugspur.control.messages import Entry
 from lugspur.control.register import KEY_MOST, item_row
 from lugspur.control.store import Store
+from lugspur.mesh.http_api import CALL_MOST
+from lugspur.mesh.link import UNSENT_MOST
 
 
 def standing(body: bytes) -> Store:
@@ -164,6 +166,16 @@
     assert {(e.name, e.edition, e.value) for e in copy.all()} == {(e.name, e.edition, e.value) for e in source.all()}
 
 
+def test_shares_by_which_no_draw_can_be_made_are_refused() -> None:
+    for shares in ((1e308, 1e308), (0.0, 0.0), (-1.0, 2.0)):
+        split = [{"service": "s", "share": share} for share in shares]
+        assert refused(call(route(service=None, split=split))) is Kind.BAD_CONFIG
+
+
+def test_an_order_that_is_proposed_three_times_fits_into_what_a_connection_holds_unsent() -> None:
+    assert 3 * CALL_MOST <= UNSENT_MOST
+
+
 def test_no_item_is_taken_whose_row_no_disk_takes() -> None:
     """One such row would fail each write of every control node, for ever."""
     for kind, name in (("é" * 64, "n" * 432), ("notes", "n" * 433), ("notes", "ü" * 217)):
