--- a/lugspur/control/items.py
+++ b/lugspur/control/items.py
@@ -178,7 +178,9 @@
         raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: mail_class {route.mail_class!r} is unknown")
     if not route.services() or (route.split and route.service):
         raise MeshError(Kind.BAD_CONFIG, f"route {name!r} needs a service or a split")
-    if route.split and (min(p.share for p in route.split) < 0.0 or not any(p.share > 0.0 for p in route.split)):
+    shares = [part.share for part in route.split or ()]
+    # Guards each request on the route: no draw can be made by shares whose sum is no finite number.
+    if shares and (min(shares) < 0.0 or not 0.0 < sum(shares) < float("inf")):
         raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: the shares of its split say nothing")
     if not route.office or route.tries < 1:
         raise MeshError(Kind.BAD_CONFIG, f"route {name!r}: office is empty or tries is under 1")
--- a/lugspur/mesh/link.py
+++ b/lugspur/mesh/link.py
@@ -12,7 +12,7 @@
 from lugspur.control.messages import Message, decode, encode
 from lugspur.mesh import events
 
-FRAME_MOST = 96 << 20  # bytes of one frame: the largest body that operators allow is 64 MiB, and heads beside it
+FRAME_MOST = 96 << 20  # bytes of one frame: the largest body of a request that operators allow is 64 MiB, and its head
 UNSENT_MOST = 48 << 20  # bytes that may wait for a peer that does not read: then it counts as gone
 USER_TIMEOUT = 1500  # ms without an acknowledgement after which a connection is dead: a cut says nothing
 # s, s, probes. Where something is sent the time above finds a dark machine.
