--- a/tests/mesh/test_proposer.py
+++ b/tests/mesh/test_proposer.py
@@ -282,3 +282,15 @@
     again = ballot_of(sent)
     assert node.promises(again, A, C).send == []
     offered(node.promises(again, NEW))
+
+
+def test_large_orders_go_one_change_after_another_and_each_of_them_goes() -> None:
+    node = Node()
+    large = [item(name, 7, b"x" * (600 << 10)) for name in ("r", "s")]
+    ballot = ballot_of(node.submit(large[0]))
+    node.submit(large[1])
+    first = offered(node.promises(ballot, A, B))
+    assert first.change.entries == large[:1]
+    again = ballot_of(node.accepts(ballot, A, B).send)
+    second = offered(node.promises(again, A, B))
+    assert second.change.entries == large[1:] and node.how == [Confirmed()]
