Bound the bytes of a change that holds several orders

Cause: ORDERS_AT_ONCE counts items. A change takes further orders up to 1 MiB of contents; what does not fit goes with the next one, as orders that touch the same items do. A single order always goes, and is bounded by the call.

--- a/lugspur/control/proposer.py
+++ b/lugspur/control/proposer.py
@@ -28,7 +28,8 @@
 ROUND_WITHIN_MOST = 2.0  # ...which has more time, up to this
 BACK_OFF = 0.02  # seconds before another proposal after one that met a competitor, drawn from half to one and a half...
 BACK_OFF_MOST = 0.16  # ...doubled each time up to this
-ORDERS_AT_ONCE = 64  # orders in one change
+ORDERS_AT_ONCE = 64  # items in one change that holds several orders...
+CHANGE_BYTES = 1 << 20  # ...and bytes of their contents: connections and disks take it whole
 BRING_UP_MOST = 3  # times that one voter is told within a proposal what it lacks
 
 
@@ -238,11 +239,19 @@
                 continue
             if not taking:
                 self._end(order, Confirmed())
-            elif self._fits(order, taking, draft) and len(draft.taking) < ORDERS_AT_ONCE:
+            elif self._fits(order, taking, draft) and self._has_room(taking, draft):
                 draft.add(taking)
                 self._offer(order, change_id)
         return Change(change_id, list(draft.taking.values())) if draft.taking else None
 
+    @staticmethod
+    def _has_room(taking: list[Entry], draft: Draft) -> bool:
+        """Whether a change that holds some entries may hold these too; a single order always goes."""
+        if not draft.taking:
+            return True
+        size = sum(len(entry.value or b"") for entry in (*draft.taking.values(), *taking))
+        return len(draft.taking) < ORDERS_AT_ONCE and size <= CHANGE_BYTES
+
     @staticmethod
     def _fits(order: Order, taking: list[Entry], draft: Draft) -> bool:
         """Whether an order takes the same effect beside those of the same change; else it waits for the next one."""
--- a/lugspur/mesh/http_api.py
+++ b/lugspur/mesh/http_api.py
@@ -11,8 +11,8 @@
 from lugspur.seams import Answerable, Request
 
 JSON = b"Content-Type: application/json\r\n"
-# Bytes of a call's body: the whole configuration comes in one, 20,000 items of 800 bytes. Three of them have to fit into
-# what a connection between two processes may hold unsent: an order goes to each voter, and may be proposed again.
+# Bytes of a call's body: the whole configuration comes in one, 20,000 items of 800 bytes. Three of them have to fit
+# into what a connection between two processes may hold unsent: an order goes to each voter, and may be proposed again.
 CALL_MOST = 16 << 20
 CALLERS_MOST = 256  # connections of those who call
 Call = Callable[[Request, Answerable, list[str]], None]
