Hear what a replaced process said before its end, and end only once all callers are out

Cause: handover.Link closed at its first error. A process that ends with messages unread has the system report ECONNRESET to its peer before what it had said, and the peer's next send fails; either way callers' descriptors that lay unread were closed, and their connections reset. Link reads to the end now, whoever notices it first. And what a process had queued for its heir went with its end: hand_over waits for the queue too.

Class: the first error of a connection taken for its last word. Looked for elsewhere: http1 Connection (a reset there must end an answer at once), mesh Link (what was sent whole counts as maybe; nothing unread is owned).

--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -91,7 +91,7 @@
     asyncio.get_running_loop().remove_reader(listener.fileno())
     front.pass_all(keeper.pass_on)
     await asyncio.sleep(CLOSE_AFTER)  # what has just been accepted becomes a caller
-    while front.callers or proxy.arriving:
+    while front.callers or proxy.arriving or keeper.owes:
         if keeper.heir is None:
             front.pass_to = None
             await front.listen(listener)
--- a/lugspur/handover/keeper.py
+++ b/lugspur/handover/keeper.py
@@ -342,6 +342,11 @@
         """Give a caller's connection to the process that follows."""
         return self.heir is not None and self.heir.send({"t": "caller"}, fd)
 
+    @property
+    def owes(self) -> bool:
+        """Whether a caller's connection has not gone out yet to the process that follows."""
+        return self.heir is not None and self.heir.owes
+
     def close(self) -> None:
         """This process ends."""
         self._closing = True
--- a/lugspur/handover/link.py
+++ b/lugspur/handover/link.py
@@ -28,14 +28,15 @@
         self._loop = asyncio.get_running_loop()
         self._queue: deque[tuple[bytes, int]] = deque()  # each with a descriptor of ours, or -1
         self.open = True
+        self._ending = False  # the other side has ended, and what it said before that is being read
         self._loop.add_reader(sock.fileno(), self.pump)
 
     def send(self, message: dict[str, Any] | bytes, fd: int = -1) -> bool:
         """Send a message, with a descriptor that stays the caller's; False where the link is over."""
         data = message if isinstance(message, bytes) else pack(message)
-        if self.open and not self._queue and self._write(data, fd):
+        if self.open and not self._ending and not self._queue and self._write(data, fd):
             return True
-        if not self.open:
+        if not self.open or self._ending:
             return False
         if len(self._queue) >= QUEUE_MOST:  # Guards memory against a process that hangs.
             self.close()
@@ -51,10 +52,25 @@
         except BlockingIOError:
             return False
         except OSError:
-            self.close()
+            self._end()
             return False
         return True
 
+    @property
+    def owes(self) -> bool:
+        """Whether something has not gone out yet."""
+        return bool(self._queue)
+
+    def _end(self) -> None:
+        """The other side has ended: hear what it said before that, then close.
+
+        Guards callers whose connections it had passed on: their descriptors lie in those messages.
+        """
+        if not self._ending:
+            self._ending = True
+            self.pump()
+            self.close()
+
     def _drain(self) -> None:
         while self._queue:
             data, fd = self._queue[0]
@@ -67,11 +83,17 @@
 
     def pump(self) -> None:
         """Read all that has come; a message that can't be understood ends the link."""
+        resets = 0
         while self.open:
             try:
                 data, fds, flags, _ = socket.recv_fds(self._sock, PACKET_MOST + 1, FDS_MOST)
             except BlockingIOError:
                 return
+            except ConnectionResetError:  # told once, ahead of what was said before (unix(7)); then there is the end
+                resets += 1
+                if resets > 1:
+                    self.close()
+                continue
             except OSError:
                 self.close()
                 return
