--- a/lugspur/bench/soak/mesh_run.py
+++ b/lugspur/bench/soak/mesh_run.py
@@ -51,6 +51,7 @@
         asking = [asyncio.ensure_future(one) for one in requests]
         await _carry_out(troubles, acts)
         acts.end_all()
+        _start_ended(cluster, verdict)
         await _until_useful(cluster, operators, verdict)
         for task in changing:
             task.cancel()
@@ -90,17 +91,27 @@
             group.create_task(acts.carry_out(trouble))
 
 
+def _start_ended(cluster: SoakCluster, verdict: Verdict) -> None:
+    """Tell of processes that ended by themselves, and start them again as a platform does."""
+    for ip, process in list(cluster.processes.items()):
+        status = process.poll()
+        if status is not None:
+            verdict.add("process that ended by itself", f"{ip}, status {status}")
+            cluster.start(ip)
+
+
 async def _until_useful(cluster: SoakCluster, operators: Operators, verdict: Verdict) -> None:
     """Every control node confirms an order, every proxy serves, within the time."""
     loop = asyncio.get_running_loop()
-    until = loop.time() + CALM_WITHIN
     for ip in cluster.control:
+        until = loop.time() + CALM_WITHIN
         while not (await operators.console.send(operators.fresh("calm"), ip)).confirmed:
             if loop.time() > until:
                 verdict.add("not useful again", f"control node {ip}")
                 break
             await asyncio.sleep(ASK_EVERY)
     for ip in cluster.proxy_ips:
+        until = loop.time() + CALM_WITHIN
         for number in range(1 << 30):
             try:
                 status, _, _ = await cluster.ask(ip, "/look/1", f"calm-{ip}-{number}")
