--- a/lugspur/daemon/run.py
+++ b/lugspur/daemon/run.py
@@ -237,18 +237,13 @@
     _say(f"fleet: {line}")
 
 
-def _tell_violation(invariant: invariants.Invariant, details: dict[str, object]) -> None:
-    told = " ".join(f"{key}={value}" for key, value in details.items())
-    _say(f"invariant violated: {invariant.value} {told}")
-
-
 async def serve(path: str, plan: Plan, ready: Callable[[Running], None]) -> None:
     """Run until SIGTERM or SIGINT, then finish what was taken; SIGHUP reads the file again."""
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
-    invariants.tell_to(_tell_violation)
+    invariants.tell_to(invariants.tell_standard_error)
     running = Running(path)
     await running.start(plan)
     reloads.carry_out(loop, running.reload)
--- a/lugspur/daemon/service.py
+++ b/lugspur/daemon/service.py
@@ -117,11 +117,6 @@
         await asyncio.sleep(0.01)
 
 
-def _tell_violation(invariant: invariants.Invariant, details: dict[str, object]) -> None:
-    told = " ".join(f"{key}={value}" for key, value in details.items())
-    print(f"lugspur: invariant violated: {invariant.value} {told}", file=sys.stderr, flush=True)
-
-
 def main() -> int:
     """Run with the configuration that the environment names."""
     try:
@@ -130,7 +125,7 @@
     except (ConfigError, ValueError) as fault:
         print(f"lugspur: {fault}", file=sys.stderr)
         return 2
-    invariants.tell_to(_tell_violation)
+    invariants.tell_to(invariants.tell_standard_error)
     try:
         asyncio.run(serve(config))
     except StartError as fault:
--- a/lugspur/invariants.py
+++ b/lugspur/invariants.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 from collections import Counter
 from collections.abc import Callable
 
@@ -51,6 +52,12 @@
             tell(invariant, details)
 
 
+def tell_standard_error(invariant: Invariant, details: dict[str, object]) -> None:
+    """One line of the daemon's and the platform's proxy's log."""
+    told = " ".join(f"{key}={value}" for key, value in details.items())
+    print(f"lugspur: invariant violated: {invariant.value} {told}", file=sys.stderr, flush=True)
+
+
 def tell_to(teller: Teller) -> None:
     """Have violations told, as by a line in the log."""
     _tellers.append(teller)
