Let a fleet's holder test outlast a loaded machine, and watch it for a lease longer

Cause: with a lease of 1 s the holder has to hear both electors that are left within that second while the third one starts.

Change: the lease of this test is 4 s, and the holder is watched for one and a half leases behind the last restart. As strict as before: with electors that remember nothing the former test failed, and this one does (2 of 2 runs); without the longer watch it would not have (seen).

--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -15,12 +15,17 @@
 
 
 def play(
-    folder: Path, what: Callable[[Rig], Awaitable[None]], count: int = 4, least: int = 1, memory: bool = True
+    folder: Path,
+    what: Callable[[Rig], Awaitable[None]],
+    count: int = 4,
+    least: int = 1,
+    memory: bool = True,
+    lease: float = 1.0,
 ) -> None:
     """Let something happen in a fleet; at most one may have held the duty at a time, which changed hands so often."""
 
     async def run() -> None:
-        async with Rig(folder, count, memory=memory) as rig:
+        async with Rig(folder, count, lease=lease, memory=memory) as rig:
             await rig.agree()
             await rig.holder()
             await what(rig)
@@ -178,10 +183,15 @@
             await rig.start(number)
             await rig.agree()
             assert await rig.holder([holder]) == holder
+        ends = now() + 1.5 * rig.lease  # electors that remember nothing promise nothing for a lease, and it runs out
+        while now() < ends:
+            assert await rig.holders([holder]) == [holder]
+            await asyncio.sleep(0.1)
         log = rig.members[holder].log()
         assert log.count("is ours no more") == 0
 
-    play(tmp_path, what, count=5)
+    # A lease that a loaded machine does not outlast: while one elector starts both others have to be heard in time.
+    play(tmp_path, what, count=5, lease=4.0)
 
 
 def test_an_elector_that_lost_its_folder_and_one_that_never_comes_back(tmp_path: Path) -> None:
