Refuse limits that can't be carried out

Change: each field has a range, and a call outside it is refused whole with the field's name (400). The upper ends are far above what the protocol's example has, so that only slips are refused.

Tests: 9 wrong items, all taken before.

--- a/lugspur/control/items.py
+++ b/lugspur/control/items.py
@@ -20,6 +20,10 @@
 DEADLINE_MOST = 600_000.0  # ms, by the protocol
 ITEMS_MOST = 20_000  # in one call: what operators send at first is some thousands at the most
 KIND_MOST, NAME_MOST = 64, 432  # bytes of a kind and of a name: with what stands between them under KEY_MOST
+# Of the item `limits`: what is beyond these is a slip, and no process could carry it out.
+LABEL_MOST = 16 << 20  # bytes of a request's head
+PAYLOAD_MOST = 4 << 30  # bytes of a body
+WAIT_LEAST, WAIT_MOST = 0.001, 86_400_000.0  # ms
 ROUTES_READ = 4_096  # routes that are kept as read: each change is checked against all routes
 CLASSES = ("safe", "unsafe", "upload", "tracked")
 EDITION = re.compile(r"[0-9a-fA-F]{8}")
@@ -155,7 +159,9 @@
 def _upsert(kind: str, raw: msgspec.Raw) -> list[Entry]:
     _kind(kind)
     if kind == LIMITS:
-        return [Entry(LIMITS, "", _number(_bounds.decode(raw).edition), bytes(raw))]
+        bounds = _bounds.decode(raw)
+        _check_bounds(bounds)
+        return [Entry(LIMITS, "", _number(bounds.edition), bytes(raw))]
     entries = []
     for item in _list.decode(raw):
         named = _named.decode(item)
@@ -167,6 +173,20 @@
     return entries
 
 
+def _check_bounds(bounds: Bounds) -> None:
+    """What makes the limits invalid. Guards all requests: by a negative number each one would be rejected."""
+    allowed = {
+        "label_bytes": (1.0, LABEL_MOST),
+        "payload_bytes": (0.0, PAYLOAD_MOST),
+        "label_wait_ms": (WAIT_LEAST, WAIT_MOST),
+        "idle_ms": (WAIT_LEAST, WAIT_MOST),
+    }
+    for name, (least, most) in allowed.items():
+        value = getattr(bounds, name)
+        if not least <= value <= most:
+            raise MeshError(Kind.BAD_CONFIG, f"limits: {name} {value:g} is not from {least:g} to {most:.0f}")
+
+
 def _check_route(route: Route) -> None:
     """What makes a route invalid by itself."""
     name = route.name
--- a/tests/mesh/test_items.py
+++ b/tests/mesh/test_items.py
@@ -95,6 +95,33 @@
     assert refused(body) is Kind.BAD_CONFIG
 
 
+@pytest.mark.parametrize(
+    "limits",
+    [
+        {"label_bytes": -1},
+        {"label_bytes": 0},
+        {"label_bytes": 1 << 40},
+        {"payload_bytes": -1},
+        {"payload_bytes": 1 << 60},
+        {"label_wait_ms": 0},
+        {"label_wait_ms": -3000},
+        {"idle_ms": 0},
+        {"idle_ms": 1e300},
+    ],
+)
+def test_limits_that_cant_be_carried_out_are_refused_whole(limits: dict[str, Any]) -> None:
+    body = {"upsert": {"services": [service("new")], "limits": {"edition": "0000000a", **limits}}}
+    with pytest.raises(MeshError, match=next(iter(limits))) as caught:
+        read_call(json.dumps(body).encode())
+    assert caught.value.kind is Kind.BAD_CONFIG
+
+
+def test_limits_of_the_protocols_own_example_and_small_ones_are_taken() -> None:
+    for limits in ({}, {"label_bytes": 16384, "payload_bytes": 64 << 20}, {"payload_bytes": 0, "idle_ms": 1}):
+        [entry] = read_call(json.dumps({"upsert": {"limits": {"edition": "0000000a", **limits}}}).encode())
+        assert entry.kind == "limits"
+
+
 def test_two_routes_of_one_place_are_refused_in_one_call_and_against_what_stands() -> None:
     assert refused(call(route("a"), route("b", path_prefix="/a/"))) is Kind.BAD_CONFIG
     store = standing(call(route("a"), services=[service()]))
