Write the body of a failed call by the JSON library

Cause: `fail` put the detail between quotes by hand; control characters made it no JSON, and what a call had quoted came back changed. Change: a typed body and msgspec's encoder; lone surrogates become question marks.

Tests: five of six details failed before (not parsed, or changed).

--- a/lugspur/mesh/http_api.py
+++ b/lugspur/mesh/http_api.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from lugspur.control.errors import ANSWERS, Kind, MeshError
 from lugspur.http1.front import Front
 from lugspur.http1.intake import Sizes
@@ -16,6 +18,14 @@
 CALL_MOST = 16 << 20
 CALLERS_MOST = 256  # connections of those who call
 Call = Callable[[Request, Answerable, list[str]], None]
+_encode = msgspec.json.Encoder().encode
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """The body of an answer to a call that came to nothing."""
+
+    error: str  # the code, as `errors.Kind` has it
+    detail: str  # one line of what is wrong
 
 
 def reply(caller: Answerable, body: bytes = b"{}", status: int = 200, head: bytes = b"") -> None:
@@ -27,8 +37,9 @@
     """Answer a call that came to nothing: its code, and one line of what is wrong."""
     row = ANSWERS[fault.kind]
     after = b"Retry-After: %.2f\r\n" % row.after if row.after else b""
-    detail = fault.detail.replace("\\", "/").replace('"', "'").encode("ascii", "replace")
-    reply(caller, b'{"error":"%b","detail":"%b"}' % (fault.code.encode(), detail), row.status, after)
+    # A detail may quote what came in the call, lone halves of surrogate pairs included, which UTF-8 does not have.
+    detail = fault.detail.encode("utf-8", "replace").decode()
+    reply(caller, _encode(Failure(fault.code, detail)), row.status, after)
 
 
 class HttpApi:
--- /dev/null
+++ b/tests/mesh/test_http_api.py
@@ -0,0 +1,44 @@
+"""Answers to calls that come to nothing: their bodies are JSON whatever the detail quotes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import pytest
+
+from lugspur.control.errors import Kind, MeshError
+from lugspur.mesh.http_api import HttpApi
+from lugspur.seams import Answerable, Request
+
+
+class Caller:
+    """Who waits for the answer to a call."""
+
+    peer = ""
+    gone: Callable[[], None] | None = None
+    answered: tuple[int, bytes, bytes] | None = None
+
+    def admit(self) -> None:
+        pass
+
+    def answer(self, status: int, head: bytes, body: bytes, length: int | None = None) -> None:
+        self.answered = (status, head, body)
+
+    def passing(self) -> None:
+        return None
+
+
+@pytest.mark.parametrize("detail", ['a "name"', "a\\b", "line\nline", "\x00\x1f\x7f", "é \u2028 \U0001f3dd", "\ud800"])
+def test_a_detail_of_any_characters_is_told_in_valid_json(detail: str) -> None:
+    def refuse(request: Request, caller: Answerable, found: list[str]) -> None:
+        raise MeshError(Kind.BAD_CONFIG, detail)
+
+    api, caller = HttpApi(), Caller()
+    api.add("POST", "/config/amend", refuse)
+    api.handle(Request(b"POST", b"/config/amend", {}, [], b"", 0.0, True), caller)
+    assert caller.answered is not None
+    status, head, body = caller.answered
+    assert status == 400 and b"application/json" in head
+    found = json.loads(body)
+    assert found == {"error": "bad-config", "detail": detail.encode("utf-8", "replace").decode()}
