Tell a late heartbeat of a former life from the first of a new one

Cause: any heartbeat of another id than the present one's took its place: a late `accepting` of a life that had ended turned the present life away for up to a heartbeat, and after a sign-off that a process had not seen begin it made a backend of one that was gone. A process that started in the middle of a drain took work for it anew, since it dated `closing` from when it first heard of it.

Change: BackendLives, without I/O. A life's first heartbeat is told by its sequence; any other has to be confirmed by a second one with nothing of the present life in between; who has signed off does not come back. A life whose first word here is `closing` gets nothing.

One test more: 503 before any configuration and while leaving.

--- a/lugspur/mesh/registration.py
+++ b/lugspur/mesh/registration.py
@@ -14,6 +14,7 @@
 from lugspur.dataplane.gate import Gate, LocalBackend
 from lugspur.membership.rows import read_address
 from lugspur.mesh import events
+from lugspur.mesh.backend_lives import BackendLives
 from lugspur.mesh.http_api import reply
 from lugspur.mesh.settings import Settings
 from lugspur.seams import Answerable, Request
@@ -76,6 +77,7 @@
         self.said: Entry | None = None
         self._again_at = 0.0
         self._looked_at = float("inf")  # until it has looked once
+        self._lives = BackendLives(process.settings.depot.heartbeat_ms / 1000.0)
 
     def heartbeat(self, request: Request, caller: Answerable, found: list[str]) -> None:
         """A beat, with the backend's id in `found`; raises MeshError for what is none."""
@@ -85,11 +87,19 @@
         except (msgspec.MsgspecError, ValueError) as fault:
             raise MeshError(Kind.BAD_REQUEST, str(fault)) from None
         now, local = self._process.loop.time(), self._gate.local
+        silent = local is not None and local.state in ("gone", "silent")
+        if local is not None and local.id != found[0] and heartbeat.state != "accepting" and heartbeat.sequence > 0:
+            reply(caller)  # a life that ends can take nobody's place
+            return
+        if not self._lives.is_present(now, found[0], heartbeat.sequence, silent):
+            events.info("late-heartbeat", id=found[0], sequence=heartbeat.sequence, state=heartbeat.state)
+            reply(caller)
+            return
         if local is None or local.id != found[0]:
-            if local is not None and heartbeat.state != "accepting" and heartbeat.sequence > 0:
-                reply(caller)  # a life that has gone, heard late: it must not take the present one's place
-                return
             local = LocalBackend(found[0], heartbeat.service, heartbeat.address, now)
+            if heartbeat.state != "accepting":
+                # Guards its drain: it may have said so long ago, to a process that was here before this one.
+                local.closing_at = float("-inf")
             self._gate.local = local
             events.info("backend", id=local.id, service=local.service, address=heartbeat.address, state=heartbeat.state)
         if heartbeat.sequence > local.sequence:
@@ -106,6 +116,7 @@
 
     def sign_off(self, request: Request, caller: Answerable, found: list[str]) -> None:
         """The backend's last word."""
+        self._lives.signed_off(found[0])
         local = self._gate.local
         if local is not None and local.id == found[0]:
             local.state = "gone"
--- a/tests/mesh/test_sidecar.py
+++ b/tests/mesh/test_sidecar.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from lugspur.control.errors import MeshError
+from lugspur.control.errors import Kind, MeshError
 from lugspur.control.messages import Forward, Grant, Hello, Membership, Message, Part, Reply, Sync, Unsubscribe, Voter
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.uploads import PART
@@ -123,6 +123,35 @@
     play(tmp_path, what)
 
 
+def test_a_backend_whose_first_word_to_this_process_is_closing_gets_nothing_at_all(tmp_path: Path) -> None:
+    def what(sidecar: Sidecar) -> None:
+        # It may have said so seconds ago, to the process that was here before this one.
+        assert beat(sidecar, 9, "closing") == 200 and told(sidecar) == ("i-1", "closing")
+        assert not sidecar.gate.takes(sidecar.loop.time(), "i-1")
+
+    play(tmp_path, what)
+
+
+def test_a_late_heartbeat_of_a_former_life_does_not_take_the_present_ones_place(tmp_path: Path) -> None:
+    def what(sidecar: Sidecar) -> None:
+        beat(sidecar, 7)
+        beat(sidecar, 1, life="i-2")
+        assert beat(sidecar, 8, life="i-1") == 200 and told(sidecar) == ("i-2", "accepting")
+        assert sidecar.gate.takes(sidecar.loop.time(), "i-2")
+
+    play(tmp_path, what)
+
+
+def test_who_has_signed_off_is_not_taken_for_a_new_backend_by_a_late_heartbeat(tmp_path: Path) -> None:
+    def what(sidecar: Sidecar) -> None:
+        caller = Caller()
+        sidecar.registration.sign_off(request(b""), caller, ["i-1"])  # this process has just started
+        assert caller.status == 200 and beat(sidecar, 9) == 200
+        assert sidecar.gate.local is None and sidecar.ip not in sidecar.backends
+
+    play(tmp_path, what)
+
+
 def test_a_backend_that_says_nothing_is_gone_until_it_speaks(tmp_path: Path) -> None:
     def what(sidecar: Sidecar) -> None:
         beat(sidecar, 1)
@@ -157,6 +186,25 @@
     play(tmp_path, what)
 
 
+def test_a_proxy_that_knows_no_configuration_or_that_leaves_says_so_by_503(tmp_path: Path) -> None:
+    def what(sidecar: Sidecar) -> None:
+        asked, caller = Request(b"GET", b"/r/1", {b"host": b"a"}, [], b"", sidecar.loop.time(), True), Caller()
+        sidecar._handle(asked, caller)  # no news yet: 404 would say that there is no such route
+        assert caller.status == 503
+        sidecar.known = True
+        asked.headers[b"lugspur-attempt-id"] = b"t1"
+        caller = Caller()
+        sidecar._handle(asked, caller)  # news without a single route
+        assert caller.status == 503
+        for leaving in (False, True):
+            sidecar.leaving = leaving
+            with pytest.raises(MeshError) as told:
+                sidecar._ready(asked, Caller(), [])
+            assert told.value.kind is (Kind.LEAVING if leaving else Kind.NOT_READY)
+
+    play(tmp_path, what)
+
+
 @pytest.mark.parametrize(
     "body",
     [
