Bound the configuration by the smallest disk that holds it

Nor did anything keep a machine whose disk is too small for what stands from getting a vote.

Change: control nodes say how many bytes their disks take; the proposer refuses, by the latest state, what would make all items larger than a sixth of the smallest disk that holds what stands (413, a code of its own, with both figures); less is always taken. A machine that can't hold what stands is no candidate for a vote and bounds nothing. /mesh/status shows configuration_bytes and each disk_bytes.

Measured: with a real environment of 16 MiB a configuration of a sixth of it, written four times as a vote and as items, never fails (in the tests).

--- a/lugspur/control/errors.py
+++ b/lugspur/control/errors.py
@@ -12,6 +12,7 @@
     NO_ROUTE = "no-route"  # no route has this host and path
     BAD_REQUEST = "bad-request"  # the request can't be read or lacks what it must have
     BAD_CONFIG = "bad-config"  # a call of the operator that may not come into force
+    TOO_LARGE = "too-large"  # a call of the operator that a disk of the mesh could not take
     CONFLICT = "conflict"  # another content stands under the same version
     NO_CALL = "no-call"  # no call of that method and path
     NOT_READY = "not-ready"  # nothing is known yet
@@ -47,6 +48,7 @@
     Kind.NO_ROUTE: Row(404),
     Kind.BAD_REQUEST: Row(400),
     Kind.BAD_CONFIG: Row(400),
+    Kind.TOO_LARGE: Row(413),
     Kind.CONFLICT: Row(409),
     Kind.NO_CALL: Row(404),
     Kind.NOT_READY: Row(503, RETRY),
--- a/lugspur/control/membership.py
+++ b/lugspur/control/membership.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from lugspur.control.capacity import fits
 from lugspur.control.messages import Membership, Voter
 from lugspur.control.quorum import majority
 
@@ -22,6 +23,7 @@
     zone: str
     leaving: bool = False
     failing: bool = False  # its disk takes no writes
+    disk_bytes: int = 0  # that its disk takes; 0: unknown
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,7 +47,7 @@
     `absent`: seconds for which each voter that is out of reach has been; `patience`: how long that may be; `complete`:
     IP numbers of voters that hold all claims, itself included; `overdue`: the present epoch has stood for so long that
     a voter that is not complete will not be soon; `avoid`: IP numbers that were out of reach a moment ago; `regions`:
-    the region of each zone.
+    the region of each zone; `configuration`: bytes of all items that stand.
     """
 
     membership: Membership
@@ -57,6 +59,7 @@
     tolerance: Tolerance
     avoid: AbstractSet[str] = frozenset()
     regions: Mapping[str, str] = field(default_factory=dict)
+    configuration: int = 0
 
     def zone(self, voter: Voter) -> str:
         """The zone of a voter: those of the first membership are known by their addresses alone."""
@@ -73,7 +76,8 @@
         voters = {voter.ip for voter in self.membership.voters}
         found = []
         for ip, presence in self.presences.items():
-            if ip not in voters and not presence.leaving and not presence.failing:
+            fit = not presence.leaving and not presence.failing and fits(self.configuration, presence.disk_bytes)
+            if ip not in voters and fit:
                 found.append(Voter(ip, presence.uid, presence.zone))
         return [voter for voter in found if voter.ip not in self.avoid] or found
 
--- a/lugspur/control/proposer.py
+++ b/lugspur/control/proposer.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
 
+from lugspur.control.capacity import configuration_most, item_bytes
 from lugspur.control.effects import Effects
-from lugspur.control.errors import MeshError
+from lugspur.control.errors import Kind, MeshError
 from lugspur.control.items import Draft, check
 from lugspur.control.messages import Accept, Accepted, Ballot, CatchUp, Change, Entry, Prepare, Promise
 from lugspur.control.orders import Confirmed, NoQuorum, Order, Refused, Unclear
@@ -83,8 +85,12 @@
 class Proposer:
     """The proposals of one control node. `identity`: of the process and its life, unique among all."""
 
-    def __init__(self, replica: Replica, identity: str, rng: Random) -> None:
+    def __init__(
+        self, replica: Replica, identity: str, rng: Random, disks: Callable[[], Iterable[int]] = tuple
+    ) -> None:
+        """`disks`: bytes that each control node's disk takes, 0 where that is not known."""
         self._replica = replica
+        self._disks = disks
         self._identity = identity
         self._rng = rng
         self._orders: list[Order] = []
@@ -232,6 +238,7 @@
                 continue
             try:
                 taking = check(order.entries, view)
+                self._check_size(taking)
             except MeshError as fault:
                 # Guards against a state that was the latest when voters promised, before this order came.
                 if order.came_in < self._proposals:
@@ -244,6 +251,18 @@
                 self._offer(order, change_id)
         return Change(change_id, list(draft.taking.values())) if draft.taking else None
 
+    def _check_size(self, taking: list[Entry]) -> None:
+        """Guards all disks: what one of them can't take would fail there each time that it is proposed."""
+        register = self._replica.register
+        added = 0
+        for entry in taking:
+            standing = register.items.get((entry.kind, entry.name))
+            added += item_bytes(entry) - (0 if standing is None else item_bytes(standing.entry))
+        most = configuration_most(register.bytes, self._disks())
+        if added > 0 and most and register.bytes + added > most:
+            size = register.bytes + added
+            raise MeshError(Kind.TOO_LARGE, f"all items would have {size} bytes, the smallest disk takes {most}")
+
     @staticmethod
     def _has_room(taking: list[Entry], draft: Draft) -> bool:
         """Whether a change that holds some entries may hold these too; a single order always goes."""
--- a/lugspur/control/reconfiguration.py
+++ b/lugspur/control/reconfiguration.py
@@ -74,6 +74,7 @@
             self.tolerance,
             {ip for ip, at in self._removed.items() if now - at < AVOID},
             self._regions,
+            replica.register.bytes,
         )
         step = next_membership(situation)
         if step is None:
--- a/lugspur/control/register.py
+++ b/lugspur/control/register.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from lugspur.control.capacity import item_bytes
 from lugspur.control.effects import Effects, Peer, Rows
 from lugspur.control.messages import (
     NO_BALLOT,
@@ -75,6 +76,7 @@
 
     def __init__(self) -> None:
         self.items: dict[Name, Item] = {}
+        self.bytes = 0  # of all items, as `capacity` counts them
         self.index = 0
         self.pruned = 0  # withdrawals up to this change are forgotten
         self.promised = NO_BALLOT
@@ -98,6 +100,7 @@
                 vote = _vote.decode(value)
         self._pruned_to = self.pruned
         self._withdrawn = sum(item.entry.value is None for item in self.items.values())
+        self.bytes = sum(item_bytes(item.entry) for item in self.items.values())
         if vote is not None:
             self.promised = vote.promised
             if vote.index == self.index + 1:
@@ -174,12 +177,14 @@
         rises = standing is None or item.entry.edition > standing.entry.edition
         check(rises, Invariant.EDITIONS_RISE, kind=name[0], name=name[1], edition=item.entry.edition)
         self._withdrawn += (item.entry.value is None) - (standing is not None and standing.entry.value is None)
+        self.bytes += item_bytes(item.entry) - (0 if standing is None else item_bytes(standing.entry))
         self.items[name] = item
         applied.entries.append(item.entry)
         applied.write.append((item_row(item.entry), _pack(item)))
 
     def _forget(self, name: Name, applied: Applied) -> None:
         item = self.items.pop(name)
+        self.bytes -= item_bytes(item.entry)
         self._withdrawn -= item.entry.value is None
         applied.forgotten.append(name)
         applied.write.append((item_row(item.entry), None))
--- a/lugspur/mesh/control_node.py
+++ b/lugspur/mesh/control_node.py
@@ -47,7 +47,7 @@
 from lugspur.mesh.http_api import HttpApi, reply
 from lugspur.mesh.leases import Leases
 from lugspur.mesh.link import Dialler, Link
-from lugspur.mesh.membership_changes import MembershipChanges
+from lugspur.mesh.membership_changes import MembershipChanges, presences_of
 from lugspur.mesh.node import LOOK, Node
 from lugspur.mesh.operator_calls import OperatorCalls
 from lugspur.mesh.order_router import DECIDE_WITHIN, OrderRouter
@@ -99,7 +99,7 @@
         bounds, tolerate = settings.tariffs.bounds, settings.tariffs.tolerate
         self.replica = self._restore(rows)
         self.pages = LearnPages()
-        self.proposer = Proposer(self.replica, f"{self.ip}/{self.life}", self.rng)
+        self.proposer = Proposer(self.replica, f"{self.ip}/{self.life}", self.rng, self._disk_sizes)
         self.reader = Reader(self.replica)
         self.router = OrderRouter(
             self.loop, self.ip, self.proposer, self.stall, self._preferred_proposer, self.do, self.to
@@ -332,7 +332,12 @@
     def announce(self) -> None:
         """Say what this control node is."""
         failing = self._failing_since is not None and self.loop.time() - self._failing_since > FAILING
-        self.announcement.announce(Presence(self.replica.voter.uid, self.settings.own.zone, self.leaving, failing))
+        uid, zone = self.replica.voter.uid, self.settings.own.zone
+        self.announcement.announce(Presence(uid, zone, self.leaving, failing, self.disk.size))
+
+    def _disk_sizes(self) -> list[int]:
+        """Bytes that the disk of each control node takes, as far as they have said so."""
+        return [presence.disk_bytes for presence in presences_of(self.store).values()]
 
     def _report(self, report: Report) -> None:
         for dialler in self.peers.values():
--- a/lugspur/mesh/control_status.py
+++ b/lugspur/mesh/control_status.py
@@ -31,10 +31,17 @@
         "voters_wanted": voters_wanted,
         "age_s": round(min(1e6, age), 3),
         "replicas": {
-            ip: {"uid": p.uid, "zone": p.zone, "leaving": p.leaving, "failing": p.failing}
+            ip: {
+                "uid": p.uid,
+                "zone": p.zone,
+                "leaving": p.leaving,
+                "failing": p.failing,
+                "disk_bytes": p.disk_bytes,
+            }
             for ip, p in presences_of(store).items()
         },
         "entries": kinds,
+        "configuration_bytes": replica.register.bytes,
         "claims": len(replica.claims),
         "subscribers": subscribers,
         "disk": {"commits": disk.commits, "fault": disk.fault},
--- a/lugspur/mesh/disk.py
+++ b/lugspur/mesh/disk.py
@@ -33,7 +33,7 @@
     def __init__(self, folder: str, disk_mb: int) -> None:
         self._folder = os.path.join(folder, NAME)
         self._aside = os.path.join(folder, ASIDE)
-        self._size = int(min(MAP_MOST, max(MAP_LEAST, disk_mb * MAP_PART * (1 << 20))))
+        self.size = int(min(MAP_MOST, max(MAP_LEAST, disk_mb * MAP_PART * (1 << 20))))  # bytes that it takes
         self._loop = asyncio.get_running_loop()
         self._wake = threading.Condition()
         self._rows: Rows = []
@@ -55,7 +55,7 @@
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
 
     def _open(self) -> lmdb.Environment:
-        return lmdb.open(self._folder, map_size=self._size, subdir=True, max_readers=8, lock=False, metasync=True)
+        return lmdb.open(self._folder, map_size=self.size, subdir=True, max_readers=8, lock=False, metasync=True)
 
     def rows(self) -> list[tuple[bytes, bytes]]:
         """All that is on disk; to be read before `start`. Where it is damaged it is set aside, and there is nothing."""
--- /dev/null
+++ b/tests/mesh/test_configuration_size.py
@@ -0,0 +1,130 @@
+"""How large the configuration may be: what every disk takes, whoever joins."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import pytest
+from controlparts import IPS, seed
+from hypothesis import given
+from hypothesis import strategies as st
+from test_membership_changes import SPARE, THERE, follows, situation
+from test_proposer import Node, ballot_of
+
+from lugspur.control.capacity import CONFIGURATION_PART, configuration_most, fits, item_bytes
+from lugspur.control.errors import Kind
+from lugspur.control.membership import Presence
+from lugspur.control.messages import Change, Entry
+from lugspur.control.orders import Confirmed, Refused
+from lugspur.control.proposer import Proposer
+from lugspur.control.register import Register
+from lugspur.mesh.disk import Disk
+
+SMALL = 60_000  # bytes of a small disk: 10,000 of the configuration
+
+
+def large(name: str, size: int, edition: int = 1) -> Entry:
+    return Entry("notes", name, edition, b"x" * size)
+
+
+def node(*disks: int) -> Node:
+    found = Node()
+    found.proposer = Proposer(found.replica, f"{IPS[0]}/life", Random(1), lambda: disks)
+    return found
+
+
+def settle(found: Node, *entries: Entry) -> None:
+    ballot = ballot_of(found.submit(*entries))
+    found.promises(ballot, *IPS[:2])
+    found.accepts(ballot, *IPS[:2])
+
+
+def test_an_order_that_the_smallest_disk_does_not_take_is_refused_and_never_proposed() -> None:
+    found = node(600_000, SMALL, 0)
+    ballot = ballot_of(found.submit(large("a", 12_000)))
+    effects = found.promises(ballot, *IPS[:2])
+    assert not [message for _, message in effects.send if "Accept" in type(message).__name__]
+    [refused] = found.how
+    assert isinstance(refused, Refused) and refused.fault.kind is Kind.TOO_LARGE and "10000" in refused.fault.detail
+
+
+def test_what_fits_is_taken_until_all_of_it_together_does_not_and_less_is_always_taken() -> None:
+    found = node(SMALL)
+    for name in "ab":
+        settle(found, large(name, 4_500))
+    settle_refused = ballot_of(found.submit(large("c", 4_500)))
+    found.promises(settle_refused, *IPS[:2])
+    assert [type(how) for how in found.how] == [Confirmed, Confirmed, Refused]
+    found.proposer._disks = lambda: (SMALL // 10,)  # a disk that can't hold what stands is no reason to refuse
+    settle(found, large("c", 4_500))
+    found.proposer._disks = lambda: (SMALL,)
+    settle(found, large("a", 4_400, 2), large("b", 4_400, 2), Entry("notes", "c", 2, None))  # above its part, and less
+    assert [type(how) for how in found.how[3:]] == [Confirmed, Confirmed]
+
+
+def test_where_no_disk_is_known_nothing_is_refused() -> None:
+    found = node()
+    settle(found, large("a", 100_000))
+    assert [type(how) for how in found.how] == [Confirmed]
+
+
+def test_a_machine_whose_disk_does_not_hold_what_stands_gets_no_vote() -> None:
+    small = {ip: Presence(p.uid, p.zone, disk_bytes=SMALL) for ip, p in SPARE.items()}
+    absent = {"10.0.0.1": 6.0}
+    fitting = situation(THERE | small, absent, complete=(2, 3))
+    assert follows(replace(fitting, configuration=10_000)) == {"10.0.0.4/u4"}
+    assert follows(replace(fitting, configuration=10_001)) is None
+    larger = THERE | small | {"10.0.0.5": Presence("u5", "z2", disk_bytes=2 * SMALL)}
+    assert follows(replace(situation(larger, absent, complete=(2, 3)), configuration=10_001)) == {"10.0.0.5/u5"}
+
+
+def test_the_sixth_machine_that_is_too_small_bounds_nothing_that_the_other_five_hold() -> None:
+    five = [600_000] * 5
+    assert configuration_most(50_000, [*five, SMALL]) == 100_000
+    assert configuration_most(9_000, [*five, SMALL]) == 10_000
+    assert fits(1 << 40, 0) and configuration_most(5, []) == 0
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 9), st.one_of(st.none(), st.binary(max_size=50)))))
+def test_the_register_counts_the_bytes_of_its_items(changes: list[tuple[str, int, bytes | None]]) -> None:
+    register = seed(IPS[0]).register
+    for number, (name, edition, value) in enumerate(changes):
+        register.decide(Change(str(number), [Entry("notes", name, edition, value)]))
+        assert register.bytes == sum(item_bytes(item.entry) for item in register.items.values())
+    restored, other = Register(), Register()
+    restored.restore(other_rows(register))
+    other.learn(register.pages(0))
+    assert restored.bytes == register.bytes and other.bytes in (register.bytes, 0)
+
+
+def other_rows(register: Register) -> list[tuple[bytes, bytes]]:
+    """All rows of a register as they lie on disk."""
+    applied = Register().learn(register.pages(0))
+    return [(key, value) for key, value in applied.write if value is not None]
+
+
+@pytest.mark.parametrize("part", [0.9, 1.0])
+def test_a_disk_takes_a_configuration_of_its_part_and_a_change_of_all_of_it(part: float, tmp_path: Path) -> None:
+    """The measure behind CONFIGURATION_PART: what stands, the vote, and what takes its place, with a real disk."""
+
+    async def run() -> None:
+        disk = Disk(str(tmp_path), 1)
+        most = int(disk.size * CONFIGURATION_PART * part)
+        items = [(b"i%d" % number, most // 64) for number in range(64)]
+        disk.start()
+        for turn in range(4):
+            whole = bytes([65 + turn]) * most
+            done = asyncio.Event()
+            disk.write([(b"mvote", whole)], done.set)
+            await done.wait()
+            done = asyncio.Event()
+            rows = [(key, whole[:size]) for key, size in items]
+            disk.write([*rows, (b"mindex", b"1")], done.set)
+            await done.wait()
+        assert not disk.fault and disk.failures == 0
+        disk.close(5.0)
+
+    asyncio.run(asyncio.wait_for(run(), 60.0))
