Cut two circles of imports, and tell how many operators' calls are open

control_figures named ControlNode and probers named Company, which import them. Each names what it needs by a protocol of its own now. New figure: lugspur_operator_calls_open.

--- a/lugspur/daemon/probers.py
+++ b/lugspur/daemon/probers.py
@@ -5,11 +5,12 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from contextlib import suppress
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from lugspur.config.model import Check
 from lugspur.fleet import clock
-from lugspur.leases.claim import STANDBY, Turned
+from lugspur.fleet.transport import Transport
+from lugspur.leases.claim import STANDBY, Claim, Turned
 from lugspur.leases.messages import Malformed
 from lugspur.membership.announce import Checked, check
 from lugspur.membership.rows import server_id, server_name
@@ -18,7 +19,6 @@
 from lugspur.probing.prober import Prober
 
 if TYPE_CHECKING:
-    from lugspur.daemon.company import Company
     from lugspur.daemon.station import Station
 
 PROBING = 2  # the topic of these messages among a fleet's posts
@@ -26,6 +26,39 @@
 DOUBTS_MOST = 1024  # boxes whose latest doubt is remembered
 
 
+class DutyHolder(Protocol):
+    """The daemon's place in its fleet, as far as duties of probing need it."""
+
+    claims: dict[str, Claim]
+    transport: Transport
+
+    @property
+    def name(self) -> str:
+        """This process's name in the fleet."""
+
+    @property
+    def say(self) -> Callable[[str], None]:
+        """Writes a line to the log."""
+
+    def want(self, duty: str) -> Claim:
+        """Ask for a duty from now on, whenever nobody holds it."""
+
+    def drop(self, duty: str) -> None:
+        """Want a duty no more."""
+
+    def may(self, duty: str, needs: float = 0.0) -> int | None:
+        """The epoch that an act of this duty has to carry that takes so many seconds; None: it must not begin."""
+
+    def first(self, duty: str, count: int) -> list[str]:
+        """The first members in the order of a duty."""
+
+    def others(self) -> list[str]:
+        """All others that count as there."""
+
+    def post(self, name: str, topic: int, body: bytes) -> None:
+        """Send something to a member, when the transport has its next turn."""
+
+
 class _Pool:
     def __init__(self, name: str, row: Check) -> None:
         self.duty = f"probe:{name}"
@@ -40,7 +73,7 @@
 class Probers:
     """All pools of the daemon that are checked."""
 
-    def __init__(self, company: Company, stations: Callable[[], Mapping[str, Station]]) -> None:
+    def __init__(self, company: DutyHolder, stations: Callable[[], Mapping[str, Station]]) -> None:
         self._company, self._stations = company, stations
         self._loop = asyncio.get_running_loop()
         self._pools: dict[str, _Pool] = {}
--- a/lugspur/mesh/control_figures.py
+++ b/lugspur/mesh/control_figures.py
@@ -2,20 +2,45 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+from collections.abc import Sized
+from typing import Protocol
 
+from lugspur.control.proposer import Proposer
+from lugspur.control.replica import Replica
+from lugspur.mesh.disk import Disk
+from lugspur.mesh.link import Dialler
+from lugspur.mesh.operator_calls import OperatorCalls
+from lugspur.mesh.stall import StallDetector
 from lugspur.observability.metrics import Figure, counter, counters, gauge, invariant_figures
 
-if TYPE_CHECKING:
-    from lugspur.mesh.control_node import ControlNode
 
+class ControlParts(Protocol):
+    """The parts of a control node that figures are read from."""
 
-def control_figures(node: ControlNode) -> list[Figure]:
+    loop: asyncio.AbstractEventLoop
+    replica: Replica
+    proposer: Proposer
+    disk: Disk
+    operator_calls: OperatorCalls
+    stall: StallDetector
+    peers: dict[str, Dialler]
+
+    @property
+    def subscribers(self) -> Sized:
+        """Processes that follow this one's news."""
+
+    def age(self, now: float) -> float:
+        """Seconds since word of a majority."""
+
+
+def control_figures(node: ControlParts) -> list[Figure]:
     """All figures of one control node at this moment."""
     now, replica, disk, calls = node.loop.time(), node.replica, node.disk, node.operator_calls
     return [
         counters("orders_total", "Operators' changes, by how they ended.", "how", calls.orders),
         counters("reads_total", "Operators' reads, by how they ended.", "how", calls.reads),
+        gauge("operator_calls_open", "Operators' calls that have no answer yet.", len(calls.waiting)),
         counter("proposals_total", "Proposals of changes.", node.proposer.proposals),
         counter("disk_commits_total", "Writes that were synced.", disk.commits),
         counter("disk_failures_total", "Writes that failed.", disk.failures),
