--- /dev/null
+++ b/tests/handover/test_hand_over.py
@@ -0,0 +1,57 @@
+"""The end of a process whose place another has taken: not before all its callers are at the other one."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from loopback import soon
+
+from lugspur.daemon.service import hand_over
+
+
+class Front:
+    """The listener's side; nobody is left there."""
+
+    def __init__(self) -> None:
+        self.serving = True
+        self.callers: set[object] = set()
+        self.passes: Callable[[int], bool] | None = None
+
+    def pass_all(self, pass_to: Callable[[int], bool]) -> None:
+        self.passes = pass_to
+
+
+class Proxy:
+    """The proxy that ends."""
+
+    def __init__(self) -> None:
+        self.front, self.arriving = Front(), 0
+
+
+class Keeper:
+    """The link to the process that follows; `owes`: a caller's connection waits for it to read."""
+
+    heir: Any = "the process that follows"
+    owes = True
+
+    def pass_on(self, fd: int) -> bool:
+        return True
+
+
+def test_a_process_does_not_end_before_what_it_has_queued_for_its_heir_is_out() -> None:
+    async def play() -> None:
+        proxy, keeper, listener = Proxy(), Keeper(), socket.create_server(("127.0.0.1", 0))
+        asyncio.get_running_loop().add_reader(listener.fileno(), lambda: None)
+        ending = asyncio.create_task(hand_over(proxy, listener, keeper))  # type: ignore[arg-type]
+        for _ in range(10):  # by far longer than it takes where nothing is owed
+            await asyncio.sleep(0.02)
+            assert not ending.done()
+        assert not proxy.front.serving and proxy.front.passes == keeper.pass_on
+        keeper.owes = False
+        await soon(ending)
+        listener.close()
+
+    asyncio.run(play())
--- a/tests/management/test_management.py
+++ b/tests/management/test_management.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import subprocess
 import sys
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from typing import Any
 
 import pytest
 from loopback import CLOSE, HOST, OK, WIRE, Client, Running, backend, book, entry, read, running, soon, status, until
@@ -251,6 +253,32 @@
     asyncio.run(play())
 
 
+def test_a_caller_that_has_gone_by_the_end_of_its_answer_harms_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    def not_connected(_: asyncio.Transport) -> None:  # as the system says once a reset has come
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    async def play() -> None:
+        told: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: told.append(context))
+        async with running([]) as up:
+            door = Door((HOST, 0), acts(up.proxy))
+            await door.open()
+            with monkeypatch.context() as patched:
+                patched.setattr("asyncio.selector_events._SelectorSocketTransport.write_eof", not_connected)
+                reader, writer = await asyncio.open_connection(HOST, door.port)
+                writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
+                await until(lambda: not door.visitors and not door.waiting)
+                with suppress(ConnectionError):
+                    await soon(reader.read())
+                writer.close()
+            up.proxy.front.ready = True
+            assert await call(door.port, "GET", "/ready") == 200
+            door.close()
+        assert not told, told
+
+    asyncio.run(play())
+
+
 def test_a_body_that_takes_longer_than_a_drain_is_read_to_its_end(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(fronts, "DRAIN_FROM", 0.05)
 
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import json
 import os
 import signal
 import subprocess
@@ -14,7 +15,7 @@
 
 import pytest
 
-from lugspur.bench.mesh import ROOT, Mesh
+from lugspur.bench.mesh import ROOT, Mesh, call
 from lugspur.standins.mesh import MeshBackend
 
 
@@ -205,6 +206,31 @@
     asyncio.run(run())
 
 
+def test_a_control_node_that_stops_answers_the_operators_who_wait(tmp_path: Path) -> None:
+    """No majority is left, so that the order waits for its whole time; nobody could take the vote, so that it ends."""
+
+    async def what(mesh: Mesh) -> None:
+        stays, *others = mesh.replica_ips
+        for ip in others:
+            mesh.end(ip)
+        body = json.dumps({"upsert": {"routes": [mesh.route("late", "safe", "00000002")]}}).encode()
+        address = f"{stays}:{mesh.dispatch}"
+        while True:
+            asked = asyncio.create_task(call(address, "POST", "/config/amend", body))
+            while not asked.done():
+                _, _, figures = await call(address, "GET", "/metrics")
+                if b"lugspur_operator_calls_open 1.0" in figures:
+                    break
+            if not asked.done():
+                break
+        mesh.processes[stays].send_signal(signal.SIGTERM)
+        status, _, answer = await asked
+        assert status in (503, 504) and json.loads(answer)["error"] in ("no-quorum", "unclear")
+        assert await asyncio.to_thread(mesh.processes[stays].wait, 20.0) == 0
+
+    play(tmp_path, what)
+
+
 def test_a_reload_that_is_told_while_a_process_starts_is_carried_out(tmp_path: Path) -> None:
     """The settings file is a pipe at first, so that the start waits until it has been written."""
 
