Ask for lost proofs, begin nothing that a client has left, and say what a pick saw

Three changes that meet in ProxiedRequest:

Change: once two processes have met again the sender asks for the outcome of its keyed requests (AskOutcomes); the gate tells those that are proven not to have run: turned away, never come, a body that did not come whole, or ended so later. It closes former connections of that life first, so that nothing unread can come behind the proof. What is forgotten is not proven; another life knows nothing. Change: it is withdrawn: not begun any more, while what the backend works on goes on. Keyed ones stay: their answer is kept for a repeat. Change: it names what the last pick saw: backends known, tried, out of reach, resting, and of those drawn the breaker's chance and its larger term.

Import circles: ProxiedRequest and the figures name what they need by protocols (ports.py, SidecarParts).

Tests: proofs, their bounds and what they must not prove; a withdrawn request in the queue, at work and half sent; a pick's account. Also one for a backend that answers before it has read a long body.

--- a/lugspur/control/messages.py
+++ b/lugspur/control/messages.py
@@ -310,6 +310,21 @@
     n: int
 
 
+class Withdraw(msgspec.Struct, tag=28, array_like=True):
+    """Nobody waits for it any more: do not begin it. What the backend works on goes on; a Reply comes either way."""
+
+    n: int
+
+
+class AskOutcomes(msgspec.Struct, tag=29, array_like=True):
+    """Which of these requests, sent on a connection that has ended, have not run and never will?
+
+    A Reply comes for each that is proven not to have run, now or once it is; for the others comes nothing.
+    """
+
+    numbers: list[int]
+
+
 class Grant(msgspec.Struct, tag=22, array_like=True):
     """Send the body's bytes up to there."""
 
@@ -350,6 +365,8 @@
     | Forward
     | Reply
     | Cancel
+    | Withdraw
+    | AskOutcomes
     | Grant
     | Part
 )
--- a/lugspur/dataplane/causes.py
+++ b/lugspur/dataplane/causes.py
@@ -22,3 +22,4 @@
     CANCELLED = 11  # nobody waits for it any more
     LINK_LOST = 12  # the connection between the two proxies ended
     UPLOAD = 13  # its body would have come too late
+    NEVER_CAME = 14  # the connection between the two proxies ended before it arrived
--- a/lugspur/dataplane/endpoints.py
+++ b/lugspur/dataplane/endpoints.py
@@ -9,6 +9,7 @@
 
 from jaspershelf.breaker import Breaker
 from lugspur.dataplane.routes import RouteEntry
+from lugspur.observability.failures import Refusal
 
 COLD = 2.0  # times the usual latency that a backend counts with while it says that it is slow
 FAR = 1.6  # times its score that a backend of another zone counts with: bytes between zones cost...
@@ -60,8 +61,11 @@
 
 def pick(
     ready: Sequence[Endpoint], route: RouteEntry, zone: str, body_bytes: int, now: float, rng: Random
-) -> Endpoint | None:
-    """Two random ready backends, that with the lower current latency x (in flight + 1) first; both may refuse."""
+) -> Endpoint | tuple[Refusal, ...]:
+    """Two random ready backends, that with the lower current latency x (in flight + 1) first; both may refuse.
+
+    Returns why each refused where none is found.
+    """
     pace = route.pace
     timeout = route.deadline / pace if pace else 0.0
     far = FAR + body_bytes / FAR_BYTES
@@ -69,10 +73,18 @@
     def cost(endpoint: Endpoint) -> float:
         return endpoint.score(now) * (1.0 if endpoint.zone == zone else far)
 
+    refusals: tuple[Refusal, ...] = ()
     for endpoint in sorted(_draw_two(ready, zone, rng), key=cost):
-        if not endpoint.breaker(route.name).refuses(now, timeout, rng):
+        breaker = endpoint.breaker(route.name)
+        if not breaker.refuses(now, timeout, rng):
             return endpoint
-    return None
+        refusals += (_refusal(endpoint.id, breaker, now, timeout),)
+    return refusals
+
+
+def _refusal(ident: str, breaker: Breaker, now: float, timeout: float) -> Refusal:
+    errors, latency = breaker.error_ratio(now), breaker.latency_ratio(timeout)
+    return Refusal(ident, round(max(errors, latency), 3), "errors" if errors >= latency else "latency")
 
 
 def _draw_two(ready: Sequence[Endpoint], zone: str, rng: Random) -> Sequence[Endpoint]:
--- a/lugspur/dataplane/gate.py
+++ b/lugspur/dataplane/gate.py
@@ -221,6 +221,14 @@
             else:
                 self._end(ticket, End.MAYBE, Cause.CANCELLED)  # it is passed over when its turn comes
 
+    def withdraw(self, ticket: Ticket) -> None:
+        """Nobody waits for it any more: it is not begun, and what the backend works on goes on.
+
+        Guards backends against work that nobody wants and that can't be cancelled once it has begun.
+        """
+        if not ticket.over and ticket.exchange is None:
+            self._end(ticket, End.NOT_RUN, Cause.CANCELLED)  # it is passed over when its turn comes
+
     def _next(self) -> None:
         while self._waiting:
             local = self.local
--- a/lugspur/dataplane/proxied_request.py
+++ b/lugspur/dataplane/proxied_request.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from lugspur.control.claims import Known, Settled, Taken, Won
 from lugspur.control.errors import Kind
@@ -12,15 +10,13 @@
 from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.endpoints import Endpoint, pick
 from lugspur.dataplane.gate import End
+from lugspur.dataplane.ports import Carried, RequestHost
 from lugspur.dataplane.refusal import refuse
 from lugspur.dataplane.routes import RouteEntry
 from lugspur.invariants import Invariant, check
-from lugspur.observability.failures import Step
+from lugspur.observability.failures import PickView, Step
 from lugspur.seams import Answerable, Request
 
-if TYPE_CHECKING:
-    from lugspur.dataplane.proxy import Proxy
-
 BY_MS = b"lugspur-deliver-by-ms"
 OWN_LINES = (b"lugspur-sender", b"lugspur-deliver-to", BY_MS)  # set anew here, whatever was sent
 REWRITTEN = (b"host", b"x-request-id", b"x-forwarded-for", b"x-forwarded-proto")  # kept out of the lines by the reader
@@ -42,7 +38,7 @@
 
     def __init__(
         self,
-        proxy: Proxy,
+        proxy: RequestHost,
         request: Request,
         caller: Answerable,
         route: RouteEntry,
@@ -59,7 +55,7 @@
         self.sends = 0  # backends that it was offered to, or may have been
         self.rounds = 0  # gates that turned it away
         self.tried: set[str] = set()
-        self.out: dict[int, tuple[Endpoint, float, Callable[[], None]]] = {}  # what is under way
+        self.out: dict[int, tuple[Endpoint, float, Carried]] = {}  # what is under way
         self.over = False
         self.maybe = False  # it may have run
         self.ran = False  # a backend has answered it
@@ -68,6 +64,7 @@
         self.claim = ""  # how its claim was settled
         self.steps: list[Step] = []  # what became of each send, for an account of its failure
         self.last: Answer | None = None  # a failure of the backend's own, to be passed on where nothing better comes
+        self.last_pick: PickView | None = None  # where it found no backend
         self._lines: list[bytes] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._hedge: asyncio.TimerHandle | None = None
@@ -80,7 +77,7 @@
             self._record(Kind.TOO_LATE.value)
             refuse(self.caller, Kind.TOO_LATE)
             return
-        proxy.open_requests.add(self)
+        proxy.opened(self)
         proxy.budget(self.service).take(now)
         self.caller.gone = self._gone
         self._timer = loop.call_at(self.deadline + MARGIN, self._late)
@@ -106,23 +103,20 @@
 
     # ---- the pick ------------------------------------------------------------------------
 
-    def _ready(self, now: float) -> list[Endpoint]:
-        carrier = self.proxy.carrier
-        ready = [
-            endpoint
-            for ident, endpoint in self.proxy.services.get(self.service, {}).items()
-            if ident not in self.tried and carrier.ready(endpoint.ip)
-        ]
-        # Those that have just turned one away come last, but before a refusal: asking a gate costs no backend anything.
-        return [endpoint for endpoint in ready if now >= endpoint.rests_until] or ready
-
     def _pick(self, now: float) -> Endpoint | None:
-        ready = self._ready(now)
         proxy = self.proxy
-        found = pick(ready, self.route, proxy.zone, len(self.request.body), now, proxy.rng)
-        if found is None:
-            proxy.count("breaker-refused" if ready else "none-ready")
-        return found
+        known = proxy.services.get(self.service, {})
+        untried = [endpoint for ident, endpoint in known.items() if ident not in self.tried]
+        reached = [endpoint for endpoint in untried if proxy.carrier.ready(endpoint.ip)]
+        rested = [endpoint for endpoint in reached if now >= endpoint.rests_until]
+        # Those that have just turned one away come last, but before a refusal: asking a gate costs no backend anything.
+        found = pick(rested or reached, self.route, proxy.zone, len(self.request.body), now, proxy.rng)
+        if isinstance(found, Endpoint):
+            return found
+        proxy.count("breaker-refused" if reached else "none-ready")
+        tried, unreachable = len(known) - len(untried), len(untried) - len(reached)
+        self.last_pick = PickView(len(known), tried, unreachable, len(reached) - len(rested), found)
+        return None
 
     def _go(self, now: float, again: bool = False) -> bool:
         """Send it to a backend, or give it up; `again`: what is under way may still bring the answer."""
@@ -160,10 +154,10 @@
         if self.sends > 1:
             self.proxy.budget(self.service).spend(now)
         check(self.sends <= self.route.tries, Invariant.TRIES, attempt=self.attempt, sends=self.sends)
-        self.out[number] = (endpoint, now, _nothing)
-        cancel = self.proxy.carrier.carry(endpoint.ip, forward, lambda reply: self._replied(number, reply))
+        self.out[number] = (endpoint, now, NOT_UNDER_WAY)
+        carried = self.proxy.carrier.carry(endpoint.ip, forward, lambda reply: self._replied(number, reply))
         if number in self.out:
-            self.out[number] = (endpoint, now, cancel)
+            self.out[number] = (endpoint, now, carried)
             if route.safe and route.pace and self._hedge is None and self.sends < route.tries:
                 at = now + max(HEDGE * route.pace, HEDGE_AIM * route.target)
                 if at + route.pace < self.deadline:
@@ -198,6 +192,9 @@
     # ---- how it ends -----------------------------------------------------------------------
 
     def _replied(self, number: int, reply: Reply) -> None:
+        if number not in self.out:
+            self._proved_later(reply)
+            return
         endpoint, since, _ = self.out.pop(number)
         endpoint.inflight -= 1
         self._note(endpoint, since, reply)
@@ -242,6 +239,12 @@
         if not self._again(now):
             self._finish_failed()
 
+    def _proved_later(self, reply: Reply) -> None:
+        """Word on a send whose connection was lost: what may have run has not, and never will."""
+        if reply.how == End.NOT_RUN and self.over and not (self.out or self.ran or self.route.safe):
+            self.maybe = False  # what is not safe is sent again only once nothing may have run: this was its only send
+            self._release_unrun()
+
     def _note(self, endpoint: Endpoint, since: float, reply: Reply) -> None:
         """Keep what became of one send."""
         now, arrived = self.proxy.loop.time(), self.request.arrived
@@ -336,22 +339,34 @@
             waited_for=tuple(endpoint.id for endpoint, _, _ in self.out.values()),
             edition=route.edition,
             steps=tuple(self.steps),
+            pick=self.last_pick,
         )
 
     def _finish(self) -> None:
         check(not self.over, Invariant.ONE_ANSWER, attempt=self.attempt)
         self.over = True
-        self.proxy.open_requests.discard(self)
+        self.proxy.closed(self)
         for timer in (self._timer, self._hedge):
             if timer is not None:
                 timer.cancel()
         if self.key and not self.won:
             self.proxy.keys.drop(self.key, self.claim_id)
         self._release_unrun()
-        if self.route.safe:
-            for _, _, cancel in list(self.out.values()):
-                cancel()
+        for _, _, carried in list(self.out.values()):
+            if self.route.safe:
+                carried.cancel()
+            elif not self.key:  # a keyed one's answer is kept for a repeat
+                carried.withdraw()
+
+
+class _NotUnderWay:
+    """What is not handed to the carrier yet."""
+
+    def cancel(self) -> None:
+        """There is nothing to end."""
+
+    def withdraw(self) -> None:
+        """There is nothing to keep from beginning."""
 
 
-def _nothing() -> None:
-    """Cancels what has not begun."""
+NOT_UNDER_WAY = _NotUnderWay()
--- a/lugspur/dataplane/proxy.py
+++ b/lugspur/dataplane/proxy.py
@@ -6,15 +6,13 @@
 import itertools
 import os
 from collections import Counter
-from collections.abc import Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 from jaspershelf.budget import Budget
-from lugspur.control.claims import Settled
 from lugspur.control.errors import Kind, MeshError
-from lugspur.control.messages import Forward, Reply
 from lugspur.dataplane.endpoints import Endpoint
+from lugspur.dataplane.ports import Carrier, Keys, OpenRequest
 from lugspur.dataplane.proxied_request import BY_MS, ProxiedRequest
 from lugspur.dataplane.refusal import refuse
 from lugspur.dataplane.routes import RouteTable
@@ -27,29 +25,6 @@
 BUDGET_PART = 0.5  # of the retry budget that is used: nested calls of what runs twice count too, and views lag
 
 
-class Carrier(Protocol):
-    """What takes a request to the gate beside a backend."""
-
-    def ready(self, ip: str) -> bool:
-        """Whether that machine can be reached now."""
-
-    def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Callable[[], None]:
-        """Send it; the reply comes once. Returns what cancels it."""
-
-
-class Keys(Protocol):
-    """What settles operation keys."""
-
-    def claim(self, key: bytes, by: bytes, left: float, within: float, over: Callable[[Settled], None]) -> None:
-        """Ask for the right to run."""
-
-    def release(self, key: bytes, by: bytes) -> None:
-        """Give it back: nothing ran."""
-
-    def drop(self, key: bytes, by: bytes) -> None:
-        """Nobody waits for it any more."""
-
-
 class Proxy:
     """All requests that start on this machine."""
 
@@ -72,7 +47,7 @@
         self.services: dict[str, dict[str, Endpoint]] = {}  # by the backend's id
         self.budgets: dict[str, Budget] = {}
         self.sender = ""  # the service of this machine
-        self.open_requests: set[ProxiedRequest] = set()
+        self.open_requests: set[OpenRequest] = set()
         self._life = os.urandom(8).hex().encode()
         self._claims = itertools.count(1)
         self.ended: Counter[str] = Counter()  # requests since the start, by how they ended
@@ -108,6 +83,14 @@
         """
         return b"%b.%b.%d" % (attempt, self._life, next(self._claims))
 
+    def opened(self, request: OpenRequest) -> None:
+        """One more has no answer yet."""
+        self.open_requests.add(request)
+
+    def closed(self, request: OpenRequest) -> None:
+        """One has been answered, or its caller has left."""
+        self.open_requests.discard(request)
+
     def count(self, how: str) -> None:
         """One more that ended, or could not go on, so."""
         self.ended[how] += 1
--- a/lugspur/mesh/incoming.py
+++ b/lugspur/mesh/incoming.py
@@ -4,13 +4,14 @@
 
 import asyncio
 
-from lugspur.control.messages import Cancel, Forward, Grant, Hello, Message, Part, Reply
+from lugspur.control.messages import AskOutcomes, Cancel, Forward, Grant, Hello, Message, Part, Reply, Withdraw
 from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.delays import ExcessDelay
-from lugspur.dataplane.gate import Gate, Ticket
+from lugspur.dataplane.gate import End, Gate, Ticket
 from lugspur.dataplane.uploads import UploadScheduler
 from lugspur.mesh import events
 from lugspur.mesh.link import Link
+from lugspur.mesh.outcomes import Outcomes
 
 
 class _Caller:
@@ -38,6 +39,7 @@
         self.expired = 0  # requests whose time was over when they were read
         self._tickets: dict[tuple[Link, int], Ticket] = {}
         self._callers: dict[Link, _Caller] = {}
+        self._outcomes = Outcomes()
 
     def heard(self, link: Link, message: Message) -> None:
         """Something from one who dialled."""
@@ -53,6 +55,10 @@
                 self._gate.cancel(ticket)
             elif self.uploads.drop((link, message.n)):
                 self._grant()
+        elif isinstance(message, Withdraw):
+            self._withdrawn(link, message.n)
+        elif isinstance(message, AskOutcomes):
+            self._asked_outcomes(link, message)
 
     def _greeted(self, link: Link, message: Hello) -> None:
         link.peer = message.ip
@@ -73,6 +79,8 @@
             link.close()
             return
         caller.latest = forward.n
+        if forward.key:
+            self._outcomes.came(caller.life, forward.n)
         # Guards against running what was held up on its way (a cut, or this process frozen) until nobody waits for it.
         excess = caller.delay.excess(self._loop.time(), forward.sent)
         forward.left -= excess
@@ -87,16 +95,52 @@
 
     def _run(self, link: Link, forward: Forward) -> None:
         """A whole request for this machine's backend."""
-        n = forward.n
+        n, life = forward.n, self._callers[link].life
 
         def respond(said: Reply) -> None:
             self._tickets.pop((link, n), None)
+            if forward.key and said.how == End.NOT_RUN:
+                self._proved_unrun(link, life, said)
             link.send(said)
 
         ticket = self._gate.run(forward, respond)
         if ticket is not None and not ticket.over:
             self._tickets[link, n] = ticket
 
+    def _proved_unrun(self, link: Link, life: str, said: Reply) -> None:
+        """Keep the proof for a sender that may not hear it; one that has connected anew is told there."""
+        self._outcomes.did_not_run(life, said.n)
+        if not link.open:
+            for other in self._connections_of(life):
+                other.send(said)
+
+    def _connections_of(self, life: str) -> list[Link]:
+        return [link for link, caller in self._callers.items() if caller.life == life]
+
+    def _asked_outcomes(self, link: Link, message: AskOutcomes) -> None:
+        """Tell which requests of lost connections are proven not to have run."""
+        caller = self._callers.get(link)
+        if caller is None:
+            events.warn("outcomes", peer=link.peer)
+            link.close()
+            return
+        # Guards the proof: nothing that waits unread on a former connection may come after it.
+        for other in self._connections_of(caller.life):
+            if other is not link:
+                other.close()
+        for number in message.numbers:
+            if self._outcomes.proven_unrun(caller.life, number):
+                link.send(Reply(number, End.NOT_RUN, None, False, cause=Cause.NEVER_CAME))
+
+    def _withdrawn(self, link: Link, number: int) -> None:
+        """Nobody waits for one that may not be cancelled: it is not begun any more."""
+        ticket = self._tickets.get((link, number))
+        if ticket is not None:
+            self._gate.withdraw(ticket)
+        elif self.uploads.drop((link, number)):
+            self._turn_away(link, number, Cause.CANCELLED)
+            self._grant()
+
     def _part(self, link: Link, message: Part) -> None:
         try:
             whole = self.uploads.part(self._loop.time(), (link, message.n), message.data)
@@ -118,6 +162,8 @@
             self._turn_away(link, n, Cause.UPLOAD)
 
     def _turn_away(self, link: Link, number: int, cause: Cause) -> None:
+        """Reply to one that was not handed to the gate."""
+        self._outcomes.did_not_run(self._callers[link].life, number)
         link.send(self._gate.turn_away(number, cause))
 
     def _grant(self) -> None:
@@ -128,9 +174,11 @@
 
     def ended(self, link: Link) -> None:
         """A connection that was dialled to here has ended."""
-        self._callers.pop(link, None)
+        caller = self._callers.pop(link, None)
         for key in self.uploads.of(link):
             self.uploads.drop(key)
+            if caller is not None:
+                self._outcomes.did_not_run(caller.life, key[1])
         for key in [key for key in self._tickets if key[0] is link]:
             ticket = self._tickets.pop(key)
             if ticket.forward.safe:  # nobody hears its answer; others' may be kept for a repeat
--- a/lugspur/mesh/outgoing.py
+++ b/lugspur/mesh/outgoing.py
@@ -5,12 +5,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lugspur.control.messages import Cancel, Forward, Grant, Part, Reply
+from cachetools import LRUCache
+
+from lugspur.control.messages import AskOutcomes, Cancel, Forward, Grant, Part, Reply, Withdraw
 from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.gate import End
 from lugspur.dataplane.uploads import PART, in_parts
 from lugspur.mesh.link import Link
 
+UNPROVEN_MOST = 1024  # requests of lost connections whose outcome is asked for, the latest
+
+Respond = Callable[[Reply], None]
+
 
 @dataclass(slots=True)
 class _Body:
@@ -25,45 +31,77 @@
     """One request that waits for its reply."""
 
     link: Link
-    respond: Callable[[Reply], None]
+    respond: Respond
+    keyed: bool  # whether a proof that it did not run is worth asking for once its connection is lost
     body: _Body | None = None  # while its end has not been sent
 
 
+@dataclass(slots=True, frozen=True)
+class _Unproven:
+    """One whose connection was lost with its reply out."""
+
+    ip: str
+    life: str  # of the process that it was sent to
+    respond: Respond
+
+
+class CarriedExchange:
+    """One request that waits for its reply, as whoever sent it sees it."""
+
+    __slots__ = ("_exchanges", "_ip", "_number")
+
+    def __init__(self, exchanges: OutgoingExchanges, ip: str, number: int) -> None:
+        self._exchanges, self._ip, self._number = exchanges, ip, number
+
+    def cancel(self) -> None:
+        """Nobody waits for it: it is ended."""
+        self._exchanges.cancel(self._ip, self._number)
+
+    def withdraw(self) -> None:
+        """Nobody waits for it: it is not begun any more."""
+        self._exchanges.withdraw(self._ip, self._number)
+
+
 class OutgoingExchanges:
     """All that wait for a reply, by machine and number; numbers are never used again in this process's life."""
 
     def __init__(self) -> None:
         self._latest = 0
         self._open: dict[str, dict[int, _Exchange]] = {}
+        self._unproven: LRUCache[int, _Unproven] = LRUCache(UNPROVEN_MOST)
 
     def waits_for(self, ip: str) -> bool:
         """Whether anything waits for that machine."""
         return bool(self._open.get(ip))
 
     def carry(
-        self, now: float, ip: str, link: Link, rate: float, forward: Forward, respond: Callable[[Reply], None]
-    ) -> Callable[[], None]:
-        """Send a request; the reply comes once. `rate`: bytes a second of that machine's link, 0: unknown.
-
-        Returns what cancels it.
-        """
+        self, now: float, ip: str, link: Link, rate: float, forward: Forward, respond: Respond
+    ) -> CarriedExchange:
+        """Send a request; the reply comes once. `rate`: bytes a second of that machine's link, 0: unknown."""
         self._latest += 1
         number = forward.n = self._latest
         forward.sent = now
-        exchange = _Exchange(link, respond)
+        exchange = _Exchange(link, respond, bool(forward.key))
         self._open.setdefault(ip, {})[number] = exchange
         if in_parts(len(forward.body), rate):
             exchange.body = _Body(forward.body)
             forward.size, forward.body = len(forward.body), b""
         link.send(forward)
-        return lambda: self._cancel(ip, number)
+        return CarriedExchange(self, ip, number)
 
-    def _cancel(self, ip: str, number: int) -> None:
+    def cancel(self, ip: str, number: int) -> None:
+        """Have it ended, and hear no more of it."""
         exchange = self._open.get(ip, {}).pop(number, None)
         if exchange is not None:
             exchange.link.send(Cancel(number))
             exchange.respond(Reply(number, End.MAYBE, cause=Cause.CANCELLED))
 
+    def withdraw(self, ip: str, number: int) -> None:
+        """Have it not begun any more; its reply comes all the same."""
+        exchange = self._open.get(ip, {}).get(number)
+        if exchange is not None:
+            exchange.link.send(Withdraw(number))
+
     def _of(self, link: Link, number: int) -> _Exchange | None:
         """The exchange that a message on this connection is about.
 
@@ -78,6 +116,16 @@
         if exchange is not None:
             del self._open[link.peer][message.n]
             exchange.respond(message)
+        else:
+            self._proved(link, message)
+
+    def _proved(self, link: Link, message: Reply) -> None:
+        """The outcome of one whose connection was lost, from the process that it was sent to."""
+        unproven = self._unproven.get(message.n)
+        if unproven is None or (unproven.ip, unproven.life) != (link.peer, link.life):
+            return
+        del self._unproven[message.n]
+        unproven.respond(message)
 
     def grant(self, link: Link, message: Grant) -> None:
         """Send the next bytes of a body."""
@@ -91,11 +139,26 @@
         for at in range(begin, body.sent, PART):
             exchange.link.send(Part(message.n, body.data[at : min(at + PART, body.sent)]))
 
+    def reached(self, link: Link) -> None:
+        """A process has said which life of it answers on a new connection: ask what became of what was lost."""
+        asked = []
+        for number, unproven in list(self._unproven.items()):
+            if unproven.ip != link.peer:
+                continue
+            if unproven.life == link.life:
+                asked.append(number)
+            else:
+                del self._unproven[number]  # another life does not know what the one before had begun
+        if asked:
+            link.send(AskOutcomes(sorted(asked)))
+
     def lost(self, ip: str) -> None:
         """The connection to that machine has ended."""
-        # What had been sent may run, or have run: nothing proves otherwise.
+        # What had been sent may run, or have run: nothing proves otherwise, as long as that process does not say so.
         for number, exchange in self._open.pop(ip, {}).items():
             # A body that was not sent to its end proves that nothing ran: the gate begins with whole requests alone.
             unsent = exchange.body is not None
+            if exchange.keyed and not unsent:
+                self._unproven[number] = _Unproven(ip, exchange.link.life, exchange.respond)
             how = End.NOT_RUN if unsent else End.MAYBE
             exchange.respond(Reply(number, how, sent=not unsent, cause=Cause.LINK_LOST))
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -13,7 +13,8 @@
 from lugspur.control.items import LIMITS, ROUTES
 from lugspur.control.messages import Answer, Done, Entry, Forward, Grant, Hello, Message, Reply
 from lugspur.dataplane.delays import FreezeDetector
-from lugspur.dataplane.gate import Gate
+from lugspur.dataplane.gate import Gate, Ticket
+from lugspur.dataplane.ports import Carried
 from lugspur.dataplane.proxy import ATTEMPT, ID_MOST, Proxy
 from lugspur.dataplane.routes import RouteTable
 from lugspur.dataplane.uploads import UploadScheduler
@@ -45,6 +46,25 @@
 _status_decoder = msgspec.msgpack.Decoder(BackendStatus)
 
 
+class CarriedHere:
+    """A request for the backend of this machine."""
+
+    __slots__ = ("_gate", "_ticket")
+
+    def __init__(self, gate: Gate, ticket: Ticket | None) -> None:
+        self._gate, self._ticket = gate, ticket
+
+    def cancel(self) -> None:
+        """Nobody waits for it: it is ended."""
+        if self._ticket is not None:
+            self._gate.cancel(self._ticket)
+
+    def withdraw(self) -> None:
+        """Nobody waits for it: it is not begun any more."""
+        if self._ticket is not None:
+            self._gate.withdraw(self._ticket)
+
+
 class Sidecar(Node):
     """One proxy's process."""
 
@@ -205,11 +225,10 @@
         dialler = self.peers.get(ip)
         return dialler is not None and dialler.link is not None and dialler.link.answered
 
-    def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Callable[[], None]:
+    def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Carried:
         """Send it to the gate beside that machine's backend."""
         if ip == self.ip:
-            ticket = self.gate.run(forward, respond)
-            return _nothing if ticket is None else lambda: self.gate.cancel(ticket)
+            return CarriedHere(self.gate, self.gate.run(forward, respond))
         dialler = self.peers[ip]
         link = dialler.link
         assert link is not None
@@ -225,6 +244,7 @@
         elif isinstance(message, Hello):
             link.answered, link.life = True, message.life
             link.send(Hello(self.ip, self.life, self.keeps, self.loop.time()))
+            self.outgoing.reached(link)
         else:
             super()._heard_from(link, message)
 
@@ -355,7 +375,3 @@
 def raise_not_ready(caller: Answerable) -> None:
     """Nothing is known yet."""
     fail(caller, MeshError(Kind.NOT_READY))
-
-
-def _nothing() -> None:
-    """Cancels what is over."""
--- a/lugspur/mesh/sidecar_figures.py
+++ b/lugspur/mesh/sidecar_figures.py
@@ -2,17 +2,49 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+from collections.abc import Mapping, Sized
+from typing import Protocol
 
+from lugspur.dataplane.gate import Gate
+from lugspur.dataplane.proxy import Proxy
+from lugspur.http1.front import Front
 from lugspur.mesh import events
-from lugspur.observability.failures import FailedRequest
+from lugspur.mesh.incoming import IncomingExchanges
+from lugspur.mesh.link import Dialler
+from lugspur.observability.failures import FailedRequest, Standing
 from lugspur.observability.metrics import Figure, counter, counters, gauge, invariant_figures
 
-if TYPE_CHECKING:
-    from lugspur.mesh.sidecar import Sidecar
 
+class SidecarParts(Protocol):
+    """The parts of a proxy's process that figures are read from."""
 
-def sidecar_figures(sidecar: Sidecar) -> list[Figure]:
+    loop: asyncio.AbstractEventLoop
+    gate: Gate
+    proxy: Proxy
+    front: Front
+    incoming: IncomingExchanges
+    peers: dict[str, Dialler]
+    sources: int
+    leaving: bool
+
+    @property
+    def claims(self) -> Sized:
+        """Claims that are not settled."""
+
+    @property
+    def table(self) -> Sized:
+        """Routes in force."""
+
+    @property
+    def backends(self) -> Mapping[str, object]:
+        """What the mesh tells of, by machine."""
+
+    def standing(self) -> Standing:
+        """What requests are judged by at this moment."""
+
+
+def sidecar_figures(sidecar: SidecarParts) -> list[Figure]:
     """All figures of one proxy at this moment."""
     now, gate, proxy, front = sidecar.loop.time(), sidecar.gate, sidecar.proxy, sidecar.front
     standing = sidecar.standing()
@@ -41,7 +73,7 @@
     ]
 
 
-def _silent(sidecar: Sidecar, now: float) -> float:
+def _silent(sidecar: SidecarParts, now: float) -> float:
     local = sidecar.gate.local
     return 0.0 if local is None else now - local.heard
 
@@ -61,6 +93,7 @@
         sends=failed.sends,
         turned_away=failed.turned_away,
         waited_for=",".join(failed.waited_for),
+        pick="" if failed.pick is None else failed.pick.text(),
         edition=failed.edition,
         index=failed.index,
         epoch=failed.epoch,
--- a/lugspur/observability/failures.py
+++ b/lugspur/observability/failures.py
@@ -27,6 +27,31 @@
     cause: str
 
 
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """A backend whose breaker refused a request: its chance of doing so, and which of its terms was the larger."""
+
+    backend: str
+    chance: float
+    term: str  # `errors` or `latency`
+
+
+@dataclass(slots=True, frozen=True)
+class PickView:
+    """What a request's last pick saw where it found no backend."""
+
+    known: int  # backends of the service that accept work
+    tried: int  # ...of these, those that have had the request
+    unreachable: int  # ...and those whose proxies can't be reached
+    resting: int  # of the rest, those that have turned something away a moment ago
+    refusals: tuple[Refusal, ...] = ()  # those that were drawn; empty: nothing could be drawn
+
+    def text(self) -> str:
+        """In one word, for the log."""
+        drawn = ",".join(f"{r.backend}:{r.term}:{r.chance:.2f}" for r in self.refusals)
+        return f"{self.known}/{self.tried}/{self.unreachable}/{self.resting}/{drawn}"
+
+
 class Standing(NamedTuple):
     """What a process goes by at a moment."""
 
@@ -56,6 +81,7 @@
     epoch: int = 0
     news_age_s: float = 0.0
     steps: tuple[Step, ...] = ()
+    pick: PickView | None = None  # where the last pick found no backend
 
 
 def keep_only(failed: FailedRequest, untold: int) -> None:
--- a/tests/mesh/test_exchanges.py
+++ b/tests/mesh/test_exchanges.py
@@ -7,12 +7,25 @@
 
 import pytest
 
-from lugspur.control.messages import Cancel, Forward, Grant, Hello, Message, Part, Reply
+from lugspur.control.messages import (
+    Answer,
+    AskOutcomes,
+    Cancel,
+    Forward,
+    Grant,
+    Hello,
+    Message,
+    Part,
+    Reply,
+    Withdraw,
+)
+from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.delays import LATE_FOR, ExcessDelay, FreezeDetector
-from lugspur.dataplane.gate import End, Gate, LocalBackend
+from lugspur.dataplane.gate import End, Gate, LocalBackend, Ticket
 from lugspur.dataplane.uploads import PART, UploadScheduler
 from lugspur.mesh.incoming import IncomingExchanges
-from lugspur.mesh.outgoing import OutgoingExchanges
+from lugspur.mesh.outcomes import UNRUN_MOST, Outcomes
+from lugspur.mesh.outgoing import UNPROVEN_MOST, OutgoingExchanges
 
 OWN = Hello("127.0.0.9", "own", False)
 
@@ -20,8 +33,8 @@
 class Wire:
     """One end of a connection: what was sent on it, and whether it is open."""
 
-    def __init__(self, peer: str = "") -> None:
-        self.peer, self.open = peer, True
+    def __init__(self, peer: str = "", life: str = "") -> None:
+        self.peer, self.life, self.open = peer, life, True
         self.sent: list[Message] = []
 
     def send(self, message: Message) -> None:
@@ -41,14 +54,18 @@
 
     def __init__(self) -> None:
         self.ran: list[bytes] = []
-        self.over: list[Callable[[], None]] = []
+        self.tickets: list[Ticket] = []
         self.gate = Gate(64 << 20, 64, 2.0, lambda f, a: None, lambda local: None)
         self.now = asyncio.get_running_loop().time()
         self.gate.local = LocalBackend("i-1", "s", "127.0.0.1:9", self.now)
         self.gate.local.berths = 99
-        self.gate._send = lambda ticket: self.ran.append(ticket.forward.attempt)  # type: ignore[method-assign]
+        self.gate._send = self._send  # type: ignore[method-assign]
         self.incoming = IncomingExchanges(self.gate, UploadScheduler(330_000.0, 1 << 20), OWN)
 
+    def _send(self, ticket: Ticket) -> None:
+        self.ran.append(ticket.forward.attempt)
+        self.tickets.append(ticket)
+
     def hear(self, wire: Wire, *messages: Message) -> None:
         for message in messages:
             self.incoming.heard(wire, message)  # type: ignore[arg-type]
@@ -63,9 +80,9 @@
         return asyncio.get_running_loop().time() + 5000.0 - ago
 
 
-def forward(n: int, sent: float, left: float = 2.0, size: int = 0) -> Forward:
+def forward(n: int, sent: float, left: float = 2.0, size: int = 0, key: bytes = b"") -> Forward:
     attempt = b"a%d" % n
-    return Forward(n, "i-1", b"POST", b"/p", [], b"", left, left, attempt, 0, False, "r", size=size, sent=sent)
+    return Forward(n, "i-1", b"POST", b"/p", [], b"", left, left, attempt, 0, False, "r", key, size=size, sent=sent)
 
 
 def play(what: Callable[[Rig], Awaitable[None] | None]) -> None:
@@ -203,3 +220,110 @@
     assert freezes.came(1.8) == 1.8  # a loaded machine is none that was frozen
     assert freezes.came(30.0) == 1.8 and freezes.came(30.4) == 1.8
     assert freezes.came(40.0) == 30.4 and freezes.came(40.5) == 40.5
+
+
+def test_a_gate_tells_on_a_new_connection_what_is_proven_of_those_lost_with_the_former_one() -> None:
+    def what(rig: Rig) -> None:
+        former = rig.greeted()
+        rig.hear(former, *(forward(n, rig.stamp(), key=b"k%d" % n) for n in (1, 2, 3)))
+        rig.hear(former, forward(4, rig.stamp(), size=50_000, key=b"k4"))  # its body never comes whole
+        never_ran, answered, at_work = rig.tickets
+        rig.gate._end(never_ran, End.NOT_RUN, Cause.EVICTED)
+        rig.gate._end(answered, End.ANSWERED, Cause.NONE, Answer(200, b"", b""))
+        former.close()
+        rig.incoming.ended(former)  # type: ignore[arg-type]
+        after = rig.greeted()
+        rig.hear(after, AskOutcomes([1, 2, 3, 4, 5]))
+        assert after.replies == [(1, End.NOT_RUN), (4, End.NOT_RUN), (5, End.NOT_RUN)]  # 5 has never come
+        rig.gate._end(at_work, End.NOT_RUN, Cause.HOPELESS)
+        assert after.replies[3:] == [(3, End.NOT_RUN)]  # told once it is known
+
+    play(what)
+
+
+def test_what_a_gate_has_said_never_ran_does_not_run_when_it_comes_after_all() -> None:
+    def what(rig: Rig) -> None:
+        former, after = rig.greeted(), rig.greeted()
+        rig.hear(former, forward(1, rig.stamp(), key=b"k1"))
+        rig.hear(after, AskOutcomes([2]))
+        assert after.replies == [(2, End.NOT_RUN)] and not former.open  # so that nothing more is read on it
+        other = rig.greeted("two")
+        rig.hear(other, AskOutcomes([1, 2]))  # of another life: nothing is known, and nothing is closed
+        assert other.replies == [] and after.open
+
+    play(what)
+
+
+def test_who_has_not_said_which_life_it_is_can_ask_nothing() -> None:
+    def what(rig: Rig) -> None:
+        stranger = Wire()
+        rig.hear(stranger, AskOutcomes([1]))
+        assert stranger.sent == [] and not stranger.open
+
+    play(what)
+
+
+def test_what_was_forgotten_is_not_proven() -> None:
+    outcomes = Outcomes()
+    assert not outcomes.proven_unrun("life", 1)  # nothing has come of that life, as far as is remembered
+    for number in range(1, UNRUN_MOST + 2):
+        outcomes.came("life", number)
+        outcomes.did_not_run("life", number)
+    assert not outcomes.proven_unrun("life", 1) and outcomes.proven_unrun("life", 2)
+    assert outcomes.proven_unrun("life", UNRUN_MOST + 2)
+
+
+def test_the_proof_for_a_lost_request_is_asked_for_and_reaches_who_sent_it() -> None:
+    def what(_: Rig) -> None:
+        outgoing, replies = OutgoingExchanges(), list[tuple[int, End]]()
+        former = Wire("10.0.0.1", "theirs")
+
+        def carry(key: bytes) -> int:
+            message = forward(0, 0.0, key=key)
+            outgoing.carry(1.0, former.peer, former, 0.0, message, lambda r: replies.append((r.n, End(r.how))))  # type: ignore[arg-type]
+            return message.n
+
+        one, two, unkeyed = carry(b"k1"), carry(b"k2"), carry(b"")
+        outgoing.lost(former.peer)
+        assert replies == [(n, End.MAYBE) for n in (one, two, unkeyed)]
+        replies.clear()
+        after, elsewhere = Wire("10.0.0.1", "theirs"), Wire("10.0.0.2", "theirs")
+        for wire in (elsewhere, after):
+            outgoing.reached(wire)  # type: ignore[arg-type]
+        assert elsewhere.sent == [] and after.sent == [AskOutcomes([one, two])]
+        outgoing.reply(elsewhere, Reply(one, End.NOT_RUN))  # type: ignore[arg-type]
+        assert replies == []
+        for _again in range(2):
+            outgoing.reply(after, Reply(one, End.NOT_RUN))  # type: ignore[arg-type]
+        assert replies == [(one, End.NOT_RUN)]  # once
+        outgoing.reached(Wire("10.0.0.1", "another life"))  # type: ignore[arg-type]
+        outgoing.reply(after, Reply(two, End.NOT_RUN))  # type: ignore[arg-type]
+        assert replies == [(one, End.NOT_RUN)]  # the life that knew of it has ended
+
+    play(what)
+
+
+def test_requests_that_are_asked_for_are_bounded() -> None:
+    outgoing, former = OutgoingExchanges(), Wire("10.0.0.1", "theirs")
+    for _ in range(UNPROVEN_MOST + 10):
+        outgoing.carry(1.0, former.peer, former, 0.0, forward(0, 0.0, key=b"k"), lambda r: None)  # type: ignore[arg-type]
+    outgoing.lost(former.peer)
+    after = Wire("10.0.0.1", "theirs")
+    outgoing.reached(after)  # type: ignore[arg-type]
+    [asked] = after.sent
+    assert isinstance(asked, AskOutcomes) and len(asked.numbers) == UNPROVEN_MOST
+
+
+def test_what_is_withdrawn_is_not_begun_and_what_is_at_work_goes_on() -> None:
+    def what(rig: Rig) -> None:
+        wire = rig.greeted()
+        rig.hear(wire, forward(1, rig.stamp()), forward(2, rig.stamp(), size=50_000))
+        rig.tickets[0].exchange = object()  # type: ignore[assignment]  # the backend works on it
+        rig.hear(wire, Withdraw(1), Withdraw(2), Withdraw(3))
+        assert wire.replies == [(2, End.NOT_RUN)] and wire.open
+        rig.hear(wire, Part(2, bytes(PART)))  # a part that was on its way
+        assert rig.ran == [b"a1"] and wire.open
+        rig.gate._end(rig.tickets[0], End.ANSWERED, Cause.NONE, Answer(200, b"", b""))
+        assert wire.replies[1:] == [(1, End.ANSWERED)]
+
+    play(what)
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 
@@ -376,3 +377,59 @@
         assert sorted(replies) == [(n, End.MAYBE) for n in (1, 2, 3)]  # who sent it counts what it has under way
 
     play(lambda a: GOOD % a, what)
+
+
+def test_what_is_withdrawn_while_it_waits_never_reaches_the_backend_and_is_proven_not_to_have_run() -> None:
+    async def what(rig: Rig, backend: Scripted) -> None:
+        backend.hold = asyncio.Event()
+        rig.local.berths = 1
+        replies: list[tuple[int, End, bool]] = []
+        tickets = [rig.gate.run(forward(n), lambda r: replies.append((r.n, End(r.how), r.sent))) for n in (1, 2, 3)]
+        while len(backend.heads) < 2:
+            await asyncio.sleep(0)
+        for ticket in tickets:
+            assert ticket is not None
+            rig.gate.withdraw(ticket)
+        assert replies == [(3, End.NOT_RUN, False)]
+        backend.hold.set()
+        while len(replies) < 3:
+            await asyncio.sleep(0.001)
+        assert sorted(replies[1:]) == [(1, End.ANSWERED, True), (2, End.ANSWERED, True)]
+        assert [attempt_of(head) for head in backend.heads] == [b"a1", b"a2"] and rig.gate.busy == 0
+
+    play(lambda a: GOOD % a, what)
+
+
+def test_a_backend_that_answers_before_it_has_read_a_long_body_gets_no_other_bytes_in_its_place() -> None:
+    """It keeps the connection, and reads on later: what it then reads must be the rest of that body."""
+    body = bytes(range(256)) * (64 << 10)  # 16 MiB: more than the system takes unread
+    streams: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def answer_early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        streams.append((reader, writer))
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write(GOOD % attempt_of(head))
+
+    async def run() -> None:
+        server = await asyncio.start_server(answer_early, "127.0.0.1", 0, limit=1 << 16)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        replies: list[Reply] = []
+        gate = Gate(256 << 20, 64, 2.0, lambda f, a: None, lambda local: None)
+        gate.local = LocalBackend("i-1", "s", address, asyncio.get_running_loop().time())
+        gate.run(forward(1, body=body, left=5.0), replies.append)
+        while not replies:
+            await asyncio.sleep(0.001)
+        gate.run(forward(2), replies.append)
+        while len(replies) < 2:
+            await asyncio.sleep(0.001)
+        assert [reply.how for reply in replies] == [End.ANSWERED] * 2 and len(streams) == 2
+        late = bytearray()
+        with suppress(ConnectionError):
+            while data := await streams[0][0].read(1 << 16):
+                late += data
+        assert bytes(late) == body[: len(late)]
+        for _, writer in streams:
+            writer.close()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(run(), 20.0))
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -15,8 +15,10 @@
 from lugspur.control.messages import Answer, Forward, Reply
 from lugspur.dataplane.causes import Cause
 from lugspur.dataplane.gate import End
+from lugspur.dataplane.proxied_request import ProxiedRequest
 from lugspur.dataplane.proxy import Proxy
 from lugspur.dataplane.routes import RouteTable
+from lugspur.observability.failures import PickView, Refusal
 from lugspur.seams import Request
 
 OK = Answer(200, b"Lugspur-Postmark: p\r\n", b"hi")
@@ -42,12 +44,26 @@
         return None
 
 
+class Carried:
+    """A request that was handed to the played gates."""
+
+    def __init__(self, rig: Rig, at: int) -> None:
+        self._rig, self._at = rig, at
+
+    def cancel(self) -> None:
+        self._rig.cancelled.append(self._at)
+
+    def withdraw(self) -> None:
+        self._rig.withdrawn.append(self._at)
+
+
 class Rig:
     """A proxy whose gates and keys are played."""
 
     def __init__(self, kind: str = "safe", tries: int = 2, backends: int = 3, slack: float = 20.0) -> None:
         self.sent: list[tuple[str, Forward, Callable[[Reply], None]]] = []
         self.cancelled: list[int] = []
+        self.withdrawn: list[int] = []
         self.claimed: list[tuple[bytes, Callable[[Settled], None]]] = []
         self.claim_ids: list[bytes] = []
         self.released: list[bytes] = []
@@ -63,10 +79,9 @@
     def ready(self, ip: str) -> bool:
         return ip not in self.unreachable
 
-    def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Callable[[], None]:
-        at = len(self.sent)
+    def carry(self, ip: str, forward: Forward, respond: Callable[[Reply], None]) -> Carried:
         self.sent.append((ip, forward, respond))
-        return lambda: self.cancelled.append(at)
+        return Carried(self, len(self.sent) - 1)
 
     def claim(self, key: bytes, by: bytes, left: float, within: float, over: Callable[[Settled], None]) -> None:
         self.claimed.append((key, over))
@@ -330,6 +345,54 @@
     play(what, kind="tracked")
 
 
+def test_a_claim_is_given_back_when_a_lost_connections_other_end_proves_that_nothing_ran() -> None:
+    def what(rig: Rig) -> None:
+        caller = rig.ask(lugspur_operation_key="k")
+        rig.claimed[0][1](Won())
+        _, forward, respond = rig.sent[0]
+        respond(Reply(forward.n, End.MAYBE, cause=Cause.LINK_LOST))
+        assert caller.answers[0][0] == 502 and not rig.released
+        for how in (End.MAYBE, End.ANSWERED):
+            respond(Reply(forward.n, how))
+            assert not rig.released  # no proof
+        for _ in range(2):
+            respond(Reply(forward.n, End.NOT_RUN, cause=Cause.NEVER_CAME))
+        assert rig.released == [b"k"] and len(caller.answers) == 1 and len(rig.sent) == 1
+
+    play(what, kind="tracked")
+
+
+def test_a_proof_that_comes_behind_an_answer_gives_nothing_back() -> None:
+    def what(rig: Rig) -> None:
+        rig.ask(lugspur_operation_key="k")
+        rig.claimed[0][1](Won())
+        _, forward, respond = rig.sent[0]
+        respond(Reply(forward.n, End.ANSWERED, OK))
+        respond(Reply(forward.n, End.NOT_RUN))
+        assert not rig.released
+
+    play(what, kind="tracked")
+
+
+def test_an_account_says_what_the_pick_saw_where_it_found_no_backend() -> None:
+    def what(rig: Rig) -> None:
+        rig.unreachable = {"10.0.0.0"}
+        for _ in range(200):
+            rig.ask()
+            while rig.proxy.open_requests:
+                rig.reply(End.NOT_RUN, sent=False)
+        told = [failed.pick for failed in rig.proxy.failures.latest() if not failed.steps]
+        assert told and all(pick is not None and (pick.known, pick.unreachable) == (3, 1) for pick in told)
+        drawn = [refusal for pick in told if pick is not None for refusal in pick.refusals]
+        assert drawn and all(r.term == "errors" and r.chance > 0.3 and r.backend in ("i-1", "i-2") for r in drawn)
+        rig.unreachable = {f"10.0.0.{n}" for n in range(3)}
+        rig.ask()
+        assert rig.proxy.failures.latest()[-1].pick == PickView(3, 0, 3, 0)
+        assert PickView(3, 0, 1, 1, (Refusal("i-1", 0.5, "errors"),)).text() == "3/0/1/1/i-1:errors:0.50"
+
+    play(what, slack=0.0)
+
+
 def test_who_leaves_cancels_what_is_safe_and_nothing_else() -> None:
     def what(rig: Rig) -> None:
         caller = rig.ask(lugspur_operation_key="k")
@@ -338,11 +401,25 @@
         assert caller.gone is not None
         caller.gone()
         assert rig.cancelled == ([] if rig.claimed else [0])
+        assert rig.withdrawn == []
 
     play(what)
     play(what, kind="tracked")
 
 
+@pytest.mark.parametrize("kind", ["unsafe", "upload"])
+def test_who_leaves_withdraws_what_may_not_be_cancelled_and_has_no_key(kind: str) -> None:
+    def what(rig: Rig) -> None:
+        caller = rig.ask()
+        assert caller.gone is not None
+        caller.gone()
+        assert (rig.cancelled, rig.withdrawn) == ([], [0])
+        rig.reply(End.NOT_RUN, sent=False)
+        assert not caller.answers and len(rig.sent) == 1
+
+    play(what, kind=kind)
+
+
 def test_at_the_deadline_there_is_an_answer_and_a_second_copy_goes_out_before_it() -> None:
     async def what(rig: Rig) -> None:
         way = rig.proxy.table.find(b"a.example", b"/r/1")
@@ -364,6 +441,7 @@
         rig.reply(End.ANSWERED, BROKE)  # the first try fails, and the second one is sent
         assert len(rig.sent) == 3
         [request] = rig.proxy.open_requests
+        assert isinstance(request, ProxiedRequest)
         request._second()  # the copy that was set with the first try falls due while the second one is at work
         assert len(rig.sent) == 3 and not caller.answers
 
