Wait in the stop's test until the proxy goes by the route that it asks on

Cause: an order is acknowledged up to edition_ms before every proxy goes by it. Change: Mesh.until_reached waits for a number of routes too.

--- a/lugspur/bench/mesh.py
+++ b/lugspur/bench/mesh.py
@@ -118,12 +118,16 @@
         self.started.add(ip)
         with (self.folder / f"{ip}.log").open("ab") as log:
             self.processes[ip] = subprocess.Popen(
-                [sys.executable, "-m", "lugspur.mesh", "serve"],
+                self.command(),
                 cwd=ROOT,
                 stderr=log,
                 env=os.environ | {"LUGSPUR_NODE_FILE": str(path)},
             )
 
+    def command(self) -> list[str]:
+        """How each process is started."""
+        return [sys.executable, "-m", "lugspur.mesh", "serve"]
+
     def end(self, ip: str, how: signal.Signals = signal.SIGKILL) -> int:
         """End one; returns its exit status."""
         process = self.processes.pop(ip)
@@ -190,13 +194,15 @@
                         return
                 await asyncio.sleep(TRY_EVERY)
 
-    async def until_reached(self, ip: str, backends: int) -> None:
-        """Wait until a proxy reaches so many backends; raises TimeoutError."""
+    async def until_reached(self, ip: str, backends: int, routes: int = 0) -> None:
+        """Wait until a proxy reaches so many backends and goes by so many routes; raises TimeoutError."""
         async with asyncio.timeout(READY_WITHIN):
             while True:
                 with suppress(OSError, IndexError, ValueError):
                     _, _, body = await call(f"{ip}:{self.dispatch}", "GET", "/mesh/status")
-                    if sum(backend["reached"] for backend in json.loads(body)["backends"]) >= backends:
+                    status = json.loads(body)
+                    reached = sum(backend["reached"] for backend in status["backends"])
+                    if reached >= backends and status["routes"] >= routes:
                         return
                 await asyncio.sleep(TRY_EVERY)
 
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -192,7 +192,7 @@
             async with asyncio.timeout(60.0):
                 await mesh.begin()
                 await mesh.amend({"routes": [mesh.route("slow", "unsafe", "00000002", service="halls")]})
-                await mesh.until_reached(mesh.proxy_ips[0], 2)
+                await mesh.until_reached(mesh.proxy_ips[0], 2, 3)  # an order is acknowledged before all go by it
                 asked = asyncio.create_task(mesh.ask(mesh.proxy_ips[0], "/slow/1", "s1", b"x"))
                 while not any("s1" in backend.ran for backend in mesh.backends):
                     assert not asked.done(), asked.result()
