--- a/lugspur/emulator/control/guards.py
+++ b/lugspur/emulator/control/guards.py
@@ -103,8 +103,8 @@
         self._end(order, NoQuorum())
 
 
-def without_life(self: Proposer, replica: Replica, identity: str, rng: Random) -> None:
-    _proposer_init(self, replica, identity.split("/")[0], rng)
+def without_life(self: Proposer, replica: Replica, identity: str, rng: Random, *more: Any) -> None:
+    _proposer_init(self, replica, identity.split("/")[0], rng, *more)
 
 
 def refuse_at_once(self: Proposer) -> Any:
--- a/lugspur/mesh/sidecar.py
+++ b/lugspur/mesh/sidecar.py
@@ -13,7 +13,7 @@
 from lugspur.control.items import LIMITS, ROUTES
 from lugspur.control.messages import Answer, Done, Entry, Forward, Grant, Hello, Message, Reply
 from lugspur.dataplane.delays import FreezeDetector
-from lugspur.dataplane.gate import Gate, Ticket
+from lugspur.dataplane.gate import Gate
 from lugspur.dataplane.ports import Carried
 from lugspur.dataplane.proxy import ATTEMPT, ID_MOST, Proxy
 from lugspur.dataplane.routes import RouteTable
@@ -25,11 +25,13 @@
 from lugspur.mesh.http_api import HttpApi, fail, reply
 from lugspur.mesh.incoming import IncomingExchanges
 from lugspur.mesh.link import KEEP_IDLE, PROXY_KEEP_IDLE, Dialler, Link
+from lugspur.mesh.local_requests import CarriedHere
 from lugspur.mesh.node import Node
 from lugspur.mesh.outgoing import OutgoingExchanges
 from lugspur.mesh.registration import FROZEN, BackendRegistration, BackendStatus
 from lugspur.mesh.settings import Settings
 from lugspur.mesh.sidecar_figures import sidecar_figures, tell_failure
+from lugspur.mesh.sidecar_status import sidecar_status
 from lugspur.observability.failures import FailureLog, Standing
 from lugspur.observability.metrics import CONTENT_TYPE, render
 from lugspur.seams import Answerable, Request
@@ -46,25 +48,6 @@
 _status_decoder = msgspec.msgpack.Decoder(BackendStatus)
 
 
-class CarriedHere:
-    """A request for the backend of this machine."""
-
-    __slots__ = ("_gate", "_ticket")
-
-    def __init__(self, gate: Gate, ticket: Ticket | None) -> None:
-        self._gate, self._ticket = gate, ticket
-
-    def cancel(self) -> None:
-        """Nobody waits for it: it is ended."""
-        if self._ticket is not None:
-            self._gate.cancel(self._ticket)
-
-    def withdraw(self) -> None:
-        """Nobody waits for it: it is not begun any more."""
-        if self._ticket is not None:
-            self._gate.withdraw(self._ticket)
-
-
 class Sidecar(Node):
     """One proxy's process."""
 
@@ -281,47 +264,8 @@
         caller.answer(200, CONTENT_TYPE, text)
 
     def status(self) -> dict[str, Any]:
-        """What operators see of this proxy: what it goes by, how old that is, and whom it would send to."""
-        now, local = self.loop.time(), self.gate.local
-        endpoints = [endpoint for found in self.proxy.services.values() for endpoint in found.values()]
-        return {
-            "node": self.settings.own.node_name,
-            "role": "proxy",
-            "ip": self.ip,
-            "zone": self.settings.own.zone,
-            "sender": self.proxy.sender,
-            "leaving": self.leaving,
-            "known": self.known,
-            "epoch": 0 if self.membership is None else self.membership.epoch,
-            "voters": [] if self.membership is None else [voter.ip for voter in self.membership.voters],
-            "source": self.source,
-            "age_s": round(min(1e6, now - self.source_at), 3),
-            "routes": len(self.table),
-            "open": len(self.proxy.open_requests),
-            "busy": self.gate.busy,
-            "backend": None
-            if local is None
-            else {
-                "id": local.id,
-                "service": local.service,
-                "state": local.state,
-                "berths": local.berths,
-                "down": local.down,
-            },
-            "backends": [
-                {
-                    "id": r.id,
-                    "service": r.service,
-                    "ip": r.ip,
-                    "zone": r.zone,
-                    "reached": self.ready(r.ip),
-                    "in_flight": r.inflight,
-                    "latency": round(r.latency, 3),
-                    "refuses": {name: round(b.error_ratio(now), 3) for name, b in r.breakers.items()},
-                }
-                for r in endpoints
-            ],
-        }
+        """What operators see of this proxy."""
+        return sidecar_status(self)
 
     # ---- time -----------------------------------------------------------------------------------
 
