Play a mesh without one of its guards until the soak misses it

Need: a soak that finds nothing says little as long as nobody knows what it would find.

One service has two now; four clients in place of one ask what may not be repeated; one of two backends loses its answers. New troubles: that, and a backend that leaves in order, with a check that nothing reaches it behind its drain. New check: every proxy that ran all the while answers by the route's deadline.

--- a/lugspur/bench/faults/cluster.py
+++ b/lugspur/bench/faults/cluster.py
@@ -25,8 +25,10 @@
 class Cluster(Mesh):
     """So many control machines and three proxies; control machines come and go under new addresses."""
 
+    proxy_services: tuple[str, ...] = SERVICES  # the service beside each proxy
+
     def __init__(self, folder: Path, machines: int, tolerate: int) -> None:
-        super().__init__(folder, machines, SERVICES)
+        super().__init__(folder, machines, self.proxy_services)
         self.tolerate = tolerate
         self.bounds = Bounds()
         self.links = Links()
--- /dev/null
+++ b/lugspur/bench/soak/guarded.py
@@ -0,0 +1,14 @@
+"""`python -m lugspur.bench.soak.guarded NUMBER`: a process of the mesh that lacks one of the soak's guards."""
+
+from __future__ import annotations
+
+import sys
+
+from lugspur import reloads
+from lugspur.bench.soak.guards import GUARDS
+from lugspur.mesh.program import serve
+
+if __name__ == "__main__":
+    reloads.hold()
+    GUARDS[int(sys.argv[1])].take_out()
+    sys.exit(serve())
--- /dev/null
+++ b/lugspur/bench/soak/guards.py
@@ -0,0 +1,197 @@
+"""Guards of the mesh taken out of real processes, one at a time: what tells of it, and after how many seconds of soak.
+
+A soak that finds nothing says little unless it is known what it would have found. Each row here is a check that the
+program makes, and what it would do without that check.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+from lugspur.control.freshness import Freshness
+from lugspur.control.messages import Delta, Forward
+from lugspur.dataplane import proxied_request
+from lugspur.dataplane.delays import ExcessDelay
+from lugspur.dataplane.gate import Gate, LocalBackend
+from lugspur.dataplane.proxied_request import ProxiedRequest
+from lugspur.emulator.control import guards as control_guards
+from lugspur.http1.upstream import Connection, Exchange
+from lugspur.mesh.backend_lives import BackendLives
+from lugspur.mesh.outcomes import Outcomes
+from lugspur.seams import Response
+
+SECONDS_EACH = 20.0  # of troubles in one play; plays follow each other until the guard is missed or the time is up
+
+
+@dataclass(frozen=True)
+class SoakGuard:
+    """One guard: where it is, and what stands there instead."""
+
+    name: str
+    owner: Any
+    attribute: str
+    wrong: Any
+
+    def take_out(self) -> None:
+        """Go on without it, for the rest of this process's life."""
+        setattr(self.owner, self.attribute, self.wrong)
+
+
+# ---- the wrong ways ------------------------------------------------------------------------------
+
+
+def _send_again_whatever_ran(self: ProxiedRequest, now: float) -> bool:
+    if self.out:
+        return True
+    if self.rounds >= proxied_request.ROUNDS or now >= self.deadline or self.sends >= self.route.tries:
+        return False
+    self.maybe = False
+    return self._go(now, True)
+
+
+def _release_without_proof(self: ProxiedRequest) -> None:
+    if self.won:
+        self.won = False
+        self.proxy.keys.release(self.key, self.claim_id)
+
+
+def _run_without_claim(self: ProxiedRequest, how: Any) -> None:
+    self.won = True
+    if not self.over:
+        self._go(self.proxy.loop.time())
+
+
+def _takes_any_life(self: Gate, now: float, backend: str) -> bool:
+    return self.local is not None and not self.leaving and not self.local.down
+
+
+def _takes_whatever_waits(self: Gate, now: float, ticket: Any) -> bool:
+    return True
+
+
+def _first_answer_whoevers(self: Connection) -> bool:
+    return False
+
+
+_heard = Freshness.heard
+
+
+def _count_words_of_the_deaf(self: Freshness, now: float, ip: str, delta: Delta) -> float:
+    delta.echo = now
+    return _heard(self, now, ip, delta)
+
+
+def _any_life_is_present(self: BackendLives, now: float, ident: str, sequence: int, silent: bool) -> bool:
+    return True
+
+
+def _sound_whatever_came(forward: Forward, response: Response) -> bool:
+    return True
+
+
+def _never_late(self: ExcessDelay, now: float, sent: float) -> float:
+    return 0.0
+
+
+def _never_ran(self: Exchange) -> bool:
+    return False
+
+
+def _all_is_proven(self: Outcomes, life: str, number: int) -> bool:
+    return True
+
+
+def _no_closing(self: Gate, now: float, backend: str) -> bool:
+    local: LocalBackend | None = self.local
+    return local is not None and local.id == backend and not self.leaving and not local.down
+
+
+DATA_PLANE = [
+    SoakGuard("what may have run is not sent again", ProxiedRequest, "_again", _send_again_whatever_ran),
+    SoakGuard("a claim is given back with proof alone", ProxiedRequest, "_release_unrun", _release_without_proof),
+    SoakGuard("an operation runs only once its key is won", ProxiedRequest, "_claimed", _run_without_claim),
+    SoakGuard("a request runs at the life that it names", Gate, "takes", _takes_any_life),
+    SoakGuard("a backend that closes gets nothing new", Gate, "takes", _no_closing),
+    SoakGuard("what waits is sent to the life that took it", Gate, "takes_waiting", _takes_whatever_waits),
+    SoakGuard("an answer bears its request's id", Gate, "_sound", staticmethod(_sound_whatever_came)),
+    SoakGuard("a late answer to another is passed over", Connection, "_stray", _first_answer_whoevers),
+    SoakGuard("what was sent may have run", Exchange, "_may_have_run", _never_ran),
+    SoakGuard("what was held up is not begun", ExcessDelay, "excess", _never_late),
+    SoakGuard("only what never came is proven so", Outcomes, "proven_unrun", _all_is_proven),
+    SoakGuard("a late heartbeat takes nobody's place", BackendLives, "is_present", _any_life_is_present),
+    SoakGuard("a voter's word counts only while it hears us", Freshness, "heard", _count_words_of_the_deaf),
+]
+
+GUARDS = [
+    *DATA_PLANE,
+    *(SoakGuard(guard.name, guard.owner, guard.attribute, guard.wrong) for guard in control_guards.GUARDS),
+]
+
+
+# ---- who misses them -----------------------------------------------------------------------------
+
+
+@dataclass(frozen=True)
+class Seen:
+    """What became of one guard: after how many seconds of troubles it was missed, and by what; none: it was not."""
+
+    name: str
+    seconds: float | None
+    by: str
+
+    def line(self) -> str:
+        """One row of the table."""
+        return f"| {self.name} | {'not seen' if self.seconds is None else f'{self.seconds:.0f} s'} | {self.by} |"
+
+
+def seek(number: int, seconds: float, seed: int, machines: int) -> Seen:
+    """Play without one guard until that is found out or the time is up."""
+    from lugspur.bench.soak.mesh_run import soak_mesh  # it starts processes, which import this module
+
+    guard = GUARDS[number]
+    played = 0.0
+    while played < seconds:
+        with tempfile.TemporaryDirectory() as folder:
+            verdict = asyncio.run(soak_mesh(Path(folder), seed, SECONDS_EACH, machines, number))
+        played += SECONDS_EACH
+        seed += 1
+        if verdict.findings:
+            kinds = sorted({kind for kind, _ in verdict.findings})
+            return Seen(guard.name, played, f"{', '.join(kinds)} ({len(verdict.findings)} findings)")
+    return Seen(guard.name, None, f"in {played:.0f} s")
+
+
+def seek_all(
+    numbers: list[int], seconds: float, seed: int, machines: int, at_once: int, told: Callable[[Seen], None]
+) -> list[Seen]:
+    """All of these, several at once, each in a process of its own: a mesh's addresses follow from its process."""
+    found = []
+    with ProcessPoolExecutor(at_once, get_context("spawn"), max_tasks_per_child=1) as pool:
+        futures = [pool.submit(seek, number, seconds, seed, machines) for number in numbers]
+        for future in futures:
+            found.append(future.result())
+            told(found[-1])
+    return found
+
+
+def named(words: str) -> Iterator[int]:
+    """The numbers of the guards whose names hold these words."""
+    return (number for number, guard in enumerate(GUARDS) if words in guard.name)
+
+
+def main(seconds: float, seed: int, machines: int, at_once: int, words: str) -> int:
+    """Print the table; 0 where each guard was missed."""
+    began = time.monotonic()
+    print("| guard | missed after | by |\n|---|---|---|", flush=True)
+    found = seek_all(list(named(words)), seconds, seed, machines, at_once, lambda seen: print(seen.line(), flush=True))
+    missed = sum(seen.seconds is not None for seen in found)
+    print(f"\n{missed} of {len(found)} guards missed, {time.monotonic() - began:.0f} s")
+    return 0 if missed == len(found) else 1
--- a/lugspur/bench/soak/mesh_run.py
+++ b/lugspur/bench/soak/mesh_run.py
@@ -18,6 +18,9 @@
 CALM_WITHIN = 15.0  # seconds after the last trouble in which all must be useful again, on a loaded machine too
 QUIET_WITHIN = 8.0  # seconds after the last client's request in which nothing may be left open anywhere
 ASK_EVERY = 0.2
+MAILERS = 4  # clients whose requests may not be repeated
+ANSWERED_WITHIN = 5.9  # seconds: the routes' own time, and what a loaded machine may add
+BEHIND = 1.5  # seconds after a process runs again in which its callers may still wait
 EMPTY_WHEN_QUIET = (
     "lugspur_requests_open",
     "lugspur_gate_in_hand",
@@ -28,24 +31,25 @@
 CALLERS_MOST = 6  # connections of callers that may be left at a proxy: those who are let go after a while
 
 
-async def soak_mesh(folder: Path, seed: int, seconds: float, machines: int = 3) -> Verdict:
-    """Play one seed, and say what was found."""
-    return await play(folder, draw(Random(f"troubles-{seed}"), seconds, MESH_WEIGHTS), seed, machines)
+async def soak_mesh(folder: Path, seed: int, seconds: float, machines: int = 3, guard: int = -1) -> Verdict:
+    """Play one seed, and say what was found; `guard`: the number of one that the processes lack."""
+    return await play(folder, draw(Random(f"troubles-{seed}"), seconds, MESH_WEIGHTS), seed, machines, guard)
 
 
-async def play(folder: Path, troubles: list[Trouble], seed: int, machines: int = 3) -> Verdict:
+async def play(folder: Path, troubles: list[Trouble], seed: int, machines: int = 3, guard: int = -1) -> Verdict:
     """Play these troubles."""
     verdict, history = Verdict(), History()
     cluster = SoakCluster(folder, machines, max(1, (machines - 1) // 2))
     cluster.rng = Random(f"backends-{seed}")
+    cluster.guard = guard
     try:
         await cluster.begin()
         console = Console(cluster, history)
         operators = Operators(console, Random(f"operators-{seed}"))
         clients = Clients(cluster, history, Random(f"clients-{seed}"))
-        acts = MeshTroubles(cluster, history, Random(f"acts-{seed}"), lambda name: verdict.troubles.update([name]))
+        acts = MeshTroubles(cluster, history, Random(f"acts-{seed}"), verdict)
         changes: list[Awaitable[None]] = [operators.work("north"), operators.work("south"), operators.read_on()]
-        requests: list[Awaitable[None]] = [clients.mail_on(), clients.book_on()]
+        requests: list[Awaitable[None]] = [clients.book_on(), *(clients.mail_on() for _ in range(MAILERS))]
         requests += [clients.look_on(ip) for ip in cluster.proxy_ips]
         changing = [asyncio.ensure_future(one) for one in changes]
         asking = [asyncio.ensure_future(one) for one in requests]
@@ -76,6 +80,7 @@
     for violation in check(history, cluster.bounds):
         verdict.add(violation.rule.value, f"{violation.subject} {violation.detail} {violation.where}")
     _check_runs(history, clients.sent, acts, verdict)
+    _check_times(history, acts, verdict)
     verdict.read_logs(folder)
     _count(history, verdict)
     return verdict
@@ -164,6 +169,16 @@
             verdict.add("ran twice", f"{attempt} of a misbehaving caller")
 
 
+def _check_times(history: History, acts: MeshTroubles, verdict: Verdict) -> None:
+    """Each request of a proxy that ran all the while is answered by its deadline, whatever else goes wrong."""
+    for call in history.calls:
+        if call.ended - call.began < ANSWERED_WITHIN:
+            continue
+        away = [a for a in acts.away if a.ip == call.sidecar and a.since <= call.ended]
+        if not any(call.began <= a.until + BEHIND for a in away):
+            verdict.add("answered late", f"{call.attempt} at {call.sidecar}: {call.ended - call.began:.2f} s")
+
+
 def _count(history: History, verdict: Verdict) -> None:
     verdict.done.update(
         {
--- a/lugspur/bench/soak/mesh_troubles.py
+++ b/lugspur/bench/soak/mesh_troubles.py
@@ -4,38 +4,73 @@
 
 import asyncio
 import signal
+import sys
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from random import Random
 
-from lugspur.bench.faults.cluster import CATCH_UP, Cluster
+from lugspur.bench.faults.cluster import CATCH_UP, SERVICES, Cluster
 from lugspur.bench.faults.history import History, Span
 from lugspur.bench.faults.links import Cut, Pair
 from lugspur.bench.soak.plan import Kind, Trouble
 from lugspur.bench.soak.spoilt_backends import SPOILT, SpoiltMeshBackend, Way
 from lugspur.bench.soak.spoilt_callers import Form, SpoiltCallers
+from lugspur.bench.soak.verdict import Verdict
 from lugspur.standins.mesh import MeshBackend
 
 FORM = Form("mesh.example", "/look/1", "/mail/1", "Lugspur-Attempt-Id", "")
 DAMAGED = b"[self]\nnode_name = \n"
 UNDECODABLE = b'[self]\nnode_name = "\xff\xfe"\n'
+TWICE = SERVICES[0]  # the service that has two backends
+LOST = (Way.SILENT, Way.RESET, Way.HALF, Way.GARBAGE)  # how a backend loses the answer of what it has run
+DRAIN = 2.0  # seconds after its acknowledged `closing` from which a backend is reached by nothing, by the settings
+AFTER_DRAIN = 0.8  # seconds for which that is watched
 SETTLED = CATCH_UP + 0.5  # seconds after its return from which a wiped machine counts again
 
 
 class SoakCluster(Cluster):
-    """A cluster whose backends may misbehave."""
+    """A cluster whose backends may misbehave; `guard`: the number of the guard that its processes lack, -1: none.
 
+    One service has two backends: what may not be run again could go to the other one.
+    """
+
+    proxy_services = (TWICE, *SERVICES)
     rng: Random
+    guard = -1
+
+    def command(self) -> list[str]:
+        if self.guard < 0:
+            return super().command()
+        return [sys.executable, "-m", "lugspur.bench.soak.guarded", str(self.guard)]
+
+    def start(self, ip: str) -> None:
+        # As docs/mesh-operating.md asks of whoever starts a process: until its first line it can hold no signal.
+        before = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        try:
+            super().start(ip)
+        finally:
+            signal.signal(signal.SIGHUP, before)
 
     def new_backend(self, service: str, address: str, dispatch: str, zone: str) -> MeshBackend:
         return SpoiltMeshBackend(service, address, dispatch, zone, self.rng)
 
 
+@dataclass(frozen=True)
+class Away:
+    """A process that did not run for a while."""
+
+    ip: str
+    since: float
+    until: float
+
+
 class MeshTroubles:
-    """All that is done to one cluster; `count` is told of each that was carried out."""
+    """All that is done to one cluster, and what its backends see of that."""
 
-    def __init__(self, cluster: SoakCluster, history: History, rng: Random, count: Callable[[str], None]) -> None:
-        self.cluster, self.history, self.rng, self._count = cluster, history, rng, count
+    def __init__(self, cluster: SoakCluster, history: History, rng: Random, verdict: Verdict) -> None:
+        self.cluster, self.history, self.rng, self.verdict = cluster, history, rng, verdict
+        self.away: list[Away] = []
         self._loop = asyncio.get_running_loop()
         self._hit: set[str] = set()  # machines whose process has a trouble of its own
         self._wiped_at = float("-inf")
@@ -58,7 +93,9 @@
             Kind.RELOAD_MISSING: lambda t: self._reload(t, None),
             Kind.SEEDS: self._seeds,
             Kind.SPOILT_BACKEND: self._spoil_backend,
+            Kind.LOST_ANSWERS: self._lose_answers,
             Kind.RESTART_BACKEND: self._restart_backend,
+            Kind.DRAIN_BACKEND: self._drain_backend,
             Kind.SPOILT_CALLERS: self._spoilt_callers,
         }
 
@@ -69,7 +106,17 @@
         # Troubles overlap, so that no time bound is checked while any lasts: safety is.
         self.history.spans.append(Span(trouble.kind.value, (), began, self._loop.time(), (), True))
         if done:
-            self._count(trouble.kind.value)
+            self.verdict.troubles.update([trouble.kind.value])
+
+    def _take(self, ip: str) -> float:
+        """Nothing else is done to this process from now on."""
+        self._hit.add(ip)
+        return self._loop.time()
+
+    def _give_back(self, ip: str, since: float) -> None:
+        """It runs again."""
+        self._hit.discard(ip)
+        self.away.append(Away(ip, since, self._loop.time()))
 
     def _free(self, ips: list[str]) -> str:
         """One of these whose process has no trouble of its own; empty: there is none."""
@@ -81,11 +128,11 @@
     async def _kill(self, trouble: Trouble, ip: str) -> bool:
         if not ip:
             return False
-        self._hit.add(ip)
+        since = self._take(ip)
         self.cluster.end(ip)
         await asyncio.sleep(trouble.seconds / 3.0)
         self.cluster.start(ip)
-        self._hit.discard(ip)
+        self._give_back(ip, since)
         return True
 
     async def _kill_all(self, trouble: Trouble) -> bool:
@@ -122,20 +169,20 @@
         ip = self._free(self.cluster.proxy_ips)
         if not ip:
             return False
-        self._hit.add(ip)
+        since = self._take(ip)
         await self.cluster.terminate(ip)
         self.cluster.start(ip)
-        self._hit.discard(ip)
+        self._give_back(ip, since)
         return True
 
     async def _freeze(self, trouble: Trouble, ip: str) -> bool:
         if not ip:
             return False
-        self._hit.add(ip)
+        since = self._take(ip)
         self.cluster.freeze(ip)
         await asyncio.sleep(trouble.seconds)
         self.cluster.thaw(ip)
-        self._hit.discard(ip)
+        self._give_back(ip, since)
         return True
 
     # ---- links ---------------------------------------------------------------------------------
@@ -210,6 +257,41 @@
             await self.cluster.add_backend(ip, backend.service)
         return True
 
+    async def _lose_answers(self, trouble: Trouble) -> bool:
+        """One of two backends runs what it gets, and its answers are lost."""
+        ip = self.rng.choice([ip for ip in self.cluster.proxy_ips if self.cluster.backend_of(ip).service == TWICE])
+        backend = self.cluster.backend_of(ip)
+        assert isinstance(backend, SpoiltMeshBackend)
+        backend.way = self.rng.choice(LOST)
+        await asyncio.sleep(trouble.seconds)
+        backend.way = Way.WELL
+        return True
+
+    async def _drain_backend(self, trouble: Trouble) -> bool:
+        """A backend says that it leaves, serves on for the drain's time, signs off, and another life begins."""
+        ip = self.rng.choice(self.cluster.proxy_ips)
+        backend = self.cluster.backend_of(ip)
+        if backend.state != "accepting":
+            return False
+        backend.state = "closing"
+        try:
+            async with asyncio.timeout(1.0):
+                acknowledged = await backend.beat()
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            acknowledged = False
+        await asyncio.sleep(DRAIN)
+        ran = len(backend.ran)
+        await asyncio.sleep(AFTER_DRAIN)
+        if acknowledged and len(backend.ran) > ran:
+            self.verdict.add("ran after its drain", f"{', '.join(backend.ran[ran:])} at {ip}")
+        with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                await backend.sign_off()
+        await backend.close()
+        with suppress(OSError):  # a restart was quicker
+            await self.cluster.add_backend(ip, backend.service)
+        return acknowledged
+
     async def _spoilt_callers(self, trouble: Trouble) -> bool:
         ip = self.rng.choice(self.cluster.proxy_ips)
         with suppress(TimeoutError):
--- a/lugspur/bench/soak/plan.py
+++ b/lugspur/bench/soak/plan.py
@@ -27,6 +27,8 @@
     RELOAD_MISSING = "reload a file that is gone"
     SEEDS = "exchange seeds"
     SPOILT_BACKEND = "a backend misbehaves"
+    LOST_ANSWERS = "one of two backends loses its answers"
+    DRAIN_BACKEND = "a backend leaves in order"
     RESTART_BACKEND = "a backend crashes and starts anew"
     SPOILT_CALLERS = "callers misbehave"
 
@@ -59,6 +61,8 @@
     Kind.RELOAD_MISSING: 2,
     Kind.SEEDS: 2,
     Kind.SPOILT_BACKEND: 14,
+    Kind.LOST_ANSWERS: 8,
+    Kind.DRAIN_BACKEND: 5,
     Kind.RESTART_BACKEND: 5,
     Kind.SPOILT_CALLERS: 14,
 }
--- a/lugspur/standins/mesh.py
+++ b/lugspur/standins/mesh.py
@@ -44,8 +44,8 @@
                 await self.beat()
             await asyncio.sleep(0.25)
 
-    async def beat(self) -> None:
-        """Say what it is; returns when that is acknowledged."""
+    async def beat(self) -> bool:
+        """Say what it is; returns whether that was acknowledged."""
         body = json.dumps(
             {
                 "service": self.service,
@@ -58,15 +58,26 @@
                 "sequence": next(self._sequence),
             }
         ).encode()
+        acknowledged = await self._call("heartbeat", body)
+        self.acknowledged += acknowledged
+        return acknowledged
+
+    async def sign_off(self) -> bool:
+        """Say the last word; returns whether that was acknowledged."""
+        return await self._call("sign-off", b"{}")
+
+    async def _call(self, name: str, body: bytes) -> bool:
         host, _, port = self.dispatch.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            b"POST /backends/%b/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
-            b"Content-Length: %d\r\nConnection: close\r\n\r\n%b" % (self.id.encode(), len(body), body)
-        )
-        status = await reader.readuntil(b"\r\n")
-        self.acknowledged += b" 200 " in status
-        writer.close()
+        try:
+            writer.write(
+                b"POST /backends/%b/%b HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\nConnection: close\r\n\r\n%b"
+                % (self.id.encode(), name.encode(), len(body), body)
+            )
+            return b" 200 " in await reader.readuntil(b"\r\n")
+        finally:
+            writer.close()
 
     async def _caller(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # Cancelled at the end of the loop: its connections end with it.
