Hold nothing against a backend when a request is withdrawn

Cause: a withdrawn request ends as one that a gate turned away, which counted as a failure of its backend and rested it, though it was its client who left. Change: not where the gate names that cause. Test: the breaker and the rest after a withdrawal.

--- a/lugspur/dataplane/proxied_request.py
+++ b/lugspur/dataplane/proxied_request.py
@@ -228,8 +228,9 @@
             self.rounds += 1
             if not reply.sent:
                 self.sends -= 1  # no backend was offered it
-            endpoint.breaker(route.name).failed(now)
-            endpoint.rests_until = now + REST * (0.5 + self.proxy.rng.random())
+            if reply.cause != Cause.CANCELLED:  # what was withdrawn says nothing of its backend
+                endpoint.breaker(route.name).failed(now)
+                endpoint.rests_until = now + REST * (0.5 + self.proxy.rng.random())
         else:
             self._failed(now, endpoint)
             self.maybe = True
--- a/tests/mesh/test_proxy_requests.py
+++ b/tests/mesh/test_proxy_requests.py
@@ -414,8 +414,11 @@
         assert caller.gone is not None
         caller.gone()
         assert (rig.cancelled, rig.withdrawn) == ([], [0])
-        rig.reply(End.NOT_RUN, sent=False)
+        _, forward, respond = rig.sent[0]
+        respond(Reply(forward.n, End.NOT_RUN, None, False, cause=Cause.CANCELLED))
         assert not caller.answers and len(rig.sent) == 1
+        [endpoint] = [e for e in rig.proxy.services["s"].values() if e.id == forward.backend]
+        assert endpoint.rests_until == 0.0 and not endpoint.breaker("r").failed_part(rig.proxy.loop.time())
 
     play(what, kind=kind)
 
