Have troubles of the soak meet requests that run, and orders that were just confirmed

Cause: some guards were not missed: backends answered at once, so that a reset met nothing that ran; all control nodes were killed at any moment but the one behind a confirmation; and no freeze outlasted a route's deadline. Change: backends work for 20 to 250 ms, all control nodes are killed right after one has confirmed an order, the route that is not to be repeated has 2 s, and a request that begins 0.8 s after its time is found.

--- a/lugspur/bench/faults/cluster.py
+++ b/lugspur/bench/faults/cluster.py
@@ -59,7 +59,11 @@
     async def begin(self) -> None:
         await super().begin()
         self.first = False
-        await self.amend({"routes": [self.route("mail", "unsafe", "00000001")]})
+        await self.amend({"routes": [self.mail_route()]})
+
+    def mail_route(self) -> dict[str, Any]:
+        """The route whose requests may not be repeated."""
+        return self.route("mail", "unsafe")
 
     def start(self, ip: str) -> None:
         super().start(ip)
--- a/lugspur/bench/soak/mesh_run.py
+++ b/lugspur/bench/soak/mesh_run.py
@@ -11,7 +11,7 @@
 from lugspur.bench.faults.clients import Clients
 from lugspur.bench.faults.history import History
 from lugspur.bench.faults.operator import Console, Operators
-from lugspur.bench.soak.mesh_troubles import MeshTroubles, SoakCluster
+from lugspur.bench.soak.mesh_troubles import MAIL_DEADLINE, MeshTroubles, SoakCluster
 from lugspur.bench.soak.plan import MESH_WEIGHTS, Trouble, draw
 from lugspur.bench.soak.verdict import Verdict, figures
 
@@ -20,6 +20,7 @@
 ASK_EVERY = 0.2
 MAILERS = 4  # clients whose requests may not be repeated
 ANSWERED_WITHIN = 5.9  # seconds: the routes' own time, and what a loaded machine may add
+BEGUN_WITHIN = 0.8  # seconds after its deadline in which a request may still begin: the machine is loaded
 BEHIND = 1.5  # seconds after a process runs again in which its callers may still wait
 EMPTY_WHEN_QUIET = (
     "lugspur_requests_open",
@@ -47,7 +48,11 @@
         console = Console(cluster, history)
         operators = Operators(console, Random(f"operators-{seed}"))
         clients = Clients(cluster, history, Random(f"clients-{seed}"))
-        acts = MeshTroubles(cluster, history, Random(f"acts-{seed}"), verdict)
+
+        async def order(ip: str) -> bool:
+            return (await console.send(operators.fresh("troubles"), ip)).confirmed
+
+        acts = MeshTroubles(cluster, history, Random(f"acts-{seed}"), verdict, order)
         changes: list[Awaitable[None]] = [operators.work("north"), operators.work("south"), operators.read_on()]
         requests: list[Awaitable[None]] = [clients.book_on(), *(clients.mail_on() for _ in range(MAILERS))]
         requests += [clients.look_on(ip) for ip in cluster.proxy_ips]
@@ -80,7 +85,7 @@
     for violation in check(history, cluster.bounds):
         verdict.add(violation.rule.value, f"{violation.subject} {violation.detail} {violation.where}")
     _check_runs(history, clients.sent, acts, verdict)
-    _check_times(history, acts, verdict)
+    _check_times(history, cluster, acts, verdict)
     verdict.read_logs(folder)
     _count(history, verdict)
     return verdict
@@ -169,9 +174,13 @@
             verdict.add("ran twice", f"{attempt} of a misbehaving caller")
 
 
-def _check_times(history: History, acts: MeshTroubles, verdict: Verdict) -> None:
-    """Each request of a proxy that ran all the while is answered by its deadline, whatever else goes wrong."""
+def _check_times(history: History, cluster: SoakCluster, acts: MeshTroubles, verdict: Verdict) -> None:
+    """Each request of a proxy that ran all the while is answered by its deadline, and none begins long after it."""
+    began = {attempt: at for backend in cluster.backends for attempt, at in backend.began.items()}
     for call in history.calls:
+        late = began.get(call.attempt, 0.0) - call.began - MAIL_DEADLINE
+        if call.unsafe and late > BEGUN_WITHIN:
+            verdict.add("begun after its time", f"{call.attempt}: by {late:.2f} s")
         if call.ended - call.began < ANSWERED_WITHIN:
             continue
         away = [a for a in acts.away if a.ip == call.sidecar and a.since <= call.ended]
--- a/lugspur/bench/soak/mesh_troubles.py
+++ b/lugspur/bench/soak/mesh_troubles.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 from lugspur.bench.faults.cluster import CATCH_UP, SERVICES, Cluster
 from lugspur.bench.faults.history import History, Span
@@ -25,6 +26,8 @@
 TWICE = SERVICES[0]  # the service that has two backends
 LOST = (Way.SILENT, Way.RESET, Way.HALF, Way.GARBAGE)  # how a backend loses the answer of what it has run
 DRAIN = 2.0  # seconds after its acknowledged `closing` from which a backend is reached by nothing, by the settings
+WORK = (0.02, 0.25)  # seconds that a backend takes for a request: troubles are to meet some that run
+MAIL_DEADLINE = 2.0  # seconds of the route that is not to be repeated: shorter than some freezes
 AFTER_DRAIN = 0.8  # seconds for which that is watched
 SETTLED = CATCH_UP + 0.5  # seconds after its return from which a wiped machine counts again
 
@@ -53,7 +56,12 @@
             signal.signal(signal.SIGHUP, before)
 
     def new_backend(self, service: str, address: str, dispatch: str, zone: str) -> MeshBackend:
-        return SpoiltMeshBackend(service, address, dispatch, zone, self.rng)
+        backend = SpoiltMeshBackend(service, address, dispatch, zone, self.rng)
+        backend.work = self.rng.uniform(*WORK)
+        return backend
+
+    def mail_route(self) -> dict[str, Any]:
+        return self.route("mail", "unsafe", deadline_ms=1000.0 * MAIL_DEADLINE)
 
 
 @dataclass(frozen=True)
@@ -68,8 +76,17 @@
 class MeshTroubles:
     """All that is done to one cluster, and what its backends see of that."""
 
-    def __init__(self, cluster: SoakCluster, history: History, rng: Random, verdict: Verdict) -> None:
+    def __init__(
+        self,
+        cluster: SoakCluster,
+        history: History,
+        rng: Random,
+        verdict: Verdict,
+        order: Callable[[str], Awaitable[bool]],
+    ) -> None:
+        """`order` sends one to a control node, and says whether it was confirmed."""
         self.cluster, self.history, self.rng, self.verdict = cluster, history, rng, verdict
+        self._order = order
         self.away: list[Away] = []
         self._loop = asyncio.get_running_loop()
         self._hit: set[str] = set()  # machines whose process has a trouble of its own
@@ -80,6 +97,7 @@
             Kind.WIPE_CONTROL: self._wipe,
             Kind.FREEZE_CONTROL: lambda t: self._freeze(t, self._free(cluster.control)),
             Kind.KILL_ALL_CONTROL: lambda t: self._kill_all(t),
+            Kind.KILL_AFTER_ACK: self._kill_after_ack,
             Kind.KILL_PROXY: lambda t: self._kill(t, self._free(cluster.proxy_ips)),
             Kind.TERMINATE_PROXY: self._terminate,
             Kind.FREEZE_PROXY: lambda t: self._freeze(t, self._free(cluster.proxy_ips)),
@@ -135,8 +153,15 @@
         self._give_back(ip, since)
         return True
 
+    async def _kill_after_ack(self, trouble: Trouble) -> bool:
+        """What was confirmed a moment ago stands on as many disks as it was promised to, or it is lost."""
+        ip = self._free(self.cluster.control)
+        return bool(ip) and await self._order(ip) and await self._kill_all(trouble)
+
     async def _kill_all(self, trouble: Trouble) -> bool:
         ips = [ip for ip in self.cluster.control if ip not in self._hit]
+        for ip in ips:
+            self.cluster.processes[ip].kill()  # all in one moment, before any is waited for
         for ip in ips:
             self._hit.add(ip)
             self.cluster.end(ip)
--- a/lugspur/standins/mesh.py
+++ b/lugspur/standins/mesh.py
@@ -23,6 +23,7 @@
         self.id = f"i-{os.urandom(4).hex()}"
         self.service, self.address, self.dispatch, self.zone, self.work = service, address, dispatch, zone, work
         self.ran: list[str] = []
+        self.began: dict[str, float] = {}  # when it began each, by the loop's time
         self.state = "accepting"
         self.acknowledged = 0
         self._sequence = itertools.count()
@@ -95,6 +96,7 @@
         if headers.get("lugspur-deliver-to", self.id) != self.id:
             return f"HTTP/1.1 421 Misdirected Request\r\n{told}Content-Length: 0\r\n\r\n".encode()
         self.ran.append(ident)
+        self.began[ident] = asyncio.get_running_loop().time()
         await asyncio.sleep(self.work)
         body = f"{self.id} ran {ident} for {headers.get('lugspur-sender', '')}\n"
         if sent:
