--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -1,6 +1,6 @@
 """Designs in virtual time: `python -m lugspur.emulator joining [--reads N] [--plot FILE]`, `fleet`, `members`,
-`duties` or `control [--seeds N] [--kind KIND]`, `explore [--states N]`, `guards`, `catching-up`; in real time:
-`capacity measure|load|hops|report`.
+`duties` or `control [--seeds N] [--kind KIND]`, `explore [--states N]`, `guards`, `catching-up`; `capacity` writes
+docs/CAPACITY.md's tables from the newest sweep of the operators' bench.
 """
 
 from __future__ import annotations
@@ -33,11 +33,10 @@
 def main() -> int:
     """Play, print a table, and draw it where that is asked for."""
     if sys.argv[1:2] == ["capacity"]:
-        # Imported only here: it needs the extra `mesh`.
-        from lugspur.emulator.capacity.command import app
+        # Imported only here: it needs the extras `mesh` and `emulator`.
+        from lugspur.emulator.capacity import command
 
-        app(sys.argv[2:])
-        return 0
+        return command.main()
     parser = argparse.ArgumentParser(description="Tries designs in virtual time.")
     parser.add_argument("what", choices=WHAT)
     parser.add_argument("--seed", type=int, default=1)
--- a/lugspur/emulator/capacity/__init__.py
+++ b/lugspur/emulator/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""What the control side costs, by cause and size: measured on hollow fleets, fitted, and put into docs/CAPACITY.md."""
+"""What the mesh costs by its size: tables and a plot from a sweep of the operators' bench."""
--- a/lugspur/emulator/capacity/fit.py
+++ b/lugspur/emulator/capacity/fit.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from math import ceil
 from statistics import fmean
 
 
@@ -32,9 +31,3 @@
     left = sum((y - intercept - slope * x) ** 2 for x, y in points)
     spread_y = sum((y - mean_y) ** 2 for _, y in points)
     return Line(slope, intercept, 1.0 if spread_y == 0.0 else 1.0 - left / spread_y)
-
-
-def percentile(values: Sequence[float], part: float) -> float:
-    """The value that this part of all do not exceed, by nearest rank; 0 where there are none."""
-    ordered = sorted(values)
-    return ordered[max(0, ceil(part * len(ordered)) - 1)] if ordered else 0.0
--- a/lugspur/emulator/capacity/plot.py
+++ b/lugspur/emulator/capacity/plot.py
@@ -1,20 +1,18 @@
-"""The plot of a measurement: what a proxy and the control machines use by the number of proxies, of what is allowed."""
+"""The plot of a sweep: what the busiest process of each role uses of what is allowed, by machines."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
-
 import pygal
 
-from lugspur.emulator.capacity import size
-from lugspur.emulator.capacity.measurement import Run
+from lugspur.emulator.capacity.page import slopes
+from lugspur.emulator.capacity.sweep import Sweep
 
 
-def draw(runs: Sequence[Run]) -> bytes:
-    """An SVG; the same bytes for the same measurement."""
+def draw(sweep: Sweep) -> bytes:
+    """An SVG; the same bytes for the same sweep."""
     chart = pygal.XY(
-        title="Used, as a part of what is allowed at the size",
-        x_title="proxies in the fleet",
+        title="Used by the busiest, as a part of what is allowed at the size",
+        x_title="machines in the sweep",
         y_title="part of the budget (1: all of it)",
         explicit_size=True,
         js=[],  # a page's plot loads nothing from elsewhere
@@ -22,15 +20,9 @@
         legend_at_bottom_columns=2,
     )
     chart.uuid = "capacity"  # else drawn anew each time
-    rows: dict[str, Callable[[Run], float]] = {
-        "a proxy's CPU": lambda run: run.idle.real_proxy_cores / size.PROXY_CORES,
-        "a proxy's memory": lambda run: run.footprint.real_memory_mb / size.PROXY_MEMORY_MB,
-        "a proxy's network": lambda run: run.idle.real_proxy_wire_bytes_s / size.PROXY_BYTES_S,
-        "a proxy's descriptors": lambda run: run.footprint.real_descriptors / size.DESCRIPTORS,
-        "a change at the last proxy": lambda run: max(run.changes.last_proxy_ms) / 1e3 / size.IN_FORCE_S,
-        "busiest control machine's CPU, idle": lambda run: max(run.idle.control_cores) / size.CONTROL_CORES,
-    }
-    for name, value in rows.items():
-        chart.add(name, [(run.proxies, round(value(run), 4)) for run in runs])
+    for one in slopes(sweep):
+        if one.budget:
+            points = zip(sweep.machines, one.row.busiest, strict=True)
+            chart.add(f"{one.row.role}: {one.row.quantity}", [(x, round(y / one.budget, 4)) for x, y in points])
     drawn: bytes = chart.render()
     return drawn
