Have the soak lose the disk of a control node right after it has confirmed an order

What was confirmed has to be on other disks than the proposer's. Whoever loses a disk is looked at again right before: two such troubles that waited at once could both have gone on, which the settings do not bear.

--- a/lugspur/bench/soak/mesh_troubles.py
+++ b/lugspur/bench/soak/mesh_troubles.py
@@ -95,6 +95,7 @@
         self._acts: dict[Kind, Callable[[Trouble], Awaitable[bool]]] = {
             Kind.KILL_CONTROL: lambda t: self._kill(t, self._free(cluster.control)),
             Kind.WIPE_CONTROL: self._wipe,
+            Kind.WIPE_AFTER_ACK: self._wipe_after_ack,
             Kind.FREEZE_CONTROL: lambda t: self._freeze(t, self._free(cluster.control)),
             Kind.KILL_ALL_CONTROL: lambda t: self._kill_all(t),
             Kind.KILL_AFTER_ACK: self._kill_after_ack,
@@ -174,7 +175,23 @@
     async def _wipe(self, trouble: Trouble) -> bool:
         """One disk at a time, as the settings tolerate: the next one once the former counts again."""
         ip = self._free(self.cluster.control)
-        if not ip or self._loop.time() < self._wiped_at + SETTLED or not await self._all_complete():
+        return bool(ip) and await self._may_wipe() and await self._lose_disk(trouble, ip)
+
+    async def _wipe_after_ack(self, trouble: Trouble) -> bool:
+        """What was confirmed a moment ago is on other disks than that of the control node that proposed it."""
+        proposer = (await self.cluster.voters())[0]
+        if proposer in self._hit or not await self._may_wipe() or not await self._order(proposer):
+            return False
+        return proposer not in self._hit and await self._lose_disk(trouble, proposer)
+
+    def _settled(self) -> bool:
+        return self._loop.time() >= self._wiped_at + SETTLED
+
+    async def _may_wipe(self) -> bool:
+        return self._settled() and await self._all_complete()
+
+    async def _lose_disk(self, trouble: Trouble, ip: str) -> bool:
+        if not self._settled():  # another one has gone since it was asked
             return False
         self._wiped_at = float("inf")
         self._hit.add(ip)
--- a/lugspur/bench/soak/plan.py
+++ b/lugspur/bench/soak/plan.py
@@ -12,6 +12,7 @@
 
     KILL_CONTROL = "kill a control node"
     WIPE_CONTROL = "kill and wipe a control node"
+    WIPE_AFTER_ACK = "kill and wipe the control node that has just proposed an order"
     FREEZE_CONTROL = "freeze a control node"
     KILL_ALL_CONTROL = "kill all control nodes"
     KILL_AFTER_ACK = "kill all control nodes right after one has confirmed an order"
@@ -47,6 +48,7 @@
 MESH_WEIGHTS = {
     Kind.KILL_CONTROL: 8,
     Kind.WIPE_CONTROL: 2,
+    Kind.WIPE_AFTER_ACK: 4,
     Kind.FREEZE_CONTROL: 5,
     Kind.KILL_ALL_CONTROL: 2,
     Kind.KILL_AFTER_ACK: 4,
