Keep the length just seen when a first tier forgets rare lengths of requests

Cause: at the 257th distinct length the clean-up of counts dropped the entry that had just been added, and the next line read it: KeyError, a request without an answer. The length being looked at now keeps a count of at least 1.

--- a/lugspur/load_balancing/attempt_deadlines.py
+++ b/lugspur/load_balancing/attempt_deadlines.py
@@ -54,7 +54,8 @@
         seen, length = self._lengths[class_index], round(50.0 * log(max(seconds, 1e-6)))
         seen[length] = seen.get(length, 0) + 1
         if len(seen) > MAX_LENGTHS:  # Guards memory against callers that never ask for the same time.
-            self._lengths[class_index] = seen = {k: n // 2 for k, n in seen.items() if n > 1}
+            seen = {k: n // 2 for k, n in seen.items() if n > 1} | {length: max(1, seen[length] // 2)}
+            self._lengths[class_index] = seen
         if seen[length] > seen.get(self._usual_length[class_index], 0):
             self._usual_length[class_index] = length
         usual = self._usual_length[class_index]
