Count calls at the dispatch address by handler, and log those that no handler takes

The incident's logs and metrics could not tell a call without a handler from one that fails. lugspur_calls_total counts calls by method and path, lugspur_unknown_calls_total and event=unknown-call (one line a second) those that nobody takes.

--- a/lugspur/mesh/control_node/metrics.py
+++ b/lugspur/mesh/control_node/metrics.py
@@ -10,6 +10,7 @@
 from lugspur.mesh.control.replica import Replica
 from lugspur.mesh.control_node.majority_contact import MajorityContact
 from lugspur.mesh.control_node.operator_calls import OperatorCalls
+from lugspur.mesh.http_api import HttpApi
 from lugspur.mesh.process import MAX_AGE_SECONDS
 from lugspur.mesh.process_pause import PauseDetector
 from lugspur.mesh.storage.disk import Disk
@@ -25,6 +26,7 @@
     proposer: Proposer
     disk: Disk
     operator_calls: OperatorCalls
+    dispatch_calls: HttpApi
     majority_contact: MajorityContact
     pause_detector: PauseDetector
     peers: dict[str, Dialer]
@@ -40,6 +42,14 @@
     return [
         labelled_counter("orders_total", "Operators' changes, by how they ended.", "how", calls.changes),
         labelled_counter("reads_total", "Operators' reads, by how they ended.", "how", calls.reads),
+        labelled_counter(
+            "calls_total", "Calls at the dispatch address, by method and path.", "call", node.dispatch_calls.calls
+        ),
+        counter(
+            "unknown_calls_total",
+            "Calls at the dispatch address that no handler takes.",
+            node.dispatch_calls.unknown_calls,
+        ),
         gauge("operator_calls_open", "Operators' calls that have no answer yet.", len(calls.waiting)),
         counter("proposals_total", "Proposals of changes.", node.proposer.proposals),
         counter("disk_commits_total", "Writes that were synced.", disk.commits),
--- a/lugspur/mesh/control_node/process.py
+++ b/lugspur/mesh/control_node/process.py
@@ -109,7 +109,7 @@
         self.reconfiguration = self._make_reconfiguration()
         self.membership_changes = self._make_membership_changes()
         self.pending_changes = PendingChanges(self.ip, self.replica, self._resolve_pending)
-        self.api = ControlNodeApi(self)
+        self.dispatch_calls = ControlNodeApi(self).dispatch_calls()
         self._sweep_at = 0.0
         self._published_index = self.replica.index  # the latest change that the parts above have been notified of
         self._start(rows)
@@ -174,7 +174,7 @@
         ip, port = self.settings.inner_bind_address
         await self.loop.create_server(lambda: Link(self._take_request, self._link_ended), ip, port, backlog=512)
         memory_bytes = self.settings.own.limits.memory_mb << 20
-        self.front = await self.api.dispatch_calls().serve(self.settings.network.listen.dispatch, memory_bytes)
+        self.front = await self.dispatch_calls.serve(self.settings.network.listen.dispatch, memory_bytes)
 
     def _link_ended(self, link: Link) -> None:
         self.subscribers.remove(link)
--- a/lugspur/mesh/http_api.py
+++ b/lugspur/mesh/http_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -9,6 +10,7 @@
 from lugspur.discovery.endpoints import read_address
 from lugspur.http1.front import Front
 from lugspur.http1.intake import Sizes
+from lugspur.mesh import events
 from lugspur.mesh.control.errors import RESPONSES, ErrorKind, MeshError
 from lugspur.seams import Answerable, Request
 
@@ -17,6 +19,8 @@
 # into what a connection between two processes may hold unsent: a change goes to each voter, and may be proposed again.
 MAX_CALL_BYTES = 16 << 20
 MAX_CALLERS = 256  # connections at one address
+UNKNOWN_CALL_LOG_INTERVAL_SECONDS = 1.0  # between two log lines about calls that no handler takes
+MAX_LOGGED_PATH_CHARACTERS = 100  # of a call that no handler takes
 #: Handles a call; it is given the segments of the path that `*` stood for, and may raise MeshError.
 Handler = Callable[[Request, Answerable, list[str]], None]
 _encode = msgspec.json.Encoder().encode
@@ -48,6 +52,9 @@
 
     def __init__(self) -> None:
         self._handlers: list[tuple[str, list[str], Handler]] = []
+        self.calls: Counter[str] = Counter()  # taken since the start, by method and path of their handler
+        self.unknown_calls = 0  # that no handler took
+        self._unknown_logged_at = float("-inf")
 
     def add(self, method: str, path: str, handler: Handler) -> None:
         """Take calls of a method and a path."""
@@ -62,12 +69,22 @@
                 continue
             if all(p in ("*", s) for p, s in zip(pattern, segments, strict=True)):
                 caller.admit()
+                self.calls[f"{method} /{'/'.join(pattern)}"] += 1
                 try:
                     handler(request, caller, [s for p, s in zip(pattern, segments, strict=True) if p == "*"])
                 except MeshError as fault:
                     fail(caller, fault)
                 return
-        fail(caller, MeshError(ErrorKind.NO_CALL, f"{method} {request.target.decode('ascii', 'replace')[:100]}"))
+        path = request.target.decode("ascii", "replace")[:MAX_LOGGED_PATH_CHARACTERS]
+        self._unknown_call(request.arrived, method, path)
+        fail(caller, MeshError(ErrorKind.NO_CALL, f"{method} {path}"))
+
+    def _unknown_call(self, now: float, method: str, path: str) -> None:
+        """Count a call that no handler takes; of many in a row one a second is logged."""
+        self.unknown_calls += 1
+        if now - self._unknown_logged_at >= UNKNOWN_CALL_LOG_INTERVAL_SECONDS:
+            self._unknown_logged_at = now
+            events.warn("unknown-call", method=method, path=path, calls=self.unknown_calls)
 
     async def serve(self, address: str, memory: int) -> Front:
         """Listen for calls at an address; `memory`: bytes that the process may use."""
--- a/tests/compatibility/test_mesh_interfaces.py
+++ b/tests/compatibility/test_mesh_interfaces.py
@@ -490,6 +490,8 @@
     assert types == {
         "lugspur_orders_total": "counter",
         "lugspur_reads_total": "counter",
+        "lugspur_calls_total": "counter",
+        "lugspur_unknown_calls_total": "counter",
         "lugspur_operator_calls_open": "gauge",
         "lugspur_proposals_total": "counter",
         "lugspur_disk_commits_total": "counter",
@@ -509,6 +511,8 @@
     }
     labels["lugspur_orders_total{how}"] -= {"no-quorum", "unclear"}  # where a call was made again
     labels["lugspur_reads_total{how}"] -= {"no-quorum"}
+    calls = labels.pop("lugspur_calls_total{call}")
+    assert calls >= {"POST /config/amend", "GET /config/read", "GET /mesh/status", "GET /metrics"}
     assert labels == {
         "lugspur_orders_total{how}": {"confirmed", "conflict", "bad-config", "too-large"},
         "lugspur_reads_total{how}": {"answered"},
@@ -621,6 +625,7 @@
     "settings": "fault seeds service",
     "sign-off": "id",
     "stopped": "code fault",
+    "unknown-call": "method path calls",
     "woken": "after",
 }
 WARNINGS = {
@@ -636,6 +641,7 @@
         "set-aside",
         "settings",
         "stopped",
+        "unknown-call",
     ),
     "woken",
 }
--- a/tests/mesh/test_http_api.py
+++ b/tests/mesh/test_http_api.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lugspur.mesh.control.errors import ErrorKind, MeshError
-from lugspur.mesh.http_api import HttpApi
+from lugspur.mesh.http_api import HttpApi, reply
 from lugspur.seams import Answerable, Request
 
 
@@ -42,3 +42,14 @@
     assert status == 400 and b"application/json" in head
     found = json.loads(body)
     assert found == {"error": "bad-config", "detail": detail.encode("utf-8", "replace").decode()}
+
+
+def test_calls_are_counted_by_their_handlers_and_those_that_nobody_takes_too() -> None:
+    api = HttpApi()
+    api.add("POST", "/backends/*/heartbeat", lambda request, caller, found: reply(caller))
+    for path in (b"/backends/a/heartbeat", b"/backends/b/heartbeat", b"/locks/a/open"):
+        caller = Caller()
+        api.handle(Request(b"POST", path, {}, [], b"", 0.0, True), caller)
+    assert api.calls == {"POST /backends/*/heartbeat": 2}
+    assert api.unknown_calls == 1
+    assert caller.answered is not None and caller.answered[0] == 404
