--- a/lugspur/invariants.py
+++ b/lugspur/invariants.py
@@ -55,6 +55,17 @@
     #: An idempotency key has one owner until its retention time is over.
     ONE_KEY_OWNER = "one-holder"
 
+    # ---- coordination ----------------------------------------------------------------------
+
+    #: Each grant of a lock has a higher fencing token than all before it.
+    FENCES_RISE = "fences-rise"
+    #: Each number is above all that were given before under its name.
+    NUMBERS_RISE = "numbers-rise"
+    #: Each put in a group of keys has a higher revision than all before it.
+    REVISIONS_RISE = "revisions-rise"
+    #: Two replicas have the same change under one index.
+    ONE_CHANGE_PER_INDEX = "one-change"
+
 
 #: Called with a violated invariant and details that say where.
 ViolationListener = Callable[[Invariant, dict[str, object]], None]
--- a/lugspur/mesh/cli.py
+++ b/lugspur/mesh/cli.py
@@ -26,6 +26,11 @@
     name="replica", help="The data directory of a control node that does not run; nothing is written."
 )
 app.command(replica)
+locks = cyclopts.App(name="locks", help="Locks and elections, as one control node knows them.")
+numbers = cyclopts.App(name="numbers", help="Numbers, as one control node knows them.")
+keys = cyclopts.App(name="keys", help="Keys and their revisions, as one control node knows them.")
+for group in (locks, numbers, keys):
+    app.command(group)
 
 
 def call(address: str, method: str, path: str, body: bytes | None = None) -> bytes:
@@ -125,6 +130,30 @@
     print("taken, and on the disks of a majority")
 
 
+def _show_coordination(address: str, field: str, *, as_json: bool) -> None:
+    """Print one table of what a control node knows of coordination."""
+    found = json.loads(call(address, "GET", "/mesh/coordination"))[field]
+    print(json.dumps(found) if as_json else "\n".join(lines({field: found})))
+
+
+@locks.command(name="show")
+def locks_show(address: str, *, as_json: bool = False) -> None:
+    """Show who holds which lock, by which fencing token, and for how long by that node's steady clock."""
+    _show_coordination(address, "locks", as_json=as_json)
+
+
+@numbers.command(name="show")
+def numbers_show(address: str, *, as_json: bool = False) -> None:
+    """Show the latest number that was given under each name."""
+    _show_coordination(address, "numbers", as_json=as_json)
+
+
+@keys.command(name="show")
+def keys_show(address: str, *, as_json: bool = False) -> None:
+    """Show the keys with their revisions and values."""
+    _show_coordination(address, "keys", as_json=as_json)
+
+
 @replica.command(name="check")
 def replica_check(folder: Path) -> None:
     """Check whether a control node could start with this `data_dir`; where not: the faults, and exit status 2."""
--- a/lugspur/mesh/control/errors.py
+++ b/lugspur/mesh/control/errors.py
@@ -19,6 +19,11 @@
     NO_BACKEND = "no-backend"  # no backend accepted the request
     NO_QUORUM = "no-quorum"  # too few voters replied
     UNCLEAR = "unclear"  # too few voters replied, and the change may come into force
+    TOO_MANY = "too-many"  # a bound of coordination is reached, and nothing was done
+    LOCK_HELD = "lock-held"  # another holder may hold the lock
+    LOCK_LOST = "lock-lost"  # the caller does not hold the lock any more
+    KEY_MISSING = "key-missing"  # the key was never put
+    HISTORY_GONE = "history-gone"  # a watch asks for puts that are forgotten
     KEY_BUSY = "key-busy"  # the key's first request may still be running
     KEY_SPENT = "key-spent"  # the outcome of the key's first request is unknown
     MAYBE_RAN = "maybe-ran"  # the request was sent, and its outcome is unknown
@@ -55,6 +60,11 @@
     ErrorKind.NO_BACKEND: ErrorResponse(503, RETRY_DELAY_SECONDS, True),
     ErrorKind.NO_QUORUM: ErrorResponse(503, RETRY_DELAY_SECONDS),
     ErrorKind.UNCLEAR: ErrorResponse(504),
+    ErrorKind.TOO_MANY: ErrorResponse(429, RETRY_DELAY_SECONDS),
+    ErrorKind.LOCK_HELD: ErrorResponse(409),
+    ErrorKind.LOCK_LOST: ErrorResponse(409),
+    ErrorKind.KEY_MISSING: ErrorResponse(404),
+    ErrorKind.HISTORY_GONE: ErrorResponse(410),
     ErrorKind.KEY_BUSY: ErrorResponse(409, RETRY_DELAY_SECONDS),
     ErrorKind.KEY_SPENT: ErrorResponse(503, RETRY_DELAY_SECONDS),
     ErrorKind.MAYBE_RAN: ErrorResponse(502),
--- a/lugspur/mesh/control/messages/codec.py
+++ b/lugspur/mesh/control/messages/codec.py
@@ -18,6 +18,7 @@
     ReadIndexQuery,
     ReadIndexReply,
 )
+from lugspur.mesh.control.messages.coordination import CoordinationMessage
 from lugspur.mesh.control.messages.forwarding import (
     BodyChunk,
     CancelRequest,
@@ -74,6 +75,7 @@
     | FetchOutcomes
     | GrantBody
     | BodyChunk
+    | CoordinationMessage
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/lugspur/mesh/control/reconfiguration.py
+++ b/lugspur/mesh/control/reconfiguration.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from collections.abc import Set as AbstractSet
 
 from lugspur.mesh.control.messages import Membership
@@ -39,10 +39,19 @@
     """The steps of the membership that one voter proposes."""
 
     def __init__(
-        self, replica: Replica, tolerance: Tolerance, absence_timeout: float, regions: Mapping[str, str] | None = None
+        self,
+        replica: Replica,
+        tolerance: Tolerance,
+        absence_timeout: float,
+        regions: Mapping[str, str] | None = None,
+        is_complete: Callable[[], bool] | None = None,
     ) -> None:
-        """`absence_timeout`: seconds that a voter may be unreachable; `regions`: the region of each zone."""
+        """`absence_timeout`: seconds that a voter may be unreachable; `regions`: the region of each zone.
+
+        `is_complete`: whether this voter has all that a voter must have; without it that is what the replica says.
+        """
         self._replica = replica
+        self._is_complete = is_complete or (lambda: replica.is_complete)
         self._regions = regions or {}
         self.tolerance = tolerance
         self.absence_timeout = absence_timeout
@@ -89,7 +98,7 @@
     ) -> Situation:
         replica = self._replica
         voters = {voter.ip for voter in membership.voters}
-        own = {replica.voter.ip} if replica.is_complete else set()
+        own = {replica.voter.ip} if self._is_complete() else set()
         return Situation(
             membership=membership,
             presences=presences,
--- a/lugspur/mesh/control_node/api.py
+++ b/lugspur/mesh/control_node/api.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from lugspur.mesh.control_node.coordination_calls import CoordinationCalls
 from lugspur.mesh.control_node.operator_calls import OperatorCalls
 from lugspur.mesh.http_api import HttpApi, reply
 from lugspur.observability.metrics import CONTENT_TYPE
@@ -18,10 +19,14 @@
     """The process whose calls these are."""
 
     operator_calls: OperatorCalls
+    coordination_calls: CoordinationCalls
 
     def status(self) -> dict[str, Any]:
         """What operators see of this control node."""
 
+    def coordination_contents(self) -> dict[str, Any]:
+        """What operators see of locks, numbers and keys."""
+
     def metrics(self) -> bytes:
         """The metrics of this control node, in the text format of Prometheus."""
 
@@ -37,7 +42,9 @@
         calls = HttpApi()
         calls.add("POST", "/config/amend", self._process.operator_calls.amend)
         calls.add("GET", "/config/read", self._process.operator_calls.read)
+        self._process.coordination_calls.add_to(calls)
         calls.add("GET", "/mesh/status", self.status)
+        calls.add("GET", "/mesh/coordination", self.coordination)
         calls.add("GET", "/metrics", self.metrics)
         return calls
 
@@ -45,6 +52,10 @@
         """Answer what operators see of this control node, whether a majority can be reached or not."""
         reply(caller, _encode_json(self._process.status()))
 
+    def coordination(self, request: Request, caller: Answerable, _: list[str]) -> None:
+        """Answer what this control node knows of locks, numbers and keys, whether a majority can be reached or not."""
+        reply(caller, _encode_json(self._process.coordination_contents()))
+
     def metrics(self, request: Request, caller: Answerable, _: list[str]) -> None:
         """Answer the metrics of this control node."""
         caller.answer(200, CONTENT_TYPE, self._process.metrics())
--- a/lugspur/mesh/control_node/metrics.py
+++ b/lugspur/mesh/control_node/metrics.py
@@ -8,6 +8,7 @@
 
 from lugspur.mesh.control.proposer import Proposer
 from lugspur.mesh.control.replica import Replica
+from lugspur.mesh.control_node.coordination_status import CoordinationParts, coordination_metrics
 from lugspur.mesh.control_node.majority_contact import MajorityContact
 from lugspur.mesh.control_node.operator_calls import OperatorCalls
 from lugspur.mesh.http_api import HttpApi
@@ -18,7 +19,7 @@
 from lugspur.observability.metrics import Metric, counter, gauge, invariant_metrics, labelled_counter
 
 
-class ControlParts(Protocol):
+class ControlParts(CoordinationParts, Protocol):
     """The parts of a control node that metrics are read from."""
 
     loop: asyncio.AbstractEventLoop
@@ -73,5 +74,6 @@
         gauge("claims", "Claims of operation keys that are held.", len(replica.reservations)),
         gauge("subscribers", "Processes that follow this one's news.", len(node.subscribers)),
         gauge("peers_up", "Processes that can be reached.", sum(d.link is not None for d in node.peers.values())),
+        *coordination_metrics(node),
         *invariant_metrics(),
     ]
--- a/lugspur/mesh/control_node/process.py
+++ b/lugspur/mesh/control_node/process.py
@@ -9,6 +9,7 @@
 from lugspur.mesh import events
 from lugspur.mesh.control.change_requests import ChangeRequest
 from lugspur.mesh.control.effects import Effects
+from lugspur.mesh.control.errors import ErrorKind, MeshError
 from lugspur.mesh.control.items import LEASED_KINDS, MEMBERSHIP
 from lugspur.mesh.control.membership_entry import read_membership
 from lugspur.mesh.control.messages import (
@@ -29,6 +30,7 @@
     Subscribe,
     Unsubscribe,
 )
+from lugspur.mesh.control.messages.coordination import CoordinationMessage
 from lugspur.mesh.control.proposer import Proposer
 from lugspur.mesh.control.read_index import Reader
 from lugspur.mesh.control.reconfiguration import Reconfiguration, absence_timeout, leaves_time
@@ -39,6 +41,9 @@
 from lugspur.mesh.control_node.api import ControlNodeApi
 from lugspur.mesh.control_node.catching_up import CatchingUp
 from lugspur.mesh.control_node.change_router import DECISION_TIMEOUT_SECONDS, ChangeRouter
+from lugspur.mesh.control_node.coordination_calls import CoordinationCalls
+from lugspur.mesh.control_node.coordination_service import CoordinationService, is_coordination_hello, steady_clock
+from lugspur.mesh.control_node.coordination_status import coordination_contents, coordination_summary
 from lugspur.mesh.control_node.disk_health import DiskHealth
 from lugspur.mesh.control_node.effect_runner import EffectRunner
 from lugspur.mesh.control_node.leases import Leases
@@ -47,13 +52,20 @@
 from lugspur.mesh.control_node.metrics import control_node_metrics
 from lugspur.mesh.control_node.operator_calls import OperatorCalls
 from lugspur.mesh.control_node.pending_changes import PendingChanges
-from lugspur.mesh.control_node.recovery import StoredRows, begin_as_first_voter, is_first_voter, restore_replica
+from lugspur.mesh.control_node.recovery import (
+    StoredRows,
+    begin_as_first_voter,
+    is_first_voter,
+    open_disk,
+    restore_state,
+)
 from lugspur.mesh.control_node.status import control_node_status
 from lugspur.mesh.control_node.subscribers import Subscribers
+from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
+from lugspur.mesh.coordination.watches import WatchTable
 from lugspur.mesh.process import MAX_AGE_SECONDS, TICK_SECONDS, MeshProcess
 from lugspur.mesh.process_pause import PauseDetector
 from lugspur.mesh.settings import Settings
-from lugspur.mesh.storage.disk import Disk
 from lugspur.mesh.transport.dialer import Dialer
 from lugspur.mesh.transport.link import Link
 from lugspur.observability.metrics import render
@@ -64,6 +76,7 @@
 SHUTDOWN_FRACTION = 0.95  # ...and by which no call is waited for any more
 LAST_UPDATES_SECONDS = 0.3  # after the handover, in which subscribers hear of it
 DISK_CLOSE_SECONDS = 1.0  # for which the last writes are waited for
+COORDINATION_CONTACT_SECONDS = 1.5  # since the latest contact with a majority, for calls of applications to be taken
 
 
 class LocalPeer:
@@ -88,9 +101,9 @@
 
         Raises MeshError (STATE) where the disk can't be used.
         """
-        own = settings.own
-        self.disk = Disk(own.data_dir, own.limits.disk_mb)
-        rows = self.disk.read_rows()
+        self._disk = open_disk(settings)
+        self.disk, self.coordination_disk = self._disk.configuration, self._disk.coordination
+        rows = self._disk.read_rows()
         super().__init__(settings, path, is_control_node=True)
         self.local_peer = LocalPeer(self)
         self.pause_detector = PauseDetector()
@@ -99,7 +112,8 @@
         self.subscribers = Subscribers(self.loop, self.store, self.heartbeat_interval, self._update_since)
         self.disk_health = DiskHealth(self.disk)
         self.effect_runner = EffectRunner(self.loop, self.disk, self.send_to)
-        self.replica = restore_replica(settings, self.disk, rows, self.loop.time(), self._publish)
+        restored = restore_state(settings, self._disk, rows, steady_clock(), self._publish)
+        self.replica = restored.replica
         self.majority_contact = MajorityContact(self.ip, self.replica, self.freshness, self.max_staleness)
         self.proposer = Proposer(self.replica, f"{self.ip}/{self.incarnation}", self.rng, self._disk_sizes)
         self.reader = Reader(self.replica)
@@ -108,11 +122,15 @@
         self.catching_up = self._make_catching_up()
         self.reconfiguration = self._make_reconfiguration()
         self.membership_changes = self._make_membership_changes()
+        self.coordination = self._make_coordination(restored.coordination)
+        self.watches = WatchTable(restored.coordination.state)
+        self.coordination.node.on_advance = lambda now: self.watches.advanced()
+        self.coordination_calls = CoordinationCalls(self.coordination.submit, self.watches, self.loop.call_later)
         self.pending_changes = PendingChanges(self.ip, self.replica, self._resolve_pending)
         self.dispatch_calls = ControlNodeApi(self).dispatch_calls()
         self._sweep_at = 0.0
         self._published_index = self.replica.index  # the latest change that the parts above have been notified of
-        self._start(rows)
+        self._start(rows.configuration)
 
     def _make_router(self) -> ChangeRouter:
         return ChangeRouter(
@@ -140,7 +158,27 @@
             events.warn("bounds", fault="catch_up_s leaves no time to replace a lost voter before the next loss")
         patience = absence_timeout(bounds.catch_up_s, bounds.contact_ms / 1000.0)
         tolerance = Tolerance(tolerate.machines, tolerate.zones, tolerate.regions)
-        return Reconfiguration(self.replica, tolerance, patience, self.settings.network.zones)
+        return Reconfiguration(
+            self.replica,
+            tolerance,
+            patience,
+            self.settings.network.zones,
+            lambda: self.replica.is_complete and self.coordination.is_complete_for(self.replica.epoch),
+        )
+
+    def _make_coordination(self, acceptor: CoordinationAcceptor) -> CoordinationService:
+        return CoordinationService(
+            self.loop,
+            self.coordination_disk,
+            self.replica,
+            acceptor,
+            inner_port=self.settings.network.inner_ports[0],
+            incarnation=self.incarnation,
+            rng=self.rng,
+            has_majority=lambda now: self.majority_contact.age(now) < COORDINATION_CONTACT_SECONDS,
+            is_paused=self.pause_detector.is_stale,
+            may_lead=lambda: not self.is_leaving and not self.coordination_disk.fault,
+        )
 
     def _make_membership_changes(self) -> MembershipChanges:
         return MembershipChanges(
@@ -156,14 +194,16 @@
 
     def _start(self, rows: StoredRows) -> None:
         """Begin to write, and to vote where this is a voter of the first membership."""
-        self.disk.start()
+        self._disk.start()
         if self.disk.damage:
             rows = []
         replica = self.replica
         if not rows and is_first_voter(self.settings, self.disk):
             self.run_effects(begin_as_first_voter(self.settings, replica, self.loop.time()))
+            self.coordination.begin(is_first_voter=True)
         elif not rows:
             self.disk.write([(UID_ROW, replica.voter.uid.encode())], lambda: None)  # at once: it wakes the writer
+            self.coordination.begin(is_first_voter=False)
         events.info("control", uid=replica.voter.uid, epoch=replica.epoch, index=replica.index, rows=len(rows))
         self.announce()
 
@@ -179,10 +219,13 @@
     def _link_ended(self, link: Link) -> None:
         self.subscribers.remove(link)
         self.catching_up.link_ended(link)
+        self.coordination.link_ended(link)
 
     def _take_request(self, link: Link, message: Message) -> None:
         """Take a message on a connection that a peer dialled."""
-        if isinstance(message, Hello):
+        if isinstance(message, Hello) and is_coordination_hello(message):
+            self.coordination.take_hello(link, message)
+        elif isinstance(message, Hello):
             link.peer = message.ip
             dialer = self.peers.get(message.ip)
             if dialer is not None:
@@ -200,6 +243,8 @@
             self.router.take_forwarded(link, message)
         elif isinstance(message, Pong):
             self.subscribers.acknowledged(link, message)
+        elif isinstance(message, CoordinationMessage):
+            self.coordination.take(link, message)
         else:
             self.run_effects(self.replica.handle(self.loop.time(), link, message))
 
@@ -321,11 +366,19 @@
             replica.index,
             replica.register.has_pending_change,
             replica.is_voter,
-            replica.complete_epoch if replica.is_voter else 0,
+            self._complete_epoch(),
             sequence == 0,
             self.store.changed_after(sequence),
         )
 
+    def _complete_epoch(self) -> int:
+        """The epoch for which this node has all that a voter must have: reservations, and what coordination decided."""
+        replica = self.replica
+        if not replica.is_voter:
+            return 0
+        is_complete = self.coordination.is_complete_for(replica.epoch)
+        return replica.complete_epoch if is_complete else min(replica.complete_epoch, replica.epoch - 1)
+
     def announce(self) -> None:
         """Say what this control node is."""
         is_failing = self.disk_health.is_failing(self.loop.time())
@@ -367,6 +420,13 @@
         self.catching_up.tick(now)
         self.pending_changes.tick(now)
         self.membership_changes.tick(now)
+        self.coordination.tick()
+        self._tick_watches()
+
+    def _tick_watches(self) -> None:
+        if len(self.watches) and self.majority_contact.age(steady_clock()) > COORDINATION_CONTACT_SECONDS:
+            self.watches.fail_all(MeshError(ErrorKind.NO_QUORUM, "no contact with a majority of the voters"))
+        self.watches.tick(steady_clock())
 
     # ---- what operators see ----------------------------------------------------------------
 
@@ -385,14 +445,21 @@
             age=self.majority_contact.age(self.loop.time()),
             voters_wanted=self.reconfiguration.tolerance.voter_count,
             subscribers=len(self.subscribers),
+            coordination=coordination_summary(self),
         )
 
+    def coordination_contents(self) -> dict[str, Any]:
+        """What operators see of locks, numbers and keys, as the fields of /mesh/coordination."""
+        return coordination_contents(self, steady_clock())
+
     # ---- the end ---------------------------------------------------------------------------
 
     async def shut_down(self) -> None:
         """End gracefully: hand over the vote and the reservations where another control node can take them."""
         self.is_leaving = True
         self.announce()
+        self.coordination.resign()
+        self.coordination_calls.leave()
         began, grace = self.loop.time(), self.settings.tariffs.bounds.grace_s
         until = began + HANDOFF_FRACTION * grace
         while self.loop.time() < until and not self.membership_changes.is_handed_over():
@@ -400,8 +467,8 @@
         await asyncio.sleep(LAST_UPDATES_SECONDS)
         # Guards operators against connections that end without an answer: no call waits for longer.
         until = min(self.loop.time() + DECISION_TIMEOUT_SECONDS, began + SHUTDOWN_FRACTION * grace)
-        while self.loop.time() < until and self.operator_calls.waiting:
+        while self.loop.time() < until and (self.operator_calls.waiting or self.coordination_calls.waiting):
             await asyncio.sleep(FLUSH_SECONDS)
         self.front.close()
         await asyncio.sleep(FLUSH_SECONDS)
-        self.disk.close(DISK_CLOSE_SECONDS)
+        self._disk.close(DISK_CLOSE_SECONDS)
--- a/lugspur/mesh/control_node/recovery.py
+++ b/lugspur/mesh/control_node/recovery.py
@@ -4,6 +4,7 @@
 
 import os
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -11,8 +12,9 @@
 from lugspur.mesh.control.messages import Entry, Voter
 from lugspur.mesh.control.replica import GENESIS, Replica
 from lugspur.mesh.control.store import EntryKey
+from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
 from lugspur.mesh.settings import Settings
-from lugspur.mesh.storage.disk import Disk
+from lugspur.mesh.storage.disk import COORDINATION_AREA, Disk
 
 StoredRows = list[tuple[bytes, bytes]]
 Publish = Callable[
@@ -20,21 +22,90 @@
 ]  # is given entries that were decided, and names that are forgotten
 
 
-def restore_replica(settings: Settings, disk: Disk, rows: StoredRows, now: float, publish: Publish) -> Replica:
-    """The replica that the rows of a disk describe, or a newcomer's where they can't be used.
+@dataclass(slots=True, frozen=True)
+class RestoredState:
+    """What a control node knows when it starts."""
+
+    replica: Replica
+    coordination: CoordinationAcceptor
+
+
+@dataclass(slots=True, frozen=True)
+class ControlNodeDisk:
+    """The environments on one disk. What is promised in one rests on the other: they are kept or set aside together."""
+
+    configuration: Disk
+    coordination: Disk
+
+    def read_rows(self) -> DiskRows:
+        """All rows, none where any can't be used; raises MeshError (STATE) where the disk fails."""
+        rows = DiskRows(self.configuration.read_rows(), self.coordination.read_rows())
+        damage = self.configuration.damage or self.coordination.damage or self._missing_part(rows)
+        if damage:
+            self.set_aside(damage)
+            return DiskRows([], [])
+        return rows
+
+    def _missing_part(self, rows: DiskRows) -> str:
+        """What was lost, where one environment is empty and the other is not; empty: nothing."""
+        if rows.coordination and not rows.configuration:
+            return "the configuration beside it is gone"
+        if rows.configuration and not rows.coordination and self.coordination.has_damaged_copy:
+            # Guards against an end between the two: a disk of a build without coordination looks alike.
+            return "coordination was set aside alone"
+        return ""
+
+    def set_aside(self, reason: str) -> None:
+        """Keep what is on disk under other names, and go on with an empty one; raises MeshError (STATE)."""
+        for part in (self.configuration, self.coordination):
+            if not part.damage:
+                part.set_aside(reason)
+
+    def start(self) -> None:
+        """Start to write."""
+        self.configuration.start()
+        self.coordination.start()
+
+    def close(self, timeout: float) -> None:
+        """Write what is pending, then close; gives up after `timeout` seconds for each where the disk hangs."""
+        self.configuration.close(timeout)
+        self.coordination.close(timeout)
+
+
+@dataclass(slots=True, frozen=True)
+class DiskRows:
+    """The rows of both environments."""
+
+    configuration: StoredRows
+    coordination: StoredRows
+
+
+def open_disk(settings: Settings) -> ControlNodeDisk:
+    """Open a control node's disk; raises MeshError (STATE)."""
+    data_dir, disk_mb = settings.own.data_dir, settings.own.limits.disk_mb
+    return ControlNodeDisk(Disk(data_dir, disk_mb), Disk(data_dir, disk_mb, COORDINATION_AREA))
+
+
+def restore_state(
+    settings: Settings, disk: ControlNodeDisk, rows: DiskRows, now: float, publish: Publish
+) -> RestoredState:
+    """The state that the rows of a disk describe, or a newcomer's where they can't be used.
 
     In the latter case the disk is set aside; raises MeshError (STATE) where that fails.
     """
-    own = settings.own
-    window, memory_bytes = settings.tariffs.bounds.stamp_window_s, own.limits.memory_mb << 20
-    for found in (rows, []):
-        replica = Replica(own.ip, os.urandom(8).hex(), own.zone, window, memory_bytes, publish)
+    own, bounds = settings.own, settings.tariffs.bounds
+    for found in (rows, DiskRows([], [])):
+        uid, memory_bytes = os.urandom(8).hex(), own.limits.memory_mb << 20
+        replica = Replica(own.ip, uid, own.zone, bounds.stamp_window_s, memory_bytes, publish)
+        coordination = CoordinationAcceptor(replica, bounds.history_s)
+        is_without_coordination = bool(found.configuration) and not found.coordination
         try:
-            replica.restore(found, now)
+            coordination.restore(found.coordination, now, is_without_coordination=is_without_coordination)
+            replica.restore(found.configuration, now)
             break
-        except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+        except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as fault:
             disk.set_aside(str(fault))
-    return replica
+    return RestoredState(replica, coordination)
 
 
 def is_first_voter(settings: Settings, disk: Disk) -> bool:
--- a/lugspur/mesh/control_node/status.py
+++ b/lugspur/mesh/control_node/status.py
@@ -13,7 +13,16 @@
 
 
 def control_node_status(
-    own: Own, replica: Replica, store: Store, disk: Disk, *, ip: str, age: float, voters_wanted: int, subscribers: int
+    own: Own,
+    replica: Replica,
+    store: Store,
+    disk: Disk,
+    *,
+    ip: str,
+    age: float,
+    voters_wanted: int,
+    subscribers: int,
+    coordination: dict[str, Any],
 ) -> dict[str, Any]:
     """The fields of /mesh/status; `age`: seconds since the latest contact with a majority."""
     kinds = {kind: len(store.values_of(kind)) for kind in sorted({e.kind for e in store.all()})}
@@ -46,4 +55,5 @@
         "claims": len(replica.reservations),
         "subscribers": subscribers,
         "disk": {"commits": disk.commits, "fault": disk.fault},
+        "coordination": coordination,
     }
--- /dev/null
+++ b/lugspur/mesh/coordination/acceptor.py
@@ -0,0 +1,261 @@
+"""A replica's part in the agreement: it promises, accepts, and learns what was decided.
+
+A replica accepts in one epoch of the voters' membership, and only while it is *complete* there: it knows of all that
+the voters of earlier epochs may have decided. A voter of two consecutive epochs stays complete; a new one becomes
+complete by the reports of a majority of the epoch before (`voter_catch_up`). A replica that has accepted a change of
+the voters accepts nothing more in the present epoch, so that nothing is decided there once the next epoch has begun.
+These are the rules of reservations (`control.replica`), and rest on the same argument.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from lugspur.invariants import Invariant, check
+from lugspur.mesh.control.effects import Effects, Peer, Rows
+from lugspur.mesh.control.items import MEMBERSHIP
+from lugspur.mesh.control.messages import NO_PROPOSAL, ProposalNumber
+from lugspur.mesh.control.messages.coordination import (
+    AcceptorReport,
+    CoordinationAccept,
+    CoordinationAccepted,
+    CoordinationChanges,
+    CoordinationConfirm,
+    CoordinationConfirmed,
+    CoordinationPrepare,
+    CoordinationPromise,
+    CoordinationSnapshot,
+    FetchAcceptor,
+)
+from lugspur.mesh.control.messages.coordination_records import CoordinationChange
+from lugspur.mesh.control.replica import Replica
+from lugspur.mesh.coordination.state import CoordinationState
+
+VOTE_ROW, EPOCH_ROW = b"kvote", b"kepoch"
+
+_pack = msgspec.msgpack.Encoder().encode
+
+
+class StoredVote(msgspec.Struct, array_like=True, frozen=True):
+    """What a replica has promised, and accepted for change `index`, as it is kept on disk."""
+
+    index: int
+    promised: ProposalNumber
+    accepted: ProposalNumber | None
+    change: CoordinationChange | None
+
+
+class StoredEpoch(msgspec.Struct, array_like=True, frozen=True):
+    """What a replica knows of epochs, as it is kept on disk."""
+
+    complete_epoch: int  # the latest one in which it was complete
+    genesis_epoch: int  # the one in which coordination began
+    reported_epoch: int  # the latest one in which it has reported to a new voter: it accepts nothing in an older one
+
+
+_vote_decoder = msgspec.msgpack.Decoder(StoredVote)
+_epoch_decoder = msgspec.msgpack.Decoder(StoredEpoch)
+
+
+class CoordinationAcceptor:
+    """The acceptor and learner of one replica."""
+
+    def __init__(self, replica: Replica, history_seconds: float) -> None:
+        """`replica`: the same process's replica of the configuration, which names the voters."""
+        self._replica = replica
+        self.state = CoordinationState(history_seconds)
+        self.promised = NO_PROPOSAL
+        self.accepted: ProposalNumber | None = None  # for the index after the state's
+        self.accepted_change: CoordinationChange | None = None
+        self.complete_epoch = 0
+        self.genesis_epoch = 0  # 0: coordination has not begun, as far as it is known here
+        self._reported_epoch = 0
+        self.is_without_coordination = False  # whether the disk is of a build that did not know it
+
+    # ---- start ---------------------------------------------------------------------------
+
+    def begin(self) -> Effects:
+        """Begin in the first epoch of a new mesh."""
+        return self.become_complete(self._replica.epoch)
+
+    def begin_as_newcomer(self) -> Effects:
+        """Begin with an empty disk in a mesh that may have decided anything."""
+        return Effects(write=[self._epoch_row()])
+
+    def restore(self, rows: list[tuple[bytes, bytes]], now: float, *, is_without_coordination: bool) -> None:
+        """Load what is on disk. Raises msgspec.MsgspecError for rows that can't be read.
+
+        `is_without_coordination`: the configuration was kept on this disk by a build without coordination.
+        """
+        self.state.restore(rows, now)
+        for key, value in rows:
+            if key == VOTE_ROW:
+                vote = _vote_decoder.decode(value)
+                self.promised = vote.promised
+                if vote.index == self.state.index + 1:
+                    self.accepted, self.accepted_change = vote.accepted, vote.change
+            elif key == EPOCH_ROW:
+                epoch = _epoch_decoder.decode(value)
+                self.complete_epoch, self.genesis_epoch = epoch.complete_epoch, epoch.genesis_epoch
+                self._reported_epoch = epoch.reported_epoch
+        self.is_without_coordination = is_without_coordination
+
+    # ---- role ----------------------------------------------------------------------------
+
+    def follow_epoch(self) -> Effects:
+        """Stay complete from one epoch to the very next one; to be called before anything is decided by the epoch."""
+        replica = self._replica
+        follows = self.genesis_epoch > 0 and self.complete_epoch == replica.epoch - 1
+        if not (follows and replica.was_voter and replica.is_voter):
+            return Effects()
+        self.complete_epoch = replica.epoch
+        return Effects(write=[self._epoch_row()])
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether it has a vote, and knows of everything that a voter must know."""
+        return self._replica.is_voter and self.genesis_epoch > 0 and self.complete_epoch == self._replica.epoch
+
+    @property
+    def accepts(self) -> bool:
+        """Whether it promises and accepts: not while a change of the voters that it has accepted may be decided.
+
+        The configuration is kept in another environment: after a loss of power that may be of an older epoch than this
+        replica has reported in.
+        """
+        change = self._replica.register.accepted_change
+        if not self.is_complete or self._replica.epoch < self._reported_epoch:
+            return False
+        return change is None or all(entry.kind != MEMBERSHIP for entry in change.entries)
+
+    def become_complete(self, genesis_epoch: int) -> Effects:
+        """Take up the vote of the present epoch."""
+        self.complete_epoch, self.genesis_epoch = self._replica.epoch, genesis_epoch
+        return Effects(write=[self._epoch_row()])
+
+    def _epoch_row(self) -> tuple[bytes, bytes]:
+        return EPOCH_ROW, _pack(StoredEpoch(self.complete_epoch, self.genesis_epoch, self._reported_epoch))
+
+    def _vote_row(self) -> tuple[bytes, bytes]:
+        return VOTE_ROW, _pack(StoredVote(self.state.index + 1, self.promised, self.accepted, self.accepted_change))
+
+    # ---- acceptor ------------------------------------------------------------------------
+
+    def prepare(self, peer: Peer, message: CoordinationPrepare) -> Effects:
+        """Phase 1b: promise to accept nothing lower, for all indexes from now on; synced before it is sent."""
+        if not self._counts(message.epoch, message.proposal):
+            return Effects(send=[(peer, self._promise(message, is_granted=False))])
+        self.promised = message.proposal
+        promise = self._promise(message, is_granted=True)
+        return Effects(write=[self._vote_row()], after_sync=[(peer, promise)])
+
+    def _promise(self, message: CoordinationPrepare, *, is_granted: bool) -> CoordinationPromise:
+        found = CoordinationPromise(message.epoch, message.proposal, is_granted, self.state.index, self.promised)
+        if is_granted:
+            found.accepted, found.change = self.accepted, self.accepted_change
+        return found
+
+    def _counts(self, epoch: int, proposal: ProposalNumber) -> bool:
+        return self.accepts and epoch == self._replica.epoch and proposal >= self.promised
+
+    def accept(self, now: float, peer: Peer, message: CoordinationAccept) -> Effects:
+        """Phase 2b: accept a value for the next index, unless a higher one was promised; synced before it is sent."""
+        effects = Effects()
+        granted = self._counts(message.epoch, message.proposal)
+        if granted and message.index == self.state.index + 2 and self.accepted == message.proposal:
+            # A proposer goes on to the next index once the one before is decided, by the only value it proposed there.
+            assert self.accepted_change is not None
+            effects.add(self.decide(now, self.state.index + 1, self.accepted_change))
+        granted = granted and message.index == self.state.index + 1
+        if not granted:
+            effects.send.append((peer, self._accepted(message, is_granted=False)))
+            return effects
+        self.promised = self.accepted = message.proposal
+        self.accepted_change = message.change
+        effects.write.append(self._vote_row())
+        effects.after_sync.append((peer, self._accepted(message, is_granted=True)))
+        return effects
+
+    def _accepted(self, message: CoordinationAccept, *, is_granted: bool) -> CoordinationAccepted:
+        return CoordinationAccepted(
+            message.epoch, message.proposal, message.index, is_granted, self.state.index, self.promised
+        )
+
+    def confirm(self, peer: Peer, message: CoordinationConfirm) -> Effects:
+        """Say whether nothing higher was promised here: then nothing was decided that the proposer does not know."""
+        granted = self._counts(message.epoch, message.proposal)
+        answer = CoordinationConfirmed(message.epoch, message.proposal, message.round, granted, self.promised)
+        return Effects(send=[(peer, answer)])
+
+    # ---- learner -------------------------------------------------------------------------
+
+    def decide(self, now: float, index: int, change: CoordinationChange) -> Effects:
+        """Put a decided change into force; one that is known, or not the next, is ignored."""
+        if index != self.state.index + 1:
+            return Effects()
+        rows: Rows = self.state.apply(now, change)
+        self.accepted = self.accepted_change = None
+        return Effects(write=rows)
+
+    def learn_changes(self, now: float, message: CoordinationChanges) -> Effects:
+        """Put into force those of the decided changes that come next."""
+        effects = Effects()
+        for offset, change in enumerate(message.changes):
+            effects.add(self.decide(now, message.first_index + offset, change))
+        return effects
+
+    def learn_snapshot(self, now: float, snapshot: CoordinationSnapshot) -> Effects:
+        """Take over a later state."""
+        if snapshot.index <= self.state.index:
+            return Effects()
+        rows = self.state.replace(now, snapshot)
+        self.accepted = self.accepted_change = None
+        return Effects(write=rows)
+
+    def pages_after(self, index: int) -> CoordinationChanges | CoordinationSnapshot | None:
+        """What a peer lacks that knows all changes up to an index; None where that is nothing."""
+        if index >= self.state.index:
+            return None
+        changes = self.state.changes_after(index)
+        return self.state.snapshot() if changes is None else CoordinationChanges(index + 1, changes)
+
+    # ---- new voters ----------------------------------------------------------------------
+
+    def report(self, peer: Peer, message: FetchAcceptor) -> Effects:
+        """Report to a new voter, once the epoch is on disk: nothing is accepted in an older one from then on."""
+        if message.epoch != self._replica.epoch:
+            return Effects()
+        self._reported_epoch = max(self._reported_epoch, message.epoch)
+        was_voter = self._replica.was_voter
+        report = AcceptorReport(
+            message.epoch,
+            was_voter,
+            was_voter and self.genesis_epoch > 0 and self.complete_epoch >= message.epoch - 1,
+            self.genesis_epoch,
+            self.accepted,
+            self.accepted_change,
+            self.state.snapshot(),
+        )
+        return Effects(write=[self._epoch_row()], after_sync=[(peer, report)])
+
+    def take_reports(self, now: float, reports: list[AcceptorReport], genesis_epoch: int) -> Effects:
+        """Take over what the voters before know, and become complete."""
+        effects = Effects()
+        latest = max((report.snapshot for report in reports), key=lambda snapshot: snapshot.index)
+        effects.add(self.learn_snapshot(now, latest))
+        for report in reports:
+            if report.accepted is None or report.snapshot.index != self.state.index:
+                continue
+            if self.accepted is None or report.accepted > self.accepted:
+                self.accepted, self.accepted_change = report.accepted, report.change
+        if self.accepted is not None:
+            self.promised = max(self.promised, self.accepted)
+        effects.write.append(self._vote_row())
+        effects.add(self.become_complete(genesis_epoch))
+        return effects
+
+    def check_same_change(self, index: int, change: CoordinationChange) -> None:
+        """Check that what is decided elsewhere under an index is what is kept here."""
+        known = self.state.changes_after(index - 1)
+        if known:
+            check(known[0].id == change.id, Invariant.ONE_CHANGE_PER_INDEX, index=index, change=change.id)
--- /dev/null
+++ b/lugspur/mesh/coordination/batch.py
@@ -0,0 +1,197 @@
+"""Evaluates commands against the latest state, and collects the records of those that take effect in one change."""
+
+from __future__ import annotations
+
+from math import ceil
+
+from lugspur.mesh.control.errors import ErrorKind
+from lugspur.mesh.control.messages.coordination_records import (
+    CellFound,
+    CellMissing,
+    CellRecord,
+    CellWritten,
+    CloseLock,
+    Command,
+    CommandFailed,
+    CoordinationChange,
+    GroupRevision,
+    LockClosed,
+    LockDenied,
+    LockGranted,
+    LockLost,
+    LockRecord,
+    LockReleased,
+    LockRenewed,
+    NumberRecord,
+    NumberTaken,
+    OpenLock,
+    PutCell,
+    ReadCell,
+    ReadGroup,
+    Record,
+    RenewLock,
+    Result,
+    RevisionMismatch,
+    TakeNumber,
+)
+from lugspur.mesh.coordination.state import CoordinationState, group_of, record_bytes
+
+MAX_LOCKS = 10_000
+MAX_NUMBERS = 10_000
+MAX_CELLS = 20_000
+MAX_PUTS = 50_000  # that are kept for watches
+MAX_STATE_BYTES = 8 << 20  # of cells and puts: the state goes to new voters as one message
+
+
+class CommandBatch:
+    """Commands that are decided together; each sees the effects of those before it."""
+
+    def __init__(self, state: CoordinationState, now: float) -> None:
+        """`now`: by the steady clock of the replica whose state this is."""
+        self._state, self._now = state, now
+        self.records: list[Record] = []
+        self._locks: dict[str, LockRecord | None] = {}  # as they will be; None: free
+        self._numbers: dict[str, int] = {}
+        self._cells: dict[str, CellRecord] = {}
+        self._put_revisions: dict[tuple[str, str], int] = {}  # by key and value
+        self._revisions: dict[str, int] = {}  # by group
+        self._last_fence = state.last_fence
+        self._added_bytes = 0
+
+    def change(self, change_id: str) -> CoordinationChange:
+        """The records so far as the value of a decision."""
+        return CoordinationChange(change_id, self.records)
+
+    def evaluate(self, command: Command) -> Result:
+        """The result of a command if this batch is decided; its records, if any, are added."""
+        if isinstance(command, OpenLock):
+            return self._open(command)
+        if isinstance(command, RenewLock):
+            return self._renew(command)
+        if isinstance(command, CloseLock):
+            return self._close(command)
+        if isinstance(command, TakeNumber):
+            return self._take_number(command)
+        if isinstance(command, PutCell):
+            return self._put(command)
+        if isinstance(command, ReadCell):
+            return self._read(command)
+        return self._read_group(command)
+
+    # ---- locks ---------------------------------------------------------------------------
+
+    def _holder(self, name: str) -> LockRecord | None:
+        """Who may count on a lock."""
+        if name in self._locks:
+            return self._locks[name]
+        lock = self._state.locks.get(name)
+        return lock.record if lock is not None and lock.is_held(self._now) else None
+
+    def _open(self, command: OpenLock) -> Result:
+        holder = self._holder(command.name)
+        if holder is not None and holder.holder != command.holder:
+            return LockDenied()
+        if holder is not None:
+            self._extend(holder, command.hold_ms)
+            return LockGranted(holder.fence)
+        if not self._has_room_for_lock(command.name):
+            return _too_many("locks")
+        self._last_fence += 1
+        self._set_lock(LockRecord(command.name, command.holder, self._last_fence, command.hold_ms))
+        return LockGranted(self._last_fence)
+
+    def _renew(self, command: RenewLock) -> Result:
+        holder = self._holder(command.name)
+        if holder is None or (holder.holder, holder.fence) != (command.holder, command.fence):
+            return LockLost()
+        self._extend(holder, command.hold_ms)
+        return LockRenewed()
+
+    def _close(self, command: CloseLock) -> Result:
+        holder = self._holder(command.name)
+        if holder is not None and (holder.holder, holder.fence) == (command.holder, command.fence):
+            self._locks[command.name] = None
+            self.records.append(LockReleased(command.name))
+        return LockClosed()
+
+    def _extend(self, holder: LockRecord, hold_ms: int) -> None:
+        """Give a holder more time, and never less than it has: its calls may arrive in another order."""
+        left_ms = holder.hold_ms
+        if holder.name not in self._locks:
+            left_ms = ceil(1000.0 * (self._state.locks[holder.name].expires_at - self._now))
+        self._set_lock(LockRecord(holder.name, holder.holder, holder.fence, max(hold_ms, left_ms)))
+
+    def _set_lock(self, record: LockRecord) -> None:
+        self._locks[record.name] = record
+        self.records.append(record)
+
+    def _has_room_for_lock(self, name: str) -> bool:
+        """Whether one more lock may be kept; where there are too many, those that have run out are dropped."""
+        locks = self._state.locks
+        if name in locks or len(locks) + len(self._locks) < MAX_LOCKS:
+            return True
+        expired = [n for n, lock in locks.items() if n not in self._locks and not lock.is_held(self._now)]
+        for expired_name in expired:
+            self._locks[expired_name] = None
+            self.records.append(LockReleased(expired_name))
+        return bool(expired)
+
+    # ---- numbers -------------------------------------------------------------------------
+
+    def _take_number(self, command: TakeNumber) -> Result:
+        latest = self._numbers.get(command.name, self._state.numbers.get(command.name, 0))
+        if latest == 0 and len(self._state.numbers) + len(self._numbers) >= MAX_NUMBERS:
+            return _too_many("numbers")
+        self._numbers[command.name] = latest + 1
+        self.records.append(NumberRecord(command.name, latest + 1))
+        return NumberTaken(latest + 1)
+
+    # ---- keys ----------------------------------------------------------------------------
+
+    def _cell(self, name: str) -> CellRecord | None:
+        return self._cells.get(name) or self._state.cells.get(name)
+
+    def _put(self, command: PutCell) -> Result:
+        known = self._put_revisions.get((command.name, command.value))
+        if known is None:
+            known = self._state.revision_of_value(command.name, command.value)
+        if known is not None:
+            return CellWritten(known)
+        cell = self._cell(command.name)
+        revision = 0 if cell is None else cell.revision
+        if command.expected_revision is not None and command.expected_revision != revision:
+            return RevisionMismatch(revision)
+        if not self._has_room_for_put(command, cell is None):
+            return _too_many("keys, or puts of late")
+        group = group_of(command.name)
+        next_revision = self._group_revision(group) + 1
+        record = CellRecord(command.name, command.value, next_revision)
+        self._revisions[group] = next_revision
+        self._cells[command.name] = record
+        self._put_revisions[command.name, command.value] = next_revision
+        self._added_bytes += 2 * record_bytes(record)
+        self.records.append(record)
+        return CellWritten(next_revision)
+
+    def _has_room_for_put(self, command: PutCell, is_new: bool) -> bool:
+        state = self._state
+        if is_new and len(state.cells) + len(self._cells) >= MAX_CELLS:
+            return False
+        if state.put_count + len(self._cells) >= MAX_PUTS:
+            return False
+        size = 2 * record_bytes(CellRecord(command.name, command.value, 0))
+        return state.size_bytes + self._added_bytes + size <= MAX_STATE_BYTES
+
+    def _read(self, command: ReadCell) -> Result:
+        cell = self._cell(command.name)
+        return CellMissing() if cell is None else CellFound(cell.value, cell.revision)
+
+    def _group_revision(self, group: str) -> int:
+        return self._revisions.get(group, self._state.group_revision(group))
+
+    def _read_group(self, command: ReadGroup) -> Result:
+        return GroupRevision(self._group_revision(command.name))
+
+
+def _too_many(what: str) -> CommandFailed:
+    return CommandFailed(ErrorKind.TOO_MANY.value, f"there are too many {what}")
--- a/lugspur/mesh/settings.py
+++ b/lugspur/mesh/settings.py
@@ -15,7 +15,7 @@
 SETTINGS_VARIABLE = "LUGSPUR_NODE_FILE"  # of the environment, with the path of the file
 DEFAULT_SETTINGS_PATH = "/etc/lugspur/settings.toml"
 MAX_PORT = 65535
-POSITIVE_BOUNDS = ("edition_ms", "stamp_window_s", "grace_s", "retry_window_s")  # periods that can't be 0
+POSITIVE_BOUNDS = ("edition_ms", "stamp_window_s", "grace_s", "retry_window_s", "history_s")  # periods that can't be 0
 Number = float | int  # TOML distinguishes 1 and 1.0, operators need not
 
 
@@ -101,6 +101,7 @@
     retry_slack: Number = 10.0
     stamp_window_s: Number = 60.0
     seed_lag_s: Number = 3.0
+    history_s: Number = 20.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/lugspur/mesh/storage/disk.py
+++ b/lugspur/mesh/storage/disk.py
@@ -1,4 +1,4 @@
-"""A control node's disk: one lmdb environment, written in groups by a thread, each synced before it counts."""
+"""A part of a control node's disk: an lmdb environment, written in groups by a thread, each synced before it counts."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import shutil
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import lmdb
 
@@ -15,31 +16,49 @@
 from lugspur.mesh.control.errors import ErrorKind, MeshError
 from lugspur.mesh.control.register import MAX_KEY_BYTES
 
-MAP_FRACTION = 0.6  # of the disk: lmdb must not fill it, and a file that grew is never smaller again
-MIN_MAP_BYTES = 16 << 20
-MAX_MAP_BYTES = 1 << 30
 REOPEN_DELAY_SECONDS = 0.3  # after a failed write, in which the environment is left alone
 MAX_UNWRITTEN_DELETIONS = 50_000  # rows removed while nothing can be written; what stays is swept after a start
 
-DIRECTORY_NAME = "control"  # of the environment, in `data_dir`
-DAMAGED_DIRECTORY_NAME = "control-damaged"  # of an environment that could not be read; the latest one is kept
+DIRECTORY_NAME = "control"  # of the configuration's environment, in `data_dir`
+COORDINATION_DIRECTORY_NAME = "coordination"  # of the one for locks, numbers and cells
+DAMAGED_SUFFIX = "-damaged"  # of an environment that could not be read; the latest one is kept
+DAMAGED_DIRECTORY_NAME = DIRECTORY_NAME + DAMAGED_SUFFIX
 #: What says that the rows on disk are damaged, and not that the disk fails.
 DAMAGE_ERRORS = (lmdb.InvalidError, lmdb.CorruptedError, lmdb.PageNotFoundError)
 
 Rows = list[tuple[bytes, bytes | None]]  # key and value; no value: the row is removed
 
 
+@dataclass(slots=True, frozen=True)
+class DiskArea:
+    """An environment's directory in `data_dir`, and what it may take of the disk: a file that grew never shrinks."""
+
+    directory_name: str
+    fraction: float  # of the disk
+    min_bytes: int
+    max_bytes: int
+
+    def map_bytes(self, disk_mb: int) -> int:
+        """The size of the environment on a disk."""
+        return int(min(self.max_bytes, max(self.min_bytes, disk_mb * self.fraction * (1 << 20))))
+
+
+#: Together the areas leave a part of the disk free: lmdb must not fill it.
+CONTROL_AREA = DiskArea(DIRECTORY_NAME, 0.6, 16 << 20, 1 << 30)
+COORDINATION_AREA = DiskArea(COORDINATION_DIRECTORY_NAME, 0.2, 8 << 20, 64 << 20)
+
+
 class Disk:
     """Rows by key. `write` returns at once; its callback is called in the loop once the rows are on disk.
 
     Raises MeshError (STATE) where there can't be an environment.
     """
 
-    def __init__(self, data_dir: str, disk_mb: int) -> None:
-        """`disk_mb`: the size of the disk, of which a part is taken."""
-        self._path = os.path.join(data_dir, DIRECTORY_NAME)
-        self._damaged_path = os.path.join(data_dir, DAMAGED_DIRECTORY_NAME)
-        self.max_bytes = int(min(MAX_MAP_BYTES, max(MIN_MAP_BYTES, disk_mb * MAP_FRACTION * (1 << 20))))
+    def __init__(self, data_dir: str, disk_mb: int, area: DiskArea = CONTROL_AREA) -> None:
+        """`disk_mb`: the size of the disk, of which the area takes a part."""
+        self._path = os.path.join(data_dir, area.directory_name)
+        self._damaged_path = self._path + DAMAGED_SUFFIX
+        self.max_bytes = area.map_bytes(disk_mb)
         self.fault = ""  # why the latest write failed; empty: it did not
         self.damage = ""  # why the rows that were on disk could not be used; empty: they could
         self.commits = 0
@@ -80,6 +99,11 @@
         except lmdb.Error as fault:
             raise MeshError(ErrorKind.STATE, f"{self._path}: {fault}") from None
 
+    @property
+    def has_damaged_copy(self) -> bool:
+        """Whether an environment that could not be used was set aside, now or at an earlier start."""
+        return os.path.exists(self._damaged_path)
+
     def set_aside(self, reason: str) -> None:
         """Keep what is on disk under another name, and go on with an empty environment.
 
--- a/tests/compatibility/test_control_messages.py
+++ b/tests/compatibility/test_control_messages.py
@@ -56,6 +56,7 @@
     decode,
     encode,
 )
+from lugspur.mesh.control.messages.coordination import CoordinationMessage
 from lugspur.mesh.control.register import AcceptorState, Register
 from lugspur.mesh.control.replica import Replica
 from lugspur.mesh.control.reservation_table import ReservationTable
@@ -371,11 +372,12 @@
 
 
 def test_every_message_is_among_those_whose_bytes_are_frozen() -> None:
-    assert {type(message) for message, _ in MESSAGES} == set(get_args(Message))
+    # Those of coordination came later, and are in test_coordination_messages.py.
+    assert {type(message) for message, _ in MESSAGES} == set(get_args(Message)) - set(get_args(CoordinationMessage))
 
 
 def test_tags_are_those_in_use_and_none_is_used_again() -> None:
-    assert sorted(message.__struct_config__.tag for message in get_args(Message)) == list(range(1, 30))
+    assert sorted(message.__struct_config__.tag for message in get_args(Message)) == list(range(1, 46))
 
 
 @pytest.mark.parametrize(("data", "message"), SHORT_MESSAGES, ids=name_of)
@@ -517,6 +519,11 @@
         "no-backend": (503, 0.25, True),
         "no-quorum": (503, 0.25, False),
         "unclear": (504, 0.0, False),
+        "too-many": (429, 0.25, False),
+        "lock-held": (409, 0.0, False),
+        "lock-lost": (409, 0.0, False),
+        "key-missing": (404, 0.0, False),
+        "history-gone": (410, 0.0, False),
         "key-busy": (409, 0.25, False),
         "key-spent": (503, 0.25, False),
         "maybe-ran": (502, 0.0, False),
--- a/tests/compatibility/test_mesh_interfaces.py
+++ b/tests/compatibility/test_mesh_interfaces.py
@@ -260,7 +260,7 @@
     status = told(seen.control["status"])
     assert list(status) == words(
         "node role ip zone uid epoch index voter complete pending voters voters_wanted age_s replicas entries "
-        "configuration_bytes claims subscribers disk"
+        "configuration_bytes claims subscribers disk coordination"
     )
     about = {"uid": str, "zone": str, "leaving": bool, "failing": bool, "disk_bytes": int}
     assert types_of(status) == {
@@ -272,6 +272,10 @@
         "replicas": dict.fromkeys(seen.voters, about),
         "entries": dict.fromkeys(("backend", "control", "membership", "routes", "services"), int),
         "disk": {"commits": int, "fault": str},
+        "coordination": {
+            **dict.fromkeys(("index", "locks", "numbers", "keys", "watches"), int),
+            **{"leader": str, "leading": bool, "complete": bool},
+        },
     }
     assert (status["role"], status["uid"], status["voters"]) == ("control", "genesis", seen.voters)
     assert status["entries"] == {"backend": 1, "control": 3, "membership": 1, "routes": 2, "services": 1}
@@ -417,6 +421,11 @@
         "no-backend": (503, 0.25, True),
         "no-quorum": (503, 0.25, False),
         "unclear": (504, 0.0, False),
+        "too-many": (429, 0.25, False),
+        "lock-held": (409, 0.0, False),
+        "lock-lost": (409, 0.0, False),
+        "key-missing": (404, 0.0, False),
+        "history-gone": (410, 0.0, False),
         "key-busy": (409, 0.25, False),
         "key-spent": (503, 0.25, False),
         "maybe-ran": (502, 0.0, False),
@@ -472,6 +481,7 @@
     *("one-answer", "sent-while-open", "run-once", "tries", "claim-won", "released-unrun", "in-flight", "offered-once"),
     *("proven-unrun", "one-exchange", "index-rises", "editions-rise", "epochs-rise", "one-voter-at-a-time"),
     *("confirmed-stands", "row-fits", "one-holder"),
+    *("fences-rise", "numbers-rise", "revisions-rise", "one-change"),
 }
 
 
@@ -507,6 +517,22 @@
         "lugspur_claims": "gauge",
         "lugspur_subscribers": "gauge",
         "lugspur_peers_up": "gauge",
+        **dict.fromkeys(
+            (
+                *("lugspur_coordination_answers_total", "lugspur_coordination_elections_total"),
+                *("lugspur_coordination_batches_total", "lugspur_coordination_disk_commits_total"),
+                "lugspur_coordination_disk_failures_total",
+            ),
+            "counter",
+        ),
+        **dict.fromkeys(
+            (
+                *("lugspur_coordination_calls_open", "lugspur_coordination_watches", "lugspur_coordination_index"),
+                *("lugspur_coordination_leading", "lugspur_coordination_complete", "lugspur_coordination_locks"),
+                *("lugspur_coordination_keys", "lugspur_coordination_puts", "lugspur_coordination_state_bytes"),
+            ),
+            "gauge",
+        ),
         "lugspur_invariant_violations_total": "counter",
     }
     labels["lugspur_orders_total{how}"] -= {"no-quorum", "unclear"}  # where a call was made again
@@ -602,6 +628,8 @@
     "closing": "id",
     "complete": "epoch claims",
     "control": "uid epoch index rows",
+    "coordination-complete": "epoch index",
+    "coordination-leader": "leading epoch proposal",
     "disk": "fault rows",
     "forward": "peer n",
     "frame": "peer size fault",
@@ -610,6 +638,8 @@
     "leaving": "",
     "left": "flights busy after",
     "life": "peer life",
+    "lock-granted": "lock holder fence",
+    "lock-lost": "lock holder fence",
     "membership": "epoch voters",
     "news-lost": "source age",
     "outcomes": "peer",
@@ -744,6 +774,7 @@
 retry_slack = 10
 stamp_window_s = 11
 seed_lag_s = 12
+history_s = 13
 """
 SMALL = """
 [self]
@@ -782,7 +813,7 @@
             "bounds": {
                 **{"contact_ms": 3000.0, "receipt_ms": 4000.0, "catch_up_s": 4.0, "drain_ms": 2000.0, "grace_s": 6.0},
                 **{"edition_ms": 2000.0, "fallback_ms": 250.0, "retry_ratio": 0.2, "retry_window_s": 10.0},
-                **{"retry_slack": 10.0, "stamp_window_s": 60.0, "seed_lag_s": 3.0},
+                **{"retry_slack": 10.0, "stamp_window_s": 60.0, "seed_lag_s": 3.0, "history_s": 20.0},
             },
         },
     }
@@ -824,8 +855,14 @@
 @pytest.mark.parametrize(
     ("command", "listed"),
     [
-        ("", "amend check failures metrics read replica serve show"),
+        ("", "amend check failures keys locks metrics numbers read replica serve show"),
         ("replica", "check export show"),
+        ("locks", "show"),
+        ("numbers", "show"),
+        ("keys", "show"),
+        ("locks show", "ADDRESS --address --as-json --no-as-json"),
+        ("numbers show", "ADDRESS --address --as-json --no-as-json"),
+        ("keys show", "ADDRESS --address --as-json --no-as-json"),
         ("check", "PATH --path"),
         ("show", "ADDRESS --address --as-json --no-as-json --watch"),
         ("failures", "ADDRESS --address --as-json --no-as-json"),
@@ -842,7 +879,7 @@
     text = help_of(*command.split())
     assert text.startswith("Usage: python -m lugspur.mesh" + f" {command}".rstrip())
     _, _, rows = text.partition("\n╭")
-    if command in ("", "replica"):
+    if command in ("", "replica", "locks", "numbers", "keys"):
         found = set(re.findall(r"^│ (?:\* +)?([a-z]+) ", rows, re.M))
     else:
         found = set(re.findall(r"(?<![\w-])(?:--[a-z-]+|[A-Z]{4,})(?![\w-])", rows))
--- a/tests/compatibility/test_metrics_names.py
+++ b/tests/compatibility/test_metrics_names.py
@@ -71,6 +71,10 @@
 lugspur_invariant_violations_total{invariant="confirmed-stands"} 0.0
 lugspur_invariant_violations_total{invariant="row-fits"} 0.0
 lugspur_invariant_violations_total{invariant="one-holder"} 0.0
+lugspur_invariant_violations_total{invariant="fences-rise"} 0.0
+lugspur_invariant_violations_total{invariant="numbers-rise"} 0.0
+lugspur_invariant_violations_total{invariant="revisions-rise"} 0.0
+lugspur_invariant_violations_total{invariant="one-change"} 0.0
 """
 
 HISTOGRAM = b"""\
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -76,7 +76,7 @@
         await mesh.ask(mesh.proxy_ips[0], "/book/1", "t0", Lugspur_Operation_Key="k")
         wiped = mesh.replica_ips[0]
         mesh.end(wiped)
-        for file in (tmp_path / wiped / "control").iterdir():
+        for file in (tmp_path / wiped).rglob("*.mdb"):  # of the configuration and of coordination
             if damaged:
                 file.write_bytes(b"\xa5" * file.stat().st_size)
             else:
