Play coordination in a model: drawn faults, a checker of linearizability, guards taken out

lugspur/emulator/coordination plays the decisions that run in service in virtual time: kills, losses of power and disks, freezes, cuts, stalled disks, replaced voters. A checker compares fences, numbers and revisions with real time.

Completeness is now announced once it has been synced, for coordination and for reservations alike (SyncedEpoch), which had the same fault.

--- a/lugspur/emulator/__main__.py
+++ b/lugspur/emulator/__main__.py
@@ -1,6 +1,7 @@
 """Designs in virtual time: `python -m lugspur.emulator joining [--reads N] [--plot FILE]`, `fleet`, `members`,
-`duties` or `control [--seeds N] [--kind KIND]`, `explore [--states N]`, `guards`, `catching-up`; `capacity` writes
-docs/CAPACITY.md's tables from the newest sweep of the operators' bench.
+`duties` or `control [--seeds N] [--kind KIND]`, `explore [--states N]`, `guards`, `catching-up`; `coordination
+[--seeds N]` and `coordination-guards`; `capacity` writes docs/CAPACITY.md's tables from the newest sweep of the
+operators' bench.
 """
 
 from __future__ import annotations
@@ -11,7 +12,8 @@
 from lugspur.emulator import fleet, joining
 
 CONTROL_SIDE = ("control", "explore", "guards", "catching-up")
-WHAT = ("joining", "fleet", "members", "duties", *CONTROL_SIDE)
+COORDINATION = ("coordination", "coordination-guards")
+WHAT = ("joining", "fleet", "members", "duties", *CONTROL_SIDE, *COORDINATION)
 
 
 def _plot(found: dict[str, dict[float, joining.Found]], file: str) -> None:
@@ -71,6 +73,13 @@
         from lugspur.emulator.control import report
 
         return report.show(given.what, given.kind, given.seed, given.seeds, given.states, given.jobs)
+    if given.what in COORDINATION:
+        # Imported only here: it needs the extra `mesh`.
+        from lugspur.emulator.coordination import guards, histories
+
+        if given.what == "coordination":
+            return histories.show(given.seed, given.seeds, given.jobs)
+        return guards.show(given.jobs)
     if given.what == "duties":
         from lugspur.emulator import duties
 
--- /dev/null
+++ b/lugspur/emulator/coordination/checker.py
@@ -0,0 +1,189 @@
+"""Checks that what applications saw is linearizable, for each lock, number and group of keys.
+
+Fences, numbers and revisions give the order in which the calls took effect, so that it is enough to compare it with
+real time: a call that was sent after another one had been answered takes effect later.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from itertools import pairwise
+
+from lugspur.emulator.coordination.history import History, Hold, PutAttempt, TakenNumber
+
+
+def violations(history: History) -> list[str]:
+    """What is wrong with a history, one line each; empty: nothing."""
+    return [
+        *history.faults,
+        *_lock_violations(history.holds),
+        *_number_violations(history.numbers),
+        *_key_violations(history),
+        *_watch_violations(history),
+    ]
+
+
+# ---- locks -----------------------------------------------------------------------------------
+
+
+def _lock_violations(holds: list[Hold]) -> Iterator[str]:
+    by_lock: dict[str, list[Hold]] = defaultdict(list)
+    for hold in holds:
+        by_lock[hold.lock].append(hold)
+    for lock, found in by_lock.items():
+        yield from _overlaps(lock, found)
+        yield from _fence_violations(lock, found)
+
+
+def _overlaps(lock: str, holds: list[Hold]) -> Iterator[str]:
+    latest: Hold | None = None  # of those that began before, the one that ended last
+    for hold in sorted(holds, key=lambda hold: hold.began):
+        if latest is not None and hold.holder != latest.holder and hold.began < latest.ended:
+            yield (
+                f"ONE: {hold.holder} held {lock} from {hold.began:.3f} while {latest.holder} held it until "
+                f"{latest.ended:.3f} (fences {hold.fence}, {latest.fence})"
+            )
+        if latest is None or hold.ended > latest.ended:
+            latest = hold
+
+
+def _fence_violations(lock: str, holds: list[Hold]) -> Iterator[str]:
+    for hold in holds:
+        for other in holds:
+            if other.holder == hold.holder:
+                continue
+            if other.fence == hold.fence:
+                yield f"ONE: {hold.holder} and {other.holder} got fence {hold.fence} of {lock}"
+            elif other.began < hold.sent and other.fence > hold.fence:
+                yield f"ONE: fence {hold.fence} of {lock} was given after {other.fence}"
+
+
+# ---- numbers ---------------------------------------------------------------------------------
+
+
+def _number_violations(numbers: list[TakenNumber]) -> Iterator[str]:
+    by_name: dict[str, list[TakenNumber]] = defaultdict(list)
+    for number in numbers:
+        by_name[number.name].append(number)
+    for name, found in by_name.items():
+        values = [number.value for number in found]
+        if len(set(values)) < len(values):
+            yield f"ORDER: a number of {name} was given twice"
+        for number in found:
+            before = max((other.value for other in found if other.received < number.sent), default=0)
+            if number.value <= before:
+                yield f"ORDER: {name} gave {number.value} after {before}"
+
+
+# ---- keys ------------------------------------------------------------------------------------
+
+
+def _key_violations(history: History) -> Iterator[str]:
+    shown = _shown_values(history)
+    yield from _mixed(history, shown)
+    yield from _refused(history, shown)
+    yield from _put_order(history)
+    yield from _stale(history)
+    yield from _overwritten(history)
+
+
+def _shown_values(history: History) -> list[tuple[str, str, int]]:
+    """Key, value and revision wherever they were shown."""
+    found = [(put.key, put.value, put.revision) for put in history.puts if put.revision]
+    found += [(read.key, read.value, read.revision) for read in history.reads if read.revision]
+    found += [(put.key, put.value, put.revision) for span in history.spans for put in span.puts]
+    return found
+
+
+def group_of(key: str) -> str:
+    """The group of a key."""
+    return key.partition(".")[0] + "."
+
+
+def _mixed(history: History, shown: list[tuple[str, str, int]]) -> Iterator[str]:
+    put_values = {(put.key, put.value) for put in history.puts}
+    by_revision: dict[tuple[str, int], tuple[str, str]] = {}
+    by_value: dict[tuple[str, str], int] = {}
+    for key, value, revision in shown:
+        if (key, value) not in put_values:
+            yield f"MIXED: {value} of {key} was put by nobody"
+        if by_revision.setdefault((group_of(key), revision), (key, value)) != (key, value):
+            yield f"ORDER: revision {revision} of {group_of(key)} was given twice"
+        if by_value.setdefault((key, value), revision) != revision:
+            yield f"MIXED: {value} of {key} has revisions {by_value[key, value]} and {revision}"
+    for mismatch in history.mismatches:
+        known = by_revision.get((group_of(mismatch.key), mismatch.revision))
+        if known is not None and known[0] != mismatch.key:
+            yield f"MIXED: a refusal of {mismatch.key} names revision {mismatch.revision} of {known[0]}"
+
+
+def _refused(history: History, shown: list[tuple[str, str, int]]) -> Iterator[str]:
+    values = {(key, value) for key, value, _ in shown}
+    for put in history.puts:
+        if not put.revision and not put.is_unclear and (put.key, put.value) in values:
+            yield f"REFUSED: {put.value} of {put.key} is shown, whose put was turned away"
+
+
+def _put_order(history: History) -> Iterator[str]:
+    by_group: dict[str, list[PutAttempt]] = defaultdict(list)
+    for put in history.puts:
+        if put.revision:
+            by_group[group_of(put.key)].append(put)
+    for group, puts in by_group.items():
+        for put in puts:
+            before = max((other.revision for other in puts if other.received < put.first_sent), default=0)
+            if put.revision <= before:
+                yield f"ORDER: {group} gave {put.revision} after {before}"
+
+
+def _stale(history: History) -> Iterator[str]:
+    acknowledged: dict[str, list[PutAttempt]] = defaultdict(list)
+    for put in history.puts:
+        if put.revision:
+            acknowledged[put.key].append(put)
+    seen = [("a read", read.key, read.revision, read.sent) for read in history.reads]
+    seen += [("a refusal", found.key, found.revision, found.sent) for found in history.mismatches]
+    for what, key, revision, sent in seen:
+        least = max((put.revision for put in acknowledged[key] if put.received < sent), default=0)
+        if revision < least:
+            yield f"STALE: {what} of {key} shows revision {revision} after {least} was acknowledged"
+    for before, after in pairwise(sorted(history.reads, key=lambda read: (read.key, read.received))):
+        if before.key == after.key and before.received < after.sent and after.revision < before.revision:
+            yield f"STALE: a read of {after.key} shows {after.revision} after one showed {before.revision}"
+
+
+def _overwritten(history: History) -> Iterator[str]:
+    """A put that expects a revision succeeds over no later one."""
+    revisions: dict[str, set[int]] = defaultdict(set)
+    for key, _, revision in _shown_values(history):
+        revisions[key].add(revision)
+    for put in history.puts:
+        if put.revision and put.expected is not None:
+            between = [r for r in revisions[put.key] if put.expected < r < put.revision]
+            if between:
+                yield f"ORDER: a put of {put.key} that expects {put.expected} got {put.revision} over {between}"
+
+
+# ---- watches ---------------------------------------------------------------------------------
+
+
+def _watch_violations(history: History) -> Iterator[str]:
+    acknowledged: dict[str, list[PutAttempt]] = defaultdict(list)
+    for put in history.puts:
+        if put.revision:
+            acknowledged[group_of(put.key)].append(put)
+    for span in history.spans:
+        revisions = [put.revision for put in span.puts]
+        if any(a >= b for a, b in pairwise([span.after, *revisions])) or (revisions and revisions[-1] > span.revision):
+            yield f"ORDER: a watch of {span.group} from {span.after} to {span.revision} shows {revisions}"
+        missing = [
+            put.revision
+            for put in acknowledged[span.group]
+            if span.after < put.revision <= span.revision and put.revision not in revisions
+        ]
+        if missing and span.after > 0:
+            yield f"ORDER: a watch of {span.group} from {span.after} to {span.revision} passes over {missing}"
+        known = max((put.revision for put in acknowledged[span.group] if put.received < span.sent), default=0)
+        if span.after == 0 and span.revision < known:
+            yield f"STALE: the revision of {span.group} is shown as {span.revision} after {known}"
--- /dev/null
+++ b/lugspur/emulator/coordination/network.py
@@ -0,0 +1,85 @@
+"""Connections between the nodes of the model: in order, with delays, cuts that say nothing, and ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from lugspur.emulator.clock import Clock
+from lugspur.mesh.control.messages import Message
+
+MIN_DELAY_SECONDS, MAX_DELAY_SECONDS = 0.0005, 0.004
+LONG_DELAY_SECONDS = 1.4  # of a message now and then, and of all behind it on its connection
+LONG_DELAY_CHANCE = 0.002
+SILENCE_SECONDS = 1.5  # after which a connection over a cut is dead
+
+
+@dataclass(eq=False)
+class Connection:
+    """A connection that one node has dialled to another."""
+
+    dialler: str
+    listener: str
+    is_open: bool = True
+    last_delivery: dict[str, float] = field(default_factory=dict)  # by receiver
+    held: list[Callable[[], None]] = field(default_factory=list)  # sent during a cut
+
+
+class Network:
+    """All connections and cuts of one world."""
+
+    def __init__(self, clock: Clock, rng: Random) -> None:
+        self._clock, self._rng = clock, rng
+        self.connections: list[Connection] = []
+        self._cuts: set[frozenset[str]] = set()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Whether nothing passes between two nodes."""
+        return frozenset((one, other)) in self._cuts
+
+    def send(self, connection: Connection, receiver: str, message: Message, deliver: Callable[[Message], None]) -> None:
+        """Have a message delivered, after all that was sent that way before."""
+        if not connection.is_open:
+            return
+        delay = self._rng.uniform(MIN_DELAY_SECONDS, MAX_DELAY_SECONDS)
+        if self._rng.random() < LONG_DELAY_CHANCE:
+            delay += self._rng.uniform(0.0, LONG_DELAY_SECONDS)
+        when = max(self._clock.now + delay, connection.last_delivery.get(receiver, 0.0) + 1e-6)
+        connection.last_delivery[receiver] = when
+
+        def arrive() -> None:
+            if not connection.is_open:
+                return
+            if self.is_cut(connection.dialler, connection.listener):
+                connection.held.append(lambda: deliver(message))
+            else:
+                deliver(message)
+
+        self._clock.at(when, arrive)
+
+    def cut(self, one: str, other: str, seconds: float, on_dead: Callable[[Connection], None]) -> None:
+        """Let nothing pass between two nodes for a while; connections that last that long are dead."""
+        pair = frozenset((one, other))
+        if pair in self._cuts:
+            return
+        self._cuts.add(pair)
+        affected = [c for c in self.connections if {c.dialler, c.listener} == pair]
+        if seconds > SILENCE_SECONDS:
+            for connection in affected:
+                self._clock.at(self._clock.now + SILENCE_SECONDS, lambda c=connection: on_dead(c))  # type: ignore[misc]
+        self._clock.at(self._clock.now + seconds, lambda: self._heal(pair, affected))
+
+    def _heal(self, pair: frozenset[str], affected: list[Connection]) -> None:
+        self._cuts.discard(pair)
+        for connection in affected:
+            held, connection.held = connection.held, []
+            for deliver in held:
+                if connection.is_open:
+                    deliver()
+
+    def close(self, connection: Connection) -> None:
+        """End a connection; what is under way on it is lost."""
+        connection.is_open = False
+        if connection in self.connections:
+            self.connections.remove(connection)
--- a/lugspur/mesh/control_node/coordination_service.py
+++ b/lugspur/mesh/control_node/coordination_service.py
@@ -14,6 +14,7 @@
 from lugspur.mesh.control.messages.coordination_records import Command, Result
 from lugspur.mesh.control.replica import Replica
 from lugspur.mesh.control_node.effect_runner import EffectRunner
+from lugspur.mesh.control_node.synced_epoch import SyncedEpoch
 from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
 from lugspur.mesh.coordination.followers import FLUSH_DELAY_SECONDS
 from lugspur.mesh.coordination.leader_choice import HEARTBEAT_INTERVAL_SECONDS
@@ -76,6 +77,7 @@
         self._heartbeat_at = 0.0
         self._leading_number = 0  # as of the latest log line
         self._was_complete = False
+        self._synced_epoch = SyncedEpoch(disk, acceptor.complete_epoch)
         self.node = CoordinationNode(
             replica,
             acceptor,
@@ -209,6 +211,7 @@
 
     def _note_completeness(self) -> None:
         is_complete = self.node.acceptor.is_complete
+        self._synced_epoch.follow(self.node.acceptor.complete_epoch)
         if is_complete and not self._was_complete:
             state = self.node.acceptor.state
             events.info("coordination-complete", epoch=self._replica.epoch, index=state.index)
@@ -227,4 +230,4 @@
         acceptor = self.node.acceptor
         if acceptor.is_without_coordination and not self.node.catch_up.knows_of_beginning():
             return True
-        return acceptor.is_complete and acceptor.complete_epoch == epoch
+        return acceptor.is_complete and acceptor.complete_epoch == epoch == self._synced_epoch.epoch
--- a/lugspur/mesh/control_node/process.py
+++ b/lugspur/mesh/control_node/process.py
@@ -61,6 +61,7 @@
 )
 from lugspur.mesh.control_node.status import control_node_status
 from lugspur.mesh.control_node.subscribers import Subscribers
+from lugspur.mesh.control_node.synced_epoch import SyncedEpoch
 from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
 from lugspur.mesh.coordination.watches import WatchTable
 from lugspur.mesh.process import MAX_AGE_SECONDS, TICK_SECONDS, MeshProcess
@@ -128,6 +129,7 @@
         self.coordination_calls = CoordinationCalls(self.coordination.submit, self.watches, self.loop.call_later)
         self.pending_changes = PendingChanges(self.ip, self.replica, self._resolve_pending)
         self.dispatch_calls = ControlNodeApi(self).dispatch_calls()
+        self._synced_epoch = SyncedEpoch(self.disk, self.replica.complete_epoch)
         self._sweep_at = 0.0
         self._published_index = self.replica.index  # the latest change that the parts above have been notified of
         self._start(rows.configuration)
@@ -163,7 +165,7 @@
             tolerance,
             patience,
             self.settings.network.zones,
-            lambda: self.replica.is_complete and self.coordination.is_complete_for(self.replica.epoch),
+            lambda: self._complete_epoch() == self.replica.epoch,
         )
 
     def _make_coordination(self, acceptor: CoordinationAcceptor) -> CoordinationService:
@@ -376,8 +378,8 @@
         replica = self.replica
         if not replica.is_voter:
             return 0
-        is_complete = self.coordination.is_complete_for(replica.epoch)
-        return replica.complete_epoch if is_complete else min(replica.complete_epoch, replica.epoch - 1)
+        epoch = min(replica.complete_epoch, self._synced_epoch.epoch)
+        return epoch if self.coordination.is_complete_for(replica.epoch) else min(epoch, replica.epoch - 1)
 
     def announce(self) -> None:
         """Say what this control node is."""
@@ -420,6 +422,7 @@
         self.catching_up.tick(now)
         self.pending_changes.tick(now)
         self.membership_changes.tick(now)
+        self._synced_epoch.follow(self.replica.complete_epoch)
         self.coordination.tick()
         self._tick_watches()
 
--- a/lugspur/mesh/coordination/followers.py
+++ b/lugspur/mesh/coordination/followers.py
@@ -29,6 +29,10 @@
         """A peer follows no longer."""
         self._sent_index.pop(peer, None)
 
+    def peers(self) -> list[Peer]:
+        """Those who follow."""
+        return list(self._sent_index)
+
     @property
     def is_flush_due(self) -> bool:
         """Whether a follower lacks a change."""
