--- a/lugspur/mesh/storage/data_directory.py
+++ b/lugspur/mesh/storage/data_directory.py
@@ -21,6 +21,7 @@
 from lugspur.mesh.control.replica import COMPLETE_ROW, UID_ROW
 from lugspur.mesh.control.reservation_table import RESERVATION_PREFIX
 from lugspur.mesh.control.store import Store
+from lugspur.mesh.storage.coordination_directory import CoordinationContents, read_coordination
 from lugspur.mesh.storage.disk import DIRECTORY_NAME
 
 _item_decoder = msgspec.msgpack.Decoder(Item)
@@ -44,6 +45,7 @@
     reservations: int = 0
     answers: int = 0  # of operations whose keys were reserved
     size: int = 0  # bytes of all rows
+    coordination: CoordinationContents | None = None  # None: written by a build without it
     faults: list[str] = field(default_factory=list)
 
 
@@ -63,6 +65,9 @@
             raise MeshError(ErrorKind.STATE, f"{data_dir}: {fault}") from None
         contents.faults.append(f"the rest can't be read: {fault}")
     contents.faults += _inconsistencies(contents)
+    contents.coordination = read_coordination(data_dir)
+    if contents.coordination is not None:
+        contents.faults += contents.coordination.faults
     return contents
 
 
@@ -137,6 +142,7 @@
         withdrawn += entry.value is None
         items_by_kind[entry.kind] = items_by_kind.get(entry.kind, 0) + (entry.value is not None)
     voters = () if membership is None else membership.voters
+    coordination = {} if contents.coordination is None else {"coordination": contents.coordination.summary()}
     return {
         "uid": contents.uid,
         "epoch": 0 if membership is None else membership.epoch,
@@ -151,7 +157,7 @@
         "answers": contents.answers,
         "bytes": contents.size,
         "faults": contents.faults,
-    }
+    } | coordination
 
 
 def export_items(contents: DirectoryContents) -> bytes:
--- a/tests/mesh/storage/test_data_directory.py
+++ b/tests/mesh/storage/test_data_directory.py
@@ -14,10 +14,13 @@
 from lugspur.mesh.cli import replica_check, replica_export, replica_show
 from lugspur.mesh.control.errors import MeshError
 from lugspur.mesh.control.items import read_changes
-from lugspur.mesh.control.messages import BackendResponse, Change, CompleteKey, Item, ReserveKey, Voter
+from lugspur.mesh.control.messages import BackendResponse, Change, CompleteKey, Item, ProposalNumber, ReserveKey, Voter
+from lugspur.mesh.control.messages.coordination import CoordinationAccept
+from lugspur.mesh.control.messages.coordination_records import CellRecord, CoordinationChange, LockRecord
 from lugspur.mesh.control.replica import GENESIS, Replica
+from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
 from lugspur.mesh.storage.data_directory import export_items, read_directory, summarize
-from lugspur.mesh.storage.disk import DAMAGED_DIRECTORY_NAME, DIRECTORY_NAME, Disk
+from lugspur.mesh.storage.disk import COORDINATION_DIRECTORY_NAME, DAMAGED_DIRECTORY_NAME, DIRECTORY_NAME, Disk
 
 CALL = call(route("r"), services=[service()])
 SEEDS = [Voter(f"10.0.0.{n}", GENESIS, "") for n in (1, 2, 3)]
@@ -36,9 +39,9 @@
     put(folder, [row for effect in effects for row in effect.write])
 
 
-def put(folder: Path, rows: list[tuple[bytes, bytes | None]]) -> None:
-    (folder / DIRECTORY_NAME).mkdir(exist_ok=True, parents=True)
-    with lmdb.open(str(folder / DIRECTORY_NAME), map_size=16 << 20, lock=False) as env, env.begin(write=True) as txn:
+def put(folder: Path, rows: list[tuple[bytes, bytes | None]], name: str = DIRECTORY_NAME) -> None:
+    (folder / name).mkdir(exist_ok=True, parents=True)
+    with lmdb.open(str(folder / name), map_size=16 << 20, lock=False) as env, env.begin(write=True) as txn:
         for key, value in rows:
             assert value is not None
             txn.put(key, value)
@@ -128,3 +131,35 @@
         again.close(5.0)
 
     asyncio.run(run())
+
+
+def keep_coordination(folder: Path) -> None:
+    """What coordination has written after one decided change, and one that was accepted."""
+    voter = Replica("10.0.0.1", GENESIS, "z", 60.0, 64 << 20, lambda entries, forgotten: None)
+    voter.begin(0.0, SEEDS)
+    acceptor = CoordinationAcceptor(voter, 20.0)
+    change = CoordinationChange("c", [LockRecord("l", "h", 1, 1000), CellRecord("g.a", "v", 1)])
+    accept = CoordinationAccept(1, ProposalNumber(4, "p"), 2, change)
+    effects = [acceptor.begin(), acceptor.decide(0.0, 1, change), acceptor.accept(0.0, None, accept)]
+    put(folder, [row for effect in effects for row in effect.write], COORDINATION_DIRECTORY_NAME)
+
+
+def test_what_coordination_has_kept_is_shown(tmp_path: Path) -> None:
+    keep(tmp_path)
+    keep_coordination(tmp_path)
+    found = summarize(read_directory(tmp_path))
+    assert found["faults"] == []
+    assert {name: value for name, value in found["coordination"].items() if name != "bytes"} == {
+        **{"index": 1, "locks": 1, "numbers": 0, "keys": 1, "puts": 1, "promised": 4, "pending": True},
+        **{"complete_epoch": 1, "genesis_epoch": 1},
+    }
+
+
+@pytest.mark.parametrize(("key", "value"), [(b"kll", b"\xc1"), (b"x", b""), (b"kvote", b"\x90")])
+def test_a_row_of_coordination_that_no_node_could_start_with_is_a_fault(
+    tmp_path: Path, key: bytes, value: bytes
+) -> None:
+    keep(tmp_path)
+    keep_coordination(tmp_path)
+    put(tmp_path, [(key, value)], COORDINATION_DIRECTORY_NAME)
+    assert len(read_directory(tmp_path).faults) == 1
--- a/tests/mesh/test_coordination_calls.py
+++ b/tests/mesh/test_coordination_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -11,7 +12,18 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from lugspur.bench.mesh import Mesh, call
+from lugspur.mesh.client import (
+    CallRefusedError,
+    CoordinationClient,
+    KeyValue,
+    LockLostError,
+    LockTimeoutError,
+    NoAnswerError,
+    RevisionMismatchError,
+)
 
 ANSWERED_WITHIN_SECONDS = 20.0  # a call that is repeated at all addresses, on a loaded machine too
 RETRY_DELAY_SECONDS = 0.05
@@ -91,3 +103,134 @@
         assert time.monotonic() - began < ANSWERED_WITHIN_SECONDS
 
     play(tmp_path, what)
+
+
+async def leader_of(mesh: Mesh) -> str:
+    """The IP number of the control node that leads coordination, once one does."""
+    async with asyncio.timeout(ANSWERED_WITHIN_SECONDS):
+        while True:
+            for node, ip in enumerate(mesh.replica_ips):
+                with suppress(OSError, IndexError, ValueError):
+                    _, status = await ask(mesh, node, "GET", "/mesh/status")
+                    if status["coordination"]["leading"]:
+                        return ip
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+
+
+@pytest.mark.parametrize("how", [signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP])
+def test_what_was_acknowledged_stays_and_calls_go_on_when_the_leader_goes(tmp_path: Path, how: signal.Signals) -> None:
+    async def what(mesh: Mesh) -> None:
+        _, granted = await answered(mesh, "POST", "/locks/l1/open", {"holder": "a", "hold_ms": 60_000})
+        _, number = await answered(mesh, "POST", "/numbers/n1", {})
+        _, put = await answered(mesh, "POST", "/cells/g1.a/replace", {"value": "v1"})
+        leader = await leader_of(mesh)
+        others = [node for node, ip in enumerate(mesh.replica_ips) if ip != leader]
+        path = f"/watch/g1.?after={put['revision']}&wait_ms=30000"
+        watching = asyncio.create_task(ask(mesh, others[0], "GET", path))
+        if how is signal.SIGSTOP:
+            mesh.processes[leader].send_signal(how)
+        else:
+            mesh.end(leader, how)
+        _, again = await answered(mesh, "POST", "/cells/g1.a/replace", {"value": "v2", "enabled": put["revision"]})
+        assert again["revision"] > put["revision"]
+        status, seen = await watching
+        assert (status, [event["value"] for event in seen["events"]]) == (200, ["v2"])
+        assert (await answered(mesh, "POST", "/numbers/n1", {}))[1]["value"] > number["value"]
+        assert (await answered(mesh, "POST", "/locks/l1/open", {"holder": "b", "hold_ms": 100}))[0] == 409
+        renewal = {"holder": "a", "fence": granted["fence"], "hold_ms": 1000}
+        assert (await answered(mesh, "POST", "/locks/l1/heartbeat", renewal))[0] == 200
+        if how is signal.SIGSTOP:
+            mesh.processes[leader].send_signal(signal.SIGCONT)
+        node = mesh.replica_ips.index(leader)
+        if how is not signal.SIGSTOP:
+            mesh.start(leader)
+        async with asyncio.timeout(ANSWERED_WITHIN_SECONDS):  # it takes part again, or hands its calls on
+            while True:
+                with suppress(OSError, IndexError, ValueError):
+                    status, read = await ask(mesh, node, "GET", "/cells/g1.a/read")
+                    if status == 200:
+                        break
+                await asyncio.sleep(RETRY_DELAY_SECONDS)
+        assert read == {"value": "v2", "revision": again["revision"]}
+
+    play(tmp_path, what)
+
+
+def test_a_node_without_a_majority_does_nothing_and_says_so_soon(tmp_path: Path) -> None:
+    async def what(mesh: Mesh) -> None:
+        await answered(mesh, "POST", "/numbers/n1", {})
+        for ip in mesh.replica_ips[1:]:
+            mesh.end(ip)
+        await asyncio.sleep(2.0)  # until it counts as cut off
+        for method, path, body in (
+            ("POST", "/numbers/n1", b"{}"),
+            ("POST", "/locks/l1/open", b'{"holder":"a","hold_ms":1000}'),
+            ("GET", "/cells/g1.a/read", b""),
+            ("GET", "/watch/g1.?after=0", b""),
+        ):
+            address = f"{mesh.replica_ips[0]}:{mesh.dispatch}"
+            status, head, _ = await call(address, method, path, body)
+            assert status == 503 and b"Retry-After" in head, path
+
+    play(tmp_path, what)
+
+
+def test_a_program_uses_locks_numbers_and_keys_by_the_client(tmp_path: Path) -> None:
+    def use(addresses: list[str]) -> None:
+        client = CoordinationClient(addresses, call_seconds=ANSWERED_WITHIN_SECONDS)
+        with client.lock("l1", "a", 0.6) as lock:
+            fence = lock.fence
+            with pytest.raises(LockTimeoutError):
+                client.lock("l1", "b", 0.6, wait_seconds=0.8).__enter__()  # it was renewed meanwhile
+            lock.check()
+        with pytest.raises(LockLostError):
+            lock.check()
+        with client.lock("l1", "b", 5.0) as other:
+            assert other.fence > fence
+        assert client.take_number("n1") < client.take_number("n1")
+        assert client.read("g1.a") is None
+        revision = client.put("g1.a", "v1", 0)
+        assert client.put("g1.a", "v1", 0) == revision
+        assert client.read("g1.a") == KeyValue("v1", revision)
+        with pytest.raises(RevisionMismatchError) as caught:
+            client.put("g1.a", "v2", 0)
+        assert caught.value.revision == revision
+        with pytest.raises(CallRefusedError):
+            client.put("nogroup", "v")
+
+    async def what(mesh: Mesh) -> None:
+        await asyncio.to_thread(use, [f"{ip}:{mesh.dispatch}" for ip in mesh.replica_ips])
+
+    play(tmp_path, what)
+
+
+def test_a_holder_that_reaches_nobody_is_stopped_in_time(tmp_path: Path) -> None:
+    def use(mesh: Mesh) -> None:
+        client = CoordinationClient([f"{ip}:{mesh.dispatch}" for ip in mesh.replica_ips])
+        lost: list[float] = []
+        with client.lock("l1", "a", 1.0, on_lost=lambda: lost.append(time.monotonic())) as lock:
+            for process in mesh.processes.values():
+                process.send_signal(signal.SIGSTOP)
+            frozen_at = time.monotonic()
+            while lock.seconds_left > 0.0:
+                time.sleep(0.01)
+            assert time.monotonic() - frozen_at <= 1.5  # the time of one hold, and what a loaded machine may add
+            with pytest.raises(LockLostError):
+                lock.check()
+            for process in mesh.processes.values():
+                process.send_signal(signal.SIGCONT)
+        assert len(lost) == 1
+
+    async def what(mesh: Mesh) -> None:
+        await answered(mesh, "POST", "/numbers/n1", {})
+        await asyncio.to_thread(use, mesh)
+
+    play(tmp_path, what)
+
+
+def test_a_client_without_nodes_raises_in_time() -> None:
+    client = CoordinationClient(["127.0.0.1:9"], call_seconds=0.3)
+    with pytest.raises(NoAnswerError):
+        client.take_number("n1")
+    with pytest.raises(ValueError, match="address"):
+        CoordinationClient([])
