Count only the voters of the epoch in which a leader was elected, and bound the state by the disk

By reading: a leader that had learned of the next epoch counted answers to messages of the former one by the new membership until its next tick. Coordination's environment counts in the health of the disk, and its state is bounded by what that may take.

--- a/lugspur/mesh/control_node/disk_health.py
+++ b/lugspur/mesh/control_node/disk_health.py
@@ -1,4 +1,4 @@
-"""For how long a disk has refused writes."""
+"""For how long a machine's disk has refused writes."""
 
 from __future__ import annotations
 
@@ -8,15 +8,15 @@
 
 
 class DiskHealth:
-    """Looks at a disk from time to time; times are those of the loop's steady clock."""
+    """Looks at the environments on a disk from time to time; times are those of the loop's steady clock."""
 
-    def __init__(self, disk: Disk) -> None:
-        self._disk = disk
+    def __init__(self, *environments: Disk) -> None:
+        self._environments = environments
         self._failing_since: float | None = None
 
     def check(self, now: float) -> None:
         """Record whether the latest write has failed."""
-        if not self._disk.fault:
+        if not any(environment.fault for environment in self._environments):
             self._failing_since = None
         elif self._failing_since is None:
             self._failing_since = now
--- a/lugspur/mesh/control_node/process.py
+++ b/lugspur/mesh/control_node/process.py
@@ -111,7 +111,7 @@
         self.leases = Leases(self.store)
         self.announcement = Announcement(self.ip, self.store, self.next_edition, self._report)
         self.subscribers = Subscribers(self.loop, self.store, self.heartbeat_interval, self._update_since)
-        self.disk_health = DiskHealth(self.disk)
+        self.disk_health = DiskHealth(self.disk, self.coordination_disk)
         self.effect_runner = EffectRunner(self.loop, self.disk, self.send_to)
         restored = restore_state(settings, self._disk, rows, steady_clock(), self._publish)
         self.replica = restored.replica
--- a/lugspur/mesh/control_node/recovery.py
+++ b/lugspur/mesh/control_node/recovery.py
@@ -13,9 +13,12 @@
 from lugspur.mesh.control.replica import GENESIS, Replica
 from lugspur.mesh.control.store import EntryKey
 from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
+from lugspur.mesh.coordination.state import MAX_STATE_BYTES
 from lugspur.mesh.settings import Settings
 from lugspur.mesh.storage.disk import COORDINATION_AREA, Disk
 
+DISK_BYTES_PER_STATE_BYTE = 4  # rows have keys, lmdb copies what it writes, and locks take room too
+
 StoredRows = list[tuple[bytes, bytes]]
 Publish = Callable[
     [list[Entry], list[EntryKey]], None
@@ -97,7 +100,8 @@
     for found in (rows, DiskRows([], [])):
         uid, memory_bytes = os.urandom(8).hex(), own.limits.memory_mb << 20
         replica = Replica(own.ip, uid, own.zone, bounds.stamp_window_s, memory_bytes, publish)
-        coordination = CoordinationAcceptor(replica, bounds.history_s)
+        max_state_bytes = min(MAX_STATE_BYTES, disk.coordination.max_bytes // DISK_BYTES_PER_STATE_BYTE)
+        coordination = CoordinationAcceptor(replica, bounds.history_s, max_state_bytes)
         is_without_coordination = bool(found.configuration) and not found.coordination
         try:
             coordination.restore(found.coordination, now, is_without_coordination=is_without_coordination)
--- a/lugspur/mesh/coordination/acceptor.py
+++ b/lugspur/mesh/coordination/acceptor.py
@@ -29,7 +29,7 @@
 )
 from lugspur.mesh.control.messages.coordination_records import CoordinationChange
 from lugspur.mesh.control.replica import Replica
-from lugspur.mesh.coordination.state import CoordinationState
+from lugspur.mesh.coordination.state import MAX_STATE_BYTES, CoordinationState
 
 VOTE_ROW, EPOCH_ROW = b"kvote", b"kepoch"
 
@@ -60,10 +60,10 @@
 class CoordinationAcceptor:
     """The acceptor and learner of one replica."""
 
-    def __init__(self, replica: Replica, history_seconds: float) -> None:
+    def __init__(self, replica: Replica, history_seconds: float, max_state_bytes: int = MAX_STATE_BYTES) -> None:
         """`replica`: the same process's replica of the configuration, which names the voters."""
         self._replica = replica
-        self.state = CoordinationState(history_seconds)
+        self.state = CoordinationState(history_seconds, max_state_bytes)
         self.promised = NO_PROPOSAL
         self.accepted: ProposalNumber | None = None  # for the index after the state's
         self.accepted_change: CoordinationChange | None = None
--- a/lugspur/mesh/coordination/batch.py
+++ b/lugspur/mesh/coordination/batch.py
@@ -40,7 +40,6 @@
 MAX_NUMBERS = 10_000
 MAX_CELLS = 20_000
 MAX_PUTS = 50_000  # that are kept for watches
-MAX_STATE_BYTES = 8 << 20  # of cells and puts: the state goes to new voters as one message
 
 
 class CommandBatch:
@@ -180,7 +179,7 @@
         if state.put_count + len(self._cells) >= MAX_PUTS:
             return False
         size = 2 * record_bytes(CellRecord(command.name, command.value, 0))
-        return state.size_bytes + self._added_bytes + size <= MAX_STATE_BYTES
+        return state.size_bytes + self._added_bytes + size <= state.max_bytes
 
     def _read(self, command: ReadCell) -> Result:
         cell = self._cell(command.name)
--- a/lugspur/mesh/coordination/proposer.py
+++ b/lugspur/mesh/coordination/proposer.py
@@ -30,6 +30,7 @@
 from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
 from lugspur.mesh.coordination.batch import CommandBatch
 from lugspur.mesh.coordination.pending import PendingCommand
+from lugspur.mesh.coordination.voter_catch_up import voters_of
 
 ROUND_TIMEOUT_SECONDS = 0.25  # after which voters that have not answered are asked again...
 MAX_ROUND_TIMEOUT_SECONDS = 0.5  # ...and then less often, up to this
@@ -72,7 +73,7 @@
     """A message to the voters, and those that have not answered it."""
 
     message: CoordinationPrepare | CoordinationAccept | CoordinationConfirm
-    missing: set[str]
+    missing: frozenset[str]
 
 
 class CoordinationProposer:
@@ -93,7 +94,8 @@
         self._candidacy: Candidacy | None = None
         self._batch: Batch | None = None
         self._doubtful: list[Batch] = []  # proposed under a proposal that this node has given up
-        self._epoch = 0  # in which the present proposal was prepared
+        self._epoch = 0  # in which the present proposal was prepared...
+        self._voters: frozenset[str] = frozenset()  # ...and its voters: only these count
         self._number = 0  # the highest number of a proposal that was used or seen
         self._round = 0
         self._changes = 0
@@ -176,7 +178,7 @@
     ) -> Effects:
         """Take a voter's answer."""
         is_current = message.epoch == self._epoch and message.proposal == self._proposal()
-        if not is_current or ip not in self._voters() or not (self._candidacy is not None or self.is_leading):
+        if not is_current or ip not in self._voters or not (self._candidacy is not None or self.is_leading):
             return Effects()
         if message.promised > message.proposal:
             return self._outbid(now, message.promised)
@@ -188,15 +190,11 @@
 
     # ---- role ----------------------------------------------------------------------------
 
-    def _voters(self) -> set[str]:
-        membership = self._replica.membership
-        return set() if membership is None else {voter.ip for voter in membership.voters}
-
     def _proposal(self) -> ProposalNumber:
         return ProposalNumber(self._number, self._identity)
 
     def _majority(self) -> int:
-        return majority(len(self._voters()))
+        return majority(len(self._voters))
 
     def _advance(self, now: float) -> Effects:
         """Begin what can be begun: to lead, or the next batch."""
@@ -212,6 +210,7 @@
         """Ask all voters to promise."""
         self._step_down()
         self._epoch = self._replica.epoch
+        self._voters = frozenset(voters_of(self._replica.membership))
         self._number = max(self._number, self._acceptor.promised.number) + 1
         self._candidacy = Candidacy()
         return self._ask(now)
@@ -257,7 +256,7 @@
 
     def _round_message(self) -> RoundMessage | None:
         """What voters are asked at present, and who has not answered."""
-        batch, proposal, voters = self._batch, self._proposal(), self._voters()
+        batch, proposal, voters = self._batch, self._proposal(), self._voters
         if self._candidacy is not None:
             missing = voters - self._candidacy.promises.keys()
             return RoundMessage(CoordinationPrepare(self._epoch, proposal), missing)
--- a/lugspur/mesh/coordination/state.py
+++ b/lugspur/mesh/coordination/state.py
@@ -30,6 +30,7 @@
 
 HISTORY_FACTOR = 2.0  # times `history_s`, for which puts are kept: replicas learn of a put at different moments
 RECENT_CHANGES = 512  # kept in memory for replicas that lack a few; others are sent the whole state
+MAX_STATE_BYTES = 8 << 20  # of cells and puts: the state goes to new voters as one message
 GROUP_SEPARATOR = "."
 ROW_PREFIX = b"k"  # of all rows of coordination on disk
 LOCK_PREFIX, NUMBER_PREFIX, CELL_PREFIX, PUT_PREFIX, GROUP_PREFIX = b"kl", b"kn", b"kc", b"kp", b"kg"
@@ -97,8 +98,12 @@
 class CoordinationState:
     """All that was decided up to change `index`."""
 
-    def __init__(self, history_seconds: float) -> None:
-        """`history_seconds`: for how long a watch may go on from a revision that it was given."""
+    def __init__(self, history_seconds: float, max_bytes: int = MAX_STATE_BYTES) -> None:
+        """`history_seconds`: for how long a watch may go on from a revision that it was given.
+
+        `max_bytes`: of cells and kept puts, beyond which no put is taken.
+        """
+        self.max_bytes = max_bytes
         self._retention_seconds = HISTORY_FACTOR * history_seconds
         self._clear()
 
--- a/tests/mesh/coordination/test_batch.py
+++ b/tests/mesh/coordination/test_batch.py
@@ -182,12 +182,15 @@
     assert state.cells["g.a"].value == "4"
 
 
-@pytest.mark.parametrize("name", ["MAX_CELLS", "MAX_PUTS", "MAX_STATE_BYTES"])
+@pytest.mark.parametrize("name", ["MAX_CELLS", "MAX_PUTS", "bytes"])
 def test_puts_beyond_a_bound_are_rejected_with_nothing_done(
     state: CoordinationState, monkeypatch: pytest.MonkeyPatch, name: str
 ) -> None:
     carry_out(state, 0.0, PutCell("g.a", "1"))
-    monkeypatch.setattr(batch_module, name, 1)
+    if name == "bytes":
+        state.max_bytes = state.size_bytes
+    else:
+        monkeypatch.setattr(batch_module, name, 1)
     index = state.index
     [rejected] = carry_out(state, 0.0, PutCell("g.b", "2"))
     assert isinstance(rejected, CommandFailed) and rejected.error_kind == ErrorKind.TOO_MANY.value
