--- a/lugspur/emulator/coordination/applications.py
+++ b/lugspur/emulator/coordination/applications.py
@@ -30,6 +30,7 @@
 MIN_DELAY_SECONDS, MAX_DELAY_SECONDS = 0.0005, 0.003  # of a call or an answer on its way
 RETRY_SECONDS = 0.15
 CALL_SECONDS = 3.0  # for which a call is repeated
+IMPATIENT_FRACTION = 0.3  # of puts that are tried once
 LOCKS, NUMBERS, KEYS = ("l0", "l1"), ("n0",), ("g0.a", "g0.b", "g0.c")
 GROUP = "g0."
 
@@ -211,7 +212,9 @@
             put.is_unclear |= call.is_unclear
             self._answered(put, result, sent)
 
-        call = Call(self._place, command, answered)
+        # Some give up after one answer: if that was a refusal, the value must never be seen.
+        seconds = 0.0 if self._place.rng.random() < IMPATIENT_FRACTION else CALL_SECONDS
+        call = Call(self._place, command, answered, seconds=seconds)
 
     def _answered(self, put: PutAttempt, result: records.Result | None, sent: float) -> None:
         now, history = self._place.clock.now, self._place.history
