--- a/lugspur/mesh/program.py
+++ b/lugspur/mesh/program.py
@@ -13,7 +13,7 @@
 from lugspur.mesh import events
 from lugspur.mesh.control.errors import MeshError
 from lugspur.mesh.process import MeshProcess
-from lugspur.mesh.settings import DEFAULT_SETTINGS_PATH, SETTINGS_VARIABLE, Settings, load_settings
+from lugspur.mesh.settings import DEFAULT_SETTINGS_PATH, SERVED_CONTRACTS, SETTINGS_VARIABLE, Settings, load_settings
 
 GC_YOUNG_THRESHOLD = 20_000  # objects made until a collection of the youngest: requests leave few cycles behind
 
@@ -28,6 +28,9 @@
         events.warn("settings", fault=fault.detail)
         return 2
     events.start(settings.own.node_name)
+    unserved = sorted(set(settings.tariffs.contracts) - SERVED_CONTRACTS)
+    if unserved:  # Guards against a deployment that asks for what nobody serves: its callers would only see failures.
+        events.warn("contracts", unserved=",".join(unserved))
     invariants.add_listener(lambda invariant, details: events.warn("invariant", violated=invariant.value, **details))
     try:
         return uvloop.run(_run(settings, path))
--- a/lugspur/mesh/settings.py
+++ b/lugspur/mesh/settings.py
@@ -16,6 +16,8 @@
 DEFAULT_SETTINGS_PATH = "/etc/lugspur/settings.toml"
 MAX_PORT = 65535
 POSITIVE_BOUNDS = ("edition_ms", "stamp_window_s", "grace_s", "retry_window_s", "history_s")  # periods that can't be 0
+#: The parts of the operators' rules that this build knows, by the names in `tariffs.contracts`.
+SERVED_CONTRACTS = frozenset({"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "keys", "coord"})
 Number = float | int  # TOML distinguishes 1 and 1.0, operators need not
 
 
@@ -108,7 +110,7 @@
 class Tariffs:
     """The table `tariffs`: the operators' rules."""
 
-    contracts: list[str] = field(default_factory=list)
+    contracts: list[str] = field(default_factory=list)  # the parts of the rules that are in force
     tolerate: Tolerate = field(default_factory=Tolerate)
     bounds: Bounds = field(default_factory=Bounds)
 
--- a/tests/compatibility/test_mesh_interfaces.py
+++ b/tests/compatibility/test_mesh_interfaces.py
@@ -627,6 +627,7 @@
     "bounds": "fault",
     "closing": "id",
     "complete": "epoch claims",
+    "contracts": "unserved",
     "control": "uid epoch index rows",
     "coordination-complete": "epoch index",
     "coordination-leader": "leading epoch proposal",
@@ -661,6 +662,7 @@
 WARNINGS = {
     *(
         "bounds",
+        "contracts",
         "disk",
         "forward",
         "frame",
--- a/tests/mesh/test_coordination_calls.py
+++ b/tests/mesh/test_coordination_calls.py
@@ -234,3 +234,20 @@
         client.take_number("n1")
     with pytest.raises(ValueError, match="address"):
         CoordinationClient([])
+
+
+def test_a_part_of_the_rules_that_this_build_does_not_know_is_logged(tmp_path: Path) -> None:
+    class Demanding(Mesh):
+        def tables(self, ip: str) -> dict[str, dict[str, Any]]:
+            return super().tables(ip) | {"tariffs": {"contracts": ["base", "coord", "unheard-of"]}}
+
+    async def run() -> None:
+        mesh = Demanding(tmp_path, 3, ("rooms",))
+        try:
+            await mesh.begin()
+            for ip in (mesh.replica_ips[0], mesh.proxy_ips[0]):
+                assert "level=WARNING event=contracts unserved=unheard-of" in mesh.log(ip)
+        finally:
+            await mesh.close()
+
+    asyncio.run(run())
