--- a/lugspur/bench/soak/coordination_callers.py
+++ b/lugspur/bench/soak/coordination_callers.py
@@ -18,13 +18,13 @@
 from lugspur.emulator.coordination.checker import violations
 from lugspur.emulator.coordination.history import (
     History,
-    Hold,
+    LockTenure,
     Mismatch,
     PutAttempt,
     ReadCell,
     TakenNumber,
+    WatchAnswerSeen,
     WatchedPut,
-    WatchSpan,
 )
 
 TRY_SECONDS = 1.0  # of silence, after which another node is called
@@ -162,20 +162,20 @@
         if answer is None or answer.status != 200 or now >= answer.sent + hold_ms / 1000.0:
             return
         fence = int(answer.body["fence"])
-        hold = Hold(lock, name, fence, answer.sent, now, answer.sent + hold_ms / 1000.0)
-        self.history.holds.append(hold)
+        tenure = LockTenure(lock, name, fence, answer.sent, now, answer.sent + hold_ms / 1000.0)
+        self.history.tenures.append(tenure)
         body = {"holder": name, "fence": fence}
         while (step := rng.choice(("renew", "renew", "close", "die"))) == "renew":
             await asyncio.sleep(0.3 * hold_ms / 1000.0)
             answer = await application.call("POST", f"/locks/{lock}/heartbeat", body | {"hold_ms": hold_ms})
-            if answer is None or answer.status != 200 or time.monotonic() >= hold.ended:
+            if answer is None or answer.status != 200 or time.monotonic() >= tenure.ended:
                 return  # the caller gives the lock up
-            hold.ended = answer.sent + hold_ms / 1000.0
+            tenure.ended = answer.sent + hold_ms / 1000.0
         if step == "close":
-            hold.ended = min(hold.ended, time.monotonic())
+            tenure.ended = min(tenure.ended, time.monotonic())
             await application.call("POST", f"/locks/{lock}/close", body, seconds=1.5)
         else:
-            await asyncio.sleep(max(0.0, hold.ended - time.monotonic()))
+            await asyncio.sleep(max(0.0, tenure.ended - time.monotonic()))
 
     async def take_numbers(self, name: str) -> None:
         """Take numbers until cancelled."""
@@ -253,7 +253,7 @@
                 elif answer is not None and answer.status == 200:
                     puts = [WatchedPut(e["name"], e["value"], e["revision"]) for e in answer.body["events"]]
                     revision = int(answer.body["revision"])
-                    self.history.spans.append(WatchSpan(GROUP, after, revision, puts, answer.sent, now))
+                    self.history.watch_answers.append(WatchAnswerSeen(GROUP, after, revision, puts, answer.sent, now))
                     after, given_at = revision, now
                 await asyncio.sleep(0.02 if after else RETRY_SECONDS)
         finally:
@@ -294,10 +294,10 @@
         """What was done."""
         history = self.history
         return {
-            "locks held": len(history.holds),
+            "locks held": len(history.tenures),
             "numbers taken": len(history.numbers),
             "puts acknowledged": sum(put.revision > 0 for put in history.puts),
             "puts unclear": sum(put.is_unclear and not put.revision for put in history.puts),
             "key reads": len(history.reads),
-            "puts watched": sum(len(span.puts) for span in history.spans),
+            "puts watched": sum(len(answer.puts) for answer in history.watch_answers),
         }
--- a/lugspur/emulator/coordination/applications.py
+++ b/lugspur/emulator/coordination/applications.py
@@ -13,13 +13,13 @@
 from lugspur.emulator.clock import Clock
 from lugspur.emulator.coordination.history import (
     History,
-    Hold,
+    LockTenure,
     Mismatch,
     PutAttempt,
     ReadCell,
     TakenNumber,
+    WatchAnswerSeen,
     WatchedPut,
-    WatchSpan,
 )
 from lugspur.emulator.coordination.node import ModelNode
 from lugspur.mesh.control.errors import ErrorKind, MeshError
@@ -35,7 +35,7 @@
 GROUP = "g0."
 
 
-class Place(Protocol):
+class ApplicationWorld(Protocol):
     """What applications need of their world."""
 
     clock: Clock
@@ -58,34 +58,34 @@
 
     def __init__(
         self,
-        place: Place,
+        world: ApplicationWorld,
         command: records.Command,
         on_answer: Callable[[records.Result | None, float], None],
         *,
         seconds: float = CALL_SECONDS,
     ) -> None:
         """`on_answer` gets the clear result, or None, and when the try was sent that got it."""
-        self._place, self._command, self._on_answer = place, command, on_answer
-        self._until = place.clock.now + seconds
+        self._world, self._command, self._on_answer = world, command, on_answer
+        self._until = world.clock.now + seconds
         self._try = 0
         self.is_unclear = False  # whether any try had no clear answer
         self._send()
 
     def _send(self) -> None:
-        place = self._place
+        world = self._world
         self._try += 1
-        number, sent = self._try, place.clock.now
-        node = place.any_node()
+        number, sent = self._try, world.clock.now
+        node = world.any_node()
 
         def take(result: records.Result) -> None:
-            delay = place.rng.uniform(MIN_DELAY_SECONDS, MAX_DELAY_SECONDS)
-            place.clock.at(place.clock.now + delay, lambda: self._answered(number, sent, result))
+            delay = world.rng.uniform(MIN_DELAY_SECONDS, MAX_DELAY_SECONDS)
+            world.clock.at(world.clock.now + delay, lambda: self._answered(number, sent, result))
 
         def arrive() -> None:
             node.when_awake(lambda: node.submit(self._command, take))
 
-        place.clock.at(sent + place.rng.uniform(MIN_DELAY_SECONDS, MAX_DELAY_SECONDS), arrive)
-        place.clock.at(sent + TRY_SECONDS, lambda: self._silent(number))
+        world.clock.at(sent + world.rng.uniform(MIN_DELAY_SECONDS, MAX_DELAY_SECONDS), arrive)
+        world.clock.at(sent + TRY_SECONDS, lambda: self._silent(number))
 
     def _answered(self, number: int, sent: float, result: records.Result) -> None:
         if number != self._try:
@@ -105,104 +105,104 @@
 
     def _again(self) -> None:
         self._try += 1
-        if self._place.clock.now >= self._until:
+        if self._world.clock.now >= self._until:
             self._on_answer(None, 0.0)
         else:
-            self._place.clock.at(self._place.clock.now + RETRY_SECONDS, self._send)
+            self._world.clock.at(self._world.clock.now + RETRY_SECONDS, self._send)
 
 
 class LockUser:
     """Takes one lock after another, always under the same holder's name."""
 
-    def __init__(self, place: Place, name: str) -> None:
-        self._place, self._name = place, name
-        self._hold: Hold | None = None
+    def __init__(self, world: ApplicationWorld, name: str) -> None:
+        self._world, self._name = world, name
+        self._hold: LockTenure | None = None
         self._pause()
 
     def _pause(self) -> None:
-        if self._place.is_open:
-            self._place.clock.at(self._place.clock.now + self._place.rng.uniform(0.02, 0.4), self._open)
+        if self._world.is_open:
+            self._world.clock.at(self._world.clock.now + self._world.rng.uniform(0.02, 0.4), self._open)
 
     def _open(self) -> None:
-        lock, hold_ms = self._place.rng.choice(LOCKS), self._place.rng.choice((300, 700, 1500))
+        lock, hold_ms = self._world.rng.choice(LOCKS), self._world.rng.choice((300, 700, 1500))
         command = records.OpenLock(lock, self._name, hold_ms)
-        Call(self._place, command, lambda result, sent: self._opened(lock, hold_ms, result, sent))
+        Call(self._world, command, lambda result, sent: self._opened(lock, hold_ms, result, sent))
 
     def _opened(self, lock: str, hold_ms: int, result: records.Result | None, sent: float) -> None:
-        now = self._place.clock.now
+        now = self._world.clock.now
         if not isinstance(result, records.LockGranted) or now >= sent + hold_ms / 1000.0:
             self._pause()
             return
-        hold = Hold(lock, self._name, result.fence, sent, now, sent + hold_ms / 1000.0)
-        self._place.history.holds.append(hold)
-        step = self._place.rng.choice((self._close, self._renew, self._renew, self._sleep))
-        wait = self._place.rng.uniform(0.0, 0.6) * hold_ms / 1000.0
-        self._place.clock.at(now + wait, lambda: step(hold, hold_ms))
+        tenure = LockTenure(lock, self._name, result.fence, sent, now, sent + hold_ms / 1000.0)
+        self._world.history.tenures.append(tenure)
+        step = self._world.rng.choice((self._close, self._renew, self._renew, self._sleep))
+        wait = self._world.rng.uniform(0.0, 0.6) * hold_ms / 1000.0
+        self._world.clock.at(now + wait, lambda: step(tenure, hold_ms))
 
-    def _close(self, hold: Hold, hold_ms: int) -> None:
-        hold.ended = min(hold.ended, self._place.clock.now)
-        command = records.CloseLock(hold.lock, self._name, hold.fence)
-        Call(self._place, command, lambda result, sent: self._pause(), seconds=1.5)
+    def _close(self, tenure: LockTenure, hold_ms: int) -> None:
+        tenure.ended = min(tenure.ended, self._world.clock.now)
+        command = records.CloseLock(tenure.lock, self._name, tenure.fence)
+        Call(self._world, command, lambda result, sent: self._pause(), seconds=1.5)
 
-    def _renew(self, hold: Hold, hold_ms: int) -> None:
-        command = records.RenewLock(hold.lock, self._name, hold.fence, hold_ms)
+    def _renew(self, tenure: LockTenure, hold_ms: int) -> None:
+        command = records.RenewLock(tenure.lock, self._name, tenure.fence, hold_ms)
 
         def renewed(result: records.Result | None, sent: float) -> None:
-            now = self._place.clock.now
-            if not isinstance(result, records.LockRenewed) or now >= hold.ended:
+            now = self._world.clock.now
+            if not isinstance(result, records.LockRenewed) or now >= tenure.ended:
                 self._pause()  # the caller gives the lock up
                 return
-            hold.ended = sent + hold_ms / 1000.0
-            step = self._place.rng.choice((self._close, self._renew, self._sleep))
-            self._place.clock.at(now + 0.4 * hold_ms / 1000.0, lambda: step(hold, hold_ms))
+            tenure.ended = sent + hold_ms / 1000.0
+            step = self._world.rng.choice((self._close, self._renew, self._sleep))
+            self._world.clock.at(now + 0.4 * hold_ms / 1000.0, lambda: step(tenure, hold_ms))
 
-        Call(self._place, command, renewed)
+        Call(self._world, command, renewed)
 
-    def _sleep(self, hold: Hold, hold_ms: int) -> None:
+    def _sleep(self, tenure: LockTenure, hold_ms: int) -> None:
         """Die holding, or sleep past the time, and come again under the same name."""
-        self._place.clock.at(hold.ended + self._place.rng.uniform(0.0, 0.3), self._pause)
+        self._world.clock.at(tenure.ended + self._world.rng.uniform(0.0, 0.3), self._pause)
 
 
 class NumberUser:
     """Takes numbers."""
 
-    def __init__(self, place: Place) -> None:
-        self._place = place
+    def __init__(self, world: ApplicationWorld) -> None:
+        self._world = world
         self._take()
 
     def _take(self) -> None:
-        name = self._place.rng.choice(NUMBERS)
-        Call(self._place, records.TakeNumber(name), lambda result, sent: self._taken(name, result, sent))
+        name = self._world.rng.choice(NUMBERS)
+        Call(self._world, records.TakeNumber(name), lambda result, sent: self._taken(name, result, sent))
 
     def _taken(self, name: str, result: records.Result | None, sent: float) -> None:
-        now = self._place.clock.now
+        now = self._world.clock.now
         if isinstance(result, records.NumberTaken):
-            self._place.history.numbers.append(TakenNumber(name, result.value, sent, now))
-        if self._place.is_open:
-            self._place.clock.at(now + self._place.rng.uniform(0.02, 0.3), self._take)
+            self._world.history.numbers.append(TakenNumber(name, result.value, sent, now))
+        if self._world.is_open:
+            self._world.clock.at(now + self._world.rng.uniform(0.02, 0.3), self._take)
 
 
 class KeyUser:
     """Reads keys and puts values, some on condition of the revision that it knows."""
 
-    def __init__(self, place: Place, name: str) -> None:
-        self._place, self._name = place, name
+    def __init__(self, world: ApplicationWorld, name: str) -> None:
+        self._world, self._name = world, name
         self._count = 0
         self._known: dict[str, int] = {}
         self._next()
 
     def _next(self) -> None:
-        if not self._place.is_open:
+        if not self._world.is_open:
             return
-        step = self._place.rng.choice((self._put, self._put, self._read))
-        self._place.clock.at(self._place.clock.now + self._place.rng.uniform(0.02, 0.3), step)
+        step = self._world.rng.choice((self._put, self._put, self._read))
+        self._world.clock.at(self._world.clock.now + self._world.rng.uniform(0.02, 0.3), step)
 
     def _put(self) -> None:
-        key = self._place.rng.choice(KEYS)
+        key = self._world.rng.choice(KEYS)
         self._count += 1
-        expected = self._known.get(key, 0) if self._place.rng.random() < 0.6 else None
-        put = PutAttempt(key, f"{self._name}.{self._count}", expected, self._place.clock.now)
-        self._place.history.puts.append(put)
+        expected = self._known.get(key, 0) if self._world.rng.random() < 0.6 else None
+        put = PutAttempt(key, f"{self._name}.{self._count}", expected, self._world.clock.now)
+        self._world.history.puts.append(put)
         self._send(put)
 
     def _send(self, put: PutAttempt) -> None:
@@ -213,65 +213,65 @@
             self._answered(put, result, sent)
 
         # Some give up after one answer: if that was a refusal, the value must never be seen.
-        seconds = 0.0 if self._place.rng.random() < IMPATIENT_FRACTION else CALL_SECONDS
-        call = Call(self._place, command, answered, seconds=seconds)
+        seconds = 0.0 if self._world.rng.random() < IMPATIENT_FRACTION else CALL_SECONDS
+        call = Call(self._world, command, answered, seconds=seconds)
 
     def _answered(self, put: PutAttempt, result: records.Result | None, sent: float) -> None:
-        now, history = self._place.clock.now, self._place.history
+        now, history = self._world.clock.now, self._world.history
         if isinstance(result, records.CellWritten):
             if put.revision and put.revision != result.revision:
                 history.faults.append(f"MIXED: {put.value} got revision {result.revision} after {put.revision}")
             if not put.revision:
                 put.revision, put.received = result.revision, now
             self._known[put.key] = result.revision
-            if self._place.rng.random() < 0.1:  # a repeat that arrives late, after other puts
-                self._place.clock.at(now + self._place.rng.uniform(0.0, 1.0), lambda: self._send(put))
+            if self._world.rng.random() < 0.1:  # a repeat that arrives late, after other puts
+                self._world.clock.at(now + self._world.rng.uniform(0.0, 1.0), lambda: self._send(put))
         elif isinstance(result, records.RevisionMismatch):
             history.mismatches.append(Mismatch(put.key, result.revision, sent, now))
             self._known[put.key] = result.revision
         self._next()
 
     def _read(self) -> None:
-        key = self._place.rng.choice(KEYS)
-        Call(self._place, records.ReadCell(key), lambda result, sent: self._was_read(key, result, sent))
+        key = self._world.rng.choice(KEYS)
+        Call(self._world, records.ReadCell(key), lambda result, sent: self._was_read(key, result, sent))
 
     def _was_read(self, key: str, result: records.Result | None, sent: float) -> None:
-        now = self._place.clock.now
+        now = self._world.clock.now
         if isinstance(result, records.CellFound):
-            self._place.history.reads.append(ReadCell(key, result.value, result.revision, sent, now))
+            self._world.history.reads.append(ReadCell(key, result.value, result.revision, sent, now))
             self._known[key] = result.revision
         elif isinstance(result, records.CellMissing):
-            self._place.history.reads.append(ReadCell(key, "", 0, sent, now))
+            self._world.history.reads.append(ReadCell(key, "", 0, sent, now))
         self._next()
 
 
 class Watcher:
     """Watches a group, from any node, on from the revision that it was given."""
 
-    def __init__(self, place: Place, history_seconds: float) -> None:
-        self._place, self._history_seconds = place, history_seconds
+    def __init__(self, world: ApplicationWorld, history_seconds: float) -> None:
+        self._world, self._history_seconds = world, history_seconds
         self.revision = 0
         self._given_at = 0.0
         self._number = 0
         self._begin()
 
     def _begin(self) -> None:
-        Call(self._place, records.ReadGroup(GROUP), self._begun)
+        Call(self._world, records.ReadGroup(GROUP), self._begun)
 
     def _begun(self, result: records.Result | None, sent: float) -> None:
-        now = self._place.clock.now
+        now = self._world.clock.now
         if isinstance(result, records.GroupRevision):
-            self._place.history.spans.append(WatchSpan(GROUP, 0, result.revision, [], sent, now))
+            self._world.history.watch_answers.append(WatchAnswerSeen(GROUP, 0, result.revision, [], sent, now))
             self.revision, self._given_at = result.revision, now
-        self._place.clock.at(now + 0.05, self._begin if self.revision == 0 else self._watch)
+        self._world.clock.at(now + 0.05, self._begin if self.revision == 0 else self._watch)
 
     def _watch(self) -> None:
-        if not self._place.is_open:
+        if not self._world.is_open:
             return
         self._number += 1
-        number, sent, node = self._number, self._place.clock.now, self._place.any_node()
+        number, sent, node = self._number, self._world.clock.now, self._world.any_node()
         node.when_awake(lambda: self._ask(node, number, sent))
-        self._place.clock.at(sent + 1.0, lambda: self._silent(number))
+        self._world.clock.at(sent + 1.0, lambda: self._silent(number))
 
     def _ask(self, node: ModelNode, number: int, sent: float) -> None:
         if node.watches is None or number != self._number:
@@ -295,8 +295,8 @@
         node.watches.add(watch)
 
     def _gone(self, number: int) -> None:
-        if self._place.clock.now - self._given_at < self._history_seconds:
-            self._place.history.faults.append(f"LOST: puts above {self.revision} are forgotten")
+        if self._world.clock.now - self._given_at < self._history_seconds:
+            self._world.history.faults.append(f"LOST: puts above {self.revision} are forgotten")
         self.revision = 0
         self._number += 1
         self._begin()
@@ -304,15 +304,15 @@
     def _answered(self, number: int, sent: float, answer: WatchAnswer) -> None:
         if number != self._number:
             return
-        now = self._place.clock.now
+        now = self._world.clock.now
         puts = [WatchedPut(put.name, put.value, put.revision) for put in answer.puts]
-        span = WatchSpan(GROUP, self.revision, answer.revision, puts, sent, now)
-        self._place.history.spans.append(span)
+        seen = WatchAnswerSeen(GROUP, self.revision, answer.revision, puts, sent, now)
+        self._world.history.watch_answers.append(seen)
         self.revision, self._given_at = answer.revision, now
         self._number += 1
-        self._place.clock.at(now + self._place.rng.uniform(0.0, 0.1), self._watch)
+        self._world.clock.at(now + self._world.rng.uniform(0.0, 0.1), self._watch)
 
     def _silent(self, number: int) -> None:
         if number == self._number:
             self._number += 1
-            self._place.clock.at(self._place.clock.now + 0.05, self._watch)
+            self._world.clock.at(self._world.clock.now + 0.05, self._watch)
--- a/lugspur/emulator/coordination/checker.py
+++ b/lugspur/emulator/coordination/checker.py
@@ -10,14 +10,14 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
-from lugspur.emulator.coordination.history import History, Hold, PutAttempt, TakenNumber
+from lugspur.emulator.coordination.history import History, LockTenure, PutAttempt, TakenNumber
 
 
 def violations(history: History) -> list[str]:
     """What is wrong with a history, one line each; empty: nothing."""
     return [
         *history.faults,
-        *_lock_violations(history.holds),
+        *_lock_violations(history.tenures),
         *_number_violations(history.numbers),
         *_key_violations(history),
         *_watch_violations(history),
@@ -27,36 +27,36 @@
 # ---- locks -----------------------------------------------------------------------------------
 
 
-def _lock_violations(holds: list[Hold]) -> Iterator[str]:
-    by_lock: dict[str, list[Hold]] = defaultdict(list)
-    for hold in holds:
-        by_lock[hold.lock].append(hold)
+def _lock_violations(tenures: list[LockTenure]) -> Iterator[str]:
+    by_lock: dict[str, list[LockTenure]] = defaultdict(list)
+    for tenure in tenures:
+        by_lock[tenure.lock].append(tenure)
     for lock, found in by_lock.items():
         yield from _overlaps(lock, found)
         yield from _fence_violations(lock, found)
 
 
-def _overlaps(lock: str, holds: list[Hold]) -> Iterator[str]:
-    latest: Hold | None = None  # of those that began before, the one that ended last
-    for hold in sorted(holds, key=lambda hold: hold.began):
-        if latest is not None and hold.holder != latest.holder and hold.began < latest.ended:
+def _overlaps(lock: str, tenures: list[LockTenure]) -> Iterator[str]:
+    latest: LockTenure | None = None  # of those that began before, the one that ended last
+    for tenure in sorted(tenures, key=lambda tenure: tenure.began):
+        if latest is not None and tenure.holder != latest.holder and tenure.began < latest.ended:
             yield (
-                f"ONE: {hold.holder} held {lock} from {hold.began:.3f} while {latest.holder} held it until "
-                f"{latest.ended:.3f} (fences {hold.fence}, {latest.fence})"
+                f"ONE: {tenure.holder} held {lock} from {tenure.began:.3f} while {latest.holder} held it until "
+                f"{latest.ended:.3f} (fences {tenure.fence}, {latest.fence})"
             )
-        if latest is None or hold.ended > latest.ended:
-            latest = hold
+        if latest is None or tenure.ended > latest.ended:
+            latest = tenure
 
 
-def _fence_violations(lock: str, holds: list[Hold]) -> Iterator[str]:
-    for hold in holds:
-        for other in holds:
-            if other.holder == hold.holder:
+def _fence_violations(lock: str, tenures: list[LockTenure]) -> Iterator[str]:
+    for tenure in tenures:
+        for other in tenures:
+            if other.holder == tenure.holder:
                 continue
-            if other.fence == hold.fence:
-                yield f"ONE: {hold.holder} and {other.holder} got fence {hold.fence} of {lock}"
-            elif other.began < hold.sent and other.fence > hold.fence:
-                yield f"ONE: fence {hold.fence} of {lock} was given after {other.fence}"
+            if other.fence == tenure.fence:
+                yield f"ONE: {tenure.holder} and {other.holder} got fence {tenure.fence} of {lock}"
+            elif other.began < tenure.sent and other.fence > tenure.fence:
+                yield f"ONE: fence {tenure.fence} of {lock} was given after {other.fence}"
 
 
 # ---- numbers ---------------------------------------------------------------------------------
@@ -92,7 +92,7 @@
     """Key, value and revision wherever they were shown."""
     found = [(put.key, put.value, put.revision) for put in history.puts if put.revision]
     found += [(read.key, read.value, read.revision) for read in history.reads if read.revision]
-    found += [(put.key, put.value, put.revision) for span in history.spans for put in span.puts]
+    found += [(put.key, put.value, put.revision) for answer in history.watch_answers for put in answer.puts]
     return found
 
 
@@ -173,17 +173,19 @@
     for put in history.puts:
         if put.revision:
             acknowledged[group_of(put.key)].append(put)
-    for span in history.spans:
-        revisions = [put.revision for put in span.puts]
-        if any(a >= b for a, b in pairwise([span.after, *revisions])) or (revisions and revisions[-1] > span.revision):
-            yield f"ORDER: a watch of {span.group} from {span.after} to {span.revision} shows {revisions}"
+    for answer in history.watch_answers:
+        revisions = [put.revision for put in answer.puts]
+        if any(a >= b for a, b in pairwise([answer.after, *revisions])) or (
+            revisions and revisions[-1] > answer.revision
+        ):
+            yield f"ORDER: a watch of {answer.group} from {answer.after} to {answer.revision} shows {revisions}"
         missing = [
             put.revision
-            for put in acknowledged[span.group]
-            if span.after < put.revision <= span.revision and put.revision not in revisions
+            for put in acknowledged[answer.group]
+            if answer.after < put.revision <= answer.revision and put.revision not in revisions
         ]
-        if missing and span.after > 0:
-            yield f"ORDER: a watch of {span.group} from {span.after} to {span.revision} passes over {missing}"
-        known = max((put.revision for put in acknowledged[span.group] if put.received < span.sent), default=0)
-        if span.after == 0 and span.revision < known:
-            yield f"STALE: the revision of {span.group} is shown as {span.revision} after {known}"
+        if missing and answer.after > 0:
+            yield f"ORDER: a watch of {answer.group} from {answer.after} to {answer.revision} passes over {missing}"
+        known = max((put.revision for put in acknowledged[answer.group] if put.received < answer.sent), default=0)
+        if answer.after == 0 and answer.revision < known:
+            yield f"STALE: the revision of {answer.group} is shown as {answer.revision} after {known}"
--- a/lugspur/emulator/coordination/guards.py
+++ b/lugspur/emulator/coordination/guards.py
@@ -147,7 +147,7 @@
 
 @dataclass(frozen=True)
 class Guard:
-    """A guard, and what stands in its place where it is taken out."""
+    """A guard, and what stands in its world where it is taken out."""
 
     words: str
     owner: Any
--- a/lugspur/emulator/coordination/histories.py
+++ b/lugspur/emulator/coordination/histories.py
@@ -34,13 +34,13 @@
     found += [f"INVARIANT: {invariant.value}" for invariant, count in invariants.violations.items() if count]
     history = world.history
     counts = Counter(
-        holds=len(history.holds),
+        tenures=len(history.tenures),
         numbers=len(history.numbers),
         puts=sum(put.revision > 0 for put in history.puts),
         unclear=sum(put.is_unclear for put in history.puts),
         mismatches=len(history.mismatches),
         reads=len(history.reads),
-        watched=sum(len(span.puts) for span in history.spans),
+        watched=sum(len(seen.puts) for seen in history.watch_answers),
         epochs=world.membership.epoch,
     )
     return Played(seed, found, counts, world.faults)
--- a/lugspur/emulator/coordination/history.py
+++ b/lugspur/emulator/coordination/history.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(slots=True)
-class Hold:
+class LockTenure:
     """A span in which a caller counted itself the holder of a lock."""
 
     lock: str
@@ -71,7 +71,7 @@
 
 
 @dataclass(slots=True)
-class WatchSpan:
+class WatchAnswerSeen:
     """One answer of a watch: all puts above `after` and up to `revision`."""
 
     group: str
@@ -86,10 +86,10 @@
 class History:
     """All that the applications of one world saw."""
 
-    holds: list[Hold] = field(default_factory=list)
+    tenures: list[LockTenure] = field(default_factory=list)
     numbers: list[TakenNumber] = field(default_factory=list)
     puts: list[PutAttempt] = field(default_factory=list)
     reads: list[ReadCell] = field(default_factory=list)
     mismatches: list[Mismatch] = field(default_factory=list)
-    spans: list[WatchSpan] = field(default_factory=list)
+    watch_answers: list[WatchAnswerSeen] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)  # what is wrong by one answer alone
--- a/tests/emulator/test_coordination_model.py
+++ b/tests/emulator/test_coordination_model.py
@@ -14,13 +14,13 @@
 from lugspur.emulator.coordination.histories import play
 from lugspur.emulator.coordination.history import (
     History,
-    Hold,
+    LockTenure,
     Mismatch,
     PutAttempt,
     ReadCell,
     TakenNumber,
+    WatchAnswerSeen,
     WatchedPut,
-    WatchSpan,
 )
 
 SEEDS = range(20_000, 20_024)
@@ -58,13 +58,19 @@
 
 
 def test_the_checker_finds_two_holders_and_fences_that_fall() -> None:
-    first, second = Hold("l", "a", 1, 0.0, 0.1, 1.0), Hold("l", "b", 2, 0.5, 0.9, 2.0)
-    wrong("ONE", History(holds=[first, second]))
-    wrong("ONE", History(holds=[Hold("l", "a", 2, 0.0, 0.1, 1.0), Hold("l", "b", 1, 1.5, 1.6, 2.0)]))
-    wrong("ONE", History(holds=[first, Hold("l", "b", 1, 1.5, 1.6, 2.0)]))
-    assert not violations(History(holds=[first, Hold("l", "b", 2, 0.9, 1.1, 2.0), Hold("m", "c", 2, 0.1, 0.2, 3.0)]))
-    long, short, third = Hold("l", "a", 1, 0.0, 0.1, 9.0), Hold("l", "a", 1, 0.2, 0.3, 0.5), Hold("l", "b", 2, 1, 2, 3)
-    wrong("ONE", History(holds=[long, short, third]))
+    first, second = LockTenure("l", "a", 1, 0.0, 0.1, 1.0), LockTenure("l", "b", 2, 0.5, 0.9, 2.0)
+    wrong("ONE", History(tenures=[first, second]))
+    wrong("ONE", History(tenures=[LockTenure("l", "a", 2, 0.0, 0.1, 1.0), LockTenure("l", "b", 1, 1.5, 1.6, 2.0)]))
+    wrong("ONE", History(tenures=[first, LockTenure("l", "b", 1, 1.5, 1.6, 2.0)]))
+    assert not violations(
+        History(tenures=[first, LockTenure("l", "b", 2, 0.9, 1.1, 2.0), LockTenure("m", "c", 2, 0.1, 0.2, 3.0)])
+    )
+    long, short, third = (
+        LockTenure("l", "a", 1, 0.0, 0.1, 9.0),
+        LockTenure("l", "a", 1, 0.2, 0.3, 0.5),
+        LockTenure("l", "b", 2, 1, 2, 3),
+    )
+    wrong("ONE", History(tenures=[long, short, third]))
 
 
 def test_the_checker_finds_numbers_that_fall_or_come_twice() -> None:
@@ -98,8 +104,8 @@
 def test_the_checker_finds_gaps_and_falls_in_what_a_watch_shows() -> None:
     puts = [put("g.a", "1", 1, 0.0, 0.1), put("g.b", "2", 2, 0.2, 0.3), put("g.a", "3", 3, 0.4, 0.5)]
     events = [WatchedPut("g.a", "1", 1), WatchedPut("g.b", "2", 2), WatchedPut("g.a", "3", 3)]
-    assert not violations(History(puts=puts, spans=[WatchSpan("g.", 1, 3, events[1:], 0.6, 0.7)]))
-    wrong("ORDER", History(puts=puts, spans=[WatchSpan("g.", 1, 3, events[2:], 0.6, 0.7)]))
-    wrong("ORDER", History(puts=puts, spans=[WatchSpan("g.", 1, 3, events[:0:-1], 0.6, 0.7)]))
-    wrong("ORDER", History(puts=puts, spans=[WatchSpan("g.", 1, 2, events[1:], 0.6, 0.7)]))
-    wrong("STALE", History(puts=puts, spans=[WatchSpan("g.", 0, 2, [], 0.6, 0.7)]))
+    assert not violations(History(puts=puts, watch_answers=[WatchAnswerSeen("g.", 1, 3, events[1:], 0.6, 0.7)]))
+    wrong("ORDER", History(puts=puts, watch_answers=[WatchAnswerSeen("g.", 1, 3, events[2:], 0.6, 0.7)]))
+    wrong("ORDER", History(puts=puts, watch_answers=[WatchAnswerSeen("g.", 1, 3, events[:0:-1], 0.6, 0.7)]))
+    wrong("ORDER", History(puts=puts, watch_answers=[WatchAnswerSeen("g.", 1, 2, events[1:], 0.6, 0.7)]))
+    wrong("STALE", History(puts=puts, watch_answers=[WatchAnswerSeen("g.", 0, 2, [], 0.6, 0.7)]))
