--- a/tests/mesh/test_coordination_calls.py
+++ b/tests/mesh/test_coordination_calls.py
@@ -5,14 +5,13 @@
 import asyncio
 import json
 import signal
-import sys
 import time
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import pytest
+from meshplay import play
 
 from lugspur.bench.mesh import Mesh, call
 from lugspur.mesh.client import (
@@ -29,25 +28,7 @@
 ANSWERED_WITHIN_SECONDS = 20.0  # a call that is repeated at all addresses, on a loaded machine too
 RETRY_DELAY_SECONDS = 0.05
 HOLD_SECONDS = 1.0
-
-
-def play(folder: Path, what: Callable[[Mesh], Awaitable[None]], replicas: int = 3) -> None:
-    """Run a scenario over control nodes and one proxy; on failure their logs are shown."""
-
-    async def run() -> None:
-        mesh = Mesh(folder, replicas, ("rooms",))
-        try:
-            async with asyncio.timeout(60.0):
-                await mesh.begin()
-                await what(mesh)
-        except BaseException:
-            for path in sorted(folder.glob("*.log")):
-                print(path.name, path.read_text()[-3000:], file=sys.stderr)
-            raise
-        finally:
-            await mesh.close()
-
-    asyncio.run(run())
+SERVICES = ("rooms",)  # of the only proxy
 
 
 async def ask(
@@ -104,7 +85,7 @@
         assert (status, watched["revision"]) == (200, put["revision"])
         assert time.monotonic() - began < ANSWERED_WITHIN_SECONDS
 
-    play(tmp_path, what)
+    play(tmp_path, what, services=SERVICES)
 
 
 async def watched(mesh: Mesh, group: str, after: int) -> list[str]:
@@ -160,7 +141,7 @@
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
         assert read == {"value": "v2", "revision": again["revision"]}
 
-    play(tmp_path, what)
+    play(tmp_path, what, services=SERVICES)
 
 
 def test_a_node_without_a_majority_does_nothing_and_says_so_soon(tmp_path: Path) -> None:
@@ -181,7 +162,7 @@
             status, head, _ = await call(address, method, path, body)
             assert status == 503 and b"Retry-After" in head, path
 
-    play(tmp_path, what)
+    play(tmp_path, what, services=SERVICES)
 
 
 def test_a_program_uses_locks_numbers_and_keys_by_the_client(tmp_path: Path) -> None:
@@ -210,7 +191,7 @@
     async def what(mesh: Mesh) -> None:
         await asyncio.to_thread(use, [f"{ip}:{mesh.dispatch}" for ip in mesh.replica_ips])
 
-    play(tmp_path, what)
+    play(tmp_path, what, services=SERVICES)
 
 
 def test_a_holder_that_reaches_nobody_is_stopped_in_time(tmp_path: Path) -> None:
@@ -234,7 +215,7 @@
         await answered(mesh, "POST", "/numbers/n1", {})
         await asyncio.to_thread(use, mesh)
 
-    play(tmp_path, what)
+    play(tmp_path, what, services=SERVICES)
 
 
 def test_a_client_without_nodes_raises_in_time() -> None:
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -9,38 +9,16 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
+from meshplay import play
 
 from lugspur.bench.mesh import ROOT, Mesh, call
 from lugspur.standins.mesh import MeshBackend
 
 
-def play(
-    folder: Path,
-    what: Callable[[Mesh], Awaitable[None]],
-    replicas: int = 3,
-    services: tuple[str, ...] = ("rooms", "rooms"),
-) -> None:
-    async def run() -> None:
-        mesh = Mesh(folder, replicas, services)
-        try:
-            async with asyncio.timeout(60.0):
-                await mesh.begin()
-                await what(mesh)
-        except BaseException:
-            for path in sorted(folder.glob("*.log")):
-                print(path.name, path.read_text()[-3000:], file=sys.stderr)
-            raise
-        finally:
-            await mesh.close()
-
-    asyncio.run(run())
-
-
 def test_an_operation_runs_once_and_a_change_stays_over_the_kill_of_all_replicas(tmp_path: Path) -> None:
     async def what(mesh: Mesh) -> None:
         one, other = mesh.proxy_ips
