Read a majority of complete voters before a new voter grants or accepts

The rule rested on "a complete voter holds all reservations of older epochs". A voter that stays holds only what it granted itself. Coordination had the same rule, so that locks and numbers could be forgotten in the same order of events. Change: the invariant and the rule that follows from it are in catch_up_quorum.py, used by reservations and coordination: a majority of voters that were complete has to reply. Where an epoch ends without one, the next membership lists the voters of the epochs before as well, and those are dialled and asked; the row has one more field at its end, which former builds pass over, and its former bytes where there is nothing to list. The control model has the order of events as a world and as histories of losses that overlap, a guard, and chains of epochs drawn against the rule alone. Three unit tests that let one complete voter do, or counted an incomplete replica as one, stated the fault as a wish: each is replaced by one that asks for more replies, as the invariant does.

--- a/lugspur/emulator/control/faults.py
+++ b/lugspur/emulator/control/faults.py
@@ -2,7 +2,8 @@
 
 A machine counts as lost while it is down, frozen or cut off, and for `catch_up_s` afterwards. A replaced machine counts
 as lost until its successor has run for that time. `Tolerance` limits how many machines and disks are lost at once. All
-machines may lose power at once, together with their unsynced writes.
+machines may lose power at once, together with their unsynced writes. Some settings ignore these limits, or let machines
+that keep their disks be lost beyond them.
 """
 
 from __future__ import annotations
@@ -30,6 +31,8 @@
 ABSENCE_FAULTS = ("kill", "freeze", "cut")
 # Seconds within which a node that was away learns the changes that were decided before it came back.
 MAX_CATCH_UP_S = 4.0
+# Faults that may lose a machine's disk for good.
+DISK_FAULTS = ("wipe", "replace", "leave")
 # Faults; each one is listed as often as its relative frequency.
 FAULTS = [
     *("kill", "kill", "wipe", "wipe", "replace", "replace", "leave", "leave", "freeze", "cut", "cut", "partial"),
@@ -58,6 +61,21 @@
     def _lost_machines(self) -> set[str]:
         return {ip for ip, until in self._lost_until.items() if until > self._world.now}
 
+    def _may_inject(self, fault: str, ip: str) -> bool:
+        """Whether a fault of one machine may be injected now."""
+        if not self._setting.overlaps_losses:
+            return self._may_lose(ip)
+        return fault not in DISK_FAULTS or self._is_settled()
+
+    def _is_settled(self) -> bool:
+        """Whether no machine counts as lost, and all voters hold what was granted before: the next disk may be lost."""
+        nodes = self._world.running_nodes()
+        if self._lost_machines() or len(nodes) < len(self._world.nodes):
+            return False
+        membership = max(nodes, key=lambda node: node.replica.epoch).replica.membership
+        complete = sum(node.replica.is_complete and not node.unsynced for node in nodes)
+        return membership is not None and complete == len(membership.voters)
+
     def _may_lose(self, ip: str) -> bool:
         if self._lost_until.get(ip, 0.0) > self._world.now:
             return self._setting.ignores_tolerance and self._register_tolerates_loss(ip)
@@ -111,7 +129,7 @@
             return self._lose_power(nodes)
         if fault == "zone":
             return self._lose_zone(self._world.nodes[ip].zone)
-        if not self._may_lose(ip):
+        if not self._may_inject(fault, ip):
             return False
         handlers: dict[str, Callable[[str], None]] = {
             "kill": self._kill,
@@ -251,6 +269,8 @@
         """Lose all machines of a zone, each with its disk or without it."""
         if not self._setting.max_lost_zones or self._lost_machines():
             return False
+        if self._setting.overlaps_losses and not self._is_settled():
+            return False
         for ip in [ip for ip, node in self._world.nodes.items() if node.zone == zone]:
             if self._rng.random() < 0.5:
                 self._wipe(ip)
--- a/lugspur/emulator/control/guards.py
+++ b/lugspur/emulator/control/guards.py
@@ -1,17 +1,16 @@
 """Safety guards of the control plane, each with a faulty replacement and the models or histories that detect it.
 
-Four guards are missing from the list. Unit tests cover three of them, because no history produces the situation for
-which they exist: at least one of the voters that a new voter reads from was complete (`ReservationCatchUp.receive`),
-completeness ends if epochs are missing (`Replica._install_membership`), a step leaves a complete majority
-(`ClusterView.may_lose_vote`). No history or model needs the fourth: no reservations are granted while a change of the
-voters is accepted (`Replica.grants_reservations`). A voter sends its reservations to a new voter only after it has
-learned the new epoch, and grants nothing in the old epoch from then on. Therefore a reservation that is acquired in the
-old epoch was granted by some voter that every new voter reads from.
+Three guards are missing from the list. Unit tests cover two of them, because no history produces the situation for
+which they exist: completeness ends if epochs are missing (`Replica._install_membership`), a step leaves a complete
+majority (`ClusterView.may_lose_vote`). No history or model needs the third: no reservations are granted while a change
+of the voters is accepted (`Replica.grants_reservations`). A voter sends its reservations to a new voter only after it
+has learned the new epoch, and grants nothing in the old epoch from then on. Therefore a reservation that is acquired in
+the old epoch was granted by some voter that every new voter reads from.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -22,7 +21,7 @@
 from lugspur.emulator.control.checks import Violation
 from lugspur.emulator.control.explorer import random_walks
 from lugspur.emulator.control.settings import SETTINGS
-from lugspur.mesh.control import read_index, reservation_catch_up
+from lugspur.mesh.control import catch_up_quorum, read_index, reservation_catch_up
 from lugspur.mesh.control.change_requests import NoQuorum
 from lugspur.mesh.control.effects import Effects, Peer, Rows
 from lugspur.mesh.control.freshness import DelayEstimate, Freshness
@@ -160,6 +159,11 @@
     return Effects(send=[(ip, message) for ip, message in effects.send if ip in current_voters])
 
 
+def any_complete_voter_suffices(self: catch_up_quorum.CatchUpQuorum, replies: Mapping[str, bool]) -> bool:
+    previous_voters = self._past_voters[0]
+    return len(replies) >= majority(len(previous_voters)) and any(replies.values())
+
+
 def let_last_owner_win(self: ReservationTable, now: float, reservations: Any) -> Rows:
     rows: Rows = []
     for key, reservation in reservations:
@@ -266,6 +270,7 @@
 READ_LOST_CONNECTION = "an order, a read, a connection that breaks"
 TWO_READ = "two contents and a read"
 VOTER_REPLACED = "two claim, a voter is exchanged"
+TWO_VOTERS_REPLACED = "one has run, two voters are exchanged, one is killed"
 VOTER_REPLACED_DISK_LOST = "two claim, another is lost with its disk after the change"
 
 GUARDS = [
@@ -367,11 +372,18 @@
     Guard("pages from the middle are not taken", Register, "learn", learn_with_gap, by_register_walks(LOST_CONNECTION)),
     Guard(
         "a newcomer reads a majority's claims",
-        reservation_catch_up,
+        catch_up_quorum,
         "majority",
         lambda count: 1,
         by_reservation_walks(VOTER_REPLACED),
     ),
+    Guard(
+        "a newcomer reads a complete majority's claims",
+        catch_up_quorum.CatchUpQuorum,
+        "is_reached",
+        any_complete_voter_suffices,
+        by_reservation_walks(TWO_VOTERS_REPLACED),
+    ),
     Guard(
         "a newcomer asks those who left",
         reservation_catch_up.ReservationCatchUp,
--- a/lugspur/emulator/control/histories.py
+++ b/lugspur/emulator/control/histories.py
@@ -17,6 +17,8 @@
 
 # Seconds after the last fault within which the mesh has to recover.
 MAX_RECOVERY_S = 20.0
+# The same after losses that overlap: `recovery_s` of the deployments.
+MAX_RECOVERY_AFTER_OVERLAP_S = 15.0
 # Mean seconds between two faults.
 FAULT_INTERVAL_S = 0.35
 # Mean seconds between two reads.
@@ -71,7 +73,8 @@
 
     def _recover(self) -> None:
         world, recovery_started_at = self.world, self.world.now
-        limit_s = MAX_RECOVERY_S + self.setting.complete_by_time
+        recovery_s = MAX_RECOVERY_AFTER_OVERLAP_S if self.setting.overlaps_losses else MAX_RECOVERY_S
+        limit_s = recovery_s + self.setting.complete_by_time
         while not self._has_recovered():
             if world.now > recovery_started_at + limit_s:
                 raise Violation(f"not recovered {limit_s:g} s after the last fault: {self._describe_nodes()}")
--- a/lugspur/emulator/control/mesh_node.py
+++ b/lugspur/emulator/control/mesh_node.py
@@ -140,9 +140,7 @@
         membership = self.replica.membership
         if membership is not None:
             peers |= {voter.ip for voter in membership.voters}
-            if self.replica.is_voter and not self.replica.is_complete:
-                peers |= {voter.ip for voter in membership.previous_voters}
-        return peers - {self.ip}
+        return (peers | self.catch_up.sources()) - {self.ip}
 
     def connection_opened(self, ip: str) -> None:
         """Handle the start of a connection that this node dialled."""
@@ -357,7 +355,7 @@
     def may_stop(self) -> bool:
         """Whether this leaving process may stop.
 
-        As a voter it may if no other node can take over its vote, and as a previous voter once all voters are complete.
+        As a voter it may if no other node can take over its vote, and as an earlier voter once all voters are complete.
         """
         membership = self.replica.membership
         if membership is None:
@@ -365,7 +363,7 @@
         voters = {voter.ip for voter in membership.voters}
         if self.replica.is_voter:
             return not set(self.presences) - voters
-        if not any(voter.ip == self.ip for voter in membership.previous_voters):
+        if not self.replica.is_source:
             return True
         return all(self.complete_epochs.get(ip, 0) >= membership.epoch for ip in voters)
 
--- a/lugspur/emulator/control/settings.py
+++ b/lugspur/emulator/control/settings.py
@@ -31,6 +31,8 @@
             complete only after the deduplication window has passed.
         ignores_tolerance: whether the next disk may be lost as soon as the register has recovered from the previous
             loss, whatever the tolerance allows. Reservations may be lost then.
+        overlaps_losses: whether any machine may be down, frozen or cut off at any time, while no more disks are lost
+            than the tolerance allows. Service may rest then, and no reservation may be lost.
     """
 
     nodes: int
@@ -44,6 +46,7 @@
     item_bytes: int = 3
     delivers_reservation_pages: bool = True
     ignores_tolerance: bool = False
+    overlaps_losses: bool = False
 
     @property
     def tolerance(self) -> Tolerance:
@@ -92,9 +95,13 @@
 ]
 """Histories that lose one disk after another, faster than the tolerance allows: a majority has to recover by itself."""
 
+OVERLAPPING_LOSSES = [replace(setting, fault_period_s=30.0, overlaps_losses=True) for setting in SETTINGS]
+"""Histories in which machines that keep their disks are lost beyond the tolerance, while others lose theirs."""
+
 KINDS = {
     "short": SETTINGS,
     "many changes": MANY_CHANGES,
     "complete by time": COMPLETE_BY_TIME,
     "hasty losses": HASTY_LOSSES,
+    "overlapping losses": OVERLAPPING_LOSSES,
 }
--- a/lugspur/mesh/control/membership_entry.py
+++ b/lugspur/mesh/control/membership_entry.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from lugspur.mesh.control.items import MEMBERSHIP
-from lugspur.mesh.control.messages import Entry, Membership
+from lugspur.mesh.control.messages import Entry, Membership, OverdueMembership
 
 _encode = msgspec.msgpack.Encoder().encode
-_decoder = msgspec.msgpack.Decoder(Membership)
+_decoder = msgspec.msgpack.Decoder(OverdueMembership)
 
 
 def membership_entry(membership: Membership) -> Entry:
@@ -18,4 +18,7 @@
 
 def read_membership(value: bytes) -> Membership:
     """Decode the membership from the value of its entry."""
-    return _decoder.decode(value)
+    membership = _decoder.decode(value)
+    if membership.earlier_voters:
+        return membership
+    return Membership(membership.epoch, membership.voters, membership.previous_voters)
--- a/lugspur/mesh/control/messages/__init__.py
+++ b/lugspur/mesh/control/messages/__init__.py
@@ -32,7 +32,7 @@
     GrantBody,
     WithdrawRequest,
 )
-from lugspur.mesh.control.messages.records import Change, Entry, Item, Membership, Voter
+from lugspur.mesh.control.messages.records import Change, Entry, Item, Membership, OverdueMembership, Voter
 from lugspur.mesh.control.messages.reservations import (
     CompleteKey,
     FetchReservations,
@@ -72,6 +72,7 @@
     "Learn",
     "Membership",
     "Message",
+    "OverdueMembership",
     "Pong",
     "Prepare",
     "Promise",
--- a/lugspur/mesh/control/messages/coordination.py
+++ b/lugspur/mesh/control/messages/coordination.py
@@ -134,7 +134,7 @@
 
 
 class FetchAcceptor(msgspec.Struct, tag=42, array_like=True):
-    """A new voter asks another one of its epoch, or of the epoch before, for its state as an acceptor."""
+    """A new voter asks another one of its epoch, or of an earlier epoch, for its state as an acceptor."""
 
     epoch: int
 
@@ -143,8 +143,8 @@
     """The reply to FetchAcceptor by a process that knows the epoch, and accepts nothing in an older one."""
 
     epoch: int
-    is_previous_voter: bool  # whether the sender had a vote in the previous epoch
-    was_complete: bool  # whether the sender had all state that a voter of the previous epoch must have
+    is_past_voter: bool  # whether the sender had a vote in one of the epochs whose voters are asked
+    was_complete: bool  # whether the sender was complete in one of these epochs
     genesis_epoch: int  # the epoch in which coordination began, 0 if the sender doesn't know one
     accepted: ProposalNumber | None
     change: CoordinationChange | None
--- a/lugspur/mesh/control/messages/records.py
+++ b/lugspur/mesh/control/messages/records.py
@@ -45,3 +45,22 @@
     epoch: int
     voters: list[Voter]
     previous_voters: list[Voter] = []
+
+    @property
+    def past_voters(self) -> list[list[Voter]]:
+        """The voters of the epochs whose voters a new voter asks, latest epoch first (see `catch_up_quorum`)."""
+        return [self.previous_voters]
+
+
+class OverdueMembership(Membership, array_like=True, frozen=True):
+    """A membership that followed although no majority of the previous voters was known to be complete.
+
+    It has the form of a membership with one field behind it, which builds that don't know the field ignore.
+    """
+
+    earlier_voters: list[list[Voter]] = []  # of the epochs before the previous one, latest epoch first
+
+    @property
+    def past_voters(self) -> list[list[Voter]]:
+        """The voters of the epochs whose voters a new voter asks, latest epoch first (see `catch_up_quorum`)."""
+        return [self.previous_voters, *self.earlier_voters]
--- a/lugspur/mesh/control/messages/reservations.py
+++ b/lugspur/mesh/control/messages/reservations.py
@@ -47,7 +47,7 @@
 
 
 class FetchReservations(msgspec.Struct, tag=17, array_like=True):
-    """Asks a voter of the previous epoch for all its reservations, for a new voter of this epoch."""
+    """Asks a voter of an earlier epoch for all its reservations, for a new voter of this epoch."""
 
     epoch: int
 
@@ -71,4 +71,4 @@
     page: int  # from 0
     reservations: list[tuple[bytes, StoredReservation]]  # keys and reservations
     is_last: bool
-    was_complete: bool = True  # false: the sender was not complete in the previous epoch, and granted nothing in it
+    was_complete: bool = True  # false: the sender granted nothing in the epochs whose voters are asked
--- a/lugspur/mesh/control/replica.py
+++ b/lugspur/mesh/control/replica.py
@@ -3,12 +3,12 @@
 Every method takes inputs and returns the messages to send at once, the rows to write, and the messages to send once
 those rows are on disk. A promise, an acceptance or a grant is sent only after it has been synced.
 
-A reservation is granted by a majority of the voters of one epoch. A voter grants reservations while it is *complete*,
-that is, while it holds every reservation that may have been acquired from the voters of earlier epochs. A voter of two
-consecutive epochs stays complete. A new voter becomes complete by reading the reservations of a majority of the
-previous epoch's voters (`reservation_catch_up`), or once it has been a voter for longer than any reservation lasts. A
-voter that accepts a change of the membership stops granting in the current epoch, so that no reservation is acquired
-there after that change has been decided.
+A reservation is granted by a majority of the voters of one epoch. A voter grants reservations while it is *complete*.
+A voter of two consecutive epochs stays complete: it holds what it granted, though not what others granted without it. A
+new voter becomes complete by reading every reservation that may have been acquired in earlier epochs
+(`catch_up_quorum`), or once it has been a voter for longer than any reservation lasts. A voter that accepts a change of
+the membership stops granting in the current epoch, so that no reservation is acquired there after that change has been
+decided.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 import msgspec
 
 from lugspur.invariants import Invariant, check
+from lugspur.mesh.control.catch_up_quorum import CatchUpQuorum
 from lugspur.mesh.control.effects import Effects, Peer
 from lugspur.mesh.control.items import MEMBERSHIP
 from lugspur.mesh.control.membership_entry import membership_entry, read_membership
@@ -71,7 +72,8 @@
         self.register = Register()
         self.reservations = ReservationTable(window, memory)
         self.membership: Membership | None = None
-        self.complete_epoch = 0  # the latest epoch for which this replica holds all reservations that a voter must hold
+        self.catch_up_quorum: CatchUpQuorum | None = None  # of the membership
+        self.complete_epoch = 0  # the latest epoch in which this replica was complete
         self.epoch_learned_at = 0.0  # the time at which this replica learned the current epoch
         self._publish = publish
 
@@ -96,8 +98,7 @@
                 self.complete_epoch = _epoch.decode(value)
         item = self.register.items.get((MEMBERSHIP, ""))
         if item is not None and item.entry.value is not None:
-            self.membership = read_membership(item.entry.value)
-            self.epoch_learned_at = now
+            self._use_membership(now, read_membership(item.entry.value))
         self._publish([item.entry for item in self.register.items.values()], [])
 
     # ---- role ----------------------------------------------------------------------------
@@ -126,19 +127,23 @@
         return self.is_voter and self.complete_epoch == self.epoch
 
     @property
-    def was_voter(self) -> bool:
-        """Whether this replica, with its current disk, had a vote in the previous epoch."""
-        previous = [] if self.membership is None else self.membership.previous_voters
-        return any((v.ip, v.uid) == (self.voter.ip, self.voter.uid) for v in previous)
+    def is_source(self) -> bool:
+        """Whether new voters ask this replica, with its current disk, for what it holds."""
+        return self.catch_up_quorum is not None and self.catch_up_quorum.includes(self.voter)
 
     @property
     def was_complete(self) -> bool:
-        """Whether this replica was complete in the previous epoch, according to its disk.
+        """Whether this replica was complete in one of the epochs whose voters are asked, according to its disk.
 
-        If it was not, it granted nothing in that epoch: the epoch is written to disk before the grant, and the grant is
-        sent only once it is on disk.
+        If it was not, it granted nothing in any of them: the epoch is written to disk before the grant, and the grant
+        is sent only once it is on disk.
         """
-        return self.was_voter and self.complete_epoch >= self.epoch - 1
+        return self.was_complete_by(self.complete_epoch)
+
+    def was_complete_by(self, complete_epoch: int) -> bool:
+        """Whether a latest complete epoch is one of those whose voters are asked."""
+        quorum = self.catch_up_quorum
+        return quorum is not None and quorum.includes(self.voter) and complete_epoch >= quorum.base_epoch
 
     # ---- messages ------------------------------------------------------------------------
 
@@ -193,11 +198,15 @@
         """Make a membership the current one. A replica stays complete only from one epoch to the very next one."""
         self._check_transition(membership)
         stays_complete = self.is_complete and membership.epoch == self.epoch + 1
-        self.membership = membership
-        self.epoch_learned_at = now
+        self._use_membership(now, membership)
         if stays_complete and self.is_voter:
             self.complete_epoch = membership.epoch
 
+    def _use_membership(self, now: float, membership: Membership) -> None:
+        self.membership = membership
+        self.catch_up_quorum = CatchUpQuorum(membership)
+        self.epoch_learned_at = now
+
     def _check_transition(self, membership: Membership) -> None:
         """Check the invariants of a transition to a membership; this replica may have missed epochs in between."""
         check(membership.epoch > self.epoch, Invariant.EPOCHS_RISE, epoch=membership.epoch, standing=self.epoch)
@@ -229,7 +238,7 @@
         """Send all reservations to a new voter, once this replica knows the new epoch and grants none in older ones."""
         if message.epoch > self.epoch:
             return Effects(send=[(peer, FetchDecided(self.index))])
-        if message.epoch != self.epoch or not self.was_voter:
+        if message.epoch != self.epoch or not self.is_source:
             return Effects()
         pages: list[tuple[Peer, Message]] = [(peer, ReservationsPage(self.epoch, 0, [], True, False))]
         if self.was_complete:
--- a/lugspur/mesh/control/reservation_client.py
+++ b/lugspur/mesh/control/reservation_client.py
@@ -15,11 +15,11 @@
 - Each reply that counts names e, and its voter wrote the reservation to disk before it replied. A voter that has
   adopted e + 1 grants nothing under e. So each voter of the majority M had the reservation on disk while it was still
   in e, whenever its reply arrives here.
-- A new voter of e + 1 counts only once a majority F of the voters of e has sent it all reservations, each after writing
-  to disk that it has adopted e + 1. M and F share a voter, which granted before it adopted e + 1 and therefore sends
-  the reservation.
-- A voter that stays keeps its reservations. One voter changes at a time, so that the members of M that stay and the new
-  voter form a majority under e + 1, and another owner's majority there intersects them.
+- A new voter of e + 1 or later counts only once enough voters of e and of the epochs after it have replied, each after
+  writing to disk that it has adopted the new epoch: one of them granted the reservation and sends it, even if no voter
+  of M has a vote any more (`catch_up_quorum`).
+- A voter that stays keeps its reservations. So only voters of e outside M may lack the reservation and still grant the
+  key, under e + 1 and under any later epoch: they are less than a majority.
 - A reservation that is still open while the membership changes is requested again: grants of e and e + 1 are never
   added up.
 """
--- a/lugspur/mesh/control/voter_membership.py
+++ b/lugspur/mesh/control/voter_membership.py
@@ -1,6 +1,6 @@
 """Choice of the voters of the next epoch, without I/O.
 
-Each step changes one voter, so that the majorities of two consecutive epochs intersect.
+Each step changes one voter, so that the majorities of two consecutive epochs intersect. No step makes the voters fewer.
 """
 
 from __future__ import annotations
@@ -13,10 +13,11 @@
 import msgspec
 
 from lugspur.mesh.control.capacity import fits_on_disk
-from lugspur.mesh.control.messages import Membership, Voter
+from lugspur.mesh.control.messages import Membership, OverdueMembership, Voter
 from lugspur.mesh.control.quorum import majority
 
 MIN_VOTERS = 3  # if there are enough replicas, so that one voter may always be absent
+MAX_EARLIER_EPOCHS = 64  # whose voters a membership lists; leaving out an older one costs time, never a reservation
 
 
 class Presence(msgspec.Struct, array_like=True, frozen=True):
@@ -95,6 +96,24 @@
         remaining = len(self.complete_voters - {voter.ip})
         return remaining >= majority(len(self.membership.voters)) or self.is_overdue
 
+    def successor(self, voters: list[Voter]) -> Membership:
+        """Return the membership of the next epoch with these voters.
+
+        It lists the voters of earlier epochs too, unless a complete majority of the present voters stays, whose replies
+        suffice.
+        """
+        current = self.membership
+        in_order = sorted(voters, key=lambda voter: voter.ip)
+        staying = {voter.ip for voter in current.voters if voter in voters}
+        if len(self.complete_voters & staying) >= majority(len(current.voters)):
+            return Membership(current.epoch + 1, in_order, current.voters)
+        earlier = current.past_voters[:MAX_EARLIER_EPOCHS]
+        return OverdueMembership(current.epoch + 1, in_order, current.voters, earlier)
+
+    def replace(self, voter: Voter, replacement: Voter) -> Membership:
+        """Return the membership of the next epoch, in which another replica has a voter's vote."""
+        return self.successor([replacement if other == voter else other for other in self.membership.voters])
+
 
 def next_membership(view: ClusterView) -> Membership | None:
     """Return the membership that should follow, or None if the current one needs no change."""
@@ -108,7 +127,7 @@
         if presence is None or presence.uid == voter.uid or presence.leaving or presence.failing:
             continue
         if view.may_lose_vote(voter):
-            return _replace(view.membership, voter, Voter(voter.ip, presence.uid, presence.zone))
+            return view.replace(voter, Voter(voter.ip, presence.uid, presence.zone))
     return None
 
 
@@ -124,7 +143,7 @@
             continue
         if view.may_lose_vote(voter):
             others = [other for other in view.membership.voters if other != voter]
-            return _replace(view.membership, voter, _least_loaded(view, candidates, others))
+            return view.replace(voter, _least_loaded(view, candidates, others))
     return None
 
 
@@ -137,7 +156,7 @@
     if len(view.complete_voters) < majority(len(voters) + 1):
         return None
     added = _least_loaded(view, candidates, voters)
-    return _successor(view.membership, [*voters, added])
+    return view.successor([*voters, added])
 
 
 def _spread_over_domains(view: ClusterView) -> Membership | None:
@@ -153,18 +172,10 @@
     for voter in voters:
         if elsewhere and view.failure_domain(voter) == fullest and view.may_lose_vote(voter):
             others = [other for other in voters if other != voter]
-            return _replace(view.membership, voter, _least_loaded(view, elsewhere, others))
+            return view.replace(voter, _least_loaded(view, elsewhere, others))
     return None
 
 
-def _replace(membership: Membership, voter: Voter, replacement: Voter) -> Membership:
-    return _successor(membership, [replacement if other == voter else other for other in membership.voters])
-
-
-def _successor(membership: Membership, voters: list[Voter]) -> Membership:
-    return Membership(membership.epoch + 1, sorted(voters, key=lambda voter: voter.ip), membership.voters)
-
-
 def _least_loaded(view: ClusterView, candidates: list[Voter], others: list[Voter]) -> Voter:
     """Return a candidate of the failure domain with the fewest votes, so that losing one domain costs few votes."""
     domains = Counter(view.failure_domain(voter) for voter in others)
--- a/lugspur/mesh/control_node/membership_changes.py
+++ b/lugspur/mesh/control_node/membership_changes.py
@@ -106,6 +106,6 @@
         voters = {voter.ip for voter in membership.voters}
         if self._replica.is_voter:
             return not set(self._store.values_of(CONTROL)) - voters
-        if not any(voter.ip == self._ip for voter in membership.previous_voters):
+        if not self._replica.is_source:
             return True
         return all(self._complete_epochs.get(ip, 0) >= membership.epoch for ip in voters)
--- a/lugspur/mesh/control_node/process.py
+++ b/lugspur/mesh/control_node/process.py
@@ -336,12 +336,8 @@
         self.membership_changes.membership_changed(self.membership)
 
     def wanted_peers(self) -> set[str]:
-        """Return the voters and seeds, and while this node lacks reservations the previous voters, which have them."""
-        wanted = super().wanted_peers()
-        membership = self.replica.membership
-        if membership is not None and self.replica.is_voter and not self.replica.is_complete:
-            wanted |= {voter.ip for voter in membership.previous_voters} - {self.ip}
-        return wanted
+        """Return the voters and seeds, and while this node lacks reservations the earlier voters, which have them."""
+        return super().wanted_peers() | self.replica_catch_up.sources()
 
     # ---- updates and announcements ---------------------------------------------------------
 
--- a/lugspur/mesh/control_node/replica_catch_up.py
+++ b/lugspur/mesh/control_node/replica_catch_up.py
@@ -1,4 +1,4 @@
-"""Fetches what a replica lacks: changes from any peer, reservations from the previous epoch's voters."""
+"""Fetches what a replica lacks: changes from any peer, reservations from the voters of earlier epochs."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
             self._run_effects(self._replica.learn(self._loop.time(), pages))
 
     def handle_reservations(self, now: float, ip: str, page: ReservationsPage) -> None:
-        """Handle a page of the reservations of a voter of the previous epoch."""
+        """Handle a page of the reservations of a voter of an earlier epoch."""
         was_complete = self._replica.is_complete
         self._run_effects(self._reservations.receive(now, ip, page))
         if self._replica.is_complete and not was_complete:
@@ -59,6 +59,10 @@
         if self._replica.index < index:
             self._send_to(ip, FetchDecided(self._replica.index))
 
+    def sources(self) -> set[str]:
+        """Return the IP addresses of the replicas whose reservations this one lacks."""
+        return self._reservations.sources()
+
     def link_ended(self, link: Link) -> None:
         """Discard the pages of a connection that a peer dialled and that has ended, as the rest won't arrive."""
         self._pages.disconnected(link)
--- a/lugspur/mesh/coordination/acceptor.py
+++ b/lugspur/mesh/coordination/acceptor.py
@@ -1,10 +1,10 @@
 """The acceptor and learner of one replica: it promises, accepts, and learns what was decided.
 
 A replica accepts in one epoch of the voters' membership, and only while it is *complete* in that epoch: it knows all
-that the voters of earlier epochs may have decided. A voter of two consecutive epochs stays complete; a new voter
-becomes complete by the reports of a majority of the previous epoch's voters (`voter_catch_up`). A replica that has
-accepted a change of the voters accepts nothing more in the current epoch, so that nothing is decided in it once the
-next epoch has begun. Reservations follow the same rules for the same reason (`control.replica`).
+that the voters of earlier epochs may have decided, or is one of those that accepted there. A voter of two consecutive
+epochs stays complete; a new voter becomes complete by the reports of the voters of earlier epochs (`voter_catch_up`). A
+replica that has accepted a change of the voters accepts nothing more in the current epoch, so that nothing is decided
+in it once the next epoch has begun. Reservations follow the same rules for the same reason (`control.replica`).
 """
 
 from __future__ import annotations
@@ -106,7 +106,7 @@
         """Stay complete from one epoch to the next; must run before anything that depends on the epoch."""
         replica = self._replica
         follows = self.genesis_epoch > 0 and self.complete_epoch == replica.epoch - 1
-        if not (follows and replica.was_voter and replica.is_voter):
+        if not (follows and replica.is_source and replica.is_voter):
             return Effects()
         self.complete_epoch = replica.epoch
         return Effects(write=[self._epoch_row()])
@@ -116,6 +116,11 @@
         """Whether this replica has a vote, and knows all that a voter must know."""
         return self._replica.is_voter and self.genesis_epoch > 0 and self.complete_epoch == self._replica.epoch
 
+    @property
+    def was_complete(self) -> bool:
+        """Whether this replica was complete in one of the epochs whose voters a new voter asks."""
+        return self.genesis_epoch > 0 and self._replica.was_complete_by(self.complete_epoch)
+
     @property
     def can_vote(self) -> bool:
         """Whether this replica promises and accepts.
@@ -231,11 +236,10 @@
         if message.epoch != self._replica.epoch:
             return Effects()
         self._reported_epoch = max(self._reported_epoch, message.epoch)
-        was_voter = self._replica.was_voter
         report = AcceptorReport(
             message.epoch,
-            was_voter,
-            was_voter and self.genesis_epoch > 0 and self.complete_epoch >= message.epoch - 1,
+            self._replica.is_source,
+            self.was_complete,
             self.genesis_epoch,
             self.accepted,
             self.accepted_change,
@@ -244,7 +248,7 @@
         return Effects(write=[self._epoch_row()], after_sync=[(peer, report)])
 
     def adopt_reports(self, now: float, reports: list[AcceptorReport], genesis_epoch: int) -> Effects:
-        """Adopt what the previous epoch's voters have reported, and become complete."""
+        """Adopt what the voters of earlier epochs have reported, and become complete."""
         effects = Effects()
         latest = max((report.snapshot for report in reports), key=lambda snapshot: snapshot.index)
         effects.add(self.learn_snapshot(now, latest))
--- a/lugspur/mesh/coordination/voter_catch_up.py
+++ b/lugspur/mesh/coordination/voter_catch_up.py
@@ -1,9 +1,8 @@
-"""How a new voter becomes complete: it adopts what a majority of the previous epoch's voters know.
+"""How a new voter becomes complete: it adopts what the voters of earlier epochs know.
 
-A voter of the previous epoch that knows the current one accepts nothing in an older epoch any more. Whatever was
-decided in the previous epoch was accepted by at least one voter of any majority of its voters. Whatever was decided in
-older epochs is known to each of these voters that was complete, so that one of those must be among the voters that
-report. The same argument holds for reservations (`control.reservation_catch_up`).
+A voter of an earlier epoch that knows the current one accepts nothing in an older epoch any more. Whatever was decided
+was accepted by a majority of the voters of one epoch, and a voter that stays may not know it. How many of the voters of
+earlier epochs have to report, and why: `control.catch_up_quorum`. The same holds for reservations.
 
 Coordination begins in the first epoch of a new mesh. In a mesh whose disks were written by a build without
 coordination, it begins in the epoch in which all voters, and all voters of the previous epoch, report that they know of
@@ -12,10 +11,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from lugspur.mesh.control.effects import Effects
 from lugspur.mesh.control.messages import Membership
 from lugspur.mesh.control.messages.coordination import AcceptorReport, FetchAcceptor
-from lugspur.mesh.control.quorum import majority
 from lugspur.mesh.control.replica import Replica
 from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
 
@@ -37,12 +37,11 @@
         return self._replica.is_voter and not self._acceptor.is_complete
 
     def sources(self) -> set[str]:
-        """Return the IP addresses of the nodes to ask: the other voters of this epoch and of the previous one."""
-        membership = self._replica.membership
-        if membership is None or not self.is_needed:
+        """Return the IP addresses of the nodes to ask: the other voters of this epoch and of the earlier ones."""
+        quorum = self._replica.catch_up_quorum
+        if quorum is None or not self.is_needed:
             return set()
-        ips = {voter.ip for voter in [*membership.voters, *membership.previous_voters]}
-        return ips - {self._replica.voter.ip}
+        return (voter_ips(self._replica.membership) | quorum.sources) - {self._replica.voter.ip}
 
     def tick(self, now: float) -> Effects:
         """Request a report from each source that was not asked within the retry delay."""
@@ -67,20 +66,24 @@
     def receive(self, now: float, ip: str, report: AcceptorReport) -> Effects:
         """Handle a report; with enough reports this node becomes complete."""
         self._follow_epoch()
-        membership = self._replica.membership
-        if membership is None or report.epoch != self._epoch or ip not in self.sources():
+        if report.epoch != self._epoch or ip not in self.sources():
             return Effects()
         self._reports[ip] = report
         if self._begins_in_this_epoch():
             return self._acceptor.become_complete(self._epoch)
-        previous = {voter.ip for voter in membership.previous_voters}
-        reports = [report for ip, report in self._reports.items() if ip in previous and report.is_previous_voter]
-        # If this node had a vote in the previous epoch it accepted nothing there, as it was not complete.
-        report_count = len(reports) + self._replica.was_voter
-        if report_count < majority(len(previous)) or not any(report.was_complete for report in reports):
+        reports = {ip: report for ip, report in self._reports.items() if report.is_past_voter}
+        if not reports or not self._is_enough(reports):
             return Effects()
-        genesis = max(report.genesis_epoch for report in reports)
-        return self._acceptor.adopt_reports(now, reports, genesis)
+        genesis = max(report.genesis_epoch for report in reports.values())
+        return self._acceptor.adopt_reports(now, list(reports.values()), genesis)
+
+    def _is_enough(self, reports: Mapping[str, AcceptorReport]) -> bool:
+        """Whether these reports, together with what this node knows itself, make it complete."""
+        replica = self._replica
+        was_complete = {ip: report.was_complete for ip, report in reports.items()}
+        if replica.is_source:
+            was_complete[replica.voter.ip] = self._acceptor.was_complete
+        return replica.catch_up_quorum is not None and replica.catch_up_quorum.is_reached(was_complete)
 
     def _begins_in_this_epoch(self) -> bool:
         """Whether coordination begins in this epoch, so that there is nothing to adopt."""
--- a/tests/compatibility/test_control_messages.py
+++ b/tests/compatibility/test_control_messages.py
@@ -37,6 +37,7 @@
     Learn,
     Membership,
     Message,
+    OverdueMembership,
     Pong,
     Prepare,
     Promise,
@@ -385,6 +386,14 @@
     assert decode(data) == message
 
 
+def test_a_membership_behind_an_overdue_epoch_is_read_by_builds_that_do_not_know_its_last_field() -> None:
+    overdue = OverdueMembership(epoch=9, voters=VOTERS, previous_voters=VOTERS[:1], earlier_voters=[VOTERS[1:]])
+    data = msgspec.msgpack.encode(overdue)
+    known, former = data[1:], msgspec.msgpack.encode(Membership(9, VOTERS, VOTERS[:1]))[1:]
+    assert known == former + bytes.fromhex("91 91 93 a8 31 30 2e 30 2e 30 2e 32 a2 75 32 a2 7a 32")
+    assert msgspec.msgpack.decode(data, type=Membership) == Membership(9, VOTERS, VOTERS[:1])
+
+
 @pytest.mark.parametrize(("record", "data"), RECORDS, ids=name_of)
 def test_a_record_has_the_bytes_that_lie_on_disks(record: Any, data: bytes) -> None:
     assert msgspec.msgpack.encode(record) == data
--- a/tests/mesh/control/test_drawn_histories.py
+++ b/tests/mesh/control/test_drawn_histories.py
@@ -9,7 +9,14 @@
 from lugspur.emulator.control import histories
 from lugspur.emulator.control.checks import Violation
 from lugspur.emulator.control.mesh_world import HistoryCounters
-from lugspur.emulator.control.settings import COMPLETE_BY_TIME, HASTY_LOSSES, MANY_CHANGES, SETTINGS, Setting
+from lugspur.emulator.control.settings import (
+    COMPLETE_BY_TIME,
+    HASTY_LOSSES,
+    MANY_CHANGES,
+    OVERLAPPING_LOSSES,
+    SETTINGS,
+    Setting,
+)
 from lugspur.mesh.control import reservation_client
 from lugspur.mesh.control.effects import Effects
 from lugspur.mesh.control.messages import ReserveKey, Voter
@@ -19,7 +26,7 @@
 from lugspur.mesh.control.voter_membership import ClusterView
 
 DRAWN = [(seed, setting) for number, setting in enumerate(SETTINGS) for seed in range(5 if number < 5 else 4)]
-LONG = [(seed, setting) for setting in (*COMPLETE_BY_TIME, *HASTY_LOSSES) for seed in range(2)]
+LONG = [(seed, setting) for setting in (*COMPLETE_BY_TIME, *HASTY_LOSSES, *OVERLAPPING_LOSSES) for seed in range(2)]
 
 
 @pytest.mark.parametrize(("seed", "setting"), [*DRAWN, *LONG], ids=str)
--- a/tests/mesh/control/test_explored.py
+++ b/tests/mesh/control/test_explored.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from lugspur.emulator.control import register_world, reservation_world
-from lugspur.emulator.control.explorer import ExplorationResult, explore
+from lugspur.emulator.control import guards, register_world, reservation_world
+from lugspur.emulator.control.checks import Violation
+from lugspur.emulator.control.explorer import ExplorationResult, explore, random_walks
 from lugspur.emulator.control.register_world import Limits, RegisterWorld
 from lugspur.emulator.control.reservation_world import ReservationWorld
 
@@ -38,3 +39,17 @@
 def test_walks_through_worlds_of_reservations(limits: reservation_world.Limits) -> None:
     assert explore(partial(ReservationWorld, limits), NEAREST) == ExplorationResult(NEAREST, False)
     assert explore(partial(ReservationWorld, limits), WALKED, Random(3)) == ExplorationResult(WALKED, False)
+
+
+def walk_through_replaced_voters() -> None:
+    """Walk through the world in which a key is held by voters that are killed, or frozen while they are replaced."""
+    [limits] = [limits for limits in reservation_world.WORLDS if limits.name == guards.TWO_VOTERS_REPLACED]
+    random_walks(partial(ReservationWorld, limits), guards.WALKS_PER_SEED, Random(12))
+
+
+def test_walks_find_a_new_voter_that_relies_on_any_complete_one() -> None:
+    # Guards against TWICE of review/1: a voter that stays doesn't hold what was granted without it.
+    [guard] = [guard for guard in guards.GUARDS if guard.replacement is guards.any_complete_voter_suffices]
+    walk_through_replaced_voters()
+    with guards.disabled(guard), pytest.raises(Violation, match="ran for"):
+        walk_through_replaced_voters()
