Bound the delay of updates by their echo, so that a paused voter is fresh again

Cause: found by the histories of overlapping losses. Change: an update was sent after the receiver's own timestamp that it echoes; the estimate of the clocks' difference is at least that. An update that was held up has an old echo, so that it stays old.

--- a/lugspur/emulator/control/guards.py
+++ b/lugspur/emulator/control/guards.py
@@ -175,7 +175,7 @@
     return rows
 
 
-def ignore_delay(self: DelayEstimate, now: float, sent: float) -> float:
+def ignore_delay(self: DelayEstimate, now: float, sent: float, echoed_at: float) -> float:
     return now
 
 
--- a/lugspur/mesh/control/freshness.py
+++ b/lugspur/mesh/control/freshness.py
@@ -25,14 +25,19 @@
         self._offset: float | None = None  # the receiver's clock minus the sender's
         self._arrived_at = 0.0
 
-    def sent_at(self, now: float, sent: float) -> float:
-        """Return the receiver's time at which a message with the timestamp `sent`, which arrives now, was sent."""
+    def sent_at(self, now: float, sent: float, echoed_at: float = NEVER) -> float:
+        """Return the receiver's time at which a message with the timestamp `sent`, which arrives now, was sent.
+
+        `echoed_at`: the latest of the receiver's own timestamps that the sender had received by then.
+        """
         max_offset = now - sent
         if self._offset is None:
             # The first message is the reply to the subscription, and was sent after it.
             self._offset = min(max_offset, self._asked_at - sent + MAX_FIRST_DELAY_SECONDS)
         else:
             self._offset = min(max_offset, self._offset + MAX_CLOCK_DRIFT * (now - self._arrived_at))
+        # Guards against a sender that was paused before its first message: the offset would stay too small for good.
+        self._offset = max(self._offset, min(max_offset, echoed_at - sent))
         self._arrived_at = now
         return sent + self._offset
 
@@ -71,7 +76,7 @@
         delay = self._delays.get(ip)
         if delay is None:  # guards against an update of an ended connection, which may be arbitrarily old
             return NEVER
-        sent_at = delay.sent_at(now, delta.sent_at)
+        sent_at = delay.sent_at(now, delta.sent_at, delta.echoed_at)
         if delta.is_voter:
             self._updates[ip] = VoterUpdate(
                 sent_at,
--- a/tests/mesh/control/test_drawn_histories.py
+++ b/tests/mesh/control/test_drawn_histories.py
@@ -34,6 +34,11 @@
     histories.play(100 + seed, setting)
 
 
+@pytest.mark.parametrize("seed", [73, 116])
+def test_a_node_that_subscribed_while_others_were_frozen_recovers(seed: int) -> None:
+    histories.play(seed, OVERLAPPING_LOSSES[seed % len(OVERLAPPING_LOSSES)])
+
+
 def total(played: list[HistoryCounters], name: str) -> int:
     return sum(getattr(counters, name) for counters in played)
 
--- a/tests/mesh/control/test_freshness.py
+++ b/tests/mesh/control/test_freshness.py
@@ -50,6 +50,23 @@
     assert prompt.sent_at(10.02, 500.0) == pytest.approx(10.02)
 
 
+def test_a_voter_that_was_paused_before_its_first_update_is_fresh_again_soon() -> None:
+    # Guards against a node that calls its state old for good once it has subscribed to voters that were frozen.
+    freshness = Freshness(1e9)
+    for ip in (B, C):
+        freshness.subscribed(10.0, ip)
+        freshness.receive(13.0, ip, delta(12.99))
+        freshness.receive(13.25, ip, delta(13.24))
+    assert known_up_to(freshness, 13.25) < 11.0  # the first update may have been under way for 3 seconds
+    for ip in (B, C):
+        freshness.receive(13.5, ip, delta(13.49, echo=13.26))
+        freshness.receive(13.75, ip, delta(13.74, echo=13.51))
+    assert known_up_to(freshness, 13.75) >= 13.5
+    for ip in (B, C):
+        freshness.receive(40.0, ip, delta(14.0, echo=13.76))  # the echo of an update that was held up is old too
+    assert known_up_to(freshness, 40.0) < 14.3
+
+
 def test_clocks_may_drift_slowly_and_a_faster_message_corrects_the_estimate() -> None:
     delay = DelayEstimate(0.0)
     delay.sent_at(0.1, 100.0)
