Let a renewed entry of a backend not begin its slow start again

Cause: an entry is sent again, as it was first published, when a proxy changes its source. Every other proxy took the slow start in it for a new one, so that a warm backend counted as cold for as long again. Change: for one incarnation the end of its slow start never moves to a later time; the next owner of the address has a slow start of its own. Measured: the new test failed before and passes.

--- a/lugspur/mesh/sidecar/known_backends.py
+++ b/lugspur/mesh/sidecar/known_backends.py
@@ -29,14 +29,18 @@
     def apply(self, entry: Entry) -> None:
         """Apply an entry of the kind `backend` that was added, replaced or withdrawn."""
         previous = self.by_ip.pop(entry.name, None)
-        self._slow_start_until.pop(entry.name, None)
+        former_end = self._slow_start_until.pop(entry.name, None)
         if previous is not None:
             self._changed_services.add(previous.service)
         status = _status_in(entry)
         if status is not None:
             self.by_ip[entry.name] = status
             self._changed_services.add(status.service)
-            self._slow_start_until[entry.name] = self._loop.time() + status.slow_start_seconds
+            slow_start_until = self._loop.time() + status.slow_start_seconds
+            if previous is not None and previous.id == status.id and former_end is not None:
+                # An entry is sent again as it was first published, to keep its lease: that is no other slow start.
+                slow_start_until = min(slow_start_until, former_end)
+            self._slow_start_until[entry.name] = slow_start_until
         self._report_soon()
 
     def _report_soon(self) -> None:
--- a/tests/mesh/sidecar/test_known_backends.py
+++ b/tests/mesh/sidecar/test_known_backends.py
@@ -97,6 +97,21 @@
     assert listener.take_reports() == [{"board"}]
 
 
+def test_a_renewed_entry_does_not_start_a_slow_start_again(
+    listener: Listener, loop: asyncio.AbstractEventLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a warm backend that counts as cold at all proxies each time its entry is sent again.
+    now = 100.0
+    monkeypatch.setattr(loop, "time", lambda: now)
+    starting = status("a", "board", slow_start=8.0)
+    listener.apply(starting)
+    now = 130.0
+    listener.apply(starting)
+    assert listener.backends.accepting("board")["a"].slow_start_until == 108.0
+    listener.apply(status("b", "desk", slow_start=5.0))  # the next owner of the address has a slow start of its own
+    assert listener.backends.accepting("desk")["b"].slow_start_until == 135.0
+
+
 def test_an_entry_that_no_build_of_this_kind_wrote_withdraws_the_backend(listener: Listener) -> None:
     listener.apply(status("a", "board"))
     listener.take_reports()
