Drop the latencies of a service where its route or its machine passes to another

Cause: a route that passed to another service kept the former one's average latency, by which breakers and picks judge, and the limiter of a machine whose backend is of another service than before admitted requests by the former one's times. Change: a route keeps its latency only where a service serves both editions; the limiter's times begin anew with another service. A restart of the same service keeps both.

--- a/lugspur/mesh/dataplane/route_table.py
+++ b/lugspur/mesh/dataplane/route_table.py
@@ -72,6 +72,12 @@
         """Add the latency of one response to the exponentially weighted moving average."""
         self.average_latency += (latency - self.average_latency) * (LATENCY_WEIGHT if self.average_latency else 1.0)
 
+    def take_over_statistics(self, previous: RouteEntry) -> None:
+        """Go on with the statistics of the route's former edition; latencies only if a service serves both."""
+        self.longest_timeout = previous.longest_timeout
+        if not set(self.services).isdisjoint(previous.services):
+            self.average_latency = previous.average_latency
+
     def draw_service(self, rng: Random) -> str:
         """Draw the service for a request, by the weights of the route's traffic split."""
         if len(self.services) == 1:
@@ -115,8 +121,7 @@
             return
         route_entry = RouteEntry(route, entry.edition)
         if previous is not None:
-            route_entry.average_latency = previous.average_latency
-            route_entry.longest_timeout = previous.longest_timeout
+            route_entry.take_over_statistics(previous)
         self._insert(entry.name, route_entry)
 
     def _insert(self, name: str, route_entry: RouteEntry) -> None:
--- a/lugspur/mesh/sidecar/registration.py
+++ b/lugspur/mesh/sidecar/registration.py
@@ -17,6 +17,7 @@
 from lugspur.mesh.control.store import Store
 from lugspur.mesh.dataplane.concurrency_limiter import ConcurrencyLimiter
 from lugspur.mesh.dataplane.local_backend import LocalBackend
+from lugspur.mesh.dataplane.service_times import ServiceTimes
 from lugspur.mesh.http_api import reply
 from lugspur.mesh.process_pause import PAUSE_THRESHOLD_SECONDS
 from lugspur.mesh.settings import Settings
@@ -116,10 +117,12 @@
         local = self._limiter.local_backend
         if local is not None and local.id == ident:
             return local
-        local = LocalBackend(ident, heartbeat.service, heartbeat.address, self._process.loop.time())
+        former, local = local, LocalBackend(ident, heartbeat.service, heartbeat.address, self._process.loop.time())
         if heartbeat.state != "accepting":
             # It may have announced its closing long ago, to an earlier sidecar process, so it gets no more requests.
             local.closing_at = float("-inf")
+        if former is not None and former.service != local.service:
+            self._limiter.service_times = ServiceTimes()  # those of the former service say nothing about this one
         self._limiter.local_backend = local
         events.info("backend", id=local.id, service=local.service, address=heartbeat.address, state=heartbeat.state)
         return local
--- a/tests/mesh/dataplane/test_route_table.py
+++ b/tests/mesh/dataplane/test_route_table.py
@@ -48,6 +48,18 @@
     assert name(routes, b"/new/1") is None and len(routes) == 0
 
 
+def test_a_route_that_passes_to_another_service_keeps_no_latency_of_the_former_one() -> None:
+    routes = table(route("r", service="rooms"))
+    former = routes.find(b"a.example", b"/r/1")
+    assert former is not None
+    former.record_latency(2.0)
+    for edition, service, latency in (("00000008", "rooms", 2.0), ("00000009", "desk", 0.0)):
+        for entry in read_changes(call(route("r", edition, service=service))):
+            routes.apply(entry)
+        current = routes.find(b"a.example", b"/r/1")
+        assert current is not None and current.average_latency == latency
+
+
 def test_of_two_routes_with_one_prefix_every_proxy_prefers_the_same() -> None:
     one, two = route("a", "00000008", path_prefix="/p/"), route("b", "00000007", path_prefix="/p/")
     assert name(table(one, two), b"/p/") == name(table(two, one), b"/p/") == "a"
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -137,6 +137,18 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_a_backend_of_another_service_is_admitted_to_by_no_times_of_the_former_one(tmp_path: Path) -> None:
+    def scenario(sidecar: Sidecar) -> None:
+        heartbeat(sidecar, 1)
+        sidecar.limiter.service_times.record("r", 2.0)
+        heartbeat(sidecar, 1, ident="i-2")  # a restart of the same service keeps them
+        assert sidecar.limiter.service_times.average == 2.0
+        heartbeat(sidecar, 1, ident="i-3", service="desk")
+        assert sidecar.limiter.service_times.average == 0.0
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_backend_whose_first_heartbeat_says_closing_gets_no_requests(tmp_path: Path) -> None:
     def scenario(sidecar: Sidecar) -> None:
         # The backend may have announced its closing seconds ago, to an earlier sidecar process.
