--- a/tests/mesh/control/test_voter_membership.py
+++ b/tests/mesh/control/test_voter_membership.py
@@ -6,9 +6,15 @@
 
 import pytest
 
-from lugspur.mesh.control.messages import Membership, Voter
+from lugspur.mesh.control.messages import Membership, OverdueMembership, Voter
 from lugspur.mesh.control.quorum import majority
-from lugspur.mesh.control.voter_membership import ClusterView, Presence, Tolerance, next_membership
+from lugspur.mesh.control.voter_membership import (
+    MAX_EARLIER_EPOCHS,
+    ClusterView,
+    Presence,
+    Tolerance,
+    next_membership,
+)
 
 CURRENT = Membership(4, [Voter(f"10.0.0.{n}", f"u{n}", f"z{n}") for n in (1, 2, 3)])
 PRESENT = {voter.ip: Presence(voter.uid, voter.zone) for voter in CURRENT.voters}
@@ -111,6 +117,21 @@
     assert new_voters(cluster_view(PRESENT | SPARE | leaving, complete=(1, 2), overdue=True)) == {"10.0.0.5/u5"}
 
 
+def test_a_step_without_a_complete_majority_that_stays_lists_the_voters_of_the_epochs_before() -> None:
+    # Guards against TWICE of review/1: without them a new voter could not ask the voters that hold the reservations.
+    earlier = [[Voter("10.0.0.9", "u9", "z9")], [Voter("10.0.0.8", "u8", "z8")]]
+    current = OverdueMembership(4, CURRENT.voters, earlier[0], earlier[1:])
+    leaving = {"10.0.0.2": Presence("u2", "z2", True)}
+    for complete, past in (((1, 3), [current.voters]), ((1, 2), [current.voters, *earlier])):
+        view = cluster_view(PRESENT | SPARE | leaving, complete=complete, overdue=True, membership=current)
+        following = next_membership(view)
+        assert following is not None and following.past_voters == past
+    long = OverdueMembership(4, CURRENT.voters, earlier[0], earlier[1:] * 2 * MAX_EARLIER_EPOCHS)
+    view = cluster_view(PRESENT | SPARE | leaving, complete=(1,), overdue=True, membership=long)
+    following = next_membership(view)
+    assert following is not None and len(following.past_voters) == 1 + MAX_EARLIER_EPOCHS
+
+
 @pytest.mark.parametrize("voters", [3, 5, 7])
 @pytest.mark.parametrize("cause", ["silent", "leaving", "failing", "wiped"])
 def test_no_step_leaves_less_than_a_complete_majority(voters: int, cause: str) -> None:
