Free requests with their bodies as soon as they are done

Cause: an ended Exchange kept the functions that it reports to, which reference the request and through it the exchange. Such a cycle is freed by the cyclic collector alone, which runs by the number of objects and not by their size. With the collector off the same was found at the unsent rest of a connection to a backend (an empty view keeps the whole request), the parser's pieces of the last body, requests that had left the limiter's queue, and, in the daemon, contexts of requests, streamed bodies and pipes, over gRPC too.

Change: an Exchange gives up its callbacks with its outcome, so that no user of it has to; the other places release what they held. A withdrawn or cancelled request leaves the limiter's queue at once and takes no place there any more.

--- a/lugspur/daemon/daemon.py
+++ b/lugspur/daemon/daemon.py
@@ -385,6 +385,8 @@
     def request_released(self, call: Call) -> None:
         """Free the request's slot, and record a write: responses that were begun before may not include it."""
         context = _context_of(call)
+        if context.call is call:
+            context.call = None  # breaks the reference cycle between a call and its context
         self._request_slots.release(context.cluster.name)
         if context.request_class.retry_safety is not RetrySafety.SAFE:
             self.coalescer.record_write(context.tenant)
--- a/lugspur/daemon/pool.py
+++ b/lugspur/daemon/pool.py
@@ -423,6 +423,8 @@
         if call.caller is None and not any(attempt.open for attempt in call.attempts):
             self.calls.pop(call.balancer_id, None)
             call.attempts.clear()  # Breaks the reference cycle between a call and its attempts.
+            if call.request.stream is not None:
+                call.request.stream.release()
 
     # ---- the balancer's actions --------------------------------------------------------------
 
--- a/lugspur/http1/body.py
+++ b/lugspur/http1/body.py
@@ -92,6 +92,16 @@
             on_data()  # the current attempt can't complete without the rest of the body
         self._resume_sender()
 
+    def release(self) -> None:
+        """Free the bytes and the callbacks of a body that has been received whole, once its request is finished.
+
+        The callbacks reference the request, which references the body.
+        """
+        self.on_data = self.on_dropped = None
+        if self.ended:
+            self.on_complete = None
+            self._start, self._data = self.received, bytearray()
+
     def start_attempt(self, on_data: Callable[[], None]) -> None:
         """Start an attempt at the first byte, after the previous one has ended."""
         self.on_data, self._forwarded = on_data, 0
--- a/lugspur/http1/request_parser.py
+++ b/lugspur/http1/request_parser.py
@@ -90,6 +90,7 @@
 
     def close(self) -> None:
         """Release the parser: it and this object reference each other."""
+        self._reset()
         del self._parser, self._deliver, self._send_continue, self._get_configuration, self._resume_body
 
     def feed(self, data: memoryview, now: float) -> None:
@@ -244,13 +245,15 @@
             self._reject(400, "the target is malformed")
         if self.rejection is not None:
             return
+        body = b"".join(self._body)
+        self._body.clear()  # else the pieces would stay in memory until the next request of the connection
         self._deliver(
             Request(
                 self._parser.get_method(),
                 target,
                 self._headers,
                 self._lines,
-                b"".join(self._body),
+                body,
                 self.arrived,
                 self._parser.should_keep_alive(),
                 self._configuration,
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -146,12 +146,24 @@
             self.body.on_data = None
         if self.timer is not None:
             self.timer.cancel()
+            self.timer = None
         if self.dial is not None:
             self.dial.cancel()
         if self.connection is not None:
             self.connection.abandon()
             self.connection = None
-        self._report(self, outcome, response)
+        report = self._report
+        self._release_callbacks()
+        report(self, outcome, response)
+
+    def _release_callbacks(self) -> None:
+        """Drop the callbacks, which reference the request and its body; those often reference this exchange in turn.
+
+        Such a cycle would keep the body until the next run of the cyclic garbage collector, which goes by the number of
+        objects and not by their size.
+        """
+        self.serialize, self._report = _serialize_nothing, _report_nothing
+        self.on_response_begun = self.on_body_sent = None
 
     def latency(self, now: float) -> float:
         """Return the backend's latency if the exchange ends now.
@@ -192,6 +204,18 @@
         return self.connection is not None and self.connection.request_sent
 
 
+def _serialize_nothing(seconds_left: float) -> bytes:
+    """Serialise an exchange that has ended: it is never sent."""
+    return b""
+
+
+def _report_nothing(exchange: Exchange, outcome: Outcome, response: Response | None) -> None:
+    """Report an exchange whose outcome has been reported."""
+
+
+NO_BYTES = memoryview(b"")
+
+
 class Connection:
     """A connection to a backend; it carries one exchange at a time."""
 
@@ -212,11 +236,12 @@
         self._head_complete = self._invalid = False
         self._body_offset = 0  # offset in the exchange's body up to which it has been read
         self._pipe: Pipe | None = None  # the body of the response that is streamed
+        self._stream_number = 0  # number of responses that were streamed
         self._pipe_backlog = 0  # bytes in that pipe that the caller has not taken
         self._reading_paused = False  # whether reading is paused until the caller has taken more
         self._reset()
         self.sock = sock
-        self._unsent = memoryview(b"")
+        self._unsent = NO_BYTES
         self._loop = asyncio.get_running_loop()
         self._poll = select.poll()
         self._poll.register(sock.fileno(), select.POLLIN)
@@ -258,6 +283,7 @@
         # twice.
         self._unsent = self._unsent[sent:]
         if not self._unsent:
+            self._unsent = NO_BYTES  # an empty view would keep the whole request in memory
             self._loop.remove_writer(self.sock.fileno())
             self._on_sent()
 
@@ -347,6 +373,7 @@
         if self.closed:
             return
         self.closed = True
+        self._unsent = NO_BYTES
         self._loop.remove_reader(self.sock.fileno())
         self._loop.remove_writer(self.sock.fileno())
         self.sock.close()
@@ -415,9 +442,12 @@
         if exchange.timer is not None:
             exchange.timer.cancel()
 
+        self._stream_number += 1
+        number = self._stream_number  # not the pipe itself: it would reference itself through this callback
+
         def on_read(size: int) -> None:
             self._upstream.streamed_bytes -= size
-            if pipe is self._pipe:  # else the response has ended meanwhile
+            if self._pipe is not None and number == self._stream_number:  # else the response has ended meanwhile
                 self._on_pipe_read(size)
 
         self._pipe = pipe = Pipe(on_read)
--- a/lugspur/http2/front.py
+++ b/lugspur/http2/front.py
@@ -305,6 +305,11 @@
         self._forward_more()
         self._write_response(None, b"", None)
 
+    def release_response(self) -> None:
+        """Detach from the response that was forwarded, whose callback references this stream."""
+        if self._response_pipe is not None:
+            self._response_pipe.attach(None)
+
     def record_sent(self, size: int) -> None:
         """Record response bytes as sent or discarded."""
         self.last_progress = self.connection.loop.time()
@@ -387,17 +392,14 @@
         if self._is_delivered or self.is_answered:
             return
         self._is_delivered = True
-        session, stream_id = self.connection.session, self.stream_id
-        pipe = self.pipe = Pipe(lambda size: self._acknowledge(session, stream_id, size))
+        connection, stream_id = self.connection, self.stream_id
+        # The callback doesn't reference this call, which references the pipe.
+        pipe = self.pipe = Pipe(lambda size: connection.acknowledge(stream_id, size))
         body = self._release_body()
         if body:
             pipe.put(body, credited=True)
         self.connection.deliver(self._build_request(b""), self)
 
-    def _acknowledge(self, session: Http2Session, stream_id: int, size: int) -> None:
-        session.acknowledge_data(stream_id, size)
-        self.connection.schedule_flush()
-
     def _build_request(self, body: bytes) -> Request:
         request = super()._build_request(body)
         request.grpc_form = self
@@ -599,6 +601,11 @@
         except RejectionError as fault:
             self.reject_stream(stream, fault)
 
+    def acknowledge(self, stream_id: int, size: int) -> None:
+        """Acknowledge received bytes of a stream to the caller, so that it may send as many more."""
+        self.session.acknowledge_data(stream_id, size)
+        self.schedule_flush()
+
     def deliver(self, request: Request, stream: Stream) -> None:
         """Pass a request to the handler."""
         try:
@@ -632,6 +639,7 @@
 
     def _remove_stream(self, stream: Stream) -> None:
         if self.streams.pop(stream.stream_id, None) is not None:
+            stream.release_response()
             if not self.is_closed:
                 # RFC 9113 8.1: the response is complete, and the rest of the request is not needed.
                 self.session.reset_stream(stream.stream_id, NO_ERROR)
--- a/lugspur/mesh/dataplane/admitted_request.py
+++ b/lugspur/mesh/dataplane/admitted_request.py
@@ -38,17 +38,14 @@
 
 
 class AdmissionQueue:
-    """Admitted requests that wait for the backend, most urgent first and FIFO among equally urgent ones.
-
-    A request that finishes while it waits stays queued until it reaches the head, where the limiter skips it.
-    """
+    """Admitted requests that wait for the backend, most urgent first and FIFO among equally urgent ones."""
 
     def __init__(self) -> None:
         self._heap: list[tuple[Urgency, int, AdmittedRequest]] = []
         self._sequence_numbers = itertools.count()
 
     def __len__(self) -> int:
-        """Return the number of queued requests, including finished ones that have not been removed yet."""
+        """Return the number of queued requests."""
         return len(self._heap)
 
     def push(self, now: float, request: AdmittedRequest) -> None:
@@ -59,6 +56,13 @@
         """Remove and return the most urgent request; raises IndexError if the queue is empty."""
         return heapq.heappop(self._heap)[2]
 
+    def remove(self, request: AdmittedRequest) -> None:
+        """Remove a request that has ended while it waited, so that its body is freed; do nothing if it isn't queued."""
+        remaining = [row for row in self._heap if row[2] is not request]
+        if len(remaining) < len(self._heap):
+            self._heap = remaining
+            heapq.heapify(self._heap)
+
     def pop_least_urgent(self) -> AdmittedRequest:
         """Remove and return the least urgent request; raises ValueError if the queue is empty."""
         least_urgent = max(self._heap)
@@ -67,9 +71,5 @@
         return least_urgent[2]
 
     def routes_ahead_of(self, urgency: Urgency) -> list[str]:
-        """Return the routes of the unfinished requests that would be served before a new request of this urgency."""
-        return [
-            request.forward.route
-            for waiting_urgency, _, request in self._heap
-            if waiting_urgency <= urgency and not request.is_finished
-        ]
+        """Return the routes of the requests that would be served before a new request of this urgency."""
+        return [request.forward.route for waiting_urgency, _, request in self._heap if waiting_urgency <= urgency]
--- a/lugspur/mesh/dataplane/concurrency_limiter.py
+++ b/lugspur/mesh/dataplane/concurrency_limiter.py
@@ -181,10 +181,8 @@
         return is_short and wait <= MAX_WAIT_FRACTION_OF_SHORT * (forward.seconds_left - own_time)
 
     def _evict_least_urgent(self) -> None:
-        request = self._queue.pop_least_urgent()
-        if not request.is_finished:
-            self.evicted += 1
-            self._finish(request, RequestOutcome.NOT_RUN, FailureCause.EVICTED)
+        self.evicted += 1
+        self._finish(self._queue.pop_least_urgent(), RequestOutcome.NOT_RUN, FailureCause.EVICTED)
 
     # ---- cancellation ------------------------------------------------------------------------------
 
@@ -194,7 +192,8 @@
             return
         if request.exchange is not None:
             request.exchange.end(Outcome.CANCELLED)
-        else:  # The request stays in the queue, and is skipped when it reaches the head.
+        else:
+            self._queue.remove(request)
             self._finish(request, RequestOutcome.UNKNOWN, FailureCause.CANCELLED)
 
     def withdraw(self, request: AdmittedRequest) -> None:
@@ -203,6 +202,7 @@
         Keeps useless requests, which can't be cancelled once they have started, away from the backend.
         """
         if not request.is_finished and request.exchange is None:
+            self._queue.remove(request)
             self._finish(request, RequestOutcome.NOT_RUN, FailureCause.CANCELLED)
 
     # ---- the backend -------------------------------------------------------------------------------
@@ -213,9 +213,7 @@
             concurrency = 0 if self.local_backend is None else self.local_backend.concurrency
             if self._running >= concurrency + EXTRA_REQUESTS:
                 return
-            request = self._queue.pop()
-            if not request.is_finished:
-                self._start_or_expire(request)
+            self._start_or_expire(self._queue.pop())
 
     def _start_or_expire(self, request: AdmittedRequest) -> None:
         now = self._loop.time()
@@ -308,6 +306,7 @@
         if request.is_finished:
             return
         request.is_finished = True
+        request.exchange = None
         if cause:
             self.causes[cause] += 1
         request.respond(
--- a/tests/daemon/test_grpc.py
+++ b/tests/daemon/test_grpc.py
@@ -13,14 +13,18 @@
 
 import pytest
 from daemonic import HEAD, answer, ask, backend, fields, pool, route
+from garbage import collector_off
 from google.rpc import error_details_pb2, status_pb2
 from grpcpeers import HTTP2, ROUTES, World, boxed
 from loopback import OK, soon, status, until
 
 from lugspur.bench.grpc import mixed, passing
 from lugspur.config.load import ConfigFileError, load
+from lugspur.daemon import pool as pool_module
 from lugspur.http2 import front as http2_front
 from lugspur.http2.wire import MAX_BACKLOG_BYTES
+from lugspur.interfaces import Request
+from lugspur.pipe import Pipe
 from lugspur.standins.grpc.backend import Call, run_script
 from lugspur.standins.grpc.caller import Caller, Response
 from lugspur.standins.grpc.script import STEPS, Script, ScriptError, parse_script
@@ -61,6 +65,20 @@
     play(body)
 
 
+def test_an_answered_call_is_freed_at_once() -> None:
+    """Guards against calls that keep their messages until the cyclic garbage collector runs."""
+
+    async def body(world: World) -> None:
+        caller = await world.caller()
+        with collector_off(pool_module.Call, http2_front.Call, Pipe, Request) as living:
+            for sent in ([b"hello"], [b"one", b"two"]):
+                assert (await caller.call("/read/Do", *sent)).messages == sent
+            await until(lambda: not world.up.in_hand())
+            assert living() == []
+
+    play(body)
+
+
 @pytest.mark.parametrize("messages", [0, 2, 5])
 def test_streams_of_any_length_go_through(messages: int) -> None:
     async def body(world: World) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,15 +10,18 @@
 from contextlib import asynccontextmanager, suppress
 
 import pytest
+from garbage import collector_off
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loopback import HOST, OK, Client, Running, backend, book, entry, read, running, soon, status, until
 
+from lugspur.daemon.pool import Call
 from lugspur.http1 import body as bodies
 from lugspur.http1.body import MAX_BUFFERED_BODY, WINDOW, Body
 from lugspur.http1.request_parser import PLATFORM, RejectionError, RequestParser
 from lugspur.http1.upstream import MIN_STREAM_BUFFER, READ_SIZE
 from lugspur.interfaces import Request
+from lugspur.pipe import Pipe
 
 LARGE = 3 << 20
 MAX_REPLAYED = bodies.REPLAY_FACTOR * MAX_BUFFERED_BODY
@@ -454,6 +457,25 @@
     asyncio.run(play())
 
 
+def test_an_answered_stream_is_freed_at_once() -> None:
+    """Guards against requests that keep their bodies until the cyclic garbage collector runs."""
+
+    async def play() -> None:
+        async with (
+            serving_backend(large_response(MAX_BUFFERED_BODY + 500)) as address,
+            running([entry("a", address)]) as up,
+        ):
+            client = await up.client()
+            with collector_off(Body, Call, Pipe, Request) as living:
+                for number in range(3):
+                    client.writer.write(book(number, body=random_bytes(MAX_BUFFERED_BODY + 300)))
+                    await read_response(client)
+                await until(lambda: not up.proxy.pool.calls)
+                assert living() == []
+
+    asyncio.run(play())
+
+
 def test_expect_100_continue_is_answered() -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
