Admit request bodies to the memory of a proxy before they are read

Cause: a body counted only while it arrived. One that was complete was in no count, and was copied up to three times at each proxy.

Change: BodyMemory takes room for a whole body before it is read, by its length; for one of unknown length as it grows, by the banker's algorithm. Who waits is not read. The room is that of the buffer, and free with the last reference to it. Small bodies, those of callers and those for the backend have parts of their own, so that small ones never wait behind large ones and two proxies never for each other. The buffer that was read into is the one that is sent; it is dropped once the backend has it. The proxy beside the backend grants no byte before there is room for all; announced bodies wait at their sender, where they were turned away. Granted chunks are copied only as fast as the connection takes them.

--- a/lugspur/bench/mesh.py
+++ b/lugspur/bench/mesh.py
@@ -242,8 +242,7 @@
             body,
             Host="mesh.example",
             Lugspur_Attempt_Id=attempt,
-            Lugspur_Deliver_By_Ms="5000",
-            **headers,
+            **({"Lugspur_Deliver_By_Ms": "5000"} | headers),
         )
 
     async def served(self, ip: str, path: str, attempt: str) -> bytes:
--- a/lugspur/bench/soak/mesh_run.py
+++ b/lugspur/bench/soak/mesh_run.py
@@ -37,6 +37,8 @@
     "lugspur_requests_open",
     "lugspur_gate_in_hand",
     "lugspur_uploads_open",
+    "lugspur_body_memory_bytes",
+    "lugspur_bodies_waiting",
     "lugspur_claims_open",
     "lugspur_coordination_calls_open",
     "lugspur_coordination_watches",
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -7,12 +7,13 @@
 import select
 import socket
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import cast
 
 from lugspur.discovery.endpoints import Address
 from lugspur.http1.body import Body
+from lugspur.http1.body_memory import BodyMemory
 from lugspur.http1.request_parser import PLATFORM, RejectionError, RequestParser, Sizes
 from lugspur.interfaces import Request, StreamingReceiver
 from lugspur.invariants import Invariant, check
@@ -31,6 +32,8 @@
 REQUEST_HEAD_TIMEOUT = 2.5
 # Minimum average rate of a body in bytes per second: some callers send at 64 kB per second.
 MIN_BODY_RATE = 24 << 10
+# Seconds that a body may wait for memory if its request says nothing about its deadline.
+BODY_WAIT_TIMEOUT = 10.0
 # Seconds that a body may lag behind that rate.
 BODY_RATE_GRACE = 1.0
 # Seconds within which each piece of a streamed response must arrive and be sent.
@@ -99,6 +102,10 @@
         self.http2: Callable[[Front], TrackedConnection] | None = None
         # Returns when the bytes being read arrived, if that is estimated; None: they arrived now.
         self.arrival_time: Callable[[float, asyncio.Transport, bool], float] | None = None
+        # Admits the bodies of requests, which otherwise count towards `max_buffered_bytes` until they are complete.
+        self.body_memory: BodyMemory | None = None
+        # Returns how many seconds after its first byte a request with these headers is of use; None: not known.
+        self.seconds_of_use: Callable[[Mapping[bytes, bytes]], float | None] = lambda headers: None
         self.descriptors: set[int] | None = None  # collects the file descriptors of callers, if anything needs them
         self.ready = False  # whether the endpoint list is loaded
         self.serving = False  # whether the listener accepts connections and is not about to stop
@@ -345,7 +352,13 @@
         self._preface_input: bytes | None = b"" if front.http2 is not None else None
         self._queue: deque[Request | RejectionError] = deque()
         self._parser = RequestParser(
-            self._queue.append, front.sizes, self._send_continue, front.get_configuration, self._resume_request_body
+            self._queue.append,
+            front.sizes,
+            self._send_continue,
+            front.get_configuration,
+            self._resume_request_body,
+            front.body_memory,
+            self._resume_after_wait,
         )
         self._request_body: Body | None = None  # the body of the current request while it is received
         self._paused_at = 0.0  # since when reading is paused because the backend takes no more; 0: not paused
@@ -440,6 +453,34 @@
             return
         self._resume()
 
+    def _resume_reading(self) -> None:
+        """Read on, unless the body that comes next waits for memory."""
+        if not self._parser.waits_for_memory:
+            self._transport.resume_reading()
+
+    def _wait_for_memory(self, now: float) -> None:
+        """Read no more until there is memory for the body, or until its request is of no use any more."""
+        self._transport.pause_reading()
+        self._paused_at = self._paused_at or now
+        seconds = self.front.seconds_of_use(self._parser.headers)
+        if not self._busy:
+            wait_until = now + BODY_WAIT_TIMEOUT if seconds is None else self._parser.arrived + seconds
+            self.move(self.front.reading, wait_until)
+
+    def _resume_after_wait(self) -> None:
+        """Read on, since there is now memory for the body; the wait doesn't count towards the caller's time limits."""
+        now = self._loop.time()
+        pause, self._paused_at = now - self._paused_at, 0.0
+        self._parser.head_complete_at += pause
+        if not self._busy:
+            self.move(self.front.reading, self._reading_limit(now))
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _reading_limit(self, now: float) -> float:
+        """Return the time by which more of a body must have been received, from `now` on."""
+        return max(now + self.front.request_head_timeout, self._parser.body_due(MIN_BODY_RATE) + BODY_RATE_GRACE)
+
     def _resume_request_body(self) -> None:
         """Resume reading because more of the streamed body may be received."""
         if self._paused_at:  # the pause doesn't count towards the caller's time limits
@@ -448,9 +489,12 @@
             if self._table is self.front.reading:
                 self.move(self.front.reading, self.front.reading[self] + pause)
         if not self._transport.is_closing():
-            self._transport.resume_reading()
+            self._resume_reading()
 
     def on_request_timeout(self, now: float) -> None:
+        if self._parser.waits_for_memory:
+            self.reject(RejectionError(503, "no memory for the body in time"))
+            return
         stream = self._request_body
         if stream is not None and stream.full:  # the delay is caused by the backend, not by this caller
             self.move(self.front.reading, now + BODY_RATE_GRACE)
@@ -491,7 +535,7 @@
         data, self._deferred_input, self._deferred_until = self._deferred_input, b"", 0.0
         self.front.buffered_bytes -= len(data)
         if not self._transport.is_closing():
-            self._transport.resume_reading()
+            self._resume_reading()
             self.feed(memoryview(data), arrived_at)
 
     def _switch_to_http2(self, received: bytes) -> None:
@@ -531,8 +575,12 @@
         if parser.rejection is not None:
             self._ignores_input = True
             self._queue.append(parser.rejection)
+        if parser.waits_for_memory:
+            self._wait_for_memory(now)
         if self._queue:
             self._start_next_request()
+        elif parser.waits_for_memory:
+            return
         elif parser.reading and not self._busy:
             limit = parser.arrived + front.request_head_timeout
             if self._table is front.fresh:  # a request that began late has less time for its head
@@ -592,7 +640,7 @@
             self.reject(rejection)
             return
         if stream is not None and self._request_body is stream:
-            self._transport.resume_reading()  # the body has to be received while the request is processed
+            self._resume_reading()  # the body has to be received while the request is processed
             self.move(self.front.reading, self._loop.time() + self.front.request_head_timeout)
 
     def _send_continue(self) -> None:
@@ -624,11 +672,12 @@
         self.on_disconnect = None
         self._busy, self._ignores_input = False, True
         self._queue.clear()
+        self._parser.drop_body()
         self._count_buffered(0)
         self._write(rejection.status, b"", rejection.reason.encode() + b"\n", False)
         self.move(self.front.leaving, self._loop.time() + CLOSE_TIMEOUT)
         # Guards the response against a reset: input is still read until the caller closes.
-        self._transport.resume_reading()
+        self._resume_reading()
         self._shut_down_output()
 
     def _shut_down_output(self) -> None:
@@ -674,7 +723,7 @@
         self._count_buffered(0)
         self._write(status, head, body, False, length)
         self.move(self.front.leaving, self._loop.time() + CLOSE_TIMEOUT)
-        self._transport.resume_reading()
+        self._resume_reading()
         self._shut_down_output()
 
     def _after_response(self, keep_alive: bool) -> None:
@@ -684,14 +733,16 @@
             self.close()
             return
         now, front = self._loop.time(), self.front
-        if self._parser.reading:
+        if self._parser.waits_for_memory:
+            self._wait_for_memory(now)
+        elif self._parser.reading:
             self.move(front.reading, now + front.request_head_timeout)
         else:
             self.move(front.idle, now + (front.idle_timeout if self.has_sent_request else MIN_IDLE_TIMEOUT))
             if front.transfer_socket is not None:
                 self._loop.call_soon(self.transfer)
         if not self._writing_paused:
-            self._transport.resume_reading()
+            self._resume_reading()
             if self._queue:
                 self._loop.call_soon(self._resume)
 
@@ -773,6 +824,6 @@
 
     def _resume(self) -> None:
         if not self._queue:
-            self._transport.resume_reading()
+            self._resume_reading()
         elif not self._busy:
             self._start_next_request()
--- a/lugspur/http1/request_parser.py
+++ b/lugspur/http1/request_parser.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import cast
 
 import httptools
 
 from lugspur.http1.body import MAX_BUFFERED_BODY, REPLAY_FACTOR, Body
+from lugspur.http1.body_memory import (
+    UNCOUNTED_BODY_BYTES,
+    BodyMemory,
+    BodyMemoryFullError,
+    Direction,
+    FramedBody,
+    GrowingBody,
+)
 from lugspur.http1.hop_by_hop import HOP_BY_HOP
 from lugspur.interfaces import Request
 
@@ -74,7 +83,12 @@
         send_continue: Callable[[], None] | None = None,
         get_configuration: Callable[[], object] | None = None,
         resume_body: Callable[[], None] = lambda: None,
+        memory: BodyMemory | None = None,
+        on_room: Callable[[], None] = lambda: None,
     ) -> None:
+        """`memory` admits bodies before they are read; `on_room` is called when one that has waited is admitted."""
+        self._memory, self._on_room = memory, on_room
+        self._receiver: FramedBody | GrowingBody | None = None  # of a body that the memory admits
         self._resume_body = resume_body  # called when more of a streamed body may be received
         # Returns the configuration for a request; called when its head is complete.
         self._get_configuration = get_configuration
@@ -91,6 +105,7 @@
     def close(self) -> None:
         """Release the parser: it and this object reference each other."""
         self._reset()
+        self._on_room = lambda: None
         del self._parser, self._deliver, self._send_continue, self._get_configuration, self._resume_body
 
     def feed(self, data: memoryview, now: float) -> None:
@@ -109,13 +124,52 @@
                 self._reject(431, "the head is too large")  # Guards memory against one endless header.
             elif self._wire_size > max_wire_size:  # Guards memory against endless chunk framing.
                 self._reject(413, "the request is too large")
+        is_counted = max(self._body_size, self._length or 0) > UNCOUNTED_BODY_BYTES
+        if self._memory is not None and is_counted and self.reading and self._head_complete and self._receiver is None:
+            self._admit_body(self._memory)
+
+    @property
+    def waits_for_memory(self) -> bool:
+        """Whether nothing more may be read until there is memory for the body."""
+        return self._receiver is not None and self._receiver.is_waiting
+
+    @property
+    def headers(self) -> Mapping[bytes, bytes]:
+        """Return the headers of the current request, by lower-case name."""
+        return self._headers
+
+    def _admit_body(self, memory: BodyMemory) -> None:
+        """Take room for the body of a request whose head is complete, before more of it is read."""
+        if self.rejection is not None:
+            return
+        try:
+            if self._length is None:
+                self._receiver = GrowingBody(memory, Direction.OUTGOING, self._on_room)
+            else:
+                self._receiver = FramedBody(memory, Direction.OUTGOING, self._length, self._on_room)
+            for piece in self._body:
+                self._receiver.put(piece)
+            self._body.clear()
+        except BodyMemoryFullError:
+            self._reject_for_memory()
+
+    def _reject_for_memory(self) -> None:
+        self._reject(503, "no memory for the body")
+
+    def drop_body(self) -> None:
+        """Free what has been received of the current body, which is no longer needed."""
+        self._body.clear()
+        if self._receiver is not None:
+            self._receiver.close()
 
     def body_due(self, rate: float) -> float:
         """Return when the body so far is due at this rate in bytes per second; 0 while the head is incomplete."""
         return self.head_complete_at + self._body_size / rate if self._head_complete else 0.0
 
     def buffered_bytes(self) -> int:
-        """Return the buffered bytes of the body of an incomplete request."""
+        """Return the buffered bytes of the body of an incomplete request that no memory admits."""
+        if self._receiver is not None:
+            return 0
         if self.stream is not None:
             return self.stream.buffered
         return min(self._body_size, self._sizes.body) if self.reading else 0
@@ -123,8 +177,12 @@
     def _reject(self, status: int, reason: str) -> None:
         if self.rejection is None:
             self.rejection = RejectionError(status, reason)
+            self.drop_body()
 
     def _reset(self) -> None:
+        if self._receiver is not None:
+            self._receiver.close()
+        self._receiver = None
         self._target: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
         self._connection_options = b""
@@ -221,6 +279,8 @@
             self._reject(413, "the body is too large")
         elif self.stream is not None:
             self.stream.put(body)
+        elif self._receiver is not None:
+            self._receive(self._receiver, body)
         else:
             self._body.append(body)
             if self._body_size > self._sizes.max_buffered_body and self.rejection is None:
@@ -230,6 +290,14 @@
                 self._deliver_request(stream)
                 self.stream = stream
 
+    def _receive(self, receiver: FramedBody | GrowingBody, data: bytes) -> None:
+        if self.rejection is not None:
+            return
+        try:
+            receiver.put(data)
+        except BodyMemoryFullError:
+            self._reject_for_memory()
+
     def on_message_complete(self) -> None:
         self.reading = False
         stream, self.stream = self.stream, None
@@ -238,6 +306,19 @@
         elif self.rejection is None:
             stream.end()
 
+    def _take_body(self) -> bytes:
+        """Return the buffered body, and keep nothing of it; raises BodyMemoryFullError."""
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            return cast(bytes, receiver.finish())  # not copied: a buffer can be read like bytes
+        body = b"".join(self._body)
+        self._body.clear()  # else the pieces would stay in memory until the next request of the connection
+        if self._memory is None or len(body) <= UNCOUNTED_BODY_BYTES:
+            return body
+        buffer = self._memory.admit_received(Direction.OUTGOING, len(body))
+        buffer[:] = body
+        return cast(bytes, buffer)
+
     def _deliver_request(self, stream: Body | None) -> None:
         """Deliver the request, with its whole body or with a stream."""
         target = b"".join(self._target)
@@ -245,8 +326,11 @@
             self._reject(400, "the target is malformed")
         if self.rejection is not None:
             return
-        body = b"".join(self._body)
-        self._body.clear()  # else the pieces would stay in memory until the next request of the connection
+        try:
+            body = self._take_body()
+        except BodyMemoryFullError:
+            self._reject_for_memory()
+            return
         self._deliver(
             Request(
                 self._parser.get_method(),
--- a/lugspur/http1/upstream.py
+++ b/lugspur/http1/upstream.py
@@ -101,6 +101,7 @@
         "expires_at",
         "serialize",
         "on_body_sent",
+        "payload",
         "_report",
     )
 
@@ -128,6 +129,8 @@
         self.backend = backend
         self.started = started
         self.expires_at = expires_at  # the loop's time at which the attempt times out
+        # Bytes to send after those that `serialize` returns, without a copy; dropped once they have been sent.
+        self.payload: bytes = b""
         self.serialize = serialize  # returns the request's bytes, given the seconds that are left
         self.open = True
         self.connection: Connection | None = None
@@ -163,6 +166,7 @@
         objects and not by their size.
         """
         self.serialize, self._report = _serialize_nothing, _report_nothing
+        self.payload = b""
         self.on_response_begun = self.on_body_sent = None
 
     def latency(self, now: float) -> float:
@@ -242,6 +246,7 @@
         self._reset()
         self.sock = sock
         self._unsent = NO_BYTES
+        self._payload = NO_BYTES  # what follows `_unsent`
         self._loop = asyncio.get_running_loop()
         self._poll = select.poll()
         self._poll.register(sock.fileno(), select.POLLIN)
@@ -257,6 +262,7 @@
         if exchange.body is not None:
             self._body_offset = 0
             exchange.body.start_attempt(self._send_body)
+        payload, exchange.payload = exchange.payload, b""
         try:
             sent = self.sock.send(data)
         except BlockingIOError:
@@ -265,12 +271,18 @@
             # Nothing has been sent. The failure is reported later, because the sender isn't ready for it yet.
             self._loop.call_soon(self._close)
             return
-        if sent == len(data):
+        if sent == len(data) and not payload:
             self._on_sent()
         else:
-            self._unsent = memoryview(data)[sent:]
+            self._unsent, self._payload = memoryview(data)[sent:], memoryview(payload)
+            self._take_payload()
             self._loop.add_writer(self.sock.fileno(), self._writable)
 
+    def _take_payload(self) -> None:
+        """Continue with the payload once everything before it has been sent."""
+        if not self._unsent:  # an empty view would keep what has been sent in memory
+            self._unsent, self._payload = self._payload or NO_BYTES, NO_BYTES
+
     def _writable(self) -> None:
         try:
             sent = self.sock.send(self._unsent)
@@ -282,8 +294,8 @@
         # A separate statement: mypyc evaluates the operand of a slice twice, which would send part of the request
         # twice.
         self._unsent = self._unsent[sent:]
+        self._take_payload()
         if not self._unsent:
-            self._unsent = NO_BYTES  # an empty view would keep the whole request in memory
             self._loop.remove_writer(self.sock.fileno())
             self._on_sent()
 
@@ -373,7 +385,7 @@
         if self.closed:
             return
         self.closed = True
-        self._unsent = NO_BYTES
+        self._unsent = self._payload = NO_BYTES
         self._loop.remove_reader(self.sock.fileno())
         self._loop.remove_writer(self.sock.fileno())
         self.sock.close()
--- a/lugspur/mesh/control_node/process.py
+++ b/lugspur/mesh/control_node/process.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+from lugspur.http1.body_memory import BodyMemory
 from lugspur.http1.front import Front
 from lugspur.mesh import events
 from lugspur.mesh.control.change_requests import ChangeRequest
@@ -64,6 +65,7 @@
 from lugspur.mesh.control_node.synced_epoch import SyncedEpoch
 from lugspur.mesh.coordination.acceptor import CoordinationAcceptor
 from lugspur.mesh.coordination.watches import WatchTable
+from lugspur.mesh.http_api import MAX_CALL_BYTES
 from lugspur.mesh.process import MAX_AGE_SECONDS, TICK_SECONDS, MeshProcess
 from lugspur.mesh.process_pause import PauseDetector
 from lugspur.mesh.settings import Settings
@@ -71,6 +73,7 @@
 from lugspur.mesh.transport.link import Link
 from lugspur.observability.metrics import render
 
+CALL_MEMORY_FRACTION = 0.25  # fraction of the process's memory for the bodies of calls
 SWEEP_INTERVAL_SECONDS = 1.0  # time between two searches for reservations whose window has ended
 FLUSH_SECONDS = 0.02  # time for writing the last responses at shutdown
 HANDOFF_FRACTION = 0.8  # share of the grace period for handing over the vote and the reservations
@@ -218,7 +221,10 @@
         ip, port = self.settings.inner_bind_address
         await self.loop.create_server(lambda: Link(self._handle_peer_message, self._link_ended), ip, port, backlog=512)
         memory_bytes = self.settings.own.limits.memory_mb << 20
-        self.front = await self.dispatch_calls.serve(self.settings.network.listen.dispatch, memory_bytes)
+        body_memory = BodyMemory(int(memory_bytes * CALL_MEMORY_FRACTION), self.loop.call_soon)
+        body_memory.set_largest_body(MAX_CALL_BYTES)
+        address = self.settings.network.listen.dispatch
+        self.front = await self.dispatch_calls.serve(address, memory_bytes, body_memory)
 
     def _link_ended(self, link: Link) -> None:
         self.subscribers.remove(link)
--- a/lugspur/mesh/dataplane/backend_exchange.py
+++ b/lugspur/mesh/dataplane/backend_exchange.py
@@ -33,11 +33,14 @@
     return Outcome.OVERLOADED if is_not_delivered or status == MISDIRECTED_REQUEST else Outcome.OK
 
 
-def encode_request(forward: ForwardRequest, seconds_left: float) -> bytes:
-    """Return a request as HTTP/1.1 bytes, with headers for the backend's incarnation id and the time left."""
+def encode_request(forward: ForwardRequest, seconds_left: float, payload_bytes: int = 0) -> bytes:
+    """Return a request as HTTP/1.1 bytes, with headers for the backend's incarnation id and the time left.
+
+    `payload_bytes`: size of a body that is sent behind these bytes, if it isn't that of `forward`.
+    """
     length = b""
-    if forward.body or forward.method in METHODS_WITH_BODY:
-        length = b"Content-Length: %d\r\n" % len(forward.body)
+    if forward.body or payload_bytes or forward.method in METHODS_WITH_BODY:
+        length = b"Content-Length: %d\r\n" % (payload_bytes or len(forward.body))
     return b"%b %b HTTP/1.1\r\n%bLugspur-Deliver-By-Ms: %d\r\nLugspur-Deliver-To: %b\r\n%b\r\n%b" % (
         forward.method,
         forward.target,
--- a/lugspur/mesh/dataplane/concurrency_limiter.py
+++ b/lugspur/mesh/dataplane/concurrency_limiter.py
@@ -55,6 +55,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.5  # short, since the backend is on this machine
 BACKEND_IDLE_TIMEOUT_SECONDS = 20.0  # idle time after which the backend is assumed to close a connection
 MAX_IDLE_CONNECTIONS = 64
+MAX_COPIED_BODY_BYTES = 16 << 10  # a body up to this size is sent in one piece with its head
 # Divisors of the process's memory: limits for all incomplete responses of the backend together, and for a single one.
 ALL_RESPONSES_MEMORY_DIVISOR = 4
 ONE_RESPONSE_MEMORY_DIVISOR = 8
@@ -250,16 +251,22 @@
         check(is_first, Invariant.OFFERED_ONCE, attempt=forward.attempt_id)
         self._running += 1
         request.was_sent, request.sent_at = True, now
+        payload = b""
+        if len(forward.body) > MAX_COPIED_BODY_BYTES:
+            # The body is referenced by the exchange alone, which drops it once the backend has received it.
+            payload, forward.body = forward.body, b""
+        payload_bytes = len(payload)
         exchange = Exchange(
             request.local_backend.backend,
             now,
             request.deadline + GRACE_SECONDS,
-            lambda seconds_left: encode_request(forward, seconds_left - GRACE_SECONDS),
+            lambda seconds_left: encode_request(forward, seconds_left - GRACE_SECONDS, payload_bytes),
             lambda exchange, outcome, response: self._exchange_finished(request, outcome, response),
             repeatable=forward.is_safe,
             is_head_request=forward.method == b"HEAD",
         )
-        exchange.expected_id = forward.attempt_id
+        exchange.expected_id, exchange.payload = forward.attempt_id, payload
+        del payload
         request.exchange = exchange
         self._upstream.start(exchange)
 
@@ -306,7 +313,7 @@
         if request.is_finished:
             return
         request.is_finished = True
-        request.exchange = None
+        request.exchange, request.forward.body = None, b""
         if cause:
             self.causes[cause] += 1
         request.respond(
--- a/lugspur/mesh/dataplane/proxied_request.py
+++ b/lugspur/mesh/dataplane/proxied_request.py
@@ -308,6 +308,7 @@
         """Mark the request as finished, and release its timers, its reservation and the attempts that may be ended."""
         check(not self.is_finished, Invariant.ONE_ANSWER, attempt=self.attempt_id)
         self.is_finished = True
+        self.request.body = b""  # no further attempt needs it, but a proof of what ran may be awaited for long
         self.proxy.request_closed(self)
         for timer in (self._deadline_timer, self._hedge_timer):
             if timer is not None:
--- a/lugspur/mesh/dataplane/request_headers.py
+++ b/lugspur/mesh/dataplane/request_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from lugspur.interfaces import Request
@@ -54,6 +55,12 @@
     return int(value) / 1000.0
 
 
+def seconds_left_in(headers: Mapping[bytes, bytes]) -> float | None:
+    """Return the time that a caller gives a request with these headers in seconds, or None if it is unknown."""
+    value = headers.get(DELIVER_BY_HEADER, b"")
+    return int(value) / 1000.0 if value.isdigit() and len(value) <= MAX_DELIVER_BY_DIGITS else None
+
+
 def encode_headers(request: Request, sender: str) -> list[bytes]:
     """Return the header lines of a request for a backend; `sender` is the service of this machine.
 
--- a/lugspur/mesh/dataplane/upload_scheduler.py
+++ b/lugspur/mesh/dataplane/upload_scheduler.py
@@ -3,20 +3,31 @@
 The sender of a large body first announces its size, and then sends only as many bytes as it is granted, so that small
 messages can overtake it. A body that would arrive too late is rejected before any of its bytes have crossed the link.
 The number of granted bytes that have not arrived is bounded, which bounds the time for which responses and calls wait
-behind them.
+behind them. No byte is granted before there is memory for the whole body: until then it waits at its sender.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Generic, NamedTuple, TypeVar
-
+from functools import partial
+from typing import Generic, NamedTuple, TypeVar, cast
+
+from lugspur.http1.body_memory import (
+    UNCOUNTED_BODY_BYTES,
+    BodyBuffer,
+    BodyMemory,
+    BodyMemoryFullError,
+    Direction,
+    WaitingBody,
+)
 from lugspur.mesh.control.messages import ForwardRequest
 from lugspur.mesh.dataplane.urgency import Urgency
 
 CHUNK_BYTES = 8 << 10  # bytes per grant; takes 25 ms on the slowest known links
 GRANT_AHEAD_SECONDS = 0.05  # link time that is granted ahead; exceeds the round trip of a grant and its bytes
 MAX_UNCHUNKED_SECONDS = 0.03  # a body that takes less on the receiver's link is sent together with its request
+MAX_UNCHUNKED_BYTES = 256 << 10  # a larger body is announced, as the receiver may have no memory for it
 STALL_TIMEOUT_SECONDS = 0.3  # time without progress after which a sender no longer delays other bodies
 USABLE_LINK_FRACTION = 0.9  # fraction of the link rate for granted bytes; the rest is for all other traffic
 # Maximum time that a body may wait for its turn, as a fraction of its latency target minus its own transfer and service
@@ -46,7 +57,7 @@
 
     A rate of 0 means unknown: the body is then sent together with its request.
     """
-    return link_rate > 0.0 and size > max(CHUNK_BYTES, link_rate * MAX_UNCHUNKED_SECONDS)
+    return link_rate > 0.0 and size > max(CHUNK_BYTES, min(MAX_UNCHUNKED_BYTES, link_rate * MAX_UNCHUNKED_SECONDS))
 
 
 @dataclass(slots=True)
@@ -57,19 +68,21 @@
     urgency: Urgency
     accepted_at: float
     deadline: float
-    body: bytearray
+    body: BodyBuffer | None = None  # None while there is no memory for it
+    waiting: WaitingBody | None = None  # its place among those that wait for memory
+    received_bytes: int = 0
     granted_bytes: int = 0
     progress_at: float = 0.0  # when bytes last arrived, or were granted while none were outstanding
 
     @property
     def missing_bytes(self) -> int:
         """The number of bytes that have not arrived, whether granted or not."""
-        return self.request.body_bytes - len(self.body)
+        return self.request.body_bytes - self.received_bytes
 
     @property
     def outstanding_bytes(self) -> int:
         """The number of bytes that were granted and have not arrived."""
-        return self.granted_bytes - len(self.body)
+        return self.granted_bytes - self.received_bytes
 
     def is_stalled(self, now: float) -> bool:
         """Whether bytes are outstanding and none have arrived within the stall timeout."""
@@ -79,13 +92,14 @@
 class UploadScheduler(Generic[Source]):
     """Schedules all bodies that arrive in chunks; `Source` is the type of a connection."""
 
-    def __init__(self, link_rate: float, max_bytes: int) -> None:
+    def __init__(self, link_rate: float, memory: BodyMemory) -> None:
         """`link_rate`: bytes per second of this machine's link; if it is unknown (0), no body is accepted.
 
-        `max_bytes`: memory limit for all bodies together.
+        `memory` admits the bodies.
         """
         self._rate = link_rate * USABLE_LINK_FRACTION
-        self._max_bytes = max_bytes
+        self._memory = memory
+        self.on_room: Callable[[], None] = _nothing  # called when a body that has waited may be granted bytes
         self._max_outstanding_bytes = max(2 * CHUNK_BYTES, int(link_rate * GRANT_AHEAD_SECONDS))
         self._uploads: dict[UploadKey[Source], Upload] = {}
 
@@ -96,19 +110,41 @@
     def offer(
         self, now: float, key: UploadKey[Source], request: ForwardRequest, urgency: Urgency, service_time: float
     ) -> bool:
-        """Accept a body, or return False if there is no memory for it or its response would be too late.
+        """Accept a body, or return False if it never fits into the memory or its response would be too late.
 
         `service_time`: expected service time of the request in seconds, once its body is complete.
         """
         size = request.body_bytes
-        reserved = sum(upload.request.body_bytes for upload in self._uploads.values())
-        if self._rate <= 0.0 or size <= 0 or reserved + size > self._max_bytes or key in self._uploads:
+        if self._rate <= 0.0 or size <= 0 or key in self._uploads:
             return False
         if not self._arrives_in_time(request, urgency, service_time):
             return False
-        self._uploads[key] = Upload(request, urgency, now, now + request.seconds_left, bytearray(), 0, now)
+        upload = Upload(request, urgency, now, now + request.seconds_left, progress_at=now)
+        try:
+            upload.waiting = self._memory.admit(Direction.INCOMING, size, partial(self._admitted, upload))
+        except BodyMemoryFullError:
+            return False
+        self._uploads[key] = upload
         return True
 
+    def count_received(self, request: ForwardRequest) -> bool:
+        """Count the body of a request that came without an announcement; return False if there is no memory for it."""
+        if len(request.body) <= UNCOUNTED_BODY_BYTES:
+            return True
+        try:
+            buffer = self._memory.admit_received(Direction.INCOMING, len(request.body))
+        except BodyMemoryFullError:
+            return False
+        buffer[:] = request.body
+        request.body = cast(bytes, buffer)
+        return True
+
+    def _admitted(self, upload: Upload, buffer: BodyBuffer) -> None:
+        upload.body = buffer
+        if upload.waiting is not None:
+            upload.waiting = None
+            self.on_room()
+
     def _arrives_in_time(self, request: ForwardRequest, urgency: Urgency, service_time: float) -> bool:
         """Whether a body would wait briefly enough for its response to be of use.
 
@@ -131,22 +167,26 @@
         upload = self._uploads.get(key)
         if upload is None:
             return None
-        if len(upload.body) + len(data) > upload.granted_bytes:
+        end = upload.received_bytes + len(data)
+        if upload.body is None or end > upload.granted_bytes:
             raise ValueError("sender exceeded its granted bytes")
-        upload.body += data
-        upload.progress_at = now
+        upload.body[upload.received_bytes : end] = data
+        upload.received_bytes, upload.progress_at = end, now
         request = upload.request
-        if len(upload.body) < request.body_bytes:
+        if end < request.body_bytes:
             return None
         del self._uploads[key]
-        request.body = bytes(upload.body)
+        request.body = cast(bytes, upload.body)  # not copied: a buffer can be read like bytes
         request.seconds_left = upload.deadline - now
         request.latency_target_left -= now - upload.accepted_at
         return request
 
     def drop(self, key: UploadKey[Source]) -> bool:
         """Drop a body that is no longer wanted or sent; return whether it was being received."""
-        return self._uploads.pop(key, None) is not None
+        upload = self._uploads.pop(key, None)
+        if upload is not None and upload.waiting is not None:
+            upload.waiting.cancel()
+        return upload is not None
 
     def keys_from(self, source: Source) -> list[UploadKey[Source]]:
         """Return the keys of all bodies on one connection."""
@@ -156,14 +196,18 @@
         """Drop the bodies whose deadline has passed, and return their keys."""
         expired = [key for key, upload in self._uploads.items() if now >= upload.deadline]
         for key in expired:
-            del self._uploads[key]
+            self.drop(key)
         return expired
 
     def grant(self, now: float) -> list[Grant[Source]]:
         """Grant bytes up to the capacity of the link, most urgent bodies first; return the new grants, one per body."""
         # A stalled sender must not delay others, so its outstanding bytes no longer count. It gets no further grant
         # until it delivers them; otherwise its whole body could arrive at once when it resumes.
-        sending = [(key, upload) for key, upload in self._uploads.items() if not upload.is_stalled(now)]
+        sending = [
+            (key, upload)
+            for key, upload in self._uploads.items()
+            if upload.body is not None and not upload.is_stalled(now)
+        ]
         outstanding = sum(upload.outstanding_bytes for _, upload in sending)
         offsets: dict[UploadKey[Source], int] = {}
         for key, upload in sorted(sending, key=lambda row: row[1].urgency):
@@ -177,3 +221,7 @@
                 outstanding += step
                 offsets[key] = upload.granted_bytes
         return [Grant(key, offset) for key, offset in offsets.items()]
+
+
+def _nothing() -> None:
+    """Do nothing."""
--- a/lugspur/mesh/http_api.py
+++ b/lugspur/mesh/http_api.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lugspur.discovery.endpoints import read_address
+from lugspur.http1.body_memory import BodyMemory
 from lugspur.http1.front import Front
 from lugspur.http1.request_parser import Sizes
 from lugspur.interfaces import Request, Responder
@@ -87,9 +88,13 @@
             self._unknown_logged_at = now
             events.warn("unknown-call", method=method, path=path, calls=self.unknown_calls)
 
-    async def serve(self, address: str, memory: int) -> Front:
-        """Listen for calls at an address; `memory`: the memory limit of the process in bytes."""
+    async def serve(self, address: str, memory: int, body_memory: BodyMemory | None = None) -> Front:
+        """Listen for calls at an address.
+
+        `memory`: the memory limit of the process in bytes; `body_memory` admits the bodies of calls.
+        """
         front = Front(read_address(address), MAX_CALLERS, memory, self.handle)
+        front.body_memory = body_memory
         front.sizes = Sizes(body=MAX_CALL_BYTES, ordinary=True)
         await front.listen()
         return front
--- a/lugspur/mesh/sidecar/incoming.py
+++ b/lugspur/mesh/sidecar/incoming.py
@@ -53,6 +53,7 @@
         self._admitted: dict[tuple[Link, int], AdmittedRequest] = {}
         self._senders: dict[Link, _Sender] = {}
         self._unrun_requests = UnrunRequests()
+        uploads.on_room = self._grant
 
     def receive(self, link: Link, message: Message) -> None:
         """Handle a message on an incoming connection."""
@@ -101,6 +102,8 @@
             self._reject(link, forward.number, FailureCause.EXPIRED)
         elif forward.body_bytes:
             self._offer_upload(link, forward)
+        elif not self.uploads.count_received(forward):
+            self._reject(link, forward.number, FailureCause.QUEUE_FULL)
         else:
             self._submit(link, forward)
 
--- a/lugspur/mesh/sidecar/metrics.py
+++ b/lugspur/mesh/sidecar/metrics.py
@@ -6,6 +6,7 @@
 from collections.abc import Sized
 from typing import Protocol
 
+from lugspur.http1.body_memory import BodyMemory
 from lugspur.http1.front import Front
 from lugspur.mesh import events
 from lugspur.mesh.dataplane.concurrency_limiter import ConcurrencyLimiter
@@ -23,6 +24,7 @@
 
     loop: asyncio.AbstractEventLoop
     limiter: ConcurrencyLimiter
+    body_memory: BodyMemory
     proxy: Proxy
     front: Front
     incoming: IncomingExchanges
@@ -67,6 +69,8 @@
         gauge("requests_open", "Requests of callers that are not answered yet.", len(proxy.open_requests)),
         gauge("gate_in_hand", "Requests for the backend that run or wait.", limiter.in_flight),
         gauge("uploads_open", "Bodies that arrive in parts.", len(sidecar.incoming.uploads)),
+        gauge("body_memory_bytes", "Memory that request bodies take.", sidecar.body_memory.used_bytes),
+        gauge("bodies_waiting", "Request bodies that wait for memory.", sidecar.body_memory.waiting_bodies),
         gauge("callers", "Connections of callers.", len(front.callers)),
         gauge("claims_open", "Claims of operation keys that are not settled.", len(sidecar.reservations)),
         gauge("routes", "Routes in force.", len(sidecar.table)),
--- a/lugspur/mesh/sidecar/outgoing.py
+++ b/lugspur/mesh/sidecar/outgoing.py
@@ -26,11 +26,16 @@
 Respond = Callable[[ForwardResponse], None]
 
 
+# Unsent bytes of a connection with which no further chunk is added to them: they are copies of the bodies.
+MAX_UNSENT_CHUNK_BYTES = 256 << 10
+
+
 @dataclass(slots=True)
 class _Body:
-    """A body that is sent in chunks."""
+    """A body that is sent in chunks, as far as the receiver grants them and the connection takes them."""
 
     data: bytes
+    granted_bytes: int = 0
     sent_bytes: int = 0
 
 
@@ -80,6 +85,7 @@
         self._latest_number = 0
         self._exchanges: dict[str, dict[int, _Exchange]] = {}  # by IP address, then request number
         self._unproven: LRUCache[int, _Unproven] = LRUCache(MAX_UNPROVEN_REQUESTS)
+        self._blocked: dict[Link, dict[int, None]] = {}  # requests with granted bytes that wait for their connection
 
     def waits_for(self, ip: str) -> bool:
         """Whether any request is waiting for a reply of the machine."""
@@ -100,6 +106,8 @@
         if is_chunked(len(forward.body), rate):
             exchange.unsent_body = _Body(forward.body)
             forward.body_bytes, forward.body = len(forward.body), b""
+        else:
+            forward.body = bytes(forward.body)  # a counted buffer can't be encoded
         link.send(forward)
         return RemoteRequest(self, ip, number)
 
@@ -144,15 +152,33 @@
     def receive_grant(self, link: Link, message: GrantBody) -> None:
         """Send the newly granted bytes of a body."""
         exchange = self._exchange_on(link, message.number)
-        body = None if exchange is None else exchange.unsent_body
-        if exchange is None or body is None or body.sent_bytes >= message.up_to_offset:
-            return
-        begin, body.sent_bytes = body.sent_bytes, min(message.up_to_offset, len(body.data))
+        if exchange is not None and exchange.unsent_body is not None:
+            body = exchange.unsent_body
+            body.granted_bytes = max(body.granted_bytes, min(message.up_to_offset, len(body.data)))
+            self._send_chunks(message.number, exchange)
+
+    def _send_chunks(self, number: int, exchange: _Exchange) -> None:
+        """Send the granted bytes of a body, as many as the connection takes now."""
+        body, link = exchange.unsent_body, exchange.link
+        assert body is not None
+        view = memoryview(body.data)
+        while body.sent_bytes < body.granted_bytes:
+            if link.unsent_bytes >= MAX_UNSENT_CHUNK_BYTES:
+                self._blocked.setdefault(link, {})[number] = None
+                link.on_writable = self._send_blocked_chunks
+                return
+            end = min(body.sent_bytes + CHUNK_BYTES, body.granted_bytes)
+            link.send(BodyChunk(number, bytes(view[body.sent_bytes : end])))
+            body.sent_bytes = end
         if body.sent_bytes == len(body.data):
             exchange.unsent_body = None
-        for offset in range(begin, body.sent_bytes, CHUNK_BYTES):
-            data = body.data[offset : min(offset + CHUNK_BYTES, body.sent_bytes)]
-            exchange.link.send(BodyChunk(message.number, data))
+
+    def _send_blocked_chunks(self, link: Link) -> None:
+        """Go on with the bodies that have waited for their connection."""
+        for number in self._blocked.pop(link, {}):
+            exchange = self._exchange_on(link, number)
+            if exchange is not None and exchange.unsent_body is not None:
+                self._send_chunks(number, exchange)
 
     def hello_received(self, link: Link) -> None:
         """Handle a peer's Hello: fetch the outcomes of requests on lost connections to the same incarnation."""
@@ -173,6 +199,8 @@
         A request that was sent completely may have run or may still run, unless that process proves otherwise later. A
         request whose body was not sent completely has not run, since the limiter starts only complete requests.
         """
+        for link in [link for link in self._blocked if link.peer == ip]:
+            del self._blocked[link]
         for number, exchange in self._exchanges.pop(ip, {}).items():
             is_unsent = exchange.unsent_body is not None
             if exchange.is_keyed and not is_unsent:
--- a/lugspur/mesh/sidecar/process.py
+++ b/lugspur/mesh/sidecar/process.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from lugspur.discovery.endpoints import read_address
+from lugspur.http1.body_memory import BodyMemory
 from lugspur.http1.front import Front
 from lugspur.http1.request_parser import Sizes
 from lugspur.interfaces import Request, Responder
@@ -16,7 +17,7 @@
 from lugspur.mesh.dataplane.concurrency_limiter import ConcurrencyLimiter
 from lugspur.mesh.dataplane.delay_estimation import FreezeDetector
 from lugspur.mesh.dataplane.proxy import Proxy
-from lugspur.mesh.dataplane.request_headers import loggable_attempt_id
+from lugspur.mesh.dataplane.request_headers import loggable_attempt_id, seconds_left_in
 from lugspur.mesh.dataplane.route_table import RouteTable
 from lugspur.mesh.dataplane.upload_scheduler import UploadScheduler
 from lugspur.mesh.http_api import fail
@@ -39,6 +40,7 @@
 from lugspur.observability.failures import ConfigurationState, FailureLog
 from lugspur.observability.metrics import render
 
+BODY_MEMORY_FRACTION = 0.7  # fraction of the process's memory for request bodies
 RESERVED_FILES = 264  # file descriptors for other uses, including 200 that the platform reserves
 CALLER_FILES_FRACTION = 0.5  # fraction of the other descriptors for callers; the rest is for the backend and proxies
 MIN_CALLERS = 64  # caller connections that are accepted even if there are too few descriptors
@@ -76,7 +78,8 @@
         )
         self.registration = BackendRegistration(self, self.limiter, self.backends.by_ip, link_rate)
         self.outgoing = OutgoingExchanges()
-        uploads = UploadScheduler[Link](link_rate, memory_bytes // 4)
+        self.body_memory = BodyMemory(int(memory_bytes * BODY_MEMORY_FRACTION), self.loop.call_soon)
+        uploads = UploadScheduler[Link](link_rate, self.body_memory)
         self.incoming = IncomingExchanges(self.limiter, uploads, Hello(self.ip, self.incarnation, self.is_control_node))
         self.proxy = self._make_proxy()
         self._summary = RequestSummary(self.proxy, self.limiter)
@@ -131,11 +134,12 @@
         # Requests may have waited unread while this process was paused, until their callers gave them up. Their
         # deadlines therefore count from the earliest time at which they can have arrived.
         self.front.arrival_time = lambda now, transport, first: self._pauses.earliest_arrival(now)
+        self.front.body_memory, self.front.seconds_of_use = self.body_memory, seconds_left_in
         self._is_serving = True
         self._apply_limits()
         self._callers_socket = await self.front.listen()
-        await self.api.platform_calls().serve(listen.readiness, memory_bytes)
-        await self.api.dispatch_calls().serve(listen.dispatch, memory_bytes)
+        await self.api.platform_calls().serve(listen.readiness, memory_bytes, self.body_memory)
+        await self.api.dispatch_calls().serve(listen.dispatch, memory_bytes, self.body_memory)
 
     def _max_callers(self) -> int:
         files = self.settings.own.limits.file_handles - RESERVED_FILES
@@ -144,10 +148,15 @@
     def _apply_limits(self) -> None:
         """Apply the configured request limits to callers."""
         bounds = self.table.request_limits
+        self.body_memory.set_largest_body(bounds.payload_bytes)
         self.front.update_limits(
             self._max_callers(),
             self.settings.own.limits.memory_mb << 20,
-            Sizes(head=bounds.label_bytes + 1024, body=bounds.payload_bytes, ordinary=True),
+            Sizes(
+                head=bounds.label_bytes + 1024,
+                body=min(bounds.payload_bytes, self.body_memory.largest_body),
+                ordinary=True,
+            ),
             bounds.label_wait_ms / 1000.0,
             bounds.idle_ms / 1000.0,
             STREAM_GRACE_SECONDS,
--- a/lugspur/mesh/transport/link.py
+++ b/lugspur/mesh/transport/link.py
@@ -56,6 +56,8 @@
         self._received = bytearray()  # an incomplete frame
         self._unsent: list[bytes] = []  # frames of this iteration of the loop, or from before the connection was made
         self._unsent_bytes = 0
+        self._is_writing_paused = False  # the peer does not read as fast as frames are written
+        self.on_writable: Callable[[Link], None] | None = None  # called once, when fewer bytes are unsent
         self.is_open = True
         self.peer = ""  # IP number of the peer; on the accepting side known once the peer has sent Hello
         # Whether the dialled peer has sent Hello: its process runs and accepts requests.
@@ -108,6 +110,26 @@
         if self._unsent_bytes > MAX_UNSENT_BYTES:  # Bounds memory while the connection is not established.
             self.close()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the kernel has not taken yet."""
+        buffered = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        return self._unsent_bytes + buffered
+
+    def pause_writing(self) -> None:
+        """Handle that the transport has more unsent bytes than it should."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Handle that the transport has sent most of its bytes."""
+        self._is_writing_paused = False
+        self._report_writable()
+
+    def _report_writable(self) -> None:
+        on_writable, self.on_writable = self.on_writable, None
+        if on_writable is not None:
+            on_writable(self)
+
     def _flush(self) -> None:
         transport = self._transport
         if transport is None or not self._unsent or not self.is_open:
@@ -116,6 +138,8 @@
         transport.write(data)
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:  # Bounds memory for a peer that does not read.
             self.close()
+        elif self.on_writable is not None and not self._is_writing_paused:
+            self._report_writable()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection."""
--- a/tests/compatibility/test_mesh_interfaces.py
+++ b/tests/compatibility/test_mesh_interfaces.py
@@ -556,6 +556,8 @@
         "lugspur_requests_open": "gauge",
         "lugspur_gate_in_hand": "gauge",
         "lugspur_uploads_open": "gauge",
+        "lugspur_body_memory_bytes": "gauge",
+        "lugspur_bodies_waiting": "gauge",
         "lugspur_callers": "gauge",
         "lugspur_claims_open": "gauge",
         "lugspur_routes": "gauge",
--- a/tests/compatibility/test_request_headers.py
+++ b/tests/compatibility/test_request_headers.py
@@ -611,6 +611,7 @@
             proxy=mesh.proxy,
             front=SimpleNamespace(rejections={}, callers=()),
             incoming=SimpleNamespace(uploads=()),
+            body_memory=SimpleNamespace(used_bytes=0, waiting_bodies=0),
             peers={},
             update_source=SimpleNamespace(selections=0),
             is_leaving=False,
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -29,6 +29,7 @@
 from lugspur.mesh.sidecar.backend_status import BackendStatus
 from lugspur.mesh.sidecar.process import Sidecar
 from lugspur.mesh.transport.dialer import Dialer
+from lugspur.mesh.transport.link import Link
 
 FILE = """
 [self]
@@ -270,6 +271,8 @@
 
     def __init__(self, peer: str) -> None:
         self.sent: list[Message] = []
+        self.unsent_bytes = 0
+        self.on_writable: Callable[[Link], None] | None = None
         self.peer, self.has_received_hello, self.peer_incarnation = peer, False, ""
 
     def send(self, message: Message) -> None:
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -140,6 +140,45 @@
     play(tmp_path, what, services=("rooms", "desk"))
 
 
+def test_a_few_large_uploads_at_once_are_served_within_the_memory_of_the_proxies(tmp_path: Path) -> None:
+    """Guards against proxies that are killed for the memory of uploads inside the limits (review/7 and review/8)."""
+
+    class Fast(Mesh):
+        """Links on which six uploads at once are in time."""
+
+        def tables(self, ip: str) -> dict[str, dict[str, Any]]:
+            tables = super().tables(ip)
+            tables["self.limits"]["link_mbps"] = 1000
+            return tables
+
+        def peak_mb(self, ip: str) -> int:
+            lines = Path(f"/proc/{self.processes[ip].pid}/status").read_text().splitlines()
+            return next(int(line.split()[1]) >> 10 for line in lines if line.startswith("VmHWM:"))
+
+    async def run() -> None:
+        mesh = Fast(tmp_path, 3, ("rooms", "desk"))
+        try:
+            async with asyncio.timeout(60.0):
+                await mesh.begin()
+                upload = mesh.route("upload", "upload", service="desk", deadline_ms=20_000, target_ms=20_000)
+                await mesh.amend({"routes": [upload]})
+                one, other = mesh.proxy_ips  # the service's only backend is beside the other
+                await mesh.served(one, "/upload/1", "first")
+                body = os.urandom(1 << 20) * 24
+                deadline = {"Lugspur_Deliver_By_Ms": "20000"}
+                asked = [mesh.ask(one, "/upload/1", f"u{n}", body, **deadline) for n in range(6)]
+                answers = await asyncio.gather(*asked)
+                assert [status for status, _, _ in answers] == [200] * 6
+                digest = hashlib.sha256(body).hexdigest().encode()
+                assert all(digest in answer for _, _, answer in answers)
+                limit_mb = mesh.tables(one)["self.limits"]["memory_mb"]
+                assert max(mesh.peak_mb(one), mesh.peak_mb(other)) < limit_mb
+        finally:
+            await mesh.close()
+
+    asyncio.run(run())
+
+
 def test_a_bad_settings_file_is_one_line_and_exit_status_2(tmp_path: Path) -> None:
     path = tmp_path / "bad.toml"
     path.write_text("[self]\nip = 7\n")
