Store the answers of keyed requests at a majority before they are returned

Cause: the proxy beside the backend alone told the voters the answer, with one message that is dropped without a connection; nobody acknowledged it and nobody repeated it.

Change: voters acknowledge an answer once it is on disk. The proxy beside the backend waits for a majority, 0.25 s at most, and says in its reply whether the answer is stored; where it isn't, the caller's proxy stores it before it answers, 0.5 s at most. Each sends it again until a majority has it: behind new connections, to voters of a new membership, and each second; bounded by number, bytes and the window. Fields at the end of three messages; voters of the former build acknowledge nothing and are not waited for. The literal bytes in tests/compatibility follow, and the former ones are read as before.

--- a/lugspur/mesh/control/messages/forwarding.py
+++ b/lugspur/mesh/control/messages/forwarding.py
@@ -45,6 +45,7 @@
     was_sent: bool = True  # whether the request was sent to the backend
     in_flight: int = 0  # the number of requests in flight at that backend
     cause: int = 0  # a value of lugspur.mesh.dataplane.failure_cause.FailureCause
+    is_stored: bool = False  # whether a majority of the voters has the response of a keyed request on disk
 
 
 class CancelRequest(msgspec.Struct, tag=21, array_like=True):
--- a/lugspur/mesh/control/messages/reservations.py
+++ b/lugspur/mesh/control/messages/reservations.py
@@ -20,7 +20,10 @@
 
 
 class ReserveKeyReply(msgspec.Struct, tag=10, array_like=True):
-    """The reply to ReserveKey: granted, taken by another owner, or neither if the voter currently grants no keys."""
+    """The reply to ReserveKey: granted, taken by another owner, or neither if the voter currently grants no keys.
+
+    Also the reply to CompleteKey, with `is_stored`.
+    """
 
     key: bytes
     owner: bytes
@@ -29,6 +32,8 @@
     is_taken: bool = False  # whether another owner has the key
     is_running: bool = False  # whether the other owner's operation may still be running
     response: BackendResponse | None = None  # the response of the operation, if it has run
+    is_stored: bool = False  # the reply to CompleteKey: the response is on disk
+    acknowledges_answers: bool = False  # whether the voter replies to CompleteKey
 
 
 class CompleteKey(msgspec.Struct, tag=11, array_like=True):
@@ -37,6 +42,7 @@
     key: bytes
     owner: bytes
     response: BackendResponse
+    wants_reply: bool = False  # asks for a ReserveKeyReply once the response is on disk
 
 
 class ReleaseKey(msgspec.Struct, tag=12, array_like=True):
--- a/lugspur/mesh/control/replica.py
+++ b/lugspur/mesh/control/replica.py
@@ -152,7 +152,7 @@
         if isinstance(message, ReserveKey):
             return self._reserve(now, peer, message)
         if isinstance(message, CompleteKey):
-            return self.reservations.complete(now, message, self.is_complete)
+            return self._complete(now, peer, message)
         if isinstance(message, ReleaseKey):
             return self.reservations.release(message)
         if isinstance(message, Prepare):
@@ -231,9 +231,19 @@
 
     def _reserve(self, now: float, peer: Peer, message: ReserveKey) -> Effects:
         if not self.grants_reservations or message.epoch != self.epoch:
-            return Effects(send=[(peer, ReserveKeyReply(message.key, message.owner, self.epoch, False))])
+            refusal = ReserveKeyReply(message.key, message.owner, self.epoch, False, acknowledges_answers=True)
+            return Effects(send=[(peer, refusal)])
         return self.reservations.reserve(now, peer, message, self.epoch)
 
+    def _complete(self, now: float, peer: Peer, message: CompleteKey) -> Effects:
+        """Store the response of an operation, and acknowledge it once it is on disk, if the sender wants that."""
+        effects = self.reservations.complete(now, message, self.is_complete)
+        if message.wants_reply and effects.write:
+            stored = ReserveKeyReply(message.key, message.owner, self.epoch, False, True)
+            stored.is_stored = stored.acknowledges_answers = True
+            effects.after_sync.append((peer, stored))
+        return effects
+
     def _fetch_reservations(self, now: float, peer: Peer, message: FetchReservations) -> Effects:
         """Send all reservations to a new voter, once this replica knows the new epoch and grants none in older ones."""
         if message.epoch > self.epoch:
--- a/lugspur/mesh/control/reservation_table.py
+++ b/lugspur/mesh/control/reservation_table.py
@@ -94,13 +94,18 @@
         current = self._reservations.get(key)
         if current is not None and (current.owner != owner or current.response is not None):
             is_running = current.response is None and now < current.running_until
-            return Effects(send=[(peer, ReserveKeyReply(key, owner, epoch, False, True, is_running, current.response))])
+            taken = ReserveKeyReply(
+                key, owner, epoch, False, True, is_running, current.response, acknowledges_answers=True
+            )
+            return Effects(send=[(peer, taken)])
         if current is None and len(self._reservations) >= self._max_reservations:
-            return Effects(send=[(peer, ReserveKeyReply(key, owner, epoch, False))])
+            full = ReserveKeyReply(key, owner, epoch, False, acknowledges_answers=True)
+            return Effects(send=[(peer, full)])
         check(current is None or current.owner == owner, Invariant.ONE_KEY_OWNER, by=owner)
         self._put(key, Reservation(owner, now, now + message.seconds_left, None))
         row = (RESERVATION_PREFIX + key, _pack(StoredReservation(owner, message.seconds_left)))
-        return Effects(write=[row], after_sync=[(peer, ReserveKeyReply(key, owner, epoch, True))])
+        granted = ReserveKeyReply(key, owner, epoch, True, acknowledges_answers=True)
+        return Effects(write=[row], after_sync=[(peer, granted)])
 
     def complete(self, now: float, message: CompleteKey, is_complete: bool) -> Effects:
         """Store that a key's operation has run. Another owner of the key in this table has not run it and never will.
--- a/lugspur/mesh/dataplane/concurrency_limiter.py
+++ b/lugspur/mesh/dataplane/concurrency_limiter.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from time import monotonic
 
 from lugspur.http1.upstream import Exchange, Upstream
@@ -70,14 +71,15 @@
         memory_bytes: int,
         max_connections: int,
         drain_seconds: float,
-        on_completed: Callable[[ForwardRequest, BackendResponse], None],
+        on_completed: Callable[[ForwardRequest, BackendResponse, Callable[[bool], None]], None],
         on_unreachable: Callable[[LocalBackend], None],
     ) -> None:
         """Create a limiter without a backend.
 
         `memory_bytes`: memory limit of the process; `max_connections`: maximum number of connections to the backend;
         `drain_seconds`: time that a closing backend has to drain. `on_completed` is called with each response to a
-        request that has an idempotency key, `on_unreachable` when the backend accepts no connection.
+        request that has an idempotency key, and calls its last argument with whether the response is stored for
+        repeats; `on_unreachable` is called when the backend accepts no connection.
         """
         self._loop = asyncio.get_running_loop()
         self._drain_seconds = drain_seconds
@@ -98,6 +100,7 @@
         )
         self._queue = AdmissionQueue()
         self._running = 0
+        self.storing = 0  # requests whose responses are being stored for repeats
         self.service_times = ServiceTimes()  # measured from the time at which a request is sent to the backend
         self.rejected = 0  # requests rejected for lack of capacity
         self.evicted = 0  # requests evicted from the queue by more urgent ones
@@ -290,8 +293,15 @@
             return
         backend_response = BackendResponse(response.status, response.head, response.body)
         if forward.key:
-            self._on_completed(forward, backend_response)
-        self._finish(request, RequestOutcome.ANSWERED, FailureCause.NONE, backend_response)
+            self.storing += 1
+            self._on_completed(forward, backend_response, partial(self._answer_stored, request, backend_response))
+        else:
+            self._finish(request, RequestOutcome.ANSWERED, FailureCause.NONE, backend_response)
+
+    def _answer_stored(self, request: AdmittedRequest, response: BackendResponse, is_stored: bool) -> None:
+        """Reply with the answer of a keyed request, after the attempt to store it for repeats."""
+        self.storing -= 1
+        self._finish(request, RequestOutcome.ANSWERED, FailureCause.NONE, response, is_stored)
 
     def _request_not_run(self, request: AdmittedRequest, outcome: Outcome) -> None:
         local = request.local_backend
@@ -308,6 +318,7 @@
         outcome: RequestOutcome,
         cause: FailureCause,
         response: BackendResponse | None = None,
+        is_stored: bool = False,
     ) -> None:
         """Reply to a request, unless it has already been replied to."""
         if request.is_finished:
@@ -317,5 +328,7 @@
         if cause:
             self.causes[cause] += 1
         request.respond(
-            ForwardResponse(request.forward.number, outcome, response, request.was_sent, self.in_flight, cause)
+            ForwardResponse(
+                request.forward.number, outcome, response, request.was_sent, self.in_flight, cause, is_stored
+            )
         )
--- a/lugspur/mesh/dataplane/interfaces.py
+++ b/lugspur/mesh/dataplane/interfaces.py
@@ -8,7 +8,7 @@
 from typing import Protocol, Unpack
 
 from lugspur.load_balancing.retry_budget import RetryBudget
-from lugspur.mesh.control.messages import ForwardRequest, ForwardResponse
+from lugspur.mesh.control.messages import BackendResponse, ForwardRequest, ForwardResponse
 from lugspur.mesh.control.reservation_client import ReservationOutcome
 from lugspur.mesh.dataplane.endpoints import Endpoint
 from lugspur.observability.failures import FailureFacts
@@ -59,6 +59,20 @@
     def release(self, key: bytes, owner: bytes) -> None:
         """Release a reservation under which nothing has run or will run."""
 
+    def store_answer(
+        self,
+        key: bytes,
+        owner: bytes,
+        response: BackendResponse,
+        timeout: float,
+        on_stored: Callable[[bool], None],
+    ) -> None:
+        """Store the answer of the operation that `owner` has run, for repeats of its request.
+
+        `on_stored` is called once, within `timeout` seconds, with whether a majority has the answer by then; it is
+        stored later otherwise, if that becomes possible.
+        """
+
     def abandon(self, key: bytes, owner: bytes) -> None:
         """Abandon a reservation whose outcome is no longer of interest."""
 
--- a/lugspur/mesh/dataplane/key_reservation.py
+++ b/lugspur/mesh/dataplane/key_reservation.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from lugspur.mesh.control.messages import BackendResponse
 from lugspur.mesh.control.reservation_client import (
     Acquired,
     AlreadyCompleted,
@@ -15,6 +16,7 @@
 
 MAX_WAIT_SECONDS = 0.6  # maximum time to wait for the outcome of a reservation
 MAX_WAIT_FRACTION = 1 / 3  # the same limit as a fraction of the time that the request has left; the smaller one holds
+MAX_STORE_SECONDS = 0.5  # maximum time for which an answer is held back until it is stored
 LABELS: dict[type[ReservationOutcome], str] = {
     Acquired: "won",
     AlreadyCompleted: "known",
@@ -50,6 +52,11 @@
         self.is_held = False
         self._keys.release(self.key, self.owner)
 
+    def store_answer(self, response: BackendResponse, seconds_left: float, on_stored: Callable[[bool], None]) -> None:
+        """Store the answer of the operation that has run; `seconds_left` is the time until the request's deadline."""
+        timeout = max(0.0, min(MAX_STORE_SECONDS, seconds_left))
+        self._keys.store_answer(self.key, self.owner, response, timeout, on_stored)
+
     def abandon(self) -> None:
         """Stop waiting for the key if it is not held."""
         if self.key and not self.is_held:
--- a/lugspur/mesh/dataplane/proxied_request.py
+++ b/lugspur/mesh/dataplane/proxied_request.py
@@ -60,6 +60,7 @@
         self._header_lines: list[bytes] | None = None
         self._deadline_timer: asyncio.TimerHandle | None = None
         self._hedge_timer: asyncio.TimerHandle | None = None
+        self.unstored_answer: BackendResponse | None = None  # the answer of a keyed request that is being stored
 
     def start(self) -> None:
         """Send the request to a backend, after reserving its key if it has one."""
@@ -215,7 +216,7 @@
         self.attempts.record(attempt, now, self.request.arrived, result)
         check(endpoint.in_flight >= 0, Invariant.IN_FLIGHT_NOT_NEGATIVE, backend=endpoint.id)
         if result.outcome == RequestOutcome.ANSWERED and result.response is not None:
-            self._receive_response(now, attempt, result.response)
+            self._receive_response(now, attempt, result.response, result.is_stored)
             return
         if result.outcome == RequestOutcome.NOT_RUN:
             self._receive_rejection(now, endpoint, result)
@@ -227,7 +228,7 @@
         elif not self._retry(now):
             self._respond_with_failure()
 
-    def _receive_response(self, now: float, attempt: Attempt, response: BackendResponse) -> None:
+    def _receive_response(self, now: float, attempt: Attempt, response: BackendResponse, is_stored: bool) -> None:
         route = self.route
         self.attempts.has_run = True
         if response.status < 500:
@@ -235,6 +236,9 @@
             attempt.endpoint.record_success(now, route, max(MIN_LATENCY_SECONDS, now - attempt.sent_at))
         else:
             attempt.endpoint.record_failure(now, route.name)
+        if self.reservation.key and not is_stored:
+            self._store_answer(now, response)
+            return
         if self.is_finished:
             return
         if response.status < 500 or not route.is_safe:
@@ -244,6 +248,20 @@
         if not self._retry(now):
             self._respond_with_failure()
 
+    def _store_answer(self, now: float, response: BackendResponse) -> None:
+        """Store the answer of a keyed operation, and return it to the caller once it is stored or its time is up.
+
+        The proxy beside the backend could not store it. A repeat would be rejected although its operation was answered.
+        """
+        if not self.is_finished:
+            self.unstored_answer = response
+        self.reservation.store_answer(response, self.deadline - now, self._answer_stored)
+
+    def _answer_stored(self, is_stored: bool) -> None:
+        response = self.unstored_answer
+        if response is not None and not self.is_finished:
+            self._respond(response)
+
     def _receive_rejection(self, now: float, endpoint: Endpoint, result: ForwardResponse) -> None:
         self.attempts.rejections += 1
         if not result.was_sent:
@@ -288,7 +306,7 @@
         reject(self.caller, kind, self.deadline - self.proxy.loop.time())
 
     def _deadline_passed(self) -> None:
-        if not self.is_finished:
+        if not self.is_finished and not self._returns_unstored():
             self._reject(ErrorKind.TOO_LATE)
 
     def _caller_disconnected(self) -> None:
@@ -301,13 +319,19 @@
 
         Otherwise the connection would be closed without a response.
         """
-        if not self.is_finished:
+        if not self.is_finished and not self._returns_unstored():
             self._reject(ErrorKind.MAYBE_RAN if self.attempts.can_have_run else ErrorKind.LEAVING)
 
+    def _returns_unstored(self) -> bool:
+        """Return the answer that is being stored to the caller now, if there is one."""
+        self._answer_stored(False)
+        return self.is_finished
+
     def _finish(self) -> None:
         """Mark the request as finished, and release its timers, its reservation and the attempts that may be ended."""
         check(not self.is_finished, Invariant.ONE_ANSWER, attempt=self.attempt_id)
         self.is_finished = True
+        self.unstored_answer = None
         self.request.body = b""  # no further attempt needs it, but a proof of what ran may be awaited for long
         self.proxy.request_closed(self)
         for timer in (self._deadline_timer, self._hedge_timer):
--- a/lugspur/mesh/sidecar/process.py
+++ b/lugspur/mesh/sidecar/process.py
@@ -67,7 +67,7 @@
         self._pauses = FreezeDetector(PAUSE_THRESHOLD_SECONDS, BACKLOG_READ_SECONDS)
         self.table = RouteTable()
         self.update_source = UpdateSource(self)
-        self.reservations = VoterReservations(self)
+        self.reservations = VoterReservations(self, settings.tariffs.bounds.stamp_window_s)
         self.backends = KnownBackends(self.loop, self._services_changed)
         self.limiter = ConcurrencyLimiter(
             memory_bytes=memory_bytes,
@@ -197,6 +197,7 @@
         """Handle the end of an outgoing connection: end all requests that are waiting for replies on it."""
         super().disconnected(dialer)
         self.update_source.disconnected(dialer.ip)
+        self.reservations.disconnected(dialer.ip)
         self.outgoing.disconnected(dialer.ip)
 
     def message_received(self, link: Link, message: Message) -> None:
@@ -319,5 +320,10 @@
     def _has_work(self) -> bool:
         """Whether any request or connection of a caller is left."""
         return bool(
-            self.proxy.open_requests or self.limiter.in_flight or len(self.incoming.uploads) or self.front.callers
+            self.proxy.open_requests
+            or self.limiter.in_flight
+            or self.limiter.storing
+            or len(self.reservations.answers)
+            or len(self.incoming.uploads)
+            or self.front.callers
         )
--- a/tests/compatibility/test_control_disk.py
+++ b/tests/compatibility/test_control_disk.py
@@ -156,12 +156,23 @@
     ]
     assert restored.told(14, 1) == [15, 1, True, 10, True]  # a voter, at change 10, with another one accepted
     # It grants keys in epoch 2, since it is complete there; those that are on disk have their owners and answers.
-    assert restored.told(9, b"new", b"c", 2, 1.0) == [10, b"new", b"c", 2, True, False, False, None]
-    assert restored.told(9, b"at-work", b"c", 2, 1.0) == [10, b"at-work", b"c", 2, False, True, True, None]
-    assert restored.told(9, b"unclear", b"c", 2, 1.0) == [10, b"unclear", b"c", 2, False, True, True, None]
+    assert restored.told(9, b"new", b"c", 2, 1.0) == [10, b"new", b"c", 2, True, False, False, None, False, True]
+    assert restored.told(9, b"at-work", b"c", 2, 1.0) == [10, b"at-work", b"c", 2, False, True, True, None, False, True]
+    assert restored.told(9, b"unclear", b"c", 2, 1.0) == [10, b"unclear", b"c", 2, False, True, True, None, False, True]
     answer = [200, b"Content-Type: text/plain\r\n", b"booked\n"]
-    assert restored.told(9, b"booked", b"c", 2, 1.0) == [10, b"booked", b"c", 2, False, True, False, answer]
-    assert restored.told(9, b"\x00\xff", b"c", 2, 1.0)[-1] == [204, b"", b""]
+    assert restored.told(9, b"booked", b"c", 2, 1.0) == [
+        10,
+        b"booked",
+        b"c",
+        2,
+        False,
+        True,
+        False,
+        answer,
+        False,
+        True,
+    ]
+    assert restored.told(9, b"\x00\xff", b"c", 2, 1.0)[7] == [204, b"", b""]
 
 
 def test_the_directory_is_written_on_in_the_same_form(folder: Path) -> None:
--- a/tests/compatibility/test_control_messages.py
+++ b/tests/compatibility/test_control_messages.py
@@ -171,19 +171,35 @@
     ),
     (
         ReserveKeyReply(
-            key=b"k10", owner=b"b10", epoch=101, is_granted=False, is_taken=True, is_running=False, response=ANSWER
+            key=b"k10",
+            owner=b"b10",
+            epoch=101,
+            is_granted=False,
+            is_taken=True,
+            is_running=False,
+            response=ANSWER,
+            is_stored=False,
+            acknowledges_answers=True,
         ),
-        bytes.fromhex("98 0a c4 03 6b 31 30 c4 03 62 31 30 65 c2 c3 c2 93 cc c8 c4 01 68 c4 01 62"),
+        bytes.fromhex("9a 0a c4 03 6b 31 30 c4 03 62 31 30 65 c2 c3 c2 93 cc c8 c4 01 68 c4 01 62 c2 c3"),
     ),
     (
         ReserveKeyReply(
-            key=b"k10", owner=b"b10", epoch=101, is_granted=False, is_taken=False, is_running=True, response=None
+            key=b"k10",
+            owner=b"b10",
+            epoch=101,
+            is_granted=False,
+            is_taken=False,
+            is_running=True,
+            response=None,
+            is_stored=True,
+            acknowledges_answers=False,
         ),
-        bytes.fromhex("98 0a c4 03 6b 31 30 c4 03 62 31 30 65 c2 c2 c3 c0"),
+        bytes.fromhex("9a 0a c4 03 6b 31 30 c4 03 62 31 30 65 c2 c2 c3 c0 c3 c2"),
     ),
     (
-        CompleteKey(key=b"k11", owner=b"b11", response=ANSWER),
-        bytes.fromhex("94 0b c4 03 6b 31 31 c4 03 62 31 31 93 cc c8 c4 01 68 c4 01 62"),
+        CompleteKey(key=b"k11", owner=b"b11", response=ANSWER, wants_reply=True),
+        bytes.fromhex("95 0b c4 03 6b 31 31 c4 03 62 31 31 93 cc c8 c4 01 68 c4 01 62 c3"),
     ),
     (ReleaseKey(key=b"k12", owner=b"b12"), bytes.fromhex("93 0c c4 03 6b 31 32 c4 03 62 31 32")),
     (FetchReservations(epoch=171), bytes.fromhex("92 11 cc ab")),
@@ -227,8 +243,10 @@
         ),
     ),
     (
-        ForwardResponse(number=201, outcome=2, response=ANSWER, was_sent=False, in_flight=202, cause=203),
-        bytes.fromhex("97 14 cc c9 02 93 cc c8 c4 01 68 c4 01 62 c2 cc ca cc cb"),
+        ForwardResponse(
+            number=201, outcome=2, response=ANSWER, was_sent=False, in_flight=202, cause=203, is_stored=True
+        ),
+        bytes.fromhex("98 14 cc c9 02 93 cc c8 c4 01 68 c4 01 62 c2 cc ca cc cb c3"),
     ),
     (CancelRequest(number=211), bytes.fromhex("92 15 cc d3")),
     (WithdrawRequest(number=281), bytes.fromhex("92 1c cd 01 19")),
@@ -279,6 +297,30 @@
             key=b"k", owner=b"b", epoch=6, is_granted=True, is_taken=False, is_running=False, response=None
         ),
     ),
+    (
+        bytes.fromhex("98 0a c4 03 6b 31 30 c4 03 62 31 30 65 c2 c3 c2 93 cc c8 c4 01 68 c4 01 62"),
+        ReserveKeyReply(
+            key=b"k10",
+            owner=b"b10",
+            epoch=101,
+            is_granted=False,
+            is_taken=True,
+            is_running=False,
+            response=ANSWER,
+            is_stored=False,
+            acknowledges_answers=False,
+        ),
+    ),
+    (
+        bytes.fromhex("94 0b c4 03 6b 31 31 c4 03 62 31 31 93 cc c8 c4 01 68 c4 01 62"),
+        CompleteKey(key=b"k11", owner=b"b11", response=ANSWER, wants_reply=False),
+    ),
+    (
+        bytes.fromhex("97 14 cc c9 02 93 cc c8 c4 01 68 c4 01 62 c2 cc ca cc cb"),
+        ForwardResponse(
+            number=201, outcome=2, response=ANSWER, was_sent=False, in_flight=202, cause=203, is_stored=False
+        ),
+    ),
     (
         bytes.fromhex("95 12 07 08 90 c3"),
         ReservationsPage(epoch=7, page=8, reservations=[], is_last=True, was_complete=True),
--- a/tests/compatibility/test_request_headers.py
+++ b/tests/compatibility/test_request_headers.py
@@ -197,7 +197,7 @@
         memory_bytes=64 << 20,
         max_connections=64,
         drain_seconds=2.0,
-        on_completed=lambda forward, answer: None,
+        on_completed=lambda forward, answer, on_stored: on_stored(True),
         on_unreachable=lambda local: None,
     )
 
@@ -241,6 +241,11 @@
     def release(self, key: bytes, owner: bytes) -> None:
         pass
 
+    def store_answer(
+        self, key: bytes, owner: bytes, response: BackendResponse, timeout: float, on_stored: Callable[[bool], None]
+    ) -> None:
+        on_stored(True)
+
     def abandon(self, key: bytes, owner: bytes) -> None:
         pass
 
--- a/tests/mesh/dataplane/test_concurrency_limiter.py
+++ b/tests/mesh/dataplane/test_concurrency_limiter.py
@@ -99,7 +99,7 @@
         memory_bytes=memory_bytes,
         max_connections=64,
         drain_seconds=2.0,
-        on_completed=lambda forward, response: None,
+        on_completed=lambda forward, response, on_stored: on_stored(True),
         on_unreachable=lambda local: None,
     )
 
@@ -115,12 +115,16 @@
             memory_bytes=64 << 20,
             max_connections=64,
             drain_seconds=drain,
-            on_completed=lambda forward, response: self.completed.append((forward.key, response)),
+            on_completed=self._completed,
             on_unreachable=self.unreachable.append,
         )
         self.local = LocalBackend("i-1", "s", backend.address, asyncio.get_running_loop().time())
         self.limiter.local_backend = self.local
 
+    def _completed(self, forward: ForwardRequest, response: BackendResponse, on_stored: Callable[[bool], None]) -> None:
+        self.completed.append((forward.key, response))
+        on_stored(True)
+
     def run(self, message: ForwardRequest) -> asyncio.Future[ForwardResponse]:
         reply: asyncio.Future[ForwardResponse] = asyncio.get_running_loop().create_future()
         self.replies[message.number] = reply
--- a/tests/mesh/dataplane/test_key_reservation.py
+++ b/tests/mesh/dataplane/test_key_reservation.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from simulatedproxy import OK, SimulatedProxy, run_scenario
+from simulatedproxy import OK, Caller, SimulatedProxy, run_scenario
 
 from lugspur.mesh.control.messages import ForwardResponse
 from lugspur.mesh.control.reservation_client import (
@@ -152,3 +152,63 @@
         assert not rig.released
 
     run_scenario(scenario, kind="tracked")
+
+
+def acquire_and_answer(rig: SimulatedProxy, *, is_stored: bool) -> Caller:
+    """Send a keyed request whose backend answers."""
+    caller = rig.ask(lugspur_operation_key="k")
+    rig.reservations[0][1](Acquired())
+    rig.reply(RequestOutcome.ANSWERED, OK, is_stored=is_stored)
+    return caller
+
+
+def test_an_answer_that_is_not_stored_is_stored_before_the_caller_gets_it() -> None:
+    """Guards against repeats that are rejected though their operation was answered with success (review/5)."""
+
+    def scenario(rig: SimulatedProxy) -> None:
+        assert acquire_and_answer(rig, is_stored=True).answers[0][0] == 200 and rig.stored == []
+
+    def cut_off(rig: SimulatedProxy) -> None:
+        caller = acquire_and_answer(rig, is_stored=False)
+        [(key, response, on_stored)] = rig.stored
+        assert (key, response) == (b"k", OK) and caller.answers == []
+        on_stored(True)
+        assert [answer[0] for answer in caller.answers] == [200] and not rig.proxy.open_requests
+
+    run_scenario(scenario, kind="tracked")
+    run_scenario(cut_off, kind="tracked")
+
+
+def test_an_answer_that_can_not_be_stored_reaches_the_caller_in_time_all_the_same() -> None:
+    async def scenario(rig: SimulatedProxy) -> None:
+        caller = acquire_and_answer(rig, is_stored=False)
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            if caller.answers:
+                break
+        assert [answer[0] for answer in caller.answers] == [200]  # at the deadline of 0.5 s, and no 504
+        rig.stored[0][2](False)
+        assert len(caller.answers) == 1
+
+    def shutting_down(rig: SimulatedProxy) -> None:
+        caller = acquire_and_answer(rig, is_stored=False)
+        for request in list(rig.proxy.open_requests):
+            request.abort()
+        assert [answer[0] for answer in caller.answers] == [200]
+
+    run_scenario(scenario, kind="tracked")
+    run_scenario(shutting_down, kind="tracked")
+
+
+def test_an_answer_is_stored_also_if_its_caller_has_left() -> None:
+    def scenario(rig: SimulatedProxy) -> None:
+        caller = rig.ask(lugspur_operation_key="k")
+        rig.reservations[0][1](Acquired())
+        assert caller.on_disconnect is not None
+        caller.on_disconnect()
+        rig.reply(RequestOutcome.ANSWERED, OK, is_stored=False)
+        [(_, _, on_stored)] = rig.stored
+        on_stored(True)
+        assert caller.answers == [] and rig.released == []
+
+    run_scenario(scenario, kind="tracked")
--- a/tests/mesh/sidecar/test_exchanges.py
+++ b/tests/mesh/sidecar/test_exchanges.py
@@ -65,7 +65,7 @@
             memory_bytes=64 << 20,
             max_connections=64,
             drain_seconds=2.0,
-            on_completed=lambda forward, response: None,
+            on_completed=lambda forward, response, on_stored: on_stored(True),
             on_unreachable=lambda local: None,
         )
         self.now = asyncio.get_running_loop().time()
--- a/tests/simulatedproxy.py
+++ b/tests/simulatedproxy.py
@@ -66,6 +66,7 @@
         self.reservations: list[tuple[bytes, Callable[[ReservationOutcome], None]]] = []
         self.reservation_ids: list[bytes] = []
         self.released: list[bytes] = []
+        self.stored: list[tuple[bytes, BackendResponse, Callable[[bool], None]]] = []
         self.unreachable: set[str] = set()
         table = RouteTable()
         for entry in read_changes(
@@ -100,6 +101,11 @@
     def release(self, key: bytes, owner: bytes) -> None:
         self.released.append(key)
 
+    def store_answer(
+        self, key: bytes, owner: bytes, response: BackendResponse, timeout: float, on_stored: Callable[[bool], None]
+    ) -> None:
+        self.stored.append((key, response, on_stored))
+
     def abandon(self, key: bytes, owner: bytes) -> None:
         self.released.append(key)
 
@@ -112,10 +118,15 @@
         return caller
 
     def reply(
-        self, outcome: RequestOutcome, response: BackendResponse | None = None, was_sent: bool = True, index: int = -1
+        self,
+        outcome: RequestOutcome,
+        response: BackendResponse | None = None,
+        was_sent: bool = True,
+        index: int = -1,
+        is_stored: bool = True,
     ) -> None:
         _, forward, respond = self.sent[index]
-        respond(ForwardResponse(forward.number, outcome, response, was_sent))
+        respond(ForwardResponse(forward.number, outcome, response, was_sent, is_stored=is_stored))
 
 
 def run_scenario(scenario: Callable[[Any], Any], **settings: Any) -> None:
