Let an acknowledged sign-off outlive the proxy and the control node it follows

Cause: what was signed off stood in the proxy's memory alone when the answer went out, and a new process took any heartbeat.

Change: a sign-off or a heartbeat that says closing is acknowledged once a majority of the voters knows it; they reply to reports. A new process waits until it knows what was known at its start: an incarnation that signed off is never taken again, one that was closing stays closing, the announced one is taken at once, any other only by a first or a second heartbeat. The entry says what the backend declared apart from what its proxy found, since a stopped proxy leaves a backend that is to be taken back at once. A first heartbeat under another service's name has to be confirmed too. Fields at the end of Report and BackendStatus; voters of the former build are not waited for.

--- a/lugspur/mesh/sidecar/process.py
+++ b/lugspur/mesh/sidecar/process.py
@@ -63,6 +63,7 @@
         super().__init__(settings, path, is_control_node=False)
         limits = settings.own.limits
         memory_bytes, link_rate = limits.memory_mb << 20, limits.link_mbps * 1e6 / 8.0
+        self._started_at = self.loop.time()
         self._is_serving = False
         self._pauses = FreezeDetector(PAUSE_THRESHOLD_SECONDS, BACKLOG_READ_SECONDS)
         self.table = RouteTable()
@@ -214,9 +215,11 @@
             super().message_received(link, message)
 
     def receive_other(self, now: float, ip: str, message: Message) -> None:
-        """Handle a voter's reply to a key reservation."""
+        """Handle a voter's reply to a key reservation or a report."""
         if isinstance(message, ReserveKeyReply):
             self.reservations.receive(now, ip, message)
+        elif isinstance(message, Report):
+            self.registration.report_received(ip, message.entries)
 
     def _accept(self) -> Link:
         return Link(self._incoming_message, self.incoming.link_ended, keep_idle=PROXY_KEEPALIVE_IDLE_SECONDS)
@@ -245,9 +248,24 @@
         if own:
             self.send_to(self.update_source.ip, Report(own))
 
+    def report_to(self, ips: list[str], entry: Entry) -> None:
+        """Report an entry of this process to these voters, which reply with what they know of it."""
+        for ip in ips:
+            self.send_to(ip, Report([entry], wants_reply=True, is_copy=ip != self.update_source.ip))
+
+    def voter_addresses(self) -> list[str]:
+        """Return the addresses of the voters in force."""
+        return [] if self.membership is None else [voter.ip for voter in self.membership.voters]
+
+    def follows_fresh_updates(self) -> bool:
+        """Whether the updates of the control node that this process follows are fresh."""
+        return bool(self.update_source.ip) and self.loop.time() - self.update_source.confirmed_at < self.max_staleness
+
     def update_merged(self, now: float, ip: str, confirmed_at: float) -> None:
         """Handle a merged update, after which this process knows everything confirmed before `confirmed_at`."""
         self.update_source.update_merged(now, ip, confirmed_at)
+        if self.update_source.confirmed_at >= self._started_at:
+            self.registration.mesh_known(self.backends.by_ip.get(self.ip))
 
     def membership_changed(self) -> None:
         """Handle a new membership: pending keys are requested from its voters."""
--- a/lugspur/mesh/sidecar/registration.py
+++ b/lugspur/mesh/sidecar/registration.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
@@ -18,11 +18,12 @@
 from lugspur.mesh.dataplane.concurrency_limiter import ConcurrencyLimiter
 from lugspur.mesh.dataplane.local_backend import LocalBackend
 from lugspur.mesh.dataplane.service_times import ServiceTimes
-from lugspur.mesh.http_api import reply
+from lugspur.mesh.http_api import fail, reply
 from lugspur.mesh.process_pause import PAUSE_THRESHOLD_SECONDS
 from lugspur.mesh.settings import Settings
 from lugspur.mesh.sidecar.backend_incarnations import BackendIncarnations
-from lugspur.mesh.sidecar.backend_status import BackendStatus, encode_status
+from lugspur.mesh.sidecar.backend_status import ACCEPTING, CLOSING, SIGNED_OFF, BackendStatus, encode_status
+from lugspur.mesh.sidecar.status_confirmation import StatusConfirmation
 
 # A backend without a heartbeat for this many heartbeat intervals, plus HEARTBEAT_MARGIN_SECONDS, counts as gone.
 MAX_MISSED_HEARTBEATS = 3.0
@@ -56,6 +57,13 @@
     return heartbeat
 
 
+class _EarlyHeartbeat(NamedTuple):
+    """The latest heartbeat that came before the state of the mesh was known."""
+
+    ident: str
+    heartbeat: Heartbeat
+
+
 class RegisteringProcess(Protocol):
     """The interface of the sidecar process to the registration."""
 
@@ -74,6 +82,18 @@
     def report(self) -> None:
         """Report the entries of this process to the control node that it follows."""
 
+    def report_to(self, ips: list[str], entry: Entry) -> None:
+        """Report an entry of this process to these voters, which reply with what they know of it."""
+
+    def voter_addresses(self) -> list[str]:
+        """Return the addresses of the voters in force."""
+
+    def update_sender(self) -> None:
+        """Update the service name of this machine's requests."""
+
+    def follows_fresh_updates(self) -> bool:
+        """Whether the updates of the control node that this process follows are fresh."""
+
 
 class BackendRegistration:
     """The current incarnation of this machine's backend, and its leased entry."""
@@ -91,15 +111,54 @@
         self._renew_at = 0.0  # earliest time for a new edition of an unchanged entry
         self._ticked_at = float("inf")  # until the first tick
         self._incarnations = BackendIncarnations(process.settings.depot.heartbeat_ms / 1000.0)
+        self._confirmation = StatusConfirmation()
+        self._knows_mesh = False  # whether it is known what the process before this one announced
+        self._closing_id = ""  # the incarnation that the process before this one announced as closing
+        self._early: _EarlyHeartbeat | None = None
 
     # ---- calls from the backend ------------------------------------------------------------
 
     def heartbeat(self, request: Request, caller: Responder, path_segments: list[str]) -> None:
         """Handle a heartbeat; the path contains the backend's id. Raises MeshError (BAD_REQUEST) if it is invalid."""
-        heartbeat = read_heartbeat(request.body)
-        if self._accepts_heartbeat(path_segments[0], heartbeat):
-            self._apply(self._current_backend(path_segments[0], heartbeat), heartbeat)
-        reply(caller)
+        ident, heartbeat = path_segments[0], read_heartbeat(request.body)
+        self._take_heartbeat(ident, heartbeat)
+        local = self._limiter.local_backend
+        if heartbeat.state != "accepting" and local is not None and local.id == ident:
+            self._reply_once_known(caller)
+        else:
+            reply(caller)
+
+    def _take_heartbeat(self, ident: str, heartbeat: Heartbeat) -> None:
+        if self._accepts_heartbeat(ident, heartbeat):
+            self._early = None
+            self._apply(self._current_backend(ident, heartbeat), heartbeat)
+        elif not self._knows_mesh:
+            self._early = _EarlyHeartbeat(ident, heartbeat)
+
+    def mesh_known(self, status: BackendStatus | None) -> None:
+        """Take up what the mesh knows of this machine's backend, at the start; None if it knows of none.
+
+        The state has to be as recent as the start of this process: it then includes each sign-off that the process
+        before this one has acknowledged, and a late heartbeat doesn't undo it.
+        """
+        if self._knows_mesh:
+            return
+        self._knows_mesh = True
+        if status is not None:
+            self._incarnations.learn(status.id, has_ended=status.declared == SIGNED_OFF)
+            self._closing_id = status.id if CLOSING in (status.state, status.declared) else ""
+        early, self._early = self._early, None
+        if early is None or self._limiter.local_backend is not None:
+            return
+        if self._incarnations.reconsider(early.ident, is_doubtful=self._is_of_another_service(early.heartbeat)):
+            self._apply(self._current_backend(early.ident, early.heartbeat), early.heartbeat)
+
+    def _is_of_another_service(self, heartbeat: Heartbeat) -> bool:
+        """Whether a heartbeat may be a late one of a former backend of another service.
+
+        Such a heartbeat must not give the requests of this machine the name of that service.
+        """
+        return heartbeat.service != self._process.settings.own.service
 
     def _accepts_heartbeat(self, ident: str, heartbeat: Heartbeat) -> bool:
         """Whether a heartbeat is from the current incarnation, or from one that replaces it."""
@@ -107,7 +166,12 @@
         if local is not None and local.id != ident and heartbeat.state != "accepting" and heartbeat.sequence > 0:
             return False  # An incarnation that is ending can't replace another.
         has_ended = local is not None and local.state in ("gone", "silent")
-        if self._incarnations.record_heartbeat(self._process.loop.time(), ident, heartbeat.sequence, has_ended):
+        # While the state of the mesh isn't known, as this machine may be cut off, each heartbeat has to be confirmed.
+        is_doubtful = not self._knows_mesh or self._is_of_another_service(heartbeat)
+        now, is_ending = self._process.loop.time(), heartbeat.state != "accepting"
+        if self._incarnations.record_heartbeat(
+            now, ident, heartbeat.sequence, has_ended, is_doubtful=is_doubtful, is_ending=is_ending
+        ):
             return True
         events.info("late-heartbeat", id=ident, sequence=heartbeat.sequence, state=heartbeat.state)
         return False
@@ -118,12 +182,13 @@
         if local is not None and local.id == ident:
             return local
         former, local = local, LocalBackend(ident, heartbeat.service, heartbeat.address, self._process.loop.time())
-        if heartbeat.state != "accepting":
+        if heartbeat.state != "accepting" or ident == self._closing_id:
             # It may have announced its closing long ago, to an earlier sidecar process, so it gets no more requests.
             local.closing_at = float("-inf")
         if former is not None and former.service != local.service:
             self._limiter.service_times = ServiceTimes()  # those of the former service say nothing about this one
         self._limiter.local_backend = local
+        self._process.update_sender()
         events.info("backend", id=local.id, service=local.service, address=heartbeat.address, state=heartbeat.state)
         return local
 
@@ -144,14 +209,73 @@
 
     def sign_off(self, request: Request, caller: Responder, path_segments: list[str]) -> None:
         """Handle the sign-off of a backend that has ended; the path contains its id."""
-        self._incarnations.record_sign_off(path_segments[0])
+        ident = path_segments[0]
+        self._incarnations.record_sign_off(ident)
+        if self._early is not None and self._early.ident == ident:
+            self._early = None
         local = self._limiter.local_backend
-        if local is not None and local.id == path_segments[0]:
-            local.state = "gone"
-            local.closing_at = min(local.closing_at, self._process.loop.time())
-            events.info("sign-off", id=local.id)
-            self.publish()
-        reply(caller)
+        if local is None:
+            self._sign_off_unheard(ident, caller)
+            return
+        if local.id != ident:
+            reply(caller)
+            return
+        local.state = "gone"
+        local.closing_at = min(local.closing_at, self._process.loop.time())
+        events.info("sign-off", id=local.id)
+        self.publish()
+        self._reply_once_known(caller)
+
+    def _sign_off_unheard(self, ident: str, caller: Responder) -> None:
+        """Handle the sign-off of a backend that this process has heard no heartbeat of; raises MeshError (NOT_READY).
+
+        The process before this one may have announced it as accepting.
+        """
+        if not self._knows_mesh:
+            raise MeshError(ErrorKind.NOT_READY)
+        known = self._backends.get(self._process.ip)
+        if known is not None and known.id != ident:
+            reply(caller)
+            return
+        own = self._process.settings.own
+        service = own.service if known is None else known.service
+        status = BackendStatus(ident, service, own.zone, "gone", 1, 0.0, self._link_rate, SIGNED_OFF)
+        events.info("sign-off", id=ident)
+        if known is None or known.declared != SIGNED_OFF:
+            self._announce(self._process.next_edition(BACKEND, self._process.ip), encode_status(status))
+            self._process.report()
+        self._reply_once_known(caller)
+
+    # ---- calls that are answered once a majority knows -------------------------------------
+
+    def _reply_once_known(self, caller: Responder) -> None:
+        """Acknowledge a call once a majority of the voters knows the announced status, which then binds the mesh."""
+        voters = self._process.voter_addresses()
+        if self._confirmation.is_confirmed(voters):
+            reply(caller)
+            return
+
+        def report_result(is_known: bool) -> None:
+            caller.on_disconnect = None
+            # Voters of a former build reply nothing: the control node that is followed has the report all the same.
+            if is_known or (not self._confirmation.replies and self._process.follows_fresh_updates()):
+                reply(caller)
+            else:
+                fail(caller, MeshError(ErrorKind.NO_QUORUM, "too few control nodes know the state of the backend"))
+
+        caller.on_disconnect = self._confirmation.wait(self._process.loop.time(), report_result)
+        self._report_to_missing()
+
+    def _report_to_missing(self) -> None:
+        """Report the announced entry to the voters that are not known to have it."""
+        if self.announced is not None:
+            self._process.report_to(self._confirmation.missing(self._process.voter_addresses()), self.announced)
+
+    def report_received(self, ip: str, entries: list[Entry]) -> None:
+        """Handle a voter's reply to a report: its entries, as far as they are those of the report."""
+        for entry in entries:
+            if entry.kind == BACKEND and entry.name == self._process.ip:
+                self._confirmation.reply_received(ip, entry.edition, self._process.voter_addresses())
 
     def backend_unreachable(self, local: LocalBackend) -> None:
         """Handle a backend that has refused a connection."""
@@ -180,6 +304,7 @@
             local.concurrency,
             round(max(0.0, local.slow_start_until - self._process.loop.time()), 1),
             self._link_rate,
+            _declared_by(local),
         )
 
     def _is_announced(self, status: BackendStatus) -> bool:
@@ -187,15 +312,17 @@
         known = self._backends.get(self._process.ip)
         if known is None or self.announced is None or self.announced.value is None:
             return False
-        return (known.id, known.service, known.state, known.concurrency) == (
+        return (known.id, known.service, known.state, known.concurrency, known.declared) == (
             status.id,
             status.service,
             status.state,
             status.concurrency,
+            status.declared,
         )
 
     def _announce(self, edition: int, value: bytes | None) -> None:
         self.announced = Entry(BACKEND, self._process.ip, edition, value)
+        self._confirmation.announced(edition)
         self._process.store.merge([self.announced])
 
     def own_entries(self, *, renew: bool) -> list[Entry]:
@@ -214,6 +341,7 @@
         if self.announced is None or entry.edition <= self.announced.edition:
             return False
         self.announced = Entry(BACKEND, self._process.ip, entry.edition + 1, self.announced.value)
+        self._confirmation.announced(self.announced.edition)
         self._process.loop.call_soon(self._republish)
         return True
 
@@ -226,6 +354,10 @@
 
     def tick(self, now: float) -> None:
         """Mark the backend as silent if its heartbeats have stopped."""
+        if self._confirmation.is_waited_for():
+            self._report_to_missing()
+            self._confirmation.check(self._process.voter_addresses())
+            self._confirmation.tick(now)
         local = self._limiter.local_backend
         since_tick, self._ticked_at = now - self._ticked_at, now
         if local is None or local.state in ("gone", "silent"):
@@ -238,3 +370,10 @@
             local.state = "silent"
             events.info("backend-silent", id=local.id)
             self.publish()
+
+
+def _declared_by(local: LocalBackend) -> str:
+    """Return what a backend said last of itself."""
+    if local.state == "gone":
+        return SIGNED_OFF
+    return ACCEPTING if local.closing_at == NEVER else CLOSING
--- a/lugspur/standins/mesh.py
+++ b/lugspur/standins/mesh.py
@@ -36,6 +36,10 @@
         self.server = await asyncio.start_server(self._serve_connection, host, int(port), limit=MAX_HEAD_BYTES)
         self._heartbeat_task = asyncio.get_running_loop().create_task(self._send_heartbeats())
 
+    def stop_heartbeats(self) -> None:
+        """Send no further heartbeat by itself."""
+        self._heartbeat_task.cancel()
+
     async def close(self) -> None:
         """Stop without signing off, as in a crash."""
         self._heartbeat_task.cancel()
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -13,12 +13,14 @@
 from lugspur.mesh.control.errors import ErrorKind, MeshError
 from lugspur.mesh.control.messages import (
     BodyChunk,
+    Entry,
     ForwardRequest,
     ForwardResponse,
     GrantBody,
     Hello,
     Membership,
     Message,
+    Report,
     Subscribe,
     Unsubscribe,
     Voter,
@@ -28,6 +30,7 @@
 from lugspur.mesh.settings import load_settings
 from lugspur.mesh.sidecar.backend_status import BackendStatus
 from lugspur.mesh.sidecar.process import Sidecar
+from lugspur.mesh.sidecar.status_confirmation import CONFIRMATION_TIMEOUT_SECONDS
 from lugspur.mesh.transport.dialer import Dialer
 from lugspur.mesh.transport.link import Link
 
@@ -63,11 +66,42 @@
         return None
 
 
-def run_scenario(folder: Path, scenario: Callable[[Sidecar], None]) -> None:
+def status_before(declared: str = "accepting", state: str = "", ident: str = "i-1") -> BackendStatus:
+    """Return what the process before this one announced of the machine's backend."""
+    return BackendStatus(ident, "rooms", "z", state or declared, 9, 0.0, 0.0, declared)
+
+
+def connect_voters(sidecar: Sidecar, replying: str = "123") -> list[str]:
+    """Let voters reply to the reports of a sidecar; return a list of the addresses that were sent one."""
+    sidecar.membership = Membership(1, [Voter(f"127.0.1.{n}", str(n), "z") for n in (1, 2, 3)])
+    asked: list[str] = []
+
+    def send_to(ip: str, message: Message) -> None:
+        if isinstance(message, Report) and message.wants_reply:
+            asked.append(ip)
+            if ip[-1] in replying:
+                sidecar.receive(ip, Report(message.entries))
+
+    sidecar.send_to = send_to  # type: ignore[method-assign]
+    return asked
+
+
+def run_scenario(
+    folder: Path,
+    scenario: Callable[[Sidecar], None],
+    before: BackendStatus | None = status_before(),  # noqa: B008
+    connect: bool = True,
+) -> None:
+    """Run a scenario with a sidecar that has just started; `before`: what the process before it announced."""
+
     async def run() -> None:
         path = folder / "f.toml"
         path.write_text(FILE)
         sidecar = Sidecar(load_settings(path), str(path))
+        if connect:
+            connect_voters(sidecar)
+        if before is not None:
+            sidecar.registration.mesh_known(before)
         scenario(sidecar)
         for dialer in sidecar.peers.values():
             dialer.close()
@@ -83,7 +117,12 @@
     sidecar: Sidecar, sequence: int, state: str = "accepting", ident: str = "i-1", service: str = "rooms"
 ) -> int:
     caller = Caller()
-    body = json.dumps(
+    sidecar.api.heartbeat(request(heartbeat_body(sequence, state, service)), caller, [ident])
+    return caller.status
+
+
+def heartbeat_body(sequence: int, state: str = "accepting", service: str = "rooms") -> bytes:
+    return json.dumps(
         {
             "service": service,
             "address": "127.0.0.1:9",
@@ -95,8 +134,6 @@
             "sequence": sequence,
         }
     ).encode()
-    sidecar.api.heartbeat(request(body), caller, [ident])
-    return caller.status
 
 
 def announced(sidecar: Sidecar) -> tuple[str, str]:
@@ -174,9 +211,112 @@
         caller = Caller()
         sidecar.registration.sign_off(request(b""), caller, ["i-1"])  # The sidecar has just started.
         assert caller.status == 200 and heartbeat(sidecar, 9) == 200
+        assert sidecar.limiter.local_backend is None and announced(sidecar) == ("i-1", "gone")
+        assert sidecar.backends.by_ip[sidecar.ip].declared == "signed-off"  # and all processes to come know it too
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("sequence", [0, 9])
+def test_after_a_restart_a_late_heartbeat_does_not_undo_an_acknowledged_sign_off(tmp_path: Path, sequence: int) -> None:
+    """Guards against requests that reach a backend long after its sign-off was acknowledged (review/6)."""
+
+    def scenario(sidecar: Sidecar) -> None:
+        assert heartbeat(sidecar, sequence) == 200  # before the sidecar knows the state of the mesh
+        assert sidecar.limiter.local_backend is None
+        sidecar.registration.mesh_known(status_before("signed-off", "gone"))
+        assert heartbeat(sidecar, sequence + 1) == 200
         assert sidecar.limiter.local_backend is None and sidecar.ip not in sidecar.backends.by_ip
 
+    run_scenario(tmp_path, scenario, before=None)
+
+
+def test_after_a_restart_a_backend_that_only_its_proxy_took_for_gone_is_back_at_once(tmp_path: Path) -> None:
+    def scenario(sidecar: Sidecar) -> None:
+        assert heartbeat(sidecar, 9) == 200 and sidecar.limiter.local_backend is None
+        sidecar.registration.mesh_known(status_before("accepting", "gone"))  # its proxy was shut down
+        assert announced(sidecar) == ("i-1", "accepting") and sidecar.limiter.accepts(sidecar.loop.time(), "i-1")
+
+    run_scenario(tmp_path, scenario, before=None)
+
+
+def test_after_a_restart_a_late_heartbeat_does_not_undo_a_closing(tmp_path: Path) -> None:
+    def scenario(sidecar: Sidecar) -> None:
+        assert heartbeat(sidecar, 9) == 200 and announced(sidecar) == ("i-1", "closing")
+        assert not sidecar.limiter.accepts(sidecar.loop.time(), "i-1")
+
+    for state in ("closing", "gone"):
+        run_scenario(tmp_path, scenario, before=status_before("closing", state))
+
+
+def test_a_late_heartbeat_of_another_service_gives_this_machines_requests_no_other_name(tmp_path: Path) -> None:
+    """Guards against requests under the name of the service that had this address before."""
+
+    def scenario(sidecar: Sidecar) -> None:
+        assert heartbeat(sidecar, 0, ident="former", service="desk") == 200
+        assert sidecar.proxy.sender == "rooms" and sidecar.limiter.local_backend is None
+        assert heartbeat(sidecar, 40) == 200  # the announced one
+        assert sidecar.proxy.sender == "rooms" and announced(sidecar) == ("i-1", "accepting")
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("how", ["sign-off", "closing"])
+def test_a_backend_that_ends_is_acknowledged_once_a_majority_of_the_voters_knows(tmp_path: Path, how: str) -> None:
+    """Guards against an acknowledgement that only this process and the control node that it follows know of."""
+
+    def end_backend(sidecar: Sidecar, caller: Caller) -> None:
+        if how == "sign-off":
+            sidecar.registration.sign_off(request(b""), caller, ["i-1"])
+        else:
+            sidecar.api.heartbeat(request(heartbeat_body(10, "closing")), caller, ["i-1"])
+
+    def scenario(sidecar: Sidecar) -> None:
+        heartbeat(sidecar, 9)
+        asked, caller = connect_voters(sidecar, replying="1"), Caller()
+        end_backend(sidecar, caller)
+        assert asked == ["127.0.1.1", "127.0.1.2", "127.0.1.3"] and caller.status == 0
+        assert not sidecar.limiter.accepts(sidecar.loop.time() + 1.0, "i-1")  # Its own proxy knows at once.
+        entry = sidecar.registration.announced
+        assert entry is not None
+        sidecar.receive("127.0.1.2", Report([Entry(entry.kind, entry.name, entry.edition - 1, None)]))
+        sidecar.receive("127.0.1.9", Report([entry]))  # no voter
+        assert caller.status == 0
+        sidecar.registration.tick(sidecar.loop.time())
+        assert asked[3:] == ["127.0.1.2", "127.0.1.3"]
+        sidecar.receive("127.0.1.3", Report([entry]))
+        assert caller.status == 200
+        end_backend(sidecar, caller)
+        assert caller.status == 200
+
+    def out_of_contact(sidecar: Sidecar) -> None:
+        heartbeat(sidecar, 9)
+        connect_voters(sidecar, replying="1")
+        caller, left = Caller(), Caller()
+        end_backend(sidecar, caller)
+        end_backend(sidecar, left)
+        assert left.on_disconnect is not None
+        left.on_disconnect()
+        sidecar.registration.tick(sidecar.loop.time() + CONFIRMATION_TIMEOUT_SECONDS)
+        assert caller.status == 503 and left.status == 0
+
     run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, out_of_contact)
+
+
+def test_voters_of_a_former_build_reply_nothing_and_an_end_is_acknowledged_all_the_same(tmp_path: Path) -> None:
+    def scenario(sidecar: Sidecar) -> None:
+        connect_voters(sidecar, replying="")
+        heartbeat(sidecar, 9)
+        for is_fresh in (False, True):
+            if is_fresh:
+                sidecar.update_source.ip, sidecar.update_source.confirmed_at = "127.0.1.1", sidecar.loop.time()
+            caller = Caller()
+            sidecar.registration.sign_off(request(b""), caller, ["i-1"])
+            sidecar.registration.tick(sidecar.loop.time() + CONFIRMATION_TIMEOUT_SECONDS)
+            assert caller.status == (200 if is_fresh else 503)
+
+    run_scenario(tmp_path, scenario, connect=False)
 
 
 def test_a_backend_that_sends_no_heartbeat_is_gone_until_it_sends_one(tmp_path: Path) -> None:
@@ -348,4 +488,4 @@
             sidecar.peers[ip].link = None
             sidecar.peers[ip].close()
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, connect=False)
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -123,6 +123,31 @@
     play(tmp_path, what)
 
 
+def test_a_late_heartbeat_after_a_kill_of_the_proxy_does_not_undo_a_sign_off(tmp_path: Path) -> None:
+    """Guards against requests that reach a backend long after its sign-off was acknowledged (review/6)."""
+
+    async def what(mesh: Mesh) -> None:
+        (one, other), (leaving, staying) = mesh.proxy_ips, mesh.backends
+        await mesh.until_reached(one, 2)
+        leaving.stop_heartbeats()
+        assert await leaving.sign_off()
+        mesh.end(one)
+        mesh.end(mesh.replica_ips[0])  # it may be the one that the proxy followed
+        mesh.start(one)
+        await mesh.until(one, mesh.ready, "/readiness", 200)
+        ran = len(leaving.ran)
+        await leaving.send_heartbeat()  # late: it was sent before the sign-off
+        deadline = asyncio.get_running_loop().time() + 1.5
+        count = 0
+        while asyncio.get_running_loop().time() < deadline:
+            count += 1
+            await mesh.served((one, other)[count % 2], "/look/1", f"l{count}")
+            await asyncio.sleep(0.01)
+        assert len(leaving.ran) == ran and len(staying.ran) >= count > 10
+
+    play(tmp_path, what)
+
+
 def test_large_bodies_cross_a_slow_link_in_parts_and_arrive_whole(tmp_path: Path) -> None:
     async def what(mesh: Mesh) -> None:
         one = mesh.proxy_ips[0]  # the service's only backend is beside the other
