Record at the voters that a backend ends, instead of reports to them

The mend before kept what was acknowledged in the memory of the control nodes, which a kill of all of them empties; a restarted proxy then took its backend back with the second heartbeat alone.

Change: an end is recorded on the disks of a majority of the voters, as an answer to a key that no client can send, and acknowledged then. A proxy that has started looks an incarnation up before it takes its first heartbeat, which costs a round trip. A second heartbeat is needed only where no majority replies, or where another incarnation was announced or another service is named. The fields at the end of Report and BackendStatus are gone again; no build with them was released.

--- a/lugspur/mesh/control/answer_storage.py
+++ b/lugspur/mesh/control/answer_storage.py
@@ -36,6 +36,7 @@
     give_up_at: float
     resend_at: float
     on_stored: OnStored | None  # None once it was called
+    waits_always: bool  # whether it is called only then, even if no voter is known to acknowledge answers
     stored_by: set[str] = field(default_factory=set)  # addresses of voters that have acknowledged it
 
     @property
@@ -59,6 +60,11 @@
         # Voters that acknowledge answers: connected ones, with a build that does. Waiting for others is of no use.
         self._acknowledging: set[str] = set()
 
+    @property
+    def has_acknowledging_voters(self) -> bool:
+        """Whether any connected voter is known to acknowledge answers; those of a former build don't."""
+        return bool(self._acknowledging)
+
     def __len__(self) -> int:
         return len(self._pending)
 
@@ -71,8 +77,13 @@
         response: BackendResponse,
         timeout: float,
         on_stored: OnStored,
+        *,
+        waits_always: bool = False,
     ) -> None:
-        """Store the answer of the operation that `owner` has run; `on_stored` is called within `timeout` seconds."""
+        """Store the answer of the operation that `owner` has run; `on_stored` is called within `timeout` seconds.
+
+        It is called at once if too few voters are known to acknowledge answers, unless `waits_always`.
+        """
         former = self._pending.pop((key, owner), None)
         if former is not None:
             self._give_up(former)
@@ -83,6 +94,7 @@
             give_up_at=now + self._window,
             resend_at=now + RESEND_SECONDS,
             on_stored=on_stored,
+            waits_always=waits_always,
         )
         self._pending[key, owner] = answer
         self._pending_bytes += answer.size
@@ -99,7 +111,7 @@
 
     def _can_be_acknowledged(self, answer: _PendingAnswer) -> bool:
         voters = answer.membership.voters
-        return sum(voter.ip in self._acknowledging for voter in voters) >= majority(len(voters))
+        return answer.waits_always or sum(voter.ip in self._acknowledging for voter in voters) >= majority(len(voters))
 
     def _give_up(self, answer: _PendingAnswer) -> None:
         """Stop storing an answer that is no longer pending."""
--- a/lugspur/mesh/control/messages/updates.py
+++ b/lugspur/mesh/control/messages/updates.py
@@ -53,11 +53,6 @@
 
 
 class Report(msgspec.Struct, tag=5, array_like=True):
-    """Entries that the sender announces about itself, which are valid as long as its lease.
-
-    Also a voter's reply to a report that wants one: the reported entries as the voter now knows them.
-    """
+    """Entries that the sender announces about itself, which are valid as long as its lease."""
 
     entries: list[Entry]
-    wants_reply: bool = False
-    is_copy: bool = False  # the entries are leased by another control node, which the sender follows
--- a/lugspur/mesh/control_node/process.py
+++ b/lugspur/mesh/control_node/process.py
@@ -246,7 +246,7 @@
         elif isinstance(message, Unsubscribe):
             self.subscribers.remove(link)
         elif isinstance(message, Report):
-            self._handle_report(link, message)
+            self.leases.report(self.loop.time(), link, message.entries)
         elif isinstance(message, Learn):
             self.replica_catch_up.handle_changes(link, message)
         elif isinstance(message, ForwardChange):
@@ -258,16 +258,6 @@
         else:
             self.run_effects(self.replica.handle(self.loop.time(), link, message))
 
-    def _handle_report(self, link: Link, message: Report) -> None:
-        """Store what a process reports of itself, and reply with what is known now if the process wants that."""
-        if message.is_copy:
-            self.store.merge([entry for entry in message.entries if entry.kind in LEASED_KINDS])
-        else:
-            self.leases.report(self.loop.time(), link, message.entries)
-        if message.wants_reply:
-            known = (self.store.get(entry.kind, entry.name) for entry in message.entries)
-            link.send(Report([entry for entry in known if entry is not None]))
-
     # ---- effects ---------------------------------------------------------------------------
 
     def run_effects(self, effects: Effects) -> None:
--- a/lugspur/mesh/sidecar/backend_incarnations.py
+++ b/lugspur/mesh/sidecar/backend_incarnations.py
@@ -5,8 +5,8 @@
 first heartbeat of a new incarnation is recognised by its sequence number. Any other has to be confirmed by a second
 heartbeat, with none of the current incarnation in between: a former incarnation has ended and sends no second one.
 
-A process that has just started knows no incarnation. It learns from the mesh which one the process before it announced
-(`learn`). That one is trusted at once, as is the first heartbeat of a new incarnation; any other has to be confirmed.
+A process that has just started knows no incarnation. It learns which one the process before it announced, and looks up
+whether the one of a heartbeat has ended. If it has not, it is trusted at once, unless another one was announced.
 """
 
 from __future__ import annotations
@@ -42,7 +42,7 @@
         self._interval = interval
         self._incarnations: LRUCache[str, _Incarnation] = LRUCache(MAX_INCARNATIONS)
         self._current_id = ""
-        self._announced_id = ""  # the incarnation that the process before this one announced, unless it has ended
+        self._announced_id = ""  # the incarnation that the process before this one announced
         self._candidate_id = ""  # an unconfirmed incarnation, seen since the latest heartbeat of the current one
         self._candidate_since = 0.0
 
@@ -50,22 +50,9 @@
         """Record that an incarnation, known or not, has ended; its later heartbeats are late ones."""
         self._incarnation(ident).has_signed_off = True
 
-    def learn(self, ident: str, *, has_ended: bool) -> None:
-        """Record which incarnation the process before this one announced, and whether it has ended."""
-        if has_ended:
-            self.record_sign_off(ident)
-        else:
-            self._announced_id = ident
-
-    def reconsider(self, ident: str, *, is_doubtful: bool = False) -> bool:
-        """Return whether an incarnation that has sent a heartbeat is the current one by what was learned since."""
-        incarnation = self._incarnation(ident)
-        if self._current_id or incarnation.has_signed_off:
-            return False
-        if not self._is_trusted_at_start(ident, incarnation, is_doubtful):
-            return False
-        self._current_id, self._candidate_id = ident, ""
-        return True
+    def learn_announced(self, ident: str) -> None:
+        """Record which incarnation the process before this one announced; an empty id stands for none."""
+        self._announced_id = ident
 
     def record_heartbeat(
         self,
@@ -75,12 +62,10 @@
         has_ended: bool,
         *,
         is_doubtful: bool = False,
-        is_ending: bool = False,
     ) -> bool:
         """Record a heartbeat, and return whether its incarnation is the current one from now on.
 
-        `is_doubtful`: whether even a first heartbeat has to be confirmed, as something else speaks against it.
-        `is_ending`: whether it says that its incarnation ends; such a heartbeat makes nobody send requests.
+        `is_doubtful`: whether the heartbeat has to be confirmed if no incarnation is known yet.
         `has_ended`: whether the incarnation that was current is silent or has signed off.
 
         The check prevents a late heartbeat of a former incarnation from replacing the current one, which would get its
@@ -94,11 +79,9 @@
             if is_newer:
                 self._candidate_id = ""
             return True
-        if (
-            not is_newer
-            or incarnation.has_signed_off
-            or not self._takes_over(now, ident, incarnation, has_ended, is_doubtful, is_ending)
-        ):
+        if not is_newer or incarnation.has_signed_off:
+            return False
+        if not self._takes_over(now, ident, incarnation, has_ended, is_doubtful):
             return False
         if self._current_id:
             self._incarnation(self._current_id).is_replaced = True
@@ -107,19 +90,11 @@
         return True
 
     def _takes_over(
-        self,
-        now: float,
-        ident: str,
-        incarnation: _Incarnation,
-        has_ended: bool,
-        is_doubtful: bool,
-        is_ending: bool,
+        self, now: float, ident: str, incarnation: _Incarnation, has_ended: bool, is_doubtful: bool
     ) -> bool:
         if not self._current_id:
-            is_trusted = self._is_trusted_at_start(ident, incarnation, is_doubtful)
-            if is_trusted or (is_ending and self._announced_id in ("", ident)):
-                return True
-            return self._is_confirmed(now, ident)
+            is_expected = self._announced_id in ("", ident) or incarnation.highest_sequence <= MAX_FIRST_SEQUENCE
+            return (is_expected and not is_doubtful) or self._is_confirmed(now, ident)
         if not incarnation.is_replaced and (has_ended or incarnation.highest_sequence <= MAX_FIRST_SEQUENCE):
             return True
         # A current incarnation that was seen once, and not from its start, may itself be a former one: there is no more
@@ -130,10 +105,6 @@
             return True
         return self._is_confirmed(now, ident)
 
-    def _is_trusted_at_start(self, ident: str, incarnation: _Incarnation, is_doubtful: bool) -> bool:
-        is_first = incarnation.highest_sequence <= MAX_FIRST_SEQUENCE
-        return ident == self._announced_id or (is_first and not is_doubtful)
-
     def _is_confirmed(self, now: float, ident: str) -> bool:
         """Whether this heartbeat confirms an earlier one of its incarnation; else it has to be confirmed itself."""
         if self._candidate_id != ident:
--- a/lugspur/mesh/sidecar/backend_status.py
+++ b/lugspur/mesh/sidecar/backend_status.py
@@ -15,13 +15,8 @@
     concurrency: int  # requests that it can run at once
     slow_start_seconds: float  # seconds of slow start that are left when the status is published
     link_rate: float = 0.0  # bytes per second of its machine's link; 0 if unknown
-    #: What the backend itself said last, as opposed to what its proxy found: `accepting`, `closing` or `signed-off`.
-    #: Empty in entries of builds that did not write it.
-    declared: str = ""
 
 
-ACCEPTING, CLOSING, SIGNED_OFF = "accepting", "closing", "signed-off"  # values of `declared`
-
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(BackendStatus)
 
--- a/lugspur/mesh/sidecar/process.py
+++ b/lugspur/mesh/sidecar/process.py
@@ -26,6 +26,7 @@
 from lugspur.mesh.settings import Settings
 from lugspur.mesh.sidecar.api import SidecarApi
 from lugspur.mesh.sidecar.carrier import MeshRequestCarrier
+from lugspur.mesh.sidecar.ending_records import EndingRecords
 from lugspur.mesh.sidecar.incoming import IncomingExchanges
 from lugspur.mesh.sidecar.key_reservations import VoterReservations
 from lugspur.mesh.sidecar.known_backends import KnownBackends
@@ -77,7 +78,8 @@
             on_completed=self.reservations.complete,
             on_unreachable=lambda local: self.registration.backend_unreachable(local),
         )
-        self.registration = BackendRegistration(self, self.limiter, self.backends.by_ip, link_rate)
+        records = EndingRecords(self.reservations, self.incarnation)
+        self.registration = BackendRegistration(self, self.limiter, self.backends.by_ip, link_rate, records)
         self.outgoing = OutgoingExchanges()
         self.body_memory = BodyMemory(int(memory_bytes * BODY_MEMORY_FRACTION), self.loop.call_soon)
         uploads = UploadScheduler[Link](link_rate, self.body_memory)
@@ -215,11 +217,9 @@
             super().message_received(link, message)
 
     def receive_other(self, now: float, ip: str, message: Message) -> None:
-        """Handle a voter's reply to a key reservation or a report."""
+        """Handle a voter's reply to a key reservation."""
         if isinstance(message, ReserveKeyReply):
             self.reservations.receive(now, ip, message)
-        elif isinstance(message, Report):
-            self.registration.report_received(ip, message.entries)
 
     def _accept(self) -> Link:
         return Link(self._incoming_message, self.incoming.link_ended, keep_idle=PROXY_KEEPALIVE_IDLE_SECONDS)
@@ -248,18 +248,10 @@
         if own:
             self.send_to(self.update_source.ip, Report(own))
 
-    def report_to(self, ips: list[str], entry: Entry) -> None:
-        """Report an entry of this process to these voters, which reply with what they know of it."""
-        for ip in ips:
-            self.send_to(ip, Report([entry], wants_reply=True, is_copy=ip != self.update_source.ip))
-
-    def voter_addresses(self) -> list[str]:
-        """Return the addresses of the voters in force."""
-        return [] if self.membership is None else [voter.ip for voter in self.membership.voters]
-
-    def follows_fresh_updates(self) -> bool:
-        """Whether the updates of the control node that this process follows are fresh."""
-        return bool(self.update_source.ip) and self.loop.time() - self.update_source.confirmed_at < self.max_staleness
+    def has_only_former_voters(self) -> bool:
+        """Whether the voters can be reached, but have a former build that acknowledges no records."""
+        is_fresh = self.loop.time() - self.update_source.confirmed_at < self.max_staleness
+        return bool(self.update_source.ip) and is_fresh and not self.reservations.answers.has_acknowledging_voters
 
     def update_merged(self, now: float, ip: str, confirmed_at: float) -> None:
         """Handle a merged update, after which this process knows everything confirmed before `confirmed_at`."""
