Send unacknowledged answers again less and less often

With voters of the former build nothing is ever acknowledged: each keyed answer was sent again every second for the whole window, to all voters. The interval doubles now, and whether the voters have a former build is known from their replies, not from the lack of acknowledgements: on slow disks that lack could have let a sign-off be acknowledged that no majority had.

--- a/lugspur/mesh/control/answer_storage.py
+++ b/lugspur/mesh/control/answer_storage.py
@@ -20,7 +20,7 @@
 
 MAX_PENDING_ANSWERS = 1024  # beyond it the oldest is given up
 MAX_PENDING_BYTES = 8 << 20  # of the bodies of all pending answers; beyond it the oldest is given up
-RESEND_SECONDS = 1.0  # interval at which an answer is sent again to voters that have not acknowledged it
+RESEND_SECONDS = 1.0  # time until an answer is sent again to voters that have not acknowledged it; doubled each time
 
 #: Called once with whether a majority has the answer on disk.
 OnStored = Callable[[bool], None]
@@ -35,6 +35,7 @@
     wait_until: float  # by when `on_stored` is called, whatever has been acknowledged
     give_up_at: float
     resend_at: float
+    resend_delay: float
     on_stored: OnStored | None  # None once it was called
     waits_always: bool  # whether it is called only then, even if no voter is known to acknowledge answers
     stored_by: set[str] = field(default_factory=set)  # addresses of voters that have acknowledged it
@@ -59,11 +60,12 @@
         self._pending_bytes = 0
         # Voters that acknowledge answers: connected ones, with a build that does. Waiting for others is of no use.
         self._acknowledging: set[str] = set()
+        self._former: set[str] = set()  # connected voters with a former build, which acknowledge nothing
 
     @property
-    def has_acknowledging_voters(self) -> bool:
-        """Whether any connected voter is known to acknowledge answers; those of a former build don't."""
-        return bool(self._acknowledging)
+    def has_only_former_voters(self) -> bool:
+        """Whether all connected voters that have replied have a former build, which acknowledges nothing."""
+        return bool(self._former) and not self._acknowledging
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -93,6 +95,7 @@
             wait_until=now + timeout,
             give_up_at=now + self._window,
             resend_at=now + RESEND_SECONDS,
+            resend_delay=RESEND_SECONDS,
             on_stored=on_stored,
             waits_always=waits_always,
         )
@@ -122,8 +125,10 @@
         """Process a voter's reply, which may acknowledge an answer."""
         if not message.acknowledges_answers:
             self._acknowledging.discard(ip)
+            self._former.add(ip)
             return
         self._acknowledging.add(ip)
+        self._former.discard(ip)
         answer = self._pending.get((message.key, message.owner))
         if answer is None or not message.is_stored or message.epoch != answer.membership.epoch:
             return
@@ -144,6 +149,7 @@
     def voter_disconnected(self, ip: str) -> None:
         """Report the answers that can't be acknowledged any more, now that a voter is disconnected."""
         self._acknowledging.discard(ip)
+        self._former.discard(ip)
         for answer in list(self._pending.values()):
             if not self._can_be_acknowledged(answer):
                 answer.report(False)
@@ -165,5 +171,6 @@
             if now >= answer.wait_until:
                 answer.report(False)
             if now >= answer.resend_at:
-                answer.resend_at = now + RESEND_SECONDS
+                answer.resend_delay *= 2.0
+                answer.resend_at = now + answer.resend_delay
                 self._send_to_missing(answer)
--- a/lugspur/mesh/sidecar/process.py
+++ b/lugspur/mesh/sidecar/process.py
@@ -251,7 +251,7 @@
     def has_only_former_voters(self) -> bool:
         """Whether the voters can be reached, but have a former build that acknowledges no records."""
         is_fresh = self.loop.time() - self.update_source.confirmed_at < self.max_staleness
-        return bool(self.update_source.ip) and is_fresh and not self.reservations.answers.has_acknowledging_voters
+        return bool(self.update_source.ip) and is_fresh and self.reservations.answers.has_only_former_voters
 
     def update_merged(self, now: float, ip: str, confirmed_at: float) -> None:
         """Handle a merged update, after which this process knows everything confirmed before `confirmed_at`."""
--- a/tests/mesh/control/test_answer_storage.py
+++ b/tests/mesh/control/test_answer_storage.py
@@ -90,6 +90,10 @@
     rig.receivers()
     rig.storage.tick(RESEND_SECONDS + 0.1)
     assert rig.receivers() == ["b", "c"]
+    rig.storage.tick(2.0 * RESEND_SECONDS)  # less and less often
+    assert rig.receivers() == []
+    rig.storage.tick(3.0 * RESEND_SECONDS + 0.2)
+    assert rig.receivers() == ["b", "c"]
     rig.acknowledge("b")
     assert rig.reports == [False] and len(rig.storage) == 0
 
@@ -109,7 +113,12 @@
     for ip in "ab":  # restarted with the former build
         rig.storage.receive(ip, ReserveKeyReply(b"j", b"o", 1, True))
     rig.store()
-    assert rig.reports == [False]
+    assert rig.reports == [False] and not rig.storage.has_only_former_voters
+    rig.storage.receive("c", ReserveKeyReply(b"j", b"o", 1, True))
+    assert rig.storage.has_only_former_voters
+    for ip in "abc":
+        rig.storage.voter_disconnected(ip)
+    assert not rig.storage.has_only_former_voters  # nothing is known of who connects next
 
 
 def test_a_voter_that_is_connected_again_is_sent_what_it_has_not_acknowledged() -> None:
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -394,7 +394,8 @@
         heartbeat(sidecar, 1)
         Voters(sidecar, replying="")
         for is_fresh in (False, True):
-            sidecar.reservations.answers.receive("127.0.1.1", ReserveKeyReply(b"", b"", 1, True))
+            for n in (1, 2, 3):
+                sidecar.reservations.answers.receive(f"127.0.1.{n}", ReserveKeyReply(b"", b"", 1, True))
             if is_fresh:
                 sidecar.update_source.ip, sidecar.update_source.confirmed_at = "127.0.1.1", sidecar.loop.time()
             else:
