Let uploads of unknown length wait for memory instead of turning them away

Of eight uploads of 60 MiB in chunks at once the sixth and later got 503 at once, and so did three of four of 2 MiB beside them, each inside payload_bytes. A body that outgrew the room of small bodies kept that room while it waited, so at most four might; the next one was rejected. A body that was complete with its first read was rejected as well where there was no room.

Such a body now joins the queue of the large ones, in turn with those of known length, and what it has received counts among the buffers of those that wait, which are bounded as before (an eighth of the memory, a quarter of it for small bodies). A complete body waits too; nothing is read behind it.

--- a/lugspur/http1/body_memory.py
+++ b/lugspur/http1/body_memory.py
@@ -2,7 +2,8 @@
 
 A body is counted from its first byte until the last reference to its buffer is gone. Room for a body of known length is
 taken before the body is read, so that a body that has begun to arrive never waits for another one. A body of unknown
-length takes room as it grows, and only as long as the largest of them could still grow to the limit.
+length takes room as it grows, and only as long as the largest of them could still grow to the limit. When it outgrows
+the room of small bodies it joins the queue of the large ones.
 
 Small bodies have a part of the memory that large ones can't use, and a queue of their own. So have the bodies of
 callers, which wait for other processes, and those for the local backend, which wait for that alone: two processes never
@@ -15,6 +16,7 @@
 import itertools
 from collections import deque
 from collections.abc import Callable, Iterator
+from functools import partial
 
 from lugspur.routing.shares import SharedLimit
 
@@ -28,10 +30,10 @@
 WAITING_BODY_BYTES = 128 << 10
 # Part of the memory that the buffers of waiting bodies may take together.
 WAITING_PART = 1 / 8
+# Part of that which is kept for the small bodies.
+SMALL_WAITING_PART = 1 / 4
 # Room that a body of unknown length takes at first; doubled whenever the body outgrows it.
 FIRST_ROOM_BYTES = 64 << 10
-# Bodies of unknown length that may keep their small room while they wait for large room.
-MAX_OUTGROWN_BODIES = 4
 
 
 class Direction(enum.Enum):
@@ -62,10 +64,19 @@
 class WaitingBody:
     """A body that waits for room; `cancel` it if it is no longer wanted."""
 
-    __slots__ = ("_pool", "on_room", "size")
+    __slots__ = ("_pool", "buffered_bytes", "can_be_admitted", "on_room", "size")
 
-    def __init__(self, pool: _Pool, size: int, on_room: Callable[[], None]) -> None:
-        self._pool, self.size, self.on_room = pool, size, on_room
+    def __init__(
+        self,
+        pool: _Pool,
+        size: int,
+        buffered_bytes: int,
+        on_room: Callable[[], None],
+        can_be_admitted: Callable[[], bool],
+    ) -> None:
+        """`size`: room to take; `buffered_bytes`: the most that the body takes in this process while it waits."""
+        self._pool, self.size, self.buffered_bytes = pool, size, buffered_bytes
+        self.on_room, self.can_be_admitted = on_room, can_be_admitted
 
     def cancel(self) -> None:
         """Stop waiting."""
@@ -75,12 +86,18 @@
 class _Pool:
     """The room for one kind of bodies, and those that wait for it, first come first served."""
 
-    def __init__(self, limit: SharedLimit, name: str, free_up: Callable[[], None]) -> None:
-        self._limit, self._name, self._free_up = limit, name, free_up
+    def __init__(self, limit: SharedLimit, waiting_limit: SharedLimit, name: str, free_up: Callable[[], None]) -> None:
+        """`limit`: of the memory for bodies; `waiting_limit`: of that for the buffers of bodies that wait."""
+        self._limit, self._waiting_limit, self._name, self._free_up = limit, waiting_limit, name, free_up
         self.waiting: deque[WaitingBody] = deque()
         self.growing: dict[GrowingBody, int] = {}  # bodies of unknown length, with the room that they take
         self.growing_waiting: dict[GrowingBody, None] = {}  # those that wait for more, which come first
 
+    @property
+    def has_queue(self) -> bool:
+        """Whether a body that comes now has to wait behind others."""
+        return bool(self.waiting or self.growing_waiting)
+
     def can_acquire(self, size: int) -> bool:
         return self._limit.can_acquire(self._name, size)
 
@@ -91,21 +108,34 @@
         self._limit.release(self._name, size)
         self._free_up()
 
-    def wait(self, size: int, on_room: Callable[[], None]) -> WaitingBody:
-        body = WaitingBody(self, size, on_room)
+    def wait(
+        self,
+        size: int,
+        buffered_bytes: int,
+        on_room: Callable[[], None],
+        can_be_admitted: Callable[[], bool] | None = None,
+    ) -> WaitingBody:
+        """Let a body wait for room; raises BodyMemoryFullError if the buffers of those that wait take too much."""
+        if not self._waiting_limit.can_acquire(self._name, buffered_bytes):
+            raise BodyMemoryFullError
+        self._waiting_limit.acquire(self._name, buffered_bytes)
+        body = WaitingBody(self, size, buffered_bytes, on_room, can_be_admitted or partial(self.can_acquire, size))
         self.waiting.append(body)
         return body
 
     def cancel(self, body: WaitingBody) -> None:
         if body in self.waiting:
             self.waiting.remove(body)
+            self._waiting_limit.release(self._name, body.buffered_bytes)
             self._free_up()
 
     def admit_waiting(self) -> None:
-        for growing in tuple(self.growing_waiting):
+        # The largest ones first: they are the first that need no more, and then free most.
+        for growing in sorted(self.growing_waiting, key=self.growing.__getitem__, reverse=True):
             growing.ask_again()
-        while self.waiting and not self.growing_waiting and self.can_acquire(self.waiting[0].size):
+        while self.waiting and not self.growing_waiting and self.waiting[0].can_be_admitted():
             body = self.waiting.popleft()
+            self._waiting_limit.release(self._name, body.buffered_bytes)
             self.acquire(body.size)
             body.on_room()
 
@@ -123,13 +153,15 @@
         self._call_soon = call_soon
         self._is_check_due = False
         self._body_limit = 0
-        self._max_waiting = max(1, int(capacity * WAITING_PART) // WAITING_BODY_BYTES)
+        waiting_bytes = int(capacity * WAITING_PART)
+        small_waiting_bytes = int(waiting_bytes * SMALL_WAITING_PART)
+        self._waiting_limit = SharedLimit(waiting_bytes, {f"small {Direction.OUTGOING.value}": small_waiting_bytes})
         self._small = {direction: self._pool(f"small {direction.value}") for direction in Direction}
         self._large = {direction: self._pool(f"large {direction.value}") for direction in Direction}
         self.set_largest_body(0)
 
     def _pool(self, name: str) -> _Pool:
-        return _Pool(self._limit, name, self._check_soon)
+        return _Pool(self._limit, self._waiting_limit, name, self._check_soon)
 
     def set_largest_body(self, size: int) -> None:
         """Guarantee each direction room for a body of this size, as far as the capacity allows."""
@@ -177,14 +209,13 @@
         if size > self.largest_body:
             raise BodyMemoryFullError
         pool = self.pool_for(direction, size)
-        if not pool.waiting and not pool.growing_waiting and pool.can_acquire(size):
+        if not pool.has_queue and pool.can_acquire(size):
             pool.acquire(size)
             on_admitted(pool.buffer(size))
             return None
         # An incoming body waits at its sender.
-        if direction is Direction.OUTGOING and len(pool.waiting) >= self._max_waiting:
-            raise BodyMemoryFullError
-        return pool.wait(size, lambda: on_admitted(pool.buffer(size)))
+        buffered_bytes = WAITING_BODY_BYTES if direction is Direction.OUTGOING else 0
+        return pool.wait(size, buffered_bytes, lambda: on_admitted(pool.buffer(size)))
 
     def admit_received(self, direction: Direction, size: int) -> BodyBuffer:
         """Take room for a body that has already been received; raises BodyMemoryFullError if there is none."""
@@ -251,10 +282,9 @@
             self._received = end
 
     def finish(self) -> BodyBuffer:
-        """Return the complete body; raises BodyMemoryFullError if it was read although there is no room for it."""
-        if self._buffer is None:
-            raise BodyMemoryFullError
+        """Return the complete body; it must not be waiting."""
         buffer, self._buffer = self._buffer, None
+        assert buffer is not None
         self.close()
         return buffer
 
@@ -276,17 +306,18 @@
         self._pool: _Pool | None = None  # the pool that the present room was taken from
         self._room = 0
         self._buffer = BodyBuffer(0, _ignore)
-        self._awaited_pool: _Pool | None = None  # the pool whose room the body waits for
+        self._waiting: WaitingBody | None = None  # its place in the queue of a pool that it has no room of yet
+        self._waits_for_more = False  # whether it waits for more room of its pool
 
     @property
     def is_waiting(self) -> bool:
         """Whether nothing more may be read yet."""
-        return self._awaited_pool is not None
+        return self._waits_for_more or self._waiting is not None
 
     def put(self, data: bytes) -> None:
         """Append received bytes; raises BodyMemoryFullError if there is no room for more, and none to wait."""
         self._buffer += data
-        if len(self._buffer) > self._room and self._awaited_pool is None:
+        if len(self._buffer) > self._room and not self.is_waiting:
             self._grow()
 
     def _grow(self) -> None:
@@ -294,38 +325,60 @@
         room = max(FIRST_ROOM_BYTES, 1 << (len(self._buffer) - 1).bit_length())
         room = min(room, max(self._memory.largest_body, len(self._buffer)))
         pool = self._memory.pool_for(self._direction, room)
-        if self._memory.may_grow(self, pool, room):
-            pool.acquire(room - pool.growing.get(self, 0))
-            if self._pool is not None and self._pool is not pool:
-                self._leave_pool()
-            pool.growing[self] = room
-            self._pool, self._room = pool, room
+        if pool is not self._pool:
+            self._enter(pool, room)
+        elif self._memory.may_grow(self, pool, room):
+            pool.acquire(room - self._room)
+            self._take(pool, room)
+        else:
+            self._waits_for_more = True
+            pool.growing_waiting[self] = None
+
+    def _enter(self, pool: _Pool, room: int) -> None:
+        """Take room in another pool than before, or join its queue."""
+        memory = self._memory
+        if not pool.has_queue and memory.may_grow(self, pool, room):
+            self._leave_pool()
+            pool.acquire(room)
+            self._take(pool, room)
             return
-        has_outgrown = self._pool is not None and self._pool is not pool
-        if has_outgrown and self not in pool.growing_waiting and len(pool.growing_waiting) >= MAX_OUTGROWN_BODIES:
-            raise BodyMemoryFullError
-        self._awaited_pool = pool
-        pool.growing_waiting[self] = None
+        buffered_bytes = max(WAITING_BODY_BYTES, self._room)
+        self._waiting = pool.wait(
+            room, buffered_bytes, partial(self._admitted, pool, room), partial(memory.may_grow, self, pool, room)
+        )
+        self._leave_pool()  # what has been received counts among the buffers of those that wait
+
+    def _take(self, pool: _Pool, room: int) -> None:
+        self._pool, self._room = pool, room
+        pool.growing[self] = room
+
+    def _admitted(self, pool: _Pool, room: int) -> None:
+        self._waiting = None
+        self._take(pool, room)
+        self._on_room()
 
     def ask_again(self) -> None:
-        """Take the room that the body waits for, if there is now room for it."""
+        """Take more room of the pool if there is now some."""
         self._stop_waiting()
         self._grow()
-        if self._awaited_pool is None:
+        if not self.is_waiting:
             self._on_room()
 
     def _stop_waiting(self) -> None:
-        pool, self._awaited_pool = self._awaited_pool, None
-        if pool is not None:
-            pool.growing_waiting.pop(self, None)
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.cancel()
+        if self._waits_for_more and self._pool is not None:
+            self._pool.growing_waiting.pop(self, None)
+        self._waits_for_more = False
 
     def _leave_pool(self) -> None:
         if self._pool is not None:
-            pool, self._pool = self._pool, None
+            pool, self._pool, self._room = self._pool, None, 0
             pool.release(pool.growing.pop(self, 0))
 
     def finish(self) -> BodyBuffer:
-        """Return the complete body, which takes its own size from now on."""
+        """Return the complete body, which takes its own size from now on; it must not be waiting."""
         body, self._buffer = self._buffer, BodyBuffer(0, _ignore)
         pool = self._memory.pool_for(self._direction, len(body))
         pool.acquire(len(body))  # within the room that is released next
--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -462,24 +462,31 @@
         """Read no more until there is memory for the body, or until its request is of no use any more."""
         self._transport.pause_reading()
         self._paused_at = self._paused_at or now
-        seconds = self.front.seconds_of_use(self._parser.headers)
         if not self._busy:
-            wait_until = now + BODY_WAIT_TIMEOUT if seconds is None else self._parser.arrived + seconds
-            self.move(self.front.reading, wait_until)
+            useless_at = self._useless_at()
+            self.move(self.front.reading, now + BODY_WAIT_TIMEOUT if useless_at is None else useless_at)
 
     def _resume_after_wait(self) -> None:
         """Read on, since there is now memory for the body; the wait doesn't count towards the caller's time limits."""
         now = self._loop.time()
         pause, self._paused_at = now - self._paused_at, 0.0
         self._parser.head_complete_at += pause
+        if self._queue:  # the body was complete already
+            self._start_next_request()
+            return
         if not self._busy:
-            self.move(self.front.reading, self._reading_limit(now))
+            self._await_body(now + self.front.request_head_timeout)
         if not self._transport.is_closing():
             self._transport.resume_reading()
 
-    def _reading_limit(self, now: float) -> float:
-        """Return the time by which more of a body must have been received, from `now` on."""
-        return max(now + self.front.request_head_timeout, self._parser.body_due(MIN_BODY_RATE) + BODY_RATE_GRACE)
+    def _await_body(self, earliest: float) -> None:
+        """Set the time by which more of the current request must have been received, not before `earliest`."""
+        self.move(self.front.reading, max(earliest, self._parser.body_due(MIN_BODY_RATE) + BODY_RATE_GRACE))
+
+    def _useless_at(self) -> float | None:
+        """Return the time from which on the current request is of no use to its caller, if that is known."""
+        seconds = self.front.seconds_of_use(self._parser.headers)
+        return None if seconds is None else self._parser.arrived + seconds
 
     def _resume_request_body(self) -> None:
         """Resume reading because more of the streamed body may be received."""
@@ -587,7 +594,7 @@
                 limit = min(limit, front.fresh[self] + LATE_HEAD_ALLOWANCE)
             elif self._table is front.reading:
                 limit = front.reading[self]
-            self.move(front.reading, max(limit, parser.body_due(MIN_BODY_RATE) + BODY_RATE_GRACE))
+            self._await_body(limit)
 
     def _continue_body(self, now: float) -> None:
         """Continue after more of a streamed body has been received."""
--- a/lugspur/http1/request_parser.py
+++ b/lugspur/http1/request_parser.py
@@ -89,6 +89,7 @@
         """`memory` admits bodies before they are read; `on_room` is called when one that has waited is admitted."""
         self._memory, self._on_room = memory, on_room
         self._receiver: FramedBody | GrowingBody | None = None  # of a body that the memory admits
+        self._waiting_request: Request | None = None  # a complete request whose body waits for room
         self._resume_body = resume_body  # called when more of a streamed body may be received
         # Returns the configuration for a request; called when its head is complete.
         self._get_configuration = get_configuration
@@ -144,20 +145,29 @@
             return
         try:
             if self._length is None:
-                self._receiver = GrowingBody(memory, Direction.OUTGOING, self._on_room)
+                self._receiver = GrowingBody(memory, Direction.OUTGOING, self._room_taken)
             else:
-                self._receiver = FramedBody(memory, Direction.OUTGOING, self._length, self._on_room)
+                self._receiver = FramedBody(memory, Direction.OUTGOING, self._length, self._room_taken)
             for piece in self._body:
                 self._receiver.put(piece)
             self._body.clear()
         except BodyMemoryFullError:
             self._reject_for_memory()
 
+    def _room_taken(self) -> None:
+        """Go on with a body that has waited for room."""
+        request, self._waiting_request = self._waiting_request, None
+        if request is not None:
+            request.body = self._take_body()
+            self._deliver(request)
+        self._on_room()
+
     def _reject_for_memory(self) -> None:
         self._reject(503, "no memory for the body")
 
     def drop_body(self) -> None:
         """Free what has been received of the current body, which is no longer needed."""
+        self._waiting_request = None
         self._body.clear()
         if self._receiver is not None:
             self._receiver.close()
@@ -182,7 +192,7 @@
     def _reset(self) -> None:
         if self._receiver is not None:
             self._receiver.close()
-        self._receiver = None
+        self._receiver = self._waiting_request = None
         self._target: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
         self._connection_options = b""
@@ -197,6 +207,8 @@
     # ---- callbacks of the parser -----------------------------------------------------------
 
     def on_message_begin(self) -> None:
+        if self._waiting_request is not None:  # Guards memory: nothing is read behind a body that waits.
+            self._reject_for_memory()
         self._reset()
         self.reading, self.arrived = True, self._now
         self._requests_begun += 1
@@ -306,18 +318,24 @@
         elif self.rejection is None:
             stream.end()
 
+    def _admit_complete_body(self) -> None:
+        """Take room for a body that came in one read; raises BodyMemoryFullError if there is none, and none to wait."""
+        size = sum(map(len, self._body))
+        if self._memory is None or self._receiver is not None or size <= UNCOUNTED_BODY_BYTES:
+            return
+        self._receiver = FramedBody(self._memory, Direction.OUTGOING, size, self._room_taken)
+        for piece in self._body:
+            self._receiver.put(piece)
+        self._body.clear()
+
     def _take_body(self) -> bytes:
-        """Return the buffered body, and keep nothing of it; raises BodyMemoryFullError."""
+        """Return the buffered body, and keep nothing of it."""
         receiver, self._receiver = self._receiver, None
         if receiver is not None:
             return cast(bytes, receiver.finish())  # not copied: a buffer can be read like bytes
         body = b"".join(self._body)
         self._body.clear()  # else the pieces would stay in memory until the next request of the connection
-        if self._memory is None or len(body) <= UNCOUNTED_BODY_BYTES:
-            return body
-        buffer = self._memory.admit_received(Direction.OUTGOING, len(body))
-        buffer[:] = body
-        return cast(bytes, buffer)
+        return body
 
     def _deliver_request(self, stream: Body | None) -> None:
         """Deliver the request, with its whole body or with a stream."""
@@ -327,22 +345,25 @@
         if self.rejection is not None:
             return
         try:
-            body = self._take_body()
+            self._admit_complete_body()
         except BodyMemoryFullError:
             self._reject_for_memory()
             return
-        self._deliver(
-            Request(
-                self._parser.get_method(),
-                target,
-                self._headers,
-                self._lines,
-                body,
-                self.arrived,
-                self._parser.should_keep_alive(),
-                self._configuration,
-                stream=stream,
-                ended=self._now,
-                is_http10=self._parser.get_http_version() == "1.0",
-            )
+        request = Request(
+            self._parser.get_method(),
+            target,
+            self._headers,
+            self._lines,
+            b"",
+            self.arrived,
+            self._parser.should_keep_alive(),
+            self._configuration,
+            stream=stream,
+            ended=self._now,
+            is_http10=self._parser.get_http_version() == "1.0",
         )
+        if self.waits_for_memory:
+            self._waiting_request = request
+            return
+        request.body = self._take_body()
+        self._deliver(request)
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -299,3 +299,67 @@
             await asyncio.sleep(0.01)
 
     run_front(scenario)
+
+
+def test_uploads_of_unknown_length_wait_their_turn_behind_large_ones_and_all_are_served() -> None:
+    """Guards against 503 to uploads in chunks, each inside the limits, while others fill the memory (review/8)."""
+
+    async def scenario(served: Served, address: tuple[str, int]) -> None:
+        large = [asyncio.create_task(post(address, bytes(LARGEST))) for _ in range(2)]
+        while len(served.held) < 2:
+            await asyncio.sleep(0.01)
+        sizes = [(2 * MIB if n % 3 else 9 * MIB) + n for n in range(6)]
+        posts = [asyncio.create_task(post(address, bytes(size), True)) for size in sizes]
+        while served.memory.waiting_bodies < 5:
+            await asyncio.sleep(0.01)
+        small = asyncio.create_task(post(address, bytes(500_000), True))
+        while not served.holds(500_000):  # it is served while large ones wait
+            await asyncio.sleep(0.005)
+        served.answer(500_000)
+        assert b"200 OK 500000" in await small
+        tasks = [*large, *posts]
+        while not all(task.done() for task in tasks):
+            await asyncio.sleep(0.005)
+            assert served.memory.used_bytes <= CAPACITY
+            if served.held:
+                served.answer()
+        assert [await task for task in posts] == [b"HTTP/1.1 200 OK %d" % size for size in sizes]
+
+    run_front(scenario)
+
+
+def test_a_body_that_came_in_one_read_waits_for_memory_instead_of_being_turned_away() -> None:
+    async def scenario(served: Served, address: tuple[str, int]) -> None:
+        held = []
+        while served.memory.pool_for(OUT, 50_000).can_acquire(50_000):
+            held.append(served.memory.admit_received(OUT, 50_000))
+        reader, writer = await asyncio.open_connection(*address)
+        request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + bytes(50_000)
+        writer.write(request)
+        while not served.memory.waiting_bodies:
+            await asyncio.sleep(0.01)
+        assert not served.held
+        held.clear()
+        for _ in range(2):  # the connection serves on
+            while not served.held:
+                await asyncio.sleep(0.01)
+            served.answer()
+            assert b"200" in await reader.readuntil(b"\r\n\r\n50000")
+            writer.write(request)
+        writer.close()
+
+    run_front(scenario)
+
+
+def test_nothing_is_read_behind_a_complete_body_that_waits_for_memory() -> None:
+    async def scenario(served: Served, address: tuple[str, int]) -> None:
+        held = []
+        while served.memory.pool_for(OUT, 9000).can_acquire(9000):
+            held.append(served.memory.admit_received(OUT, 9000))
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write((b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n" + bytes(9000)) * 2)
+        assert b"503" in await reader.readuntil(b"\r\n\r\n")
+        assert not served.held and not served.memory.waiting_bodies
+        writer.close()
+
+    run_front(scenario)
