Give up a request body that takes memory at the deadline of its request

A body that was being read kept its room for as long as its sender sent 24 KiB a second, 44 minutes for 64 MiB: two such senders kept the memory of a proxy from all other large uploads, which then got 503 at their deadlines.

Result: test_a_body_that_is_incomplete_at_its_deadline_gives_its_room_to_those_that_wait, framed and in chunks, did not end before.

--- a/lugspur/http1/front.py
+++ b/lugspur/http1/front.py
@@ -480,8 +480,13 @@
             self._transport.resume_reading()
 
     def _await_body(self, earliest: float) -> None:
-        """Set the time by which more of the current request must have been received, not before `earliest`."""
-        self.move(self.front.reading, max(earliest, self._parser.body_due(MIN_BODY_RATE) + BODY_RATE_GRACE))
+        """Set the time by which more of the current request must have been received, not before `earliest`.
+
+        A body that takes memory which others wait for is received only as long as its request is of use.
+        """
+        limit = max(earliest, self._parser.body_due(MIN_BODY_RATE) + BODY_RATE_GRACE)
+        useless_at = self._useless_at() if self._parser.takes_memory else None
+        self.move(self.front.reading, limit if useless_at is None else min(limit, useless_at))
 
     def _useless_at(self) -> float | None:
         """Return the time from which on the current request is of no use to its caller, if that is known."""
@@ -502,6 +507,10 @@
         if self._parser.waits_for_memory:
             self.reject(RejectionError(503, "no memory for the body in time"))
             return
+        useless_at = self._useless_at() if self._parser.takes_memory else None
+        if useless_at is not None and now >= useless_at:
+            self.reject(RejectionError(503, "the body was not complete in time"))
+            return
         stream = self._request_body
         if stream is not None and stream.full:  # the delay is caused by the backend, not by this caller
             self.move(self.front.reading, now + BODY_RATE_GRACE)
--- a/lugspur/http1/request_parser.py
+++ b/lugspur/http1/request_parser.py
@@ -134,6 +134,11 @@
         """Whether nothing more may be read until there is memory for the body."""
         return self._receiver is not None and self._receiver.is_waiting
 
+    @property
+    def takes_memory(self) -> bool:
+        """Whether the current body takes memory, or waits for it."""
+        return self._receiver is not None
+
     @property
     def headers(self) -> Mapping[bytes, bytes]:
         """Return the headers of the current request, by lower-case name."""
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -363,3 +363,31 @@
         writer.close()
 
     run_front(scenario)
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_a_body_that_is_incomplete_at_its_deadline_gives_its_room_to_those_that_wait(is_chunked: bool) -> None:
+    """Guards against slow senders that keep the memory from others long after their requests are of use."""
+
+    async def scenario(served: Served, address: tuple[str, int]) -> None:
+        served.front.seconds_of_use = lambda headers: int(headers[b"x-ms"]) / 1000.0
+        framing = b"Transfer-Encoding: chunked" if is_chunked else b"Content-Length: %d" % LARGEST
+        piece = b"%x\r\n%b\r\n" % (LARGEST - 10, bytes(LARGEST - 10)) if is_chunked else bytes(LARGEST - 10)
+        slow = []
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nX-Ms: 1500\r\n%b\r\n\r\n%b" % (framing, piece))
+            slow.append((reader, writer))
+        while served.memory.used_bytes < 2 * LARGEST:
+            await asyncio.sleep(0.01)
+        waiting = asyncio.create_task(post(address, bytes(LARGEST), x_ms="9000"))
+        for reader, _ in slow:
+            assert b"503" in await reader.readuntil(b"\r\n\r\n")
+        while not served.held:
+            await asyncio.sleep(0.01)
+        served.answer()
+        assert b"200" in await waiting
+        for _, writer in slow:
+            writer.close()
+
+    run_front(scenario)
