Give the memory of large blocks back to the system as soon as they are freed

Bodies that grow and are given up in mixed sizes left a proxy with up to twice the memory that they were counted with: 255 MB resident of 300 MB in a trial of eight slow uploads of 60 MiB in chunks, while 164 MB suffice. glibc raises the size from which it gives a freed block back to that of the largest freed one, up to 32 MiB; smaller ones share a heap then, whose gaps stay with the process.

The size is fixed at 256 KiB by mallopt(3) at the start of a process of the mesh.

--- a/lugspur/mesh/program.py
+++ b/lugspur/mesh/program.py
@@ -11,6 +11,7 @@
 
 from lugspur import invariants, reload_signal
 from lugspur.mesh import events
+from lugspur.mesh.allocator import return_large_blocks_when_freed
 from lugspur.mesh.control.errors import MeshError
 from lugspur.mesh.process import MeshProcess
 from lugspur.mesh.settings import DEFAULT_SETTINGS_PATH, SERVED_CONTRACTS, SETTINGS_VARIABLE, Settings, load_settings
@@ -28,6 +29,7 @@
         events.warn("settings", fault=fault.detail)
         return 2
     events.start(settings.own.node_name)
+    return_large_blocks_when_freed()
     unserved = sorted(set(settings.tariffs.contracts) - SERVED_CONTRACTS)
     # Reports a deployment that requires contracts which this build does not serve: callers would only see failures.
     if unserved:
