Look up every incarnation of a backend that a restarted proxy does not know

A proxy that could reach no voters took a backend with its second heartbeat, and never asked again whether it had signed off: two late heartbeats half an interval apart, while the voters were starting as well, made a backend accept again for good whose sign-off had been acknowledged. Two late heartbeats of such a backend also took the place of its successor, because only the first heartbeat of a process was looked up.

What is found once there is contact binds a backend that was taken without. An incarnation that would replace the current one is looked up first, unless it has just started.

--- a/lugspur/mesh/sidecar/registration.py
+++ b/lugspur/mesh/sidecar/registration.py
@@ -22,7 +22,7 @@
 from lugspur.mesh.http_api import fail, reply
 from lugspur.mesh.process_pause import PAUSE_THRESHOLD_SECONDS
 from lugspur.mesh.settings import Settings
-from lugspur.mesh.sidecar.backend_incarnations import MAX_INCARNATIONS, BackendIncarnations
+from lugspur.mesh.sidecar.backend_incarnations import MAX_FIRST_SEQUENCE, MAX_INCARNATIONS, BackendIncarnations
 from lugspur.mesh.sidecar.backend_status import BackendStatus, encode_status
 from lugspur.mesh.sidecar.ending_records import Ending, EndingRecords
 
@@ -32,6 +32,7 @@
 MAX_HEARTBEAT_BYTES = 4096
 REANNOUNCE_SECONDS = 2.0  # minimum interval between new editions of an unchanged status after a change of source
 NEVER = float("inf")  # closing time of a backend that has not announced that it is closing
+NEVER_ACCEPTED = float("-inf")  # closing time of a backend that announced it to an earlier process
 
 
 class Heartbeat(msgspec.Struct):
@@ -112,6 +113,7 @@
         self._knows_mesh = False  # whether it is known which incarnation the process before this one announced
         # The latest heartbeat that came before it was known whether its incarnation has ended.
         self._early: _Received | None = None
+        self._unverified_id = ""  # the incarnation that was taken although it could not be looked up
         self._endings: LRUCache[str, Ending | None] = LRUCache(MAX_INCARNATIONS)  # looked up or recorded, by id
         self._looking_up = ""  # the incarnation that is being looked up
         # Calls that wait until an ending is recorded, by id and ending.
@@ -127,8 +129,7 @@
             self._take_early(received)
         else:
             self._take(received)
-        local = self._limiter.local_backend
-        if heartbeat.state != "accepting" and local is not None and local.id == ident:
+        if heartbeat.state != "accepting" and self._is_current(ident):
             self._acknowledge(ident, Ending.CLOSING, caller)
         else:
             reply(caller)
@@ -138,14 +139,16 @@
             self._early = None
             self._apply(self._current_backend(received.ident, received.heartbeat), received.heartbeat)
 
-    # ---- the first heartbeat that this process hears ---------------------------------------
+    # ---- heartbeats of incarnations that this process does not know ------------------------
 
     def _has_to_be_looked_up(self, received: _Received) -> bool:
         """Whether a heartbeat may be a late one of an incarnation whose end a former process has acknowledged."""
-        if self._limiter.local_backend is not None or received.heartbeat.state != "accepting":
+        local, heartbeat = self._limiter.local_backend, received.heartbeat
+        if heartbeat.state != "accepting" or self._process.settings.own.first_start:
             return False
-        is_known = received.ident in self._endings and self._knows_mesh
-        return not self._process.settings.own.first_start and not is_known
+        if local is not None and (local.id == received.ident or heartbeat.sequence <= MAX_FIRST_SEQUENCE):
+            return False  # the current incarnation, or one that has just started
+        return received.ident not in self._endings or not self._knows_mesh
 
     def _take_early(self, early: _Received) -> None:
         """Keep a heartbeat until it is known whether its incarnation has ended."""
@@ -154,15 +157,16 @@
             # This machine may be cut off. Then only a second heartbeat shows that the backend lives.
             self._take(former, is_doubtful=True)
             self._take(early, is_doubtful=True)
-        if self._limiter.local_backend is None:
-            self._look_up_early()
-
-    def _look_up_early(self) -> None:
-        """Look up the incarnation of the early heartbeat, unless that is known or under way."""
-        early = self._early
-        if early is None or early.ident in self._endings or early.ident == self._looking_up:
+            if self._is_current(early.ident):
+                self._unverified_id = early.ident
+        self._look_up_unknown()
+
+    def _look_up_unknown(self) -> None:
+        """Look up the incarnation of the early heartbeat, or the unverified one, unless that is under way."""
+        ident = self._unverified_id if self._early is None else self._early.ident
+        if ident in ("", self._looking_up) or ident in self._endings:
             return
-        self._looking_up = ident = early.ident
+        self._looking_up = ident
         self._records.look_up(ident, lambda is_known, ending: self._looked_up(ident, is_known, ending))
 
     def _looked_up(self, ident: str, is_known: bool, ending: Ending | None) -> None:
@@ -170,21 +174,37 @@
             self._looking_up = ""
         if not is_known:
             return  # `tick` looks it up again.
-        self._endings[ident] = ending
+        self._endings.setdefault(ident, ending)  # it may have ended meanwhile
+        if ident == self._unverified_id:
+            self._unverified_id = ""
         if ending is Ending.SIGNED_OFF:
             self._incarnations.record_sign_off(ident)
+        self._apply_ending(ident, ending)
         self._take_looked_up()
 
+    def _apply_ending(self, ident: str, ending: Ending | None) -> None:
+        """Apply what was found out about the current incarnation after it had been taken without contact."""
+        local = self._limiter.local_backend
+        if local is None or local.id != ident or ending is None:
+            return
+        events.info("ended-before", id=ident, ending=ending.value.decode())
+        local.closing_at = NEVER_ACCEPTED
+        local.state = "gone" if ending is Ending.SIGNED_OFF or local.state == "gone" else "closing"
+        self.publish()
+
     def _take_looked_up(self) -> None:
         """Take the early heartbeat once all is known that speaks for or against it."""
         early = self._early
         if early is None or early.ident not in self._endings or not self._knows_mesh:
             return
         self._early = None
-        if self._limiter.local_backend is None:
-            # A late heartbeat of a former backend of another service must not give this machine's requests its name.
-            is_of_another_service = early.heartbeat.service != self._process.settings.own.service
-            self._take(early, is_doubtful=is_of_another_service)
+        # A late heartbeat of a former backend of another service must not give this machine's requests its name.
+        is_of_another_service = early.heartbeat.service != self._process.settings.own.service
+        self._take(early, is_doubtful=is_of_another_service)
+
+    def _is_current(self, ident: str) -> bool:
+        local = self._limiter.local_backend
+        return local is not None and local.id == ident
 
     def mesh_known(self, status: BackendStatus | None) -> None:
         """Take up what the mesh knows of this machine's backend, from updates that are as recent as this process.
@@ -223,7 +243,7 @@
         former, local = local, LocalBackend(ident, heartbeat.service, heartbeat.address, self._process.loop.time())
         if heartbeat.state != "accepting" or self._endings.get(ident) is Ending.CLOSING:
             # It may have announced its closing long ago, to an earlier sidecar process, so it gets no more requests.
-            local.closing_at = float("-inf")
+            local.closing_at = NEVER_ACCEPTED
         if former is not None and former.service != local.service:
             self._limiter.service_times = ServiceTimes()  # those of the former service say nothing about this one
         self._limiter.local_backend = local
@@ -359,7 +379,7 @@
 
     def tick(self, now: float) -> None:
         """Mark the backend as silent if its heartbeats have stopped; look up one that is not known yet."""
-        self._look_up_early()
+        self._look_up_unknown()
         local = self._limiter.local_backend
         since_tick, self._ticked_at = now - self._ticked_at, now
         if local is None or local.state in ("gone", "silent"):
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -31,7 +31,7 @@
 from lugspur.mesh.dataplane.upload_scheduler import CHUNK_BYTES
 from lugspur.mesh.settings import load_settings
 from lugspur.mesh.sidecar.backend_status import BackendStatus
-from lugspur.mesh.sidecar.ending_records import RECORD_TIMEOUT_SECONDS, Ending, EndingRecords
+from lugspur.mesh.sidecar.ending_records import KEY_PREFIX, RECORD_TIMEOUT_SECONDS, Ending, EndingRecords
 from lugspur.mesh.sidecar.process import Sidecar
 from lugspur.mesh.transport.dialer import Dialer
 from lugspur.mesh.transport.link import Link
@@ -321,6 +321,51 @@
     run_scenario(tmp_path, scenario, connect=False, is_informed=False)
 
 
+@pytest.mark.parametrize("ending", [b"signed-off", b"closing"])
+def test_an_end_that_is_found_once_there_is_contact_binds_a_backend_that_was_taken_without(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ending: bytes
+) -> None:
+    """Guards against two late heartbeats that undo a sign-off for good while the voters start (review/6)."""
+
+    def scenario(sidecar: Sidecar) -> None:
+        voters, now = Voters(sidecar, replying=""), sidecar.loop.time()
+        voters.records[KEY_PREFIX + b"i-1"] = BackendResponse(200, b"", ending)
+        for seconds, sequence in ((0.0, 9), (1.0, 10)):
+            monkeypatch.setattr(sidecar.loop, "time", lambda at=now + seconds: at)
+            assert heartbeat(sidecar, sequence) == 200
+        assert announced(sidecar) == ("i-1", "accepting")
+        monkeypatch.setattr(sidecar.loop, "time", lambda: now + 2.0)
+        sidecar.reservations.tick(now + 2.0)
+        voters.replying = "123"
+        sidecar.registration.tick(now + 2.0)
+        assert announced(sidecar) == ("i-1", "gone" if ending == b"signed-off" else "closing")
+        assert heartbeat(sidecar, 11) == 200 and not sidecar.limiter.accepts(sidecar.loop.time(), "i-1")
+        assert heartbeat(sidecar, 0, ident="i-2") == 200 and announced(sidecar) == ("i-2", "accepting")
+        monkeypatch.undo()
+
+    run_scenario(tmp_path, scenario, connect=False)
+
+
+@pytest.mark.parametrize("ending", [b"signed-off", None])
+def test_late_heartbeats_of_an_incarnation_that_signed_off_before_a_restart_do_not_replace_its_successor(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ending: bytes | None
+) -> None:
+    """The one that lives and has not signed off takes over as before."""
+
+    def scenario(sidecar: Sidecar) -> None:
+        voters, now = Voters(sidecar), sidecar.loop.time()
+        if ending is not None:
+            voters.records[KEY_PREFIX + b"i-1"] = BackendResponse(200, b"", ending)
+        assert heartbeat(sidecar, 0, ident="i-2") == 200 and announced(sidecar) == ("i-2", "accepting")
+        for seconds, sequence in ((0.1, 9), (1.0, 10)):
+            monkeypatch.setattr(sidecar.loop, "time", lambda at=now + seconds: at)
+            assert heartbeat(sidecar, sequence) == 200
+        assert announced(sidecar) == ("i-2" if ending else "i-1", "accepting")
+        monkeypatch.undo()
+
+    run_scenario(tmp_path, scenario, connect=False)
+
+
 def test_a_late_heartbeat_of_another_service_gives_this_machines_requests_no_other_name(tmp_path: Path) -> None:
     """Guards against requests under the name of the service that had this address before."""
 
