--- a/lugspur/mesh/sidecar/registration.py
+++ b/lugspur/mesh/sidecar/registration.py
@@ -187,9 +187,13 @@
         local = self._limiter.local_backend
         if local is None or local.id != ident or ending is None:
             return
-        events.info("ended-before", id=ident, ending=ending.value.decode())
         local.closing_at = NEVER_ACCEPTED
-        local.state = "gone" if ending is Ending.SIGNED_OFF or local.state == "gone" else "closing"
+        if ending is Ending.SIGNED_OFF:
+            local.state = "gone"
+            events.info("sign-off", id=ident)
+        elif local.state != "gone":
+            local.state = "closing"
+            events.info("closing", id=ident)
         self.publish()
 
     def _take_looked_up(self) -> None:
