Announce large bodies to machines whose settings name no rate of their link

A receiver without link_mbps in its settings announced no rate. Bodies of any size were then sent to it together with their requests: before it had memory for them, and copied twice at their sender. It would have accepted no announced body.

1000 Mbit/s are assumed of such a link. A rate of 0 in an entry still means a former build, which is sent bodies whole as before.

Result: test_large_bodies_are_announced_to_a_machine_whose_settings_name_no_rate_of_its_link failed before.

--- a/lugspur/mesh/sidecar/process.py
+++ b/lugspur/mesh/sidecar/process.py
@@ -41,6 +41,8 @@
 from lugspur.observability.failures import ConfigurationState, FailureLog
 from lugspur.observability.metrics import render
 
+# Assumed of a link whose rate the settings don't name. With a rate, large bodies are announced before they are sent.
+DEFAULT_LINK_MBPS = 1000.0
 BODY_MEMORY_FRACTION = 0.7  # fraction of the process's memory for request bodies
 RESERVED_FILES = 264  # file descriptors for other uses, including 200 that the platform reserves
 CALLER_FILES_FRACTION = 0.5  # fraction of the other descriptors for callers; the rest is for the backend and proxies
@@ -63,7 +65,7 @@
         """`path`: the settings file, which is reloaded when it changes."""
         super().__init__(settings, path, is_control_node=False)
         limits = settings.own.limits
-        memory_bytes, link_rate = limits.memory_mb << 20, limits.link_mbps * 1e6 / 8.0
+        memory_bytes, link_rate = limits.memory_mb << 20, (limits.link_mbps or DEFAULT_LINK_MBPS) * 1e6 / 8.0
         self._started_at = self.loop.time()
         self._is_serving = False
         self._pauses = FreezeDetector(PAUSE_THRESHOLD_SECONDS, BACKLOG_READ_SECONDS)
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -28,7 +28,7 @@
     Voter,
 )
 from lugspur.mesh.dataplane.request_outcome import RequestOutcome
-from lugspur.mesh.dataplane.upload_scheduler import CHUNK_BYTES
+from lugspur.mesh.dataplane.upload_scheduler import CHUNK_BYTES, UploadKey, is_chunked
 from lugspur.mesh.settings import load_settings
 from lugspur.mesh.sidecar.backend_status import BackendStatus
 from lugspur.mesh.sidecar.ending_records import KEY_PREFIX, RECORD_TIMEOUT_SECONDS, Ending, EndingRecords
@@ -472,6 +472,21 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_large_bodies_are_announced_to_a_machine_whose_settings_name_no_rate_of_its_link(tmp_path: Path) -> None:
+    """Guards against whole bodies for which the receiver has no memory, and copies of them at the sender (review/8)."""
+
+    def scenario(sidecar: Sidecar) -> None:
+        assert sidecar.settings.own.limits.link_mbps == 0.0
+        heartbeat(sidecar, 0)
+        rate = sidecar.backends.by_ip[sidecar.ip].link_rate
+        assert is_chunked(300_000, rate) and not is_chunked(200_000, rate)
+        forward = ForwardRequest(1, "i-1", b"POST", b"/", [], b"", 9.0, 9.0, b"1", 1, False, "r", body_bytes=1 << 20)
+        key = UploadKey(Link(lambda link, message: None, lambda link: None), 1)
+        assert sidecar.incoming.uploads.offer(0.0, key, forward, (0, 0.0), 0.1)
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_backend_that_sends_no_heartbeat_is_gone_until_it_sends_one(tmp_path: Path) -> None:
     def scenario(sidecar: Sidecar) -> None:
         heartbeat(sidecar, 1)
