Parse source files in tests with the cyclic collector off

test_no_module_imports_itself_by_way_of_others ended three times in four with "SystemError: AST constructor recursion depth mismatch", depending on the tests that its worker had run before. No check changes.

--- a/tests/compatibility/test_mesh_interfaces.py
+++ b/tests/compatibility/test_mesh_interfaces.py
@@ -23,6 +23,7 @@
 
 import msgspec
 import pytest
+from sourcetrees import parse_source
 
 from lugspur.bench.mesh import Mesh, call
 from lugspur.mesh.control.errors import RESPONSES
@@ -687,7 +688,7 @@
     found: dict[str, set[str]] = defaultdict(set)
     warnings = set()
     for path in sorted((ROOT / "lugspur").rglob("*.py")):
-        for node in ast.walk(ast.parse(path.read_text())):
+        for node in ast.walk(parse_source(path)):
             if not isinstance(node, ast.Call) or ast.unparse(node.func) not in ("events.info", "events.warn"):
                 continue
             event = ast.literal_eval(node.args[0])
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+from sourcetrees import parse_source
 
 ROOT = Path(__file__).parent.parent
 PAGE = ROOT / "docs" / "architecture.md"
@@ -58,7 +59,7 @@
             continue
         package = package_of(module, packages)
         assert package, f"{module} lies in no package of the table"
-        for imported in imported_modules(ast.parse(path.read_text()), at_start=False):
+        for imported in imported_modules(parse_source(path), at_start=False):
             if imported != "lugspur":
                 found[package].add(package_of(imported, packages))
     return {package: imported - {package} for package, imported in found.items()}
@@ -84,8 +85,7 @@
 
 def test_no_module_imports_itself_by_way_of_others() -> None:
     graph = {
-        module: set(imported_modules(ast.parse(path.read_text()), at_start=True)) - {module}
-        for module, path in MODULES.items()
+        module: set(imported_modules(parse_source(path), at_start=True)) - {module} for module, path in MODULES.items()
     }
     try:
         TopologicalSorter(graph).prepare()
