Split heartbeats, look-ups and acknowledgements of endings from the registration

registration.py had grown to three jobs. heartbeat.py has the form of a heartbeat, incarnation_lookup.py what is asked about unknown incarnations, ending_acknowledgement.py the calls that wait for a record. EndingRecords names VoterReservations instead of spelling out its methods again.

--- a/lugspur/mesh/sidecar/ending_records.py
+++ b/lugspur/mesh/sidecar/ending_records.py
@@ -13,11 +13,11 @@
 import enum
 import itertools
 from collections.abc import Callable
-from typing import Protocol
 
 from lugspur.mesh.control.answer_storage import OnStored
 from lugspur.mesh.control.messages import BackendResponse
 from lugspur.mesh.control.reservation_client import Acquired, AlreadyCompleted, ReservationOutcome
+from lugspur.mesh.sidecar.key_reservations import VoterReservations
 
 KEY_PREFIX = b"\0backend\0"  # header values, and so the keys of clients, have no such bytes
 RECORD_TIMEOUT_SECONDS = 0.8  # a backend takes a call without an answer within 1 s as not acknowledged
@@ -31,39 +31,10 @@
     SIGNED_OFF = b"signed-off"
 
 
-class Voters(Protocol):
-    """The interface to the voters (`lugspur.mesh.sidecar.key_reservations.VoterReservations`)."""
-
-    def reserve(
-        self,
-        key: bytes,
-        owner: bytes,
-        seconds_left: float,
-        timeout: float,
-        on_outcome: Callable[[ReservationOutcome], None],
-    ) -> None:
-        """Reserve a key; `on_outcome` is called once, within `timeout` seconds."""
-
-    def release(self, key: bytes, owner: bytes) -> None:
-        """Release a reservation."""
-
-    def store_answer(
-        self,
-        key: bytes,
-        owner: bytes,
-        response: BackendResponse,
-        timeout: float,
-        on_stored: OnStored,
-        *,
-        waits_always: bool = False,
-    ) -> None:
-        """Store the answer of a key; `on_stored` is called once, within `timeout` seconds."""
-
-
 class EndingRecords:
     """The records of one machine's backends."""
 
-    def __init__(self, voters: Voters, incarnation: str) -> None:
+    def __init__(self, voters: VoterReservations, incarnation: str) -> None:
         """`incarnation` identifies this run of the process."""
         self._voters, self._incarnation = voters, incarnation.encode()
         self._numbers = itertools.count(1)
--- a/lugspur/mesh/sidecar/registration.py
+++ b/lugspur/mesh/sidecar/registration.py
@@ -4,69 +4,34 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
-import msgspec
-from cachetools import LRUCache
-
-from lugspur.discovery.endpoints import read_address
 from lugspur.interfaces import Request, Responder
 from lugspur.mesh import events
-from lugspur.mesh.control.errors import ErrorKind, MeshError
 from lugspur.mesh.control.items import BACKEND
 from lugspur.mesh.control.messages import Entry
 from lugspur.mesh.control.store import Store
 from lugspur.mesh.dataplane.concurrency_limiter import ConcurrencyLimiter
 from lugspur.mesh.dataplane.local_backend import LocalBackend
 from lugspur.mesh.dataplane.service_times import ServiceTimes
-from lugspur.mesh.http_api import fail, reply
+from lugspur.mesh.http_api import reply
 from lugspur.mesh.process_pause import PAUSE_THRESHOLD_SECONDS
 from lugspur.mesh.settings import Settings
-from lugspur.mesh.sidecar.backend_incarnations import MAX_FIRST_SEQUENCE, MAX_INCARNATIONS, BackendIncarnations
+from lugspur.mesh.sidecar.backend_incarnations import MAX_FIRST_SEQUENCE, BackendIncarnations
 from lugspur.mesh.sidecar.backend_status import BackendStatus, encode_status
+from lugspur.mesh.sidecar.ending_acknowledgement import EndingAcknowledgements
 from lugspur.mesh.sidecar.ending_records import Ending, EndingRecords
+from lugspur.mesh.sidecar.heartbeat import Heartbeat, ReceivedHeartbeat, read_heartbeat
+from lugspur.mesh.sidecar.incarnation_lookup import IncarnationLookup
 
 # A backend without a heartbeat for this many heartbeat intervals, plus HEARTBEAT_MARGIN_SECONDS, counts as gone.
 MAX_MISSED_HEARTBEATS = 3.0
 HEARTBEAT_MARGIN_SECONDS = 1.0
-MAX_HEARTBEAT_BYTES = 4096
 REANNOUNCE_SECONDS = 2.0  # minimum interval between new editions of an unchanged status after a change of source
 NEVER = float("inf")  # closing time of a backend that has not announced that it is closing
 NEVER_ACCEPTED = float("-inf")  # closing time of a backend that announced it to an earlier process
 
 
-class Heartbeat(msgspec.Struct):
-    """The JSON body of a backend's heartbeat."""
-
-    service: str
-    address: str
-    state: str
-    sequence: int  # increases with each heartbeat of one incarnation
-    berths: int = 1  # requests that the backend can run at once
-    warmup_left_ms: float = 0.0  # time of slow start that is left
-
-
-_heartbeat_decoder = msgspec.json.Decoder(Heartbeat)
-
-
-def read_heartbeat(body: bytes) -> Heartbeat:
-    """Decode a heartbeat from the body of a call; raises MeshError (BAD_REQUEST) if it is invalid."""
-    try:
-        heartbeat = _heartbeat_decoder.decode(body[:MAX_HEARTBEAT_BYTES])
-        read_address(heartbeat.address)
-    except (msgspec.MsgspecError, ValueError) as fault:
-        raise MeshError(ErrorKind.BAD_REQUEST, str(fault)) from None
-    return heartbeat
-
-
-class _Received(NamedTuple):
-    """A heartbeat of the incarnation with this id, and when it was received."""
-
-    ident: str
-    heartbeat: Heartbeat
-    received_at: float
-
-
 class RegisteringProcess(Protocol):
     """The interface of the sidecar process to the registration."""
 
@@ -104,88 +69,63 @@
         records: EndingRecords,
     ) -> None:
         """`backends`: statuses known to the mesh, by IP address; `link_rate`: bytes per second of the link."""
-        self._records = records
         self._process, self._limiter, self._backends, self._link_rate = process, limiter, backends, link_rate
         self.announced: Entry | None = None
         self._renew_at = 0.0  # earliest time for a new edition of an unchanged entry
         self._ticked_at = float("inf")  # until the first tick
         self._incarnations = BackendIncarnations(process.settings.depot.heartbeat_ms / 1000.0)
-        self._knows_mesh = False  # whether it is known which incarnation the process before this one announced
-        # The latest heartbeat that came before it was known whether its incarnation has ended.
-        self._early: _Received | None = None
-        self._unverified_id = ""  # the incarnation that was taken although it could not be looked up
-        self._endings: LRUCache[str, Ending | None] = LRUCache(MAX_INCARNATIONS)  # looked up or recorded, by id
-        self._looking_up = ""  # the incarnation that is being looked up
-        # Calls that wait until an ending is recorded, by id and ending.
-        self._recording: dict[tuple[str, Ending], list[Responder]] = {}
+        self._lookup = IncarnationLookup(records, self._take_looked_up, self._had_ended)
+        self._acknowledgements = EndingAcknowledgements(records, self._lookup.endings, process.has_only_former_voters)
 
     # ---- calls from the backend ------------------------------------------------------------
 
     def heartbeat(self, request: Request, caller: Responder, path_segments: list[str]) -> None:
         """Handle a heartbeat; the path contains the backend's id. Raises MeshError (BAD_REQUEST) if it is invalid."""
-        ident, heartbeat = path_segments[0], read_heartbeat(request.body)
-        received = _Received(ident, heartbeat, self._process.loop.time())
+        received = ReceivedHeartbeat(path_segments[0], read_heartbeat(request.body), self._process.loop.time())
         if self._has_to_be_looked_up(received):
-            self._take_early(received)
+            self._lookup.receive(received)
         else:
             self._take(received)
-        if heartbeat.state != "accepting" and self._is_current(ident):
-            self._acknowledge(ident, Ending.CLOSING, caller)
-        else:
+        if received.heartbeat.is_accepting or not self._is_current(received.ident):
             reply(caller)
+        else:
+            self._acknowledgements.acknowledge(received.ident, Ending.CLOSING, caller)
 
-    def _take(self, received: _Received, *, is_doubtful: bool = False) -> None:
+    def _take(self, received: ReceivedHeartbeat, *, is_doubtful: bool = False) -> None:
+        """Take a heartbeat, unless it is a late one; `is_doubtful`: whether another one has to confirm it."""
         if self._accepts_heartbeat(received, is_doubtful=is_doubtful):
-            self._early = None
+            self._lookup.clear()
             self._apply(self._current_backend(received.ident, received.heartbeat), received.heartbeat)
 
     # ---- heartbeats of incarnations that this process does not know ------------------------
 
-    def _has_to_be_looked_up(self, received: _Received) -> bool:
+    def _has_to_be_looked_up(self, received: ReceivedHeartbeat) -> bool:
         """Whether a heartbeat may be a late one of an incarnation whose end a former process has acknowledged."""
         local, heartbeat = self._limiter.local_backend, received.heartbeat
-        if heartbeat.state != "accepting" or self._process.settings.own.first_start:
+        if not heartbeat.is_accepting or self._process.settings.own.first_start:
             return False
         if local is not None and (local.id == received.ident or heartbeat.sequence <= MAX_FIRST_SEQUENCE):
             return False  # the current incarnation, or one that has just started
-        return received.ident not in self._endings or not self._knows_mesh
-
-    def _take_early(self, early: _Received) -> None:
-        """Keep a heartbeat until it is known whether its incarnation has ended."""
-        former, self._early = self._early, early
-        if former is not None and former.ident == early.ident:
-            # This machine may be cut off. Then only a second heartbeat shows that the backend lives.
-            self._take(former, is_doubtful=True)
-            self._take(early, is_doubtful=True)
-            if self._is_current(early.ident):
-                self._unverified_id = early.ident
-        self._look_up_unknown()
-
-    def _look_up_unknown(self) -> None:
-        """Look up the incarnation of the early heartbeat, or the unverified one, unless that is under way."""
-        ident = self._unverified_id if self._early is None else self._early.ident
-        if ident in ("", self._looking_up) or ident in self._endings:
-            return
-        self._looking_up = ident
-        self._records.look_up(ident, lambda is_known, ending: self._looked_up(ident, is_known, ending))
-
-    def _looked_up(self, ident: str, is_known: bool, ending: Ending | None) -> None:
-        if self._looking_up == ident:
-            self._looking_up = ""
-        if not is_known:
-            return  # `tick` looks it up again.
-        self._endings.setdefault(ident, ending)  # it may have ended meanwhile
-        if ident == self._unverified_id:
-            self._unverified_id = ""
+        return not self._lookup.is_known(received.ident)
+
+    def _take_looked_up(self, received: ReceivedHeartbeat, is_out_of_contact: bool) -> bool:
+        """Take a heartbeat after its incarnation was looked up; return whether that is the current one now."""
+        self._take(received, is_doubtful=is_out_of_contact or self._is_of_another_service(received))
+        return self._is_current(received.ident)
+
+    def _is_of_another_service(self, received: ReceivedHeartbeat) -> bool:
+        """Whether a heartbeat names another service than this machine's.
+
+        A late one of a former backend of another service must not give this machine's requests its name.
+        """
+        return received.heartbeat.service != self._process.settings.own.service
+
+    def _had_ended(self, ident: str, ending: Ending) -> None:
+        """Apply that an incarnation had ended before this process started."""
         if ending is Ending.SIGNED_OFF:
             self._incarnations.record_sign_off(ident)
-        self._apply_ending(ident, ending)
-        self._take_looked_up()
-
-    def _apply_ending(self, ident: str, ending: Ending | None) -> None:
-        """Apply what was found out about the current incarnation after it had been taken without contact."""
         local = self._limiter.local_backend
-        if local is None or local.id != ident or ending is None:
+        if local is None or local.id != ident:
             return
         local.closing_at = NEVER_ACCEPTED
         if ending is Ending.SIGNED_OFF:
@@ -196,16 +136,6 @@
             events.info("closing", id=ident)
         self.publish()
 
-    def _take_looked_up(self) -> None:
-        """Take the early heartbeat once all is known that speaks for or against it."""
-        early = self._early
-        if early is None or early.ident not in self._endings or not self._knows_mesh:
-            return
-        self._early = None
-        # A late heartbeat of a former backend of another service must not give this machine's requests its name.
-        is_of_another_service = early.heartbeat.service != self._process.settings.own.service
-        self._take(early, is_doubtful=is_of_another_service)
-
     def _is_current(self, ident: str) -> bool:
         local = self._limiter.local_backend
         return local is not None and local.id == ident
@@ -215,21 +145,21 @@
 
         `status`: what the process before this one announced; None if nothing.
         """
-        if self._knows_mesh:
+        if self._lookup.knows_mesh:
             return
-        self._knows_mesh = True
+        self._lookup.knows_mesh = True
         # `gone` is also said of a backend whose proxy was stopped, and which is to be taken back at once.
         if status is not None and status.state != "gone" and self._limiter.local_backend is None:
             self._incarnations.learn_announced(status.id)
-        self._take_looked_up()
+        self._lookup.take_known()
 
     # ---- heartbeats ------------------------------------------------------------------------
 
-    def _accepts_heartbeat(self, received: _Received, *, is_doubtful: bool) -> bool:
+    def _accepts_heartbeat(self, received: ReceivedHeartbeat, *, is_doubtful: bool) -> bool:
         """Whether a heartbeat is from the current incarnation, or from one that replaces it."""
         ident, heartbeat, received_at = received
         local = self._limiter.local_backend
-        if local is not None and local.id != ident and heartbeat.state != "accepting" and heartbeat.sequence > 0:
+        if local is not None and local.id != ident and not heartbeat.is_accepting and heartbeat.sequence > 0:
             return False  # An incarnation that is ending can't replace another.
         has_ended = local is not None and local.state in ("gone", "silent")
         if self._incarnations.record_heartbeat(
@@ -245,7 +175,7 @@
         if local is not None and local.id == ident:
             return local
         former, local = local, LocalBackend(ident, heartbeat.service, heartbeat.address, self._process.loop.time())
-        if heartbeat.state != "accepting" or self._endings.get(ident) is Ending.CLOSING:
+        if not heartbeat.is_accepting or self._lookup.endings.get(ident) is Ending.CLOSING:
             # It may have announced its closing long ago, to an earlier sidecar process, so it gets no more requests.
             local.closing_at = NEVER_ACCEPTED
         if former is not None and former.service != local.service:
@@ -263,7 +193,7 @@
         local.sequence, local.last_heartbeat_at, local.is_unreachable = heartbeat.sequence, now, False
         local.concurrency = max(1, heartbeat.berths)
         local.slow_start_until = now + heartbeat.warmup_left_ms / 1000.0
-        if heartbeat.state != "accepting" and local.closing_at == NEVER:
+        if not heartbeat.is_accepting and local.closing_at == NEVER:
             local.closing_at = now
             events.info("closing", id=local.id)
         if local.state != "gone":  # A heartbeat ends the silence of a backend, but not its sign-off.
@@ -280,35 +210,7 @@
             local.closing_at = min(local.closing_at, self._process.loop.time())
             events.info("sign-off", id=local.id)
             self.publish()
-        self._acknowledge(ident, Ending.SIGNED_OFF, caller)
-
-    # ---- calls that are answered once an ending is recorded --------------------------------
-
-    def _acknowledge(self, ident: str, ending: Ending, caller: Responder) -> None:
-        """Acknowledge a call once it is recorded how far the backend has ended, as that binds the whole mesh then."""
-        if self._endings.get(ident) in (ending, Ending.SIGNED_OFF):
-            reply(caller)
-            return
-        is_recording = (ident, ending) in self._recording
-        if not is_recording:  # A sign-off replaces a closing that is not recorded yet.
-            self._recording[ident, ending] = self._recording.pop((ident, Ending.CLOSING), [])
-        waiting = self._recording[ident, ending]
-        waiting.append(caller)
-        caller.on_disconnect = lambda: _remove(waiting, caller)
-        if not is_recording:
-            self._records.record(ident, ending, lambda is_recorded: self._recorded(ident, ending, is_recorded))
-
-    def _recorded(self, ident: str, ending: Ending, is_recorded: bool) -> None:
-        if is_recorded:
-            self._endings[ident] = ending
-        # Voters of a former build acknowledge nothing: the control node that is followed has the report all the same.
-        is_acknowledged = is_recorded or self._process.has_only_former_voters()
-        for caller in self._recording.pop((ident, ending), []):
-            caller.on_disconnect = None
-            if is_acknowledged:
-                reply(caller)
-            else:
-                fail(caller, MeshError(ErrorKind.NO_QUORUM, "too few control nodes know that the backend ends"))
+        self._acknowledgements.acknowledge(ident, Ending.SIGNED_OFF, caller)
 
     def backend_unreachable(self, local: LocalBackend) -> None:
         """Handle a backend that has refused a connection."""
@@ -383,7 +285,7 @@
 
     def tick(self, now: float) -> None:
         """Mark the backend as silent if its heartbeats have stopped; look up one that is not known yet."""
-        self._look_up_unknown()
+        self._lookup.look_up()
         local = self._limiter.local_backend
         since_tick, self._ticked_at = now - self._ticked_at, now
         if local is None or local.state in ("gone", "silent"):
@@ -396,9 +298,3 @@
             local.state = "silent"
             events.info("backend-silent", id=local.id)
             self.publish()
-
-
-def _remove(waiting: list[Responder], caller: Responder) -> None:
-    """Remove a caller that has left from those that wait."""
-    if caller in waiting:
-        waiting.remove(caller)
