Record each closing before it is acknowledged, and confirm one of another service

A closing of an incarnation that was not the current one was acknowledged and forgotten: two late heartbeats with lower numbers then made that incarnation the current one, which accepts, in the same process or in the next one. And a restarted proxy took a late closing of a former backend of another service at once: its machine's requests went out under that service's name until the next heartbeat of the present backend.

Each closing is recorded at the voters, and its number remembered. One under the name of another service has to be confirmed by a second.

--- a/lugspur/mesh/sidecar/backend_incarnations.py
+++ b/lugspur/mesh/sidecar/backend_incarnations.py
@@ -50,6 +50,11 @@
         """Record that an incarnation, known or not, has ended; its later heartbeats are late ones."""
         self._incarnation(ident).has_signed_off = True
 
+    def record_sequence(self, ident: str, sequence: int) -> None:
+        """Record a heartbeat that makes its incarnation no other than before; those with lower numbers are late."""
+        incarnation = self._incarnation(ident)
+        incarnation.highest_sequence = max(incarnation.highest_sequence, sequence)
+
     def learn_announced(self, ident: str) -> None:
         """Record which incarnation the process before this one announced; an empty id stands for none."""
         self._announced_id = ident
--- a/lugspur/mesh/sidecar/registration.py
+++ b/lugspur/mesh/sidecar/registration.py
@@ -85,8 +85,9 @@
         if self._has_to_be_looked_up(received):
             self._lookup.receive(received)
         else:
-            self._take(received)
-        if received.heartbeat.is_accepting or not self._is_current(received.ident):
+            is_closing = not received.heartbeat.is_accepting
+            self._take(received, is_doubtful=is_closing and self._is_of_another_service(received))
+        if received.heartbeat.is_accepting:
             reply(caller)
         else:
             self._acknowledgements.acknowledge(received.ident, Ending.CLOSING, caller)
@@ -160,6 +161,7 @@
         ident, heartbeat, received_at = received
         local = self._limiter.local_backend
         if local is not None and local.id != ident and not heartbeat.is_accepting and heartbeat.sequence > 0:
+            self._incarnations.record_sequence(ident, heartbeat.sequence)
             return False  # An incarnation that is ending can't replace another.
         has_ended = local is not None and local.state in ("gone", "silent")
         if self._incarnations.record_heartbeat(
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -366,6 +366,43 @@
     run_scenario(tmp_path, scenario, connect=False)
 
 
+def test_the_closing_of_an_incarnation_that_is_not_the_current_one_binds_too(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against late heartbeats that undo an acknowledged closing, in this process and in the next one."""
+    records: dict[bytes, BackendResponse] = {}
+
+    def first(sidecar: Sidecar) -> None:
+        voters, now = Voters(sidecar), sidecar.loop.time()
+        assert heartbeat(sidecar, 0, ident="i-2") == 200
+        assert heartbeat(sidecar, 10, "closing") == 200
+        for seconds, sequence in ((0.1, 8), (1.0, 9)):
+            monkeypatch.setattr(sidecar.loop, "time", lambda at=now + seconds: at)
+            assert heartbeat(sidecar, sequence) == 200 and announced(sidecar) == ("i-2", "accepting")
+        monkeypatch.undo()
+        records.update(voters.records)
+
+    def second(sidecar: Sidecar) -> None:
+        Voters(sidecar).records = records
+        assert heartbeat(sidecar, 9) == 200 and not sidecar.limiter.accepts(sidecar.loop.time(), "i-1")
+
+    run_scenario(tmp_path, first, connect=False)
+    assert records[KEY_PREFIX + b"i-1"].body == b"closing"
+    run_scenario(tmp_path, second, connect=False)
+
+
+def test_a_late_closing_of_another_service_gives_this_machines_requests_no_other_name(tmp_path: Path) -> None:
+    """Guards against requests under the name of the service that had this address before a restart of the proxy."""
+
+    def scenario(sidecar: Sidecar) -> None:
+        assert heartbeat(sidecar, 30, "closing", ident="former", service="desk") == 200
+        assert sidecar.proxy.sender == "rooms" and sidecar.limiter.local_backend is None
+        assert heartbeat(sidecar, 40) == 200
+        assert sidecar.proxy.sender == "rooms" and announced(sidecar) == ("i-1", "accepting")
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_late_heartbeat_of_another_service_gives_this_machines_requests_no_other_name(tmp_path: Path) -> None:
     """Guards against requests under the name of the service that had this address before."""
 
