Ask about an unverified incarnation once a second at most

A backend that was taken without contact is looked up until the voters reply. Where a killed process had begun to look it up, its reservation answers at once that the key is taken, for the rest of the window: the next process then asked all voters ten times a second, for up to stamp_window_s + 10 s.

Result: test_an_end_that_is_found_once_there_is_contact_binds_a_backend_that_was_taken_without counts two look-ups in two seconds, and failed before.

--- a/lugspur/mesh/sidecar/incarnation_lookup.py
+++ b/lugspur/mesh/sidecar/incarnation_lookup.py
@@ -15,6 +15,8 @@
 from lugspur.mesh.sidecar.ending_records import Ending, EndingRecords
 from lugspur.mesh.sidecar.heartbeat import ReceivedHeartbeat
 
+UNVERIFIED_LOOK_UP_INTERVAL_SECONDS = 1.0  # bounds the load on voters while a machine has little contact
+
 
 class IncarnationLookup:
     """The incarnations of one machine's backend that were looked up, and the heartbeat that waits for it."""
@@ -35,6 +37,7 @@
         self.knows_mesh = False  # whether it is known which incarnation the process before this one announced
         self._waiting: ReceivedHeartbeat | None = None
         self._unverified_id = ""  # the incarnation that was taken although it could not be looked up
+        self._unverified_look_up_at = 0.0  # when that incarnation is looked up again
         self._looking_up = ""  # the incarnation that is being looked up
 
     def is_known(self, ident: str) -> bool:
@@ -48,13 +51,20 @@
             self._take(former, True)
             if self._take(received, True):
                 self._waiting, self._unverified_id = None, received.ident
-        self.look_up()
+        self._look_up()
+
+    def tick(self, now: float) -> None:
+        """Look up again what could not be found out."""
+        if self._waiting is None and now < self._unverified_look_up_at:
+            return
+        self._unverified_look_up_at = now + UNVERIFIED_LOOK_UP_INTERVAL_SECONDS
+        self._look_up()
 
     def clear(self) -> None:
         """Drop the heartbeat that waits, as another one was taken."""
         self._waiting = None
 
-    def look_up(self) -> None:
+    def _look_up(self) -> None:
         """Look up the incarnation of the waiting heartbeat, or the unverified one, unless that is under way."""
         ident = self._unverified_id if self._waiting is None else self._waiting.ident
         if ident in ("", self._looking_up) or ident in self.endings:
@@ -66,7 +76,7 @@
         if self._looking_up == ident:
             self._looking_up = ""
         if not is_known:
-            return  # It is looked up again with the next tick.
+            return  # `tick` looks it up again.
         self.endings.setdefault(ident, ending)  # It may have ended meanwhile.
         if self._unverified_id == ident:
             self._unverified_id = ""
--- a/lugspur/mesh/sidecar/registration.py
+++ b/lugspur/mesh/sidecar/registration.py
@@ -287,7 +287,7 @@
 
     def tick(self, now: float) -> None:
         """Mark the backend as silent if its heartbeats have stopped; look up one that is not known yet."""
-        self._lookup.look_up()
+        self._lookup.tick(now)
         local = self._limiter.local_backend
         since_tick, self._ticked_at = now - self._ticked_at, now
         if local is None or local.state in ("gone", "silent"):
--- a/tests/mesh/sidecar/test_sidecar.py
+++ b/tests/mesh/sidecar/test_sidecar.py
@@ -336,8 +336,15 @@
         assert announced(sidecar) == ("i-1", "accepting")
         monkeypatch.setattr(sidecar.loop, "time", lambda: now + 2.0)
         sidecar.reservations.tick(now + 2.0)
+        looked_up: list[Message] = []
+        send_to_voters(sidecar, lambda ip, message: looked_up.append(message))
+        for tenth in range(20):  # it is asked about once a second, each time until the reservations time out
+            sidecar.registration.tick(now + 2.0 + tenth / 10.0)
+            sidecar.reservations.tick(now + 3.0)
+        assert len([message for message in looked_up if isinstance(message, ReserveKey)]) == 2 * 3
         voters.replying = "123"
-        sidecar.registration.tick(now + 2.0)
+        send_to_voters(sidecar, voters._receive)
+        sidecar.registration.tick(now + 4.0)
         assert announced(sidecar) == ("i-1", "gone" if ending == b"signed-off" else "closing")
         assert heartbeat(sidecar, 11) == 200 and not sidecar.limiter.accepts(sidecar.loop.time(), "i-1")
         assert heartbeat(sidecar, 0, ident="i-2") == 200 and announced(sidecar) == ("i-2", "accepting")
