Take no room for a body that another one's room has closed, and test what had no test

admit_waiting went through a copy of those that wait: one that a callback had closed meanwhile was asked again and took 64 KiB that nobody gave back.

--- a/lugspur/http1/body_memory.py
+++ b/lugspur/http1/body_memory.py
@@ -132,7 +132,8 @@
     def admit_waiting(self) -> None:
         # The largest ones first: they are the first that need no more, and then free most.
         for growing in sorted(self.growing_waiting, key=self.growing.__getitem__, reverse=True):
-            growing.ask_again()
+            if growing in self.growing_waiting:  # else it was closed by what another one's room has set off
+                growing.ask_again()
         while self.waiting and not self.growing_waiting and self.waiting[0].can_be_admitted():
             body = self.waiting.popleft()
             self._waiting_limit.release(self._name, body.buffered_bytes)
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -41,6 +41,14 @@
     return admitted
 
 
+def fill(memory: BodyMemory, size: int) -> list[BodyBuffer]:
+    """Take all room that there is for outgoing bodies of this size."""
+    held = []
+    while memory.pool_for(OUT, size).can_acquire(size):
+        held.append(memory.admit_received(OUT, size))
+    return held
+
+
 def test_room_is_taken_for_the_whole_body_and_is_free_with_the_last_reference() -> None:
     memory = make_memory()
     bodies = admit(memory, OUT, LARGEST)
@@ -102,6 +110,45 @@
     assert memory.used_bytes <= CAPACITY and 10 < memory.waiting_bodies < 100
 
 
+def test_who_has_waited_leaves_its_place_to_others() -> None:
+    """Guards against a bound on the buffers of those that wait that shrinks with each body that has waited."""
+    memory = make_memory()
+    held = fill(memory, 2 * MIB)
+    for _ in range(1000):
+        framed = FramedBody(memory, OUT, 2 * MIB, lambda: None)
+        growing = GrowingBody(memory, OUT, lambda: None)
+        for _ in range(18):
+            growing.put(bytes(65536))
+        assert framed.is_waiting and growing.is_waiting and memory.waiting_bodies == 2
+        framed.close()
+        growing.close()
+    for _ in range(1000):
+        growing = GrowingBody(memory, OUT, lambda: None)
+        for _ in range(18):
+            growing.put(bytes(65536))
+        held.pop()
+        assert not growing.is_waiting
+        growing.close()
+        held = [*held, *fill(memory, 2 * MIB)]
+    held.clear()
+    assert memory.used_bytes == 0
+
+
+def test_a_body_that_another_ones_room_has_closed_takes_none() -> None:
+    memory = make_memory()
+    bodies = [GrowingBody(memory, OUT, lambda: bodies[1].close()) for _ in range(2)]
+    for body in bodies:
+        body.put(bytes(SMALL_BODY_BYTES + 1))
+    held = fill(memory, 2 * MIB)
+    for body in bodies:
+        body.put(bytes(3 * MIB))
+    assert all(body.is_waiting for body in bodies)
+    held.clear()
+    assert not bodies[0].is_waiting and not bodies[1].is_waiting
+    bodies[0].close()
+    assert memory.used_bytes == 0
+
+
 def test_a_body_of_unknown_length_takes_room_as_it_grows_and_its_own_size_at_last() -> None:
     memory = make_memory()
     growing = GrowingBody(memory, OUT, lambda: None)
@@ -330,9 +377,7 @@
 
 def test_a_body_that_came_in_one_read_waits_for_memory_instead_of_being_turned_away() -> None:
     async def scenario(served: Served, address: tuple[str, int]) -> None:
-        held = []
-        while served.memory.pool_for(OUT, 50_000).can_acquire(50_000):
-            held.append(served.memory.admit_received(OUT, 50_000))
+        held = fill(served.memory, 50_000)
         reader, writer = await asyncio.open_connection(*address)
         request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + bytes(50_000)
         writer.write(request)
@@ -351,15 +396,29 @@
     run_front(scenario)
 
 
+def test_a_body_that_outgrows_small_room_with_its_last_bytes_waits_for_memory() -> None:
+    async def scenario(served: Served, address: tuple[str, int]) -> None:
+        held = fill(served.memory, 2 * MIB)
+        upload = asyncio.create_task(post(address, bytes(SMALL_BODY_BYTES + 100), True))
+        while not served.memory.waiting_bodies:
+            await asyncio.sleep(0.01)
+        assert not served.held
+        held.clear()
+        while not served.held:
+            await asyncio.sleep(0.01)
+        served.answer()
+        assert b"200 OK 1048676" in await upload
+
+    run_front(scenario)
+
+
 def test_nothing_is_read_behind_a_complete_body_that_waits_for_memory() -> None:
     async def scenario(served: Served, address: tuple[str, int]) -> None:
-        held = []
-        while served.memory.pool_for(OUT, 9000).can_acquire(9000):
-            held.append(served.memory.admit_received(OUT, 9000))
+        held = fill(served.memory, 9000)
         reader, writer = await asyncio.open_connection(*address)
         writer.write((b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n" + bytes(9000)) * 2)
         assert b"503" in await reader.readuntil(b"\r\n\r\n")
-        assert not served.held and not served.memory.waiting_bodies
+        assert held and not served.held and not served.memory.waiting_bodies
         writer.close()
 
     run_front(scenario)
